--- /dev/null
+++ b/internal/bookkeeping/cloud.go
@@ -0,0 +1,89 @@
+package bookkeeping
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"time"
+
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/transport"
+
+	"golang.org/x/time/rate"
+)
+
+const cloudTimeout = 5 * time.Second
+
+// Cloud is a client of the cloud that keeps to this controller's share of its rate.
+type Cloud struct {
+	client *transport.Client
+	calls  *rate.Limiter
+}
+
+// NewCloud makes a client; the rate is shared by count controllers.
+func NewCloud(addr string, rps float64, count int) *Cloud {
+	share := rps * 0.9 / float64(count)
+	return &Cloud{client: transport.NewClient(addr), calls: rate.NewLimiter(rate.Limit(share), max(1, int(2*share)))}
+}
+
+func (c *Cloud) do(ctx context.Context, method, target string, in, out any) error {
+	if err := c.calls.Wait(ctx); err != nil {
+		return ErrRefused
+	}
+	var body []byte
+	if in != nil {
+		b, err := protocol.Encode(in)
+		if err != nil {
+			return err
+		}
+		body = b
+	}
+	ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
+	defer cancel()
+	m, err := c.client.Do(ctx, method, target, body)
+	if err != nil {
+		c.client.Forget()
+		return err
+	}
+	return answer(m, out)
+}
+
+// Catalogue reads the machine types.
+func (c *Cloud) Catalogue(ctx context.Context) (protocol.Catalogue, error) {
+	var cat protocol.Catalogue
+	err := c.do(ctx, "GET", "/catalog", nil, &cat)
+	return cat, err
+}
+
+// Rent asks for machines.
+func (c *Cloud) Rent(ctx context.Context, r protocol.RentRequest) ([]protocol.MachineID, error) {
+	var got protocol.MachineNames
+	err := c.do(ctx, "POST", "/hosts", r, &got)
+	return got.Machines, err
+}
+
+// Delete returns machines. When it returns without an error they are gone.
+func (c *Cloud) Delete(ctx context.Context, ids []protocol.MachineID) error {
+	return c.do(ctx, "POST", "/hosts/delete", protocol.MachineNames{Machines: ids}, nil)
+}
+
+// Machines lists all machines, page by page.
+func (c *Cloud) Machines(ctx context.Context) ([]protocol.ListedMachine, error) {
+	var all []protocol.ListedMachine
+	from := ""
+	for {
+		target := "/hosts?page=500"
+		if from != "" {
+			target += "&from=" + url.QueryEscape(from)
+		}
+		var page protocol.MachineList
+		if err := c.do(ctx, "GET", target, nil, &page); err != nil {
+			return nil, fmt.Errorf("list machines: %w", err)
+		}
+		all = append(all, page.Machines...)
+		if !page.More || len(page.Machines) == 0 {
+			return all, nil
+		}
+		from = string(page.Machines[len(page.Machines)-1].ID)
+	}
+}
--- /dev/null
+++ b/internal/bookkeeping/records.go
@@ -0,0 +1,149 @@
+package bookkeeping
+
+import (
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"damsonkeel/internal/protocol"
+
+	"github.com/bits-and-blooms/bitset"
+)
+
+// Keys of the records. What every controller follows has one prefix; final
+// states of jobs and bitmaps, read when asked for, have others.
+const (
+	FollowedPrefix = "c/"
+	ViewKey        = "c/view"
+	nodePrefix     = "c/node/"
+	livePrefix     = "c/live/"
+	machinePrefix  = "c/mach/"
+	jobPrefix      = "job/"
+	bitsPrefix     = "bits/"
+)
+
+// NodeKey is a controller's membership, attached to its lease.
+func NodeKey(n protocol.NodeName) string { return nodePrefix + string(n) }
+
+// LiveKey is an accepted job that is neither done nor cancelled.
+func LiveKey(j protocol.JobID) string { return livePrefix + string(j) }
+
+// JobKey is the state of a job; it is never deleted.
+func JobKey(j protocol.JobID) string { return jobPrefix + string(j) }
+
+// MachineKey is a machine's session that may hold tasks.
+func MachineKey(m protocol.MachineID) string { return machinePrefix + string(m) }
+
+// BitsPrefix is the prefix of the bitmaps of a job's finished tasks.
+func BitsPrefix(j protocol.JobID) string { return bitsPrefix + string(j) + "/" }
+
+// BitsKey is one chunk of such a bitmap.
+func BitsKey(j protocol.JobID, chunk int) string { return fmt.Sprintf("%s%d", BitsPrefix(j), chunk) }
+
+// Followed is what a followed key is about; one field is set.
+type Followed struct {
+	View    bool
+	Node    protocol.NodeName
+	Job     protocol.JobID
+	Machine protocol.MachineID
+}
+
+// ParseFollowed tells what a followed key is about.
+func ParseFollowed(key string) (Followed, bool) {
+	if key == ViewKey {
+		return Followed{View: true}, true
+	}
+	if n, ok := strings.CutPrefix(key, nodePrefix); ok {
+		return Followed{Node: protocol.NodeName(n)}, true
+	}
+	if j, ok := strings.CutPrefix(key, livePrefix); ok {
+		return Followed{Job: protocol.JobID(j)}, true
+	}
+	if m, ok := strings.CutPrefix(key, machinePrefix); ok {
+		return Followed{Machine: protocol.MachineID(m)}, true
+	}
+	return Followed{}, false
+}
+
+// View is who may act in a term: the controllers with their sessions.
+type View struct {
+	Term    protocol.Term                          `cbor:"term"`
+	Members map[protocol.NodeName]protocol.LeaseID `cbor:"members"`
+}
+
+// Node is a controller's membership record.
+type Node struct {
+	Session protocol.LeaseID `cbor:"session"`
+}
+
+// Machine is a machine's record: its tasks are of this session, and gone when
+// the record changes or goes.
+type Machine struct {
+	Session protocol.Session     `cbor:"session"`
+	Address string               `cbor:"address"`
+	Type    protocol.MachineType `cbor:"type"`
+	Zone    protocol.Zone        `cbor:"zone"`
+	Spot    bool                 `cbor:"spot"`
+}
+
+// JobRecord is the state of a job as users were told. "live" is any state
+// that is not final.
+type JobRecord struct {
+	State string `cbor:"state"`
+	Tasks uint32 `cbor:"tasks"`
+}
+
+// States of job records.
+const (
+	RecordLive      = "live"
+	RecordDone      = "done"
+	RecordCancelled = "aborted"
+)
+
+// ChunkTasks is how many tasks one bitmap record covers: 4 KiB of bits, well
+// under any value limit that a job's own record fits in.
+const ChunkTasks = 32768
+
+// Bits is one chunk of a bitmap. Values hold nothing binary, so it is text.
+type Bits struct {
+	Bits string `cbor:"bits"`
+}
+
+// EncodeChunk writes chunk number chunk of done.
+func EncodeChunk(done *bitset.BitSet, chunk int) Bits {
+	out := make([]byte, 0, 64)
+	base := uint(chunk * ChunkTasks)
+	for i, ok := done.NextSet(base); ok && i < base+ChunkTasks; i, ok = done.NextSet(i + 1) {
+		at := int(i-base) / 8
+		for len(out) <= at {
+			out = append(out, 0)
+		}
+		out[at] |= 1 << ((i - base) % 8)
+	}
+	return Bits{Bits: base64.RawStdEncoding.EncodeToString(out)}
+}
+
+// DecodeChunk adds a chunk, read from key, to done.
+func DecodeChunk(key string, b Bits, done *bitset.BitSet, tasks uint32) error {
+	chunk, err := strconv.Atoi(key[strings.LastIndexByte(key, '/')+1:])
+	if err != nil || chunk < 0 || chunk > protocol.MaxTasks/ChunkTasks {
+		return fmt.Errorf("bitmap %s: no chunk number", key)
+	}
+	raw, err := base64.RawStdEncoding.DecodeString(b.Bits)
+	if err != nil {
+		return fmt.Errorf("bitmap %s: %w", key, err)
+	}
+	if len(raw) > ChunkTasks/8 {
+		return errors.New("bitmap " + key + ": too long")
+	}
+	for at, v := range raw {
+		for bit := range 8 {
+			if i := chunk*ChunkTasks + at*8 + bit; v&(1<<bit) != 0 && i < int(tasks) {
+				done.Set(uint(i))
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bookkeeping/state.go
@@ -0,0 +1,181 @@
+// Package bookkeeping speaks to the platform's services: the state service,
+// which is the only thing that outlives a process, and the cloud.
+package bookkeeping
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/transport"
+
+	"golang.org/x/time/rate"
+)
+
+// Errors that callers tell apart. Anything else is a request that may have
+// been executed, or may still be.
+var (
+	// ErrRefused: the request was not executed (503, 429, out of budget).
+	ErrRefused = errors.New("not executed")
+	// ErrConflict: a condition of the transaction does not hold.
+	ErrConflict = errors.New("condition does not hold")
+	// ErrNotFound: the key or lease does not exist.
+	ErrNotFound = errors.New("not found")
+	// ErrCompacted: the watch asked for changes no longer kept.
+	ErrCompacted = errors.New("changes no longer kept")
+	// ErrMalformed: the service calls the request malformed.
+	ErrMalformed = errors.New("called malformed")
+)
+
+const callTimeout = 1500 * time.Millisecond
+
+// State is a client of the state service that keeps to this controller's
+// share of its rates.
+type State struct {
+	client *transport.Client
+	follow *transport.Client
+	reads  *rate.Limiter // all requests
+	writes *rate.Limiter // puts and deletes
+}
+
+// NewState makes a client. The configured rates hold for all controllers
+// together; each takes an equal share, a tenth of it kept back for the lease.
+func NewState(addr string, rps, writeRPS float64, count int) *State {
+	share := 0.9 / float64(count)
+	return &State{
+		client: transport.NewClient(addr),
+		follow: transport.NewClient(addr),
+		reads:  rate.NewLimiter(rate.Limit(rps*share), max(1, int(rps*share))),
+		writes: rate.NewLimiter(rate.Limit(writeRPS*share), max(1, int(writeRPS*share))),
+	}
+}
+
+func (s *State) do(ctx context.Context, method, target string, in, out any) error {
+	var body []byte
+	if in != nil {
+		b, err := protocol.Encode(in)
+		if err != nil {
+			return err
+		}
+		body = b
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	m, err := s.client.Do(ctx, method, target, body)
+	if err != nil {
+		s.client.Forget() // kept connections to a silent service are no better
+		return err
+	}
+	return answer(m, out)
+}
+
+// answer turns a response into an error or its body.
+func answer(m *transport.Message, out any) error {
+	switch m.Status {
+	case 200:
+		if out == nil {
+			return nil
+		}
+		return protocol.Decode(m.Body, out)
+	case 404:
+		return ErrNotFound
+	case 409:
+		return ErrConflict
+	case 410:
+		return ErrCompacted
+	case 429, 503:
+		return fmt.Errorf("status %d: %w", m.Status, ErrRefused)
+	case 400:
+		return fmt.Errorf("%w: %.100q", ErrMalformed, m.Body)
+	}
+	return fmt.Errorf("unexpected status %d", m.Status)
+}
+
+// Get reads a key.
+func (s *State) Get(ctx context.Context, key string) (protocol.Item, error) {
+	var it protocol.Item
+	if !s.reads.Allow() {
+		return it, ErrRefused
+	}
+	err := s.do(ctx, "GET", "/keys/"+key, nil, &it)
+	return it, err
+}
+
+// List reads all keys with a prefix, page by page. The revision is the first
+// page's: following from it misses nothing.
+func (s *State) List(ctx context.Context, prefix string) ([]protocol.Item, protocol.Revision, error) {
+	var items []protocol.Item
+	var rev protocol.Revision
+	from := ""
+	for {
+		if err := s.reads.Wait(ctx); err != nil {
+			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
+		}
+		target := "/keys?starts=" + url.QueryEscape(prefix) + "&page=500"
+		if from != "" {
+			target += "&from=" + url.QueryEscape(from)
+		}
+		var page protocol.Page
+		if err := s.do(ctx, "GET", target, nil, &page); err != nil {
+			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
+		}
+		if rev == 0 {
+			rev = page.Revision
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return items, rev, nil
+		}
+		from = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// Txn executes a transaction and returns its revision.
+func (s *State) Txn(ctx context.Context, t protocol.Txn) (protocol.Revision, error) {
+	if !s.reads.Allow() || !s.writes.AllowN(time.Now(), len(t.Then)) {
+		return 0, ErrRefused
+	}
+	if t.If == nil {
+		t.If = []protocol.Condition{}
+	}
+	if t.Then == nil {
+		t.Then = []protocol.Change{}
+	}
+	var reply protocol.TxnReply
+	err := s.do(ctx, "POST", "/txn", t, &reply)
+	return reply.Revision, err
+}
+
+// Lease asks for a lease.
+func (s *State) Lease(ctx context.Context, ttl time.Duration) (protocol.LeaseID, error) {
+	var reply protocol.LeaseReply
+	s.reads.Allow()
+	err := s.do(ctx, "POST", "/holds", protocol.LeaseRequest{TTLMS: ttl.Milliseconds()}, &reply)
+	return reply.Lease, err
+}
+
+// Extend renews a lease. It never waits for the budget: everything else
+// yields to it.
+func (s *State) Extend(ctx context.Context, id protocol.LeaseID) error {
+	s.reads.Allow()
+	return s.do(ctx, "POST", "/holds/"+strconv.FormatUint(uint64(id), 10)+"/extend", struct{}{}, nil)
+}
+
+// Follow waits for changes of keys with a prefix after a revision.
+func (s *State) Follow(ctx context.Context, prefix string, from protocol.Revision, hold time.Duration) (protocol.Events, error) {
+	var ev protocol.Events
+	s.reads.Allow()
+	ctx, cancel := context.WithTimeout(ctx, hold+3*time.Second)
+	defer cancel()
+	target := fmt.Sprintf("/follow?starts=%s&from=%d&hold_ms=%d", url.QueryEscape(prefix), from, hold.Milliseconds())
+	m, err := s.follow.Do(ctx, "GET", target, nil)
+	if err != nil {
+		return ev, err
+	}
+	err = answer(m, &ev)
+	return ev, err
+}
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,100 @@
+package config
+
+import (
+	"encoding/xml"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+)
+
+// Operator is the operators' own settings, an optional XML file. Every
+// element has a default.
+type Operator struct {
+	// RelayEvery is how often completions and waits are passed to peers.
+	RelayEvery time.Duration
+	// CopyWait is how long a restarted controller waits for a table copy.
+	CopyWait time.Duration
+	// DefaultEstimate stands in for the run time of jobs that give none.
+	DefaultEstimate time.Duration
+	// NodeLease is how long a controller may act without hearing from the state service.
+	NodeLease time.Duration
+	// IdleReturn is how long a machine stays idle before it is returned.
+	IdleReturn time.Duration
+}
+
+// DefaultOperator returns the defaults.
+func DefaultOperator() Operator {
+	return Operator{
+		RelayEvery:      time.Second,
+		CopyWait:        2 * time.Second,
+		DefaultEstimate: time.Minute,
+		NodeLease:       8 * time.Second,
+		IdleReturn:      time.Minute,
+	}
+}
+
+// LoadOperator reads the file at path; an empty path gives the defaults.
+func LoadOperator(path string) (Operator, error) {
+	if path == "" {
+		return DefaultOperator(), nil
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return Operator{}, fmt.Errorf("operator settings: %w", err)
+	}
+	defer f.Close()
+	return ParseOperator(f)
+}
+
+// ParseOperator reads operators' settings. Unknown elements and bad values
+// are named in the error.
+func ParseOperator(r io.Reader) (Operator, error) {
+	op := DefaultOperator()
+	fields := map[string]*time.Duration{
+		"relayEvery": &op.RelayEvery, "copyWait": &op.CopyWait, "defaultEstimate": &op.DefaultEstimate,
+		"nodeLease": &op.NodeLease, "idleReturn": &op.IdleReturn,
+	}
+	d := xml.NewDecoder(r)
+	depth, name, text := 0, "", ""
+	for {
+		tok, err := d.Token()
+		if errors.Is(err, io.EOF) {
+			if depth != 0 || name == "" && text == "" && d.InputOffset() == 0 {
+				return op, errors.New("operator settings: empty")
+			}
+			return op, nil
+		}
+		if err != nil {
+			return op, fmt.Errorf("operator settings: %w", err)
+		}
+		switch t := tok.(type) {
+		case xml.StartElement:
+			depth++
+			name, text = t.Name.Local, ""
+			if depth == 1 && name != "damsonkeel" {
+				return op, fmt.Errorf("operator settings: root element <%s>, want <damsonkeel>", name)
+			}
+			if depth > 2 || depth == 2 && fields[name] == nil {
+				return op, fmt.Errorf("operator settings: unknown element <%s>", name)
+			}
+			if len(t.Attr) > 0 {
+				return op, fmt.Errorf("operator settings: <%s>: unknown attribute %q", name, t.Attr[0].Name.Local)
+			}
+		case xml.CharData:
+			text += string(t)
+		case xml.EndElement:
+			if depth == 2 {
+				v, err := time.ParseDuration(strings.TrimSpace(text))
+				if err != nil || v < 100*time.Millisecond || v > time.Hour {
+					return op, fmt.Errorf("operator settings: <%s>: %q is no duration from 100ms to 1h", name, strings.TrimSpace(text))
+				}
+				*fields[name] = v
+			}
+			depth--
+			text = ""
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/core.go
@@ -0,0 +1,284 @@
+// Package coordination decides: who is entitled to act, who owns which job,
+// where tasks go, what workers are told and which machines are rented. The
+// decisions are step functions over plain state (Core); thin actors around
+// them (Node) carry the messages.
+package coordination
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/protocol"
+)
+
+// Core is one controller's whole state between messages. It is not safe for
+// concurrent use: one actor owns it.
+type Core struct {
+	self     protocol.NodeName
+	settings *config.Settings
+	op       config.Operator
+	log      *slog.Logger
+	rng      *rand.Rand
+	now      Time
+	out      []Action
+	local    []PeerMessage // to itself, handled before the step ends
+
+	types map[protocol.MachineType]protocol.TypeInfo
+
+	session     protocol.LeaseID
+	until       Time // acts only before
+	view        bookkeeping.View
+	viewVersion protocol.Version
+	nodes       map[protocol.NodeName]protocol.LeaseID // present in the records
+	writingView bool
+	viewRetry   Time
+
+	live     map[protocol.JobID]*liveJob
+	machines map[protocol.MachineID]*machineEntry
+
+	owner  ownerState
+	queues map[protocol.MachineID]*queue
+	peers  map[protocol.NodeName]*peer
+	fleet  fleetState
+
+	lastRelay Time
+}
+
+// Action is something the core wants done.
+type Action any
+
+// peer is what is known of another controller's present session.
+type peer struct {
+	session  protocol.LeaseID
+	term     protocol.Term // highest it is known to have adopted
+	next     uint64        // number of the next message expected
+	placed   uint64        // number of the last Place sent to it
+	handled  uint64        // number of the last Place handled from it
+	unheard  []ownWait     // placements its summaries do not include yet
+	demand   []Demand
+	progress map[protocol.JobID]Progress
+	hasTable bool
+}
+
+type ownWait struct {
+	number  uint64
+	machine protocol.MachineID
+	addS    float64
+}
+
+// NewCore makes a controller's state before its first session.
+func NewCore(s *config.Settings, op config.Operator, rng *rand.Rand, log *slog.Logger) *Core {
+	c := &Core{self: s.Name, settings: s, op: op, rng: rng, log: log, types: map[protocol.MachineType]protocol.TypeInfo{}}
+	c.reset()
+	return c
+}
+
+// reset forgets everything a session knew. What matters is in the records.
+func (c *Core) reset() {
+	c.session, c.until = 0, 0
+	c.view, c.viewVersion = bookkeeping.View{}, 0
+	c.nodes = map[protocol.NodeName]protocol.LeaseID{}
+	c.writingView = false
+	c.live = map[protocol.JobID]*liveJob{}
+	c.machines = map[protocol.MachineID]*machineEntry{}
+	c.queues = map[protocol.MachineID]*queue{}
+	c.peers = map[protocol.NodeName]*peer{}
+	c.owner = newOwnerState()
+	c.fleet = newFleetState()
+}
+
+// Step handles one message at a time of the steady clock.
+func (c *Core) Step(now Time, msg any) []Action {
+	c.now = now
+	c.out = nil
+	switch m := msg.(type) {
+	case Snapshot:
+		c.reset()
+		c.session = m.Session
+		for _, it := range m.Items {
+			c.record(it.Key, it.Value, it.Version, true)
+		}
+	case Changed:
+		c.changed(m.Event)
+	case Entitled:
+		c.until = m.Until
+	case SessionOver:
+		c.reset()
+	case CatalogueRead:
+		c.catalogue(m.Types)
+	case Reported:
+		c.report(m.Report)
+	case Received:
+		c.received(m.Batch)
+	case Tick:
+		c.tick()
+	case TxnDone:
+		c.txnDone(m)
+	case JobLoaded:
+		c.jobLoaded(m)
+	case Rented:
+		c.rented(m)
+	case Deleted:
+		c.deleted(m)
+	case Listed:
+		c.listed(m)
+	}
+	c.settle()
+	return c.out
+}
+
+// settle handles messages to itself and places what became pending.
+func (c *Core) settle() {
+	for range 8 {
+		for len(c.local) > 0 {
+			m := c.local[0]
+			c.local = c.local[1:]
+			c.message(c.self, m)
+		}
+		if !c.owner.dirty || !c.acting() {
+			return
+		}
+		c.schedule()
+	}
+}
+
+func (c *Core) do(a Action) { c.out = append(c.out, a) }
+
+// acting reports whether this controller may command workers and settle jobs:
+// its lease has not run out by its own clock, and the view has its session.
+func (c *Core) acting() bool {
+	return c.now < c.until && c.member()
+}
+
+func (c *Core) member() bool {
+	return c.session != 0 && c.view.Members[c.self] == c.session
+}
+
+// Acting is acting, at a time between steps.
+func (c *Core) Acting(now Time) bool { return now < c.until && c.member() }
+
+func (c *Core) after(d time.Duration) Time { return c.now + Time(d) }
+
+func (c *Core) since(t Time) time.Duration { return time.Duration(c.now - t) }
+
+// send passes a message to a member of the view, itself included.
+func (c *Core) send(to protocol.NodeName, m PeerMessage) {
+	if to == c.self {
+		c.local = append(c.local, m)
+		return
+	}
+	if session, ok := c.view.Members[to]; ok {
+		c.do(Send{To: to, From: c.session, Session: session, Term: c.view.Term, Message: m})
+	}
+}
+
+// catalogue takes over the machine types.
+func (c *Core) catalogue(types []protocol.TypeInfo) {
+	for _, t := range types {
+		c.types[t.Name] = t
+	}
+	for _, m := range c.machines {
+		m.info = c.types[m.rec.Type]
+	}
+	c.owner.dirty = true
+}
+
+// Types is the number of machine types known.
+func (c *Core) Types() int { return len(c.types) }
+
+func (c *Core) changed(ev protocol.Event) {
+	if ev.Put != "" {
+		c.record(ev.Put, ev.Value, ev.Version, false)
+		return
+	}
+	f, ok := bookkeeping.ParseFollowed(ev.Delete)
+	if !ok {
+		return
+	}
+	switch {
+	case f.Node != "":
+		delete(c.nodes, f.Node)
+		c.checkView()
+	case f.Job != "":
+		c.jobOver(f.Job)
+	case f.Machine != "":
+		c.machineGone(f.Machine)
+	}
+}
+
+// record takes over one followed record.
+func (c *Core) record(key string, value protocol.RawValue, version protocol.Version, snapshot bool) {
+	f, ok := bookkeeping.ParseFollowed(key)
+	if !ok {
+		return
+	}
+	var err error
+	switch {
+	case f.View:
+		var v bookkeeping.View
+		if err = protocol.Decode(value, &v); err == nil && version > c.viewVersion {
+			c.adopt(v, version)
+		}
+	case f.Node != "":
+		var n bookkeeping.Node
+		if err = protocol.Decode(value, &n); err == nil {
+			c.nodes[f.Node] = n.Session
+			if !snapshot {
+				c.checkView()
+			}
+		}
+	case f.Job != "":
+		var j protocol.Job
+		if err = protocol.Decode(value, &j); err == nil {
+			c.jobLive(j, version, snapshot)
+		}
+	case f.Machine != "":
+		var m bookkeeping.Machine
+		if err = protocol.Decode(value, &m); err == nil {
+			c.machineRegistered(f.Machine, m, version)
+		}
+	}
+	if err != nil {
+		c.log.Error("record can't be read", "key", key, "err", err)
+	}
+}
+
+// tick lets time pass: the regular message to peers, and whatever waits.
+func (c *Core) tick() {
+	c.checkView()
+	if !c.member() {
+		return
+	}
+	if c.since(c.lastRelay) >= c.op.RelayEvery {
+		c.lastRelay = c.now
+		c.expireSilent()
+		c.rebalance()
+		c.flushBits()
+		c.sendSummaries()
+		c.fleetStep()
+	}
+	c.retryJobs()
+}
+
+func (c *Core) txnDone(m TxnDone) {
+	switch tag := m.Tag.(type) {
+	case viewTag:
+		c.writingView = false
+		if m.Outcome != OutcomeDone {
+			c.viewRetry = c.after(300 * time.Millisecond)
+		}
+	case registerTag:
+		c.registrationDone(tag, m.Outcome)
+	case finishTag:
+		c.finishDone(tag, m.Outcome)
+	case bitsTag:
+		c.bitsDone(tag, m.Outcome)
+	case removeTag:
+		if q := c.queues[tag.machine]; q != nil {
+			q.removing = false
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/messages.go
@@ -0,0 +1,272 @@
+package coordination
+
+import (
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+)
+
+// Time is this process's steady clock, in nanoseconds since it started.
+type Time int64
+
+// Placement puts one attempt of a task into a machine's queue.
+type Placement struct {
+	Task      protocol.TaskID
+	Attempt   protocol.Attempt
+	Machine   protocol.MachineID
+	Epoch     protocol.Version // of the machine's record, as the owner knows it
+	EstimateS float64
+}
+
+// Place hands placements to the controller that keeps the machines' queues.
+type Place struct {
+	Number uint64 // counts the sender's messages of this kind
+	Term   protocol.Term
+	Tasks  []Placement
+}
+
+// TaskRef names one attempt on one machine.
+type TaskRef struct {
+	Task    protocol.TaskID
+	Attempt protocol.Attempt
+	Machine protocol.MachineID
+}
+
+// Stop asks for an attempt's end: released if it was never sent, else killed.
+// Without Kill only an attempt never sent is released.
+type Stop struct {
+	TaskRef
+	Kill   bool
+	GraceS float64
+}
+
+// What an event says of an attempt.
+type What uint8
+
+// The events of attempts.
+const (
+	WhatPresent  What = iota + 1 // the worker has it
+	WhatRunning                  // it runs
+	WhatEnded                    // it ended
+	WhatReleased                 // it was never sent, and never will be
+	WhatNotice                   // its machine is about to be taken
+)
+
+// TaskEvent tells an owner what became of an attempt.
+type TaskEvent struct {
+	TaskRef
+	What  What
+	Cause protocol.EndCause
+	Saved bool
+}
+
+// Held is one attempt in an inventory.
+type Held struct {
+	Task    protocol.TaskID
+	Attempt protocol.Attempt
+	State   protocol.TaskState // empty: queued, never sent
+	Cause   protocol.EndCause
+	Saved   bool
+}
+
+// Inventory is everything of the addressee's jobs on a machine and in its
+// queue, proven by a report of a worker that has seen the term.
+type Inventory struct {
+	Term    protocol.Term
+	Machine protocol.MachineID
+	Epoch   protocol.Version
+	Upto    uint64 // last Place of the addressee that is taken into account
+	Held    []Held
+}
+
+// Wait is a change of a machine's expected wait.
+type Wait struct {
+	Machine protocol.MachineID
+	AddS    float64
+}
+
+// MachineState is what a machine's controller tells all others of it.
+type MachineState struct {
+	Machine  protocol.MachineID
+	Epoch    protocol.Version
+	WaitS    float64
+	FreeCPUs float64
+	FreeGPUs float64
+	FreeGB   float64
+	Held     int // attempts on it or in its queue
+	Queued   int // of these, never sent
+	Closed   bool
+	Suspect  bool
+	Draining bool
+	IdleS    float64 // how long it has held nothing
+}
+
+// Progress is how far a job is, for display.
+type Progress struct {
+	Job           protocol.JobID
+	Done, Running uint32
+}
+
+// Demand is work of one job that no machine has started.
+type Demand struct {
+	Job       protocol.JobID
+	Unstarted int
+	EstimateS float64
+	OldestS   float64
+}
+
+// Summary is a controller's regular message to each peer.
+type Summary struct {
+	Upto     uint64 // last Place of the addressee that WaitS includes
+	Machines []MachineState
+	Progress []Progress
+	Demand   []Demand
+}
+
+// PeerMessage is one message between controllers; one field is set.
+type PeerMessage struct {
+	Place     *Place
+	Stop      *Stop
+	Event     *TaskEvent
+	Forget    *TaskRef
+	Inventory *Inventory
+	Waits     []Wait
+	Summary   *Summary
+	Drain     *protocol.MachineID
+	AskTable  bool
+	Table     []Wait
+}
+
+// Batch carries messages in order between two sessions. A repeated batch is
+// recognised by its number.
+type Batch struct {
+	From        protocol.NodeName
+	FromSession protocol.LeaseID
+	ToSession   protocol.LeaseID
+	Term        protocol.Term
+	First       uint64
+	Messages    []PeerMessage
+}
+
+// BatchReply says what became of a batch.
+type BatchReply uint8
+
+// The replies to batches.
+const (
+	BatchTaken  BatchReply = iota + 1
+	BatchBehind            // the receiver has not read the sender's term yet: send again
+	BatchStale             // one of the sessions is over: drop it
+)
+
+// Messages to the core's step function.
+type (
+	// Snapshot starts a session: all followed records.
+	Snapshot struct {
+		Session protocol.LeaseID
+		Items   []protocol.Item
+	}
+	// Changed is one change of a followed record.
+	Changed struct{ Event protocol.Event }
+	// Entitled says until when this controller may act.
+	Entitled struct{ Until Time }
+	// SessionOver says that the session is over.
+	SessionOver struct{}
+	// CatalogueRead brings the machine types.
+	CatalogueRead struct{ Types []protocol.TypeInfo }
+	// Reported is a worker's report; ReplyReport answers it.
+	Reported struct{ Report protocol.Report }
+	// Received is a peer's batch; ReplyBatch answers it.
+	Received struct{ Batch Batch }
+	// Tick lets time pass.
+	Tick struct{}
+	// TxnDone answers a Commit.
+	TxnDone struct {
+		Tag     any
+		Outcome Outcome
+	}
+	// JobLoaded answers a LoadBits.
+	JobLoaded struct {
+		Job    protocol.JobID
+		Chunks []protocol.Item
+		OK     bool
+	}
+	// Rented answers a Rent.
+	Rented struct {
+		Request  protocol.RentRequest
+		Machines []protocol.MachineID
+		Outcome  Outcome
+	}
+	// Deleted answers a Delete.
+	Deleted struct {
+		Machines []protocol.MachineID
+		OK       bool
+	}
+	// Listed answers a ListMachines.
+	Listed struct {
+		Machines []protocol.ListedMachine
+		OK       bool
+	}
+)
+
+// Outcome is what is known of a request.
+type Outcome uint8
+
+// The outcomes of requests.
+const (
+	OutcomeDone    Outcome = iota + 1
+	OutcomeFailed          // a condition does not hold, or no capacity
+	OutcomeRefused         // not executed
+	OutcomeUnknown         // may have been executed, or still be
+)
+
+// Actions of the core's step function.
+type (
+	// ReplyReport answers the report just handled.
+	ReplyReport struct {
+		Status   int
+		Reply    protocol.ReportReply
+		ReportTo protocol.NodeName
+	}
+	// ReplyBatch answers the batch just handled.
+	ReplyBatch struct{ Reply BatchReply }
+	// Send passes a message to a peer's session, in order, until it is taken.
+	Send struct {
+		To      protocol.NodeName
+		From    protocol.LeaseID // the sender's session
+		Session protocol.LeaseID // the addressee's
+		Term    protocol.Term
+		Message PeerMessage
+	}
+	// Commit executes a transaction.
+	Commit struct {
+		Tag any
+		Txn protocol.Txn
+	}
+	// LoadBits reads the bitmap of a job.
+	LoadBits struct{ Job protocol.JobID }
+	// Rent asks the cloud for machines.
+	Rent struct{ Request protocol.RentRequest }
+	// Delete returns machines to the cloud.
+	Delete struct{ Machines []protocol.MachineID }
+	// ListMachines reads the cloud's list.
+	ListMachines struct{}
+)
+
+// liveJob is an accepted job as the records have it.
+type liveJob struct {
+	protocol.Job
+	version protocol.Version
+}
+
+// machineEntry is a registered machine as the records have it, and what the
+// wait table holds of it.
+type machineEntry struct {
+	id    protocol.MachineID
+	rec   bookkeeping.Machine
+	epoch protocol.Version
+	info  protocol.TypeInfo
+
+	told  MachineState // by its controller
+	at    Time
+	extra float64 // waits added since by peers' placements
+	mine  map[protocol.TaskID]*placedTask
+}
--- /dev/null
+++ b/internal/coordination/node.go
@@ -0,0 +1,241 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/transport"
+)
+
+const (
+	mailboxSize   = 2048
+	tickEvery     = 100 * time.Millisecond
+	catalogueWait = time.Second
+	catalogueKeep = time.Minute
+	// followHold is how long one watch stays open. Its return proves the
+	// watch alive, so a controller acts no longer than followStale after one.
+	followHold  = 3 * time.Second
+	followStale = 10 * time.Second
+)
+
+// Node is the actor around a Core, with the actors that carry its messages.
+type Node struct {
+	settings *config.Settings
+	op       config.Operator
+	state    *bookkeeping.State
+	cloud    *bookkeeping.Cloud
+	log      *slog.Logger
+	start    time.Time
+
+	mailbox chan envelope
+	core    *Core
+	outbox  map[protocol.NodeName]*outbox
+
+	actingUntil atomic.Int64
+	types       atomic.Pointer[[]protocol.TypeInfo]
+	intake      *intake
+}
+
+// envelope is a message to the core, or a question about it.
+type envelope struct {
+	msg   any
+	reply func([]Action) // gets the step's ReplyReport or ReplyBatch
+	ask   func(*Core)
+}
+
+// NewNode makes a controller. Run starts it.
+func NewNode(s *config.Settings, op config.Operator, log *slog.Logger) *Node {
+	n := &Node{
+		settings: s, op: op, log: log, start: time.Now(),
+		state:   bookkeeping.NewState(s.Services.State, s.Site.State.RPS, s.Site.State.WriteRPS, s.Site.Count),
+		cloud:   bookkeeping.NewCloud(s.Services.Cloud, s.Site.Cloud.RPS, s.Site.Count),
+		mailbox: make(chan envelope, mailboxSize),
+		outbox:  map[protocol.NodeName]*outbox{},
+	}
+	n.core = NewCore(s, op, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), log)
+	for _, m := range s.Members {
+		n.outbox[m.Name] = newOutbox(s.Name, transport.NewPeer(m.Peer), log)
+	}
+	n.intake = newIntake(n)
+	return n
+}
+
+// now is the steady clock.
+func (n *Node) now() Time { return Time(time.Since(n.start)) + 1 }
+
+// Run serves until the context ends or listening fails.
+func (n *Node) Run(ctx context.Context) error {
+	if err := transport.ServePeers(n.settings.PeerBind, "Peer", &peerService{n}, n.log); err != nil {
+		return err
+	}
+	for _, o := range n.outbox {
+		go o.run(ctx)
+	}
+	go n.steps(ctx)
+	go n.ticks(ctx)
+	go n.readCatalogue(ctx)
+	go n.sessions(ctx)
+	// Some sockets are for the platform's services, peers and workers.
+	maxConns := max(16, n.settings.Site.Limits.MaxConns*9/10-50)
+	server := transport.NewServer(n.intake.handle, maxConns, n.log)
+	for ctx.Err() == nil {
+		err := server.Serve(n.settings.Listen, func() { n.log.Info("serving", "addr", n.settings.Listen) })
+		n.log.Error("serving ended, starting again", "err", err)
+		time.Sleep(200 * time.Millisecond)
+	}
+	return ctx.Err()
+}
+
+// steps is the core's actor.
+func (n *Node) steps(ctx context.Context) {
+	for {
+		var e envelope
+		select {
+		case e = <-n.mailbox:
+		case <-ctx.Done():
+			return
+		}
+		if e.ask != nil {
+			e.ask(n.core)
+			continue
+		}
+		actions := n.core.Step(n.now(), e.msg)
+		until := Time(0)
+		if n.core.member() {
+			until = n.core.until
+		}
+		n.actingUntil.Store(int64(until))
+		n.carryOut(ctx, actions)
+		if e.reply != nil {
+			e.reply(actions)
+		}
+	}
+}
+
+// post gives the core a message; it waits while the mailbox is full.
+func (n *Node) post(msg any) { n.mailbox <- envelope{msg: msg} }
+
+// offer gives the core a message unless its mailbox is full.
+func (n *Node) offer(e envelope) bool {
+	select {
+	case n.mailbox <- e:
+		return true
+	default:
+		return false
+	}
+}
+
+// acting reports whether this controller may act now.
+func (n *Node) acting() bool { return int64(n.now()) < n.actingUntil.Load() }
+
+func (n *Node) ticks(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			n.offer(envelope{msg: Tick{}})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// readCatalogue keeps the machine types, and their prices, up to date.
+func (n *Node) readCatalogue(ctx context.Context) {
+	for ctx.Err() == nil {
+		cat, err := n.cloud.Catalogue(ctx)
+		wait := catalogueKeep
+		if err != nil || len(cat.Types) == 0 {
+			n.log.Info("catalogue can't be read", "err", err)
+			wait = catalogueWait
+		} else {
+			n.types.Store(&cat.Types)
+			n.post(CatalogueRead{cat.Types})
+		}
+		sleep(ctx, wait)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// carryOut executes actions; none of them waits here.
+func (n *Node) carryOut(ctx context.Context, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Send:
+			if o := n.outbox[a.To]; o != nil {
+				o.add(a)
+			}
+		case Commit:
+			go n.commit(ctx, a)
+		case LoadBits:
+			go n.loadBits(ctx, a.Job)
+		case Rent:
+			go func() {
+				got, err := n.cloud.Rent(ctx, a.Request)
+				n.post(Rented{Request: a.Request, Machines: got, Outcome: outcome(err)})
+			}()
+		case Delete:
+			go func() {
+				err := n.cloud.Delete(ctx, a.Machines)
+				if err != nil {
+					n.log.Info("machines not returned", "machines", a.Machines, "err", err)
+				}
+				n.post(Deleted{Machines: a.Machines, OK: err == nil})
+			}()
+		case ListMachines:
+			go func() {
+				list, err := n.cloud.Machines(ctx)
+				if err != nil {
+					n.log.Info("machines can't be listed", "err", err)
+				}
+				n.post(Listed{Machines: list, OK: err == nil})
+			}()
+		}
+	}
+}
+
+func (n *Node) commit(ctx context.Context, a Commit) {
+	_, err := n.state.Txn(ctx, a.Txn)
+	if err != nil && !errors.Is(err, bookkeeping.ErrConflict) {
+		n.log.Debug("transaction", "what", a.Tag, "err", err)
+	}
+	n.post(TxnDone{Tag: a.Tag, Outcome: outcome(err)})
+}
+
+func outcome(err error) Outcome {
+	switch {
+	case err == nil:
+		return OutcomeDone
+	case errors.Is(err, bookkeeping.ErrConflict), errors.Is(err, bookkeeping.ErrMalformed):
+		return OutcomeFailed
+	case errors.Is(err, bookkeeping.ErrRefused):
+		return OutcomeRefused
+	}
+	return OutcomeUnknown
+}
+
+func (n *Node) loadBits(ctx context.Context, id protocol.JobID) {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	items, _, err := n.state.List(ctx, bookkeeping.BitsPrefix(id))
+	if err != nil {
+		n.log.Debug("bitmap", "job", id, "err", err)
+	}
+	n.post(JobLoaded{Job: id, Chunks: items, OK: err == nil})
+}
--- /dev/null
+++ b/internal/coordination/outbox.go
@@ -0,0 +1,134 @@
+package coordination
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/transport"
+)
+
+const (
+	batchMax    = 200
+	peerTimeout = 2 * time.Second
+)
+
+// outbox is the actor that passes messages to one peer: in order, each until
+// it is taken or one of the two sessions is over.
+type outbox struct {
+	self protocol.NodeName
+	peer *transport.Peer
+	log  *slog.Logger
+	wake chan struct{}
+
+	mu       sync.Mutex
+	from, to protocol.LeaseID
+	next     uint64 // number of queue[0]
+	inFlight int
+	queue    []Send
+}
+
+func newOutbox(self protocol.NodeName, peer *transport.Peer, log *slog.Logger) *outbox {
+	return &outbox{self: self, peer: peer, log: log, wake: make(chan struct{}, 1)}
+}
+
+// add queues a message. A summary replaces one that is still waiting.
+func (o *outbox) add(s Send) {
+	o.mu.Lock()
+	if s.From != o.from || s.Session != o.to {
+		o.from, o.to, o.next, o.inFlight, o.queue = s.From, s.Session, 0, 0, nil
+	}
+	if s.Message.Summary != nil {
+		for i := len(o.queue) - 1; i >= o.inFlight; i-- {
+			if o.queue[i].Message.Summary != nil {
+				o.queue = append(o.queue[:i], o.queue[i+1:]...)
+				break
+			}
+		}
+	}
+	o.queue = append(o.queue, s)
+	o.mu.Unlock()
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// batch takes what is waiting, without removing it.
+func (o *outbox) batch() (Batch, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := min(len(o.queue), batchMax)
+	o.inFlight = n
+	if n == 0 {
+		return Batch{}, false
+	}
+	b := Batch{From: o.self, FromSession: o.from, ToSession: o.to, First: o.next}
+	for _, s := range o.queue[:n] {
+		b.Messages = append(b.Messages, s.Message)
+		b.Term = max(b.Term, s.Term)
+	}
+	return b, true
+}
+
+// settle removes what was taken, or all of a session that is over.
+func (o *outbox) settle(b Batch, r BatchReply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.inFlight = 0
+	if b.FromSession != o.from || b.ToSession != o.to || b.First != o.next {
+		return
+	}
+	switch r {
+	case BatchTaken:
+		o.queue = o.queue[len(b.Messages):]
+		o.next += uint64(len(b.Messages))
+	case BatchStale:
+		o.queue = nil
+	}
+}
+
+func (o *outbox) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		b, ok := o.batch()
+		if !ok {
+			select {
+			case <-o.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		var reply BatchReply
+		err := o.peer.Call("Peer.Deliver", b, &reply, peerTimeout)
+		if err != nil {
+			o.log.Debug("peer", "err", err)
+			sleep(ctx, 300*time.Millisecond)
+			continue
+		}
+		o.settle(b, reply)
+		if reply == BatchBehind {
+			sleep(ctx, 30*time.Millisecond)
+		}
+	}
+}
+
+// peerService answers peers' calls.
+type peerService struct{ node *Node }
+
+// Deliver takes a batch of messages.
+func (s *peerService) Deliver(b Batch, reply *BatchReply) error {
+	done := make(chan BatchReply, 1)
+	s.node.mailbox <- envelope{msg: Received{b}, reply: func(actions []Action) {
+		r := BatchStale
+		for _, a := range actions {
+			if rb, ok := a.(ReplyBatch); ok {
+				r = rb.Reply
+			}
+		}
+		done <- r
+	}}
+	*reply = <-done
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/placement.go
@@ -0,0 +1,284 @@
+package coordination
+
+import (
+	"math"
+	"slices"
+
+	"damsonkeel/internal/protocol"
+)
+
+// maxPerStep bounds the placements of one step, so that a huge job does not
+// hold up everything else; the rest follows at the next one.
+const maxPerStep = 2000
+
+// schedule places what is pending: each task once, on the machine with the
+// smallest expected wait per processor among those that can run it.
+func (c *Core) schedule() {
+	c.owner.dirty = false
+	if len(c.types) == 0 {
+		return
+	}
+	usage := c.teamUsage()
+	batches := map[protocol.NodeName][]Placement{}
+	waits := map[protocol.MachineID]float64{}
+	left := maxPerStep
+	for _, o := range c.inOrder() {
+		if !o.loaded || o.finish || o.notBefore > c.now || o.pending.None() {
+			continue
+		}
+		var chosen []Placement
+		if o.Kind == protocol.KindGang {
+			chosen = c.placeGang(o, usage)
+		} else {
+			chosen = c.placeArray(o, usage, left)
+		}
+		left -= len(chosen)
+		for _, p := range chosen {
+			keeper := machineKeeper(c.view, p.Machine)
+			batches[keeper] = append(batches[keeper], p)
+			waits[p.Machine] += p.EstimateS
+		}
+		if left <= 0 {
+			c.owner.dirty = true
+			break
+		}
+	}
+	for keeper, tasks := range batches {
+		p := c.peers[keeper]
+		if p == nil {
+			continue
+		}
+		p.placed++
+		for _, t := range tasks {
+			if o := c.owner.jobs[t.Task.Job]; o != nil && o.placed[t.Task] != nil {
+				o.placed[t.Task].number = p.placed
+			}
+			p.unheard = append(p.unheard, ownWait{p.placed, t.Machine, t.EstimateS})
+		}
+		c.send(keeper, PeerMessage{Place: &Place{Number: p.placed, Term: c.view.Term, Tasks: tasks}})
+	}
+	c.sendWaits(waits)
+}
+
+// placeArray places pending tasks one by one.
+func (c *Core) placeArray(o *ownedJob, usage map[protocol.Team]resources, left int) []Placement {
+	var out []Placement
+	zones := o.zones()
+	for i, ok := o.pending.NextSet(0); ok && len(out) < left; i, ok = o.pending.NextSet(i + 1) {
+		if o.placed[protocol.TaskID{Job: o.ID, Index: uint32(i)}] != nil {
+			continue // its last attempt is not gone
+		}
+		if !c.withinLimit(o, usage, 1) {
+			break
+		}
+		m := c.smallestWait(o, zones)
+		if m == nil {
+			break
+		}
+		out = append(out, c.put(o, uint32(i), m, c.nextAttempt()))
+		zones[m.rec.Zone]++
+		c.use(o, usage, 1)
+	}
+	return out
+}
+
+// placeGang places all tasks of a gang with one attempt number, when nothing
+// of its last attempt is left.
+func (c *Core) placeGang(o *ownedJob, usage map[protocol.Team]resources) []Placement {
+	n := int(o.Tasks)
+	if len(o.placed) > 0 || o.unknown || !c.withinLimit(o, usage, n) {
+		return nil
+	}
+	attempt := c.nextAttempt()
+	var out []Placement
+	zones := map[protocol.Zone]int{}
+	for i := range o.Tasks {
+		m := c.smallestWait(o, zones)
+		if m == nil {
+			for _, p := range out { // all or none
+				t := o.placed[p.Task]
+				c.machines[t.machine].extra -= t.estimate
+				c.unplace(o, t)
+				o.pending.Set(uint(p.Task.Index))
+			}
+			return nil
+		}
+		out = append(out, c.put(o, i, m, attempt))
+		zones[m.rec.Zone]++
+	}
+	c.use(o, usage, n)
+	return out
+}
+
+func (c *Core) nextAttempt() protocol.Attempt {
+	c.owner.attempt++
+	return protocol.Attempt(uint64(c.view.Term)<<32 | c.owner.attempt)
+}
+
+// put places one task on a machine in the owner's books.
+func (c *Core) put(o *ownedJob, i uint32, m *machineEntry, a protocol.Attempt) Placement {
+	t := &placedTask{
+		task: protocol.TaskID{Job: o.ID, Index: i}, attempt: a, machine: m.id, epoch: m.epoch,
+		zone: m.rec.Zone, estimate: c.estimate(&o.Job), at: c.now,
+	}
+	o.placed[t.task] = t
+	o.pending.Clear(uint(i))
+	m.mine[t.task] = t
+	m.extra += t.estimate
+	return Placement{Task: t.task, Attempt: a, Machine: m.id, Epoch: m.epoch, EstimateS: t.estimate}
+}
+
+// zones counts the attempts of a job that may exist by zone.
+func (o *ownedJob) zones() map[protocol.Zone]int {
+	z := map[protocol.Zone]int{}
+	for _, t := range o.placed {
+		z[t.zone]++
+	}
+	return z
+}
+
+// smallestWait is the machine with the smallest expected wait per processor
+// among those that may run a task of the job; ties are broken at random.
+func (c *Core) smallestWait(o *ownedJob, zones map[protocol.Zone]int) *machineEntry {
+	var best *machineEntry
+	bestWait, ties := math.Inf(1), 0
+	for _, m := range c.machines {
+		if !c.usable(m) || o.failedOn[m.id] && len(o.failedOn) < 3 || !o.allows(m, zones) {
+			continue
+		}
+		w := m.wait() / math.Max(m.info.CPUs, 1)
+		switch {
+		case w < bestWait-1e-9:
+			best, bestWait, ties = m, w, 1
+		case w <= bestWait+1e-9:
+			if ties++; c.rng.IntN(ties) == 0 {
+				best = m
+			}
+		}
+	}
+	return best
+}
+
+// wait is the machine's expected wait as far as this controller knows.
+func (m *machineEntry) wait() float64 { return math.Max(0, m.told.WaitS+m.extra) }
+
+// usable reports whether tasks may be placed on a machine at all.
+func (c *Core) usable(m *machineEntry) bool {
+	return m.info.Name != "" && !m.told.Closed && !m.told.Draining && !m.told.Suspect
+}
+
+// allows reports whether a job may have a task on a machine: type, zone, kind
+// and size, and the zones of its other tasks that are not proven gone.
+func (o *ownedJob) allows(m *machineEntry, zones map[protocol.Zone]int) bool {
+	if !o.allowsKind(m.info, m.rec.Zone, m.rec.Spot) {
+		return false
+	}
+	if o.OneZone {
+		for z, n := range zones {
+			if n > 0 && z != m.rec.Zone {
+				return false
+			}
+		}
+	}
+	return !o.Spread || zones[m.rec.Zone] < int(o.Tasks+1)/2
+}
+
+// allowsKind is the part that depends on the job alone.
+func (j *liveJob) allowsKind(t protocol.TypeInfo, z protocol.Zone, spot bool) bool {
+	if len(j.Types) > 0 && !slices.Contains(j.Types, t.Name) {
+		return false
+	}
+	return (j.Zone == "" || j.Zone == z) && (j.Spot || !spot) && capacity(t).covers(need(&j.Job))
+}
+
+// teamUsage sums what limited teams' attempts take that are not proven gone.
+// Tasks of a job just taken over count as running until proven otherwise.
+func (c *Core) teamUsage() map[protocol.Team]resources {
+	usage := map[protocol.Team]resources{}
+	for _, o := range c.owner.jobs {
+		if t, ok := c.settings.Team(o.Team); !ok || !t.Limited() {
+			continue
+		}
+		n := len(o.placed)
+		if o.unknown {
+			n = int(o.Tasks - o.nDone)
+			if !o.loaded {
+				n = int(o.Tasks)
+			}
+		}
+		c.use(o, usage, n)
+	}
+	return usage
+}
+
+func (c *Core) use(o *ownedJob, usage map[protocol.Team]resources, n int) {
+	u := usage[o.Team]
+	u.cpus += o.CPUs * float64(n)
+	u.gpus += o.GPUs * float64(n)
+	usage[o.Team] = u
+}
+
+// withinLimit reports whether n more tasks keep the team within its limit.
+func (c *Core) withinLimit(o *ownedJob, usage map[protocol.Team]resources, n int) bool {
+	t, ok := c.settings.Team(o.Team)
+	if !ok {
+		return false
+	}
+	u := usage[o.Team]
+	return (t.MaxCPUs == 0 || u.cpus+o.CPUs*float64(n) <= t.MaxCPUs+slack) &&
+		(t.MaxGPUs == 0 || u.gpus+o.GPUs*float64(n) <= t.MaxGPUs+slack)
+}
+
+// rebalance lets an idle machine take unstarted tasks from the longest queue:
+// the owner has them released there and places them again.
+func (c *Core) rebalance() {
+	if !c.acting() {
+		return
+	}
+	for _, idle := range c.machines {
+		if !c.usable(idle) || idle.wait() > 0 || idle.told.Epoch != idle.epoch {
+			continue
+		}
+		c.takeFor(idle)
+	}
+}
+
+func (c *Core) takeFor(idle *machineEntry) {
+	var longest *machineEntry
+	var movable []*placedTask
+	for _, m := range c.machines {
+		if m == idle || longest != nil && m.wait()/m.info.CPUs <= longest.wait()/longest.info.CPUs {
+			continue
+		}
+		var can []*placedTask
+		for _, t := range m.mine {
+			o := c.owner.jobs[t.task.Job]
+			if o == nil || t.started || t.stopping || t.moving || t.uncertain || o.Kind == protocol.KindGang && o.Tasks > 1 {
+				continue
+			}
+			zones := o.zones()
+			zones[t.zone]--
+			if o.allows(idle, zones) && !o.failedOn[idle.id] {
+				can = append(can, t)
+			}
+		}
+		// The machine serves its first waiting task itself: only what is
+		// behind others gains by moving.
+		if len(can) > 0 && m.told.Queued > 0 && m.wait()-can[0].estimate > slack {
+			longest, movable = m, can
+		}
+	}
+	if longest == nil {
+		return
+	}
+	free := capacity(idle.info)
+	for _, t := range movable {
+		n := need(&c.owner.jobs[t.task.Job].Job)
+		if !free.covers(n) {
+			return
+		}
+		free = free.minus(n)
+		c.askStop(t, false, 0)
+		c.log.Debug("moving a waiting task", "task", t.task, "from", longest.id, "to", idle.id)
+	}
+}
--- /dev/null
+++ b/internal/coordination/queue.go
@@ -0,0 +1,628 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+)
+
+// queue is what the controller that a machine reports to keeps of it.
+type queue struct {
+	id      protocol.MachineID
+	epoch   protocol.Version // of its record; 0: not registered
+	session protocol.Session // the newest seen
+	seq     protocol.Seq
+	info    protocol.TypeInfo
+	addr    string
+
+	entries map[protocol.TaskID]*entry
+	waiting []*entry // never sent, in order of service
+
+	keptSince   protocol.Term // since which term it is kept here without a break
+	lastAnswer  Time
+	inventoried bool // owners have an inventory of this term
+	registering bool
+	removing    bool
+	notice      *float64
+	draining    bool
+	changed     bool
+	idleSince   Time
+	everSeen    bool
+
+	failed  map[protocol.JobID]bool // jobs that failed here since something last succeeded
+	suspect bool
+}
+
+// entry is one attempt in a queue or on its machine.
+type entry struct {
+	task     protocol.TaskID
+	attempt  protocol.Attempt
+	estimate float64
+	need     resources
+	order    uint64
+	sentAt   protocol.Seq // the report whose answer carried its start; with sent
+	sent     bool
+	present  bool // the worker has reported it
+	state    protocol.TaskState
+	cause    protocol.EndCause
+	saved    bool
+	kill     bool
+	graceS   float64
+	reap     bool
+	noticed  bool
+}
+
+type (
+	registerTag struct {
+		machine protocol.MachineID
+		session protocol.Session
+	}
+	removeTag struct{ machine protocol.MachineID }
+)
+
+func (e *entry) ended() bool { return e.state == protocol.TaskEnded }
+
+// adoptQueues goes over to a new view. Queues that stay here keep what they
+// know; the rest is dropped, for its new keeper's inventory to tell.
+func (c *Core) adoptQueues(old bookkeeping.View, keeps bool) {
+	for id, q := range c.queues {
+		if machineKeeper(c.view, id) != c.self {
+			delete(c.queues, id)
+			continue
+		}
+		q.inventoried = false
+		if !keeps {
+			q.keptSince = c.view.Term
+		}
+		for _, e := range slices.Clone(q.waiting) {
+			j := c.live[e.task.Job]
+			if keeps && j != nil {
+				owner := c.jobOwner(c.view, &j.Job)
+				if c.jobOwner(old, &j.Job) == owner && sameSession(old, c.view, owner) {
+					continue
+				}
+			}
+			c.dropWaiting(q, e)
+			c.tell(q, e, WhatReleased)
+		}
+	}
+	for id, m := range c.machines {
+		if machineKeeper(c.view, id) == c.self && c.queues[id] == nil {
+			c.queues[id] = c.newQueue(id)
+			c.queues[id].registered(m)
+		}
+	}
+}
+
+func (c *Core) newQueue(id protocol.MachineID) *queue {
+	return &queue{
+		id: id, entries: map[protocol.TaskID]*entry{}, keptSince: c.view.Term,
+		lastAnswer: c.now, idleSince: c.now, failed: map[protocol.JobID]bool{},
+	}
+}
+
+func (q *queue) registered(m *machineEntry) {
+	q.epoch, q.info, q.addr = m.epoch, m.info, m.rec.Address
+	q.session = max(q.session, m.rec.Session)
+}
+
+// tell passes an event to the present owner of an attempt's job.
+func (c *Core) tell(q *queue, e *entry, what What) {
+	j := c.live[e.task.Job]
+	if j == nil {
+		return
+	}
+	c.send(c.jobOwner(c.view, &j.Job), PeerMessage{Event: &TaskEvent{
+		TaskRef: TaskRef{Task: e.task, Attempt: e.attempt, Machine: q.id}, What: what, Cause: e.cause, Saved: e.saved,
+	}})
+}
+
+func (c *Core) dropWaiting(q *queue, e *entry) {
+	if i := slices.Index(q.waiting, e); i >= 0 {
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+	}
+	delete(q.entries, e.task)
+	q.changed = true
+}
+
+// place queues placements. One that can't be queued is released at once.
+func (c *Core) place(from protocol.NodeName, p *Place) {
+	if peer := c.peers[from]; peer != nil {
+		peer.handled = p.Number
+	}
+	for _, t := range p.Tasks {
+		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS}
+		q := c.queues[t.Machine]
+		refuse := func() {
+			c.send(from, PeerMessage{Event: &TaskEvent{
+				TaskRef: TaskRef{Task: t.Task, Attempt: t.Attempt, Machine: t.Machine}, What: WhatReleased,
+			}})
+		}
+		// The term and the machine's record must be those the owner placed
+		// by: a placement held back by the network while the machine or the
+		// job went elsewhere and came back must not start anything.
+		if q == nil || p.Term != c.view.Term || q.epoch == 0 || q.epoch != t.Epoch || q.draining || q.notice != nil || q.suspect {
+			refuse()
+			continue
+		}
+		if have := q.entries[t.Task]; have != nil {
+			if have.attempt != t.Attempt {
+				refuse()
+			}
+			continue
+		}
+		c.owner.order++
+		e.order = c.owner.order
+		q.entries[t.Task] = e
+		q.waiting = append(q.waiting, e)
+		q.changed = true
+	}
+}
+
+// stop releases an attempt never sent, or has it killed.
+func (c *Core) stop(from protocol.NodeName, s Stop) {
+	q := c.queues[s.Machine]
+	if q == nil {
+		return
+	}
+	e := q.entries[s.Task]
+	if e == nil || e.attempt != s.Attempt {
+		return
+	}
+	if !e.sent && !e.present {
+		c.dropWaiting(q, e)
+		c.tell(q, e, WhatReleased)
+		return
+	}
+	if s.Kill && !e.ended() {
+		e.kill, e.graceS = true, s.GraceS
+	}
+}
+
+// forget lets the worker drop an ended attempt that its owner has dealt with.
+func (c *Core) forget(r TaskRef) {
+	if q := c.queues[r.Machine]; q != nil {
+		if e := q.entries[r.Task]; e != nil && e.attempt == r.Attempt && e.ended() {
+			e.reap = true
+		}
+	}
+}
+
+func (c *Core) drain(id protocol.MachineID) {
+	if q := c.queues[id]; q != nil && !q.draining {
+		q.draining = true
+		c.releaseWaiting(q)
+		q.changed = true
+	}
+}
+
+func (c *Core) releaseWaiting(q *queue) {
+	for _, e := range slices.Clone(q.waiting) {
+		c.dropWaiting(q, e)
+		c.tell(q, e, WhatReleased)
+	}
+}
+
+// report answers a worker.
+func (c *Core) report(r protocol.Report) {
+	if r.Term > c.view.Term {
+		c.do(ReplyReport{Status: 503}) // somebody has raised the term: stop until it is read
+		return
+	}
+	if !c.acting() {
+		c.do(ReplyReport{Status: 503})
+		return
+	}
+	if keeper := machineKeeper(c.view, r.Machine); keeper != c.self {
+		c.do(ReplyReport{Status: 421, ReportTo: keeper})
+		return
+	}
+	info, known := c.types[r.Type]
+	if !known {
+		c.do(ReplyReport{Status: 503})
+		return
+	}
+	q := c.queues[r.Machine]
+	if q == nil {
+		q = c.newQueue(r.Machine)
+		c.queues[r.Machine] = q
+		if m := c.machines[r.Machine]; m != nil {
+			q.registered(m)
+		}
+	}
+	reply := protocol.ReportReply{Term: c.view.Term, Orders: []protocol.Order{}}
+	if r.Session < q.session || r.Session == q.session && r.Seq <= q.seq {
+		c.do(ReplyReport{Status: 200, Reply: reply}) // held back by the network: says nothing
+		return
+	}
+	q.info, q.addr = info, r.Address
+	if r.Session > q.session {
+		c.newSession(q, r.Session)
+	}
+	q.seq, q.lastAnswer, q.everSeen = r.Seq, c.now, true
+	if m := c.machines[q.id]; m == nil || m.rec.Session != r.Session {
+		c.register(q, r)
+	}
+	c.takeReport(q, &r)
+	if q.epoch != 0 && r.Term == c.view.Term && !q.inventoried {
+		c.sendInventory(q)
+	}
+	c.orders(q, &r, &reply)
+	c.do(ReplyReport{Status: 200, Reply: reply})
+}
+
+// newSession: the worker's lease expired, and with it all it ran.
+func (c *Core) newSession(q *queue, s protocol.Session) {
+	if q.session != 0 {
+		c.log.Info("worker began a new session", "machine", q.id, "session", s)
+	}
+	// The old record stands until the new one is written; owners learn from
+	// the record that everything of the old session is gone.
+	q.session, q.seq, q.epoch = s, 0, 0
+	q.entries = map[protocol.TaskID]*entry{}
+	q.waiting = nil
+	q.notice, q.changed = nil, true
+}
+
+// register records that the machine's session may hold tasks. Nothing is
+// started on it before that is durable, so that whoever takes work over knows
+// every machine that has to be asked. It holds only in the present view:
+// who reads the records after a new view misses none.
+func (c *Core) register(q *queue, r protocol.Report) {
+	if q.registering {
+		return
+	}
+	q.registering = true
+	var have protocol.Version
+	if m := c.machines[q.id]; m != nil {
+		have = m.epoch
+	}
+	rec := bookkeeping.Machine{Session: r.Session, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}
+	c.do(Commit{Tag: registerTag{q.id, r.Session}, Txn: protocol.Txn{
+		If: []protocol.Condition{
+			{Key: bookkeeping.ViewKey, Version: c.viewVersion},
+			{Key: bookkeeping.MachineKey(q.id), Version: have},
+		},
+		Then: []protocol.Change{{Put: bookkeeping.MachineKey(q.id), Value: rec}},
+	}})
+}
+
+func (c *Core) registrationDone(tag registerTag, _ Outcome) {
+	if q := c.queues[tag.machine]; q != nil {
+		q.registering = false // the followed record says whether it is there
+	}
+}
+
+// machineRegistered takes over a machine's record. A changed record proves
+// that everything placed by the one before is gone.
+func (c *Core) machineRegistered(id protocol.MachineID, rec bookkeeping.Machine, version protocol.Version) {
+	m := c.machines[id]
+	if m != nil && m.epoch >= version {
+		return
+	}
+	if m != nil {
+		c.loseMachine(m)
+	}
+	m = &machineEntry{id: id, rec: rec, epoch: version, info: c.types[rec.Type], mine: map[protocol.TaskID]*placedTask{}}
+	c.machines[id] = m
+	c.owner.dirty = true
+	if q := c.queues[id]; q != nil && q.session == rec.Session {
+		q.epoch = version
+	} else if q == nil && c.member() && machineKeeper(c.view, id) == c.self {
+		q = c.newQueue(id)
+		q.registered(m)
+		c.queues[id] = q
+	}
+}
+
+// machineGone: the machine's record was deleted, on proof that nothing is left.
+func (c *Core) machineGone(id protocol.MachineID) {
+	m := c.machines[id]
+	if m == nil {
+		return
+	}
+	delete(c.machines, id)
+	c.loseMachine(m)
+	if q := c.queues[id]; q != nil && q.session <= m.rec.Session {
+		delete(c.queues, id)
+	}
+}
+
+// takeReport brings the entries to what the worker says, and tells owners.
+func (c *Core) takeReport(q *queue, r *protocol.Report) {
+	listed := make(map[protocol.TaskID]bool, len(r.Tasks))
+	for _, t := range r.Tasks {
+		listed[t.Task] = true
+		e := q.entries[t.Task]
+		if e == nil || e.attempt != t.Attempt {
+			if e != nil && !e.sent && !e.present {
+				// The machine still lists another attempt of a task that is
+				// queued here again: that one goes first.
+				q.strays(c, t)
+				continue
+			}
+			e = &entry{task: t.Task, attempt: t.Attempt}
+			if j := c.live[t.Task.Job]; j != nil {
+				e.estimate, e.need = c.estimate(&j.Job), need(&j.Job)
+			}
+			q.entries[t.Task] = e
+		}
+		c.takeTask(q, e, t)
+	}
+	for id, e := range q.entries {
+		if listed[id] || !e.sent && !e.present {
+			continue
+		}
+		switch {
+		case e.present:
+			// The worker lets go of an attempt only when told to, so this is
+			// one that was told, or a worker that lost it: gone either way.
+			delete(q.entries, id)
+			if !e.ended() {
+				e.state, e.cause = protocol.TaskEnded, protocol.EndError
+				c.tell(q, e, WhatEnded)
+			}
+			q.changed = true
+		case r.Seq > e.sentAt:
+			// The answer with the start was lost or dropped: settled by this
+			// report. The same attempt goes back to be sent again.
+			e.sent = false
+			q.waiting = append(q.waiting, e)
+		}
+	}
+	c.takeNotice(q, r)
+	if len(q.entries) > 0 {
+		q.idleSince = c.now
+	}
+}
+
+// strays reports an attempt the queue does not know as ended or to be killed.
+func (q *queue) strays(c *Core, t protocol.TaskReport) {
+	c.log.Error("machine lists another attempt of a queued task", "machine", q.id, "task", t.Task, "attempt", t.Attempt)
+	e := q.entries[t.Task]
+	c.dropWaiting(q, e)
+	c.tell(q, e, WhatReleased)
+	stray := &entry{task: t.Task, attempt: t.Attempt, present: true, state: t.State, cause: t.Cause, kill: t.State != protocol.TaskEnded, reap: true}
+	q.entries[t.Task] = stray
+}
+
+func (c *Core) takeTask(q *queue, e *entry, t protocol.TaskReport) {
+	first := !e.present
+	before := e.state
+	e.sent, e.present = true, true
+	e.state, e.cause, e.saved = t.State, t.Cause, t.Saved
+	if first || before != e.state {
+		q.changed = true
+	}
+	switch {
+	case e.ended() && before != protocol.TaskEnded:
+		c.noteResult(q, e)
+		c.tell(q, e, WhatEnded)
+	case e.state == protocol.TaskRunning && before != protocol.TaskRunning:
+		c.tell(q, e, WhatRunning)
+	case first:
+		c.tell(q, e, WhatPresent)
+	}
+}
+
+// noteResult watches for machines that fail what they start. Failures of
+// several jobs in a row speak against the machine, of one job against the job.
+func (c *Core) noteResult(q *queue, e *entry) {
+	switch e.cause {
+	case protocol.EndDone:
+		clear(q.failed)
+		if q.suspect {
+			q.suspect = false
+			c.log.Info("machine works again", "machine", q.id)
+		}
+	case protocol.EndError:
+		q.failed[e.task.Job] = true
+		if !q.suspect && len(q.failed) >= 2 {
+			q.suspect, q.changed = true, true
+			c.log.Info("machine set aside: it fails its tasks", "machine", q.id, "jobs", len(q.failed))
+			c.releaseWaiting(q)
+		}
+	}
+}
+
+// takeNotice has a machine's work moved when the cloud is about to take it.
+func (c *Core) takeNotice(q *queue, r *protocol.Report) {
+	if r.NoticeS == nil {
+		if q.notice != nil {
+			q.notice, q.changed = nil, true
+		}
+		return
+	}
+	if q.notice == nil {
+		c.log.Info("machine will be taken", "machine", q.id, "in_s", *r.NoticeS)
+		q.changed = true
+		c.releaseWaiting(q)
+	}
+	q.notice = r.NoticeS
+	for _, e := range q.entries {
+		if e.present && !e.ended() && !e.noticed {
+			e.noticed = true
+			c.tell(q, e, WhatNotice)
+		}
+	}
+}
+
+// sendInventory tells every owner what of its jobs is here.
+func (c *Core) sendInventory(q *queue) {
+	q.inventoried = true
+	byOwner := map[protocol.NodeName][]Held{}
+	for _, e := range q.entries {
+		j := c.live[e.task.Job]
+		if j == nil {
+			continue
+		}
+		h := Held{Task: e.task, Attempt: e.attempt, Cause: e.cause, Saved: e.saved}
+		if e.present {
+			h.State = e.state
+		}
+		owner := c.jobOwner(c.view, &j.Job)
+		byOwner[owner] = append(byOwner[owner], h)
+	}
+	for name, p := range c.peers {
+		c.send(name, PeerMessage{Inventory: &Inventory{
+			Term: c.view.Term, Machine: q.id, Epoch: q.epoch, Upto: p.handled, Held: byOwner[name],
+		}})
+	}
+}
+
+// orders fills the answer: reaps first, so that room and task ids are free,
+// then kills, then starts in order of service while they fit.
+func (c *Core) orders(q *queue, r *protocol.Report, reply *protocol.ReportReply) {
+	free := q.free()
+	for _, e := range q.entries {
+		if !e.present {
+			continue
+		}
+		live := c.live[e.task.Job] != nil
+		switch {
+		case e.ended() && (e.reap || !live):
+			reply.Orders = append(reply.Orders, protocol.Order{Op: protocol.OpForget, Task: e.task, Attempt: e.attempt})
+		case !e.ended() && (e.kill || !live):
+			grace := e.graceS
+			if !live {
+				grace = 0
+			}
+			reply.Orders = append(reply.Orders, protocol.Order{Op: protocol.OpStop, Task: e.task, Attempt: e.attempt, GraceS: &grace})
+		}
+	}
+	slices.SortStableFunc(reply.Orders, func(a, b protocol.Order) int {
+		return cmp.Compare(orderRank(a.Op), orderRank(b.Op))
+	})
+	if q.epoch == 0 || q.draining || q.notice != nil || q.suspect {
+		return
+	}
+	c.sortWaiting(q)
+	for len(q.waiting) > 0 {
+		e := q.waiting[0]
+		j := c.live[e.task.Job]
+		if j == nil {
+			break // its record has not arrived yet
+		}
+		e.need = need(&j.Job)
+		if !free.covers(e.need) {
+			break // first come, first served: what is behind waits too
+		}
+		free = free.minus(e.need)
+		q.waiting = q.waiting[1:]
+		e.sent, e.sentAt = true, r.Seq
+		q.idleSince = c.now
+		q.changed = true
+		reply.Orders = append(reply.Orders, protocol.Order{Op: protocol.OpStart, Task: e.task, Attempt: e.attempt})
+		c.log.Debug("start", "machine", q.id, "task", e.task, "attempt", e.attempt)
+	}
+}
+
+func orderRank(op protocol.Op) int {
+	if op == protocol.OpForget {
+		return 0
+	}
+	return 1
+}
+
+// sortWaiting keeps the more urgent priority first, then the order of arrival.
+func (c *Core) sortWaiting(q *queue) {
+	rank := func(e *entry) int {
+		if j := c.live[e.task.Job]; j != nil {
+			return j.Priority.Rank()
+		}
+		return -1
+	}
+	slices.SortStableFunc(q.waiting, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a.order, b.order))
+	})
+}
+
+// resources is what a task takes or a machine has.
+type resources struct{ cpus, gpus, gb float64 }
+
+const slack = 1e-6 // amounts are decimal numbers: sums of them are not exact
+
+func (r resources) covers(n resources) bool {
+	return n.cpus <= r.cpus+slack && n.gpus <= r.gpus+slack && n.gb <= r.gb+slack
+}
+
+func (r resources) minus(n resources) resources {
+	return resources{r.cpus - n.cpus, r.gpus - n.gpus, r.gb - n.gb}
+}
+
+func need(j *protocol.Job) resources { return resources{j.CPUs, j.GPUs, j.MemoryGB} }
+
+func capacity(t protocol.TypeInfo) resources { return resources{t.CPUs, t.GPUs, t.MemoryGB} }
+
+// free is what no attempt takes that may be on the machine.
+func (q *queue) free() resources {
+	f := capacity(q.info)
+	for _, e := range q.entries {
+		if e.sent && !e.ended() {
+			f = f.minus(e.need)
+		}
+	}
+	return f
+}
+
+// wait is the sum of the estimates of all that is queued or runs here.
+func (q *queue) wait() float64 {
+	var w float64
+	for _, e := range q.entries {
+		if !e.ended() {
+			w += e.estimate
+		}
+	}
+	return w
+}
+
+// expireSilent removes the records of machines whose lease is surely over:
+// nobody entitled has answered them for longer than it lasts.
+func (c *Core) expireSilent() {
+	if !c.acting() || !c.allAdopted() {
+		for _, q := range c.queues {
+			if !q.inventoried {
+				q.lastAnswer = max(q.lastAnswer, c.now) // the count starts when all act by this term
+			}
+		}
+		return
+	}
+	for id, q := range c.queues {
+		m := c.machines[id]
+		if m == nil || q.removing || q.session > m.rec.Session || c.since(q.lastAnswer) <= c.leaseOver() {
+			continue
+		}
+		q.removing = true
+		c.log.Info("machine silent for longer than its lease: its tasks are gone", "machine", id,
+			"silent", c.since(q.lastAnswer).Round(time.Second))
+		c.do(Commit{Tag: removeTag{id}, Txn: protocol.Txn{
+			If: []protocol.Condition{
+				{Key: bookkeeping.ViewKey, Version: c.viewVersion},
+				{Key: bookkeeping.MachineKey(id), Version: m.epoch},
+			},
+			Then: []protocol.Change{{Delete: bookkeeping.MachineKey(id)}},
+		}})
+	}
+}
+
+// state is what others are told of a machine.
+func (c *Core) state(q *queue) MachineState {
+	f := q.free()
+	s := MachineState{
+		Machine: q.id, Epoch: q.epoch, WaitS: q.wait(), FreeCPUs: f.cpus, FreeGPUs: f.gpus, FreeGB: f.gb,
+		Held: len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
+		Closed: q.draining || q.suspect || q.notice != nil || c.since(q.lastAnswer) > 2*silence(c.settings.Site.Workers.ReportS),
+	}
+	if len(q.entries) == 0 {
+		s.IdleS = c.since(q.idleSince).Seconds()
+	}
+	return s
+}
+
+// silence is the longest a healthy worker stays quiet.
+func silence(reportS float64) time.Duration {
+	return time.Duration(1.25*reportS*float64(time.Second)) + time.Second
+}
--- /dev/null
+++ b/internal/coordination/session.go
@@ -0,0 +1,140 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+)
+
+// sessions keeps this controller a member: session after session, each as
+// long as its lease.
+func (n *Node) sessions(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := n.session(ctx); err != nil {
+			n.log.Info("session", "err", err)
+		}
+		n.post(SessionOver{})
+		sleep(ctx, 250*time.Millisecond)
+	}
+}
+
+// session reads the records, enters this controller into them under a new
+// lease, and follows the records while it extends the lease.
+func (n *Node) session(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// Read before entering: any view that names this session is then a later
+	// change, and so are the records that came with it.
+	items, rev, err := n.readRecords(ctx)
+	if err != nil {
+		return err
+	}
+	ttl := n.op.NodeLease
+	sent := n.now()
+	lease, err := n.state.Lease(ctx, ttl)
+	if err != nil {
+		return fmt.Errorf("lease: %w", err)
+	}
+	key := bookkeeping.NodeKey(n.settings.Name)
+	var have protocol.Version
+	for _, it := range items {
+		if it.Key == key {
+			have = it.Version
+		}
+	}
+	_, err = n.state.Txn(ctx, protocol.Txn{
+		If:   []protocol.Condition{{Key: key, Version: have}},
+		Then: []protocol.Change{{Put: key, Value: bookkeeping.Node{Session: lease}, Lease: &lease}},
+	})
+	if err != nil {
+		return fmt.Errorf("enter: %w", err)
+	}
+	n.log.Info("session begun", "session", lease)
+	n.post(Snapshot{Session: lease, Items: items})
+	l := &leaseClock{ttl: ttl}
+	l.extended.Store(int64(sent))
+	l.followed.Store(int64(n.now()))
+	n.post(Entitled{Until: l.until()})
+	followEnd := make(chan error, 1)
+	go func() { followEnd <- n.follow(ctx, rev, l) }()
+	return n.extend(ctx, lease, l, followEnd)
+}
+
+func (n *Node) readRecords(ctx context.Context) ([]protocol.Item, protocol.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	return n.state.List(ctx, bookkeeping.FollowedPrefix)
+}
+
+// leaseClock reckons until when a session may act.
+type leaseClock struct {
+	ttl                time.Duration
+	extended, followed atomic.Int64 // when the last extension was sent; when the watch last answered
+}
+
+// until is the end of the lease as this clock has it: counted from before the
+// extension was sent, shortened by drift and by a margin for what is under way.
+func (l *leaseClock) until() Time {
+	lease := Time(l.extended.Load()) + Time(l.ttl) - Time(l.ttl/500) - Time(200*time.Millisecond)
+	return min(lease, Time(l.followed.Load())+Time(followStale))
+}
+
+func (n *Node) extend(ctx context.Context, lease protocol.LeaseID, l *leaseClock, followEnd <-chan error) error {
+	every := l.ttl / 5
+	refused := false
+	for {
+		select {
+		case err := <-followEnd:
+			return err
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(every):
+		}
+		sent := n.now()
+		err := n.state.Extend(ctx, lease)
+		switch {
+		case err == nil:
+			if refused {
+				n.log.Info("state service answers again")
+			}
+			refused, every = false, l.ttl/5
+			l.extended.Store(int64(sent))
+			n.post(Entitled{Until: l.until()})
+		case errors.Is(err, bookkeeping.ErrNotFound):
+			return fmt.Errorf("session %d: lease lost", lease)
+		default:
+			if !refused {
+				n.log.Info("lease not extended", "err", err)
+			}
+			refused, every = true, 300*time.Millisecond
+		}
+	}
+}
+
+// follow passes the changes of records to the core, in order.
+func (n *Node) follow(ctx context.Context, from protocol.Revision, l *leaseClock) error {
+	for ctx.Err() == nil {
+		ev, err := n.state.Follow(ctx, bookkeeping.FollowedPrefix, from, followHold)
+		switch {
+		case errors.Is(err, bookkeeping.ErrCompacted):
+			return fmt.Errorf("watch from %d: %w", from, err)
+		case err != nil:
+			if ctx.Err() == nil {
+				n.log.Debug("watch", "err", err)
+			}
+			sleep(ctx, 200*time.Millisecond)
+			continue
+		}
+		for _, e := range ev.Events {
+			n.post(Changed{e})
+		}
+		from = max(from, ev.Revision)
+		l.followed.Store(int64(n.now()))
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/coordination/view.go
@@ -0,0 +1,215 @@
+package coordination
+
+import (
+	"hash/fnv"
+	"io"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+)
+
+type viewTag struct{}
+
+// rendezvous picks one of the view's members for a key. Every controller with
+// the same view picks the same one.
+func rendezvous(v bookkeeping.View, key string) protocol.NodeName {
+	var best protocol.NodeName
+	var bestScore uint64
+	for name := range v.Members {
+		h := fnv.New64a()
+		io.WriteString(h, string(name))
+		io.WriteString(h, "\x00")
+		io.WriteString(h, key)
+		score := mix(h.Sum64())
+		if best == "" || score > bestScore || score == bestScore && name < best {
+			best, bestScore = name, score
+		}
+	}
+	return best
+}
+
+// mix spreads similar keys, which fnv alone leaves close together.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+func machineKeeper(v bookkeeping.View, m protocol.MachineID) protocol.NodeName {
+	return rendezvous(v, "machine "+string(m))
+}
+
+// jobOwner is the one controller that owns a job. All jobs of a limited team
+// have the same owner, so that the limit is checked in one place.
+func (c *Core) jobOwner(v bookkeeping.View, j *protocol.Job) protocol.NodeName {
+	if t, ok := c.settings.Team(j.Team); ok && t.Limited() {
+		return rendezvous(v, "team "+string(j.Team))
+	}
+	return rendezvous(v, "job "+string(j.ID))
+}
+
+// checkView raises the term when the view does not name exactly the
+// controllers that are present in the records. A controller whose connection
+// is refused stays; only a lapsed lease removes it.
+func (c *Core) checkView() {
+	if c.session == 0 || c.now >= c.until || c.writingView || c.now < c.viewRetry {
+		return
+	}
+	if c.nodes[c.self] != c.session {
+		return // not present itself: it has no say
+	}
+	want := map[protocol.NodeName]protocol.LeaseID{}
+	for n, s := range c.nodes {
+		want[n] = s
+	}
+	if sameMembers(want, c.view.Members) {
+		return
+	}
+	c.writingView = true
+	next := bookkeeping.View{Term: c.view.Term + 1, Members: want}
+	c.do(Commit{Tag: viewTag{}, Txn: protocol.Txn{
+		If: []protocol.Condition{
+			{Key: bookkeeping.ViewKey, Version: c.viewVersion},
+		},
+		Then: []protocol.Change{{Put: bookkeeping.ViewKey, Value: next}},
+	}})
+}
+
+func sameMembers(a, b map[protocol.NodeName]protocol.LeaseID) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for n, s := range a {
+		if b[n] != s {
+			return false
+		}
+	}
+	return true
+}
+
+// adopt takes over a new view. Work whose keeper and owner sessions are the
+// same in both views goes on; everything else is unknown until proven. A
+// controller that missed a view in between trusts nothing it knew before,
+// since others may have acted on the one it missed.
+func (c *Core) adopt(v bookkeeping.View, version protocol.Version) {
+	old := c.view
+	consecutive := old.Term != 0 && v.Term == old.Term+1
+	wasMember := c.member()
+	c.view, c.viewVersion = v, version
+	c.viewRetry = 0
+	c.adoptPeers(v)
+	if !c.member() {
+		c.owner = newOwnerState()
+		c.queues = map[protocol.MachineID]*queue{}
+		c.log.Info("not in the view", "term", v.Term)
+		return
+	}
+	c.log.Info("new term", "term", v.Term, "members", len(v.Members))
+	keeps := consecutive && wasMember
+	c.adoptQueues(old, keeps)
+	c.adoptJobs(old, keeps)
+	if !wasMember {
+		c.askTables()
+	}
+	c.fleet.adopted(c.now)
+}
+
+func (c *Core) adoptPeers(v bookkeeping.View) {
+	for name, p := range c.peers {
+		if v.Members[name] != p.session {
+			delete(c.peers, name)
+		}
+	}
+	for name, session := range v.Members {
+		if c.peers[name] == nil {
+			c.peers[name] = &peer{session: session, progress: map[protocol.JobID]Progress{}}
+		}
+	}
+	if p := c.peers[c.self]; p != nil {
+		p.term = v.Term
+	}
+}
+
+// sameSession reports whether a node is in both views with the same session.
+func sameSession(a, b bookkeeping.View, n protocol.NodeName) bool {
+	s, ok := a.Members[n]
+	return ok && b.Members[n] == s
+}
+
+// received handles a peer's batch. Batches of ended sessions are dropped: the
+// network may hold them back for minutes.
+func (c *Core) received(b Batch) {
+	if b.ToSession != c.session || !c.member() || c.view.Members[b.From] != b.FromSession {
+		if b.ToSession == c.session && b.Term > c.view.Term {
+			c.do(ReplyBatch{BatchBehind})
+			return
+		}
+		c.do(ReplyBatch{BatchStale})
+		return
+	}
+	if b.Term > c.view.Term {
+		c.do(ReplyBatch{BatchBehind})
+		return
+	}
+	p := c.peers[b.From]
+	p.term = max(p.term, b.Term)
+	if b.First > p.next {
+		c.do(ReplyBatch{BatchStale}) // a gap: this can't be the same stream
+		return
+	}
+	for i, m := range b.Messages {
+		if n := b.First + uint64(i); n == p.next {
+			p.next++
+			c.message(b.From, m)
+		}
+	}
+	c.do(ReplyBatch{BatchTaken})
+}
+
+// message handles one message of a peer, or of itself.
+func (c *Core) message(from protocol.NodeName, m PeerMessage) {
+	switch {
+	case m.Place != nil:
+		c.place(from, m.Place)
+	case m.Stop != nil:
+		c.stop(from, *m.Stop)
+	case m.Event != nil:
+		c.event(*m.Event)
+	case m.Forget != nil:
+		c.forget(*m.Forget)
+	case m.Inventory != nil:
+		c.inventory(from, m.Inventory)
+	case m.Waits != nil:
+		c.addWaits(m.Waits)
+	case m.Summary != nil:
+		c.summary(from, m.Summary)
+	case m.Drain != nil:
+		c.drain(*m.Drain)
+	case m.AskTable:
+		c.sendTable(from)
+	case m.Table != nil:
+		c.fillTable(m.Table)
+	}
+}
+
+// allAdopted reports whether every member is known to act on this term, so
+// that nobody answers workers by an older one any more.
+func (c *Core) allAdopted() bool {
+	for _, p := range c.peers {
+		if p.term < c.view.Term {
+			return false
+		}
+	}
+	return true
+}
+
+// leaseOver is how long after the last possible answer a worker has surely
+// killed its tasks: its lease by a clock that may run slow, and a margin for
+// answers on their way.
+func (c *Core) leaseOver() time.Duration {
+	lease := c.settings.Site.Workers.LeaseS
+	return time.Duration(lease*1.002*float64(time.Second)) + 5*time.Second
+}
--- /dev/null
+++ b/internal/coordination/waits.go
@@ -0,0 +1,154 @@
+package coordination
+
+import (
+	"slices"
+
+	"damsonkeel/internal/protocol"
+)
+
+// addWaits takes another controller's placements into the table.
+func (c *Core) addWaits(ws []Wait) {
+	for _, w := range ws {
+		if m := c.machines[w.Machine]; m != nil {
+			m.extra += w.AddS
+		}
+	}
+}
+
+// sendWaits tells every peer, in one message, what placing a job has added.
+func (c *Core) sendWaits(added map[protocol.MachineID]float64) {
+	if len(added) == 0 {
+		return
+	}
+	ws := make([]Wait, 0, len(added))
+	for id, s := range added {
+		ws = append(ws, Wait{id, s})
+	}
+	for name := range c.peers {
+		if name != c.self {
+			c.send(name, PeerMessage{Waits: ws})
+		}
+	}
+}
+
+// sendSummaries relays to every controller what became of its machines' queues
+// and jobs.
+func (c *Core) sendSummaries() {
+	var s Summary
+	for id, q := range c.queues {
+		if m := c.machines[id]; m != nil && q.epoch == m.epoch {
+			s.Machines = append(s.Machines, c.state(q))
+		}
+	}
+	for _, o := range c.owner.jobs {
+		s.Progress = append(s.Progress, Progress{Job: o.ID, Done: o.nDone, Running: o.running})
+		if d := c.jobDemand(o); d.Unstarted > 0 {
+			s.Demand = append(s.Demand, d)
+		}
+	}
+	for name, p := range c.peers {
+		mine := s
+		mine.Upto = p.handled
+		c.send(name, PeerMessage{Summary: &mine})
+	}
+}
+
+// jobDemand is the work of a job that has not started and may start now.
+func (c *Core) jobDemand(o *ownedJob) Demand {
+	d := Demand{Job: o.ID, EstimateS: c.estimate(&o.Job), OldestS: c.since(o.since).Seconds()}
+	if !o.loaded || o.unknown || o.notBefore > c.now {
+		return d
+	}
+	d.Unstarted = int(o.pending.Count())
+	for _, t := range o.placed {
+		if !t.started {
+			d.Unstarted++
+		}
+	}
+	return d
+}
+
+// summary takes a keeper's word on its machines.
+func (c *Core) summary(from protocol.NodeName, s *Summary) {
+	p := c.peers[from]
+	if p == nil {
+		return
+	}
+	p.unheard = slices.DeleteFunc(p.unheard, func(w ownWait) bool { return w.number <= s.Upto })
+	unheard := map[protocol.MachineID]float64{}
+	for _, w := range p.unheard {
+		unheard[w.machine] += w.addS
+	}
+	for _, st := range s.Machines {
+		m := c.machines[st.Machine]
+		if m == nil || st.Epoch != m.epoch || machineKeeper(c.view, m.id) != from {
+			continue
+		}
+		if m.told.Closed && !st.Closed || m.told.Epoch == 0 {
+			c.owner.dirty = true
+		}
+		m.told, m.at, m.extra = st, c.now, unheard[st.Machine]
+	}
+	clear(p.progress)
+	for _, g := range s.Progress {
+		p.progress[g.Job] = g
+	}
+	p.demand, p.hasTable = s.Demand, true
+	for _, o := range c.owner.jobs {
+		if o.pending.Any() && o.notBefore <= c.now {
+			c.owner.dirty = true
+			break
+		}
+	}
+}
+
+// askTables has a restarted controller ask two peers, at random, for their table.
+func (c *Core) askTables() {
+	var names []protocol.NodeName
+	for name := range c.peers {
+		if name != c.self {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	c.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	for _, name := range names[:min(2, len(names))] {
+		c.send(name, PeerMessage{AskTable: true})
+	}
+}
+
+// sendTable answers a restarted controller, if this table is filled.
+func (c *Core) sendTable(to protocol.NodeName) {
+	var ws []Wait
+	for id, m := range c.machines {
+		if m.told.Epoch == m.epoch {
+			ws = append(ws, Wait{id, m.wait()})
+		}
+	}
+	if len(ws) > 0 {
+		c.send(to, PeerMessage{Table: ws})
+	}
+}
+
+// fillTable takes the first table that comes; what keepers say of their
+// machines replaces it.
+func (c *Core) fillTable(ws []Wait) {
+	for _, w := range ws {
+		if m := c.machines[w.Machine]; m != nil && m.told.Epoch == 0 && m.extra == 0 {
+			m.extra = w.AddS
+		}
+	}
+}
+
+// JobProgress is how far a live job is, as far as this controller knows.
+func (c *Core) JobProgress(id protocol.JobID) (Progress, bool) {
+	if o := c.owner.jobs[id]; o != nil {
+		return Progress{Job: id, Done: o.nDone, Running: o.running}, true
+	}
+	for _, p := range c.peers {
+		if g, ok := p.progress[id]; ok {
+			return g, true
+		}
+	}
+	return Progress{}, false
+}
