Weigh each estimate by the processors its task takes

Cause: the sum of estimates counts a gang of 15 processors like a task of 2, so queues looked short that were not. Excluded: late tables (waits are relayed every second; the gangs waited 70 s).

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -66,7 +66,7 @@
 type ownWait struct {
 	number  uint64
 	machine protocol.MachineID
-	addS    float64
+	add     float64
 }
 
 // NewCore makes a controller's state before its first session.
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -15,6 +15,7 @@
 	Machine   protocol.MachineID
 	Epoch     protocol.Version // of the machine's record, as the owner knows it
 	EstimateS float64
+	CPUs      float64
 }
 
 // Place hands placements to the controller that keeps the machines' queues.
@@ -78,17 +79,17 @@
 	Held    []Held
 }
 
-// Wait is a change of a machine's expected wait.
+// Wait is a change of a machine's expected wait, in processor seconds.
 type Wait struct {
 	Machine protocol.MachineID
-	AddS    float64
+	Add     float64
 }
 
 // MachineState is what a machine's controller tells all others of it.
 type MachineState struct {
 	Machine  protocol.MachineID
 	Epoch    protocol.Version
-	WaitS    float64
+	Wait     float64 // processor seconds
 	FreeCPUs float64
 	FreeGPUs float64
 	FreeGB   float64
@@ -116,7 +117,7 @@
 
 // Summary is a controller's regular message to each peer.
 type Summary struct {
-	Upto     uint64 // last Place of the addressee that WaitS includes
+	Upto     uint64 // last Place of the addressee that the waits include
 	Machines []MachineState
 	Progress []Progress
 	Demand   []Demand
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -36,7 +36,7 @@
 		for _, p := range chosen {
 			keeper := machineKeeper(c.view, p.Machine)
 			batches[keeper] = append(batches[keeper], p)
-			waits[p.Machine] += p.EstimateS
+			waits[p.Machine] += p.EstimateS * p.CPUs
 		}
 		if left <= 0 {
 			c.owner.dirty = true
@@ -53,7 +53,7 @@
 			if o := c.owner.jobs[t.Task.Job]; o != nil && o.placed[t.Task] != nil {
 				o.placed[t.Task].number = p.placed
 			}
-			p.unheard = append(p.unheard, ownWait{p.placed, t.Machine, t.EstimateS})
+			p.unheard = append(p.unheard, ownWait{p.placed, t.Machine, t.EstimateS * t.CPUs})
 		}
 		c.send(keeper, PeerMessage{Place: &Place{Number: p.placed, Term: c.view.Term, Tasks: tasks}})
 	}
@@ -97,7 +97,7 @@
 		if m == nil {
 			for _, p := range out { // all or none
 				t := o.placed[p.Task]
-				c.machines[t.machine].extra -= t.estimate
+				c.machines[t.machine].extra -= t.estimate * o.CPUs
 				c.unplace(o, t)
 				o.pending.Set(uint(p.Task.Index))
 			}
@@ -124,8 +124,8 @@
 	o.placed[t.task] = t
 	o.pending.Clear(uint(i))
 	m.mine[t.task] = t
-	m.extra += t.estimate
-	return Placement{Task: t.task, Attempt: a, Machine: m.id, Epoch: m.epoch, EstimateS: t.estimate}
+	m.extra += t.estimate * o.CPUs
+	return Placement{Task: t.task, Attempt: a, Machine: m.id, Epoch: m.epoch, EstimateS: t.estimate, CPUs: o.CPUs}
 }
 
 // zones counts the attempts of a job that may exist by zone.
@@ -159,8 +159,9 @@
 	return best
 }
 
-// wait is the machine's expected wait as far as this controller knows.
-func (m *machineEntry) wait() float64 { return math.Max(0, m.told.WaitS+m.extra) }
+// wait is the machine's expected wait, in processor seconds, as far as this
+// controller knows.
+func (m *machineEntry) wait() float64 { return math.Max(0, m.told.Wait+m.extra) }
 
 // usable reports whether tasks may be placed on a machine at all.
 func (c *Core) usable(m *machineEntry) bool {
@@ -264,7 +265,7 @@
 		}
 		// The machine serves its first waiting task itself: only what is
 		// behind others gains by moving.
-		if len(can) > 0 && m.told.Queued > 0 && m.wait()-can[0].estimate > slack {
+		if len(can) > 0 && m.told.Queued > 0 && m.wait()-can[0].estimate*c.owner.jobs[can[0].task.Job].CPUs > slack {
 			longest, movable = m, can
 		}
 	}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -134,7 +134,7 @@
 		peer.handled = p.Number
 	}
 	for _, t := range p.Tasks {
-		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS}
+		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: resources{cpus: t.CPUs}}
 		q := c.queues[t.Machine]
 		refuse := func() {
 			c.send(from, PeerMessage{Event: &TaskEvent{
@@ -568,12 +568,13 @@
 	return f
 }
 
-// wait is the sum of the estimates of all that is queued or runs here.
+// wait is the sum of the estimates of all that is queued or runs here, each
+// weighed by the processors the task takes.
 func (q *queue) wait() float64 {
 	var w float64
 	for _, e := range q.entries {
 		if !e.ended() {
-			w += e.estimate
+			w += e.estimate * e.need.cpus
 		}
 	}
 	return w
@@ -612,7 +613,7 @@
 func (c *Core) state(q *queue) MachineState {
 	f := q.free()
 	s := MachineState{
-		Machine: q.id, Epoch: q.epoch, WaitS: q.wait(), FreeCPUs: f.cpus, FreeGPUs: f.gpus, FreeGB: f.gb,
+		Machine: q.id, Epoch: q.epoch, Wait: q.wait(), FreeCPUs: f.cpus, FreeGPUs: f.gpus, FreeGB: f.gb,
 		Held: len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
 		Closed: q.draining || q.suspect || q.notice != nil || c.since(q.lastAnswer) > 2*silence(c.settings.Site.Workers.ReportS),
 	}
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -10,7 +10,7 @@
 func (c *Core) addWaits(ws []Wait) {
 	for _, w := range ws {
 		if m := c.machines[w.Machine]; m != nil {
-			m.extra += w.AddS
+			m.extra += w.Add
 		}
 	}
 }
@@ -77,7 +77,7 @@
 	p.unheard = slices.DeleteFunc(p.unheard, func(w ownWait) bool { return w.number <= s.Upto })
 	unheard := map[protocol.MachineID]float64{}
 	for _, w := range p.unheard {
-		unheard[w.machine] += w.addS
+		unheard[w.machine] += w.add
 	}
 	for _, st := range s.Machines {
 		m := c.machines[st.Machine]
@@ -135,7 +135,7 @@
 func (c *Core) fillTable(ws []Wait) {
 	for _, w := range ws {
 		if m := c.machines[w.Machine]; m != nil && m.told.Epoch == 0 && m.extra == 0 {
-			m.extra = w.AddS
+			m.extra = w.Add
 		}
 	}
 }
