Room now counts as no wait, fullest machine first; any room takes from queues

Cause: the sum of estimates sent tasks to long queues on large machines while others had processors free, and spread small tasks over every machine, so that gangs found none empty. Only a wholly idle machine took from queues. Excluded: too few machines alone (40 machines with 280 processors ran 210).

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -67,6 +67,7 @@
 	number  uint64
 	machine protocol.MachineID
 	add     float64
+	taken   resources
 }
 
 // NewCore makes a controller's state before its first session.
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -16,8 +16,13 @@
 	Epoch     protocol.Version // of the machine's record, as the owner knows it
 	EstimateS float64
 	CPUs      float64
+	GPUs      float64
+	GB        float64
 }
 
+// Need is what the task takes of its machine.
+func (p Placement) Need() resources { return resources{p.CPUs, p.GPUs, p.GB} }
+
 // Place hands placements to the controller that keeps the machines' queues.
 type Place struct {
 	Number uint64 // counts the sender's messages of this kind
@@ -83,6 +88,7 @@
 type Wait struct {
 	Machine protocol.MachineID
 	Add     float64
+	Taken   [3]float64 // processors, GPUs, GB
 }
 
 // MachineState is what a machine's controller tells all others of it.
@@ -268,6 +274,7 @@
 
 	told  MachineState // by its controller
 	at    Time
-	extra float64 // waits added since by peers' placements
+	extra float64   // waits added since by placements
+	taken resources // by placements since
 	mine  map[protocol.TaskID]*placedTask
 }
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -20,7 +21,7 @@
 	}
 	usage := c.teamUsage()
 	batches := map[protocol.NodeName][]Placement{}
-	waits := map[protocol.MachineID]float64{}
+	waits := map[protocol.MachineID]Wait{}
 	left := maxPerStep
 	for _, o := range c.inOrder() {
 		if !o.loaded || o.finish || o.notBefore > c.now || o.pending.None() {
@@ -36,7 +37,8 @@
 		for _, p := range chosen {
 			keeper := machineKeeper(c.view, p.Machine)
 			batches[keeper] = append(batches[keeper], p)
-			waits[p.Machine] += p.EstimateS * p.CPUs
+			w := waits[p.Machine]
+			waits[p.Machine] = Wait{p.Machine, w.Add + p.EstimateS*p.CPUs, [3]float64{w.Taken[0] + p.CPUs, w.Taken[1] + p.GPUs, w.Taken[2] + p.GB}}
 		}
 		if left <= 0 {
 			c.owner.dirty = true
@@ -53,7 +55,7 @@
 			if o := c.owner.jobs[t.Task.Job]; o != nil && o.placed[t.Task] != nil {
 				o.placed[t.Task].number = p.placed
 			}
-			p.unheard = append(p.unheard, ownWait{p.placed, t.Machine, t.EstimateS * t.CPUs})
+			p.unheard = append(p.unheard, ownWait{p.placed, t.Machine, t.EstimateS * t.CPUs, t.Need()})
 		}
 		c.send(keeper, PeerMessage{Place: &Place{Number: p.placed, Term: c.view.Term, Tasks: tasks}})
 	}
@@ -98,6 +100,7 @@
 			for _, p := range out { // all or none
 				t := o.placed[p.Task]
 				c.machines[t.machine].extra -= t.estimate * o.CPUs
+				c.machines[t.machine].taken = c.machines[t.machine].taken.minus(need(&o.Job))
 				c.unplace(o, t)
 				o.pending.Set(uint(p.Task.Index))
 			}
@@ -125,7 +128,8 @@
 	o.pending.Clear(uint(i))
 	m.mine[t.task] = t
 	m.extra += t.estimate * o.CPUs
-	return Placement{Task: t.task, Attempt: a, Machine: m.id, Epoch: m.epoch, EstimateS: t.estimate, CPUs: o.CPUs}
+	m.taken = m.taken.plus(need(&o.Job))
+	return Placement{Task: t.task, Attempt: a, Machine: m.id, Epoch: m.epoch, EstimateS: t.estimate, CPUs: o.CPUs, GPUs: o.GPUs, GB: o.MemoryGB}
 }
 
 // zones counts the attempts of a job that may exist by zone.
@@ -146,7 +150,7 @@
 		if !c.usable(m) || o.failedOn[m.id] && len(o.failedOn) < 3 || !o.allows(m, zones) {
 			continue
 		}
-		w := m.wait() / math.Max(m.info.CPUs, 1)
+		w := m.waitFor(need(&o.Job))
 		switch {
 		case w < bestWait-1e-9:
 			best, bestWait, ties = m, w, 1
@@ -163,6 +167,29 @@
 // controller knows.
 func (m *machineEntry) wait() float64 { return math.Max(0, m.told.Wait+m.extra) }
 
+// room is what a machine has free now, as far as this controller knows. One
+// with a queue has none: what waits there comes first.
+func (m *machineEntry) room() resources {
+	if m.told.Epoch != m.epoch {
+		return capacity(m.info).minus(m.taken) // nothing told yet: as it came up
+	}
+	if m.told.Queued > 0 {
+		return resources{}
+	}
+	return resources{m.told.FreeCPUs, m.told.FreeGPUs, m.told.FreeGB}.minus(m.taken)
+}
+
+// waitFor is the wait per processor that a task of a size has to expect: below
+// 0 on a machine with room for it now, the fuller the lower, so that small
+// tasks leave whole machines to large ones.
+func (m *machineEntry) waitFor(n resources) float64 {
+	cpus := math.Max(m.info.CPUs, 1)
+	if free := m.room(); free.covers(n) {
+		return -1 / (1 + free.cpus - n.cpus)
+	}
+	return m.wait() / cpus
+}
+
 // usable reports whether tasks may be placed on a machine at all.
 func (c *Core) usable(m *machineEntry) bool {
 	return m.info.Name != "" && !m.told.Closed && !m.told.Draining && !m.told.Suspect
@@ -230,56 +257,64 @@
 		(t.MaxGPUs == 0 || u.gpus+o.GPUs*float64(n) <= t.MaxGPUs+slack)
 }
 
-// rebalance lets an idle machine take unstarted tasks from the longest queue:
-// the owner has them released there and places them again.
+// rebalance lets a machine with room take unstarted tasks from the longest
+// queue: the owner has them released there and places them again.
 func (c *Core) rebalance() {
 	if !c.acting() {
 		return
 	}
-	for _, idle := range c.machines {
-		if !c.usable(idle) || idle.wait() > 0 || idle.told.Epoch != idle.epoch {
-			continue
+	movable := c.movable()
+	if len(movable) == 0 {
+		return
+	}
+	for _, m := range c.machines {
+		if c.usable(m) && m.told.Epoch == m.epoch && m.told.Queued == 0 {
+			movable = c.takeFor(m, movable)
 		}
-		c.takeFor(idle)
 	}
 }
 
-func (c *Core) takeFor(idle *machineEntry) {
-	var longest *machineEntry
-	var movable []*placedTask
+// movable lists the tasks of this owner that wait in queues, those of the
+// longest queues first and in them the last in line first.
+func (c *Core) movable() []*placedTask {
+	var ts []*placedTask
 	for _, m := range c.machines {
-		if m == idle || longest != nil && m.wait()/m.info.CPUs <= longest.wait()/longest.info.CPUs {
+		if m.told.Queued == 0 {
 			continue
 		}
-		var can []*placedTask
 		for _, t := range m.mine {
 			o := c.owner.jobs[t.task.Job]
-			if o == nil || t.started || t.stopping || t.moving || t.uncertain || o.Kind == protocol.KindGang && o.Tasks > 1 {
-				continue
-			}
-			zones := o.zones()
-			zones[t.zone]--
-			if o.allows(idle, zones) && !o.failedOn[idle.id] {
-				can = append(can, t)
+			if o != nil && !t.started && !t.stopping && !t.moving && !t.uncertain && (o.Kind != protocol.KindGang || o.Tasks == 1) {
+				ts = append(ts, t)
 			}
 		}
-		// The machine serves its first waiting task itself: only what is
-		// behind others gains by moving.
-		if len(can) > 0 && m.told.Queued > 0 && m.wait()-can[0].estimate*c.owner.jobs[can[0].task.Job].CPUs > slack {
-			longest, movable = m, can
-		}
-	}
-	if longest == nil {
-		return
 	}
-	free := capacity(idle.info)
-	for _, t := range movable {
-		n := need(&c.owner.jobs[t.task.Job].Job)
-		if !free.covers(n) {
-			return
+	slices.SortFunc(ts, func(a, b *placedTask) int {
+		ma, mb := c.machines[a.machine], c.machines[b.machine]
+		return cmp.Or(
+			cmp.Compare(c.owner.jobs[b.task.Job].Priority.Rank(), c.owner.jobs[a.task.Job].Priority.Rank()),
+			cmp.Compare(mb.wait()/mb.info.CPUs, ma.wait()/ma.info.CPUs), cmp.Compare(b.attempt, a.attempt))
+	})
+	return ts
+}
+
+// takeFor fills a machine's room with movable tasks and returns the rest.
+func (c *Core) takeFor(m *machineEntry, movable []*placedTask) []*placedTask {
+	free := m.room()
+	return slices.DeleteFunc(movable, func(t *placedTask) bool {
+		o := c.owner.jobs[t.task.Job]
+		n := need(&o.Job)
+		if !free.covers(n) || t.machine == m.id || o.failedOn[m.id] {
+			return false
+		}
+		zones := o.zones()
+		zones[t.zone]--
+		if !o.allows(m, zones) {
+			return false
 		}
 		free = free.minus(n)
 		c.askStop(t, false, 0)
-		c.log.Debug("moving a waiting task", "task", t.task, "from", longest.id, "to", idle.id)
-	}
+		c.log.Debug("moving a waiting task", "task", t.task, "from", t.machine, "to", m.id)
+		return true
+	})
 }
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -134,7 +134,7 @@
 		peer.handled = p.Number
 	}
 	for _, t := range p.Tasks {
-		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: resources{cpus: t.CPUs}}
+		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need()}
 		q := c.queues[t.Machine]
 		refuse := func() {
 			c.send(from, PeerMessage{Event: &TaskEvent{
@@ -553,6 +553,10 @@
 	return resources{r.cpus - n.cpus, r.gpus - n.gpus, r.gb - n.gb}
 }
 
+func (r resources) plus(n resources) resources {
+	return resources{r.cpus + n.cpus, r.gpus + n.gpus, r.gb + n.gb}
+}
+
 func need(j *protocol.Job) resources { return resources{j.CPUs, j.GPUs, j.MemoryGB} }
 
 func capacity(t protocol.TypeInfo) resources { return resources{t.CPUs, t.GPUs, t.MemoryGB} }
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"maps"
 	"slices"
 
 	"damsonkeel/internal/protocol"
@@ -11,19 +12,17 @@
 	for _, w := range ws {
 		if m := c.machines[w.Machine]; m != nil {
 			m.extra += w.Add
+			m.taken = m.taken.plus(resources{w.Taken[0], w.Taken[1], w.Taken[2]})
 		}
 	}
 }
 
 // sendWaits tells every peer, in one message, what placing a job has added.
-func (c *Core) sendWaits(added map[protocol.MachineID]float64) {
+func (c *Core) sendWaits(added map[protocol.MachineID]Wait) {
 	if len(added) == 0 {
 		return
 	}
-	ws := make([]Wait, 0, len(added))
-	for id, s := range added {
-		ws = append(ws, Wait{id, s})
-	}
+	ws := slices.Collect(maps.Values(added))
 	for name := range c.peers {
 		if name != c.self {
 			c.send(name, PeerMessage{Waits: ws})
@@ -75,9 +74,12 @@
 		return
 	}
 	p.unheard = slices.DeleteFunc(p.unheard, func(w ownWait) bool { return w.number <= s.Upto })
-	unheard := map[protocol.MachineID]float64{}
+	unheard := map[protocol.MachineID]ownWait{}
 	for _, w := range p.unheard {
-		unheard[w.machine] += w.add
+		u := unheard[w.machine]
+		u.add += w.add
+		u.taken = u.taken.plus(w.taken)
+		unheard[w.machine] = u
 	}
 	for _, st := range s.Machines {
 		m := c.machines[st.Machine]
@@ -87,7 +89,8 @@
 		if m.told.Closed && !st.Closed || m.told.Epoch == 0 {
 			c.owner.dirty = true
 		}
-		m.told, m.at, m.extra = st, c.now, unheard[st.Machine]
+		u := unheard[st.Machine]
+		m.told, m.at, m.extra, m.taken = st, c.now, u.add, u.taken
 	}
 	clear(p.progress)
 	for _, g := range s.Progress {
@@ -122,7 +125,7 @@
 	var ws []Wait
 	for id, m := range c.machines {
 		if m.told.Epoch == m.epoch {
-			ws = append(ws, Wait{id, m.wait()})
+			ws = append(ws, Wait{Machine: id, Add: m.wait()})
 		}
 	}
 	if len(ws) > 0 {
