Start tasks by direct command; an unanswered one is settled by raising the term

Cause: starts waited up to 3.75 s for the worker's next report, at every placement and every move between queues. Excluded: placement (the owner placed within milliseconds of acceptance). Guard: an attempt with an unanswered direct start is neither released nor reaped until the worker has seen a later term, since it may start minutes late.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -35,6 +35,7 @@
 	nodes       map[protocol.NodeName]protocol.LeaseID // present in the records
 	writingView bool
 	viewRetry   Time
+	raise       bool // the term is to be raised though the members are the same
 
 	live     map[protocol.JobID]*liveJob
 	machines map[protocol.MachineID]*machineEntry
@@ -82,7 +83,7 @@
 	c.session, c.until = 0, 0
 	c.view, c.viewVersion = bookkeeping.View{}, 0
 	c.nodes = map[protocol.NodeName]protocol.LeaseID{}
-	c.writingView = false
+	c.writingView, c.raise = false, false
 	c.live = map[protocol.JobID]*liveJob{}
 	c.machines = map[protocol.MachineID]*machineEntry{}
 	c.queues = map[protocol.MachineID]*queue{}
@@ -120,6 +121,8 @@
 		c.txnDone(m)
 	case JobLoaded:
 		c.jobLoaded(m)
+	case Commanded:
+		c.commanded(m)
 	case Rented:
 		c.rented(m)
 	case Deleted:
@@ -128,6 +131,7 @@
 		c.listed(m)
 	}
 	c.settle()
+	c.push()
 	return c.out
 }
 
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -196,6 +196,16 @@
 		Chunks []protocol.Item
 		OK     bool
 	}
+	// Commanded answers a Command.
+	Commanded struct {
+		Machine  protocol.MachineID
+		Term     protocol.Term
+		Session  protocol.Session
+		Orders   []protocol.Order
+		Answered bool
+		Executed bool
+		Report   protocol.Report // if answered
+	}
 	// Rented answers a Rent.
 	Rented struct {
 		Request  protocol.RentRequest
@@ -250,6 +260,12 @@
 	}
 	// LoadBits reads the bitmap of a job.
 	LoadBits struct{ Job protocol.JobID }
+	// Command sends commands straight to a worker.
+	Command struct {
+		Machine  protocol.MachineID
+		Address  string
+		Commands protocol.Commands
+	}
 	// Rent asks the cloud for machines.
 	Rent struct{ Request protocol.RentRequest }
 	// Delete returns machines to the cloud.
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -37,6 +37,7 @@
 	mailbox chan envelope
 	core    *Core
 	outbox  map[protocol.NodeName]*outbox
+	workers *workerClients
 
 	actingUntil atomic.Int64
 	types       atomic.Pointer[[]protocol.TypeInfo]
@@ -58,6 +59,7 @@
 		cloud:   bookkeeping.NewCloud(s.Services.Cloud, s.Site.Cloud.RPS, s.Site.Count),
 		mailbox: make(chan envelope, mailboxSize),
 		outbox:  map[protocol.NodeName]*outbox{},
+		workers: newWorkerClients(),
 	}
 	n.core = NewCore(s, op, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), log)
 	for _, m := range s.Members {
@@ -183,6 +185,8 @@
 			}
 		case Commit:
 			go n.commit(ctx, a)
+		case Command:
+			go n.command(ctx, a)
 		case LoadBits:
 			go n.loadBits(ctx, a.Job)
 		case Rent:
@@ -218,6 +222,35 @@
 	n.post(TxnDone{Tag: a.Tag, Outcome: outcome(err)})
 }
 
+// command sends commands to a worker. Its kept connections go when it has not
+// been commanded for a while.
+func (n *Node) command(ctx context.Context, a Command) {
+	done := Commanded{Machine: a.Machine, Term: a.Commands.Term, Session: a.Commands.Session, Orders: a.Commands.Orders}
+	defer func() { n.post(done) }()
+	body, err := protocol.Encode(a.Commands)
+	if err != nil {
+		n.log.Error("commands", "err", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, directTimeout)
+	defer cancel()
+	m, err := n.workers.get(a.Address).Do(ctx, "POST", "/do", body)
+	if err != nil {
+		n.log.Debug("command", "machine", a.Machine, "err", err)
+		return
+	}
+	if m.Status != 200 && m.Status != 409 {
+		n.log.Info("command refused", "machine", a.Machine, "status", m.Status)
+		return
+	}
+	r, err := protocol.ParseReport(m.Body)
+	if err != nil {
+		n.log.Info("command: bad report", "machine", a.Machine, "err", err)
+		return
+	}
+	done.Answered, done.Executed, done.Report = true, m.Status == 200, r
+}
+
 func outcome(err error) Outcome {
 	switch {
 	case err == nil:
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -26,6 +26,8 @@
 	inventoried bool // owners have an inventory of this term
 	registering bool
 	removing    bool
+	commanding  bool // a direct command has no answer yet
+	push        bool // something may be started at once
 	notice      *float64
 	draining    bool
 	changed     bool
@@ -43,9 +45,9 @@
 	estimate float64
 	need     resources
 	order    uint64
-	sentAt   protocol.Seq // the report whose answer carried its start; with sent
 	sent     bool
-	present  bool // the worker has reported it
+	direct   protocol.Term // of a direct start that has no answer: it may be executed until the worker sees a later term
+	present  bool          // the worker has reported it
 	state    protocol.TaskState
 	cause    protocol.EndCause
 	saved    bool
@@ -158,7 +160,7 @@
 		e.order = c.owner.order
 		q.entries[t.Task] = e
 		q.waiting = append(q.waiting, e)
-		q.changed = true
+		q.changed, q.push = true, true
 	}
 }
 
@@ -179,6 +181,7 @@
 	}
 	if s.Kill && !e.ended() {
 		e.kill, e.graceS = true, s.GraceS
+		q.push = true
 	}
 }
 
@@ -250,7 +253,8 @@
 	if q.epoch != 0 && r.Term == c.view.Term && !q.inventoried {
 		c.sendInventory(q)
 	}
-	c.orders(q, &r, &reply)
+	q.push = false
+	reply.Orders = c.orders(q, r.Term)
 	c.do(ReplyReport{Status: 200, Reply: reply})
 }
 
@@ -366,10 +370,18 @@
 				c.tell(q, e, WhatEnded)
 			}
 			q.changed = true
-		case r.Seq > e.sentAt:
+		case e.direct != 0 && r.Term <= e.direct:
+			// Sent directly, no answer: it may be executed minutes late, so
+			// not being listed proves nothing until the worker has seen a
+			// later term.
+		case e.kill:
+			// Settled as below, and not wanted any more.
+			delete(q.entries, id)
+			c.tell(q, e, WhatReleased)
+		default:
 			// The answer with the start was lost or dropped: settled by this
 			// report. The same attempt goes back to be sent again.
-			e.sent = false
+			e.sent, e.direct = false, 0
 			q.waiting = append(q.waiting, e)
 		}
 	}
@@ -473,32 +485,49 @@
 	}
 }
 
-// orders fills the answer: reaps first, so that room and task ids are free,
+// orders fills an answer: reaps first, so that room and task ids are free,
 // then kills, then starts in order of service while they fit.
-func (c *Core) orders(q *queue, r *protocol.Report, reply *protocol.ReportReply) {
-	free := q.free()
+func (c *Core) orders(q *queue, term protocol.Term) []protocol.Order {
+	orders := []protocol.Order{}
 	for _, e := range q.entries {
-		if !e.present {
-			continue
-		}
 		live := c.live[e.task.Job] != nil
 		switch {
+		case !e.present:
+			if e.sent && e.direct != 0 && live && !e.kill {
+				orders = append(orders, protocol.Order{Op: protocol.OpStart, Task: e.task, Attempt: e.attempt})
+			}
 		case e.ended() && (e.reap || !live):
-			reply.Orders = append(reply.Orders, protocol.Order{Op: protocol.OpForget, Task: e.task, Attempt: e.attempt})
+			// After a reap the worker no longer knows the attempt: a direct
+			// start that is still under way would run it again.
+			if e.direct == 0 || term > e.direct {
+				orders = append(orders, protocol.Order{Op: protocol.OpForget, Task: e.task, Attempt: e.attempt})
+			}
 		case !e.ended() && (e.kill || !live):
 			grace := e.graceS
 			if !live {
 				grace = 0
 			}
-			reply.Orders = append(reply.Orders, protocol.Order{Op: protocol.OpStop, Task: e.task, Attempt: e.attempt, GraceS: &grace})
+			orders = append(orders, protocol.Order{Op: protocol.OpStop, Task: e.task, Attempt: e.attempt, GraceS: &grace})
 		}
 	}
-	slices.SortStableFunc(reply.Orders, func(a, b protocol.Order) int {
+	slices.SortStableFunc(orders, func(a, b protocol.Order) int {
 		return cmp.Compare(orderRank(a.Op), orderRank(b.Op))
 	})
-	if q.epoch == 0 || q.draining || q.notice != nil || q.suspect {
-		return
+	for _, e := range c.startable(q) {
+		e.sent = true
+		orders = append(orders, protocol.Order{Op: protocol.OpStart, Task: e.task, Attempt: e.attempt})
+		c.log.Debug("start", "machine", q.id, "task", e.task, "attempt", e.attempt)
+	}
+	return orders
+}
+
+// startable takes from the queue what fits the free room.
+func (c *Core) startable(q *queue) []*entry {
+	if q.epoch == 0 || q.draining || q.notice != nil || q.suspect || len(q.waiting) == 0 {
+		return nil
 	}
+	var out []*entry
+	free := q.free()
 	c.sortWaiting(q)
 	for len(q.waiting) > 0 {
 		e := q.waiting[0]
@@ -512,12 +541,10 @@
 		}
 		free = free.minus(e.need)
 		q.waiting = q.waiting[1:]
-		e.sent, e.sentAt = true, r.Seq
-		q.idleSince = c.now
-		q.changed = true
-		reply.Orders = append(reply.Orders, protocol.Order{Op: protocol.OpStart, Task: e.task, Attempt: e.attempt})
-		c.log.Debug("start", "machine", q.id, "task", e.task, "attempt", e.attempt)
+		q.idleSince, q.changed = c.now, true
+		out = append(out, e)
 	}
+	return out
 }
 
 func orderRank(op protocol.Op) int {
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -65,7 +65,7 @@
 	for n, s := range c.nodes {
 		want[n] = s
 	}
-	if sameMembers(want, c.view.Members) {
+	if sameMembers(want, c.view.Members) && !c.raise {
 		return
 	}
 	c.writingView = true
@@ -99,7 +99,7 @@
 	consecutive := old.Term != 0 && v.Term == old.Term+1
 	wasMember := c.member()
 	c.view, c.viewVersion = v, version
-	c.viewRetry = 0
+	c.viewRetry, c.raise = 0, false
 	c.adoptPeers(v)
 	if !c.member() {
 		c.owner = newOwnerState()
