--- a/internal/bookkeeping/cloud.go
+++ b/internal/bookkeeping/cloud.go
@@ -20,9 +20,12 @@
 	calls  *rate.Limiter
 }
 
-// NewCloud makes a client; the rate is shared by count controllers.
-func NewCloud(addr string, rps float64, count int) *Cloud {
-	share := rps * 0.9 / float64(count)
+// NewCloud makes a client. One controller at a time rents and lists, the
+// others only read the catalogue once a minute, so each may use most of the
+// configured rate; what two of them exceed while the role passes is refused
+// by the cloud, without harm.
+func NewCloud(addr string, rps float64) *Cloud {
+	share := rps * 0.6
 	return &Cloud{client: transport.NewClient(addr), calls: rate.NewLimiter(rate.Limit(share), max(1, int(2*share)))}
 }
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -23,7 +23,7 @@
 	coming   map[protocol.MachineID]coming
 	rents    map[string]*rentCall
 	requests uint64
-	refused  map[kind]Time // until when not to ask again
+	refused  map[kind]refusal
 	deleting map[protocol.MachineID]Time
 	returned map[protocol.MachineID]Time // lists may still show them
 	lastPlan Time
@@ -44,6 +44,13 @@
 	at Time
 }
 
+// refusal is a kind the cloud had none of: not asked for again for a while,
+// longer each time.
+type refusal struct {
+	until Time
+	pause time.Duration
+}
+
 type rentCall struct {
 	req   protocol.RentRequest
 	at    Time
@@ -54,7 +61,7 @@
 func newFleetState() fleetState {
 	return fleetState{
 		listed: map[protocol.MachineID]protocol.ListedMachine{}, orphan: map[protocol.MachineID]Time{},
-		coming: map[protocol.MachineID]coming{}, rents: map[string]*rentCall{}, refused: map[kind]Time{},
+		coming: map[protocol.MachineID]coming{}, rents: map[string]*rentCall{}, refused: map[kind]refusal{},
 		deleting: map[protocol.MachineID]Time{}, returned: map[protocol.MachineID]Time{},
 		unmet: map[protocol.MachineType]bool{}, draining: map[protocol.MachineID]Time{},
 	}
@@ -64,10 +71,11 @@
 
 // Timings of the fleet. They follow from how machines boot and the list lags.
 const (
-	planEvery    = 2 * time.Second
-	listEvery    = 5 * time.Second
-	refusedPause = 15 * time.Second
-	settleTime   = 4 * time.Second
+	planEvery     = 2 * time.Second
+	listEvery     = 5 * time.Second
+	refusedPause  = 10 * time.Second
+	refusedAtMost = time.Minute
+	settleTime    = 4 * time.Second
 )
 
 // fleetStep rents and returns machines, if that is this controller's role.
@@ -91,7 +99,7 @@
 			c.rent(r)
 		}
 	}
-	if c.since(f.since) < settleTime || !f.haveList || c.since(f.lastPlan) < planEvery {
+	if !c.planning() || c.since(f.lastPlan) < planEvery {
 		return
 	}
 	f.lastPlan = c.now
@@ -238,7 +246,7 @@
 		for _, z := range t.AllowZones {
 			for _, spot := range []bool{true, false} {
 				k := kind{t.Name, z, spot}
-				if !j.allowsKind(t, z, spot) || c.fleet.refused[k] > c.now {
+				if !j.allowsKind(t, z, spot) || c.fleet.refused[k].until > c.now {
 					continue
 				}
 				price := t.Price
@@ -262,7 +270,7 @@
 func (c *Core) rent(r *rentCall) {
 	r.busy, r.at = true, c.now
 	r.tries++
-	c.log.Info("renting", "type", r.req.Type, "zone", r.req.Zone, "spot", r.req.Spot, "count", r.req.Count, "request", r.req.Name)
+	c.log.Debug("renting", "type", r.req.Type, "zone", r.req.Zone, "spot", r.req.Spot, "count", r.req.Count, "request", r.req.Name)
 	c.do(Rent{r.req})
 }
 
@@ -280,15 +288,27 @@
 		for _, id := range m.Machines {
 			f.coming[id] = coming{k, c.now}
 		}
-		if len(m.Machines) < m.Request.Count {
-			f.refused[k] = c.after(refusedPause)
-		}
 		c.log.Info("rented", "machines", m.Machines, "request", m.Request.Name)
+		delete(f.refused, k)
+		if len(m.Machines) == m.Request.Count {
+			return
+		}
 	case OutcomeFailed, OutcomeRefused:
 		delete(f.rents, m.Request.Name)
-		f.refused[k] = c.after(refusedPause)
-		c.log.Info("not rented", "type", k.t, "zone", k.zone, "spot", k.spot)
+		c.log.Debug("not rented", "type", k.t, "zone", k.zone, "spot", k.spot)
+	default:
+		return // asked again by the same name
 	}
+	pause := min(max(2*f.refused[k].pause, refusedPause), refusedAtMost)
+	f.refused[k] = refusal{c.after(pause), pause}
+	if c.planning() {
+		c.plan() // the next best kind, at once
+	}
+}
+
+// planning reports whether this controller rents and returns machines.
+func (c *Core) planning() bool {
+	return c.acting() && len(c.types) > 0 && rendezvous(c.view, "fleet") == c.self && c.fleet.haveList && c.since(c.fleet.since) >= settleTime
 }
 
 // returnMachines gives back what is idle, failed, faulty or never came up. A
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -56,7 +56,7 @@
 	n := &Node{
 		settings: s, op: op, log: log, start: time.Now(),
 		state:   bookkeeping.NewState(s.Services.State, s.Site.State.RPS, s.Site.State.WriteRPS, s.Site.Count),
-		cloud:   bookkeeping.NewCloud(s.Services.Cloud, s.Site.Cloud.RPS, s.Site.Count),
+		cloud:   bookkeeping.NewCloud(s.Services.Cloud, s.Site.Cloud.RPS),
 		mailbox: make(chan envelope, mailboxSize),
 		outbox:  map[protocol.NodeName]*outbox{},
 		workers: newWorkerClients(),
