--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -311,6 +311,12 @@
 	return c.acting() && len(c.types) > 0 && rendezvous(c.view, "fleet") == c.self && c.fleet.haveList && c.since(c.fleet.since) >= settleTime
 }
 
+// keepIdle is how long a machine is kept idle, in seconds: as long as the boot
+// of another would cost.
+func (c *Core) keepIdle(t protocol.TypeInfo) float64 {
+	return math.Min(t.BootS, c.op.IdleReturn.Seconds())
+}
+
 // returnMachines gives back what is idle, failed, faulty or never came up. A
 // machine that may hold tasks is emptied first, or its lease is over.
 func (c *Core) returnMachines() {
@@ -324,7 +330,7 @@
 		switch empty := m.told.Held == 0 && m.extra == 0; {
 		case empty && (m.told.Draining || m.told.Suspect):
 			gone = append(gone, id)
-		case empty && m.told.IdleS > c.op.IdleReturn.Seconds() && !m.told.Draining:
+		case empty && !m.told.Draining && m.told.IdleS > c.keepIdle(m.info):
 			c.log.Info("returning an idle machine", "machine", id, "idle_s", int(m.told.IdleS))
 			c.send(machineKeeper(c.view, id), PeerMessage{Drain: &id})
 		}
