Keep room for classes expected to start in time: place, rent and return by it

Cause: a gang found no whole machine free, since small tasks filled them all, and could only wait for one to boot, which takes longer than its objective.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -37,6 +37,7 @@
 	viewRetry   Time
 	raise       bool // the term is to be raised though the members are the same
 
+	classes  map[string]*class
 	live     map[protocol.JobID]*liveJob
 	machines map[protocol.MachineID]*machineEntry
 
@@ -84,6 +85,7 @@
 	c.view, c.viewVersion = bookkeeping.View{}, 0
 	c.nodes = map[protocol.NodeName]protocol.LeaseID{}
 	c.writingView, c.raise = false, false
+	c.classes = map[string]*class{}
 	c.live = map[protocol.JobID]*liveJob{}
 	c.machines = map[protocol.MachineID]*machineEntry{}
 	c.queues = map[protocol.MachineID]*queue{}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -63,7 +63,6 @@
 		listed: map[protocol.MachineID]protocol.ListedMachine{}, orphan: map[protocol.MachineID]Time{},
 		coming: map[protocol.MachineID]coming{}, rents: map[string]*rentCall{}, refused: map[kind]refusal{},
 		deleting: map[protocol.MachineID]Time{}, returned: map[protocol.MachineID]Time{},
-		unmet: map[protocol.MachineType]bool{}, draining: map[protocol.MachineID]Time{},
 	}
 }
 
@@ -154,7 +153,6 @@
 			slots = append(slots, slot{c.types[r.req.Type], r.req.Zone, r.req.Spot, capacity(c.types[r.req.Type])})
 		}
 	}
-	clear(f.unmet)
 	var demand []Demand
 	for _, p := range c.peers {
 		demand = append(demand, p.demand...)
@@ -162,47 +160,93 @@
 	slices.SortFunc(demand, func(a, b Demand) int {
 		return cmp.Or(cmp.Compare(b.OldestS, a.OldestS), cmp.Compare(a.Job, b.Job))
 	})
-	for _, d := range demand {
-		j := c.live[d.Job]
-		if j == nil {
+	// Classes with room kept for them come first, then the room itself: the
+	// rest must not count on it.
+	for _, first := range []bool{true, false} {
+		for _, d := range demand {
+			if j := c.live[d.Job]; j != nil && (c.classes[j.Class] != nil) == first {
+				c.planJob(j, d, &slots)
+			}
+		}
+		if first {
+			c.planReserves(&slots)
+		}
+	}
+}
+
+// planReserves takes the room kept for classes out of what there is, and
+// rents what it lacks.
+func (c *Core) planReserves(slots *[]slot) {
+	for _, name := range slices.Sorted(maps.Keys(c.classes)) {
+		k := c.classes[name]
+		rest := c.reserve(k)
+		if rest == 0 {
 			continue
 		}
-		c.planJob(j, d, &slots)
+		j := &liveJob{Job: k.job}
+		rest = fill(j, rest, *slots)
+		if rest > 0 {
+			c.rentFor(j, rest, rest, slots)
+		}
 	}
 }
 
-// planJob fits a job's unstarted tasks into the room there is, and rents for
-// the rest if waiting for room would take longer than a machine takes to boot.
-func (c *Core) planJob(j *liveJob, d Demand, all *[]slot) {
-	n := need(&j.Job)
-	rest, places := d.Unstarted, 0
-	for i := range *all {
-		s := &(*all)[i]
+// fill takes room for n tasks of a job out of slots, as far as there is, and
+// returns how many are left without.
+func fill(j *liveJob, n int, slots []slot) int {
+	size := need(&j.Job)
+	for i := range slots {
+		s := &slots[i]
+		if n == 0 {
+			break
+		}
 		if !j.allowsKind(s.info, s.zone, s.spot) {
 			continue
 		}
-		places += fit(capacity(s.info), n)
-		for rest > 0 && s.free.covers(n) {
-			s.free = s.free.minus(n)
-			rest--
+		for n > 0 && s.free.covers(size) {
+			s.free = s.free.minus(size)
+			n--
 		}
 	}
+	return n
+}
+
+// planJob fits a job's unstarted tasks into the room there is, and rents for
+// the rest if waiting for room would take longer than a machine takes to boot.
+func (c *Core) planJob(j *liveJob, d Demand, slots *[]slot) {
+	rest := fill(j, d.Unstarted, *slots)
 	if rest == 0 {
 		return
 	}
+	places := 0
+	for _, s := range *slots {
+		if j.allowsKind(s.info, s.zone, s.spot) {
+			places += fit(capacity(s.info), need(&j.Job))
+		}
+	}
+	boot := math.Inf(1)
+	for _, k := range c.offers(j) {
+		boot = math.Min(boot, c.types[k.t].BootS)
+	}
+	if places > 0 && float64(rest)*d.EstimateS/float64(places) < boot {
+		return // the room there is will be free sooner
+	}
+	horizon := math.Max(boot, d.EstimateS/2)
+	more := int(math.Ceil(float64(rest)*d.EstimateS/horizon)) - places
+	c.rentFor(j, min(max(1, more), rest), rest, slots)
+}
+
+// rentFor rents the cheapest machines for n of a job's tasks, and takes the
+// room they will have for up to rest of them.
+func (c *Core) rentFor(j *liveJob, n, rest int, slots *[]slot) {
 	offers := c.offers(j)
 	if len(offers) == 0 {
 		return
 	}
 	k := offers[0]
 	info := c.types[k.t]
-	if places > 0 && float64(rest)*d.EstimateS/float64(places) < info.BootS {
-		return // the room there is will be free sooner
-	}
-	per := fit(capacity(info), n)
-	horizon := math.Max(info.BootS, d.EstimateS/2)
-	more := int(math.Ceil(float64(rest)*d.EstimateS/horizon)) - places
-	count := min(max(1, (more+per-1)/per), (rest+per-1)/per, 50)
+	per := fit(capacity(info), need(&j.Job))
+	count := min((n+per-1)/per, 50)
 	c.fleet.requests++
 	req := protocol.RentRequest{
 		Name: fmt.Sprintf("%s-%d-%d-%d", c.self, c.session, c.view.Term, c.fleet.requests),
@@ -211,14 +255,12 @@
 	r := &rentCall{req: req}
 	c.fleet.rents[req.Name] = r
 	c.rent(r)
-	for range count {
-		s := slot{info, k.zone, k.spot, capacity(info)}
-		for rest > 0 && s.free.covers(n) {
-			s.free = s.free.minus(n)
-			rest--
-		}
-		*all = append(*all, s)
+	fresh := make([]slot, count)
+	for i := range fresh {
+		fresh[i] = slot{info, k.zone, k.spot, capacity(info)}
 	}
+	fill(j, rest, fresh)
+	*slots = append(*slots, fresh...)
 }
 
 // fit is how many tasks of a size have room.
@@ -311,6 +353,22 @@
 	return c.acting() && len(c.types) > 0 && rendezvous(c.view, "fleet") == c.self && c.fleet.haveList && c.since(c.fleet.since) >= settleTime
 }
 
+// give takes a machine out of the room kept for classes, if they can spare it.
+func give(m *machineEntry, kept []kept) bool {
+	all := capacity(m.info)
+	for i := range kept {
+		if k := &kept[i]; k.suits(m) && k.spare < k.costs(m, all) {
+			return false
+		}
+	}
+	for i := range kept {
+		if k := &kept[i]; k.suits(m) {
+			k.spare -= k.costs(m, all)
+		}
+	}
+	return true
+}
+
 // keepIdle is how long a machine is kept idle, in seconds: as long as the boot
 // of another would cost.
 func (c *Core) keepIdle(t protocol.TypeInfo) float64 {
@@ -322,6 +380,7 @@
 func (c *Core) returnMachines() {
 	f := &c.fleet
 	var gone []protocol.MachineID
+	kept := c.keptRoom()
 	for _, id := range slices.Sorted(maps.Keys(c.machines)) {
 		m := c.machines[id]
 		if m.told.Epoch != m.epoch || c.since(m.at) > 5*time.Second {
@@ -330,7 +389,7 @@
 		switch empty := m.told.Held == 0 && m.extra == 0; {
 		case empty && (m.told.Draining || m.told.Suspect):
 			gone = append(gone, id)
-		case empty && !m.told.Draining && m.told.IdleS > c.keepIdle(m.info):
+		case empty && !m.told.Draining && m.told.IdleS > c.keepIdle(m.info) && give(m, kept):
 			c.log.Info("returning an idle machine", "machine", id, "idle_s", int(m.told.IdleS))
 			c.send(machineKeeper(c.view, id), PeerMessage{Drain: &id})
 		}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -89,6 +89,7 @@
 	}
 	l := &liveJob{Job: j, version: version}
 	c.live[j.ID] = l
+	c.noteArrival(&l.Job)
 	if snapshot || !c.member() || c.jobOwner(c.view, &l.Job) != c.self {
 		return
 	}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -22,6 +22,7 @@
 	usage := c.teamUsage()
 	batches := map[protocol.NodeName][]Placement{}
 	waits := map[protocol.MachineID]Wait{}
+	kept := c.keptRoom()
 	left := maxPerStep
 	for _, o := range c.inOrder() {
 		if !o.loaded || o.finish || o.notBefore > c.now || o.pending.None() {
@@ -29,9 +30,9 @@
 		}
 		var chosen []Placement
 		if o.Kind == protocol.KindGang {
-			chosen = c.placeGang(o, usage)
+			chosen = c.placeGang(o, usage, kept)
 		} else {
-			chosen = c.placeArray(o, usage, left)
+			chosen = c.placeArray(o, usage, left, kept)
 		}
 		left -= len(chosen)
 		for _, p := range chosen {
@@ -63,7 +64,7 @@
 }
 
 // placeArray places pending tasks one by one.
-func (c *Core) placeArray(o *ownedJob, usage map[protocol.Team]resources, left int) []Placement {
+func (c *Core) placeArray(o *ownedJob, usage map[protocol.Team]resources, left int, kept []kept) []Placement {
 	var out []Placement
 	zones := o.zones()
 	for i, ok := o.pending.NextSet(0); ok && len(out) < left; i, ok = o.pending.NextSet(i + 1) {
@@ -73,7 +74,7 @@
 		if !c.withinLimit(o, usage, 1) {
 			break
 		}
-		m := c.smallestWait(o, zones)
+		m := c.smallestWait(o, zones, kept)
 		if m == nil {
 			break
 		}
@@ -86,7 +87,7 @@
 
 // placeGang places all tasks of a gang with one attempt number, when nothing
 // of its last attempt is left.
-func (c *Core) placeGang(o *ownedJob, usage map[protocol.Team]resources) []Placement {
+func (c *Core) placeGang(o *ownedJob, usage map[protocol.Team]resources, kept []kept) []Placement {
 	n := int(o.Tasks)
 	if len(o.placed) > 0 || o.unknown || !c.withinLimit(o, usage, n) {
 		return nil
@@ -95,7 +96,7 @@
 	var out []Placement
 	zones := map[protocol.Zone]int{}
 	for i := range o.Tasks {
-		m := c.smallestWait(o, zones)
+		m := c.smallestWait(o, zones, kept)
 		if m == nil {
 			for _, p := range out { // all or none
 				t := o.placed[p.Task]
@@ -143,14 +144,24 @@
 
 // smallestWait is the machine with the smallest expected wait per processor
 // among those that may run a task of the job; ties are broken at random.
-func (c *Core) smallestWait(o *ownedJob, zones map[protocol.Zone]int) *machineEntry {
+func (c *Core) smallestWait(o *ownedJob, zones map[protocol.Zone]int, kept []kept) *machineEntry {
 	var best *machineEntry
+	n := need(&o.Job)
 	bestWait, ties := math.Inf(1), 0
 	for _, m := range c.machines {
 		if !c.usable(m) || o.failedOn[m.id] && len(o.failedOn) < 3 || !o.allows(m, zones) {
 			continue
 		}
-		w := m.waitFor(need(&o.Job))
+		w := m.waitFor(n)
+		if w < 0 {
+			spared, wanted := spares(o, m, n, kept)
+			if !spared {
+				continue
+			}
+			if !wanted {
+				w-- // nobody's reserve: first choice
+			}
+		}
 		switch {
 		case w < bestWait-1e-9:
 			best, bestWait, ties = m, w, 1
@@ -160,9 +171,33 @@
 			}
 		}
 	}
+	if best != nil && bestWait < 0 {
+		for i := range kept {
+			if k := &kept[i]; k.suits(best) {
+				k.spare -= k.costs(best, n)
+			}
+		}
+	}
 	return best
 }
 
+// spares reports whether a machine's room may be used for a task without
+// touching what is reserved for other classes, and whether any of them could
+// use the machine at all.
+func spares(o *ownedJob, m *machineEntry, n resources, kept []kept) (spared, wanted bool) {
+	for i := range kept {
+		k := &kept[i]
+		if !k.applies(o) || !k.suits(m) {
+			continue
+		}
+		wanted = true
+		if cost := k.costs(m, n); cost > 0 && k.spare < cost {
+			return false, true
+		}
+	}
+	return true, wanted
+}
+
 // wait is the machine's expected wait, in processor seconds, as far as this
 // controller knows.
 func (m *machineEntry) wait() float64 { return math.Max(0, m.told.Wait+m.extra) }
@@ -267,9 +302,10 @@
 	if len(movable) == 0 {
 		return
 	}
+	kept := c.keptRoom()
 	for _, m := range c.machines {
 		if c.usable(m) && m.told.Epoch == m.epoch && m.told.Queued == 0 {
-			movable = c.takeFor(m, movable)
+			movable = c.takeFor(m, movable, kept)
 		}
 	}
 }
@@ -299,7 +335,7 @@
 }
 
 // takeFor fills a machine's room with movable tasks and returns the rest.
-func (c *Core) takeFor(m *machineEntry, movable []*placedTask) []*placedTask {
+func (c *Core) takeFor(m *machineEntry, movable []*placedTask, kept []kept) []*placedTask {
 	free := m.room()
 	return slices.DeleteFunc(movable, func(t *placedTask) bool {
 		o := c.owner.jobs[t.task.Job]
@@ -312,6 +348,9 @@
 		if !o.allows(m, zones) {
 			return false
 		}
+		if spared, _ := spares(o, m, n, kept); !spared {
+			return false
+		}
 		free = free.minus(n)
 		c.askStop(t, false, 0)
 		c.log.Debug("moving a waiting task", "task", t.task, "from", t.machine, "to", m.id)
