Rent for what waits longer than a boot or half its time left; steadier rates

Cause: the jobs present at the start counted as a rate of several a second, so the room kept for them took every machine to be had (21 rented at 5 s). Conclusion: kept the sooner of a boot and half the time left.

--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -67,7 +67,9 @@
 	if math.IsInf(boot, 1) {
 		return 0
 	}
-	mean := float64(n) / math.Max(span, 1) * boot
+	// A rate can't be told from a time much shorter than several boots: the
+	// jobs that all came at the start are no rate.
+	mean := float64(n) / math.Max(span, 5*boot) * boot
 	return quantile(mean, k.share) * int(min(k.job.Tasks, 16))
 }
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -224,18 +224,35 @@
 			places += fit(capacity(s.info), need(&j.Job))
 		}
 	}
-	boot := math.Inf(1)
-	for _, k := range c.offers(j) {
-		boot = math.Min(boot, c.types[k.t].BootS)
+	offers := c.offers(j)
+	if len(offers) == 0 {
+		return
 	}
-	if places > 0 && float64(rest)*d.EstimateS/float64(places) < boot {
-		return // the room there is will be free sooner
+	// What can wait for room without being late does not need a machine.
+	patience := math.Min(c.types[offers[0].t].BootS, math.Max(0, c.timeLeft(j, d))/2)
+	if places > 0 && float64(rest)*d.EstimateS/float64(places) < patience {
+		return
 	}
-	horizon := math.Max(boot, d.EstimateS/2)
-	more := int(math.Ceil(float64(rest)*d.EstimateS/horizon)) - places
+	more := int(math.Ceil(float64(rest)*d.EstimateS/math.Max(patience, d.EstimateS/2))) - places
 	c.rentFor(j, min(max(1, more), rest), rest, slots)
 }
 
+// timeLeft is how long a job's tasks may still wait, in seconds, and be done
+// by its deadline or within its class's objective, whichever is first. Owners'
+// estimates are often wrong by half.
+func (c *Core) timeLeft(j *liveJob, d Demand) float64 {
+	by := j.DeadlineS
+	for _, o := range c.settings.Site.Objectives {
+		if o.Class == j.Class && o.Kind == "finished" && (by == 0 || o.WithinS < by) {
+			by = o.WithinS
+		}
+	}
+	if by == 0 {
+		return 0
+	}
+	return by - d.OldestS - 1.5*d.EstimateS
+}
+
 // rentFor rents the cheapest machines for n of a job's tasks, and takes the
 // room they will have for up to rest of them.
 func (c *Core) rentFor(j *liveJob, n, rest int, slots *[]slot) {
