Count the image fetch as part of the expected wait

Cause: a gang's image takes 2 to 12 s to fetch, as long as its objective lasts, and machines that had it were not preferred.

--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -104,7 +104,8 @@
 	Closed   bool
 	Suspect  bool
 	Draining bool
-	IdleS    float64 // how long it has held nothing
+	IdleS    float64  // how long it has held nothing
+	Images   []string // fetched lately
 }
 
 // Progress is how far a job is, for display.
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -142,6 +142,9 @@
 	return z
 }
 
+// withRoom puts machines with room now before all that have none.
+const withRoom = 1e9
+
 // smallestWait is the machine with the smallest expected wait per processor
 // among those that may run a task of the job; ties are broken at random.
 func (c *Core) smallestWait(o *ownedJob, zones map[protocol.Zone]int, kept []kept) *machineEntry {
@@ -152,20 +155,21 @@
 		if !c.usable(m) || o.failedOn[m.id] && len(o.failedOn) < 3 || !o.allows(m, zones) {
 			continue
 		}
-		w := m.waitFor(n)
-		if w < 0 {
+		w, room := m.waitFor(&o.Job)
+		if room {
 			spared, wanted := spares(o, m, n, kept)
 			if !spared {
 				continue
 			}
+			w -= withRoom
 			if !wanted {
-				w-- // nobody's reserve: first choice
+				w -= withRoom // nobody's reserve: first choice
 			}
 		}
 		switch {
-		case w < bestWait-1e-9:
+		case w < bestWait-slack:
 			best, bestWait, ties = m, w, 1
-		case w <= bestWait+1e-9:
+		case w <= bestWait+slack:
 			if ties++; c.rng.IntN(ties) == 0 {
 				best = m
 			}
@@ -214,15 +218,25 @@
 	return resources{m.told.FreeCPUs, m.told.FreeGPUs, m.told.FreeGB}.minus(m.taken)
 }
 
-// waitFor is the wait per processor that a task of a size has to expect: below
-// 0 on a machine with room for it now, the fuller the lower, so that small
+// waitFor is the wait per processor that a task has to expect before it runs,
+// in seconds, its image's fetch included, and whether the machine has room for
+// it now. With room, the fuller machine counts a little less, so that small
 // tasks leave whole machines to large ones.
-func (m *machineEntry) waitFor(n resources) float64 {
-	cpus := math.Max(m.info.CPUs, 1)
+func (m *machineEntry) waitFor(j *protocol.Job) (wait float64, room bool) {
+	n := need(j)
+	fetch := m.fetch(j)
 	if free := m.room(); free.covers(n) {
-		return -1 / (1 + free.cpus - n.cpus)
+		return fetch + (free.cpus-n.cpus)/math.Max(m.info.CPUs, 1), true
+	}
+	return m.wait()/math.Max(m.info.CPUs, 1) + fetch, false
+}
+
+// fetch is how long the machine takes to get a job's image, in seconds.
+func (m *machineEntry) fetch(j *protocol.Job) float64 {
+	if m.info.FetchGBPS <= 0 || slices.Contains(m.told.Images, j.Image) {
+		return 0
 	}
-	return m.wait() / cpus
+	return j.ImageGB / m.info.FetchGBPS
 }
 
 // usable reports whether tasks may be placed on a machine at all.
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -36,6 +36,22 @@
 
 	failed  map[protocol.JobID]bool // jobs that failed here since something last succeeded
 	suspect bool
+
+	images []string // fetched by this session, the latest last
+}
+
+// imagesKept is how many images of a machine are remembered. Which ones its
+// cache still holds only the worker knows: the latest are the likeliest.
+const imagesKept = 12
+
+// hasImage notes that the machine has a task's image.
+func (q *queue) hasImage(image string) {
+	if i := slices.Index(q.images, image); i >= 0 {
+		q.images = slices.Delete(q.images, i, i+1)
+	} else if len(q.images) >= imagesKept {
+		q.images = q.images[1:]
+	}
+	q.images = append(q.images, image)
 }
 
 // entry is one attempt in a queue or on its machine.
@@ -269,6 +285,7 @@
 	q.entries = map[protocol.TaskID]*entry{}
 	q.waiting = nil
 	q.notice, q.changed = nil, true
+	q.images = nil
 }
 
 // register records that the machine's session may hold tasks. Nothing is
@@ -409,6 +426,9 @@
 	if first || before != e.state {
 		q.changed = true
 	}
+	if j := c.live[e.task.Job]; j != nil && before != e.state && (e.state == protocol.TaskRunning || e.state == protocol.TaskWaiting) {
+		q.hasImage(j.Image)
+	}
 	switch {
 	case e.ended() && before != protocol.TaskEnded:
 		c.noteResult(q, e)
@@ -645,7 +665,8 @@
 	f := q.free()
 	s := MachineState{
 		Machine: q.id, Epoch: q.epoch, Wait: q.wait(), FreeCPUs: f.cpus, FreeGPUs: f.gpus, FreeGB: f.gb,
-		Held: len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
+		Images: slices.Clone(q.images),
+		Held:   len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
 		Closed: q.draining || q.suspect || q.notice != nil || c.since(q.lastAnswer) > 2*silence(c.settings.Site.Workers.ReportS),
 	}
 	if len(q.entries) == 0 {
