Others keep the machines of a controller that workers can't reach

Reports held back by the network were then taken for new. Stand-ins of state, cloud and worker come with it, for the tests that follow.

--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -71,6 +71,8 @@
 type View struct {
 	Term    protocol.Term                          `cbor:"term"`
 	Members map[protocol.NodeName]protocol.LeaseID `cbor:"members"`
+	// Deaf members act, but workers can't reach them: they keep no machines.
+	Deaf []protocol.NodeName `cbor:"deaf,omitempty"`
 }
 
 // Node is a controller's membership record.
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -37,14 +37,18 @@
 	viewRetry   Time
 	raise       bool // the term is to be raised though the members are the same
 
+	hearing  hearing
 	classes  map[string]*class
 	live     map[protocol.JobID]*liveJob
 	machines map[protocol.MachineID]*machineEntry
 
 	owner  ownerState
 	queues map[protocol.MachineID]*queue
-	peers  map[protocol.NodeName]*peer
-	fleet  fleetState
+	// sessionFloor is the first session of a machine that may be alive: a
+	// report of an earlier one was held back by the network.
+	sessionFloor map[protocol.MachineID]protocol.Session
+	peers        map[protocol.NodeName]*peer
+	fleet        fleetState
 
 	lastRelay Time
 }
@@ -85,7 +89,9 @@
 	c.view, c.viewVersion = bookkeeping.View{}, 0
 	c.nodes = map[protocol.NodeName]protocol.LeaseID{}
 	c.writingView, c.raise = false, false
+	c.hearing = newHearing()
 	c.classes = map[string]*class{}
+	c.sessionFloor = map[protocol.MachineID]protocol.Session{}
 	c.live = map[protocol.JobID]*liveJob{}
 	c.machines = map[protocol.MachineID]*machineEntry{}
 	c.queues = map[protocol.MachineID]*queue{}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -27,6 +27,7 @@
 	deleting map[protocol.MachineID]Time
 	returned map[protocol.MachineID]Time // lists may still show them
 	lastPlan Time
+	seen     map[protocol.MachineID]bool // listed as running at some time
 	unmet    map[protocol.MachineType]bool
 	draining map[protocol.MachineID]Time
 }
@@ -62,7 +63,7 @@
 	return fleetState{
 		listed: map[protocol.MachineID]protocol.ListedMachine{}, orphan: map[protocol.MachineID]Time{},
 		coming: map[protocol.MachineID]coming{}, rents: map[string]*rentCall{}, refused: map[kind]refusal{},
-		deleting: map[protocol.MachineID]Time{}, returned: map[protocol.MachineID]Time{},
+		deleting: map[protocol.MachineID]Time{}, returned: map[protocol.MachineID]Time{}, seen: map[protocol.MachineID]bool{},
 	}
 }
 
@@ -403,7 +404,15 @@
 		if m.told.Epoch != m.epoch || c.since(m.at) > 5*time.Second {
 			continue // nothing recent is known of it
 		}
+		l, listed := f.listed[id]
+		f.seen[id] = f.seen[id] || listed && l.State == "running"
+		silent := m.told.SilentS > 2*silence(c.settings.Site.Workers.ReportS).Seconds()
 		switch empty := m.told.Held == 0 && m.extra == 0; {
+		case silent && (m.told.Noticed || f.seen[id] && !listed):
+			// Taken, by all signs. The cloud's answer to its deletion proves
+			// it, long before the worker's lease would.
+			c.log.Info("deleting a silent machine that seems taken", "machine", id, "silent_s", int(m.told.SilentS))
+			gone = append(gone, id)
 		case empty && (m.told.Draining || m.told.Suspect):
 			gone = append(gone, id)
 		case empty && !m.told.Draining && m.told.IdleS > c.keepIdle(m.info) && give(m, kept):
@@ -486,6 +495,7 @@
 	for id, at := range f.returned {
 		if _, ok := f.listed[id]; !ok && c.since(at) > 5*time.Minute {
 			delete(f.returned, id)
+			delete(f.seen, id)
 		}
 	}
 }
--- /dev/null
+++ b/internal/coordination/hearing.go
@@ -0,0 +1,89 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+)
+
+// hearing notices members that workers can't reach, though they keep their
+// lease. Their machines come astray to other controllers again and again, and
+// would lose their leases if nobody else kept them.
+type hearing struct {
+	astray map[protocol.MachineID]stray
+	deaf   bool // this controller, by the view
+	since  Time // when it became so
+	pause  time.Duration
+}
+
+type stray struct {
+	last  Time
+	times int
+}
+
+const (
+	// straySpan is how long a stray report counts: workers wait 4 s for an
+	// answer and go from one controller to the next.
+	straySpan = 15 * time.Second
+	// deafPause is how long a deaf controller waits before it tries again to
+	// keep machines, doubled each time.
+	deafPause      = 30 * time.Second
+	deafPauseLimit = 8 * time.Minute
+)
+
+func newHearing() hearing { return hearing{astray: map[protocol.MachineID]stray{}} }
+
+// adopted starts counting anew: a new view sends workers to others.
+func (h *hearing) adopted(v bookkeeping.View, self protocol.NodeName, now Time) {
+	clear(h.astray)
+	deaf := slices.Contains(v.Deaf, self)
+	if deaf && !h.deaf {
+		h.since = now
+		h.pause = min(max(2*h.pause, deafPause), deafPauseLimit)
+	}
+	h.deaf = deaf
+}
+
+// noteStray counts a report that belongs to another controller.
+func (c *Core) noteStray(m protocol.MachineID) {
+	s := c.hearing.astray[m]
+	if s.times > 0 && c.since(s.last) > straySpan {
+		s.times = 0
+	}
+	if s.times > 0 && c.since(s.last) < time.Second {
+		return // the same try
+	}
+	c.hearing.astray[m] = stray{c.now, s.times + 1}
+}
+
+// deafNodes is what the next view should say of who can't be reached.
+func (c *Core) deafNodes(members map[protocol.NodeName]protocol.LeaseID) []protocol.NodeName {
+	var deaf []protocol.NodeName
+	for _, n := range c.view.Deaf {
+		ended := n == c.self && c.since(c.hearing.since) > c.hearing.pause
+		if members[n] != 0 && members[n] == c.view.Members[n] && !ended {
+			deaf = append(deaf, n)
+		}
+	}
+	astray, kept := map[protocol.NodeName]int{}, map[protocol.NodeName]int{}
+	for m, s := range c.hearing.astray {
+		if s.times >= 2 && c.since(s.last) <= straySpan {
+			astray[machineKeeper(c.view, m)]++
+		}
+	}
+	for m := range c.machines {
+		kept[machineKeeper(c.view, m)]++
+	}
+	for n, k := range astray {
+		// Several controllers share the stray workers: a fifth of a
+		// controller's machines, and more than one, speak for the rest.
+		if n != c.self && members[n] != 0 && k >= 2 && 5*k >= kept[n] && !slices.Contains(deaf, n) {
+			c.log.Info("workers can't reach a controller: others keep its machines", "controller", n, "astray", k, "kept", kept[n])
+			deaf = append(deaf, n)
+		}
+	}
+	slices.Sort(deaf)
+	return deaf
+}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -104,6 +104,8 @@
 	Closed   bool
 	Suspect  bool
 	Draining bool
+	Noticed  bool     // the cloud is about to take it
+	SilentS  float64  // since it was last heard
 	IdleS    float64  // how long it has held nothing
 	Images   []string // fetched lately
 }
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -117,7 +117,7 @@
 
 func (c *Core) newQueue(id protocol.MachineID) *queue {
 	return &queue{
-		id: id, entries: map[protocol.TaskID]*entry{}, keptSince: c.view.Term,
+		id: id, session: c.sessionFloor[id], entries: map[protocol.TaskID]*entry{}, keptSince: c.view.Term,
 		lastAnswer: c.now, idleSince: c.now, failed: map[protocol.JobID]bool{},
 	}
 }
@@ -236,6 +236,7 @@
 		return
 	}
 	if keeper := machineKeeper(c.view, r.Machine); keeper != c.self {
+		c.noteStray(r.Machine)
 		c.do(ReplyReport{Status: 421, ReportTo: keeper})
 		return
 	}
@@ -346,6 +347,7 @@
 		return
 	}
 	delete(c.machines, id)
+	c.sessionFloor[id] = max(c.sessionFloor[id], m.rec.Session+1)
 	c.loseMachine(m)
 	if q := c.queues[id]; q != nil && q.session <= m.rec.Session {
 		delete(c.queues, id)
@@ -667,6 +669,7 @@
 		Machine: q.id, Epoch: q.epoch, Wait: q.wait(), FreeCPUs: f.cpus, FreeGPUs: f.gpus, FreeGB: f.gb,
 		Images: slices.Clone(q.images),
 		Held:   len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
+		SilentS: c.since(q.lastAnswer).Seconds(), Noticed: q.notice != nil,
 		Closed: q.draining || q.suspect || q.notice != nil || c.since(q.lastAnswer) > 2*silence(c.settings.Site.Workers.ReportS),
 	}
 	if len(q.entries) == 0 {
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
@@ -38,7 +40,16 @@
 	return x ^ x>>33
 }
 
+// machineKeeper is the controller that a machine reports to: one that workers
+// can reach, unless there is none.
 func machineKeeper(v bookkeeping.View, m protocol.MachineID) protocol.NodeName {
+	if len(v.Deaf) > 0 && len(v.Deaf) < len(v.Members) {
+		hearing := bookkeeping.View{Members: maps.Clone(v.Members)}
+		for _, n := range v.Deaf {
+			delete(hearing.Members, n)
+		}
+		v = hearing
+	}
 	return rendezvous(v, "machine "+string(m))
 }
 
@@ -65,11 +76,12 @@
 	for n, s := range c.nodes {
 		want[n] = s
 	}
-	if sameMembers(want, c.view.Members) && !c.raise {
+	deaf := c.deafNodes(want)
+	if sameMembers(want, c.view.Members) && slices.Equal(deaf, c.view.Deaf) && !c.raise {
 		return
 	}
 	c.writingView = true
-	next := bookkeeping.View{Term: c.view.Term + 1, Members: want}
+	next := bookkeeping.View{Term: c.view.Term + 1, Members: want, Deaf: deaf}
 	c.do(Commit{Tag: viewTag{}, Txn: protocol.Txn{
 		If: []protocol.Condition{
 			{Key: bookkeeping.ViewKey, Version: c.viewVersion},
@@ -101,6 +113,7 @@
 	c.view, c.viewVersion = v, version
 	c.viewRetry, c.raise = 0, false
 	c.adoptPeers(v)
+	c.hearing.adopted(v, c.self, c.now)
 	if !c.member() {
 		c.owner = newOwnerState()
 		c.queues = map[protocol.MachineID]*queue{}
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,41 @@
+package standin
+
+import (
+	"fmt"
+
+	"damsonkeel/internal/protocol"
+)
+
+// Cloud models the cloud: its machines, and what it remembers of requests.
+type Cloud struct {
+	Machines map[protocol.MachineID]protocol.RentRequest
+	Capacity int
+
+	answers map[string][]protocol.MachineID
+	next    int
+}
+
+// NewCloud makes a cloud that has so many machines to rent.
+func NewCloud(capacity int) *Cloud {
+	return &Cloud{Machines: map[protocol.MachineID]protocol.RentRequest{}, Capacity: capacity, answers: map[string][]protocol.MachineID{}}
+}
+
+// Rent rents machines; fresh ones are new by this request.
+func (c *Cloud) Rent(r protocol.RentRequest) (all, fresh []protocol.MachineID) {
+	if have, ok := c.answers[r.Name]; ok {
+		return have, nil
+	}
+	for range r.Count {
+		if len(c.Machines) >= c.Capacity {
+			break
+		}
+		id := protocol.MachineID(fmt.Sprintf("vm-%06d", c.next))
+		c.next++
+		c.Machines[id] = r
+		fresh = append(fresh, id)
+	}
+	if len(fresh) > 0 {
+		c.answers[r.Name] = fresh
+	}
+	return fresh, fresh
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,137 @@
+// Package standin models the platform's services for tests: a state service,
+// a cloud and workers, each as plain state without clocks or sockets.
+package standin
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"damsonkeel/internal/protocol"
+)
+
+// State models the state service.
+type State struct {
+	Revision protocol.Revision
+	Log      []protocol.Event // every change, in order
+
+	items  map[string]item
+	leases map[protocol.LeaseID]lease
+	next   protocol.LeaseID
+}
+
+type item struct {
+	value   protocol.RawValue
+	version protocol.Version
+	lease   protocol.LeaseID
+}
+
+type lease struct {
+	ttl, ends time.Duration
+}
+
+// NewState makes an empty service.
+func NewState() *State {
+	return &State{items: map[string]item{}, leases: map[protocol.LeaseID]lease{}}
+}
+
+// Lease gives a lease.
+func (s *State) Lease(now, ttl time.Duration) protocol.LeaseID {
+	s.next++
+	s.leases[s.next] = lease{ttl, now + ttl}
+	return s.next
+}
+
+// Extend renews a lease and reports whether it was still there.
+func (s *State) Extend(now time.Duration, id protocol.LeaseID) bool {
+	l, ok := s.leases[id]
+	if ok {
+		s.leases[id] = lease{l.ttl, now + l.ttl}
+	}
+	return ok
+}
+
+// Expire ends leases whose time is over, and deletes their keys.
+func (s *State) Expire(now time.Duration) {
+	for id, l := range s.leases {
+		if l.ends > now {
+			continue
+		}
+		delete(s.leases, id)
+		for _, k := range s.keys("") {
+			if s.items[k].lease == id {
+				s.Revision++
+				s.remove(k)
+			}
+		}
+	}
+}
+
+// Txn executes a transaction and reports whether its conditions held and its
+// leases were there.
+func (s *State) Txn(t protocol.Txn) bool {
+	for _, c := range t.If {
+		if s.items[c.Key].version != c.Version {
+			return false
+		}
+	}
+	for _, c := range t.Then {
+		if c.Lease != nil {
+			if _, ok := s.leases[*c.Lease]; !ok {
+				return false
+			}
+		}
+	}
+	s.Revision++
+	for _, c := range t.Then {
+		if c.Put == "" {
+			s.remove(c.Delete)
+			continue
+		}
+		value, err := protocol.Encode(c.Value)
+		if err != nil {
+			panic(err) // a test's own value
+		}
+		it := item{value: value, version: protocol.Version(s.Revision)}
+		if c.Lease != nil {
+			it.lease = *c.Lease
+		}
+		s.items[c.Put] = it
+		s.Log = append(s.Log, protocol.Event{Put: c.Put, Value: value, Version: it.version})
+	}
+	return true
+}
+
+func (s *State) remove(key string) {
+	if _, ok := s.items[key]; ok {
+		delete(s.items, key)
+		s.Log = append(s.Log, protocol.Event{Delete: key, Version: protocol.Version(s.Revision)})
+	}
+}
+
+func (s *State) keys(prefix string) []string {
+	var ks []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			ks = append(ks, k)
+		}
+	}
+	sort.Strings(ks)
+	return ks
+}
+
+// Get reads a key.
+func (s *State) Get(key string) (protocol.Item, bool) {
+	it, ok := s.items[key]
+	return protocol.Item{Key: key, Value: it.value, Version: it.version}, ok
+}
+
+// List reads all keys with a prefix.
+func (s *State) List(prefix string) []protocol.Item {
+	var out []protocol.Item
+	for _, k := range s.keys(prefix) {
+		it, _ := s.Get(k)
+		out = append(out, it)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,220 @@
+package standin
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"damsonkeel/internal/protocol"
+)
+
+// Worker models the worker of one machine.
+type Worker struct {
+	ID      protocol.MachineID
+	Info    protocol.TypeInfo
+	Zone    protocol.Zone
+	Spot    bool
+	LeaseS  float64
+	Dead    bool
+	Faulty  bool // fails every task
+	Notice  *float64
+	Session protocol.Session
+	Term    protocol.Term
+	Seq     protocol.Seq
+
+	Jobs func(protocol.JobID) (protocol.Job, bool)
+	// Started and Ended hear of tasks as they come onto and go off the machine.
+	Started func(*Worker, protocol.TaskID, protocol.Attempt)
+	Ended   func(*Worker, protocol.TaskID, protocol.EndCause)
+	RunTime func(protocol.TaskID) time.Duration
+	Results map[protocol.TaskID]bool // kept results, shared by all workers
+
+	tasks    map[protocol.TaskID]*workerTask
+	renewed  time.Duration // when the last answered report was sent
+	lastTick time.Duration
+}
+
+type workerTask struct {
+	attempt protocol.Attempt
+	state   protocol.TaskState
+	cause   protocol.EndCause
+	saved   bool
+	left    time.Duration
+	fetch   time.Duration
+	save    time.Duration
+}
+
+// Start puts a worker into service.
+func (w *Worker) Start(now time.Duration) {
+	w.Session, w.renewed, w.lastTick = 1, now, now
+	w.tasks = map[protocol.TaskID]*workerTask{}
+}
+
+// Holds reports whether a task is on the machine in the sense of the rules.
+func (w *Worker) Holds(id protocol.TaskID) bool {
+	t := w.tasks[id]
+	return !w.Dead && t != nil && t.state != protocol.TaskEnded && t.state != protocol.TaskFetching
+}
+
+// Tasks lists the tasks that are on the machine, or fetch their image there.
+func (w *Worker) Tasks() []protocol.TaskID {
+	if w.Dead {
+		return nil
+	}
+	var ids []protocol.TaskID
+	for id, t := range w.tasks {
+		if t.state != protocol.TaskEnded {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Tick lets time pass.
+func (w *Worker) Tick(now time.Duration) {
+	passed := now - w.lastTick
+	w.lastTick = now
+	if w.Dead {
+		return
+	}
+	if (now - w.renewed).Seconds() > w.LeaseS {
+		for id, t := range w.tasks {
+			if t.state != protocol.TaskEnded {
+				w.end(id, t, protocol.EndStopped)
+			}
+		}
+		w.tasks = map[protocol.TaskID]*workerTask{}
+		w.Session++
+		w.Seq = 0
+		w.renewed = now
+		return
+	}
+	for _, id := range slices.SortedFunc(maps.Keys(w.tasks), func(a, b protocol.TaskID) int {
+		return strings.Compare(a.String(), b.String())
+	}) {
+		w.tickTask(id, w.tasks[id], passed)
+	}
+}
+
+func (w *Worker) tickTask(id protocol.TaskID, t *workerTask, passed time.Duration) {
+	switch t.state {
+	case protocol.TaskFetching:
+		if t.fetch -= passed; t.fetch <= 0 {
+			t.state = protocol.TaskRunning
+			w.Started(w, id, t.attempt)
+			if w.Results[id] {
+				w.end(id, t, protocol.EndDone)
+			}
+		}
+	case protocol.TaskSaving:
+		if t.save -= passed; t.save <= 0 {
+			t.saved = true
+			w.end(id, t, protocol.EndStopped)
+		}
+	case protocol.TaskRunning:
+		t.left -= passed
+		switch j, _ := w.Jobs(id.Job); {
+		case w.Faulty:
+			w.end(id, t, protocol.EndError)
+		case t.left <= 0 && j.Kind != protocol.KindService:
+			w.Results[id] = true
+			w.end(id, t, protocol.EndDone)
+		}
+	}
+}
+
+func (w *Worker) end(id protocol.TaskID, t *workerTask, cause protocol.EndCause) {
+	w.Ended(w, id, cause)
+	t.state, t.cause = protocol.TaskEnded, cause
+}
+
+// Report is what the worker says now.
+func (w *Worker) Report() protocol.Report {
+	w.Seq++
+	r := protocol.Report{
+		Machine: w.ID, Address: "worker " + string(w.ID), Type: w.Info.Name, Zone: w.Zone, Spot: w.Spot,
+		Session: w.Session, Seq: w.Seq, Term: w.Term, NoticeS: w.Notice,
+	}
+	for id, t := range w.tasks {
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: id, Attempt: t.attempt, State: t.state, Cause: t.cause, Saved: t.saved})
+	}
+	return r
+}
+
+// Answer takes the answer to a report of a session, sent at a time.
+func (w *Worker) Answer(session protocol.Session, sent time.Duration, reply protocol.ReportReply) {
+	if w.Dead || session != w.Session || reply.Term < w.Term {
+		return
+	}
+	w.Term = reply.Term
+	w.renewed = max(w.renewed, sent)
+	w.execute(reply.Orders)
+}
+
+// Do takes direct commands and reports whether they were executed.
+func (w *Worker) Do(c protocol.Commands) bool {
+	if c.Term < w.Term || c.Session != w.Session {
+		return false
+	}
+	w.Term = c.Term
+	w.execute(c.Orders)
+	return true
+}
+
+func (w *Worker) execute(orders []protocol.Order) {
+	for _, o := range orders {
+		t := w.tasks[o.Task]
+		switch o.Op {
+		case protocol.OpStart:
+			w.start(o, t)
+		case protocol.OpStop:
+			if t != nil && t.attempt == o.Attempt {
+				w.stop(o, t)
+			}
+		case protocol.OpForget:
+			if t != nil && t.attempt == o.Attempt && t.state == protocol.TaskEnded {
+				delete(w.tasks, o.Task)
+			}
+		}
+	}
+}
+
+func (w *Worker) start(o protocol.Order, have *workerTask) {
+	if have != nil && (have.attempt == o.Attempt || have.state != protocol.TaskEnded) {
+		return
+	}
+	j, ok := w.Jobs(o.Task.Job)
+	t := &workerTask{attempt: o.Attempt, state: protocol.TaskFetching, fetch: time.Second}
+	w.tasks[o.Task] = t
+	free := w.Info.CPUs
+	for id, other := range w.tasks {
+		if k, known := w.Jobs(id.Job); known && other != t && other.state != protocol.TaskEnded {
+			free -= k.CPUs
+		}
+	}
+	switch {
+	case !ok:
+		t.state, t.cause = protocol.TaskEnded, protocol.EndUnknown
+	case j.CPUs > free+1e-9:
+		t.state, t.cause = protocol.TaskEnded, protocol.EndFull
+	default:
+		t.left = w.RunTime(o.Task)
+	}
+}
+
+func (w *Worker) stop(o protocol.Order, t *workerTask) {
+	j, _ := w.Jobs(o.Task.Job)
+	grace := 0.0
+	if o.GraceS != nil {
+		grace = *o.GraceS
+	}
+	switch {
+	case t.state == protocol.TaskEnded:
+	case t.state == protocol.TaskRunning && j.CheckpointS > 0 && grace >= j.SaveS:
+		t.state, t.save = protocol.TaskSaving, time.Duration(j.SaveS*float64(time.Second))
+	case t.state == protocol.TaskSaving && grace > 0:
+	default:
+		w.end(o.Task, t, protocol.EndStopped)
+	}
+}
