--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -97,7 +97,7 @@
 // keptRoom reckons what is reserved, and how much more there is.
 func (c *Core) keptRoom() []kept {
 	var ks []kept
-	for _, k := range c.classes {
+	for _, k := range inOrder(c.classes) {
 		r := c.reserve(k)
 		if r == 0 {
 			continue
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -41,6 +41,7 @@
 	classes  map[string]*class
 	live     map[protocol.JobID]*liveJob
 	machines map[protocol.MachineID]*machineEntry
+	sorted   []*machineEntry // the machines in order; nil: to be sorted again
 
 	owner  ownerState
 	queues map[protocol.MachineID]*queue
@@ -93,7 +94,7 @@
 	c.classes = map[string]*class{}
 	c.sessionFloor = map[protocol.MachineID]protocol.Session{}
 	c.live = map[protocol.JobID]*liveJob{}
-	c.machines = map[protocol.MachineID]*machineEntry{}
+	c.machines, c.sorted = map[protocol.MachineID]*machineEntry{}, nil
 	c.queues = map[protocol.MachineID]*queue{}
 	c.peers = map[protocol.NodeName]*peer{}
 	c.owner = newOwnerState()
--- a/internal/coordination/direct.go
+++ b/internal/coordination/direct.go
@@ -17,7 +17,7 @@
 	if !c.acting() {
 		return
 	}
-	for _, q := range c.queues {
+	for _, q := range inOrder(c.queues) {
 		if !q.push || q.commanding {
 			continue
 		}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -88,7 +87,7 @@
 		f.listing = true
 		c.do(ListMachines{})
 	}
-	for name, r := range f.rents {
+	for name, r := range inOrder(f.rents) {
 		switch {
 		case r.busy || c.since(r.at) < 2*time.Second:
 		case r.tries > 5:
@@ -141,15 +140,15 @@
 func (c *Core) plan() {
 	f := &c.fleet
 	var slots []slot
-	for _, m := range c.machines {
+	for _, m := range inOrder(c.machines) {
 		if c.usable(m) {
 			slots = append(slots, slot{m.info, m.rec.Zone, m.rec.Spot, resources{m.told.FreeCPUs, m.told.FreeGPUs, m.told.FreeGB}})
 		}
 	}
-	for _, m := range f.coming {
+	for _, m := range inOrder(f.coming) {
 		slots = append(slots, slot{c.types[m.t], m.zone, m.spot, capacity(c.types[m.t])})
 	}
-	for _, r := range f.rents {
+	for _, r := range inOrder(f.rents) {
 		for range r.req.Count {
 			slots = append(slots, slot{c.types[r.req.Type], r.req.Zone, r.req.Spot, capacity(c.types[r.req.Type])})
 		}
@@ -178,8 +177,7 @@
 // planReserves takes the room kept for classes out of what there is, and
 // rents what it lacks.
 func (c *Core) planReserves(slots *[]slot) {
-	for _, name := range slices.Sorted(maps.Keys(c.classes)) {
-		k := c.classes[name]
+	for _, k := range inOrder(c.classes) {
 		rest := c.reserve(k)
 		if rest == 0 {
 			continue
@@ -399,8 +397,7 @@
 	f := &c.fleet
 	var gone []protocol.MachineID
 	kept := c.keptRoom()
-	for _, id := range slices.Sorted(maps.Keys(c.machines)) {
-		m := c.machines[id]
+	for id, m := range inOrder(c.machines) {
 		if m.told.Epoch != m.epoch || c.since(m.at) > 5*time.Second {
 			continue // nothing recent is known of it
 		}
@@ -420,7 +417,7 @@
 			c.send(machineKeeper(c.view, id), PeerMessage{Drain: &id})
 		}
 	}
-	for id, l := range f.listed {
+	for id, l := range inOrder(f.listed) {
 		if c.machines[id] != nil || f.returned[id] != 0 {
 			delete(f.orphan, id)
 			if c.machines[id] != nil && l.State == "failed" && f.returned[id] == 0 {
--- a/internal/coordination/intake.go
+++ b/internal/coordination/intake.go
@@ -257,13 +257,7 @@
 		}
 	}
 	j.SubmittedMS = time.Now().UnixMilli()
-	_, err = in.n.state.Txn(ctx, protocol.Txn{
-		If: []protocol.Condition{{Key: bookkeeping.JobKey(j.ID)}},
-		Then: []protocol.Change{
-			{Put: bookkeeping.JobKey(j.ID), Value: bookkeeping.JobRecord{State: bookkeeping.RecordLive, Tasks: j.Tasks}},
-			{Put: bookkeeping.LiveKey(j.ID), Value: j},
-		},
-	})
+	_, err = in.n.state.Txn(ctx, acceptTxn(&j))
 	switch {
 	case err == nil:
 		return success(201, protocol.JobStatus{ID: j.ID, State: protocol.JobQueued})
@@ -282,6 +276,27 @@
 	return success(200, in.status(j.ID, r))
 }
 
+// acceptTxn accepts a job: it holds only if no job with its id is known.
+func acceptTxn(j *protocol.Job) protocol.Txn {
+	return protocol.Txn{
+		If: []protocol.Condition{{Key: bookkeeping.JobKey(j.ID)}},
+		Then: []protocol.Change{
+			{Put: bookkeeping.JobKey(j.ID), Value: bookkeeping.JobRecord{State: bookkeeping.RecordLive, Tasks: j.Tasks}},
+			{Put: bookkeeping.LiveKey(j.ID), Value: j},
+		},
+	}
+}
+
+// cancelTxn cancels a job: it holds only if the job is still as it was read.
+// Both of its records change together, always, so they have one version.
+func cancelTxn(id protocol.JobID, version protocol.Version, r bookkeeping.JobRecord) protocol.Txn {
+	r.State = bookkeeping.RecordCancelled
+	return protocol.Txn{
+		If:   []protocol.Condition{{Key: bookkeeping.JobKey(id), Version: version}, {Key: bookkeeping.LiveKey(id), Version: version}},
+		Then: []protocol.Change{{Put: bookkeeping.JobKey(id), Value: r}, {Delete: bookkeeping.LiveKey(id)}},
+	}
+}
+
 // refuse refuses a submission, unless its id is one that was accepted.
 func (in *intake) refuse(ctx context.Context, id protocol.JobID, no *transport.Message) *transport.Message {
 	r, _, err := in.read(ctx, id)
@@ -331,10 +346,7 @@
 			return success(200, protocol.JobStatus{ID: id, State: in.status(id, r).State})
 		}
 		r.State = bookkeeping.RecordCancelled
-		_, err = in.n.state.Txn(ctx, protocol.Txn{
-			If:   []protocol.Condition{{Key: bookkeeping.JobKey(id), Version: version}, {Key: bookkeeping.LiveKey(id), Version: version}},
-			Then: []protocol.Change{{Put: bookkeeping.JobKey(id), Value: r}, {Delete: bookkeeping.LiveKey(id)}},
-		})
+		_, err = in.n.state.Txn(ctx, cancelTxn(id, version, r))
 		switch {
 		case err == nil:
 			in.keepFinal(id, r)
--- /dev/null
+++ b/internal/coordination/order.go
@@ -0,0 +1,33 @@
+package coordination
+
+import (
+	"cmp"
+	"iter"
+	"maps"
+	"slices"
+
+	"damsonkeel/internal/protocol"
+)
+
+// inOrder goes through a map by its keys, so that a step does the same things
+// in the same order each time it is played.
+func inOrder[K cmp.Ordered, V any](m map[K]V) iter.Seq2[K, V] {
+	return each(m, slices.Sorted(maps.Keys(m)))
+}
+
+// tasksInOrder is inOrder for maps by task.
+func tasksInOrder[V any](m map[protocol.TaskID]V) iter.Seq2[protocol.TaskID, V] {
+	return each(m, slices.SortedFunc(maps.Keys(m), func(a, b protocol.TaskID) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
+	}))
+}
+
+func each[K comparable, V any](m map[K]V, keys []K) iter.Seq2[K, V] {
+	return func(yield func(K, V) bool) {
+		for _, k := range keys {
+			if v, ok := m[k]; ok && !yield(k, v) {
+				return
+			}
+		}
+	}
+}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -115,7 +115,7 @@
 func (c *Core) jobOver(id protocol.JobID) {
 	delete(c.live, id)
 	if o := c.owner.jobs[id]; o != nil {
-		for _, t := range o.placed {
+		for _, t := range tasksInOrder(o.placed) {
 			c.askStop(t, true, 0)
 			c.unplace(o, t)
 		}
@@ -149,7 +149,7 @@
 		c.owner.pending[id] = true
 		clear(m.mine)
 	}
-	for id, l := range c.live {
+	for id, l := range inOrder(c.live) {
 		if c.jobOwner(c.view, &l.Job) != c.self {
 			continue
 		}
@@ -196,7 +196,7 @@
 	}
 	o.loaded = true
 	o.nDone = uint32(o.done.Count())
-	for id, t := range o.placed {
+	for id, t := range tasksInOrder(o.placed) {
 		if o.done.Test(uint(id.Index)) {
 			c.askStop(t, true, 0)
 		}
@@ -248,7 +248,7 @@
 	if o.Kind == protocol.KindGang {
 		// The rest of the attempt can't go on: its next one starts when all
 		// of this one are gone.
-		for _, other := range o.placed {
+		for _, other := range tasksInOrder(o.placed) {
 			c.askStop(other, true, c.grace(o))
 		}
 	}
@@ -271,7 +271,7 @@
 // loseMachine: everything placed by the machine's present record is gone.
 func (c *Core) loseMachine(m *machineEntry) {
 	delete(c.owner.pending, m.id)
-	for _, t := range m.mine {
+	for _, t := range tasksInOrder(m.mine) {
 		if o := c.owner.jobs[t.task.Job]; o != nil && o.placed[t.task] == t {
 			c.gone(o, t)
 		}
@@ -336,7 +336,7 @@
 // can't save may still finish in time.
 func (c *Core) noticed(o *ownedJob, t *placedTask) {
 	if o.Kind == protocol.KindGang {
-		for _, other := range o.placed {
+		for _, other := range tasksInOrder(o.placed) {
 			c.askStop(other, true, c.grace(o))
 		}
 		return
@@ -441,7 +441,7 @@
 		return
 	}
 	n := 0
-	for _, o := range c.owner.jobs {
+	for _, o := range inOrder(c.owner.jobs) {
 		if len(o.dirty) == 0 || o.writing || o.finish || !o.loaded {
 			continue
 		}
@@ -453,7 +453,7 @@
 			{Key: bookkeeping.ViewKey, Version: c.viewVersion}, // a former owner writes nothing late
 			{Key: bookkeeping.LiveKey(o.ID), Version: o.version},
 		}}
-		for chunk := range o.dirty {
+		for chunk := range inOrder(o.dirty) {
 			tag.chunks = append(tag.chunks, chunk)
 			txn.Then = append(txn.Then, protocol.Change{Put: bookkeeping.BitsKey(o.ID, chunk), Value: bookkeeping.EncodeChunk(o.done, chunk)})
 		}
@@ -482,7 +482,7 @@
 		return
 	}
 	c.owner.retryAt = c.after(time.Second)
-	for id, o := range c.owner.jobs {
+	for id, o := range inOrder(c.owner.jobs) {
 		if o.finish {
 			c.writeFinish(o)
 		}
@@ -512,7 +512,7 @@
 		listed[h.Task] = true
 		c.takeHeld(o, m, h)
 	}
-	for _, t := range m.mine {
+	for _, t := range tasksInOrder(m.mine) {
 		o := c.owner.jobs[t.task.Job]
 		if o == nil || listed[t.task] || (!t.uncertain && t.number > inv.Upto) {
 			continue
@@ -552,9 +552,9 @@
 	}
 }
 
-// inOrder returns the owned jobs in the order they are placed: the more urgent
+// jobsInOrder returns the owned jobs in the order they are placed: the more urgent
 // priority first, then by creation.
-func (c *Core) inOrder() []*ownedJob {
+func (c *Core) jobsInOrder() []*ownedJob {
 	if c.owner.sorted == nil {
 		for _, o := range c.owner.jobs {
 			c.owner.sorted = append(c.owner.sorted, o)
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -24,7 +24,7 @@
 	waits := map[protocol.MachineID]Wait{}
 	kept := c.keptRoom()
 	left := maxPerStep
-	for _, o := range c.inOrder() {
+	for _, o := range c.jobsInOrder() {
 		if !o.loaded || o.finish || o.notBefore > c.now || o.pending.None() {
 			continue
 		}
@@ -46,7 +46,7 @@
 			break
 		}
 	}
-	for keeper, tasks := range batches {
+	for keeper, tasks := range inOrder(batches) {
 		p := c.peers[keeper]
 		if p == nil {
 			continue
@@ -151,7 +151,7 @@
 	var best *machineEntry
 	n := need(&o.Job)
 	bestWait, ties := math.Inf(1), 0
-	for _, m := range c.machines {
+	for _, m := range c.machinesInOrder() {
 		if !c.usable(m) || o.failedOn[m.id] && len(o.failedOn) < 3 || !o.allows(m, zones) {
 			continue
 		}
@@ -202,6 +202,16 @@
 	return true, wanted
 }
 
+// machinesInOrder lists the machines by name. It is kept until one comes or goes.
+func (c *Core) machinesInOrder() []*machineEntry {
+	if c.sorted == nil {
+		for _, m := range inOrder(c.machines) {
+			c.sorted = append(c.sorted, m)
+		}
+	}
+	return c.sorted
+}
+
 // wait is the machine's expected wait, in processor seconds, as far as this
 // controller knows.
 func (m *machineEntry) wait() float64 { return math.Max(0, m.told.Wait+m.extra) }
@@ -317,7 +327,7 @@
 		return
 	}
 	kept := c.keptRoom()
-	for _, m := range c.machines {
+	for _, m := range c.machinesInOrder() {
 		if c.usable(m) && m.told.Epoch == m.epoch && m.told.Queued == 0 {
 			movable = c.takeFor(m, movable, kept)
 		}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -61,6 +61,7 @@
 	estimate float64
 	need     resources
 	order    uint64
+	from     protocol.NodeName // that placed it here, if any
 	sent     bool
 	direct   protocol.Term // of a direct start that has no answer: it may be executed until the worker sees a later term
 	present  bool          // the worker has reported it
@@ -86,7 +87,7 @@
 // adoptQueues goes over to a new view. Queues that stay here keep what they
 // know; the rest is dropped, for its new keeper's inventory to tell.
 func (c *Core) adoptQueues(old bookkeeping.View, keeps bool) {
-	for id, q := range c.queues {
+	for id, q := range inOrder(c.queues) {
 		if machineKeeper(c.view, id) != c.self {
 			delete(c.queues, id)
 			continue
@@ -127,13 +128,24 @@
 	q.session = max(q.session, m.rec.Session)
 }
 
+// entryOwner is the owner of an attempt's job: by its record, or, before that
+// has arrived here, the controller that placed it. Without the latter, a keeper
+// whose watch lags would leave queued attempts out of an inventory, and their
+// owner would take them for gone.
+func (c *Core) entryOwner(e *entry) protocol.NodeName {
+	if j := c.live[e.task.Job]; j != nil {
+		return c.jobOwner(c.view, &j.Job)
+	}
+	return e.from
+}
+
 // tell passes an event to the present owner of an attempt's job.
 func (c *Core) tell(q *queue, e *entry, what What) {
-	j := c.live[e.task.Job]
-	if j == nil {
+	owner := c.entryOwner(e)
+	if owner == "" {
 		return
 	}
-	c.send(c.jobOwner(c.view, &j.Job), PeerMessage{Event: &TaskEvent{
+	c.send(owner, PeerMessage{Event: &TaskEvent{
 		TaskRef: TaskRef{Task: e.task, Attempt: e.attempt, Machine: q.id}, What: what, Cause: e.cause, Saved: e.saved,
 	}})
 }
@@ -152,7 +164,7 @@
 		peer.handled = p.Number
 	}
 	for _, t := range p.Tasks {
-		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need()}
+		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), from: from}
 		q := c.queues[t.Machine]
 		refuse := func() {
 			c.send(from, PeerMessage{Event: &TaskEvent{
@@ -329,7 +341,7 @@
 		c.loseMachine(m)
 	}
 	m = &machineEntry{id: id, rec: rec, epoch: version, info: c.types[rec.Type], mine: map[protocol.TaskID]*placedTask{}}
-	c.machines[id] = m
+	c.machines[id], c.sorted = m, nil
 	c.owner.dirty = true
 	if q := c.queues[id]; q != nil && q.session == rec.Session {
 		q.epoch = version
@@ -347,6 +359,7 @@
 		return
 	}
 	delete(c.machines, id)
+	c.sorted = nil
 	c.sessionFloor[id] = max(c.sessionFloor[id], m.rec.Session+1)
 	c.loseMachine(m)
 	if q := c.queues[id]; q != nil && q.session <= m.rec.Session {
@@ -375,7 +388,7 @@
 		}
 		c.takeTask(q, e, t)
 	}
-	for id, e := range q.entries {
+	for id, e := range tasksInOrder(q.entries) {
 		if listed[id] || !e.sent && !e.present {
 			continue
 		}
@@ -476,7 +489,7 @@
 		c.releaseWaiting(q)
 	}
 	q.notice = r.NoticeS
-	for _, e := range q.entries {
+	for _, e := range tasksInOrder(q.entries) {
 		if e.present && !e.ended() && !e.noticed {
 			e.noticed = true
 			c.tell(q, e, WhatNotice)
@@ -488,19 +501,18 @@
 func (c *Core) sendInventory(q *queue) {
 	q.inventoried = true
 	byOwner := map[protocol.NodeName][]Held{}
-	for _, e := range q.entries {
-		j := c.live[e.task.Job]
-		if j == nil {
+	for _, e := range tasksInOrder(q.entries) {
+		owner := c.entryOwner(e)
+		if owner == "" {
 			continue
 		}
 		h := Held{Task: e.task, Attempt: e.attempt, Cause: e.cause, Saved: e.saved}
 		if e.present {
 			h.State = e.state
 		}
-		owner := c.jobOwner(c.view, &j.Job)
 		byOwner[owner] = append(byOwner[owner], h)
 	}
-	for name, p := range c.peers {
+	for name, p := range inOrder(c.peers) {
 		c.send(name, PeerMessage{Inventory: &Inventory{
 			Term: c.view.Term, Machine: q.id, Epoch: q.epoch, Upto: p.handled, Held: byOwner[name],
 		}})
@@ -511,7 +523,7 @@
 // then kills, then starts in order of service while they fit.
 func (c *Core) orders(q *queue, term protocol.Term) []protocol.Order {
 	orders := []protocol.Order{}
-	for _, e := range q.entries {
+	for _, e := range tasksInOrder(q.entries) {
 		live := c.live[e.task.Job] != nil
 		switch {
 		case !e.present:
@@ -644,7 +656,7 @@
 		}
 		return
 	}
-	for id, q := range c.queues {
+	for id, q := range inOrder(c.queues) {
 		m := c.machines[id]
 		if m == nil || q.removing || q.session > m.rec.Session || c.since(q.lastAnswer) <= c.leaseOver() {
 			continue
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"maps"
 	"slices"
 
 	"damsonkeel/internal/protocol"
@@ -22,8 +21,11 @@
 	if len(added) == 0 {
 		return
 	}
-	ws := slices.Collect(maps.Values(added))
-	for name := range c.peers {
+	ws := make([]Wait, 0, len(added))
+	for _, w := range inOrder(added) {
+		ws = append(ws, w)
+	}
+	for name := range inOrder(c.peers) {
 		if name != c.self {
 			c.send(name, PeerMessage{Waits: ws})
 		}
@@ -34,18 +36,18 @@
 // and jobs.
 func (c *Core) sendSummaries() {
 	var s Summary
-	for id, q := range c.queues {
+	for id, q := range inOrder(c.queues) {
 		if m := c.machines[id]; m != nil && q.epoch == m.epoch {
 			s.Machines = append(s.Machines, c.state(q))
 		}
 	}
-	for _, o := range c.owner.jobs {
+	for _, o := range inOrder(c.owner.jobs) {
 		s.Progress = append(s.Progress, Progress{Job: o.ID, Done: o.nDone, Running: o.running})
 		if d := c.jobDemand(o); d.Unstarted > 0 {
 			s.Demand = append(s.Demand, d)
 		}
 	}
-	for name, p := range c.peers {
+	for name, p := range inOrder(c.peers) {
 		mine := s
 		mine.Upto = p.handled
 		c.send(name, PeerMessage{Summary: &mine})
@@ -123,7 +125,7 @@
 // sendTable answers a restarted controller, if this table is filled.
 func (c *Core) sendTable(to protocol.NodeName) {
 	var ws []Wait
-	for id, m := range c.machines {
+	for id, m := range inOrder(c.machines) {
 		if m.told.Epoch == m.epoch {
 			ws = append(ws, Wait{Machine: id, Add: m.wait()})
 		}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -3,6 +3,8 @@
 package standin
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -53,7 +55,8 @@
 
 // Expire ends leases whose time is over, and deletes their keys.
 func (s *State) Expire(now time.Duration) {
-	for id, l := range s.leases {
+	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
+		l := s.leases[id]
 		if l.ends > now {
 			continue
 		}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -90,13 +90,18 @@
 		w.renewed = now
 		return
 	}
-	for _, id := range slices.SortedFunc(maps.Keys(w.tasks), func(a, b protocol.TaskID) int {
-		return strings.Compare(a.String(), b.String())
-	}) {
+	for _, id := range w.sorted() {
 		w.tickTask(id, w.tasks[id], passed)
 	}
 }
 
+// sorted lists the tasks in order.
+func (w *Worker) sorted() []protocol.TaskID {
+	return slices.SortedFunc(maps.Keys(w.tasks), func(a, b protocol.TaskID) int {
+		return strings.Compare(a.String(), b.String())
+	})
+}
+
 func (w *Worker) tickTask(id protocol.TaskID, t *workerTask, passed time.Duration) {
 	switch t.state {
 	case protocol.TaskFetching:
@@ -136,7 +141,8 @@
 		Machine: w.ID, Address: "worker " + string(w.ID), Type: w.Info.Name, Zone: w.Zone, Spot: w.Spot,
 		Session: w.Session, Seq: w.Seq, Term: w.Term, NoticeS: w.Notice,
 	}
-	for id, t := range w.tasks {
+	for _, id := range w.sorted() {
+		t := w.tasks[id]
 		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: id, Attempt: t.attempt, State: t.state, Cause: t.cause, Saved: t.saved})
 	}
 	return r
