--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -15,7 +15,6 @@
 	job      protocol.Job // the last one seen
 	share    float64      // of its tasks that should start in time
 	arrivals []Time
-	tasks    int // of the last job
 }
 
 // noteArrival learns what jobs of a class look like and how often they come.
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -27,8 +27,6 @@
 	returned map[protocol.MachineID]Time // lists may still show them
 	lastPlan Time
 	seen     map[protocol.MachineID]bool // listed as running at some time
-	unmet    map[protocol.MachineType]bool
-	draining map[protocol.MachineID]Time
 }
 
 // kind is what the cloud has or has not.
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -241,7 +241,10 @@
 // gone makes a task whose attempt is proven gone placeable again.
 func (c *Core) gone(o *ownedJob, t *placedTask) {
 	c.unplace(o, t)
-	if !o.done.Test(uint(t.task.Index)) {
+	// Of a job just taken over, an attempt that is gone proves nothing of the
+	// others: a later one may run on a machine not heard yet. What is missing
+	// when all are heard becomes placeable then.
+	if !o.unknown && !o.done.Test(uint(t.task.Index)) {
 		o.pending.Set(uint(t.task.Index))
 	}
 	c.owner.dirty = true
