--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -40,6 +40,7 @@
 	hearing  hearing
 	classes  map[string]*class
 	live     map[protocol.JobID]*liveJob
+	over     map[protocol.JobID]Time // seen to end, and when
 	machines map[protocol.MachineID]*machineEntry
 	sorted   []*machineEntry // the machines in order; nil: to be sorted again
 
@@ -93,7 +94,7 @@
 	c.hearing = newHearing()
 	c.classes = map[string]*class{}
 	c.sessionFloor = map[protocol.MachineID]protocol.Session{}
-	c.live = map[protocol.JobID]*liveJob{}
+	c.live, c.over = map[protocol.JobID]*liveJob{}, map[protocol.JobID]Time{}
 	c.machines, c.sorted = map[protocol.MachineID]*machineEntry{}, nil
 	c.queues = map[protocol.MachineID]*queue{}
 	c.peers = map[protocol.NodeName]*peer{}
@@ -189,6 +190,27 @@
 	}
 }
 
+// noteOver remembers that a job is over, for messages about it that are still
+// under way.
+func (c *Core) noteOver(id protocol.JobID) {
+	c.over[id] = c.now
+	if len(c.over) <= 4096 {
+		return
+	}
+	for old, at := range c.over {
+		if c.since(at) > 10*time.Minute {
+			delete(c.over, old)
+		}
+	}
+}
+
+// isOver reports whether a job is known to have ended, rather than not to have
+// arrived here yet.
+func (c *Core) isOver(id protocol.JobID) bool {
+	_, over := c.over[id]
+	return over && c.live[id] == nil
+}
+
 // catalogue takes over the machine types.
 func (c *Core) catalogue(types []protocol.TypeInfo) {
 	for _, t := range types {
--- a/internal/coordination/direct.go
+++ b/internal/coordination/direct.go
@@ -78,7 +78,7 @@
 		return
 	}
 	q.seq = r.Seq
-	c.takeReport(q, &r)
+	c.takeReport(q, &r, false)
 }
 
 func (c *Core) unsettled(q *queue) bool {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -17,13 +18,26 @@
 	sorted  []*ownedJob                 // in order of placement; nil: to be sorted again
 	dirty   bool                        // something may have become placeable
 	pending map[protocol.MachineID]bool // machines whose inventory of this term is awaited
+	leaving map[TaskRef]leavingTask     // attempts of limited teams' jobs that are over, not proven gone
+	unsure  map[protocol.Team]bool      // limited teams just taken over, whose use is not known yet
 	attempt uint64
 	order   uint64
 	retryAt Time
 }
 
 func newOwnerState() ownerState {
-	return ownerState{jobs: map[protocol.JobID]*ownedJob{}, pending: map[protocol.MachineID]bool{}}
+	return ownerState{
+		jobs: map[protocol.JobID]*ownedJob{}, pending: map[protocol.MachineID]bool{},
+		leaving: map[TaskRef]leavingTask{}, unsure: map[protocol.Team]bool{},
+	}
+}
+
+// leavingTask is an attempt of a job that is over. It counts against its
+// team's limit for as long as it may be on its machine.
+type leavingTask struct {
+	team   protocol.Team
+	need   resources
+	number uint64 // of the Place that carried it
 }
 
 // ownedJob is a job this controller owns.
@@ -114,8 +128,12 @@
 // jobOver: the job's record says done or cancelled.
 func (c *Core) jobOver(id protocol.JobID) {
 	delete(c.live, id)
+	c.noteOver(id)
 	if o := c.owner.jobs[id]; o != nil {
 		for _, t := range tasksInOrder(o.placed) {
+			if c.limited(o.Team) {
+				c.owner.leaving[TaskRef{t.task, t.attempt, t.machine}] = leavingTask{o.Team, need(&o.Job), t.number}
+			}
 			c.askStop(t, true, 0)
 			c.unplace(o, t)
 		}
@@ -123,15 +141,16 @@
 		c.owner.sorted = nil
 		c.owner.dirty = true
 	}
-	for _, q := range c.queues {
-		for task, e := range q.entries {
+	for _, q := range inOrder(c.queues) {
+		for task, e := range tasksInOrder(q.entries) {
 			if task.Job != id {
 				continue
 			}
 			if !e.sent && !e.present {
 				c.dropWaiting(q, e)
+				c.tell(q, e, WhatReleased)
 			} else {
-				q.changed = true // the next answer kills or reaps it
+				q.changed, q.push = true, true // killed or reaped now, or by the next answer
 			}
 		}
 	}
@@ -145,6 +164,14 @@
 	c.owner.sorted = nil
 	c.owner.dirty = true
 	c.owner.pending = map[protocol.MachineID]bool{}
+	if !keeps {
+		clear(c.owner.leaving)
+	}
+	for _, t := range c.settings.Site.Teams {
+		if j := (&protocol.Job{Team: t.Name}); t.Limited() && c.jobOwner(c.view, j) == c.self && (!keeps || c.jobOwner(old, j) != c.self) {
+			c.owner.unsure[t.Name] = true
+		}
+	}
 	for id, m := range c.machines {
 		c.owner.pending[id] = true
 		clear(m.mine)
@@ -211,6 +238,7 @@
 	if len(c.owner.pending) > 0 {
 		return
 	}
+	clear(c.owner.unsure)
 	for _, o := range c.owner.jobs {
 		if !o.unknown || !o.loaded {
 			continue
@@ -274,6 +302,7 @@
 // loseMachine: everything placed by the machine's present record is gone.
 func (c *Core) loseMachine(m *machineEntry) {
 	delete(c.owner.pending, m.id)
+	c.left(m.id, math.MaxUint64)
 	for _, t := range tasksInOrder(m.mine) {
 		if o := c.owner.jobs[t.task.Job]; o != nil && o.placed[t.task] == t {
 			c.gone(o, t)
@@ -283,9 +312,24 @@
 	c.resolveUnknown()
 }
 
+// left: a machine holds no attempts of jobs that are over, of those placed up
+// to a number.
+func (c *Core) left(id protocol.MachineID, upto uint64) {
+	for ref, t := range c.owner.leaving {
+		if ref.Machine == id && t.number <= upto {
+			delete(c.owner.leaving, ref)
+			c.owner.dirty = true
+		}
+	}
+}
+
 // event takes what a keeper says of an attempt.
 func (c *Core) event(e TaskEvent) {
 	o := c.owner.jobs[e.Task.Job]
+	if o == nil && (e.What == WhatEnded || e.What == WhatReleased) {
+		delete(c.owner.leaving, e.TaskRef)
+		c.owner.dirty = true
+	}
 	if o == nil || e.Task.Index >= o.Tasks {
 		return
 	}
@@ -522,6 +566,7 @@
 		}
 		c.gone(o, t)
 	}
+	c.left(inv.Machine, inv.Upto)
 	delete(c.owner.pending, inv.Machine)
 	c.resolveUnknown()
 }
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -283,7 +283,7 @@
 func (c *Core) teamUsage() map[protocol.Team]resources {
 	usage := map[protocol.Team]resources{}
 	for _, o := range c.owner.jobs {
-		if t, ok := c.settings.Team(o.Team); !ok || !t.Limited() {
+		if !c.limited(o.Team) {
 			continue
 		}
 		n := len(o.placed)
@@ -295,9 +295,17 @@
 		}
 		c.use(o, usage, n)
 	}
+	for _, t := range c.owner.leaving {
+		usage[t.team] = usage[t.team].plus(t.need)
+	}
 	return usage
 }
 
+func (c *Core) limited(name protocol.Team) bool {
+	t, ok := c.settings.Team(name)
+	return ok && t.Limited()
+}
+
 func (c *Core) use(o *ownedJob, usage map[protocol.Team]resources, n int) {
 	u := usage[o.Team]
 	u.cpus += o.CPUs * float64(n)
@@ -308,8 +316,8 @@
 // withinLimit reports whether n more tasks keep the team within its limit.
 func (c *Core) withinLimit(o *ownedJob, usage map[protocol.Team]resources, n int) bool {
 	t, ok := c.settings.Team(o.Team)
-	if !ok {
-		return false
+	if !ok || c.owner.unsure[o.Team] {
+		return false // attempts of jobs long over may still run somewhere
 	}
 	u := usage[o.Team]
 	return (t.MaxCPUs == 0 || u.cpus+o.CPUs*float64(n) <= t.MaxCPUs+slack) &&
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -134,7 +134,7 @@
 // owner would take them for gone.
 func (c *Core) entryOwner(e *entry) protocol.NodeName {
 	if j := c.live[e.task.Job]; j != nil {
-		return c.jobOwner(c.view, &j.Job)
+		e.from = c.jobOwner(c.view, &j.Job)
 	}
 	return e.from
 }
@@ -174,7 +174,7 @@
 		// The term and the machine's record must be those the owner placed
 		// by: a placement held back by the network while the machine or the
 		// job went elsewhere and came back must not start anything.
-		if q == nil || p.Term != c.view.Term || q.epoch == 0 || q.epoch != t.Epoch || q.draining || q.notice != nil || q.suspect {
+		if q == nil || c.isOver(t.Task.Job) || p.Term != c.view.Term || q.epoch == 0 || q.epoch != t.Epoch || q.draining || q.notice != nil || q.suspect {
 			refuse()
 			continue
 		}
@@ -278,8 +278,8 @@
 	if m := c.machines[q.id]; m == nil || m.rec.Session != r.Session {
 		c.register(q, r)
 	}
-	c.takeReport(q, &r)
-	if q.epoch != 0 && r.Term == c.view.Term && !q.inventoried {
+	c.takeReport(q, &r, true)
+	if q.epoch != 0 && r.Term == c.view.Term && !q.inventoried && !c.holdsOver(q) {
 		c.sendInventory(q)
 	}
 	q.push = false
@@ -368,7 +368,11 @@
 }
 
 // takeReport brings the entries to what the worker says, and tells owners.
-func (c *Core) takeReport(q *queue, r *protocol.Report) {
+// Whether it came as a report of the worker's own, or as the answer to direct
+// commands, decides what it settles: the worker sends its next report only
+// after the answer to the one before has come or was given up, so that report
+// settles starts in that answer. A direct answer may cross it.
+func (c *Core) takeReport(q *queue, r *protocol.Report, own bool) {
 	listed := make(map[protocol.TaskID]bool, len(r.Tasks))
 	for _, t := range r.Tasks {
 		listed[t.Task] = true
@@ -402,11 +406,12 @@
 				c.tell(q, e, WhatEnded)
 			}
 			q.changed = true
+		case !own:
 		case e.direct != 0 && r.Term <= e.direct:
 			// Sent directly, no answer: it may be executed minutes late, so
 			// not being listed proves nothing until the worker has seen a
 			// later term.
-		case e.kill:
+		case e.kill || c.isOver(id.Job):
 			// Settled as below, and not wanted any more.
 			delete(q.entries, id)
 			c.tell(q, e, WhatReleased)
@@ -497,6 +502,18 @@
 	}
 }
 
+// holdsOver reports whether attempts of jobs that are over may still run here.
+// The inventory waits for their end: it tells the owners of limited teams that
+// nothing but what it lists takes part of a limit.
+func (c *Core) holdsOver(q *queue) bool {
+	for id, e := range q.entries {
+		if e.sent && !e.ended() && c.live[id.Job] == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // sendInventory tells every owner what of its jobs is here.
 func (c *Core) sendInventory(q *queue) {
 	q.inventoried = true
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -56,7 +56,7 @@
 // jobOwner is the one controller that owns a job. All jobs of a limited team
 // have the same owner, so that the limit is checked in one place.
 func (c *Core) jobOwner(v bookkeeping.View, j *protocol.Job) protocol.NodeName {
-	if t, ok := c.settings.Team(j.Team); ok && t.Limited() {
+	if c.limited(j.Team) {
 		return rendezvous(v, "team "+string(j.Team))
 	}
 	return rendezvous(v, "job "+string(j.ID))
