Small tests for the guards of starts, terms, sessions and limits

Not caught yet, to follow: crossing answers, takeover's ended attempts, who placed, team use after a takeover, lease expiry, missed views, registration.

--- /dev/null
+++ b/internal/coordination/guards_test.go
@@ -0,0 +1,356 @@
+package coordination
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/protocol"
+)
+
+// bench is one core, alone or with peers that the test plays.
+type bench struct {
+	t       *testing.T
+	c       *Core
+	now     Time
+	version protocol.Version
+	seq     protocol.Seq
+}
+
+func newBench(t *testing.T, members ...protocol.NodeName) *bench {
+	s := testSettings()
+	s.Name = "node-0"
+	b := &bench{t: t, c: NewCore(s, config.DefaultOperator(), rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler)), now: 1}
+	b.step(CatalogueRead{[]protocol.TypeInfo{{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8}}})
+	b.step(Snapshot{Session: 100})
+	b.step(Entitled{Until: Time(time.Hour)})
+	b.view(1, append([]protocol.NodeName{"node-0"}, members...)...)
+	return b
+}
+
+func (b *bench) step(msg any) []Action {
+	b.now += Time(10 * time.Millisecond)
+	return b.c.Step(b.now, msg)
+}
+
+func (b *bench) put(key string, v any) []Action {
+	raw, err := protocol.Encode(v)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.version++
+	return b.step(Changed{protocol.Event{Put: key, Value: raw, Version: b.version}})
+}
+
+func (b *bench) view(term protocol.Term, names ...protocol.NodeName) []Action {
+	v := bookkeeping.View{Term: term, Members: map[protocol.NodeName]protocol.LeaseID{}}
+	for i, n := range names {
+		v.Members[n] = protocol.LeaseID(100 + i)
+		b.put(bookkeeping.NodeKey(n), bookkeeping.Node{Session: v.Members[n]})
+	}
+	b.put(bookkeeping.ViewKey, v)
+	return b.step(TxnDone{Tag: viewTag{}, Outcome: OutcomeDone})
+}
+
+func (b *bench) machine(id protocol.MachineID, session protocol.Session) {
+	b.put(bookkeeping.MachineKey(id), bookkeeping.Machine{Session: session, Address: "x", Type: "small", Zone: "a"})
+}
+
+func (b *bench) job(id protocol.JobID, team protocol.Team, tasks uint32) {
+	b.put(bookkeeping.LiveKey(id), protocol.Job{
+		ID: id, Team: team, Kind: protocol.KindArray, Priority: "standard", Tasks: tasks, CPUs: 1, MemoryGB: 1, EstimateS: 10, Image: "i",
+	})
+}
+
+// report sends a worker's report and returns the answer.
+func (b *bench) report(id protocol.MachineID, session protocol.Session, term protocol.Term, tasks ...protocol.TaskReport) ReplyReport {
+	b.seq++
+	return b.reportSeq(id, session, b.seq, term, tasks...)
+}
+
+func (b *bench) reportSeq(id protocol.MachineID, session protocol.Session, seq protocol.Seq, term protocol.Term, tasks ...protocol.TaskReport) ReplyReport {
+	for _, a := range b.step(Reported{protocol.Report{
+		Machine: id, Address: "x", Type: "small", Zone: "a", Session: session, Seq: seq, Term: term, Tasks: tasks,
+	}}) {
+		if r, ok := a.(ReplyReport); ok {
+			return r
+		}
+	}
+	b.t.Fatal("a report was not answered")
+	return ReplyReport{}
+}
+
+func commands(actions []Action) []protocol.Order {
+	var os []protocol.Order
+	for _, a := range actions {
+		if c, ok := a.(Command); ok {
+			os = append(os, c.Commands.Orders...)
+		}
+	}
+	return os
+}
+
+func starts(os []protocol.Order) int {
+	n := 0
+	for _, o := range os {
+		if o.Op == protocol.OpStart {
+			n++
+		}
+	}
+	return n
+}
+
+// ready brings one machine into service, term and inventory settled.
+func (b *bench) ready(id protocol.MachineID) {
+	b.report(id, 1, 0)
+	b.machine(id, 1)
+	b.report(id, 1, b.c.view.Term)
+	b.now += Time(1100 * time.Millisecond)
+	b.step(Tick{})
+}
+
+// TestUnansweredDirectStart: an attempt whose direct start has no answer is
+// neither reaped nor released before the worker has seen a later term, which
+// is raised for that.
+func TestUnansweredDirectStart(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	var cmd Command
+	for _, a := range b.put(bookkeeping.LiveKey("job-1"), protocol.Job{
+		ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, MemoryGB: 1, EstimateS: 1, Image: "i",
+	}) {
+		if c, ok := a.(Command); ok {
+			cmd = c
+		}
+	}
+	if starts(cmd.Commands.Orders) != 1 {
+		t.Fatalf("no direct start: %+v", cmd)
+	}
+	task, attempt := cmd.Commands.Orders[0].Task, cmd.Commands.Orders[0].Attempt
+	raised := false
+	for _, a := range b.step(Commanded{Machine: "vm-1", Term: cmd.Commands.Term, Session: 1, Orders: cmd.Commands.Orders}) {
+		_, raised = a.(Commit)
+	}
+	for _, a := range b.step(Tick{}) {
+		c, ok := a.(Commit)
+		raised = raised || ok && c.Tag == viewTag{}
+	}
+	if !raised {
+		t.Error("the term is not raised")
+	}
+	b.report("vm-1", 1, 1) // not listed, and proves nothing
+	q := b.c.queues["vm-1"]
+	if e := q.entries[task]; e == nil || !e.sent {
+		t.Fatalf("taken for never started: %+v", e)
+	}
+	ended := protocol.TaskReport{Task: task, Attempt: attempt, State: protocol.TaskEnded, Cause: protocol.EndStopped}
+	for range 2 {
+		for _, o := range b.report("vm-1", 1, 1, ended).Reply.Orders {
+			if o.Op == protocol.OpForget && o.Task == task && o.Attempt == attempt {
+				t.Fatal("reaped while its start may be under way")
+			}
+		}
+	}
+	b.view(2, "node-0")
+	b.report("vm-1", 1, 1, ended)
+	reaped := false
+	for _, o := range b.report("vm-1", 1, 2, ended).Reply.Orders {
+		reaped = reaped || o.Op == protocol.OpForget && o.Attempt == attempt
+	}
+	if !reaped {
+		t.Error("not reaped after the worker has seen a later term")
+	}
+}
+
+// TestHeldReportOfEarlierSession: a report of a session that is over says
+// nothing, even after the machine's record and queue have gone.
+func TestHeldReportOfEarlierSession(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.step(Changed{protocol.Event{Delete: bookkeeping.MachineKey("vm-1"), Version: 99}})
+	for _, a := range b.step(Reported{protocol.Report{Machine: "vm-1", Type: "small", Zone: "a", Session: 1, Seq: 500, Term: 1}}) {
+		if c, ok := a.(Commit); ok {
+			t.Fatalf("a session that is over is registered: %+v", c)
+		}
+	}
+	registered := false
+	for _, a := range b.step(Reported{protocol.Report{Machine: "vm-1", Type: "small", Zone: "a", Session: 2, Seq: 1, Term: 1}}) {
+		_, ok := a.(Commit)
+		registered = registered || ok
+	}
+	if !registered {
+		t.Error("the next session is not registered")
+	}
+}
+
+// TestDeafController: workers that come astray again and again show that their
+// controller can't be reached; the next view says so and others keep them.
+func TestDeafController(t *testing.T) {
+	b := newBench(t, "node-1")
+	var theirs []protocol.MachineID
+	for i := 0; len(theirs) < 4; i++ {
+		id := protocol.MachineID(fmt.Sprint("vm-", i))
+		if machineKeeper(b.c.view, id) == "node-1" {
+			theirs = append(theirs, id)
+			b.machine(id, 1)
+		}
+	}
+	var next bookkeeping.View
+	for range 2 {
+		b.now += Time(5 * time.Second)
+		for _, id := range theirs {
+			if r := b.report(id, 1, 1); r.Status != 421 || r.ReportTo != "node-1" {
+				t.Fatalf("%+v", r)
+			}
+		}
+	}
+	for _, a := range b.step(Tick{}) {
+		if c, ok := a.(Commit); ok && c.Tag == (viewTag{}) {
+			next = c.Txn.Then[0].Value.(bookkeeping.View)
+		}
+	}
+	if len(next.Deaf) != 1 || next.Deaf[0] != "node-1" {
+		t.Fatalf("next view: %+v", next)
+	}
+	b.put(bookkeeping.ViewKey, next)
+	if r := b.report(theirs[0], 1, 1); r.Status != 200 {
+		t.Errorf("its machine is not kept here: %+v", r)
+	}
+}
+
+// TestLapsed: a controller whose own clock has reached the end of its lease
+// answers workers 503 and starts nothing.
+func TestLapsed(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.step(Entitled{Until: b.now + 1})
+	if r := b.report("vm-1", 1, 1); r.Status != 503 {
+		t.Errorf("answered %+v", r)
+	}
+	if a := b.put(bookkeeping.LiveKey("job-1"), protocol.Job{ID: "job-1", Team: "free", Kind: protocol.KindArray, Tasks: 1, CPUs: 1}); len(commands(a)) > 0 {
+		t.Errorf("commands %+v", a)
+	}
+}
+
+// TestHigherTerm: a report with a later term stops a controller that has not
+// read it yet.
+func TestHigherTerm(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	if r := b.report("vm-1", 1, 7); r.Status != 503 {
+		t.Errorf("answered %+v", r)
+	}
+}
+
+// TestHeldPlacement: a placement of an earlier term or of a machine's earlier
+// record starts nothing.
+func TestHeldPlacement(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	epoch := b.c.machines["vm-1"].epoch
+	place := func(term protocol.Term, epoch protocol.Version) {
+		b.c.place("node-0", &Place{Term: term, Tasks: []Placement{{Task: protocol.TaskID{Job: "job-9"}, Attempt: 1, Machine: "vm-1", Epoch: epoch}}})
+	}
+	place(0, epoch)
+	place(1, epoch-1)
+	if n := len(b.c.queues["vm-1"].entries); n != 0 {
+		t.Fatalf("%d queued", n)
+	}
+	place(1, epoch)
+	if n := len(b.c.queues["vm-1"].entries); n != 1 {
+		t.Fatalf("%d queued, want the valid one", n)
+	}
+}
+
+// TestStaleBatch: a batch between other sessions is dropped, one of a term not
+// read yet has to wait, a repeated one is taken once.
+func TestStaleBatch(t *testing.T) {
+	b := newBench(t, "node-1")
+	deliver := func(batch Batch) BatchReply {
+		for _, a := range b.step(Received{batch}) {
+			if r, ok := a.(ReplyBatch); ok {
+				return r.Reply
+			}
+		}
+		return 0
+	}
+	good := Batch{From: "node-1", FromSession: 101, ToSession: 100, Term: 1, Messages: []PeerMessage{{Waits: []Wait{{Machine: "vm-1", Add: 5}}}}}
+	b.machine("vm-1", 1)
+	for range 2 {
+		if r := deliver(good); r != BatchTaken {
+			t.Fatalf("reply %v", r)
+		}
+	}
+	if got := b.c.machines["vm-1"].extra; got != 5 {
+		t.Errorf("wait %v: a repeated batch counts again", got)
+	}
+	old, ahead := good, good
+	old.FromSession = 55
+	ahead.Term = 2
+	if deliver(old) != BatchStale || deliver(ahead) != BatchBehind {
+		t.Error("a batch of another session or term is taken")
+	}
+}
+
+// TestFinishIsWrittenFirst: a job's end is written on the condition that its
+// record is unchanged, once all its tasks are done.
+func TestFinishIsWrittenFirst(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.job("job-1", "free", 2)
+	version := b.version
+	var finish *Commit
+	for i := range uint32(2) {
+		task := protocol.TaskID{Job: "job-1", Index: i}
+		b.step(Tick{})
+		b.c.event(TaskEvent{TaskRef: TaskRef{Task: task, Machine: "vm-1"}, What: WhatEnded, Cause: protocol.EndDone})
+		for _, a := range b.c.out {
+			if c, ok := a.(Commit); ok && c.Tag == (finishTag{"job-1"}) {
+				if i == 0 {
+					t.Fatal("finished with a task left")
+				}
+				finish = &c
+			}
+		}
+	}
+	if finish == nil {
+		t.Fatal("the end is not written")
+	}
+	for _, cond := range finish.Txn.If {
+		if cond.Version != version {
+			t.Errorf("condition %+v, want version %d", cond, version)
+		}
+	}
+}
+
+// TestBadJobBlocksNobody: a job that fails on every machine waits ever longer
+// and does not have machines set aside.
+func TestBadJobBlocksNobody(t *testing.T) {
+	b := newBench(t)
+	o := func() *ownedJob { return b.c.owner.jobs["job-1"] }
+	b.job("job-1", "free", 1)
+	for i := range 3 {
+		id := protocol.MachineID(fmt.Sprint("vm-", i))
+		b.machine(id, 1)
+		ref := TaskRef{Task: protocol.TaskID{Job: "job-1"}, Attempt: 1, Machine: id}
+		o().placed[ref.Task] = &placedTask{task: ref.Task, attempt: 1, machine: id}
+		b.c.event(TaskEvent{TaskRef: ref, What: WhatEnded, Cause: protocol.EndError})
+		q := b.c.queues[id]
+		b.c.noteResult(q, &entry{task: ref.Task, cause: protocol.EndError})
+		if q.suspect {
+			t.Errorf("%s set aside for one job's failures", id)
+		}
+	}
+	if o().notBefore <= b.now {
+		t.Error("it is tried again at once")
+	}
+	q := b.c.queues["vm-0"]
+	b.c.noteResult(q, &entry{task: protocol.TaskID{Job: "job-2"}, cause: protocol.EndError})
+	if !q.suspect {
+		t.Error("a machine that fails two jobs is not set aside")
+	}
+}
