Tests of takeover guards, settings, records, state client and server

One fault found on the way: a limited team's jobs waited up to a second more after the last inventory.

--- /dev/null
+++ b/internal/bookkeeping/records_test.go
@@ -0,0 +1,44 @@
+package bookkeeping
+
+import (
+	"testing"
+
+	"damsonkeel/internal/protocol"
+
+	"github.com/bits-and-blooms/bitset"
+	"pgregory.net/rapid"
+)
+
+// TestChunks: a bitmap of any job reads back from its chunks, and each chunk
+// is well within the smallest value limit seen.
+func TestChunks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tasks := rapid.Uint32Range(1, protocol.MaxTasks).Draw(t, "tasks")
+		done := bitset.New(uint(tasks))
+		for _, i := range rapid.SliceOfN(rapid.Uint32Range(0, tasks-1), 0, 50).Draw(t, "done") {
+			done.Set(uint(i))
+		}
+		if rapid.Bool().Draw(t, "all") {
+			done.FlipRange(0, uint(tasks))
+		}
+		back := bitset.New(uint(tasks))
+		for chunk := 0; chunk*ChunkTasks < int(tasks); chunk++ {
+			b := EncodeChunk(done, chunk)
+			if len(b.Bits) > 6<<10 {
+				t.Fatalf("chunk of %d bytes", len(b.Bits))
+			}
+			if err := DecodeChunk(BitsKey("job-1", chunk), b, back, tasks); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if back.Count() != done.Count() || !back.IsSuperSet(done) {
+			t.Fatalf("%d of %d bits came back", back.Count(), done.Count())
+		}
+	})
+	if err := DecodeChunk("bits/job-1/9", Bits{"//8"}, bitset.New(1), 1); err == nil {
+		t.Error("a chunk past the largest job is taken")
+	}
+	if err := DecodeChunk("bits/job-1/0", Bits{"not base64!"}, bitset.New(1), 1); err == nil {
+		t.Error("garbage is taken")
+	}
+}
--- /dev/null
+++ b/internal/bookkeeping/state_test.go
@@ -0,0 +1,116 @@
+package bookkeeping
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/transport"
+)
+
+// serve answers each connection's requests with what answer says; no message
+// closes the connection without an answer.
+func serve(t *testing.T, answer func(*transport.Message) *transport.Message) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				p := transport.NewRequestParser()
+				buf := make([]byte, 4096)
+				for {
+					n, err := c.Read(buf)
+					if err != nil {
+						return
+					}
+					p.Feed(buf[:n])
+					for {
+						m, err := p.Next()
+						if err != nil {
+							return
+						}
+						if m == nil {
+							break
+						}
+						out := answer(m)
+						if out == nil {
+							return
+						}
+						if _, err := c.Write(transport.AppendResponse(nil, out)); err != nil {
+							return
+						}
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// TestAnswers: what the state service says, or that it says nothing, is told
+// apart; only a refusal is known not to have been executed.
+func TestAnswers(t *testing.T) {
+	var next *transport.Message
+	s := NewState(serve(t, func(*transport.Message) *transport.Message { return next }), 1e6, 1e6, 1)
+	ctx := context.Background()
+	txn := protocol.Txn{Then: []protocol.Change{{Put: "a", Value: 1}}}
+	for _, tc := range []struct {
+		status int
+		want   error
+	}{{409, ErrConflict}, {429, ErrRefused}, {503, ErrRefused}, {400, ErrMalformed}, {404, ErrNotFound}, {410, ErrCompacted}} {
+		next = &transport.Message{Status: tc.status}
+		if _, err := s.Txn(ctx, txn); !errors.Is(err, tc.want) {
+			t.Errorf("status %d: %v", tc.status, err)
+		}
+	}
+	next = nil
+	_, err := s.Txn(ctx, txn)
+	if err == nil || errors.Is(err, ErrRefused) || errors.Is(err, ErrConflict) {
+		t.Errorf("no answer: %v, want an unknown outcome", err)
+	}
+	next = &transport.Message{Status: 410}
+	if _, err := s.Follow(ctx, "c/", 1, time.Millisecond); !errors.Is(err, ErrCompacted) {
+		t.Errorf("watch: %v", err)
+	}
+	next = &transport.Message{Status: 200, Body: []byte("\xff\xff")}
+	if _, err := s.Get(ctx, "a"); err == nil {
+		t.Error("nonsense is taken for an answer")
+	}
+}
+
+// TestBudget: requests beyond this controller's share are refused here, at
+// once; the lease is extended all the same.
+func TestBudget(t *testing.T) {
+	body, err := protocol.Encode(map[string]any{"ledgerline": 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked := 0
+	s := NewState(serve(t, func(*transport.Message) *transport.Message {
+		asked++
+		return &transport.Message{Status: 200, Body: body}
+	}), 3, 30, 3)
+	refused := 0
+	for range 40 {
+		if _, err := s.Get(context.Background(), "a"); errors.Is(err, ErrRefused) {
+			refused++
+		}
+	}
+	if asked > 20 || refused < 20 {
+		t.Errorf("%d asked, %d refused, of one a second", asked, refused)
+	}
+	if err := s.Extend(context.Background(), 1); err != nil {
+		t.Errorf("extension: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,100 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `
+host_name = "keelhand-0"
+domain = "a"
+serve_on = "10.0.0.1:8080"
+peer_bind = "10.0.0.1:8081"
+something_new = 7
+[[members]]
+host_name = "keelhand-1"
+peer_addr = "10.0.0.2:8081"
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[settings]
+count = 2
+[[settings.teams]]
+name = "t"
+cpus = 4.0
+cpus_max = 8.0
+[settings.workers]
+report_s = 3.0
+lease_s = 20.0
+gang_wait_s = 35.0
+gang_peer_s = 6.0
+cancel_s = 40.0
+[settings.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 16.0
+txn_ops = 12
+[settings.cloud]
+rps = 6.0
+[settings.limits]
+ram_mb = 179.0
+max_connections = 2000
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if team, ok := s.Team("t"); !ok || !team.Limited() || s.Members[0].Name != "keelhand-1" || s.Site.State.TxnOps != 12 {
+		t.Fatalf("%+v", s)
+	}
+}
+
+// TestParseRefuses: a bad setting is named.
+func TestParseRefuses(t *testing.T) {
+	cases := []struct{ old, new, field string }{
+		{`host_name = "keelhand-0"`, ``, "host_name"},
+		{`"10.0.0.1:8080"`, `"nowhere"`, "serve_on"},
+		{`"10.0.0.2:8081"`, `""`, "peer_addr"},
+		{`"10.2.0.1:2379"`, `"x"`, "services.state"},
+		{`lease_s = 20.0`, `lease_s = -1.0`, "lease_s"},
+		{`lease_s = 20.0`, `lease_s = nan`, "lease_s"},
+		{`cancel_s = 40.0`, `cancel_s = 10.0`, "cancel_s"},
+		{`txn_ops = 12`, ``, "txn_ops"},
+		{`cpus = 4.0`, `cpus = -4.0`, "teams"},
+		{`name = "t"`, ``, "teams.name"},
+		{`host_name = "keelhand-1"`, `host_name = "keelhand-0"`, "members.host_name"},
+		{`rps = 200.0`, `rps = "many"`, "settings"},
+	}
+	for _, tc := range cases {
+		text := strings.Replace(good, tc.old, tc.new, 1)
+		if text == good {
+			t.Fatalf("%q is not in the settings", tc.old)
+		}
+		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), tc.field) {
+			t.Errorf("%q: %v, want %s named", tc.new, err, tc.field)
+		}
+	}
+}
+
+func TestParseOperator(t *testing.T) {
+	op, err := ParseOperator(strings.NewReader(`<damsonkeel><!-- ours --><nodeLease> 9s </nodeLease></damsonkeel>`))
+	if err != nil || op.NodeLease != 9*time.Second || op.RelayEvery != DefaultOperator().RelayEvery {
+		t.Fatalf("%+v, %v", op, err)
+	}
+	for text, named := range map[string]string{
+		`<damsonkeel><nodeLeese>9s</nodeLeese></damsonkeel>`:       "nodeLeese",
+		`<damsonkeel><nodeLease>soon</nodeLease></damsonkeel>`:     "soon",
+		`<damsonkeel><nodeLease>0s</nodeLease></damsonkeel>`:       "nodeLease",
+		`<damsonkeel><nodeLease x="1">9s</nodeLease></damsonkeel>`: "x",
+		`<other/>`:                  "other",
+		`<damsonkeel><nodeLease>9s`: "operator settings",
+		``:                          "empty",
+	} {
+		if _, err := ParseOperator(strings.NewReader(text)); err == nil || !strings.Contains(err.Error(), named) {
+			t.Errorf("%s: %v, want %s named", text, err, named)
+		}
+	}
+}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -239,6 +239,7 @@
 		return
 	}
 	clear(c.owner.unsure)
+	c.owner.dirty = true
 	for _, o := range c.owner.jobs {
 		if !o.unknown || !o.loaded {
 			continue
--- /dev/null
+++ b/internal/coordination/takeover_test.go
@@ -0,0 +1,200 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+)
+
+// inventory plays the proof of all that is on a machine.
+func (b *bench) inventory(id protocol.MachineID, held ...Held) {
+	b.c.inventory(machineKeeper(b.c.view, id), &Inventory{
+		Term: b.c.view.Term, Machine: id, Epoch: b.c.machines[id].epoch, Upto: 1 << 40, Held: held,
+	})
+}
+
+// TestTakeoverWaitsForAllMachines: a task of a job taken over is placed only
+// when every machine that might hold it was heard; an older attempt that ended
+// on one of them proves nothing of the others.
+func TestTakeoverWaitsForAllMachines(t *testing.T) {
+	b := newBench(t)
+	b.machine("vm-1", 1)
+	b.machine("vm-2", 1)
+	b.job("job-1", "free", 1)
+	task := protocol.TaskID{Job: "job-1"}
+	b.view(3, "node-0") // a view was missed: nothing known before counts
+	o := b.c.owner.jobs["job-1"]
+	if !o.unknown || o.pending.Any() || len(o.placed) > 0 {
+		t.Fatalf("after a missed view: %+v", o)
+	}
+	b.step(JobLoaded{Job: "job-1", OK: true})
+	b.inventory("vm-1", Held{Task: task, Attempt: 1, State: protocol.TaskEnded, Cause: protocol.EndError})
+	if o.pending.Any() {
+		t.Fatal("placeable while vm-2 may run a later attempt")
+	}
+	b.inventory("vm-2", Held{Task: task, Attempt: 2, State: protocol.TaskRunning})
+	if o.pending.Any() || o.placed[task] == nil || o.placed[task].attempt != 2 {
+		t.Fatal("the attempt that runs was not kept")
+	}
+}
+
+// TestChangedKeeperMakesUncertain: what was placed through a controller that is
+// gone is uncertain until its machine's new keeper has an inventory.
+func TestChangedKeeperMakesUncertain(t *testing.T) {
+	b := newBench(t, "node-1")
+	id := protocol.MachineID("vm-0")
+	for i := 0; machineKeeper(b.c.view, id) != "node-1"; i++ {
+		id = protocol.MachineID("vm-" + string(rune('a'+i)))
+	}
+	b.machine(id, 1)
+	job := protocol.JobID("job-1")
+	for i := 0; b.c.jobOwner(b.c.view, &protocol.Job{ID: job, Team: "free"}) != "node-0"; i++ {
+		job = protocol.JobID("job-" + string(rune('a'+i)))
+	}
+	b.job(job, "free", 1)
+	o := b.c.owner.jobs[job]
+	task := protocol.TaskID{Job: job}
+	if o.placed[task] == nil || o.placed[task].machine != id {
+		t.Fatalf("not placed: %+v", o)
+	}
+	b.view(2, "node-0")
+	if p := o.placed[task]; p == nil || !p.uncertain {
+		t.Fatalf("not uncertain: %+v", p)
+	}
+	b.inventory(id)
+	if o.placed[task] != nil && o.placed[task].attempt>>32 != 2 {
+		t.Error("not placed anew after the inventory without it")
+	}
+}
+
+// TestCrossingAnswers: the answer to direct commands may cross the answer to a
+// report; it does not settle the starts in that one.
+func TestCrossingAnswers(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.c.queues["vm-1"].commanding = true // a direct command is under way
+	b.job("job-1", "free", 1)
+	if r := b.report("vm-1", 1, 1); starts(r.Reply.Orders) != 1 {
+		t.Fatalf("not started by the report's answer: %+v", r)
+	}
+	b.seq++
+	b.step(Commanded{Machine: "vm-1", Term: 1, Session: 1, Answered: true, Executed: true,
+		Report: protocol.Report{Machine: "vm-1", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Term: 1}})
+	if e := b.c.queues["vm-1"].entries[protocol.TaskID{Job: "job-1"}]; e == nil || !e.sent {
+		t.Fatalf("a start under way is taken for not executed: %+v", e)
+	}
+	b.report("vm-1", 1, 1) // the worker's next report does settle it: sent again
+}
+
+// TestNothingStartsUnregistered: no start before the machine's record is durable.
+func TestNothingStartsUnregistered(t *testing.T) {
+	b := newBench(t)
+	b.report("vm-1", 1, 0)
+	b.job("job-1", "free", 1)
+	q := b.c.queues["vm-1"]
+	e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 1}
+	q.entries[e.task], q.waiting = e, []*entry{e}
+	if r := b.report("vm-1", 1, 1); starts(r.Reply.Orders) != 0 {
+		t.Fatal("started on a machine without a record")
+	}
+	b.machine("vm-1", 1)
+	if r := b.report("vm-1", 1, 1); starts(r.Reply.Orders) != 1 {
+		t.Fatal("not started once registered")
+	}
+}
+
+// TestQueuedBeforeItsRecord: an inventory lists a queued attempt whose job's
+// record has not arrived here yet, to the controller that placed it.
+func TestQueuedBeforeItsRecord(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.c.place("node-0", &Place{Number: 5, Term: 1, Tasks: []Placement{{
+		Task: protocol.TaskID{Job: "job-7"}, Attempt: 1, Machine: "vm-1", Epoch: b.c.machines["vm-1"].epoch,
+	}}})
+	b.c.local = nil
+	b.c.sendInventory(b.c.queues["vm-1"])
+	for _, m := range b.c.local {
+		if m.Inventory != nil && len(m.Inventory.Held) == 1 && m.Inventory.Held[0].Attempt == 1 {
+			return
+		}
+	}
+	t.Fatalf("not listed: %+v", b.c.local)
+}
+
+// TestOverBeforePlaced: an attempt of a job that is over is not queued.
+func TestOverBeforePlaced(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.job("job-1", "free", 1)
+	b.step(Changed{protocol.Event{Delete: bookkeeping.LiveKey("job-1"), Version: 50}})
+	b.c.queues["vm-1"].entries = map[protocol.TaskID]*entry{}
+	b.c.queues["vm-1"].waiting = nil
+	b.c.place("node-0", &Place{Number: 6, Term: 1, Tasks: []Placement{{
+		Task: protocol.TaskID{Job: "job-1"}, Attempt: 9, Machine: "vm-1", Epoch: b.c.machines["vm-1"].epoch,
+	}}})
+	if n := len(b.c.queues["vm-1"].waiting); n != 0 {
+		t.Fatalf("%d waiting: it would stand at the head for ever", n)
+	}
+}
+
+// TestLimitAfterTakeover: a limited team just taken over starts nothing before
+// all machines were heard, and no inventory is given while a machine still
+// runs an attempt of a job that is over.
+func TestLimitAfterTakeover(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.view(3, "node-0")
+	b.job("job-1", "bound", 1)
+	if o := b.c.owner.jobs["job-1"]; len(o.placed) != 0 {
+		t.Fatal("placed before the team's use is known")
+	}
+	running := protocol.TaskReport{Task: protocol.TaskID{Job: "job-0"}, Attempt: 1, State: protocol.TaskRunning}
+	b.report("vm-1", 1, 3, running)
+	if o := b.c.owner.jobs["job-1"]; len(o.placed) != 0 {
+		t.Fatal("placed while an attempt of a job that is over runs")
+	}
+	running.State, running.Cause = protocol.TaskEnded, protocol.EndStopped
+	b.report("vm-1", 1, 3, running)
+	if o := b.c.owner.jobs["job-1"]; len(o.placed) != 1 {
+		t.Fatal("not placed when all is known")
+	}
+}
+
+// TestLeaseExpiry: a silent machine's record goes only after a whole lease in
+// which every member is known to act by this term.
+func TestLeaseExpiry(t *testing.T) {
+	b := newBench(t, "node-1")
+	id := protocol.MachineID("vm-0")
+	for i := 0; machineKeeper(b.c.view, id) != "node-0"; i++ {
+		id = protocol.MachineID("vm-" + string(rune('a'+i)))
+	}
+	b.machine(id, 1)
+	removed := func() bool {
+		for _, a := range b.step(Tick{}) {
+			if c, ok := a.(Commit); ok && c.Tag == (removeTag{id}) {
+				return true
+			}
+		}
+		return false
+	}
+	pass := func(d time.Duration) (gone bool) {
+		for range int(d / time.Second) {
+			b.now += Time(time.Second)
+			gone = removed() || gone
+		}
+		return gone
+	}
+	lease := time.Duration(b.c.settings.Site.Workers.LeaseS) * time.Second
+	if pass(3 * lease) {
+		t.Fatal("taken for dead while node-1 may answer by an earlier term")
+	}
+	b.step(Received{Batch{From: "node-1", FromSession: 101, ToSession: 100, Term: 1}})
+	if pass(lease) {
+		t.Fatal("taken for dead before its lease is over")
+	}
+	if !pass(10 * time.Second) {
+		t.Error("never taken for dead")
+	}
+}
--- /dev/null
+++ b/internal/transport/server_test.go
@@ -0,0 +1,103 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+func startServer(t *testing.T, h Handler, maxConns int) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	ready := make(chan struct{})
+	s := NewServer(h, maxConns, slog.New(slog.DiscardHandler))
+	go s.Serve(addr, func() { close(ready) })
+	<-ready
+	return addr
+}
+
+func echo(m *Message, reply Reply) {
+	if m.Path == "/later" {
+		go reply(&Message{Status: 200, Body: m.Body})
+		return
+	}
+	reply(&Message{Status: 200, Body: m.Body})
+}
+
+func deadline(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// TestServerAnswers: answers given at once and later come back on a kept
+// connection, bodies up to the limit included.
+func TestServerAnswers(t *testing.T) {
+	c := NewClient(startServer(t, echo, 10))
+	ctx := deadline(t)
+	for i, path := range []string{"/now", "/later", "/later", "/now"} {
+		body := strings.Repeat("x", i*20000)
+		m, err := c.Do(ctx, "POST", path, []byte(body))
+		if err != nil || m.Status != 200 || string(m.Body) != body {
+			t.Fatalf("%s: %v", path, err)
+		}
+	}
+	if len(c.idle) != 1 {
+		t.Errorf("%d connections kept", len(c.idle))
+	}
+}
+
+// TestServerRefuses: malformed requests get their status and the connection
+// is closed.
+func TestServerRefuses(t *testing.T) {
+	addr := startServer(t, echo, 10)
+	for request, status := range map[string]string{
+		"nonsense\r\n\r\n": "400",
+		"POST /now HTTP/1.1\r\nContent-Length: 70000\r\n\r\n":               "413",
+		"GET / HTTP/1.1\r\nX: " + strings.Repeat("y", MaxHead) + "\r\n\r\n": "431",
+	} {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		fmt.Fprint(c, request)
+		b, err := io.ReadAll(c)
+		if err != nil || !strings.HasPrefix(string(b), "HTTP/1.1 "+status) {
+			t.Errorf("%.20q: %.40q, %v", request, b, err)
+		}
+		c.Close()
+	}
+}
+
+// TestServerEvictsIdle: past its limit the server closes the connection that
+// did nothing longest and goes on serving.
+func TestServerEvictsIdle(t *testing.T) {
+	addr := startServer(t, echo, 3)
+	var conns []net.Conn
+	for range 6 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, c)
+		cc := &clientConn{net: c, parser: NewResponseParser()}
+		if _, err := cc.roundTrip(deadline(t), AppendRequest(nil, "GET", "h", "/now", nil)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	conns[0].SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := conns[0].Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the idlest connection: %v", err)
+	}
+}
