--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"damsonkeel/internal/protocol"
 )
@@ -34,6 +35,9 @@
 		c.classes[j.Class] = k
 	}
 	k.job, k.share = *j, share
+	if n := len(k.arrivals); n > 0 && c.since(k.arrivals[n-1]) < time.Second {
+		return // jobs that come together are one arrival: no room kept meets such a burst
+	}
 	k.arrivals = append(k.arrivals, c.now)
 	if len(k.arrivals) > arrivalsKept {
 		k.arrivals = k.arrivals[1:]
@@ -43,14 +47,6 @@
 // reserve is how much room is kept for a class: as many tasks as are likely,
 // by its objective's share, to come while a machine boots.
 func (c *Core) reserve(k *class) int {
-	n := len(k.arrivals)
-	if n < 2 {
-		return 0
-	}
-	span := c.since(k.arrivals[0]).Seconds()
-	if c.since(k.arrivals[n-1]).Seconds() > 2*span/float64(n)+60 {
-		return 0 // they have stopped coming
-	}
 	boot := math.Inf(1)
 	for _, t := range c.types {
 		l := liveJob{Job: k.job}
@@ -66,9 +62,20 @@
 	if math.IsInf(boot, 1) {
 		return 0
 	}
-	// A rate can't be told from a time much shorter than several boots: the
-	// jobs that all came at the start are no rate.
-	mean := float64(n) / math.Max(span, 5*boot) * boot
+	// A rate can't be told from a time much shorter than several boots, and
+	// what came long ago says little.
+	window := 8 * boot
+	n := 0
+	for _, at := range k.arrivals {
+		if c.since(at).Seconds() <= window {
+			n++
+		}
+	}
+	if n == 0 {
+		return 0 // they have stopped coming
+	}
+	span := math.Min(window, math.Max(c.since(k.arrivals[0]).Seconds(), 5*boot))
+	mean := float64(n) / span * boot
 	return quantile(mean, k.share) * int(min(k.job.Tasks, 16))
 }
 
