--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -43,10 +43,8 @@
 	}
 	for _, o := range inOrder(c.owner.jobs) {
 		s.Progress = append(s.Progress, Progress{Job: o.ID, Done: o.nDone, Running: o.running})
-		if d := c.jobDemand(o); d.Unstarted > 0 {
-			s.Demand = append(s.Demand, d)
-		}
 	}
+	s.Demand = c.demand()
 	for name, p := range inOrder(c.peers) {
 		mine := s
 		mine.Upto = p.handled
@@ -54,19 +52,32 @@
 	}
 }
 
-// jobDemand is the work of a job that has not started and may start now.
-func (c *Core) jobDemand(o *ownedJob) Demand {
-	d := Demand{Job: o.ID, EstimateS: c.estimate(&o.Job), OldestS: c.since(o.since).Seconds()}
-	if !o.loaded || o.unknown || o.notBefore > c.now {
-		return d
-	}
-	d.Unstarted = int(o.pending.Count())
-	for _, t := range o.placed {
-		if !t.started {
-			d.Unstarted++
+// demandMost bounds what one job counts for: far more than is rented at once.
+const demandMost = 1000
+
+// demand lists the work of owned jobs that has not started and may start now.
+// What a team's limit holds back is none.
+func (c *Core) demand() []Demand {
+	usage := c.teamUsage()
+	var ds []Demand
+	for _, o := range c.jobsInOrder() {
+		if !o.loaded || o.unknown || o.notBefore > c.now {
+			continue
+		}
+		n := 0
+		for waiting := int(o.pending.Count()); n < waiting && n < demandMost && c.withinLimit(o, usage, 1); n++ {
+			c.use(o, usage, 1)
+		}
+		for _, t := range o.placed {
+			if !t.started {
+				n++
+			}
+		}
+		if n > 0 {
+			ds = append(ds, Demand{Job: o.ID, Unstarted: n, EstimateS: c.estimate(&o.Job), OldestS: c.since(o.since).Seconds()})
 		}
 	}
-	return d
+	return ds
 }
 
 // summary takes a keeper's word on its machines.
