Guaranteed work first; stop less urgent and borrowing tasks for a queue's head

Cause: a gang whose machines were full of less urgent tasks waited for them to end; teams within their guarantee waited for others' borrowed work.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -66,6 +66,7 @@
 	placed   uint64        // number of the last Place sent to it
 	handled  uint64        // number of the last Place handled from it
 	unheard  []ownWait     // placements its summaries do not include yet
+	actingAt Time          // when it last said that it may act
 	demand   []Demand
 	progress map[protocol.JobID]Progress
 	hasTable bool
@@ -292,6 +293,9 @@
 		c.lastRelay = c.now
 		c.expireSilent()
 		c.rebalance()
+		for _, q := range inOrder(c.queues) {
+			c.preempt(q)
+		}
 		c.flushBits()
 		c.sendSummaries()
 		c.fleetStep()
--- a/internal/coordination/intake.go
+++ b/internal/coordination/intake.go
@@ -116,10 +116,12 @@
 	}()
 }
 
-// up answers health checks: 200 while this controller is a member that may
-// act and knows the machine types.
+// up answers health checks: 200 while this controller is a member, knows the
+// machine types, and may act. While the state service is out for all it stays
+// 200: requests get their 503 and when to come back at once, and the load
+// balancer need not find every controller healthy anew when it is over.
 func (in *intake) up(reply transport.Reply) {
-	if !in.n.acting() || in.n.types.Load() == nil {
+	if !in.n.acting() && !in.n.waitsOut.Load() || in.n.types.Load() == nil {
 		reply(failure(503, "not ready"))
 		return
 	}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -18,6 +18,9 @@
 	CPUs      float64
 	GPUs      float64
 	GB        float64
+	// Guaranteed: its job is within what its team is guaranteed, so it need
+	// not wait for other teams.
+	Guaranteed bool
 }
 
 // Need is what the task takes of its machine.
@@ -127,6 +130,7 @@
 // Summary is a controller's regular message to each peer.
 type Summary struct {
 	Upto     uint64 // last Place of the addressee that the waits include
+	Acting   bool   // the sender's lease is valid by its own clock
 	Machines []MachineState
 	Progress []Progress
 	Demand   []Demand
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -40,6 +40,7 @@
 	workers *workerClients
 
 	actingUntil atomic.Int64
+	waitsOut    atomic.Bool // a member that may not act, and nobody else is known to
 	types       atomic.Pointer[[]protocol.TypeInfo]
 	intake      *intake
 }
@@ -114,6 +115,7 @@
 			until = n.core.until
 		}
 		n.actingUntil.Store(int64(until))
+		n.waitsOut.Store(until != 0 && !n.core.alone())
 		n.carryOut(ctx, actions)
 		if e.reply != nil {
 			e.reply(actions)
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -23,6 +23,7 @@
 	batches := map[protocol.NodeName][]Placement{}
 	waits := map[protocol.MachineID]Wait{}
 	kept := c.keptRoom()
+	guaranteed := c.guaranteedJobs()
 	left := maxPerStep
 	for _, o := range c.jobsInOrder() {
 		if !o.loaded || o.finish || o.notBefore > c.now || o.pending.None() {
@@ -36,6 +37,7 @@
 		}
 		left -= len(chosen)
 		for _, p := range chosen {
+			p.Guaranteed = guaranteed[o.ID]
 			keeper := machineKeeper(c.view, p.Machine)
 			batches[keeper] = append(batches[keeper], p)
 			w := waits[p.Machine]
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -56,22 +56,24 @@
 
 // entry is one attempt in a queue or on its machine.
 type entry struct {
-	task     protocol.TaskID
-	attempt  protocol.Attempt
-	estimate float64
-	need     resources
-	order    uint64
-	from     protocol.NodeName // that placed it here, if any
-	sent     bool
-	direct   protocol.Term // of a direct start that has no answer: it may be executed until the worker sees a later term
-	present  bool          // the worker has reported it
-	state    protocol.TaskState
-	cause    protocol.EndCause
-	saved    bool
-	kill     bool
-	graceS   float64
-	reap     bool
-	noticed  bool
+	task       protocol.TaskID
+	attempt    protocol.Attempt
+	estimate   float64
+	need       resources
+	order      uint64
+	since      Time // queued here, or first seen here
+	guaranteed bool
+	from       protocol.NodeName // that placed it here, if any
+	sent       bool
+	direct     protocol.Term // of a direct start that has no answer: it may be executed until the worker sees a later term
+	present    bool          // the worker has reported it
+	state      protocol.TaskState
+	cause      protocol.EndCause
+	saved      bool
+	kill       bool
+	graceS     float64
+	reap       bool
+	noticed    bool
 }
 
 type (
@@ -164,7 +166,7 @@
 		peer.handled = p.Number
 	}
 	for _, t := range p.Tasks {
-		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), from: from}
+		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), from: from, since: c.now, guaranteed: t.Guaranteed}
 		q := c.queues[t.Machine]
 		refuse := func() {
 			c.send(from, PeerMessage{Event: &TaskEvent{
@@ -384,7 +386,7 @@
 				q.strays(c, t)
 				continue
 			}
-			e = &entry{task: t.Task, attempt: t.Attempt}
+			e = &entry{task: t.Task, attempt: t.Attempt, since: c.now, guaranteed: true}
 			if j := c.live[t.Task.Job]; j != nil {
 				e.estimate, e.need = c.estimate(&j.Job), need(&j.Job)
 			}
@@ -605,7 +607,8 @@
 	return 1
 }
 
-// sortWaiting keeps the more urgent priority first, then the order of arrival.
+// sortWaiting keeps what is within a guarantee first, then the more urgent
+// priority, then the order of arrival.
 func (c *Core) sortWaiting(q *queue) {
 	rank := func(e *entry) int {
 		if j := c.live[e.task.Job]; j != nil {
@@ -613,8 +616,14 @@
 		}
 		return -1
 	}
+	within := func(e *entry) int {
+		if e.guaranteed {
+			return 1
+		}
+		return 0
+	}
 	slices.SortStableFunc(q.waiting, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a.order, b.order))
+		return cmp.Or(cmp.Compare(within(b), within(a)), cmp.Compare(rank(b), rank(a)), cmp.Compare(a.order, b.order))
 	})
 }
 
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -35,7 +35,7 @@
 // sendSummaries relays to every controller what became of its machines' queues
 // and jobs.
 func (c *Core) sendSummaries() {
-	var s Summary
+	s := Summary{Acting: c.acting()}
 	for id, q := range inOrder(c.queues) {
 		if m := c.machines[id]; m != nil && q.epoch == m.epoch {
 			s.Machines = append(s.Machines, c.state(q))
@@ -86,6 +86,9 @@
 	if p == nil {
 		return
 	}
+	if s.Acting {
+		p.actingAt = c.now
+	}
 	p.unheard = slices.DeleteFunc(p.unheard, func(w ownWait) bool { return w.number <= s.Upto })
 	unheard := map[protocol.MachineID]ownWait{}
 	for _, w := range p.unheard {
@@ -118,6 +121,18 @@
 	}
 }
 
+// alone reports whether another controller is known to act now. One that may
+// not act itself is then refused by the state service alone; otherwise the
+// service is out for all, or nobody can be heard.
+func (c *Core) alone() bool {
+	for name, p := range c.peers {
+		if name != c.self && p.actingAt != 0 && c.since(p.actingAt) < 3*c.op.RelayEvery {
+			return true
+		}
+	}
+	return false
+}
+
 // askTables has a restarted controller ask two peers, at random, for their table.
 func (c *Core) askTables() {
 	var names []protocol.NodeName
