--- a/cmd/damsonkeel/main.go
+++ b/cmd/damsonkeel/main.go
@@ -49,6 +49,9 @@
 	if err != nil {
 		return err
 	}
+	if err := op.Check(settings); err != nil {
+		return err
+	}
 	if cl.Check {
 		return nil
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -84,6 +84,17 @@
 	if err != nil || op.NodeLease != 9*time.Second || op.RelayEvery != DefaultOperator().RelayEvery {
 		t.Fatalf("%+v, %v", op, err)
 	}
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := op.Check(s); err != nil {
+		t.Error(err)
+	}
+	op.NodeLease = 18 * time.Second // of 40 s less 20 s
+	if err := op.Check(s); err == nil || !strings.Contains(err.Error(), "nodeLease") {
+		t.Errorf("a lease too long: %v", err)
+	}
 	for text, named := range map[string]string{
 		`<damsonkeel><nodeLeese>9s</nodeLeese></damsonkeel>`:       "nodeLeese",
 		`<damsonkeel><nodeLease>soon</nodeLease></damsonkeel>`:     "soon",
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// Check refuses what does not go with the platform's settings.
+func (op Operator) Check(s *Settings) error {
+	// A controller whose watch is stale keeps workers alive for as long as its
+	// lease lasts, and they keep a cancelled job's tasks for as long as theirs.
+	w := s.Site.Workers
+	if most := Seconds(w.CancelS - 1.01*w.LeaseS); op.NodeLease+3*time.Second > most {
+		return fmt.Errorf("operator settings: <nodeLease>: %v is too long: with lease_s and 3s it has to stay below cancel_s", op.NodeLease)
+	}
+	return nil
+}
+
 // LoadOperator reads the file at path; an empty path gives the defaults.
 func LoadOperator(path string) (Operator, error) {
 	if path == "" {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -38,6 +38,7 @@
 	raise       bool // the term is to be raised though the members are the same
 
 	hearing  hearing
+	copy     tableCopy
 	classes  map[string]*class
 	live     map[protocol.JobID]*liveJob
 	over     map[protocol.JobID]Time // seen to end, and when
@@ -300,6 +301,7 @@
 		c.sendSummaries()
 		c.fleetStep()
 	}
+	c.askMoreTables()
 	c.retryJobs()
 }
 
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -20,9 +20,10 @@
 	catalogueWait = time.Second
 	catalogueKeep = time.Minute
 	// followHold is how long one watch stays open. Its return proves the
-	// watch alive, so a controller acts no longer than followStale after one.
+	// watch alive: a controller acts no longer than its lease and this slack
+	// after one.
 	followHold  = 3 * time.Second
-	followStale = 10 * time.Second
+	followSlack = 2 * time.Second
 )
 
 // Node is the actor around a Core, with the actors that carry its messages.
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -81,7 +81,7 @@
 // extension was sent, shortened by drift and by a margin for what is under way.
 func (l *leaseClock) until() Time {
 	lease := Time(l.extended.Load()) + Time(l.ttl) - Time(l.ttl/500) - Time(200*time.Millisecond)
-	return min(lease, Time(l.followed.Load())+Time(followStale))
+	return min(lease, Time(l.followed.Load())+Time(l.ttl)+Time(followSlack))
 }
 
 func (n *Node) extend(ctx context.Context, lease protocol.LeaseID, l *leaseClock, followEnd <-chan error) error {
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -133,19 +133,36 @@
 	return false
 }
 
-// askTables has a restarted controller ask two peers, at random, for their table.
+// tableCopy is a restarted controller's search for a first table.
+type tableCopy struct {
+	left  []protocol.NodeName // not asked yet
+	asked Time
+	got   bool
+}
+
+// askTables has a restarted controller look for a table: it asks two peers, at
+// random, and two more after each wait in vain.
 func (c *Core) askTables() {
-	var names []protocol.NodeName
-	for name := range c.peers {
+	c.copy = tableCopy{}
+	for name := range inOrder(c.peers) {
 		if name != c.self {
-			names = append(names, name)
+			c.copy.left = append(c.copy.left, name)
 		}
 	}
-	slices.Sort(names)
-	c.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	for _, name := range names[:min(2, len(names))] {
+	l := c.copy.left
+	c.rng.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	c.askMoreTables()
+}
+
+func (c *Core) askMoreTables() {
+	if c.copy.got || len(c.copy.left) == 0 || c.copy.asked != 0 && c.since(c.copy.asked) < c.op.CopyWait {
+		return
+	}
+	n := min(2, len(c.copy.left))
+	for _, name := range c.copy.left[:n] {
 		c.send(name, PeerMessage{AskTable: true})
 	}
+	c.copy.left, c.copy.asked = c.copy.left[n:], c.now
 }
 
 // sendTable answers a restarted controller, if this table is filled.
@@ -164,6 +181,10 @@
 // fillTable takes the first table that comes; what keepers say of their
 // machines replaces it.
 func (c *Core) fillTable(ws []Wait) {
+	if c.copy.got {
+		return
+	}
+	c.copy.got = true
 	for _, w := range ws {
 		if m := c.machines[w.Machine]; m != nil && m.told.Epoch == 0 && m.extra == 0 {
 			m.extra = w.Add
