--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -396,6 +396,12 @@
 	var gone []protocol.MachineID
 	kept := c.keptRoom()
 	for id, m := range inOrder(c.machines) {
+		if f.returned[id] != 0 {
+			// The cloud's word is there, only its record could not be written
+			// then: owners would wait out the lease of what is long gone.
+			c.dropRecord(m)
+			continue
+		}
 		if m.told.Epoch != m.epoch || c.since(m.at) > 5*time.Second {
 			continue // nothing recent is known of it
 		}
@@ -467,14 +473,19 @@
 		delete(f.coming, id)
 		c.log.Info("machine returned", "machine", id)
 		if have := c.machines[id]; have != nil {
-			c.do(Commit{Tag: removeTag{id}, Txn: protocol.Txn{
-				If:   []protocol.Condition{{Key: bookkeeping.MachineKey(id), Version: have.epoch}},
-				Then: []protocol.Change{{Delete: bookkeeping.MachineKey(id)}},
-			}})
+			c.dropRecord(have)
 		}
 	}
 }
 
+// dropRecord deletes the record of a machine that the cloud says is gone.
+func (c *Core) dropRecord(m *machineEntry) {
+	c.do(Commit{Tag: removeTag{m.id}, Txn: protocol.Txn{
+		If:   []protocol.Condition{{Key: bookkeeping.MachineKey(m.id), Version: m.epoch}},
+		Then: []protocol.Change{{Delete: bookkeeping.MachineKey(m.id)}},
+	}})
+}
+
 func (c *Core) listed(m Listed) {
 	f := &c.fleet
 	f.listing = false
--- /dev/null
+++ b/internal/coordination/fleet_test.go
@@ -0,0 +1,104 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+)
+
+// planner is a bench whose core has the fleet's role and a first list.
+func planner(t *testing.T) *bench {
+	b := newBench(t)
+	b.now += Time(settleTime)
+	b.step(Listed{OK: true})
+	return b
+}
+
+// relay lets a second pass and plays one tick.
+func (b *bench) relay() []Action {
+	b.now += Time(planEvery)
+	return b.step(Tick{})
+}
+
+func dropped(actions []Action, id protocol.MachineID) bool {
+	for _, a := range actions {
+		if c, ok := a.(Commit); ok && len(c.Txn.Then) == 1 && c.Txn.Then[0].Delete == bookkeeping.MachineKey(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestReturnedRecordIsDroppedAgain: the record of a machine that the cloud has
+// deleted is dropped, again and again until that is done.
+func TestReturnedRecordIsDroppedAgain(t *testing.T) {
+	b := planner(t)
+	b.ready("vm-1")
+	if !dropped(b.step(Deleted{Machines: []protocol.MachineID{"vm-1"}, OK: true}), "vm-1") {
+		t.Fatal("not dropped")
+	}
+	b.step(TxnDone{Tag: removeTag{"vm-1"}, Outcome: OutcomeRefused})
+	if !dropped(b.relay(), "vm-1") {
+		t.Error("not dropped again after the state service refused")
+	}
+	b.ready("vm-2")
+	if dropped(b.step(Deleted{Machines: []protocol.MachineID{"vm-2"}}), "vm-2") {
+		t.Error("dropped without the cloud's word")
+	}
+}
+
+// TestUnansweredRental: a rental without an answer is asked for again by the
+// same name, and no name is used twice otherwise.
+func TestUnansweredRental(t *testing.T) {
+	b := planner(t)
+	b.c.types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a"}, Price: 1, SpotPrice: 1}
+	b.job("job-1", "free", 9)
+	var names []string
+	rents := func(actions []Action) {
+		for _, a := range actions {
+			if r, ok := a.(Rent); ok {
+				names = append(names, r.Request.Name)
+			}
+		}
+	}
+	for range 3 {
+		rents(b.relay())
+	}
+	if len(names) != 1 {
+		t.Fatalf("rentals %v", names)
+	}
+	b.step(Rented{Request: b.c.fleet.rents[names[0]].req, Outcome: OutcomeUnknown})
+	rents(b.relay())
+	if len(names) != 2 || names[0] != names[1] {
+		t.Fatalf("rentals %v, want the same again", names)
+	}
+	rents(b.step(Rented{Request: b.c.fleet.rents[names[0]].req, Outcome: OutcomeFailed}))
+	b.now += Time(time.Minute)
+	rents(b.relay())
+	if len(names) < 3 || names[2] == names[0] {
+		t.Errorf("rentals %v, want a new name", names)
+	}
+}
+
+// TestFailingJobLeavesMachine: when a job's task fails, what waits there of the
+// same job goes back to its owner.
+func TestFailingJobLeavesMachine(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	q := b.c.queues["vm-1"]
+	for i := range uint32(3) {
+		e := &entry{task: protocol.TaskID{Job: "job-1", Index: i}, attempt: 1}
+		q.entries[e.task] = e
+		q.waiting = append(q.waiting, e)
+	}
+	b.c.noteResult(q, &entry{task: protocol.TaskID{Job: "job-2"}, cause: protocol.EndDone})
+	if len(q.waiting) != 3 {
+		t.Fatal("released for another job's success")
+	}
+	b.c.noteResult(q, &entry{task: protocol.TaskID{Job: "job-1", Index: 7}, cause: protocol.EndError})
+	if len(q.waiting) != 0 {
+		t.Errorf("%d still wait", len(q.waiting))
+	}
+}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -474,6 +474,12 @@
 		}
 	case protocol.EndError:
 		q.failed[e.task.Job] = true
+		for _, w := range slices.Clone(q.waiting) {
+			if w.task.Job == e.task.Job {
+				c.dropWaiting(q, w) // its owner places it elsewhere
+				c.tell(q, w, WhatReleased)
+			}
+		}
 		if !q.suspect && len(q.failed) >= 2 {
 			q.suspect, q.changed = true, true
 			c.log.Info("machine set aside: it fails its tasks", "machine", q.id, "jobs", len(q.failed))
