Fit the node lease to the platform instead of refusing to start

Change: left to itself the lease is what the platform allows; only a value given by operators is refused.

--- a/cmd/damsonkeel/main.go
+++ b/cmd/damsonkeel/main.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	if err := op.Check(settings); err != nil {
+	if op, err = op.Fit(settings); err != nil {
 		return err
 	}
 	if cl.Check {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -88,13 +88,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := op.Check(s); err != nil {
-		t.Error(err)
+	if fit, err := op.Fit(s); err != nil || fit.NodeLease != 9*time.Second {
+		t.Errorf("%v, %v", fit.NodeLease, err)
 	}
 	op.NodeLease = 18 * time.Second // of 40 s less 20 s
-	if err := op.Check(s); err == nil || !strings.Contains(err.Error(), "nodeLease") {
+	if _, err := op.Fit(s); err == nil || !strings.Contains(err.Error(), "nodeLease") {
 		t.Errorf("a lease too long: %v", err)
 	}
+	// Left to itself it fits any platform.
+	s.Site.Workers.LeaseS, s.Site.Workers.CancelS = 6, 12
+	if fit, err := DefaultOperator().Fit(s); err != nil || fit.NodeLease > 3*time.Second || fit.NodeLease < time.Second {
+		t.Errorf("%v, %v", fit.NodeLease, err)
+	}
 	for text, named := range map[string]string{
 		`<damsonkeel><nodeLeese>9s</nodeLeese></damsonkeel>`:       "nodeLeese",
 		`<damsonkeel><nodeLease>soon</nodeLease></damsonkeel>`:     "soon",
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -19,7 +19,8 @@
 	CopyWait time.Duration
 	// DefaultEstimate stands in for the run time of jobs that give none.
 	DefaultEstimate time.Duration
-	// NodeLease is how long a controller may act without hearing from the state service.
+	// NodeLease is how long a controller may act without hearing from the
+	// state service; 0 leaves it to Fit.
 	NodeLease time.Duration
 	// IdleReturn is how long a machine stays idle before it is returned.
 	IdleReturn time.Duration
@@ -31,20 +32,27 @@
 		RelayEvery:      time.Second,
 		CopyWait:        2 * time.Second,
 		DefaultEstimate: time.Minute,
-		NodeLease:       8 * time.Second,
 		IdleReturn:      time.Minute,
 	}
 }
 
-// Check refuses what does not go with the platform's settings.
-func (op Operator) Check(s *Settings) error {
+// usualNodeLease is the node lease where the platform's settings allow it: a
+// little longer than a controller takes to come back after an end.
+const usualNodeLease = 8 * time.Second
+
+// Fit fits the settings to the platform's, and refuses what can't be.
+func (op Operator) Fit(s *Settings) (Operator, error) {
 	// A controller whose watch is stale keeps workers alive for as long as its
 	// lease lasts, and they keep a cancelled job's tasks for as long as theirs.
 	w := s.Site.Workers
-	if most := Seconds(w.CancelS - 1.01*w.LeaseS); op.NodeLease+3*time.Second > most {
-		return fmt.Errorf("operator settings: <nodeLease>: %v is too long: with lease_s and 3s it has to stay below cancel_s", op.NodeLease)
+	most := max(Seconds(w.CancelS-1.01*w.LeaseS)-3*time.Second, time.Second)
+	if op.NodeLease == 0 {
+		op.NodeLease = min(usualNodeLease, most)
+	}
+	if op.NodeLease > most {
+		return op, fmt.Errorf("operator settings: <nodeLease>: %v is too long: with lease_s and 3s it has to stay below cancel_s", op.NodeLease)
 	}
-	return nil
+	return op, nil
 }
 
 // LoadOperator reads the file at path; an empty path gives the defaults.
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -94,7 +94,10 @@
 	return x
 }
 
-const step = 50 * time.Millisecond
+const (
+	step         = 50 * time.Millisecond
+	simNodeLease = 8 * time.Second
+)
 
 func testSettings() *config.Settings {
 	s := &config.Settings{}
@@ -328,8 +331,7 @@
 		return
 	}
 	items, at := w.state.List(bookkeeping.FollowedPrefix), len(w.state.Log)
-	op := config.DefaultOperator()
-	lease := w.state.Lease(w.now, op.NodeLease)
+	lease := w.state.Lease(w.now, simNodeLease)
 	key := bookkeeping.NodeKey(n.name)
 	it, _ := w.state.Get(key)
 	w.state.Txn(protocol.Txn{
