--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -118,8 +118,9 @@
 
 // follow passes the changes of records to the core, in order.
 func (n *Node) follow(ctx context.Context, from protocol.Revision, l *leaseClock) error {
+	hold := min(followHold, l.ttl) // a short lease needs the watch to prove itself more often
 	for ctx.Err() == nil {
-		ev, err := n.state.Follow(ctx, bookkeeping.FollowedPrefix, from, followHold)
+		ev, err := n.state.Follow(ctx, bookkeeping.FollowedPrefix, from, hold)
 		switch {
 		case errors.Is(err, bookkeeping.ErrCompacted):
 			return fmt.Errorf("watch from %d: %w", from, err)
