Keep room for half as many misses as the objective allows

Cause: room for an objective's share of arrivals leaves nothing for what boots late, is taken or is refused, so the share itself was missed.

--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -76,7 +76,7 @@
 	}
 	span := math.Min(window, math.Max(c.since(k.arrivals[0]).Seconds(), 5*boot))
 	mean := float64(n) / span * boot
-	return quantile(mean, k.share) * int(min(k.job.Tasks, 16))
+	return quantile(mean, (1+k.share)/2) * int(min(k.job.Tasks, 16))
 }
 
 // quantile is the smallest number that a Poisson variable of a mean stays at
