--- a/internal/bookkeeping/cloud.go
+++ b/internal/bookkeeping/cloud.go
@@ -33,22 +33,7 @@
 	if err := c.calls.Wait(ctx); err != nil {
 		return ErrRefused
 	}
-	var body []byte
-	if in != nil {
-		b, err := protocol.Encode(in)
-		if err != nil {
-			return err
-		}
-		body = b
-	}
-	ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
-	defer cancel()
-	m, err := c.client.Do(ctx, method, target, body)
-	if err != nil {
-		c.client.Forget()
-		return err
-	}
-	return answer(m, out)
+	return call(ctx, c.client, cloudTimeout, method, target, in, out)
 }
 
 // Catalogue reads the machine types.
--- a/internal/bookkeeping/state.go
+++ b/internal/bookkeeping/state.go
@@ -55,6 +55,11 @@
 }
 
 func (s *State) do(ctx context.Context, method, target string, in, out any) error {
+	return call(ctx, s.client, callTimeout, method, target, in, out)
+}
+
+// call sends a request and reads its answer into out.
+func call(ctx context.Context, c *transport.Client, timeout time.Duration, method, target string, in, out any) error {
 	var body []byte
 	if in != nil {
 		b, err := protocol.Encode(in)
@@ -63,11 +68,11 @@
 		}
 		body = b
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	m, err := s.client.Do(ctx, method, target, body)
+	m, err := c.Do(ctx, method, target, body)
 	if err != nil {
-		s.client.Forget() // kept connections to a silent service are no better
+		c.Forget() // kept connections to a silent service are no better
 		return err
 	}
 	return answer(m, out)
--- /dev/null
+++ b/internal/coordination/classes_test.go
@@ -0,0 +1,76 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"damsonkeel/internal/protocol"
+)
+
+func TestQuantile(t *testing.T) {
+	for _, tc := range []struct {
+		mean, p float64
+		want    int
+	}{{0, 0.9, 0}, {1, 0.7, 1}, {1, 0.9, 2}, {4, 0.5, 4}} {
+		if got := quantile(tc.mean, tc.p); got != tc.want {
+			t.Errorf("quantile(%v, %v) = %d, want %d", tc.mean, tc.p, got, tc.want)
+		}
+	}
+}
+
+// TestReserve: room is kept for a class with an objective while its jobs come,
+// a burst counts once, small tasks leave the room alone and the class uses it.
+func TestReserve(t *testing.T) {
+	b := newBench(t)
+	gang := func(id protocol.JobID) {
+		j := &protocol.Job{ID: id, Class: "gang", Team: "free", Kind: protocol.KindGang, Priority: "high", Tasks: 1, CPUs: 4, MemoryGB: 1}
+		b.c.now = b.now
+		b.c.noteArrival(j)
+	}
+	for range 9 {
+		gang("job-1")
+	}
+	if n := len(b.c.classes["gang"].arrivals); n != 1 {
+		t.Errorf("a burst counts as %d arrivals", n)
+	}
+	for range 3 {
+		b.now += Time(8 * time.Second)
+		gang("job-1")
+	}
+	if b.c.reserve(b.c.classes["gang"]) == 0 {
+		t.Fatal("no room is kept")
+	}
+	b.ready("vm-1")
+	m := b.c.machines["vm-1"]
+	kept := b.c.keptRoom()
+	small := &ownedJob{liveJob: &liveJob{Job: protocol.Job{Class: "array", Priority: "standard", CPUs: 1, MemoryGB: 1}}}
+	if spared, _ := spares(small, m, need(&small.Job), kept); spared {
+		t.Error("a small task may take the last room kept")
+	}
+	big := &ownedJob{liveJob: &liveJob{Job: protocol.Job{Class: "gang", Priority: "high", CPUs: 4, MemoryGB: 1}}}
+	if spared, _ := spares(big, m, need(&big.Job), kept); !spared {
+		t.Error("the class itself may not use it")
+	}
+	b.c.now += Time(10 * time.Minute)
+	if n := b.c.reserve(b.c.classes["gang"]); n != 0 {
+		t.Errorf("room for %d is kept long after the last came", n)
+	}
+}
+
+// TestAlone: a controller that may not act tells a refusal meant for it alone
+// from an outage by whether a peer says that it acts.
+func TestAlone(t *testing.T) {
+	b := newBench(t, "node-1")
+	if b.c.alone() {
+		t.Error("alone though nobody is known to act")
+	}
+	b.c.summary("node-1", &Summary{Acting: true})
+	if !b.c.alone() {
+		t.Error("not alone though a peer acts")
+	}
+	b.now += Time(time.Minute)
+	b.c.now = b.now
+	if b.c.alone() {
+		t.Error("alone by what a peer said a minute ago")
+	}
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -70,7 +70,6 @@
 	actingAt Time          // when it last said that it may act
 	demand   []Demand
 	progress map[protocol.JobID]Progress
-	hasTable bool
 }
 
 type ownWait struct {
@@ -174,9 +173,6 @@
 	return c.session != 0 && c.view.Members[c.self] == c.session
 }
 
-// Acting is acting, at a time between steps.
-func (c *Core) Acting(now Time) bool { return now < c.until && c.member() }
-
 func (c *Core) after(d time.Duration) Time { return c.now + Time(d) }
 
 func (c *Core) since(t Time) time.Duration { return time.Duration(c.now - t) }
@@ -224,9 +220,6 @@
 	c.owner.dirty = true
 }
 
-// Types is the number of machine types known.
-func (c *Core) Types() int { return len(c.types) }
-
 func (c *Core) changed(ev protocol.Event) {
 	if ev.Put != "" {
 		c.record(ev.Put, ev.Value, ev.Version, false)
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -77,7 +77,6 @@
 	uncertain bool // its machine's inventory of this term decides
 	stopping  bool // told to be killed
 	moving    bool // asked back, if it was never sent
-	at        Time
 }
 
 type (
@@ -150,7 +149,7 @@
 				c.dropWaiting(q, e)
 				c.tell(q, e, WhatReleased)
 			} else {
-				q.changed, q.push = true, true // killed or reaped now, or by the next answer
+				q.push = true // killed or reaped now, or by the next answer
 			}
 		}
 	}
@@ -579,7 +578,7 @@
 	if t == nil && o.unknown {
 		t = &placedTask{
 			task: h.Task, attempt: h.Attempt, machine: m.id, epoch: m.epoch, zone: m.rec.Zone,
-			estimate: c.estimate(&o.Job), at: c.now,
+			estimate: c.estimate(&o.Job),
 		}
 		o.placed[h.Task] = t
 		m.mine[h.Task] = t
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -125,7 +125,7 @@
 func (c *Core) put(o *ownedJob, i uint32, m *machineEntry, a protocol.Attempt) Placement {
 	t := &placedTask{
 		task: protocol.TaskID{Job: o.ID, Index: i}, attempt: a, machine: m.id, epoch: m.epoch,
-		zone: m.rec.Zone, estimate: c.estimate(&o.Job), at: c.now,
+		zone: m.rec.Zone, estimate: c.estimate(&o.Job),
 	}
 	o.placed[t.task] = t
 	o.pending.Clear(uint(i))
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -30,7 +30,6 @@
 	push        bool // something may be started at once
 	notice      *float64
 	draining    bool
-	changed     bool
 	idleSince   Time
 	everSeen    bool
 
@@ -157,7 +156,6 @@
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 	}
 	delete(q.entries, e.task)
-	q.changed = true
 }
 
 // place queues placements. One that can't be queued is released at once.
@@ -190,7 +188,7 @@
 		e.order = c.owner.order
 		q.entries[t.Task] = e
 		q.waiting = append(q.waiting, e)
-		q.changed, q.push = true, true
+		q.push = true
 	}
 }
 
@@ -228,7 +226,6 @@
 	if q := c.queues[id]; q != nil && !q.draining {
 		q.draining = true
 		c.releaseWaiting(q)
-		q.changed = true
 	}
 }
 
@@ -299,7 +296,7 @@
 	q.session, q.seq, q.epoch = s, 0, 0
 	q.entries = map[protocol.TaskID]*entry{}
 	q.waiting = nil
-	q.notice, q.changed = nil, true
+	q.notice = nil
 	q.images = nil
 }
 
@@ -407,7 +404,6 @@
 				e.state, e.cause = protocol.TaskEnded, protocol.EndError
 				c.tell(q, e, WhatEnded)
 			}
-			q.changed = true
 		case !own:
 		case e.direct != 0 && r.Term <= e.direct:
 			// Sent directly, no answer: it may be executed minutes late, so
@@ -445,9 +441,6 @@
 	before := e.state
 	e.sent, e.present = true, true
 	e.state, e.cause, e.saved = t.State, t.Cause, t.Saved
-	if first || before != e.state {
-		q.changed = true
-	}
 	if j := c.live[e.task.Job]; j != nil && before != e.state && (e.state == protocol.TaskRunning || e.state == protocol.TaskWaiting) {
 		q.hasImage(j.Image)
 	}
@@ -481,7 +474,7 @@
 			}
 		}
 		if !q.suspect && len(q.failed) >= 2 {
-			q.suspect, q.changed = true, true
+			q.suspect = true
 			c.log.Info("machine set aside: it fails its tasks", "machine", q.id, "jobs", len(q.failed))
 			c.releaseWaiting(q)
 		}
@@ -492,13 +485,12 @@
 func (c *Core) takeNotice(q *queue, r *protocol.Report) {
 	if r.NoticeS == nil {
 		if q.notice != nil {
-			q.notice, q.changed = nil, true
+			q.notice = nil
 		}
 		return
 	}
 	if q.notice == nil {
 		c.log.Info("machine will be taken", "machine", q.id, "in_s", *r.NoticeS)
-		q.changed = true
 		c.releaseWaiting(q)
 	}
 	q.notice = r.NoticeS
@@ -600,7 +592,7 @@
 		}
 		free = free.minus(e.need)
 		q.waiting = q.waiting[1:]
-		q.idleSince, q.changed = c.now, true
+		q.idleSince = c.now
 		out = append(out, e)
 	}
 	return out
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -112,7 +112,7 @@
 	for _, g := range s.Progress {
 		p.progress[g.Job] = g
 	}
-	p.demand, p.hasTable = s.Demand, true
+	p.demand = s.Demand
 	for _, o := range c.owner.jobs {
 		if o.pending.Any() && o.notBefore <= c.now {
 			c.owner.dirty = true
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/evio"
@@ -31,7 +30,6 @@
 	maxConns int
 	log      *slog.Logger
 
-	open atomic.Int64
 	// touched only on the loop
 	conns map[*serverConn]struct{}
 }
@@ -76,7 +74,6 @@
 	sc := &serverConn{conn: c, parser: NewRequestParser(), last: time.Now()}
 	c.SetContext(sc)
 	s.conns[sc] = struct{}{}
-	s.open.Add(1)
 	opts.ReuseInputBuffer = true
 	// The loop ends when accepting fails for want of sockets, so the number
 	// is kept below the limit: the connection that did nothing longest goes.
@@ -104,7 +101,6 @@
 func (s *Server) closed(c evio.Conn, _ error) evio.Action {
 	if sc, ok := c.Context().(*serverConn); ok {
 		delete(s.conns, sc)
-		s.open.Add(-1)
 	}
 	return evio.None
 }
@@ -196,6 +192,3 @@
 	}
 	return sweepEvery, evio.None
 }
-
-// Open is the number of connections now open.
-func (s *Server) Open() int { return int(s.open.Load()) }
