--- a/internal/coordination/outbox.go
+++ b/internal/coordination/outbox.go
@@ -77,10 +77,12 @@
 func (o *outbox) settle(b Batch, r BatchReply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.inFlight = 0
-	if b.FromSession != o.from || b.ToSession != o.to || b.First != o.next {
+	// An answer that comes late, to a batch sent before, changes nothing: what
+	// is in flight now keeps its numbers.
+	if b.FromSession != o.from || b.ToSession != o.to || b.First != o.next || len(b.Messages) != o.inFlight {
 		return
 	}
+	o.inFlight = 0
 	switch r {
 	case BatchTaken:
 		o.queue = o.queue[len(b.Messages):]
--- /dev/null
+++ b/internal/coordination/outbox_test.go
@@ -0,0 +1,63 @@
+package coordination
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestOutbox: whatever is lost, repeated or answered late, the peer gets every
+// message but superseded summaries once and in order.
+func TestOutbox(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := newOutbox("node-0", nil, nil)
+		var got, next uint64
+		sent := uint64(0)
+		var late []Batch
+		receive := func(b Batch) {
+			for i, m := range b.Messages {
+				if b.First+uint64(i) != next {
+					continue
+				}
+				next++
+				if m.Place != nil {
+					if m.Place.Number != got+1 {
+						t.Fatalf("message %d after %d", m.Place.Number, got)
+					}
+					got++
+				}
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				sent++
+				o.add(Send{From: 1, Session: 2, Message: PeerMessage{Place: &Place{Number: sent}}})
+			case 2:
+				o.add(Send{From: 1, Session: 2, Message: PeerMessage{Summary: &Summary{}}})
+			case 3: // delivered, the answer lost or late
+				if b, ok := o.batch(); ok {
+					receive(b)
+					late = append(late, b)
+				}
+			case 4: // lost, or delivered and answered
+				if b, ok := o.batch(); ok && rapid.Bool().Draw(t, "delivered") {
+					receive(b)
+					o.settle(b, BatchTaken)
+				}
+			case 5:
+				if len(late) > 0 {
+					o.settle(late[0], BatchTaken)
+					late = late[1:]
+				}
+			}
+		}
+		for b, ok := o.batch(); ok; b, ok = o.batch() {
+			receive(b)
+			o.settle(b, BatchTaken)
+		}
+		if got != sent {
+			t.Fatalf("%d of %d came", got, sent)
+		}
+	})
+}
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -18,7 +18,8 @@
 	}
 	switch w.rng.IntN(8) {
 	case 0:
-		j.Class, j.Kind, j.Tasks, j.CPUs, j.Priority = "gang", protocol.KindGang, 1, 4, "high"
+		j.Class, j.Kind, j.Tasks, j.CPUs, j.Priority = "gang", protocol.KindGang, uint32(1+w.rng.IntN(3)), 4, "high"
+		j.OneZone = w.rng.IntN(2) == 0
 	case 1:
 		j.Kind, j.Tasks, j.CheckpointS, j.SaveS = protocol.KindService, 2, 0, 0
 	case 2:
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -167,9 +167,10 @@
 	}
 	sw := &simWorker{target: w.rng.IntN(3), Worker: &standin.Worker{
 		ID: id, Info: info, Zone: r.Zone, Spot: r.Spot, LeaseS: w.settings.Site.Workers.LeaseS, Results: w.results,
-		Jobs:    func(j protocol.JobID) (protocol.Job, bool) { job, ok := w.jobs[j]; return job, ok },
-		RunTime: func(protocol.TaskID) time.Duration { return time.Duration(1000+w.rng.IntN(9000)) * time.Millisecond },
-		Started: w.taskStarted,
+		GangWait: time.Duration(w.settings.Site.Workers.GangWaitS) * time.Second,
+		Jobs:     func(j protocol.JobID) (protocol.Job, bool) { job, ok := w.jobs[j]; return job, ok },
+		RunTime:  func(protocol.TaskID) time.Duration { return time.Duration(1000+w.rng.IntN(9000)) * time.Millisecond },
+		Started:  w.taskStarted,
 		Ended: func(m *standin.Worker, id protocol.TaskID, _ protocol.EndCause) {
 			if w.onMachine[id] == m {
 				delete(w.onMachine, id)
@@ -540,6 +541,7 @@
 				w.report(sw)
 			}
 		}
+		w.gangs()
 		for _, n := range w.nodes {
 			w.tickNode(n)
 		}
@@ -547,6 +549,43 @@
 	}
 }
 
+// gangs lets the tasks of gangs find one another, and notice who is gone.
+func (w *world) gangs() {
+	for _, id := range w.jobOrder {
+		j := w.jobs[id]
+		if j.Kind != protocol.KindGang || j.Tasks < 2 || w.final[id] != "" {
+			continue
+		}
+		waiting, running := map[protocol.Attempt]int{}, map[protocol.Attempt]int{}
+		each := func(do func(*simWorker, protocol.TaskID, protocol.Attempt, protocol.TaskState)) {
+			for _, m := range w.order {
+				for i := range j.Tasks {
+					task := protocol.TaskID{Job: id, Index: i}
+					if a, st, ok := w.workers[m].Gang(task); ok {
+						do(w.workers[m], task, a, st)
+					}
+				}
+			}
+		}
+		each(func(_ *simWorker, _ protocol.TaskID, a protocol.Attempt, st protocol.TaskState) {
+			switch st {
+			case protocol.TaskWaiting:
+				waiting[a]++
+			case protocol.TaskRunning:
+				running[a]++
+			}
+		})
+		each(func(m *simWorker, task protocol.TaskID, a protocol.Attempt, _ protocol.TaskState) {
+			switch {
+			case waiting[a] == int(j.Tasks):
+				m.Meet(task)
+			case running[a] > 0 && running[a] < int(j.Tasks):
+				m.Part(task)
+			}
+		})
+	}
+}
+
 func (w *world) tickNode(n *simNode) {
 	if n.core == nil {
 		return
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -11,17 +11,19 @@
 
 // Worker models the worker of one machine.
 type Worker struct {
-	ID      protocol.MachineID
-	Info    protocol.TypeInfo
-	Zone    protocol.Zone
-	Spot    bool
-	LeaseS  float64
-	Dead    bool
-	Faulty  bool // fails every task
-	Notice  *float64
-	Session protocol.Session
-	Term    protocol.Term
-	Seq     protocol.Seq
+	ID     protocol.MachineID
+	Info   protocol.TypeInfo
+	Zone   protocol.Zone
+	Spot   bool
+	LeaseS float64
+	// GangWait is how long a task waits for the others of its gang.
+	GangWait time.Duration
+	Dead     bool
+	Faulty   bool // fails every task
+	Notice   *float64
+	Session  protocol.Session
+	Term     protocol.Term
+	Seq      protocol.Seq
 
 	Jobs func(protocol.JobID) (protocol.Job, bool)
 	// Started and Ended hear of tasks as they come onto and go off the machine.
@@ -108,10 +110,18 @@
 		if t.fetch -= passed; t.fetch <= 0 {
 			t.state = protocol.TaskRunning
 			w.Started(w, id, t.attempt)
-			if w.Results[id] {
+			j, _ := w.Jobs(id.Job)
+			switch {
+			case w.Results[id]:
 				w.end(id, t, protocol.EndDone)
+			case j.Kind == protocol.KindGang && j.Tasks > 1:
+				t.state, t.left = protocol.TaskWaiting, w.GangWait
 			}
 		}
+	case protocol.TaskWaiting:
+		if t.left -= passed; t.left <= 0 {
+			w.end(id, t, protocol.EndIncomplete)
+		}
 	case protocol.TaskSaving:
 		if t.save -= passed; t.save <= 0 {
 			t.saved = true
@@ -122,6 +132,11 @@
 		switch j, _ := w.Jobs(id.Job); {
 		case w.Faulty:
 			w.end(id, t, protocol.EndError)
+		case t.left <= 0 && j.Kind == protocol.KindGang:
+			for i := range j.Tasks { // they complete together
+				w.Results[protocol.TaskID{Job: id.Job, Index: i}] = true
+			}
+			w.end(id, t, protocol.EndDone)
 		case t.left <= 0 && j.Kind != protocol.KindService:
 			w.Results[id] = true
 			w.end(id, t, protocol.EndDone)
@@ -134,6 +149,33 @@
 	t.state, t.cause = protocol.TaskEnded, cause
 }
 
+// Gang is the attempt and state of a gang's task here, if it is on the machine.
+func (w *Worker) Gang(id protocol.TaskID) (protocol.Attempt, protocol.TaskState, bool) {
+	t := w.tasks[id]
+	if w.Dead || t == nil {
+		return 0, "", false
+	}
+	return t.attempt, t.state, true
+}
+
+// Meet lets a waiting task of a gang run, once all of its attempt wait.
+func (w *Worker) Meet(id protocol.TaskID) {
+	if t := w.tasks[id]; t.state == protocol.TaskWaiting {
+		t.state, t.left = protocol.TaskRunning, w.RunTime(id)
+	}
+}
+
+// Part ends a running task of a gang that lost another.
+func (w *Worker) Part(id protocol.TaskID) {
+	if t := w.tasks[id]; t.state == protocol.TaskRunning {
+		cause := protocol.EndMatesGone
+		if w.Results[id] {
+			cause = protocol.EndDone
+		}
+		w.end(id, t, cause)
+	}
+}
+
 // Report is what the worker says now.
 func (w *Worker) Report() protocol.Report {
 	w.Seq++
