--- a/internal/coordination/outbox_test.go
+++ b/internal/coordination/outbox_test.go
@@ -61,3 +61,27 @@
 		}
 	})
 }
+
+// TestOutboxLateAnswer: an answer to a batch sent before must not free the
+// numbers of what has been sent since.
+func TestOutboxLateAnswer(t *testing.T) {
+	o := newOutbox("node-0", nil, nil)
+	place := func(n uint64) { o.add(Send{From: 1, Session: 2, Message: PeerMessage{Place: &Place{Number: n}}}) }
+	summary := func() { o.add(Send{From: 1, Session: 2, Message: PeerMessage{Summary: &Summary{}}}) }
+	place(1)
+	first, _ := o.batch()
+	summary()
+	second, _ := o.batch() // delivered: the peer has numbers 0 and 1
+	place(2)
+	o.settle(first, BatchTaken)
+	summary()
+	for b, ok := o.batch(); ok; b, ok = o.batch() {
+		for i, m := range b.Messages {
+			if m.Place != nil && m.Place.Number == 2 && b.First+uint64(i) >= second.First+uint64(len(second.Messages)) {
+				return
+			}
+		}
+		o.settle(b, BatchTaken)
+	}
+	t.Fatal("the second placement has a number that the peer has already taken")
+}
