--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -670,7 +670,9 @@
 }
 
 // expireSilent removes the records of machines whose lease is surely over:
-// nobody entitled has answered them for longer than it lasts.
+// nobody entitled has answered them for longer than it lasts. That holds for a
+// worker that came back with a new session and fell silent before it could be
+// registered, too: its old record would be waited for without end.
 func (c *Core) expireSilent() {
 	if !c.acting() || !c.allAdopted() {
 		for _, q := range c.queues {
@@ -682,7 +684,7 @@
 	}
 	for id, q := range inOrder(c.queues) {
 		m := c.machines[id]
-		if m == nil || q.removing || q.session > m.rec.Session || c.since(q.lastAnswer) <= c.leaseOver() {
+		if m == nil || q.removing || c.since(q.lastAnswer) <= c.leaseOver() {
 			continue
 		}
 		q.removing = true
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -198,3 +198,18 @@
 		t.Error("never taken for dead")
 	}
 }
+
+// TestSilentBeforeRegistered: a worker that begins a new session and falls
+// silent before that is registered does not leave its old record for ever.
+func TestSilentBeforeRegistered(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.report("vm-1", 2, 1) // the registration is never answered
+	for range 60 {
+		b.now += Time(time.Second)
+		if dropped(b.step(Tick{}), "vm-1") {
+			return
+		}
+	}
+	t.Fatal("the record of its earlier session stays")
+}
