--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -377,8 +377,11 @@
 		if !free.covers(n) || t.machine == m.id || o.failedOn[m.id] {
 			return false
 		}
-		zones := o.zones()
-		zones[t.zone]--
+		var zones map[protocol.Zone]int
+		if o.OneZone || o.Spread { // else they don't matter, and counting them for each task is costly
+			zones = o.zones()
+			zones[t.zone]--
+		}
 		if !o.allows(m, zones) {
 			return false
 		}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -3,7 +3,6 @@
 import (
 	"hash/fnv"
 	"io"
-	"maps"
 	"slices"
 	"time"
 
@@ -15,10 +14,16 @@
 
 // rendezvous picks one of the view's members for a key. Every controller with
 // the same view picks the same one.
-func rendezvous(v bookkeeping.View, key string) protocol.NodeName {
+func rendezvous(v bookkeeping.View, key string) protocol.NodeName { return rendezvousBut(v, nil, key) }
+
+// rendezvousBut is rendezvous without some of the members.
+func rendezvousBut(v bookkeeping.View, but []protocol.NodeName, key string) protocol.NodeName {
 	var best protocol.NodeName
 	var bestScore uint64
 	for name := range v.Members {
+		if slices.Contains(but, name) {
+			continue
+		}
 		h := fnv.New64a()
 		io.WriteString(h, string(name))
 		io.WriteString(h, "\x00")
@@ -43,14 +48,11 @@
 // machineKeeper is the controller that a machine reports to: one that workers
 // can reach, unless there is none.
 func machineKeeper(v bookkeeping.View, m protocol.MachineID) protocol.NodeName {
-	if len(v.Deaf) > 0 && len(v.Deaf) < len(v.Members) {
-		hearing := bookkeeping.View{Members: maps.Clone(v.Members)}
-		for _, n := range v.Deaf {
-			delete(hearing.Members, n)
-		}
-		v = hearing
+	key := "machine " + string(m)
+	if len(v.Deaf) >= len(v.Members) {
+		return rendezvous(v, key)
 	}
-	return rendezvous(v, "machine "+string(m))
+	return rendezvousBut(v, v.Deaf, key)
 }
 
 // jobOwner is the one controller that owns a job. All jobs of a limited team
