Rent for all work together, in several requests at a time

The plan reckoned each job alone: every one of fifteen arrays found that all the machines there are could do it within a boot, and each asked for at most 50 machines in 2 s.

Excluded: processor time (a third of the share is used), the cloud's rate (no call refused), team limits.

Change: what is there or coming is pooled by kind; jobs take their processor time out of it, the most pressing first, up to when their last task has to begin; what is left over is rented, in as many requests at a time as the cloud answers in a second. Keepers say what their machines hold by level of urgency, so that work below the gangs counts as working off the rest.

--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -18,6 +18,7 @@
 	CPUs      float64
 	GPUs      float64
 	GB        float64
+	Rank      int // of the job's priority
 	// Guaranteed: its job is within what its team is guaranteed, so it need
 	// not wait for other teams.
 	Guaranteed bool
@@ -91,7 +92,13 @@
 type Wait struct {
 	Machine protocol.MachineID
 	Add     float64
-	Taken   [3]float64 // processors, GPUs, GB
+	Taken   []RankUse
+}
+
+// RankUse is what attempts of one rank of priority take of a machine.
+type RankUse struct {
+	Rank           int
+	CPUs, GPUs, GB float64
 }
 
 // MachineState is what a machine's controller tells all others of it.
@@ -102,8 +109,9 @@
 	FreeCPUs float64
 	FreeGPUs float64
 	FreeGB   float64
-	Held     int // attempts on it or in its queue
-	Queued   int // of these, never sent
+	Ranks    []RankUse // what is on it or in its queue, by rank of priority
+	Held     int       // attempts on it or in its queue
+	Queued   int       // of these, never sent
 	Closed   bool
 	Suspect  bool
 	Draining bool
@@ -299,7 +307,8 @@
 
 	told  MachineState // by its controller
 	at    Time
-	extra float64   // waits added since by placements
-	taken resources // by placements since
+	extra float64 // waits added since by placements
+	held  uses    // what it was told to hold, by rank
+	taken uses    // by placements since
 	mine  map[protocol.TaskID]*placedTask
 }
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -21,7 +21,7 @@
 	}
 	usage := c.teamUsage()
 	batches := map[protocol.NodeName][]Placement{}
-	waits := map[protocol.MachineID]Wait{}
+	waits := map[protocol.MachineID]*ownWaits{}
 	kept := c.keptRoom()
 	guaranteed := c.guaranteedJobs()
 	left := maxPerStep
@@ -41,7 +41,12 @@
 			keeper := c.keeper(p.Machine)
 			batches[keeper] = append(batches[keeper], p)
 			w := waits[p.Machine]
-			waits[p.Machine] = Wait{p.Machine, w.Add + p.EstimateS*p.CPUs, [3]float64{w.Taken[0] + p.CPUs, w.Taken[1] + p.GPUs, w.Taken[2] + p.GB}}
+			if w == nil {
+				w = &ownWaits{}
+				waits[p.Machine] = w
+			}
+			w.add += p.EstimateS * p.CPUs
+			w.taken.add(p.Rank, p.Need())
 		}
 		if left <= 0 {
 			c.owner.dirty = true
@@ -58,7 +63,7 @@
 			if o := c.owner.jobs[t.Task.Job]; o != nil && o.placed[t.Task] != nil {
 				o.placed[t.Task].number = p.placed
 			}
-			p.unheard = append(p.unheard, ownWait{p.placed, t.Machine, t.EstimateS * t.CPUs, t.Need()})
+			p.unheard = append(p.unheard, ownWait{p.placed, t.Machine, t.EstimateS * t.CPUs, t.Rank, t.Need()})
 		}
 		c.send(keeper, PeerMessage{Place: &Place{Number: p.placed, Term: c.view.Term, Tasks: tasks}})
 	}
@@ -112,7 +117,7 @@
 			for _, p := range out { // all or none
 				t := o.placed[p.Task]
 				c.machines[t.machine].extra -= t.estimate * o.CPUs
-				c.machines[t.machine].taken = c.machines[t.machine].taken.minus(need(&o.Job))
+				c.machines[t.machine].taken.add(o.Priority.Rank(), resources{}.minus(need(&o.Job)))
 				c.unplace(o, t)
 				o.pending.Set(uint(p.Task.Index))
 			}
@@ -144,8 +149,8 @@
 	o.pending.Clear(uint(i))
 	m.mine[t.task] = t
 	m.extra += t.estimate * o.CPUs
-	m.taken = m.taken.plus(need(&o.Job))
-	return Placement{Task: t.task, Attempt: a, Machine: m.id, Epoch: m.epoch, EstimateS: t.estimate, CPUs: o.CPUs, GPUs: o.GPUs, GB: o.MemoryGB}
+	m.taken.add(o.Priority.Rank(), need(&o.Job))
+	return Placement{Task: t.task, Attempt: a, Machine: m.id, Epoch: m.epoch, EstimateS: t.estimate, CPUs: o.CPUs, GPUs: o.GPUs, GB: o.MemoryGB, Rank: o.Priority.Rank()}
 }
 
 // zones counts the attempts of a job that may exist by zone.
@@ -209,12 +214,22 @@
 // with a queue has none: what waits there comes first.
 func (m *machineEntry) room() resources {
 	if m.told.Epoch != m.epoch {
-		return capacity(m.info).minus(m.taken) // nothing told yet: as it came up
+		return capacity(m.info).minus(m.taken.firm(0)) // nothing told yet: as it came up
 	}
 	if m.told.Queued > 0 {
 		return resources{}
 	}
-	return resources{m.told.FreeCPUs, m.told.FreeGPUs, m.told.FreeGB}.minus(m.taken)
+	return resources{m.told.FreeCPUs, m.told.FreeGPUs, m.told.FreeGB}.minus(m.taken.firm(0))
+}
+
+// firmRoom is what a machine has for a task of a rank once everything that may
+// be stopped for it is gone.
+func (m *machineEntry) firmRoom(rank int) resources {
+	room := capacity(m.info).minus(m.taken.firm(rank))
+	if m.told.Epoch == m.epoch {
+		room = room.minus(m.held.firm(rank))
+	}
+	return room
 }
 
 // waitFor is the wait per processor that a task has to expect before it runs,
@@ -232,10 +247,19 @@
 
 // fetch is how long the machine takes to get a job's image, in seconds.
 func (m *machineEntry) fetch(j *protocol.Job) float64 {
-	if m.info.FetchGBPS <= 0 || slices.Contains(m.told.Images, j.Image) {
+	if slices.Contains(m.told.Images, j.Image) {
+		return 0
+	}
+	return fetchS(m.info, j)
+}
+
+// fetchS is how long a machine of a type takes to get a job's image, in
+// seconds.
+func fetchS(t protocol.TypeInfo, j *protocol.Job) float64 {
+	if t.FetchGBPS <= 0 {
 		return 0
 	}
-	return j.ImageGB / m.info.FetchGBPS
+	return j.ImageGB / t.FetchGBPS
 }
 
 // usable reports whether tasks may be placed on a machine at all.
--- /dev/null
+++ b/internal/coordination/plan.go
@@ -0,0 +1,342 @@
+package coordination
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"damsonkeel/internal/protocol"
+)
+
+// slot is room for tasks: a machine that is up, or one that is coming.
+type slot struct {
+	kind
+	info protocol.TypeInfo
+	free resources // now, or when it is up
+	held uses      // by attempts on it or in its queue
+	inS  float64   // when it is up, in seconds
+}
+
+// firm is what the slot has for a rank once what is less urgent is stopped.
+func (s *slot) firm(rank int) resources { return capacity(s.info).minus(s.held.firm(rank)) }
+
+// slots lists all room that is there or coming.
+func (c *Core) slots() []slot {
+	f := &c.fleet
+	var slots []slot
+	for _, m := range c.machinesInOrder() {
+		if c.usable(m) {
+			s := slot{kind: kind{m.rec.Type, m.rec.Zone, m.rec.Spot}, info: m.info, free: m.room(), held: m.held}
+			for r := range s.held {
+				s.held[r] = s.held[r].plus(m.taken[r])
+			}
+			slots = append(slots, s)
+		}
+	}
+	for _, m := range inOrder(f.coming) {
+		info := c.types[m.t]
+		boot := math.Max(info.BootS-c.since(m.at).Seconds(), 1)
+		slots = append(slots, slot{kind: m.kind, info: info, free: capacity(info), inS: boot})
+	}
+	for _, r := range inOrder(f.rents) {
+		slots = append(slots, c.fresh(kind{r.req.Type, r.req.Zone, r.req.Spot}, r.req.Count)...)
+	}
+	return slots
+}
+
+// fresh is the room of machines just asked for.
+func (c *Core) fresh(k kind, count int) []slot {
+	info := c.types[k.t]
+	return slices.Repeat([]slot{{kind: k, info: info, free: capacity(info), inS: info.BootS}}, count)
+}
+
+// plan rents what the unstarted work needs beyond what is there or coming.
+func (c *Core) plan() {
+	p := planning{c: c, slots: c.slots(), pools: map[kind]*pool{}}
+	var demand, rest []Demand
+	for _, p := range c.peers {
+		demand = append(demand, p.demand...)
+	}
+	slices.SortFunc(demand, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(b.OldestS, a.OldestS), cmp.Compare(a.Job, b.Job))
+	})
+	// Classes with room kept for them come first, then the room itself: the
+	// rest must not count on it.
+	for _, d := range demand {
+		switch j := c.live[d.Job]; {
+		case j == nil:
+		case c.classes[j.Class] != nil:
+			p.rentFor(j, p.fill(j, d.Unstarted))
+		default:
+			rest = append(rest, d)
+		}
+	}
+	for _, k := range inOrder(c.classes) {
+		j := &liveJob{Job: k.job}
+		p.rentFor(j, p.fill(j, c.reserve(k)))
+	}
+	// What is left works off the rest, the most pressing first. Each job finds
+	// what those before it leave of the time until it has to be done.
+	slices.SortStableFunc(rest, func(a, b Demand) int {
+		ja, jb := c.live[a.Job], c.live[b.Job]
+		return cmp.Or(cmp.Compare(jb.Priority.Rank(), ja.Priority.Rank()), cmp.Compare(c.timeLeft(ja, a), c.timeLeft(jb, b)))
+	})
+	p.gather(rest)
+	for _, d := range rest {
+		p.workOff(c.live[d.Job], d)
+	}
+}
+
+// planning is the state of one plan.
+type planning struct {
+	c     *Core
+	slots []slot
+	pools map[kind]*pool
+}
+
+// pool is the machines of one kind, as far as they work off what need not
+// start at once.
+type pool struct {
+	info   protocol.TypeInfo
+	room   resources // of all together
+	aheadS float64   // processor seconds that they have to do before
+}
+
+// fill takes room for n tasks of a job out of the slots, as far as there is,
+// and returns how many are left without.
+func (p *planning) fill(j *liveJob, n int) int {
+	size := need(&j.Job)
+	for i := range p.slots {
+		s := &p.slots[i]
+		if n == 0 {
+			break
+		}
+		if !j.allowsKind(s.info, s.zone, s.spot) {
+			continue
+		}
+		for n > 0 && s.free.covers(size) {
+			s.free = s.free.minus(size)
+			s.held.add(j.Priority.Rank(), size)
+			n--
+		}
+	}
+	return n
+}
+
+// rentFor rents the cheapest machines for n of a job's tasks.
+func (p *planning) rentFor(j *liveJob, n int) {
+	if n <= 0 {
+		return
+	}
+	for _, k := range p.c.offers(j) {
+		per := fit(capacity(p.c.types[k.t]), need(&j.Job))
+		for n > 0 {
+			count := min((n+per-1)/per, rentAtMost)
+			if !p.c.ask(k, count) {
+				return
+			}
+			p.slots = append(p.slots, p.c.fresh(k, count)...)
+			n = p.fill(j, n)
+		}
+	}
+}
+
+// rentAtMost is how many machines are asked for in one request.
+const rentAtMost = 50
+
+// ask sends a rental request, unless as many as the cloud takes are under way.
+func (c *Core) ask(k kind, count int) bool {
+	if float64(len(c.fleet.rents)) >= math.Max(1, c.settings.Site.Cloud.RPS) {
+		return false
+	}
+	c.fleet.requests++
+	req := protocol.RentRequest{
+		Name: fmt.Sprintf("%s-%d-%d-%d", c.self, c.session, c.view.Term, c.fleet.requests),
+		Type: k.t, Zone: k.zone, Spot: k.spot, Count: count,
+	}
+	r := &rentCall{req: req}
+	c.fleet.rents[req.Name] = r
+	c.rent(r)
+	return true
+}
+
+// gather pools what the slots have left for the rest of the work, and what of
+// it runs already: half of its time, on average, is still to come.
+func (p *planning) gather(rest []Demand) {
+	top, runS, weight := 0, 0.0, 0.0
+	for _, d := range rest {
+		top = max(top, p.c.live[d.Job].Priority.Rank())
+		runS += d.EstimateS * float64(d.Unstarted)
+		weight += float64(d.Unstarted)
+	}
+	if weight > 0 {
+		runS /= weight
+	}
+	for _, s := range p.slots {
+		k := p.pool(s.kind)
+		room := s.firm(top + 1)
+		if room.cpus <= slack {
+			continue
+		}
+		k.room = k.room.plus(room)
+		k.aheadS += room.cpus * s.inS
+		if s.inS == 0 {
+			k.aheadS += math.Max(0, room.cpus-math.Max(0, s.free.cpus)) * runS / 2
+		}
+	}
+}
+
+// workOff has the pools do a job's tasks before they would be late, and rents
+// machines for those that they can't.
+func (p *planning) workOff(j *liveJob, d Demand) {
+	n, size, left := float64(d.Unstarted), need(&j.Job), p.c.timeLeft(j, d)
+	offers := p.c.offers(j)
+	upS := func(k kind) float64 { return p.c.types[k.t].BootS + fetchS(p.c.types[k.t], &j.Job) }
+	if len(offers) > 0 {
+		// A machine rented now brings nothing for what begins before it is up.
+		left = math.Max(left, upS(offers[0]))
+	}
+	for _, k := range p.c.poolsInOrder(p.pools) {
+		l := p.pools[k]
+		if !j.allowsKind(l.info, k.zone, k.spot) {
+			continue
+		}
+		n -= l.take(n, size, d.EstimateS, left)
+	}
+	for _, k := range offers {
+		per := fit(capacity(p.c.types[k.t]), size)
+		rounds := math.Max(0, left-upS(k))/d.EstimateS + 1
+		for n > 0.5 {
+			count := min(int(math.Ceil(n/(float64(per)*rounds))), rentAtMost)
+			if !p.c.ask(k, count) {
+				return
+			}
+			l := p.pool(k)
+			for range count {
+				l.room = l.room.plus(capacity(l.info))
+			}
+			l.aheadS += float64(count) * l.info.CPUs * upS(k)
+			n -= math.Max(1, l.take(n, size, d.EstimateS, left))
+		}
+	}
+}
+
+func (p *planning) pool(k kind) *pool {
+	l := p.pools[k]
+	if l == nil {
+		l = &pool{info: p.c.types[k.t]}
+		p.pools[k] = l
+	}
+	return l
+}
+
+// take has a pool do as many of n tasks as it can begin before they are late.
+func (l *pool) take(n float64, size resources, estimateS, left float64) float64 {
+	places := places(l.room, size)
+	if places < 1 {
+		return 0
+	}
+	cpus := places * size.cpus
+	can := math.Max(0, left+estimateS-l.aheadS/math.Max(l.room.cpus, slack)) / estimateS * places
+	done := math.Min(n, can)
+	l.aheadS += done * estimateS * size.cpus * l.room.cpus / cpus
+	return done
+}
+
+// places is how many tasks of a size run at a time in a lot of room.
+func places(room, size resources) float64 {
+	n := math.Inf(1)
+	for _, r := range [][2]float64{{room.cpus, size.cpus}, {room.gpus, size.gpus}, {room.gb, size.gb}} {
+		if r[1] > 0 {
+			n = math.Min(n, r[0]/r[1])
+		}
+	}
+	if math.IsInf(n, 1) {
+		return 0
+	}
+	return n
+}
+
+// poolsInOrder lists kinds in one order, the cheapest first.
+func (c *Core) poolsInOrder(pools map[kind]*pool) []kind {
+	ks := make([]kind, 0, len(pools))
+	for k := range pools {
+		ks = append(ks, k)
+	}
+	slices.SortFunc(ks, func(a, b kind) int {
+		return cmp.Or(cmp.Compare(c.price(a), c.price(b)), cmp.Compare(a.t, b.t), cmp.Compare(a.zone, b.zone))
+	})
+	return ks
+}
+
+// price of a kind, for a processor and an hour.
+func (c *Core) price(k kind) float64 {
+	t := c.types[k.t]
+	if k.spot {
+		return t.SpotPrice / math.Max(t.CPUs, 1)
+	}
+	return t.Price / math.Max(t.CPUs, 1)
+}
+
+// timeLeft is how long a job's tasks may still wait, in seconds, and be done
+// by its deadline or within its class's objective, whichever is first. Owners'
+// estimates are often wrong by half.
+func (c *Core) timeLeft(j *liveJob, d Demand) float64 {
+	by := j.DeadlineS
+	for _, o := range c.settings.Site.Objectives {
+		if o.Class == j.Class && o.Kind == "finished" && (by == 0 || o.WithinS < by) {
+			by = o.WithinS
+		}
+	}
+	if by == 0 {
+		return 0
+	}
+	return math.Max(0, by-d.OldestS-1.5*d.EstimateS)
+}
+
+// fit is how many tasks of a size have room.
+func fit(room, n resources) int {
+	k := 0
+	for room.covers(n) && k < 1000 {
+		room = room.minus(n)
+		k++
+	}
+	return k
+}
+
+// offers lists what may be rented for a job, the cheapest per task first.
+func (c *Core) offers(j *liveJob) []kind {
+	type offer struct {
+		kind
+		price float64
+	}
+	var offers []offer
+	for _, t := range c.types {
+		per := fit(capacity(t), need(&j.Job))
+		if per == 0 {
+			continue
+		}
+		for _, z := range t.AllowZones {
+			for _, spot := range []bool{true, false} {
+				k := kind{t.Name, z, spot}
+				if !j.allowsKind(t, z, spot) || c.fleet.refused[k].until > c.now {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				offers = append(offers, offer{k, price / float64(per)})
+			}
+		}
+	}
+	slices.SortFunc(offers, func(a, b offer) int {
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.t, b.t), cmp.Compare(a.zone, b.zone))
+	})
+	kinds := make([]kind, len(offers))
+	for i, o := range offers {
+		kinds[i] = o.kind
+	}
+	return kinds
+}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -63,6 +63,7 @@
 	order      uint64
 	since      Time // queued here, or first seen here
 	guaranteed bool
+	rank       int
 	from       protocol.NodeName // that placed it here, if any
 	sent       bool
 	direct     protocol.Term // of a direct start that has no answer: it may be executed until the worker sees a later term
@@ -169,7 +170,7 @@
 		peer.handled = p.Number
 	}
 	for _, t := range p.Tasks {
-		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), from: from, since: c.now, guaranteed: t.Guaranteed}
+		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), rank: t.Rank, from: from, since: c.now, guaranteed: t.Guaranteed}
 		q := c.queues[t.Machine]
 		refuse := func() {
 			c.send(from, PeerMessage{Event: &TaskEvent{
@@ -388,9 +389,9 @@
 				q.strays(c, t)
 				continue
 			}
-			e = &entry{task: t.Task, attempt: t.Attempt, since: c.now, guaranteed: true}
+			e = &entry{task: t.Task, attempt: t.Attempt, since: c.now, guaranteed: true, rank: ranks - 1}
 			if j := c.live[t.Task.Job]; j != nil {
-				e.estimate, e.need = c.estimate(&j.Job), need(&j.Job)
+				e.estimate, e.need, e.rank = c.estimate(&j.Job), need(&j.Job), j.Priority.Rank()
 			}
 			q.entries[t.Task] = e
 		}
@@ -668,6 +669,17 @@
 	return f
 }
 
+// held is what the attempts take that are on the machine or in its queue.
+func (q *queue) held() uses {
+	var u uses
+	for _, e := range q.entries {
+		if !e.ended() && !e.kill {
+			u.add(e.rank, e.need)
+		}
+	}
+	return u
+}
+
 // wait is the sum of the estimates of all that is queued or runs here, each
 // weighed by the processors the task takes.
 func (q *queue) wait() float64 {
@@ -714,10 +726,11 @@
 // state is what others are told of a machine.
 func (c *Core) state(q *queue) MachineState {
 	f := q.free()
+	held := q.held()
 	s := MachineState{
 		Machine: q.id, Epoch: q.epoch, Wait: q.wait(), FreeCPUs: f.cpus, FreeGPUs: f.gpus, FreeGB: f.gb,
-		Images: slices.Clone(q.images),
-		Held:   len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
+		Images: slices.Clone(q.images), Ranks: held.list(),
+		Held: len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
 		SilentS: c.since(q.lastAnswer).Seconds(), Noticed: q.notice != nil,
 		Closed: q.draining || q.suspect || q.notice != nil || c.since(q.lastAnswer) > 2*silence(c.settings.Site.Workers.ReportS),
 	}
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -11,19 +11,25 @@
 	for _, w := range ws {
 		if m := c.machines[w.Machine]; m != nil {
 			m.extra += w.Add
-			m.taken = m.taken.plus(resources{w.Taken[0], w.Taken[1], w.Taken[2]})
+			m.taken.addAll(w.Taken)
 		}
 	}
 }
 
+// ownWaits is what placing tasks has added to a machine.
+type ownWaits struct {
+	add   float64
+	taken uses
+}
+
 // sendWaits tells every peer, in one message, what placing a job has added.
-func (c *Core) sendWaits(added map[protocol.MachineID]Wait) {
+func (c *Core) sendWaits(added map[protocol.MachineID]*ownWaits) {
 	if len(added) == 0 {
 		return
 	}
 	ws := make([]Wait, 0, len(added))
-	for _, w := range inOrder(added) {
-		ws = append(ws, w)
+	for id, w := range inOrder(added) {
+		ws = append(ws, Wait{id, w.add, w.taken.list()})
 	}
 	for name := range inOrder(c.peers) {
 		if name != c.self {
@@ -88,12 +94,15 @@
 		p.actingAt = c.now
 	}
 	p.unheard = slices.DeleteFunc(p.unheard, func(w ownWait) bool { return w.number <= s.Upto })
-	unheard := map[protocol.MachineID]ownWait{}
+	unheard := map[protocol.MachineID]*ownWaits{}
 	for _, w := range p.unheard {
 		u := unheard[w.machine]
+		if u == nil {
+			u = &ownWaits{}
+			unheard[w.machine] = u
+		}
 		u.add += w.add
-		u.taken = u.taken.plus(w.taken)
-		unheard[w.machine] = u
+		u.taken.add(w.rank, w.taken)
 	}
 	for _, st := range s.Machines {
 		m := c.machines[st.Machine]
@@ -103,8 +112,12 @@
 		if m.told.Closed && !st.Closed || m.told.Epoch == 0 {
 			c.owner.dirty = true
 		}
-		u := unheard[st.Machine]
-		m.told, m.at, m.extra, m.taken = st, c.now, u.add, u.taken
+		m.told, m.at, m.extra = st, c.now, 0
+		m.held, m.taken = uses{}, uses{}
+		m.held.addAll(st.Ranks)
+		if u := unheard[st.Machine]; u != nil {
+			m.extra, m.taken = u.add, u.taken
+		}
 	}
 	clear(p.progress)
 	for _, g := range s.Progress {
