Place gangs whole, where only less urgent work is in their way

Cause: a gang's tasks went to the machines with the smallest waits, room or not, so that some of them stood in queues behind other gangs while the rest held their machines idle until gang_wait_s and gave up. A gang bound to a zone took the zone of its first task, whether or not the others fitted there.

Excluded: arrays in the way (they end within 20 to 60 s and may be stopped).

Change: machines are told of by level of what they hold. A task whose gang waits for it is placed on room there is, or where only a lower level stands in the way, which its keeper stops at once; a keeper that knows better sends it back. Zones that can hold the whole gang are tried in the order of their room. The oldest gang that finds no place claims machines against others of its level, anew in each step, for four boots at most. The plan takes no room of more urgent work for room of arrays, within a guarantee or not.

--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"math"
+	"slices"
 
 	"damsonkeel/internal/protocol"
 )
@@ -59,7 +60,9 @@
 	s := &candidates{job: o, need: need(&o.Job), kept: kept}
 	for _, m := range c.machinesInOrder() {
 		if c.mayTake(o, m, zones) {
-			s.heap = append(s.heap, s.weigh(m, c.rng.Uint32()))
+			if k, ok := s.weigh(m, c.rng.Uint32()); ok {
+				s.heap = append(s.heap, k)
+			}
 		}
 	}
 	c.looked += len(s.heap)
@@ -72,8 +75,19 @@
 	return c.usable(m) && (!o.failedOn[m.id] || len(o.failedOn) >= 3) && o.allows(m, zones)
 }
 
-func (s *candidates) weigh(m *machineEntry, tie uint32) candidate {
+// weigh is what a machine is worth for the job's next task, if it is. A task
+// that others wait for goes only where nothing but less urgent work is in its
+// way, which is stopped for it: behind the rest it would keep the machines of
+// all others idle until they give it up.
+func (s *candidates) weigh(m *machineEntry, tie uint32) (candidate, bool) {
 	w, room := m.waitFor(&s.job.Job)
+	if !room && s.job.together() {
+		firm := m.firmRoom(s.job.level)
+		if !firm.covers(s.need) {
+			return candidate{}, false
+		}
+		w = m.fetch(&s.job.Job) + (firm.cpus-math.Max(0, m.room().cpus))/math.Max(m.info.CPUs, 1)
+	}
 	k := candidate{m: m, rank: rankQueue, wait: int64(math.Round(w * 1e6)), tie: tie}
 	if room {
 		k.rank = rankFree
@@ -81,7 +95,13 @@
 			k.rank = rankWanted
 		}
 	}
-	return k
+	return k, true
+}
+
+// only drops the machines that do not meet a condition.
+func (s *candidates) only(ok func(*machineEntry) bool) {
+	s.heap = slices.DeleteFunc(s.heap, func(k candidate) bool { return !ok(k.m) })
+	heap.Init(s)
 }
 
 // smallest is the machine with the smallest expected wait per processor, ties
@@ -102,8 +122,12 @@
 // took weighs the smallest again after it took a task, and takes that out of
 // the room to spare.
 func (c *Core) took(s *candidates) {
-	top := &s.heap[0]
 	c.looked++
-	s.heap[0] = s.weigh(top.m, c.rng.Uint32())
+	k, ok := s.weigh(s.heap[0].m, c.rng.Uint32())
+	if !ok {
+		heap.Pop(s)
+		return
+	}
+	s.heap[0] = k
 	heap.Fix(s, 0)
 }
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -80,7 +80,7 @@
 	number  uint64
 	machine protocol.MachineID
 	add     float64
-	rank    int
+	level   level
 	taken   resources
 }
 
--- /dev/null
+++ b/internal/coordination/gang.go
@@ -0,0 +1,153 @@
+package coordination
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"damsonkeel/internal/protocol"
+)
+
+// together reports whether a task is of use only with others that run at the
+// same time.
+func (o *ownedJob) together() bool { return o.Kind == protocol.KindGang && o.Tasks > 1 }
+
+// placeGang places all tasks of a gang with one attempt number, when nothing
+// of its last attempt is left.
+func (c *Core) placeGang(o *ownedJob, usage map[protocol.Team]resources, kept []kept, claimed claims) []Placement {
+	n := int(o.Tasks)
+	if len(o.placed) > 0 || o.unknown || !c.withinLimit(o, usage, n) {
+		return nil
+	}
+	var out []Placement
+	for _, zone := range c.gangZones(o, claimed) {
+		if out = c.placeGangIn(o, zone, kept, claimed); out != nil {
+			c.use(o, usage, n)
+			return out
+		}
+	}
+	if o.together() && c.since(o.since) < c.claimFor(o) {
+		c.claim(o, claimed)
+	}
+	return nil
+}
+
+// placeGangIn places a gang in a zone, or in any if none is named.
+func (c *Core) placeGangIn(o *ownedJob, zone protocol.Zone, kept []kept, claimed claims) []Placement {
+	before := slices.Clone(kept)
+	zones := map[protocol.Zone]int{}
+	attempt := c.nextAttempt()
+	from := c.candidatesFor(o, zones, kept)
+	if zone != "" || len(claimed) > 0 {
+		from.only(func(m *machineEntry) bool {
+			return (zone == "" || m.rec.Zone == zone) && !claimed.against(o, m)
+		})
+	}
+	var out []Placement
+	for i := range o.Tasks {
+		m := from.smallest(zones)
+		if m == nil {
+			for _, p := range out { // all or none
+				t := o.placed[p.Task]
+				c.machines[t.machine].extra -= t.estimate * o.CPUs
+				c.machines[t.machine].taken.add(o.level, resources{}.minus(need(&o.Job)))
+				c.unplace(o, t)
+				o.pending.Set(uint(p.Task.Index))
+			}
+			copy(kept, before)
+			return nil
+		}
+		if from.heap[0].rank != rankQueue {
+			spend(m, from.need, kept)
+		}
+		out = append(out, c.put(o, i, m, attempt))
+		c.took(from)
+		zones[m.rec.Zone]++
+	}
+	return out
+}
+
+// gangZones lists the zones to try for a gang: any, unless its tasks have to
+// be in the same one. Then those that can hold it come in the order of what
+// they have room for now.
+func (c *Core) gangZones(o *ownedJob, claimed claims) []protocol.Zone {
+	if !o.OneZone || !o.together() {
+		return []protocol.Zone{""}
+	}
+	now, firm := c.zoneRoom(o, claimed)
+	n := int(o.Tasks)
+	var zones []protocol.Zone
+	for z := range inOrder(firm) {
+		if firm[z] >= n {
+			zones = append(zones, z)
+		}
+	}
+	slices.SortStableFunc(zones, func(a, b protocol.Zone) int { return min(now[b], n) - min(now[a], n) })
+	return zones
+}
+
+// zoneRoom is how many of a gang's tasks have room by zone: now, and once what
+// is less urgent is stopped.
+func (c *Core) zoneRoom(o *ownedJob, claimed claims) (now, firm map[protocol.Zone]int) {
+	now, firm = map[protocol.Zone]int{}, map[protocol.Zone]int{}
+	size, none := need(&o.Job), map[protocol.Zone]int{}
+	for _, m := range c.machinesInOrder() {
+		if c.mayTake(o, m, none) && !claimed.against(o, m) {
+			now[m.rec.Zone] += fit(m.room(), size)
+			firm[m.rec.Zone] += fit(m.firmRoom(o.level), size)
+		}
+	}
+	return now, firm
+}
+
+// claims are the machines that a gang which could not be placed yet waits for,
+// with its level: what is placed after it in the same step and
+// could not be stopped for it goes elsewhere. Without that, a large gang would
+// be starved by steady small ones. A claim lasts for one step and is made anew
+// in the next, so it outlives neither its gang nor its owner.
+type claims map[*machineEntry]level
+
+func (l claims) against(o *ownedJob, m *machineEntry) bool {
+	claimed, ok := l[m]
+	return ok && o.level >= claimed
+}
+
+// claim claims as many machines as a gang needs, where the most of them have
+// room for it.
+func (c *Core) claim(o *ownedJob, claimed claims) {
+	size, none := need(&o.Job), map[protocol.Zone]int{}
+	var best protocol.Zone
+	if o.OneZone {
+		_, firm := c.zoneRoom(o, claimed)
+		for z, n := range inOrder(firm) {
+			if best == "" || n > firm[best] {
+				best = z
+			}
+		}
+	}
+	left := int(o.Tasks)
+	for _, m := range c.machinesInOrder() {
+		if left <= 0 {
+			return
+		}
+		if best != "" && m.rec.Zone != best || claimed.against(o, m) || !c.mayTake(o, m, none) {
+			continue
+		}
+		if n := fit(m.firmRoom(o.level), size); n > 0 {
+			claimed[m] = o.level
+			left -= n
+		}
+	}
+}
+
+// claimFor bounds how long a gang claims machines: what has not come in the
+// time that several boots take may never come.
+func (c *Core) claimFor(o *ownedJob) time.Duration {
+	boot := 0.0
+	for _, t := range c.types {
+		if o.allowsKind(t, o.Zone, false) {
+			boot = math.Max(boot, t.BootS)
+		}
+	}
+	return time.Duration(4 * boot * float64(time.Second))
+}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -18,10 +18,9 @@
 	CPUs      float64
 	GPUs      float64
 	GB        float64
-	Rank      int // of the job's priority
-	// Guaranteed: its job is within what its team is guaranteed, so it need
-	// not wait for other teams.
-	Guaranteed bool
+	// Together: others of its gang wait for it.
+	Together bool
+	Level    int // of its job: see level
 }
 
 // Need is what the task takes of its machine.
@@ -92,12 +91,12 @@
 type Wait struct {
 	Machine protocol.MachineID
 	Add     float64
-	Taken   []RankUse
+	Taken   []Use
 }
 
-// RankUse is what attempts of one rank of priority take of a machine.
-type RankUse struct {
-	Rank           int
+// Use is what attempts of one level take of a machine.
+type Use struct {
+	Level          int
 	CPUs, GPUs, GB float64
 }
 
@@ -109,9 +108,9 @@
 	FreeCPUs float64
 	FreeGPUs float64
 	FreeGB   float64
-	Ranks    []RankUse // what is on it or in its queue, by rank of priority
-	Held     int       // attempts on it or in its queue
-	Queued   int       // of these, never sent
+	Uses     []Use // what is on it or in its queue, by level
+	Held     int   // attempts on it or in its queue
+	Queued   int   // of these, never sent
 	Closed   bool
 	Suspect  bool
 	Draining bool
@@ -131,6 +130,7 @@
 type Demand struct {
 	Job       protocol.JobID
 	Unstarted int
+	Level     int
 	EstimateS float64
 	OldestS   float64
 }
@@ -308,7 +308,7 @@
 	told  MachineState // by its controller
 	at    Time
 	extra float64 // waits added since by placements
-	held  uses    // what it was told to hold, by rank
+	held  uses    // what it was told to hold
 	taken uses    // by placements since
 	mine  map[protocol.TaskID]*placedTask
 }
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -57,6 +57,7 @@
 	finish  bool // all done; to be written
 	ending  bool // the write is on its way
 
+	level     level // at the last placement
 	failedOn  map[protocol.MachineID]bool
 	backoff   time.Duration
 	notBefore Time
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -23,7 +23,8 @@
 	batches := map[protocol.NodeName][]Placement{}
 	waits := map[protocol.MachineID]*ownWaits{}
 	kept := c.keptRoom()
-	guaranteed := c.guaranteedJobs()
+	c.setLevels()
+	claims := claims{}
 	left := maxPerStep
 	for _, o := range c.jobsInOrder() {
 		if !o.loaded || o.finish || o.notBefore > c.now || o.pending.None() {
@@ -31,13 +32,12 @@
 		}
 		var chosen []Placement
 		if o.Kind == protocol.KindGang {
-			chosen = c.placeGang(o, usage, kept)
+			chosen = c.placeGang(o, usage, kept, claims)
 		} else {
 			chosen = c.placeArray(o, usage, left, kept)
 		}
 		left -= len(chosen)
 		for _, p := range chosen {
-			p.Guaranteed = guaranteed[o.ID]
 			keeper := c.keeper(p.Machine)
 			batches[keeper] = append(batches[keeper], p)
 			w := waits[p.Machine]
@@ -46,7 +46,7 @@
 				waits[p.Machine] = w
 			}
 			w.add += p.EstimateS * p.CPUs
-			w.taken.add(p.Rank, p.Need())
+			w.taken.add(level(p.Level), p.Need())
 		}
 		if left <= 0 {
 			c.owner.dirty = true
@@ -63,7 +63,7 @@
 			if o := c.owner.jobs[t.Task.Job]; o != nil && o.placed[t.Task] != nil {
 				o.placed[t.Task].number = p.placed
 			}
-			p.unheard = append(p.unheard, ownWait{p.placed, t.Machine, t.EstimateS * t.CPUs, t.Rank, t.Need()})
+			p.unheard = append(p.unheard, ownWait{p.placed, t.Machine, t.EstimateS * t.CPUs, level(t.Level), t.Need()})
 		}
 		c.send(keeper, PeerMessage{Place: &Place{Number: p.placed, Term: c.view.Term, Tasks: tasks}})
 	}
@@ -100,40 +100,6 @@
 	return out
 }
 
-// placeGang places all tasks of a gang with one attempt number, when nothing
-// of its last attempt is left.
-func (c *Core) placeGang(o *ownedJob, usage map[protocol.Team]resources, kept []kept) []Placement {
-	n := int(o.Tasks)
-	if len(o.placed) > 0 || o.unknown || !c.withinLimit(o, usage, n) {
-		return nil
-	}
-	attempt := c.nextAttempt()
-	var out []Placement
-	zones := map[protocol.Zone]int{}
-	from := c.candidatesFor(o, zones, kept)
-	for i := range o.Tasks {
-		m := from.smallest(zones)
-		if m == nil {
-			for _, p := range out { // all or none
-				t := o.placed[p.Task]
-				c.machines[t.machine].extra -= t.estimate * o.CPUs
-				c.machines[t.machine].taken.add(o.Priority.Rank(), resources{}.minus(need(&o.Job)))
-				c.unplace(o, t)
-				o.pending.Set(uint(p.Task.Index))
-			}
-			return nil
-		}
-		if from.heap[0].rank != rankQueue {
-			spend(m, from.need, kept)
-		}
-		out = append(out, c.put(o, i, m, attempt))
-		c.took(from)
-		zones[m.rec.Zone]++
-	}
-	c.use(o, usage, n)
-	return out
-}
-
 func (c *Core) nextAttempt() protocol.Attempt {
 	c.owner.attempt++
 	return protocol.Attempt(uint64(c.view.Term)<<32 | c.owner.attempt)
@@ -149,8 +115,8 @@
 	o.pending.Clear(uint(i))
 	m.mine[t.task] = t
 	m.extra += t.estimate * o.CPUs
-	m.taken.add(o.Priority.Rank(), need(&o.Job))
-	return Placement{Task: t.task, Attempt: a, Machine: m.id, Epoch: m.epoch, EstimateS: t.estimate, CPUs: o.CPUs, GPUs: o.GPUs, GB: o.MemoryGB, Rank: o.Priority.Rank()}
+	m.taken.add(o.level, need(&o.Job))
+	return Placement{Task: t.task, Attempt: a, Machine: m.id, Epoch: m.epoch, EstimateS: t.estimate, CPUs: o.CPUs, GPUs: o.GPUs, GB: o.MemoryGB, Level: int(o.level), Together: o.together()}
 }
 
 // zones counts the attempts of a job that may exist by zone.
@@ -222,12 +188,12 @@
 	return resources{m.told.FreeCPUs, m.told.FreeGPUs, m.told.FreeGB}.minus(m.taken.firm(0))
 }
 
-// firmRoom is what a machine has for a task of a rank once everything that may
+// firmRoom is what a machine has for a task of a level once everything that may
 // be stopped for it is gone.
-func (m *machineEntry) firmRoom(rank int) resources {
-	room := capacity(m.info).minus(m.taken.firm(rank))
+func (m *machineEntry) firmRoom(l level) resources {
+	room := capacity(m.info).minus(m.taken.firm(l))
 	if m.told.Epoch == m.epoch {
-		room = room.minus(m.held.firm(rank))
+		room = room.minus(m.held.firm(l))
 	}
 	return room
 }
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -18,9 +18,6 @@
 	inS  float64   // when it is up, in seconds
 }
 
-// firm is what the slot has for a rank once what is less urgent is stopped.
-func (s *slot) firm(rank int) resources { return capacity(s.info).minus(s.held.firm(rank)) }
-
 // slots lists all room that is there or coming.
 func (c *Core) slots() []slot {
 	f := &c.fleet
@@ -67,20 +64,21 @@
 		switch j := c.live[d.Job]; {
 		case j == nil:
 		case c.classes[j.Class] != nil:
-			p.rentFor(j, p.fill(j, d.Unstarted))
+			p.rentFor(j, level(d.Level), p.fill(j, level(d.Level), d.Unstarted))
 		default:
 			rest = append(rest, d)
 		}
 	}
 	for _, k := range inOrder(c.classes) {
 		j := &liveJob{Job: k.job}
-		p.rentFor(j, p.fill(j, c.reserve(k)))
+		l := levelOf(j.Priority, false)
+		p.rentFor(j, l, p.fill(j, l, c.reserve(k)))
 	}
 	// What is left works off the rest, the most pressing first. Each job finds
 	// what those before it leave of the time until it has to be done.
 	slices.SortStableFunc(rest, func(a, b Demand) int {
 		ja, jb := c.live[a.Job], c.live[b.Job]
-		return cmp.Or(cmp.Compare(jb.Priority.Rank(), ja.Priority.Rank()), cmp.Compare(c.timeLeft(ja, a), c.timeLeft(jb, b)))
+		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(c.timeLeft(ja, a), c.timeLeft(jb, b)))
 	})
 	p.gather(rest)
 	for _, d := range rest {
@@ -105,7 +103,7 @@
 
 // fill takes room for n tasks of a job out of the slots, as far as there is,
 // and returns how many are left without.
-func (p *planning) fill(j *liveJob, n int) int {
+func (p *planning) fill(j *liveJob, l level, n int) int {
 	size := need(&j.Job)
 	for i := range p.slots {
 		s := &p.slots[i]
@@ -117,7 +115,7 @@
 		}
 		for n > 0 && s.free.covers(size) {
 			s.free = s.free.minus(size)
-			s.held.add(j.Priority.Rank(), size)
+			s.held.add(l, size)
 			n--
 		}
 	}
@@ -125,7 +123,7 @@
 }
 
 // rentFor rents the cheapest machines for n of a job's tasks.
-func (p *planning) rentFor(j *liveJob, n int) {
+func (p *planning) rentFor(j *liveJob, l level, n int) {
 	if n <= 0 {
 		return
 	}
@@ -137,7 +135,7 @@
 				return
 			}
 			p.slots = append(p.slots, p.c.fresh(k, count)...)
-			n = p.fill(j, n)
+			n = p.fill(j, l, n)
 		}
 	}
 }
@@ -175,7 +173,12 @@
 	}
 	for _, s := range p.slots {
 		k := p.pool(s.kind)
-		room := s.firm(top + 1)
+		room := capacity(s.info)
+		for l, r := range s.held {
+			if l%ranks > top { // more urgent work stays, within a guarantee or not
+				room = room.minus(r)
+			}
+		}
 		if room.cpus <= slack {
 			continue
 		}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -12,50 +12,77 @@
 // others are stopped for it: until then it may be moved to room elsewhere.
 const preemptAfter = 3 * time.Second
 
-// guaranteedJobs are the owned jobs that fit into their team's guarantee,
-// together with the team's earlier unfinished jobs.
-func (c *Core) guaranteedJobs() map[protocol.JobID]bool {
-	in := map[protocol.JobID]bool{}
+// setLevels tells which owned jobs fit into their team's guarantee, together
+// with the team's earlier unfinished jobs.
+func (c *Core) setLevels() {
 	used := map[protocol.Team]resources{}
 	jobs := slices.Clone(c.jobsInOrder())
 	slices.SortStableFunc(jobs, func(a, b *ownedJob) int { return cmp.Compare(a.SubmittedMS, b.SubmittedMS) })
 	for _, o := range jobs {
 		t, ok := c.settings.Team(o.Team)
-		if !ok || t.CPUs == 0 && t.GPUs == 0 {
+		if !ok || !c.guarantees(o.Team) {
+			o.level = levelOf(o.Priority, false)
 			continue
 		}
 		n := float64(o.Tasks - o.nDone)
 		u := used[o.Team].plus(resources{cpus: n * o.CPUs, gpus: n * o.GPUs})
 		used[o.Team] = u
-		in[o.ID] = u.cpus <= t.CPUs+slack && u.gpus <= t.GPUs+slack
+		o.level = levelOf(o.Priority, u.cpus <= t.CPUs+slack && u.gpus <= t.GPUs+slack)
 	}
-	return in
 }
 
-// preempt stops attempts for the head of a queue that has waited: of lower
-// priority, or beyond their team's guarantee if the head is within its own.
-// Those that can save, then those that ran least, go first; nothing is stopped
-// unless the head then fits.
+// guarantees reports whether a team is guaranteed anything.
+func (c *Core) guarantees(name protocol.Team) bool {
+	t, ok := c.settings.Team(name)
+	return ok && (t.CPUs > 0 || t.GPUs > 0)
+}
+
+// preempt stops attempts for those at the head of a queue that have waited: of
+// lower priority, or beyond their team's guarantee if the one that waits is
+// within its own. Those that can save, then those that ran least, go first;
+// nothing is stopped unless the one that waits then fits. A task of a gang does
+// not wait: all others of it would.
 func (c *Core) preempt(q *queue) {
 	if len(q.waiting) == 0 || q.epoch == 0 || q.draining || q.notice != nil || q.suspect {
 		return
 	}
 	c.sortWaiting(q)
-	head := q.waiting[0]
-	j := c.live[head.task.Job]
-	if j == nil || c.since(head.since) < preemptAfter {
-		return
-	}
 	free := q.free()
+	for _, e := range q.entries {
+		if e.present && !e.ended() && e.kill {
+			free = free.plus(e.need) // on its way out already
+		}
+	}
+	for _, head := range q.waiting {
+		j := c.live[head.task.Job]
+		if j == nil || !head.together && c.since(head.since) < preemptAfter {
+			return
+		}
+		var ok bool
+		if free, ok = c.preemptFor(q, head, free); !ok {
+			return
+		}
+		if !head.together {
+			return
+		}
+		free = free.minus(head.need)
+	}
+}
+
+// preemptFor stops what has to be stopped for one attempt, given what is free,
+// and returns what is free then.
+func (c *Core) preemptFor(q *queue, head *entry, free resources) (resources, bool) {
+	if free.covers(head.need) {
+		return free, true
+	}
+	j := c.live[head.task.Job]
 	var victims []*entry
 	for _, e := range tasksInOrder(q.entries) {
 		k := c.live[e.task.Job]
 		switch {
-		case !e.present || e.ended() || k == nil:
-		case e.kill:
-			free = free.plus(e.need) // on its way out already
-		case k.Priority.Rank() < j.Priority.Rank() && (head.guaranteed || !e.guaranteed || k.Team == j.Team),
-			head.guaranteed && !e.guaranteed && k.Team != j.Team:
+		case !e.present || e.ended() || k == nil || e.kill:
+		case k.Priority.Rank() < j.Priority.Rank() && (head.level > e.level || k.Team == j.Team),
+			head.guaranteed() && !e.guaranteed() && k.Team != j.Team:
 			victims = append(victims, e)
 		}
 	}
@@ -68,21 +95,21 @@
 	slices.SortStableFunc(victims, func(a, b *entry) int {
 		return cmp.Or(cmp.Compare(saves(a), saves(b)), cmp.Compare(b.since, a.since))
 	})
-	size := need(&j.Job)
 	var chosen []*entry
 	for _, e := range victims {
-		if free.covers(size) {
+		if free.covers(head.need) {
 			break
 		}
 		free = free.plus(e.need)
 		chosen = append(chosen, e)
 	}
-	if !free.covers(size) {
-		return
+	if !free.covers(head.need) {
+		return free, false
 	}
 	for _, e := range chosen {
 		e.kill, e.graceS = true, 2*c.live[e.task.Job].SaveS+1
 		c.wake(q)
 		c.log.Debug("stopped for a more urgent task", "machine", q.id, "task", e.task, "for", head.task)
 	}
+	return free, true
 }
--- a/internal/coordination/preempt_test.go
+++ b/internal/coordination/preempt_test.go
@@ -32,7 +32,7 @@
 		q := b.c.queues["vm-1"]
 		entry := func(id protocol.JobID, k task, cpus float64) *entry {
 			b.c.live[id] = &liveJob{Job: protocol.Job{ID: id, Team: k.team, Priority: k.priority, CPUs: cpus, Tasks: 1}}
-			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, need: resources{cpus: cpus}, guaranteed: k.guaranteed}
+			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, need: resources{cpus: cpus}, level: levelOf(k.priority, k.guaranteed)}
 			q.entries[e.task] = e
 			return e
 		}
@@ -62,8 +62,10 @@
 		b.job(id, "bound", tasks) // guaranteed 8 processors
 		b.c.owner.jobs[id].SubmittedMS = int64(i)
 	}
-	in := b.c.guaranteedJobs()
-	if !in["job-1"] || !in["job-2"] || in["job-3"] {
-		t.Fatalf("%v", in)
+	b.c.setLevels()
+	for id, within := range map[protocol.JobID]bool{"job-1": true, "job-2": true, "job-3": false} {
+		if o := b.c.owner.jobs[id]; o.level != levelOf(o.Priority, within) {
+			t.Errorf("%s is at level %d", id, o.level)
+		}
 	}
 }
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -56,25 +56,25 @@
 
 // entry is one attempt in a queue or on its machine.
 type entry struct {
-	task       protocol.TaskID
-	attempt    protocol.Attempt
-	estimate   float64
-	need       resources
-	order      uint64
-	since      Time // queued here, or first seen here
-	guaranteed bool
-	rank       int
-	from       protocol.NodeName // that placed it here, if any
-	sent       bool
-	direct     protocol.Term // of a direct start that has no answer: it may be executed until the worker sees a later term
-	present    bool          // the worker has reported it
-	state      protocol.TaskState
-	cause      protocol.EndCause
-	saved      bool
-	kill       bool
-	graceS     float64
-	reap       bool
-	noticed    bool
+	task     protocol.TaskID
+	attempt  protocol.Attempt
+	estimate float64
+	need     resources
+	order    uint64
+	since    Time // queued here, or first seen here
+	level    level
+	together bool              // others of its gang wait for it
+	from     protocol.NodeName // that placed it here, if any
+	sent     bool
+	direct   protocol.Term // of a direct start that has no answer: it may be executed until the worker sees a later term
+	present  bool          // the worker has reported it
+	state    protocol.TaskState
+	cause    protocol.EndCause
+	saved    bool
+	kill     bool
+	graceS   float64
+	reap     bool
+	noticed  bool
 }
 
 type (
@@ -85,6 +85,8 @@
 	removeTag struct{ machine protocol.MachineID }
 )
 
+func (e *entry) guaranteed() bool { return e.level >= ranks }
+
 func (e *entry) ended() bool { return e.state == protocol.TaskEnded }
 
 // adoptQueues goes over to a new view. Queues that stay here keep what they
@@ -170,7 +172,7 @@
 		peer.handled = p.Number
 	}
 	for _, t := range p.Tasks {
-		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), rank: t.Rank, from: from, since: c.now, guaranteed: t.Guaranteed}
+		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), level: level(t.Level), together: t.Together, from: from, since: c.now}
 		q := c.queues[t.Machine]
 		refuse := func() {
 			c.send(from, PeerMessage{Event: &TaskEvent{
@@ -190,11 +192,20 @@
 			}
 			continue
 		}
+		if held := q.held(); e.together && !capacity(q.info).minus(held.firm(e.level)).covers(e.need) {
+			// Its owner did not know yet of what is in the way. Waiting here
+			// would keep the machines of the whole gang idle.
+			refuse()
+			continue
+		}
 		c.owner.order++
 		e.order = c.owner.order
 		q.entries[t.Task] = e
 		q.enqueue(e)
 		c.wake(q)
+		if e.together {
+			c.preempt(q)
+		}
 	}
 }
 
@@ -389,9 +400,10 @@
 				q.strays(c, t)
 				continue
 			}
-			e = &entry{task: t.Task, attempt: t.Attempt, since: c.now, guaranteed: true, rank: ranks - 1}
+			e = &entry{task: t.Task, attempt: t.Attempt, since: c.now, level: levels - 1}
 			if j := c.live[t.Task.Job]; j != nil {
-				e.estimate, e.need, e.rank = c.estimate(&j.Job), need(&j.Job), j.Priority.Rank()
+				e.estimate, e.need = c.estimate(&j.Job), need(&j.Job)
+				e.level = levelOf(j.Priority, c.guarantees(j.Team)) // perhaps: its owner would know
 			}
 			q.entries[t.Task] = e
 		}
@@ -612,28 +624,14 @@
 	return 1
 }
 
-// sortWaiting keeps what is within a guarantee first, then the more urgent
-// priority, then the order of arrival.
+// sortWaiting keeps the higher level first, then the order of arrival.
 func (c *Core) sortWaiting(q *queue) {
 	if q.sorted {
 		return
 	}
 	q.sorted = true
-	rank := func(e *entry) int {
-		if j := c.live[e.task.Job]; j != nil {
-			return j.Priority.Rank()
-		}
-		q.sorted = false // its record has not arrived yet: to be sorted again
-		return -1
-	}
-	within := func(e *entry) int {
-		if e.guaranteed {
-			return 1
-		}
-		return 0
-	}
 	slices.SortStableFunc(q.waiting, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(within(b), within(a)), cmp.Compare(rank(b), rank(a)), cmp.Compare(a.order, b.order))
+		return cmp.Or(cmp.Compare(b.level, a.level), cmp.Compare(a.order, b.order))
 	})
 }
 
@@ -674,7 +672,7 @@
 	var u uses
 	for _, e := range q.entries {
 		if !e.ended() && !e.kill {
-			u.add(e.rank, e.need)
+			u.add(e.level, e.need)
 		}
 	}
 	return u
@@ -729,7 +727,7 @@
 	held := q.held()
 	s := MachineState{
 		Machine: q.id, Epoch: q.epoch, Wait: q.wait(), FreeCPUs: f.cpus, FreeGPUs: f.gpus, FreeGB: f.gb,
-		Images: slices.Clone(q.images), Ranks: held.list(),
+		Images: slices.Clone(q.images), Uses: held.list(),
 		Held: len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
 		SilentS: c.since(q.lastAnswer).Seconds(), Noticed: q.notice != nil,
 		Closed: q.draining || q.suspect || q.notice != nil || c.since(q.lastAnswer) > 2*silence(c.settings.Site.Workers.ReportS),
--- a/internal/coordination/uses.go
+++ b/internal/coordination/uses.go
@@ -1,39 +1,54 @@
 package coordination
 
-// ranks is how many ranks of priority there are.
-const ranks = 4
+import "damsonkeel/internal/protocol"
 
-// uses is what attempts take of a machine, by the rank of their priority.
-type uses [ranks]resources
+// level is the order in which machines serve tasks: what is within its team's
+// guarantee first, then by priority. What is of a lower level may be stopped.
+type level int
 
-// firm is what attempts of a rank or above take: no attempt of that rank can
-// have them stopped.
-func (u *uses) firm(rank int) resources {
+const (
+	ranks  = 4 // of priorities
+	levels = 2 * ranks
+)
+
+func levelOf(p protocol.Priority, guaranteed bool) level {
+	if guaranteed {
+		return level(p.Rank() + ranks)
+	}
+	return level(p.Rank())
+}
+
+// uses is what attempts take of a machine, by level.
+type uses [levels]resources
+
+// firm is what attempts of a level or above take: none of that level can have
+// them stopped.
+func (u *uses) firm(l level) resources {
 	var sum resources
-	for _, r := range u[min(max(rank, 0), ranks):] {
+	for _, r := range u[min(max(l, 0), levels):] {
 		sum = sum.plus(r)
 	}
 	return sum
 }
 
-func (u *uses) add(rank int, n resources) {
-	rank = min(max(rank, 0), ranks-1)
-	u[rank] = u[rank].plus(n)
+func (u *uses) add(l level, n resources) {
+	l = min(max(l, 0), levels-1)
+	u[l] = u[l].plus(n)
 }
 
-func (u *uses) addAll(rs []RankUse) {
-	for _, r := range rs {
-		u.add(r.Rank, resources{r.CPUs, r.GPUs, r.GB})
+func (u *uses) addAll(us []Use) {
+	for _, n := range us {
+		u.add(level(n.Level), resources{n.CPUs, n.GPUs, n.GB})
 	}
 }
 
 // list is the form in which uses are sent.
-func (u *uses) list() []RankUse {
-	var rs []RankUse
-	for rank, r := range u {
+func (u *uses) list() []Use {
+	var us []Use
+	for l, r := range u {
 		if r != (resources{}) {
-			rs = append(rs, RankUse{rank, r.cpus, r.gpus, r.gb})
+			us = append(us, Use{l, r.cpus, r.gpus, r.gb})
 		}
 	}
-	return rs
+	return us
 }
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -78,7 +78,7 @@
 			}
 		}
 		if n > 0 {
-			ds = append(ds, Demand{Job: o.ID, Unstarted: n, EstimateS: c.estimate(&o.Job), OldestS: c.since(o.since).Seconds()})
+			ds = append(ds, Demand{Job: o.ID, Unstarted: n, Level: int(o.level), EstimateS: c.estimate(&o.Job), OldestS: c.since(o.since).Seconds()})
 		}
 	}
 	return ds
@@ -102,7 +102,7 @@
 			unheard[w.machine] = u
 		}
 		u.add += w.add
-		u.taken.add(w.rank, w.taken)
+		u.taken.add(w.level, w.taken)
 	}
 	for _, st := range s.Machines {
 		m := c.machines[st.Machine]
@@ -114,7 +114,7 @@
 		}
 		m.told, m.at, m.extra = st, c.now, 0
 		m.held, m.taken = uses{}, uses{}
-		m.held.addAll(st.Ranks)
+		m.held.addAll(st.Uses)
 		if u := unheard[st.Machine]; u != nil {
 			m.extra, m.taken = u.add, u.taken
 		}
