Order jobs and queues by when they are due

Change: within a level, what is due first goes first, at the owner and in machines' queues (the design leaves the order of jobs open). A job is due at the first of its deadline and objectives that it can still keep; when it can keep none, twice as late, and so on, so that it makes way and is not starved. The time since submission now survives a change of owner.

Tests: TestDue (generated), TestDueOrder.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -23,6 +23,7 @@
 	log      *slog.Logger
 	rng      *rand.Rand
 	now      Time
+	epochMS  int64 // the time of day when now was 0
 	out      []Action
 	local    []PeerMessage // to itself, handled before the step ends
 
@@ -118,6 +119,9 @@
 	case Snapshot:
 		c.reset()
 		c.session = m.Session
+		if m.WallMS != 0 {
+			c.epochMS = m.WallMS - int64(c.now/Time(time.Millisecond))
+		}
 		for _, it := range m.Items {
 			c.record(it.Key, it.Value, it.Version, true)
 		}
@@ -297,6 +301,7 @@
 	}
 	if c.since(c.lastRelay) >= c.op.RelayEvery {
 		c.lastRelay = c.now
+		c.refreshDue()
 		c.expireSilent()
 		c.rebalance()
 		for _, q := range inOrder(c.queues) {
--- /dev/null
+++ b/internal/coordination/due_test.go
@@ -0,0 +1,61 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/protocol"
+
+	"pgregory.net/rapid"
+)
+
+// TestDue: a job is due at the first of its times that it can still keep, and
+// again later when it can keep none, so that nothing waits for ever.
+func TestDue(t *testing.T) {
+	tt := t
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(tt)
+		b.c.settings.Site.Objectives = append(b.c.settings.Site.Objectives, config.Objective{Kind: "deadline", Class: "array", Times: 1.5})
+		l := &liveJob{Job: protocol.Job{
+			Class: "array", EstimateS: float64(rapid.IntRange(1, 300).Draw(t, "estimate")), DeadlineS: float64(rapid.IntRange(0, 300).Draw(t, "deadline")),
+		}, since: b.c.now}
+		before := Time(0)
+		for range 30 {
+			due := b.c.due(l)
+			if due < before {
+				t.Fatalf("due at %v after %v", due, before)
+			}
+			if left := time.Duration(due - b.c.now).Seconds(); left < l.EstimateS-0.001 {
+				t.Fatalf("due in %v s, takes %v s", left, l.EstimateS)
+			}
+			before = due
+			b.c.now += Time(time.Duration(rapid.IntRange(1, 100).Draw(t, "wait")) * time.Second)
+		}
+	})
+}
+
+// TestDueOrder: what can still be done in time goes before what is late, in
+// the order of jobs and in a machine's queue.
+func TestDueOrder(t *testing.T) {
+	b := newBench(t)
+	job := func(id protocol.JobID, deadline float64) *entry {
+		b.c.jobLive(protocol.Job{ID: id, Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, EstimateS: 10, DeadlineS: deadline}, 1, false)
+		return &entry{task: protocol.TaskID{Job: id}, level: 1}
+	}
+	q := b.c.newQueue("vm-1")
+	late, soon := job("job-1", 20), job("job-2", 60)
+	q.enqueue(soon)
+	q.enqueue(late)
+	b.c.sortWaiting(q)
+	if q.waiting[0] != late || b.c.jobsInOrder()[0].ID != "job-1" {
+		t.Fatal("what is due first does not go first")
+	}
+	b.c.queues["vm-1"] = q
+	b.c.now += Time(35 * time.Second)
+	b.c.refreshDue()
+	b.c.sortWaiting(q)
+	if q.waiting[0] != soon || b.c.jobsInOrder()[0].ID != "job-2" {
+		t.Error("what is late anyway goes before what is not")
+	}
+}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -185,6 +185,7 @@
 	Snapshot struct {
 		Session protocol.LeaseID
 		Items   []protocol.Item
+		WallMS  int64 // the time of day
 	}
 	// Changed is one change of a followed record.
 	Changed struct{ Event protocol.Event }
@@ -293,6 +294,8 @@
 type liveJob struct {
 	protocol.Job
 	version   protocol.Version
+	since     Time              // when it was submitted
+	due       Time              // when it should be done, as last reckoned
 	owner     protocol.NodeName // by the view of ownerTerm
 	ownerTerm protocol.Term
 }
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -101,7 +101,8 @@
 	if c.live[j.ID] != nil {
 		return
 	}
-	l := &liveJob{Job: j, version: version}
+	l := &liveJob{Job: j, version: version, since: c.submitted(&j)}
+	l.due = c.due(l)
 	c.live[j.ID] = l
 	c.noteArrival(&l.Job)
 	if snapshot || !c.member() || c.ownerOf(l) != c.self {
@@ -117,7 +118,7 @@
 func (c *Core) own(l *liveJob) *ownedJob {
 	o := &ownedJob{
 		liveJob: l, done: bitset.New(uint(l.Tasks)), pending: bitset.New(uint(l.Tasks)),
-		placed: map[protocol.TaskID]*placedTask{}, dirty: map[int]bool{}, failedOn: map[protocol.MachineID]bool{}, since: c.now,
+		placed: map[protocol.TaskID]*placedTask{}, dirty: map[int]bool{}, failedOn: map[protocol.MachineID]bool{}, since: l.since,
 	}
 	c.owner.jobs[l.ID] = o
 	c.owner.sorted = nil
@@ -599,14 +600,14 @@
 }
 
 // jobsInOrder returns the owned jobs in the order they are placed: the more urgent
-// priority first, then by creation.
+// priority first, then what is due first, then by creation.
 func (c *Core) jobsInOrder() []*ownedJob {
 	if c.owner.sorted == nil {
 		for _, o := range c.owner.jobs {
 			c.owner.sorted = append(c.owner.sorted, o)
 		}
 		slices.SortFunc(c.owner.sorted, func(a, b *ownedJob) int {
-			return cmp.Or(cmp.Compare(b.Priority.Rank(), a.Priority.Rank()), cmp.Compare(a.SubmittedMS, b.SubmittedMS), cmp.Compare(a.ID, b.ID))
+			return cmp.Or(cmp.Compare(b.Priority.Rank(), a.Priority.Rank()), cmp.Compare(a.due, b.due), cmp.Compare(a.SubmittedMS, b.SubmittedMS), cmp.Compare(a.ID, b.ID))
 		})
 	}
 	return c.owner.sorted
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"time"
 
 	"damsonkeel/internal/protocol"
 )
@@ -283,19 +284,13 @@
 }
 
 // timeLeft is how long a job's tasks may still wait, in seconds, and be done
-// by its deadline or within its class's objective, whichever is first. Owners'
-// estimates are often wrong by half.
+// when it is due. Owners' estimates are often wrong by half. What nobody sets
+// a time for waits no longer than a machine takes to come.
 func (c *Core) timeLeft(j *liveJob, d Demand) float64 {
-	by := j.DeadlineS
-	for _, o := range c.settings.Site.Objectives {
-		if o.Class == j.Class && o.Kind == "finished" && (by == 0 || o.WithinS < by) {
-			by = o.WithinS
-		}
-	}
-	if by == 0 {
+	if len(c.dueTimes(&j.Job)) == 0 {
 		return 0
 	}
-	return math.Max(0, by-d.OldestS-1.5*d.EstimateS)
+	return math.Max(0, time.Duration(j.due-c.now).Seconds()-1.5*d.EstimateS)
 }
 
 // fit is how many tasks of a size have room.
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -63,6 +63,7 @@
 	order    uint64
 	since    Time // queued here, or first seen here
 	level    level
+	due      Time              // of its job, when the queue was last sorted
 	together bool              // others of its gang wait for it
 	from     protocol.NodeName // that placed it here, if any
 	sent     bool
@@ -624,14 +625,22 @@
 	return 1
 }
 
-// sortWaiting keeps the higher level first, then the order of arrival.
+// sortWaiting keeps the higher level first, then what is due first, then the
+// order of arrival.
 func (c *Core) sortWaiting(q *queue) {
 	if q.sorted {
 		return
 	}
 	q.sorted = true
+	for _, e := range q.waiting {
+		if l := c.live[e.task.Job]; l != nil {
+			e.due = l.due
+		} else {
+			q.sorted = false // its record has not arrived yet
+		}
+	}
 	slices.SortStableFunc(q.waiting, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(b.level, a.level), cmp.Compare(a.order, b.order))
+		return cmp.Or(cmp.Compare(b.level, a.level), cmp.Compare(a.due, b.due), cmp.Compare(a.order, b.order))
 	})
 }
 
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -55,7 +55,7 @@
 		return fmt.Errorf("enter: %w", err)
 	}
 	n.log.Info("session begun", "session", lease)
-	n.post(Snapshot{Session: lease, Items: items})
+	n.post(Snapshot{Session: lease, Items: items, WallMS: time.Now().UnixMilli()})
 	l := &leaseClock{ttl: ttl}
 	l.extended.Store(int64(sent))
 	l.followed.Store(int64(n.now()))
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -264,7 +264,7 @@
 // submit accepts a job as intake does.
 func (w *world) submit(j protocol.Job) {
 	j.ID = protocol.JobID(fmt.Sprintf("job-%06d", len(w.jobs)))
-	j.SubmittedMS = w.now.Milliseconds()
+	j.SubmittedMS = 1 + w.now.Milliseconds()
 	j.Image, j.ImageGB, j.MemoryGB = "img", 1, 1
 	if w.outage > w.now || !w.state.Txn(acceptTxn(&j)) {
 		return
@@ -340,7 +340,7 @@
 		Then: []protocol.Change{{Put: key, Value: bookkeeping.Node{Session: lease}, Lease: &lease}},
 	})
 	n.session, n.followed, n.extendAt = lease, at, w.now
-	w.stepNode(n, Snapshot{Session: lease, Items: items})
+	w.stepNode(n, Snapshot{Session: lease, Items: items, WallMS: 1 + w.now.Milliseconds()})
 }
 
 func (w *world) clock(n *simNode) Time { return Time(w.now-n.born) + 1 }
