Rent ahead for what is likely to come while machines boot

Machines were asked for only when what was there could not keep pace any more.

Excluded: the cloud's rate and refusals; processor time.

Change: for each class with an objective, how much is likely (by a quantile at the objective's share) to come while a machine boots is reckoned from the arrivals of the last eight boots and their sizes. The plan has that much work begun in a boot's time, beyond what waits already, and idle machines are kept for it. The reserve of classes that should start in time is reckoned in the same way, from the sizes of all gangs seen instead of the last one's, with no cap.

Test: TestExpect.

--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -7,23 +7,38 @@
 	"damsonkeel/internal/protocol"
 )
 
-// arrivalsKept is how many arrivals of a class its rate is reckoned from.
-const arrivalsKept = 32
+// arrivalsKept bounds how many arrivals of a class are remembered.
+const arrivalsKept = 512
 
-// class is what has been seen of a class of jobs whose start is expected
-// within a time (an objective of the settings).
+// class is what has been seen of a class of jobs that an objective of the
+// settings is about.
 type class struct {
 	job      protocol.Job // the last one seen
-	share    float64      // of its tasks that should start in time
-	arrivals []Time
+	share    float64      // of its jobs that should keep the objective
+	awaited  bool         // they should start within a time
+	arrivals []arrival
 }
 
+// arrival is a job that came.
+type arrival struct {
+	at    Time
+	tasks float64
+	work  float64 // of all its tasks, in processor seconds
+}
+
+// together is how soon after another a job has to come to count as one arrival
+// with it: no room kept meets what comes at once.
+const together = 250 * time.Millisecond
+
 // noteArrival learns what jobs of a class look like and how often they come.
 func (c *Core) noteArrival(j *protocol.Job) {
-	share := 0.0
+	share, awaited := 0.0, false
 	for _, o := range c.settings.Site.Objectives {
-		if o.Kind == "wait" && o.Class == j.Class {
+		switch {
+		case o.Class != j.Class:
+		case o.Kind == "wait" || o.Kind == "deadline" || o.Kind == "finished":
 			share = math.Max(share, o.Share)
+			awaited = awaited || o.Kind == "wait"
 		}
 	}
 	if share == 0 {
@@ -34,49 +49,73 @@
 		k = &class{}
 		c.classes[j.Class] = k
 	}
-	k.job, k.share = *j, share
-	if n := len(k.arrivals); n > 0 && c.since(k.arrivals[n-1]) < time.Second {
-		return // jobs that come together are one arrival: no room kept meets such a burst
+	k.job, k.share, k.awaited = *j, share, awaited
+	if n := len(k.arrivals); n > 0 && c.since(k.arrivals[n-1].at) < together {
+		return
 	}
-	k.arrivals = append(k.arrivals, c.now)
+	k.arrivals = append(k.arrivals, arrival{c.now, float64(j.Tasks), float64(j.Tasks) * j.CPUs * c.estimate(j)})
 	if len(k.arrivals) > arrivalsKept {
 		k.arrivals = k.arrivals[1:]
 	}
 }
 
-// reserve is how much room is kept for a class: as many tasks as are likely,
-// by its objective's share, to come while a machine boots.
-func (c *Core) reserve(k *class) int {
-	boot := math.Inf(1)
+// upS is how long the soonest machine that a class may use takes to be ready
+// for it, its image included, in seconds; infinite if there is none.
+func (c *Core) upS(k *class) float64 {
+	up := math.Inf(1)
 	for _, t := range c.types {
 		l := liveJob{Job: k.job}
 		l.Zone = ""
 		if l.allowsKind(t, "", false) {
-			fetch := 0.0
-			if t.FetchGBPS > 0 {
-				fetch = k.job.ImageGB / t.FetchGBPS
-			}
-			boot = math.Min(boot, t.BootS+fetch)
+			up = math.Min(up, t.BootS+fetchS(t, &k.job))
 		}
 	}
+	return up
+}
+
+// expect is how much of a class is likely, by its objective's share, to come
+// while a machine boots: a quantile of a sum of sizes as seen, that come as
+// often as seen.
+func (c *Core) expect(k *class, size func(arrival) float64) float64 {
+	boot := c.upS(k)
 	if math.IsInf(boot, 1) {
 		return 0
 	}
 	// A rate can't be told from a time much shorter than several boots, and
 	// what came long ago says little.
 	window := 8 * boot
-	n := 0
-	for _, at := range k.arrivals {
-		if c.since(at).Seconds() <= window {
+	n, sum, squares, first := 0.0, 0.0, 0.0, c.now
+	for _, a := range k.arrivals {
+		if c.since(a.at).Seconds() <= window {
+			first = min(first, a.at)
 			n++
+			sum += size(a)
+			squares += size(a) * size(a)
 		}
 	}
 	if n == 0 {
 		return 0 // they have stopped coming
 	}
-	span := math.Min(window, math.Max(c.since(k.arrivals[0]).Seconds(), 5*boot))
-	mean := float64(n) / span * boot
-	return quantile(mean, (1+k.share)/2) * int(min(k.job.Tasks, 16))
+	if k.arrivals[0].at < first {
+		first = c.now - Time(window*float64(time.Second))
+	}
+	span := math.Min(window, math.Max(c.since(first).Seconds(), 5*boot))
+	mean := n / span * boot
+	// Room for half as many misses as the objective allows.
+	p := (1 + k.share) / 2
+	if one := sum / n; squares/n-one*one < slack*one*one {
+		return float64(quantile(mean, p)) * one
+	}
+	return mean*sum/n + math.Sqrt2*math.Erfinv(2*p-1)*math.Sqrt(mean*squares/n)
+}
+
+// reserve is how much room is kept for a class whose tasks should start in
+// time: as many of them as are likely to come while a machine boots.
+func (c *Core) reserve(k *class) int {
+	if !k.awaited {
+		return 0
+	}
+	return int(math.Ceil(c.expect(k, func(a arrival) float64 { return a.tasks })))
 }
 
 // quantile is the smallest number that a Poisson variable of a mean stays at
--- a/internal/coordination/classes_test.go
+++ b/internal/coordination/classes_test.go
@@ -74,3 +74,24 @@
 		t.Error("alone by what a peer said a minute ago")
 	}
 }
+
+// TestExpect: what is reckoned to come grows with how often jobs come and how
+// unlike they are, and covers at least what comes on average.
+func TestExpect(t *testing.T) {
+	b := newBench(t)
+	seen := func(sizes ...float64) float64 {
+		k := &class{job: protocol.Job{Class: "array", CPUs: 1, MemoryGB: 1}, share: 0.8}
+		for i, s := range sizes {
+			k.arrivals = append(k.arrivals, arrival{at: b.c.now - Time(time.Duration(len(sizes)-i)*4*time.Second), tasks: s})
+		}
+		return b.c.expect(k, func(a arrival) float64 { return a.tasks })
+	}
+	b.c.now = Time(time.Hour)
+	even, uneven := seen(10, 10, 10, 10, 10, 10, 10, 10, 10, 10), seen(1, 19, 1, 19, 1, 19, 1, 19, 1, 19)
+	if even < 20 || uneven <= even {
+		t.Errorf("%v of even sizes, %v of uneven ones; 20 come in 8 s on average", even, uneven)
+	}
+	if few := seen(10, 10, 10); few >= even {
+		t.Errorf("%v of three, %v of ten", few, even)
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -190,12 +190,34 @@
 	return math.Min(t.BootS, c.op.IdleReturn.Seconds())
 }
 
+// spareCPUs is how many processors there are beyond what is held by more
+// urgent work and what the classes that need not start at once are likely to
+// need.
+func (c *Core) spareCPUs() float64 {
+	top, spare, any := 0, 0.0, false
+	for _, k := range c.classes {
+		if work := c.expect(k, func(a arrival) float64 { return a.work }); !k.awaited && work > 0 {
+			spare -= work / c.upS(k)
+			top, any = max(top, k.job.Priority.Rank()), true
+		}
+	}
+	if !any {
+		return math.Inf(1)
+	}
+	for _, m := range c.machinesInOrder() {
+		if c.usable(m) {
+			spare += m.roomBelow(top).cpus
+		}
+	}
+	return spare
+}
+
 // returnMachines gives back what is idle, failed, faulty or never came up. A
 // machine that may hold tasks is emptied first, or its lease is over.
 func (c *Core) returnMachines() {
 	f := &c.fleet
 	var gone []protocol.MachineID
-	kept := c.keptRoom()
+	kept, spare := c.keptRoom(), c.spareCPUs()
 	for id, m := range inOrder(c.machines) {
 		if f.returned[id] != 0 {
 			// The cloud's word is there, only its record could not be written
@@ -217,7 +239,8 @@
 			gone = append(gone, id)
 		case empty && (m.told.Draining || m.told.Suspect):
 			gone = append(gone, id)
-		case empty && !m.told.Draining && m.told.IdleS > c.keepIdle(m.info) && give(m, kept):
+		case empty && !m.told.Draining && m.told.IdleS > c.keepIdle(m.info) && spare >= m.info.CPUs && give(m, kept):
+			spare -= m.info.CPUs
 			c.log.Info("returning an idle machine", "machine", id, "idle_s", int(m.told.IdleS))
 			c.send(c.keeper(id), PeerMessage{Drain: &id})
 		}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -198,6 +198,12 @@
 	return room
 }
 
+// roomBelow is what a machine has for work of a rank or below, beside what is
+// more urgent.
+func (m *machineEntry) roomBelow(rank int) resources {
+	return capacity(m.info).minus(m.held.above(rank)).minus(m.taken.above(rank))
+}
+
 // waitFor is the wait per processor that a task has to expect before it runs,
 // in seconds, its image's fetch included, and whether the machine has room for
 // it now. With room, the fuller machine counts a little less, so that small
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -64,7 +64,7 @@
 	for _, d := range demand {
 		switch j := c.live[d.Job]; {
 		case j == nil:
-		case c.classes[j.Class] != nil:
+		case c.awaited(&j.Job):
 			p.rentFor(j, level(d.Level), p.fill(j, level(d.Level), d.Unstarted))
 		default:
 			rest = append(rest, d)
@@ -83,7 +83,16 @@
 	})
 	p.gather(rest)
 	for _, d := range rest {
-		p.workOff(c.live[d.Job], d)
+		p.workOff(c.live[d.Job], d, c.timeLeft(c.live[d.Job], d))
+	}
+	// What is likely to come until another machine is up has to be begun by
+	// then: else each burst would wait for the boots that the last one needed.
+	for _, k := range inOrder(c.classes) {
+		if work := c.expect(k, func(a arrival) float64 { return a.work }); !k.awaited && work > 0 {
+			d := Demand{EstimateS: c.estimate(&k.job)}
+			d.Unstarted = int(work / (d.EstimateS * math.Max(k.job.CPUs, slack)))
+			p.workOff(&liveJob{Job: k.job}, d, c.upS(k))
+		}
 	}
 }
 
@@ -174,12 +183,7 @@
 	}
 	for _, s := range p.slots {
 		k := p.pool(s.kind)
-		room := capacity(s.info)
-		for l, r := range s.held {
-			if l%ranks > top { // more urgent work stays, within a guarantee or not
-				room = room.minus(r)
-			}
-		}
+		room := capacity(s.info).minus(s.held.above(top))
 		if room.cpus <= slack {
 			continue
 		}
@@ -191,10 +195,10 @@
 	}
 }
 
-// workOff has the pools do a job's tasks before they would be late, and rents
-// machines for those that they can't.
-func (p *planning) workOff(j *liveJob, d Demand) {
-	n, size, left := float64(d.Unstarted), need(&j.Job), p.c.timeLeft(j, d)
+// workOff has the pools begin a job's tasks in the time that is left, in
+// seconds, and rents machines for those that they can't.
+func (p *planning) workOff(j *liveJob, d Demand, left float64) {
+	n, size := float64(d.Unstarted), need(&j.Job)
 	offers := p.c.offers(j)
 	upS := func(k kind) float64 { return p.c.types[k.t].BootS + fetchS(p.c.types[k.t], &j.Job) }
 	if len(offers) > 0 {
--- a/internal/coordination/uses.go
+++ b/internal/coordination/uses.go
@@ -31,6 +31,18 @@
 	return sum
 }
 
+// above is what attempts of a priority above a rank take, within a guarantee or
+// not.
+func (u *uses) above(rank int) resources {
+	var sum resources
+	for l, r := range u {
+		if l%ranks > rank {
+			sum = sum.plus(r)
+		}
+	}
+	return sum
+}
+
 func (u *uses) add(l level, n resources) {
 	l = min(max(l, 0), levels-1)
 	u[l] = u[l].plus(n)
