Keep gangs off spot machines that are taken too often

Change: every controller counts spot machines that go as taken and the time that spot machines are up (half counts after ten minutes; one loss in two machine hours is assumed before). From that, the gang's checkpoints and the time to get another machine follows by how much a spot machine lengthens a gang. It counts in the expected wait and in the price; beyond a tenth for all its tasks spot machines are the last choice for placing and none for renting and reserves. Arrays hardly feel it and go there first.

--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -16,6 +16,8 @@
 type candidates struct {
 	job  *ownedJob
 	need resources
+	risk float64 // what a spot machine adds to the wait, in seconds
+	shun bool    // spot machines only if there is no other way
 	kept []kept
 	heap []candidate
 }
@@ -57,7 +59,7 @@
 
 // candidatesFor looks for the machines that may run a job's tasks.
 func (c *Core) candidatesFor(o *ownedJob, zones map[protocol.Zone]int, kept []kept) *candidates {
-	s := &candidates{job: o, need: need(&o.Job), kept: kept}
+	s := &candidates{job: o, need: need(&o.Job), kept: kept, risk: c.spotStretch(&o.Job) * c.estimate(&o.Job), shun: c.risky(&o.Job)}
 	for _, m := range c.machinesInOrder() {
 		if c.mayTake(o, m, zones) {
 			if k, ok := s.weigh(m, c.rng.Uint32()); ok {
@@ -88,8 +90,11 @@
 		}
 		w = m.fetch(&s.job.Job) + (firm.cpus-math.Max(0, m.room().cpus))/math.Max(m.info.CPUs, 1)
 	}
+	if m.rec.Spot {
+		w += s.risk
+	}
 	k := candidate{m: m, rank: rankQueue, wait: int64(math.Round(w * 1e6)), tie: tie}
-	if room {
+	if room && !(s.shun && m.rec.Spot) {
 		k.rank = rankFree
 		if wanted(s.job, m, s.kept) {
 			k.rank = rankWanted
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -59,15 +59,15 @@
 	}
 }
 
-// upS is how long the soonest machine that a class may use takes to be ready
+// upS is how long the soonest machine that a job may use takes to be ready
 // for it, its image included, in seconds; infinite if there is none.
-func (c *Core) upS(k *class) float64 {
+func (c *Core) upS(j *protocol.Job) float64 {
 	up := math.Inf(1)
 	for _, t := range c.types {
-		l := liveJob{Job: k.job}
+		l := liveJob{Job: *j}
 		l.Zone = ""
 		if l.allowsKind(t, "", false) {
-			up = math.Min(up, t.BootS+fetchS(t, &k.job))
+			up = math.Min(up, t.BootS+fetchS(t, j))
 		}
 	}
 	return up
@@ -77,7 +77,7 @@
 // while a machine boots: a quantile of a sum of sizes as seen, that come as
 // often as seen.
 func (c *Core) expect(k *class, size func(arrival) float64) float64 {
-	boot := c.upS(k)
+	boot := c.upS(&k.job)
 	if math.IsInf(boot, 1) {
 		return 0
 	}
@@ -135,6 +135,7 @@
 // kept is the room reserved for one class while tasks are placed.
 type kept struct {
 	job   *liveJob
+	risky bool // spot machines are no room for it
 	need  resources
 	spare int // how many more tasks fit than are reserved
 }
@@ -148,9 +149,9 @@
 			continue
 		}
 		l := &liveJob{Job: k.job}
-		kp := kept{job: l, need: need(&l.Job), spare: -r}
+		kp := kept{job: l, risky: c.risky(&l.Job), need: need(&l.Job), spare: -r}
 		for _, m := range c.machines {
-			if c.usable(m) && l.allowsKind(m.info, m.rec.Zone, m.rec.Spot) {
+			if c.usable(m) && kp.suits(m) {
 				kp.spare += fit(m.room(), kp.need)
 			}
 		}
@@ -167,7 +168,9 @@
 }
 
 // suits reports whether a machine could ever take a task of the class.
-func (k *kept) suits(m *machineEntry) bool { return k.job.allowsKind(m.info, m.rec.Zone, m.rec.Spot) }
+func (k *kept) suits(m *machineEntry) bool {
+	return !(k.risky && m.rec.Spot) && k.job.allowsKind(m.info, m.rec.Zone, m.rec.Spot)
+}
 
 // applies reports whether room kept for the class is kept from a job.
 func (k *kept) applies(o *ownedJob) bool {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -53,6 +53,7 @@
 	// report of an earlier one was held back by the network.
 	sessionFloor map[protocol.MachineID]protocol.Session
 	peers        map[protocol.NodeName]*peer
+	spots        spotRisk
 	fleet        fleetState
 
 	lastRelay  Time
@@ -302,6 +303,7 @@
 	if c.since(c.lastRelay) >= c.op.RelayEvery {
 		c.lastRelay = c.now
 		c.refreshDue()
+		c.watchSpots()
 		c.expireSilent()
 		c.rebalance()
 		for _, q := range inOrder(c.queues) {
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -74,25 +74,31 @@
 	if !o.OneZone || !o.together() {
 		return []protocol.Zone{""}
 	}
-	now, firm := c.zoneRoom(o, claimed)
 	n := int(o.Tasks)
 	var zones []protocol.Zone
-	for z := range inOrder(firm) {
-		if firm[z] >= n {
-			zones = append(zones, z)
+	now, firm := c.zoneRoom(o, claimed, c.risky(&o.Job))
+	for range 2 {
+		for z := range inOrder(firm) {
+			if firm[z] >= n {
+				zones = append(zones, z)
+			}
+		}
+		if len(zones) > 0 || !c.risky(&o.Job) {
+			break
 		}
+		now, firm = c.zoneRoom(o, claimed, false) // rather on spot machines than not at all
 	}
 	slices.SortStableFunc(zones, func(a, b protocol.Zone) int { return min(now[b], n) - min(now[a], n) })
 	return zones
 }
 
 // zoneRoom is how many of a gang's tasks have room by zone: now, and once what
-// is less urgent is stopped.
-func (c *Core) zoneRoom(o *ownedJob, claimed claims) (now, firm map[protocol.Zone]int) {
+// is less urgent is stopped. Spot machines may be left out.
+func (c *Core) zoneRoom(o *ownedJob, claimed claims, shun bool) (now, firm map[protocol.Zone]int) {
 	now, firm = map[protocol.Zone]int{}, map[protocol.Zone]int{}
 	size, none := need(&o.Job), map[protocol.Zone]int{}
 	for _, m := range c.machinesInOrder() {
-		if c.mayTake(o, m, none) && !claimed.against(o, m) {
+		if c.mayTake(o, m, none) && !claimed.against(o, m) && !(shun && m.rec.Spot) {
 			now[m.rec.Zone] += fit(m.room(), size)
 			firm[m.rec.Zone] += fit(m.firmRoom(o.level), size)
 		}
@@ -118,7 +124,7 @@
 	size, none := need(&o.Job), map[protocol.Zone]int{}
 	var best protocol.Zone
 	if o.OneZone {
-		_, firm := c.zoneRoom(o, claimed)
+		_, firm := c.zoneRoom(o, claimed, false)
 		for z, n := range inOrder(firm) {
 			if best == "" || n > firm[best] {
 				best = z
--- /dev/null
+++ b/internal/coordination/gang_test.go
@@ -0,0 +1,162 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+)
+
+// zoned registers idle machines of a zone; held is what of each has a level.
+func (b *bench) zoned(z protocol.Zone, n int, spot bool, held uses) {
+	for i := range n {
+		id := protocol.MachineID(fmt.Sprintf("vm-%s%v%d", z, spot, i))
+		m := &machineEntry{
+			id: id, epoch: 1, info: protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16}, held: held,
+			rec: bookkeeping.Machine{Zone: z, Spot: spot}, mine: map[protocol.TaskID]*placedTask{},
+		}
+		free := capacity(m.info).minus(held.firm(0))
+		m.told = MachineState{Machine: id, Epoch: 1, FreeCPUs: free.cpus, FreeGB: free.gb}
+		b.c.machines[id] = m
+	}
+	b.c.sorted = nil
+}
+
+func (b *bench) gang(id protocol.JobID, tasks uint32) *ownedJob {
+	o := b.c.own(&liveJob{Job: protocol.Job{
+		ID: id, Class: "gang", Team: "free", Kind: protocol.KindGang, Priority: "high", Tasks: tasks, CPUs: 4, MemoryGB: 1,
+		EstimateS: 100, CheckpointS: 10, OneZone: true, Spot: true,
+	}, since: b.c.now})
+	o.loaded = true
+	o.pending.FlipRange(0, uint(tasks))
+	o.level = levelOf(o.Priority, false)
+	return o
+}
+
+func (b *bench) placeGang(o *ownedJob, l claims) []Placement {
+	return b.c.placeGang(o, map[protocol.Team]resources{}, nil, l)
+}
+
+func heldAt(l level, cpus float64) (u uses) {
+	u.add(l, resources{cpus: cpus})
+	return u
+}
+
+// TestGangZone: a gang bound to one zone goes where all of it has a place, and
+// of such zones to the one with more room now; nowhere in part.
+func TestGangZone(t *testing.T) {
+	b := newBench(t, "node-1")
+	b.zoned("a", 5, false, heldAt(2, 4)) // more machines, held by what is as urgent
+	b.zoned("b", 3, false, heldAt(1, 4)) // held by what may be stopped
+	b.zoned("c", 2, false, uses{})
+	if ps := b.placeGang(b.gang("job-1", 4), claims{}); ps != nil {
+		t.Fatalf("%d of 4 tasks placed", len(ps))
+	}
+	for _, tc := range []struct {
+		id    protocol.JobID
+		tasks uint32
+		zone  protocol.Zone
+	}{{"job-2", 3, "b"}, {"job-3", 2, "c"}} {
+		o := b.gang(tc.id, tc.tasks)
+		if ps := b.placeGang(o, claims{}); len(ps) != int(tc.tasks) {
+			t.Fatalf("%s: %d tasks placed", tc.id, len(ps))
+		}
+		for _, p := range o.placed {
+			if p.zone != tc.zone {
+				t.Errorf("%s is in zone %s, want %s", tc.id, p.zone, tc.zone)
+			}
+		}
+	}
+}
+
+// TestGangClaims: what a gang waits for is left to it by gangs after it, for a
+// while; what may be stopped for it may use it.
+func TestGangClaims(t *testing.T) {
+	b := newBench(t, "node-1")
+	b.zoned("a", 3, false, uses{})
+	l := claims{}
+	large, small := b.gang("job-1", 4), b.gang("job-2", 2)
+	if b.placeGang(large, l) != nil || len(l) != 3 {
+		t.Fatalf("%d machines claimed, want 3", len(l))
+	}
+	if ps := b.placeGang(small, l); ps != nil {
+		t.Error("a gang after it takes what is claimed")
+	}
+	urgent := b.gang("job-3", 2)
+	urgent.level = levelOf("production", false)
+	array := &ownedJob{liveJob: &liveJob{}, level: levelOf("standard", false)}
+	for m := range l {
+		if !l.against(urgent, m) || l.against(array, m) {
+			t.Error("claims hold against what could be stopped, or not against the rest")
+		}
+	}
+	b.c.now += Time(4 * 8 * time.Second)
+	if b.placeGang(large, claims{}); b.placeGang(small, claims{}) == nil {
+		t.Error("a claim without end")
+	}
+}
+
+// TestKeeperRefusesBlockedGang: a task whose gang waits for it is not queued
+// behind what can't be stopped for it; behind what can, that is stopped.
+func TestKeeperRefusesBlockedGang(t *testing.T) {
+	for _, tc := range []struct {
+		runs    protocol.Priority
+		refused bool
+	}{{"high", true}, {"standard", false}} {
+		b := newBench(t)
+		b.ready("vm-1")
+		q := b.c.queues["vm-1"]
+		b.c.live["job-1"] = &liveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: tc.runs, CPUs: 2, Tasks: 1}}
+		b.c.live["job-2"] = &liveJob{Job: protocol.Job{ID: "job-2", Team: "free", Kind: protocol.KindGang, Priority: "high", CPUs: 4, Tasks: 2}}
+		runs := &entry{
+			task: protocol.TaskID{Job: "job-1"}, attempt: 1, need: resources{cpus: 2}, level: levelOf(tc.runs, false),
+			sent: true, present: true, state: protocol.TaskRunning,
+		}
+		q.entries[runs.task] = runs
+		b.c.place("node-0", &Place{Number: 1, Term: b.c.view.Term, Tasks: []Placement{{
+			Task: protocol.TaskID{Job: "job-2"}, Attempt: 1, Machine: "vm-1", Epoch: q.epoch, CPUs: 4, Level: int(levelOf("high", false)), Together: true,
+		}}})
+		if refused := len(q.waiting) == 0; refused != tc.refused || runs.kill == tc.refused {
+			t.Errorf("behind %s: refused %v, other stopped %v", tc.runs, refused, runs.kill)
+		}
+	}
+}
+
+// TestSpotRisk: gangs leave spot machines alone once these are seen to be taken
+// so often that they would not get on, and arrays use them all the same.
+func TestSpotRisk(t *testing.T) {
+	b := newBench(t, "node-1")
+	o := b.gang("job-1", 2)
+	if b.c.risky(&o.Job) {
+		t.Fatal("avoided before any was taken")
+	}
+	for range 40 {
+		m := &machineEntry{rec: bookkeeping.Machine{Spot: true}, told: MachineState{Noticed: true}}
+		b.c.noteLoss(m)
+		m.told = MachineState{Draining: true, Noticed: true}
+		b.c.noteLoss(m) // returned by ourselves
+	}
+	if b.c.spots.losses != 40 {
+		t.Errorf("%v losses counted, want 40", b.c.spots.losses)
+	}
+	if !b.c.risky(&o.Job) {
+		t.Fatal("not avoided though they are taken all the time")
+	}
+	if array := (&protocol.Job{Kind: protocol.KindArray, Tasks: 500, EstimateS: 10}); b.c.risky(array) {
+		t.Error("avoided for an array")
+	}
+	b.zoned("a", 2, true, uses{})
+	b.zoned("b", 2, false, heldAt(1, 4))
+	b.placeGang(o, claims{})
+	for _, p := range o.placed {
+		if p.zone != "b" {
+			t.Error("placed on a spot machine rather than where something may be stopped")
+		}
+	}
+	b.c.spots.watch(0, 10*spotMemory)
+	if b.c.risky(&o.Job) {
+		t.Error("avoided long after the last was taken")
+	}
+}
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -91,7 +91,7 @@
 		if work := c.expect(k, func(a arrival) float64 { return a.work }); !k.awaited && work > 0 {
 			d := Demand{EstimateS: c.estimate(&k.job)}
 			d.Unstarted = int(work / (d.EstimateS * math.Max(k.job.CPUs, slack)))
-			p.workOff(&liveJob{Job: k.job}, d, c.upS(k))
+			p.workOff(&liveJob{Job: k.job}, d, c.upS(&k.job))
 		}
 	}
 }
@@ -114,13 +114,13 @@
 // fill takes room for n tasks of a job out of the slots, as far as there is,
 // and returns how many are left without.
 func (p *planning) fill(j *liveJob, l level, n int) int {
-	size := need(&j.Job)
+	size, shun := need(&j.Job), p.c.risky(&j.Job)
 	for i := range p.slots {
 		s := &p.slots[i]
 		if n == 0 {
 			break
 		}
-		if !j.allowsKind(s.info, s.zone, s.spot) {
+		if shun && s.spot || !j.allowsKind(s.info, s.zone, s.spot) {
 			continue
 		}
 		for n > 0 && s.free.covers(size) {
@@ -314,6 +314,7 @@
 		price float64
 	}
 	var offers []offer
+	stretch, shun := c.spotStretch(&j.Job)*float64(j.Tasks), c.risky(&j.Job)
 	for _, t := range c.types {
 		per := fit(capacity(t), need(&j.Job))
 		if per == 0 {
@@ -322,12 +323,12 @@
 		for _, z := range t.AllowZones {
 			for _, spot := range []bool{true, false} {
 				k := kind{t.Name, z, spot}
-				if !j.allowsKind(t, z, spot) || c.fleet.refused[k].until > c.now {
+				if !j.allowsKind(t, z, spot) || spot && shun || c.fleet.refused[k].until > c.now {
 					continue
 				}
 				price := t.Price
 				if spot {
-					price = t.SpotPrice
+					price = t.SpotPrice * (1 + stretch)
 				}
 				offers = append(offers, offer{k, price / float64(per)})
 			}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -375,6 +375,7 @@
 	if m == nil {
 		return
 	}
+	c.noteLoss(m)
 	delete(c.machines, id)
 	c.sorted = nil
 	c.sessionFloor[id] = max(c.sessionFloor[id], m.rec.Session+1)
