Ask for machines by kind, for all jobs together

Gangs bound to a zone were rented for wherever it was cheapest.

Change: a plan collects what it wants by kind and sends one request of a kind at a time; an answer, full or partial, brings the next plan at once. A gang bound to one zone counts room, and rents, in the zone that lacks least for all of it.

Tests: TestPlanAsksAgainAtOnce, TestGangZoneIsRented.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -148,6 +148,9 @@
 		c.log.Info("rented", "machines", m.Machines, "request", m.Request.Name)
 		delete(f.refused, k)
 		if len(m.Machines) == m.Request.Count {
+			if c.planning() {
+				c.plan() // there may be more of it
+			}
 			return
 		}
 	case OutcomeFailed, OutcomeRefused:
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -51,7 +52,11 @@
 
 // plan rents what the unstarted work needs beyond what is there or coming.
 func (c *Core) plan() {
-	p := planning{c: c, slots: c.slots(), pools: map[kind]*pool{}}
+	p := planning{c: c, slots: c.slots(), pools: map[kind]*pool{}, want: map[kind]int{}, underWay: map[kind]int{}}
+	for _, r := range c.fleet.rents {
+		p.underWay[kind{r.req.Type, r.req.Zone, r.req.Spot}] += r.req.Count
+	}
+	defer p.rentWanted()
 	var demand, rest []Demand
 	for _, p := range c.peers {
 		demand = append(demand, p.demand...)
@@ -65,15 +70,15 @@
 		switch j := c.live[d.Job]; {
 		case j == nil:
 		case c.awaited(&j.Job):
-			p.rentFor(j, level(d.Level), p.fill(j, level(d.Level), d.Unstarted))
+			p.house(j, level(d.Level), d.Unstarted)
 		default:
 			rest = append(rest, d)
 		}
 	}
 	for _, k := range inOrder(c.classes) {
 		j := &liveJob{Job: k.job}
-		l := levelOf(j.Priority, false)
-		p.rentFor(j, l, p.fill(j, l, c.reserve(k)))
+		j.OneZone = false // it is kept for several jobs
+		p.house(j, levelOf(j.Priority, false), c.reserve(k))
 	}
 	// What is left works off the rest, the most pressing first. Each job finds
 	// what those before it leave of the time until it has to be done.
@@ -98,9 +103,10 @@
 
 // planning is the state of one plan.
 type planning struct {
-	c     *Core
-	slots []slot
-	pools map[kind]*pool
+	c              *Core
+	slots          []slot
+	pools          map[kind]*pool
+	want, underWay map[kind]int // machines to be asked for, or asked for already
 }
 
 // pool is the machines of one kind, as far as they work off what need not
@@ -132,41 +138,85 @@
 	return n
 }
 
-// rentFor rents the cheapest machines for n of a job's tasks.
-func (p *planning) rentFor(j *liveJob, l level, n int) {
-	if n <= 0 {
+// house takes room for n tasks of a job and rents what is missing.
+func (p *planning) house(j *liveJob, l level, n int) {
+	if n > 0 && j.OneZone && j.Zone == "" {
+		in := *j // as if its user had named the zone
+		in.Zone = p.zoneFor(j, n)
+		j = &in
+	}
+	if n = p.fill(j, l, n); n <= 0 {
 		return
 	}
 	for _, k := range p.c.offers(j) {
 		per := fit(capacity(p.c.types[k.t]), need(&j.Job))
-		for n > 0 {
-			count := min((n+per-1)/per, rentAtMost)
-			if !p.c.ask(k, count) {
-				return
-			}
+		if count := p.ask(k, (n+per-1)/per); count > 0 {
 			p.slots = append(p.slots, p.c.fresh(k, count)...)
 			n = p.fill(j, l, n)
 		}
+		if n <= 0 {
+			return
+		}
 	}
 }
 
+// zoneFor is the zone that lacks least to hold n tasks of a job, of those that
+// lack nothing or still have machines to rent.
+func (p *planning) zoneFor(j *liveJob, n int) protocol.Zone {
+	room, offered := map[protocol.Zone]int{}, map[protocol.Zone]bool{}
+	size, shun := need(&j.Job), p.c.risky(&j.Job)
+	for i := range p.slots {
+		if s := &p.slots[i]; !(shun && s.spot) && j.allowsKind(s.info, s.zone, s.spot) {
+			room[s.zone] += fit(s.free, size)
+		}
+	}
+	for _, k := range p.c.offers(j) {
+		offered[k.zone] = true
+		room[k.zone] += 0
+	}
+	var best protocol.Zone
+	for z, has := range inOrder(room) {
+		if has < n && !offered[z] {
+			continue
+		}
+		if best == "" || min(has, n) > min(room[best], n) {
+			best = z
+		}
+	}
+	return best
+}
+
 // rentAtMost is how many machines are asked for in one request.
 const rentAtMost = 50
 
-// ask sends a rental request, unless as many as the cloud takes are under way.
-func (c *Core) ask(k kind, count int) bool {
-	if float64(len(c.fleet.rents)) >= math.Max(1, c.settings.Site.Cloud.RPS) {
-		return false
-	}
-	c.fleet.requests++
-	req := protocol.RentRequest{
-		Name: fmt.Sprintf("%s-%d-%d-%d", c.self, c.session, c.view.Term, c.fleet.requests),
-		Type: k.t, Zone: k.zone, Spot: k.spot, Count: count,
-	}
-	r := &rentCall{req: req}
-	c.fleet.rents[req.Name] = r
-	c.rent(r)
-	return true
+// ask takes note of machines to be rented, and returns how many of them the
+// plan may count on: no more of a kind at a time than one request, whose answer
+// tells whether there are more.
+func (p *planning) ask(k kind, count int) int {
+	count = max(0, min(count, rentAtMost-p.want[k]-p.underWay[k]))
+	if count > 0 {
+		p.want[k] += count
+	}
+	return count
+}
+
+// rentWanted sends the plan's requests, as many at a time as the cloud answers
+// in a second; the next plan asks for the rest.
+func (p *planning) rentWanted() {
+	c := p.c
+	for _, k := range inPriceOrder(c, p.want) {
+		if float64(len(c.fleet.rents)) >= math.Max(1, c.settings.Site.Cloud.RPS) {
+			return
+		}
+		c.fleet.requests++
+		req := protocol.RentRequest{
+			Name: fmt.Sprintf("%s-%d-%d-%d", c.self, c.session, c.view.Term, c.fleet.requests),
+			Type: k.t, Zone: k.zone, Spot: k.spot, Count: p.want[k],
+		}
+		r := &rentCall{req: req}
+		c.fleet.rents[req.Name] = r
+		c.rent(r)
+	}
 }
 
 // gather pools what the slots have left for the rest of the work, and what of
@@ -205,7 +255,7 @@
 		// A machine rented now brings nothing for what begins before it is up.
 		left = math.Max(left, upS(offers[0]))
 	}
-	for _, k := range p.c.poolsInOrder(p.pools) {
+	for _, k := range inPriceOrder(p.c, p.pools) {
 		l := p.pools[k]
 		if !j.allowsKind(l.info, k.zone, k.spot) {
 			continue
@@ -215,18 +265,16 @@
 	for _, k := range offers {
 		per := fit(capacity(p.c.types[k.t]), size)
 		rounds := math.Max(0, left-upS(k))/d.EstimateS + 1
-		for n > 0.5 {
-			count := min(int(math.Ceil(n/(float64(per)*rounds))), rentAtMost)
-			if !p.c.ask(k, count) {
-				return
-			}
-			l := p.pool(k)
-			for range count {
-				l.room = l.room.plus(capacity(l.info))
-			}
-			l.aheadS += float64(count) * l.info.CPUs * upS(k)
-			n -= math.Max(1, l.take(n, size, d.EstimateS, left))
+		if n < 0.5 {
+			return
 		}
+		count := p.ask(k, int(math.Ceil(n/(float64(per)*rounds))))
+		l := p.pool(k)
+		for range count {
+			l.room = l.room.plus(capacity(l.info))
+		}
+		l.aheadS += float64(count) * l.info.CPUs * upS(k)
+		n -= l.take(n, size, d.EstimateS, left)
 	}
 }
 
@@ -266,12 +314,9 @@
 	return n
 }
 
-// poolsInOrder lists kinds in one order, the cheapest first.
-func (c *Core) poolsInOrder(pools map[kind]*pool) []kind {
-	ks := make([]kind, 0, len(pools))
-	for k := range pools {
-		ks = append(ks, k)
-	}
+// inPriceOrder lists kinds in one order, the cheapest first.
+func inPriceOrder[V any](c *Core, kinds map[kind]V) []kind {
+	ks := slices.Collect(maps.Keys(kinds))
 	slices.SortFunc(ks, func(a, b kind) int {
 		return cmp.Or(cmp.Compare(c.price(a), c.price(b)), cmp.Compare(a.t, b.t), cmp.Compare(a.zone, b.zone))
 	})
