--- a/internal/bookkeeping/state.go
+++ b/internal/bookkeeping/state.go
@@ -40,6 +40,7 @@
 	follow *transport.Client
 	reads  *rate.Limiter // all requests
 	writes *rate.Limiter // puts and deletes
+	opens  *rate.Limiter // watches opened
 }
 
 // NewState makes a client. The configured rates hold for all controllers
@@ -51,6 +52,7 @@
 		follow: transport.NewClient(addr),
 		reads:  rate.NewLimiter(rate.Limit(rps*share), max(1, int(rps*share))),
 		writes: rate.NewLimiter(rate.Limit(writeRPS*share), max(1, int(writeRPS*share))),
+		opens:  rate.NewLimiter(rate.Limit(rps*share/4), 1),
 	}
 }
 
@@ -170,9 +172,15 @@
 	return s.do(ctx, "POST", "/holds/"+strconv.FormatUint(uint64(id), 10)+"/extend", struct{}{}, nil)
 }
 
-// Follow waits for changes of keys with a prefix after a revision.
+// Follow waits for changes of keys with a prefix after a revision. Each change
+// ends a watch, and opening the next is a request too: many changes in a row
+// would use up the rate that leases need, so no more than a quarter of this
+// controller's share goes to watches, and they bring several changes at once.
 func (s *State) Follow(ctx context.Context, prefix string, from protocol.Revision, hold time.Duration) (protocol.Events, error) {
 	var ev protocol.Events
+	if err := s.opens.Wait(ctx); err != nil {
+		return ev, err
+	}
 	s.reads.Allow()
 	ctx, cancel := context.WithTimeout(ctx, hold+3*time.Second)
 	defer cancel()
--- a/internal/bookkeeping/state_test.go
+++ b/internal/bookkeeping/state_test.go
@@ -89,6 +89,26 @@
 	}
 }
 
+// TestWatchesArePaced: a watch that ends at once, as each does while many
+// records change, is not opened again at once: leases would not be extended.
+func TestWatchesArePaced(t *testing.T) {
+	s := NewState("127.0.0.1:1", 120, 40, 3)
+	opened := 0
+	for now := time.Unix(0, 0); now.Before(time.Unix(10, 0)); now = now.Add(time.Millisecond) {
+		if s.opens.AllowN(now, 1) {
+			opened++
+		}
+	}
+	if opened < 80 || opened > 100 {
+		t.Errorf("%d watches in 10 s, of 36 requests a second that are this controller's", opened)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := s.Follow(ctx, "c/", 1, time.Second); !errors.Is(err, context.Canceled) {
+		t.Errorf("watch: %v", err)
+	}
+}
+
 // TestBudget: requests beyond this controller's share are refused here, at
 // once; the lease is extended all the same.
 func TestBudget(t *testing.T) {
