Raise terms only for workers heard again, and keep starting under a new one

Excluded: processor time, refused calls, missing machines.

Change: an unanswered direct start has the term raised when its worker is heard without it; a queue that is kept on goes on commanding under the new term. A field written and never read (keptSince) goes.

--- a/internal/coordination/direct.go
+++ b/internal/coordination/direct.go
@@ -6,8 +6,8 @@
 	"damsonkeel/internal/protocol"
 )
 
-// directTimeout is how long a direct command may stay unanswered before the
-// term is raised, which settles it.
+// directTimeout is how long a direct command may stay unanswered. If its worker
+// is heard after that, the term is raised, which settles it.
 const directTimeout = 4 * time.Second
 
 // wake has a queue's commands sent at once, at the end of the step.
@@ -19,8 +19,9 @@
 }
 
 // push sends commands straight to workers whose queue or room has changed,
-// instead of waiting for their next report. Only a worker known to have seen
-// the present term gets any, one message at a time.
+// instead of waiting for their next report, one message at a time. A new term
+// does not interrupt that: what is on the machine is known here as long as its
+// queue is, and the commands themselves bring the term.
 func (c *Core) push() {
 	if !c.acting() {
 		return
@@ -32,7 +33,7 @@
 			continue // one with a command under way is woken by its answer
 		}
 		q.push = false
-		if !q.inventoried || q.epoch == 0 || q.addr == "" || !q.everSeen {
+		if !q.known || q.epoch == 0 || q.addr == "" || !q.everSeen {
 			continue
 		}
 		before := map[*entry]bool{}
@@ -70,13 +71,7 @@
 		return
 	}
 	if !m.Answered {
-		// Nothing is known of these starts. A term that every worker sees
-		// makes sure that they are not executed from then on.
-		if c.unsettled(q) && m.Term == c.view.Term {
-			c.log.Info("no answer from a worker: raising the term", "machine", q.id)
-			c.raise = true
-		}
-		return
+		return // nothing is known of these starts: settleDirect sees to them
 	}
 	for _, o := range m.Orders {
 		if e := q.entries[o.Task]; e != nil && e.attempt == o.Attempt && e.direct == m.Term {
@@ -95,11 +90,13 @@
 	c.takeReport(q, &r, false)
 }
 
-func (c *Core) unsettled(q *queue) bool {
-	for _, e := range q.entries {
-		if e.direct != 0 {
-			return true
-		}
+// settleDirect has the term raised for a direct start that had no answer and
+// is not in its worker's report: a term that the worker has seen makes sure
+// that it is not executed from then on. While the worker is silent no term
+// settles anything, and most that stay silent are gone.
+func (c *Core) settleDirect(q *queue, e *entry) {
+	if !q.commanding && e.direct == c.view.Term {
+		c.log.Info("a direct start had no answer: raising the term", "machine", q.id, "task", e.task)
+		c.raise = true
 	}
-	return false
 }
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -22,9 +22,9 @@
 	waiting []*entry // never sent, in order of service once sorted
 	sorted  bool
 
-	keptSince   protocol.Term // since which term it is kept here without a break
 	lastAnswer  Time
 	inventoried bool // owners have an inventory of this term
+	known       bool // what is on the machine was reported since it is kept here
 	registering bool
 	removing    bool
 	commanding  bool // a direct command has no answer yet
@@ -100,7 +100,7 @@
 		}
 		q.inventoried = false
 		if !keeps {
-			q.keptSince = c.view.Term
+			q.known = false
 		}
 		for _, e := range slices.Clone(q.waiting) {
 			j := c.live[e.task.Job]
@@ -124,7 +124,7 @@
 
 func (c *Core) newQueue(id protocol.MachineID) *queue {
 	return &queue{
-		id: id, session: c.sessionFloor[id], entries: map[protocol.TaskID]*entry{}, keptSince: c.view.Term,
+		id: id, session: c.sessionFloor[id], entries: map[protocol.TaskID]*entry{},
 		lastAnswer: c.now, idleSince: c.now, failed: map[protocol.JobID]bool{},
 	}
 }
@@ -427,6 +427,7 @@
 			// Sent directly, no answer: it may be executed minutes late, so
 			// not being listed proves nothing until the worker has seen a
 			// later term.
+			c.settleDirect(q, e)
 		case e.kill || c.isOver(id.Job):
 			// Settled as below, and not wanted any more.
 			delete(q.entries, id)
@@ -534,7 +535,7 @@
 
 // sendInventory tells every owner what of its jobs is here.
 func (c *Core) sendInventory(q *queue) {
-	q.inventoried = true
+	q.inventoried, q.known = true, true
 	byOwner := map[protocol.NodeName][]Held{}
 	for _, e := range tasksInOrder(q.entries) {
 		owner := c.entryOwner(e)
