On a notice, stop what can't be done before the machine is taken

Excluded: tasks that save (moved before as well), gangs (the same).

Change: the keeper says how long the machine has left; the owner stops an attempt at once that will, by its estimate, not be done by then, and lets others go on.

Test: TestNotice (fails without the comparison).

--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -66,6 +66,7 @@
 	What  What
 	Cause protocol.EndCause
 	Saved bool
+	LeftS float64 // of a notice: until the machine is taken
 }
 
 // Held is one attempt in an inventory.
--- /dev/null
+++ b/internal/coordination/notice_test.go
@@ -0,0 +1,37 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"damsonkeel/internal/protocol"
+)
+
+// TestNotice: of the tasks on a machine about to be taken, what can save is
+// moved, and of the rest what can't be done by then; what may be done stays.
+func TestNotice(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		checkpointS float64
+		ranS        int
+		stopped     bool
+	}{
+		{"saves", 5, 9, true},
+		{"just begun", 0, 1, true},
+		{"nearly done", 0, 9, false},
+	} {
+		b := newBench(t, "node-1")
+		o := b.c.own(&liveJob{Job: protocol.Job{
+			ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, EstimateS: 10, CheckpointS: tc.checkpointS,
+		}})
+		task := &placedTask{task: protocol.TaskID{Job: "job-1"}, attempt: 1, machine: "vm-1", estimate: 10}
+		o.placed[task.task] = task
+		ref := TaskRef{Task: task.task, Attempt: 1, Machine: "vm-1"}
+		b.c.event(TaskEvent{TaskRef: ref, What: WhatRunning})
+		b.c.now += Time(time.Duration(tc.ranS) * time.Second)
+		b.c.event(TaskEvent{TaskRef: ref, What: WhatNotice, LeftS: 5})
+		if task.stopping != tc.stopped {
+			t.Errorf("%s: stopped %v", tc.name, task.stopping)
+		}
+	}
+}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -75,6 +75,7 @@
 	estimate  float64
 	started   bool
 	running   bool
+	runs      Time // since when, as far as told
 	uncertain bool // its machine's inventory of this term decides
 	stopping  bool // told to be killed
 	moving    bool // asked back, if it was never sent
@@ -355,7 +356,7 @@
 		}
 	case WhatNotice:
 		if mine {
-			c.noticed(o, t)
+			c.noticed(o, t, e.LeftS)
 		}
 	case WhatEnded:
 		c.taskEnded(o, t, mine, e)
@@ -373,14 +374,15 @@
 func (c *Core) markStarted(o *ownedJob, t *placedTask, running bool) {
 	t.started, t.moving = true, false
 	if running && !t.running {
-		t.running = true
+		t.running, t.runs = true, c.now
 		o.running++
 	}
 }
 
 // noticed moves a task off a machine that is about to be taken. One that
-// can't save may still finish in time.
-func (c *Core) noticed(o *ownedJob, t *placedTask) {
+// can't save goes on if it may finish in time: else what it does until then is
+// time lost for its next attempt.
+func (c *Core) noticed(o *ownedJob, t *placedTask, leftS float64) {
 	if o.Kind == protocol.KindGang {
 		for _, other := range tasksInOrder(o.placed) {
 			c.askStop(other, true, c.grace(o))
@@ -389,6 +391,14 @@
 	}
 	if o.CheckpointS > 0 || o.Kind == protocol.KindService {
 		c.askStop(t, true, c.grace(o))
+		return
+	}
+	ran := 0.0
+	if t.running {
+		ran = c.since(t.runs).Seconds()
+	}
+	if t.estimate-ran > leftS {
+		c.askStop(t, true, 0)
 	}
 }
 
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -151,9 +151,11 @@
 	if owner == "" {
 		return
 	}
-	c.send(owner, PeerMessage{Event: &TaskEvent{
-		TaskRef: TaskRef{Task: e.task, Attempt: e.attempt, Machine: q.id}, What: what, Cause: e.cause, Saved: e.saved,
-	}})
+	ev := &TaskEvent{TaskRef: TaskRef{Task: e.task, Attempt: e.attempt, Machine: q.id}, What: what, Cause: e.cause, Saved: e.saved}
+	if what == WhatNotice && q.notice != nil {
+		ev.LeftS = *q.notice
+	}
+	c.send(owner, PeerMessage{Event: ev})
 }
 
 func (q *queue) enqueue(e *entry) {
