Expect less after a silence; write what users wait for first

And the bits of finished tasks, one write a second for each job, come out of the same budget as acceptances.

Excluded: idle time (a machine is returned after a boot's time), the cloud's rate.

Change: a silence of more than three mean gaps, which chance brings about once in twenty times, lowers the rate to what the silence allows. Transactions have a precedence: machines leave a quarter of a burst to what users and sessions wait for, bitmaps half.

--- a/internal/bookkeeping/state.go
+++ b/internal/bookkeeping/state.go
@@ -141,9 +141,27 @@
 	}
 }
 
+// Precedence says who yields when this controller's share of changes runs short.
+type Precedence int
+
+// The precedences of transactions.
+const (
+	First Precedence = iota // what users and sessions wait for
+	Later                   // what can be a moment late, as machines of a wave that all register
+	Spare                   // what is only to be kept up to date, as bitmaps
+)
+
+// yields reports whether n changes have to leave what there is to others. With
+// nothing used lately nobody has to.
+func (s *State) yields(now time.Time, n int, p Precedence) bool {
+	have, most := s.writes.TokensAt(now), float64(s.writes.Burst())
+	return have < most && have-float64(n) < most*float64(p)/4
+}
+
 // Txn executes a transaction and returns its revision.
-func (s *State) Txn(ctx context.Context, t protocol.Txn) (protocol.Revision, error) {
-	if !s.reads.Allow() || !s.writes.AllowN(time.Now(), len(t.Then)) {
+func (s *State) Txn(ctx context.Context, t protocol.Txn, p Precedence) (protocol.Revision, error) {
+	now := time.Now()
+	if s.yields(now, len(t.Then), p) || !s.reads.Allow() || !s.writes.AllowN(now, len(t.Then)) {
 		return 0, ErrRefused
 	}
 	if t.If == nil {
--- a/internal/bookkeeping/state_test.go
+++ b/internal/bookkeeping/state_test.go
@@ -9,6 +9,8 @@
 
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
+
+	"golang.org/x/time/rate"
 )
 
 // serve answers each connection's requests with what answer says; no message
@@ -70,12 +72,12 @@
 		want   error
 	}{{409, ErrConflict}, {429, ErrRefused}, {503, ErrRefused}, {400, ErrMalformed}, {404, ErrNotFound}, {410, ErrCompacted}} {
 		next = &transport.Message{Status: tc.status}
-		if _, err := s.Txn(ctx, txn); !errors.Is(err, tc.want) {
+		if _, err := s.Txn(ctx, txn, First); !errors.Is(err, tc.want) {
 			t.Errorf("status %d: %v", tc.status, err)
 		}
 	}
 	next = nil
-	_, err := s.Txn(ctx, txn)
+	_, err := s.Txn(ctx, txn, First)
 	if err == nil || errors.Is(err, ErrRefused) || errors.Is(err, ErrConflict) {
 		t.Errorf("no answer: %v, want an unknown outcome", err)
 	}
@@ -109,6 +111,33 @@
 	}
 }
 
+// TestPrecedence: when changes run short, bitmaps are the first that have to
+// wait, then machines, and what users wait for has the last.
+func TestPrecedence(t *testing.T) {
+	body, err := protocol.Encode(map[string]any{"ledgerline": 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := serve(t, func(*transport.Message) *transport.Message { return &transport.Message{Status: 200, Body: body} })
+	for p, want := range map[Precedence]int{First: 20, Later: 15, Spare: 10} {
+		s := NewState(addr, 1e6, 1e6, 1)
+		s.writes = rate.NewLimiter(0, 20) // full, and nothing comes back
+		done := 0
+		for range 40 {
+			if _, err := s.Txn(context.Background(), protocol.Txn{Then: []protocol.Change{{Put: "a", Value: 1}}}, p); err == nil {
+				done++
+			}
+		}
+		if done != want {
+			t.Errorf("precedence %d: %d done of a burst of 20, want %d", p, done, want)
+		}
+		s.writes = rate.NewLimiter(0, 1)
+		if _, err := s.Txn(context.Background(), protocol.Txn{Then: []protocol.Change{{Put: "a", Value: 1}}}, p); err != nil {
+			t.Errorf("precedence %d: never done with a burst of one: %v", p, err)
+		}
+	}
+}
+
 // TestBudget: requests beyond this controller's share are refused here, at
 // once; the lease is extended all the same.
 func TestBudget(t *testing.T) {
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -73,6 +73,10 @@
 	return up
 }
 
+// unlikelySilence is how many mean gaps between arrivals are a silence that
+// chance brings about once in twenty times.
+const unlikelySilence = 3
+
 // expect is how much of a class is likely, by its objective's share, to come
 // while a machine boots: a quantile of a sum of sizes as seen, that come as
 // often as seen.
@@ -100,7 +104,13 @@
 		first = c.now - Time(window*float64(time.Second))
 	}
 	span := math.Min(window, math.Max(c.since(first).Seconds(), 5*boot))
-	mean := n / span * boot
+	rate := n / span
+	// A silence that this rate makes unlikely tells more than the rate: jobs
+	// come less often now, or have stopped coming.
+	if silent := c.since(k.arrivals[len(k.arrivals)-1].at).Seconds(); rate*silent > unlikelySilence {
+		rate = unlikelySilence / silent
+	}
+	mean := rate * boot
 	// Room for half as many misses as the objective allows.
 	p := (1 + k.share) / 2
 	if one := sum / n; squares/n-one*one < slack*one*one {
--- a/internal/coordination/classes_test.go
+++ b/internal/coordination/classes_test.go
@@ -94,4 +94,11 @@
 	if few := seen(10, 10, 10); few >= even {
 		t.Errorf("%v of three, %v of ten", few, even)
 	}
+	k := &class{job: protocol.Job{Class: "array", CPUs: 1, MemoryGB: 1}, share: 0.8}
+	for i := range 10 { // as often as before, and none for 20 s
+		k.arrivals = append(k.arrivals, arrival{at: b.c.now - Time(time.Duration(20+4*(9-i))*time.Second), tasks: 10})
+	}
+	if after := b.c.expect(k, func(a arrival) float64 { return a.tasks }); after >= even {
+		t.Errorf("%v after a long silence, %v before", after, even)
+	}
 }
--- a/internal/coordination/intake.go
+++ b/internal/coordination/intake.go
@@ -259,7 +259,7 @@
 		}
 	}
 	j.SubmittedMS = time.Now().UnixMilli()
-	_, err = in.n.state.Txn(ctx, acceptTxn(&j))
+	_, err = in.n.state.Txn(ctx, acceptTxn(&j), bookkeeping.First)
 	switch {
 	case err == nil:
 		return success(201, protocol.JobStatus{ID: j.ID, State: protocol.JobQueued})
@@ -348,7 +348,7 @@
 			return success(200, protocol.JobStatus{ID: id, State: in.status(id, r).State})
 		}
 		r.State = bookkeeping.RecordCancelled
-		_, err = in.n.state.Txn(ctx, cancelTxn(id, version, r))
+		_, err = in.n.state.Txn(ctx, cancelTxn(id, version, r), bookkeeping.First)
 		switch {
 		case err == nil:
 			in.keepFinal(id, r)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -219,8 +219,19 @@
 	}
 }
 
+// precedence is how a transaction of the core yields to others.
+func precedence(tag any) bookkeeping.Precedence {
+	switch tag.(type) {
+	case bitsTag:
+		return bookkeeping.Spare
+	case registerTag, removeTag:
+		return bookkeeping.Later
+	}
+	return bookkeeping.First
+}
+
 func (n *Node) commit(ctx context.Context, a Commit) {
-	_, err := n.state.Txn(ctx, a.Txn)
+	_, err := n.state.Txn(ctx, a.Txn, precedence(a.Tag))
 	if err != nil && !errors.Is(err, bookkeeping.ErrConflict) {
 		n.log.Debug("transaction", "what", a.Tag, "err", err)
 	}
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -50,7 +50,7 @@
 	_, err = n.state.Txn(ctx, protocol.Txn{
 		If:   []protocol.Condition{{Key: key, Version: have}},
 		Then: []protocol.Change{{Put: key, Value: bookkeeping.Node{Session: lease}, Lease: &lease}},
-	})
+	}, bookkeeping.First)
 	if err != nil {
 		return fmt.Errorf("enter: %w", err)
 	}
--- a/internal/coordination/slow.go
+++ b/internal/coordination/slow.go
@@ -13,7 +13,8 @@
 const (
 	// slowFactor is how many times as long as usual a task may run.
 	slowFactor = 1.6
-	// slowTasks is how many tasks beyond that speak against their machine.
+	// slowTasks is how many tasks beyond that speak against their machine, or one
+	// that runs as many times longer still.
 	slowTasks = 2
 	// slowMemory is how long one of them counts.
 	slowMemory = time.Minute
@@ -83,6 +84,11 @@
 		case late > c.now:
 			heap.Push(h, overdue{late, t})
 		default:
+			// One that goes on for far too long speaks for itself: it counts
+			// once more then.
+			if again := t.runs + tooLong(slowFactor*usual); again > c.now {
+				heap.Push(h, overdue{again, t})
+			}
 			c.runsLate(m)
 		}
 	}
--- a/internal/coordination/slow_test.go
+++ b/internal/coordination/slow_test.go
@@ -16,15 +16,17 @@
 		name      string
 		slow      int // tasks that go on on the first machine
 		elsewhere time.Duration
+		goesOn    time.Duration // how long the slow ones run after that
 		heard     bool
 		draining  int // other machines
 		drained   bool
 	}{
-		{"slow", 2, 10 * time.Second, true, 0, true},
-		{"one long task", 1, 10 * time.Second, true, 0, false},
-		{"long everywhere", 2, 40 * time.Second, true, 0, false},
-		{"not heard of", 2, 10 * time.Second, false, 0, false},
-		{"too many", 2, 10 * time.Second, true, 3, false},
+		{"slow", 2, 10 * time.Second, 10 * time.Second, true, 0, true},
+		{"one long task", 1, 10 * time.Second, 10 * time.Second, true, 0, false},
+		{"one that does not end", 1, 10 * time.Second, 30 * time.Second, true, 0, true},
+		{"long everywhere", 2, 40 * time.Second, 10 * time.Second, true, 0, false},
+		{"not heard of", 2, 10 * time.Second, 10 * time.Second, false, 0, false},
+		{"too many", 2, 10 * time.Second, 10 * time.Second, true, 3, false},
 	} {
 		b := newBench(t, "node-1")
 		b.zoned("a", 20, false, uses{})
@@ -48,16 +50,17 @@
 		for i := tc.slow; i < 12; i++ {
 			b.c.event(TaskEvent{TaskRef: ref(i), What: WhatEnded, Cause: protocol.EndDone})
 		}
-		b.c.now += Time(10 * time.Second)
-		for i, m := range b.c.machinesInOrder() {
-			if tc.heard {
-				m.at = b.c.now
+		b.c.out, b.c.local = nil, nil
+		for range 2 {
+			b.c.now += Time(tc.goesOn / 2)
+			for i, m := range b.c.machinesInOrder() {
+				if tc.heard {
+					m.at = b.c.now
+				}
+				m.told.Draining = i > 0 && i <= tc.draining
 			}
-			m.told.Draining = i > 0 && i <= tc.draining
+			b.c.watchSlow()
 		}
-		b.c.out = nil
-		b.c.local = nil
-		b.c.watchSlow()
 		drained := false
 		for _, m := range b.c.local {
 			drained = drained || m.Drain != nil
