Keep with its owner what would wait longer than two minutes

Cause: a job of 100,000 tasks on a small fleet was queued whole: 2.5 s of a whole core in one step, and 50 MB, on controllers with a tenth of a core and 179 MB.

Excluded: renting (nothing to do with it), intake (one record).

Change: a machine whose expected wait is over two minutes takes no more of a job, unless less urgent work there makes way for it. What is left stays a bit in its owner's set of pending tasks.

Test: TestHugeJobIsPaced (fails without), with an urgent job placed beside it and its cancellation.

--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"math"
 	"slices"
+	"time"
 
 	"damsonkeel/internal/protocol"
 )
@@ -109,13 +110,24 @@
 	heap.Init(s)
 }
 
+// queueAtMost is how long a wait a task is queued for. What would wait longer
+// stays with its owner: a job of 100,000 tasks on a small fleet would else
+// fill every controller's memory and hold up all that is queued after it.
+const queueAtMost = 2 * time.Minute
+
+// tooDeep reports whether a machine's queue takes no more of the job. One whose
+// tasks are to be stopped for the job does.
+func (s *candidates) tooDeep(k *candidate) bool {
+	return k.rank == rankQueue && k.wait > queueAtMost.Microseconds() && !k.m.firmRoom(s.job.level).covers(s.need)
+}
+
 // smallest is the machine with the smallest expected wait per processor, ties
-// broken at random, or nil. What does not suit any more is dropped: zones only
-// fill while a job is placed, and room kept only shrinks.
+// broken at random, or nil. What does not suit any more is dropped: zones and
+// queues only fill while a job is placed, and room kept only shrinks.
 func (s *candidates) smallest(zones map[protocol.Zone]int) *machineEntry {
 	for len(s.heap) > 0 {
 		top := &s.heap[0]
-		if !s.job.allowsZone(top.m, zones) || top.rank != rankQueue && !spared(s.job, top.m, s.need, s.kept) {
+		if !s.job.allowsZone(top.m, zones) || s.tooDeep(top) || top.rank != rankQueue && !spared(s.job, top.m, s.need, s.kept) {
 			heap.Pop(s)
 			continue
 		}
--- a/internal/coordination/candidates_test.go
+++ b/internal/coordination/candidates_test.go
@@ -31,6 +31,8 @@
 			if !wanted(o, m, kept) {
 				w -= withRoom
 			}
+		} else if w > queueAtMost.Seconds() && !m.firmRoom(o.level).covers(n) {
+			continue
 		}
 		waits[m] = w
 		best = math.Min(best, w)
--- a/internal/coordination/cost_test.go
+++ b/internal/coordination/cost_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/protocol"
 )
 
@@ -80,3 +81,41 @@
 		t.Errorf("%d machines looked at for 300 tasks on 300 machines", n)
 	}
 }
+
+// TestHugeJobIsPaced: of a job far too large for the fleet, only what runs soon
+// is placed; the rest costs a bit each, others go on, and cancelling it is done
+// at once.
+func TestHugeJobIsPaced(t *testing.T) {
+	w := fleetOf(t, 20, 100)
+	w.job("job-huge", "free", protocol.MaxTasks)
+	for range 50 { // workers that stay silent for longer are given nothing
+		w.step(Tick{})
+	}
+	huge := w.c.owner.jobs["job-huge"]
+	most := 20 * 4 * (int(queueAtMost.Seconds())/10 + 2) // tasks of 10 s on 4 processors each
+	if n := len(huge.placed); n == 0 || n > most {
+		t.Errorf("%d tasks placed, want up to %d", n, most)
+	}
+	w.c.live["job-huge"].due += Time(time.Hour) // it can't be done by its time
+	w.c.owner.sorted = nil
+	w.put(bookkeeping.LiveKey("job-urgent"), protocol.Job{
+		ID: "job-urgent", Team: "free", Kind: protocol.KindArray, Priority: "high", Tasks: 5, CPUs: 1, MemoryGB: 1, EstimateS: 10, Image: "i",
+	})
+	w.step(Tick{})
+	if n := len(w.c.owner.jobs["job-urgent"].placed); n != 5 {
+		t.Errorf("%d of 5 more urgent tasks placed", n)
+	}
+	w.c.jobOver("job-huge")
+	w.step(Tick{})
+	queued := 0
+	for _, q := range w.c.queues {
+		for _, e := range q.waiting {
+			if e.task.Job == "job-huge" {
+				queued++
+			}
+		}
+	}
+	if queued > 0 {
+		t.Errorf("%d tasks still queued after the job was cancelled", queued)
+	}
+}
