Release a start put back on a machine that is drained

Its last task had been sent to a machine that was drained before the worker's report settled that the start was not executed: it went back to a queue from which nothing is started any more, and kept the machine from being empty and returned.

Excluded: the owner (it had asked for the task, and waited for its release), the worker (it reported all along).

Change: what goes back to the queue of a machine that is drained, set aside or about to be taken is released to its owner at once.

--- a/internal/coordination/direct.go
+++ b/internal/coordination/direct.go
@@ -77,8 +77,7 @@
 		if e := q.entries[o.Task]; e != nil && e.attempt == o.Attempt && e.direct == m.Term {
 			e.direct = 0 // executed or refused, not under way any more
 			if !m.Executed && !e.present {
-				e.sent = false
-				q.enqueue(e)
+				c.putBack(q, e)
 			}
 		}
 	}
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -379,3 +379,23 @@
 		}
 	}
 }
+
+// TestPutBackWhileDraining: a start that was not executed goes back to the
+// queue, but on a machine that is drained meanwhile to its owner.
+func TestPutBackWhileDraining(t *testing.T) {
+	for _, drained := range []bool{false, true} {
+		b := newBench(t)
+		b.ready("vm-1")
+		q := b.c.queues["vm-1"]
+		e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 1, sent: true}
+		q.entries[e.task] = e
+		b.c.live["job-1"] = &liveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: "standard"}}
+		if drained {
+			b.c.drain("vm-1")
+		}
+		b.report("vm-1", 1, b.c.view.Term) // without it
+		if left := q.entries[e.task] != nil; left == drained {
+			t.Errorf("drained %v: still there %v", drained, left)
+		}
+	}
+}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -158,6 +158,18 @@
 	c.send(owner, PeerMessage{Event: ev})
 }
 
+// putBack queues an attempt again whose start was not executed. Where nothing
+// is started any more it is released instead: it would wait there for ever, and
+// keep the machine from being empty and returned.
+func (c *Core) putBack(q *queue, e *entry) {
+	e.sent = false
+	q.enqueue(e)
+	if q.draining || q.suspect || q.notice != nil {
+		c.dropWaiting(q, e)
+		c.tell(q, e, WhatReleased)
+	}
+}
+
 func (q *queue) enqueue(e *entry) {
 	q.waiting, q.sorted = append(q.waiting, e), false
 }
@@ -437,8 +449,8 @@
 		default:
 			// The answer with the start was lost or dropped: settled by this
 			// report. The same attempt goes back to be sent again.
-			e.sent, e.direct = false, 0
-			q.enqueue(e)
+			e.direct = 0
+			c.putBack(q, e)
 		}
 	}
 	c.takeNotice(q, r)
