--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -136,8 +136,7 @@
 	return nil
 }
 
-// took weighs the smallest again after it took a task, and takes that out of
-// the room to spare.
+// took weighs the smallest again after it took a task.
 func (c *Core) took(s *candidates) {
 	c.looked++
 	k, ok := s.weigh(s.heap[0].m, c.rng.Uint32())
--- a/internal/coordination/candidates_test.go
+++ b/internal/coordination/candidates_test.go
@@ -101,12 +101,7 @@
 			if m == nil {
 				break
 			}
-			if from.heap[0].rank != rankQueue {
-				spend(m, from.need, kept)
-			}
-			c.put(o, i, m, c.nextAttempt())
-			c.took(from)
-			zones[m.rec.Zone]++
+			c.putOn(from, i, m, c.nextAttempt(), zones)
 			placed++
 		}
 		if c.looked > machines+placed {
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -119,6 +119,15 @@
 	return mean*sum/n + math.Sqrt2*math.Erfinv(2*p-1)*math.Sqrt(mean*squares/n)
 }
 
+// comingWork is the work, in processor seconds, of a class that need not start
+// at once, as far as it is likely to come while a machine boots.
+func (c *Core) comingWork(k *class) float64 {
+	if k.awaited {
+		return 0
+	}
+	return c.expect(k, func(a arrival) float64 { return a.work })
+}
+
 // reserve is how much room is kept for a class whose tasks should start in
 // time: as many of them as are likely to come while a machine boots.
 func (c *Core) reserve(k *class) int {
--- a/internal/coordination/due.go
+++ b/internal/coordination/due.go
@@ -21,7 +21,7 @@
 	for _, o := range c.settings.Site.Objectives {
 		switch {
 		case o.Class != j.Class:
-		case o.Kind == "finished":
+		case o.Kind == "finished" && o.WithinS > 0:
 			by = append(by, o.WithinS)
 		case o.Kind == "deadline" && j.DeadlineS > 0 && o.Times > 0:
 			by = append(by, j.DeadlineS*o.Times)
--- a/internal/coordination/due_test.go
+++ b/internal/coordination/due_test.go
@@ -59,3 +59,17 @@
 		t.Error("what is late anyway goes before what is not")
 	}
 }
+
+// TestDueWithoutTime: an objective that names no time, as a settings file may,
+// is none; doubling it would never reach any.
+func TestDueWithoutTime(t *testing.T) {
+	b := newBench(t)
+	b.c.settings.Site.Objectives = append(b.c.settings.Site.Objectives, config.Objective{Kind: "finished", Class: "array"})
+	l := &liveJob{Job: protocol.Job{Class: "array", EstimateS: 10}, since: b.c.now}
+	if n := len(b.c.dueTimes(&l.Job)); n != 0 {
+		t.Fatalf("%d times of an objective without one", n)
+	}
+	if due := b.c.due(l); due <= b.c.now {
+		t.Errorf("due at %v", due)
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -199,7 +199,7 @@
 func (c *Core) spareCPUs() float64 {
 	top, spare, any := 0, 0.0, false
 	for _, k := range c.classes {
-		if work := c.expect(k, func(a arrival) float64 { return a.work }); !k.awaited && work > 0 {
+		if work := c.comingWork(k); work > 0 {
 			spare -= work / c.upS(&k.job)
 			top, any = max(top, k.job.Priority.Rank()), true
 		}
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -57,12 +57,7 @@
 			copy(kept, before)
 			return nil
 		}
-		if from.heap[0].rank != rankQueue {
-			spend(m, from.need, kept)
-		}
-		out = append(out, c.put(o, i, m, attempt))
-		c.took(from)
-		zones[m.rec.Zone]++
+		out = append(out, c.putOn(from, i, m, attempt, zones))
 	}
 	return out
 }
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -89,12 +89,7 @@
 		if m == nil {
 			break
 		}
-		if from.heap[0].rank != rankQueue {
-			spend(m, from.need, kept)
-		}
-		out = append(out, c.put(o, uint32(i), m, c.nextAttempt()))
-		c.took(from)
-		zones[m.rec.Zone]++
+		out = append(out, c.putOn(from, uint32(i), m, c.nextAttempt(), zones))
 		c.use(o, usage, 1)
 	}
 	return out
@@ -105,6 +100,18 @@
 	return protocol.Attempt(uint64(c.view.Term)<<32 | c.owner.attempt)
 }
 
+// putOn places one task on the smallest of its job's candidates, and reckons
+// with that for the next.
+func (c *Core) putOn(from *candidates, i uint32, m *machineEntry, a protocol.Attempt, zones map[protocol.Zone]int) Placement {
+	if from.heap[0].rank != rankQueue {
+		spend(m, from.need, from.kept)
+	}
+	p := c.put(from.job, i, m, a)
+	c.took(from)
+	zones[m.rec.Zone]++
+	return p
+}
+
 // put places one task on a machine in the owner's books.
 func (c *Core) put(o *ownedJob, i uint32, m *machineEntry, a protocol.Attempt) Placement {
 	t := &placedTask{
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -94,7 +94,7 @@
 	// What is likely to come until another machine is up has to be begun by
 	// then: else each burst would wait for the boots that the last one needed.
 	for _, k := range inOrder(c.classes) {
-		if work := c.expect(k, func(a arrival) float64 { return a.work }); !k.awaited && work > 0 {
+		if work := c.comingWork(k); work > 0 {
 			d := Demand{EstimateS: c.estimate(&k.job)}
 			d.Unstarted = int(work / (d.EstimateS * math.Max(k.job.CPUs, slack)))
 			p.workOff(&liveJob{Job: k.job}, d, c.upS(&k.job))
@@ -305,10 +305,9 @@
 	if places < 1 {
 		return 0
 	}
-	cpus := places * size.cpus
 	can := math.Max(0, left+estimateS-l.aheadS/math.Max(l.room.cpus, slack)) / estimateS * places
 	done := math.Min(n, can)
-	l.aheadS += done * estimateS * size.cpus * l.room.cpus / cpus
+	l.aheadS += done * estimateS * l.room.cpus / places // a task without processors takes its part of the room, too
 	return done
 }
 
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -125,3 +125,16 @@
 		t.Error("nothing rented")
 	}
 }
+
+// TestPlanWithoutProcessors: a job that takes GPUs alone is reckoned by its part
+// of the room; it does not spoil the plan for what comes after it.
+func TestPlanWithoutProcessors(t *testing.T) {
+	size := resources{gpus: 1, gb: 1}
+	l := &pool{room: resources{cpus: 8, gpus: 4, gb: 32}}
+	if n := l.take(3, size, 10, 0); n != 3 || l.aheadS != 60 {
+		t.Errorf("%v of 3 tasks taken, %v processor seconds ahead, want 3 and 60", n, l.aheadS)
+	}
+	if n := l.take(99, resources{cpus: 1}, 10, 10); n <= 0 || n >= 99 {
+		t.Errorf("%v tasks taken after it", n)
+	}
+}
