--- a/internal/coordination/due.go
+++ b/internal/coordination/due.go
@@ -30,13 +30,18 @@
 	return by
 }
 
-// due is when a job should be done: the first of its times that can still be
-// kept. What can keep none any more makes way for what can, but not for ever:
-// it is due again when as long has passed once more, and so on.
+// due is what jobs of a level are ordered by: when they should be done.
 func (c *Core) due(l *liveJob) Time {
 	if c.awaited(&l.Job) {
 		return l.since // whoever waits longest for a start goes first
 	}
+	return c.doneBy(l)
+}
+
+// doneBy is when a job should be done: the first of its times that can still be
+// kept. What can keep none any more makes way for what can, but not for ever:
+// it is due again when as long has passed once more, and so on.
+func (c *Core) doneBy(l *liveJob) Time {
 	age := c.since(l.since).Seconds()
 	first, last := math.Inf(1), 0.0
 	times := c.dueTimes(&l.Job)
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -116,7 +116,7 @@
 	o := c.own(l)
 	o.loaded = true
 	o.pending.FlipRange(0, uint(j.Tasks))
-	c.log.Debug("job", "id", j.ID, "tasks", j.Tasks)
+	c.log.Debug("job", "id", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks)
 }
 
 func (c *Core) own(l *liveJob) *ownedJob {
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -37,11 +37,62 @@
 	return ok && (t.CPUs > 0 || t.GPUs > 0)
 }
 
+// startBy is the time by which an attempt should start: the first that can
+// still be kept of what its class and its team's guarantee ask for, else when
+// it has to start to be done in time.
+func (c *Core) startBy(e *entry, l *liveJob) Time {
+	first := c.doneBy(l) - Time(1.5*e.estimate*float64(time.Second)) // owners' estimates are often wrong by half
+	for _, o := range c.settings.Site.Objectives {
+		asked := o.Kind == "wait" && o.Class == l.Class || o.Kind == "guarantee" && e.guaranteed()
+		if by := l.since + Time(o.WithinS*float64(time.Second)); asked && by >= c.now {
+			first = min(first, by)
+		}
+	}
+	return first
+}
+
+// endsIn is how long a running attempt is likely to go on. What it overruns
+// says that its estimate is too low, not that it ends now.
+func (c *Core) endsIn(e *entry) time.Duration {
+	estimate := time.Duration(e.estimate * float64(time.Second))
+	left := estimate
+	if e.state == protocol.TaskRunning {
+		left -= c.since(e.runs)
+	}
+	return max(left, estimate/4)
+}
+
+// roomIn is how long it is likely to take until what runs on a machine ends by
+// itself and leaves room for a task.
+func (c *Core) roomIn(q *queue, free, n resources) time.Duration {
+	type ending struct {
+		in   time.Duration
+		need resources
+	}
+	var ends []ending
+	for _, e := range q.entries {
+		if e.sent && !e.ended() && !(e.present && e.kill) {
+			ends = append(ends, ending{c.endsIn(e), e.need})
+		}
+	}
+	slices.SortFunc(ends, func(a, b ending) int { return cmp.Compare(a.in, b.in) })
+	in := time.Duration(0)
+	for _, e := range ends {
+		if free.covers(n) {
+			break
+		}
+		free, in = free.plus(e.need), e.in
+	}
+	return in
+}
+
 // preempt stops attempts for those at the head of a queue that have waited: of
 // lower priority, or beyond their team's guarantee if the one that waits is
 // within its own. Those that can save, then those that ran least, go first;
-// nothing is stopped unless the one that waits then fits. A task of a gang does
-// not wait: all others of it would.
+// nothing is stopped unless the one that waits then fits. Nor is anything
+// stopped where room comes by itself in time: what is stopped has to be done
+// again, and where many wait that makes all of them later. A task of a gang
+// does not wait: all others of it would.
 func (c *Core) preempt(q *queue) {
 	if len(q.waiting) == 0 || q.epoch == 0 || q.draining || q.notice != nil || q.suspect {
 		return
@@ -55,7 +106,10 @@
 	}
 	for _, head := range q.waiting {
 		j := c.live[head.task.Job]
-		if j == nil || !head.together && c.since(head.since) < preemptAfter {
+		if j == nil {
+			return
+		}
+		if !head.together && (c.since(head.since) < preemptAfter || c.after(c.roomIn(q, free, head.need)) <= c.startBy(head, j)) {
 			return
 		}
 		var ok bool
@@ -93,7 +147,7 @@
 		return 1
 	}
 	slices.SortStableFunc(victims, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(saves(a), saves(b)), cmp.Compare(b.since, a.since))
+		return cmp.Or(cmp.Compare(saves(a), saves(b)), cmp.Compare(b.runs, a.runs), cmp.Compare(b.since, a.since))
 	})
 	var chosen []*entry
 	for _, e := range victims {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -62,6 +62,7 @@
 	need     resources
 	order    uint64
 	since    Time // queued here, or first seen here
+	runs     Time // since when, as far as seen here
 	level    level
 	due      Time              // of its job, when the queue was last sorted
 	together bool              // others of its gang wait for it
@@ -482,6 +483,7 @@
 		c.noteResult(q, e)
 		c.tell(q, e, WhatEnded)
 	case e.state == protocol.TaskRunning && before != protocol.TaskRunning:
+		e.runs = c.now
 		c.tell(q, e, WhatRunning)
 	case first:
 		c.tell(q, e, WhatPresent)
