--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"damsonkeel/internal/protocol"
@@ -77,28 +78,37 @@
 // chance brings about once in twenty times.
 const unlikelySilence = 3
 
-// expect is how much of a class is likely, by its objective's share, to come
-// while a machine boots: a quantile of a sum of sizes as seen, that come as
-// often as seen.
-func (c *Core) expect(k *class, size func(arrival) float64) float64 {
+// coming is how often jobs of a class come, and how large they are.
+type arriving struct {
+	rate    float64 // a second
+	mean    float64 // size
+	square  float64 // mean of squared sizes
+	share   float64 // of all that come, that is to be met
+	largest float64 // size that so many do not exceed
+}
+
+// arrivingOf tells from what was seen how jobs of a class come.
+func (c *Core) arrivingOf(k *class, size func(arrival) float64) arriving {
 	boot := c.upS(&k.job)
 	if math.IsInf(boot, 1) {
-		return 0
+		return arriving{}
 	}
 	// A rate can't be told from a time much shorter than several boots, and
 	// what came long ago says little.
 	window := 8 * boot
-	n, sum, squares, first := 0.0, 0.0, 0.0, c.now
+	var sizes []float64
+	sum, squares, first := 0.0, 0.0, c.now
 	for _, a := range k.arrivals {
 		if c.since(a.at).Seconds() <= window {
 			first = min(first, a.at)
-			n++
+			sizes = append(sizes, size(a))
 			sum += size(a)
 			squares += size(a) * size(a)
 		}
 	}
+	n := float64(len(sizes))
 	if n == 0 {
-		return 0 // they have stopped coming
+		return arriving{} // they have stopped coming
 	}
 	if k.arrivals[0].at < first {
 		first = c.now - Time(window*float64(time.Second))
@@ -110,13 +120,37 @@
 	if silent := c.since(k.arrivals[len(k.arrivals)-1].at).Seconds(); rate*silent > unlikelySilence {
 		rate = unlikelySilence / silent
 	}
-	mean := rate * boot
 	// Room for half as many misses as the objective allows.
-	p := (1 + k.share) / 2
-	if one := sum / n; squares/n-one*one < slack*one*one {
-		return float64(quantile(mean, p)) * one
+	share := (1 + k.share) / 2
+	slices.Sort(sizes)
+	return arriving{rate, sum / n, squares / n, share, sizes[min(len(sizes)-1, int(share*n))]}
+}
+
+// within is how much of a class is likely, by its objective's share, to come
+// in a time: a quantile of a sum of sizes as seen, that come as often as seen.
+func (a arriving) within(seconds float64) float64 {
+	if a.rate == 0 {
+		return 0
+	}
+	mean := a.rate * seconds
+	if a.square-a.mean*a.mean < slack*a.mean*a.mean {
+		return float64(quantile(mean, a.share)) * a.mean
 	}
-	return mean*sum/n + math.Sqrt2*math.Erfinv(2*p-1)*math.Sqrt(mean*squares/n)
+	return mean*a.mean + math.Sqrt2*math.Erfinv(2*a.share-1)*math.Sqrt(mean*a.square)
+}
+
+// beyond is how much of a class is likely to have come at any time until
+// another machine is up beyond what room came for by itself, at a rate.
+func (a arriving) beyond(seconds, rate float64) float64 {
+	most := 0.0
+	if rate > 0 && a.rate > 0 {
+		most = a.largest // comes at once
+	}
+	for range 8 {
+		most = math.Max(most, a.within(seconds)-rate*seconds)
+		seconds /= 2
+	}
+	return most
 }
 
 // comingWork is the work, in processor seconds, of a class that need not start
@@ -125,16 +159,33 @@
 	if k.awaited {
 		return 0
 	}
-	return c.expect(k, func(a arrival) float64 { return a.work })
+	return c.arrivingOf(k, func(a arrival) float64 { return a.work }).within(c.upS(&k.job))
 }
 
 // reserve is how much room is kept for a class whose tasks should start in
-// time: as many of them as are likely to come while a machine boots.
+// time: as many of them as are likely to come while a machine boots, beyond
+// those that find a place on what ends meanwhile.
 func (c *Core) reserve(k *class) int {
 	if !k.awaited {
 		return 0
 	}
-	return int(math.Ceil(c.expect(k, func(a arrival) float64 { return a.tasks })))
+	return int(math.Ceil(c.arrivingOf(k, func(a arrival) float64 { return a.tasks }).beyond(c.upS(&k.job), c.turnover(&k.job))))
+}
+
+// turnover is how many places for a job's tasks come free each second where
+// tasks end by themselves. Tasks that need many at the same time, or most of a
+// machine, can't count on it: there is never enough at once.
+func (c *Core) turnover(j *protocol.Job) float64 {
+	if j.Kind != protocol.KindArray {
+		return 0
+	}
+	sum := 0.0
+	for _, m := range c.machinesInOrder() {
+		if l := (liveJob{Job: *j}); c.usable(m) && l.allowsKind(m.info, m.rec.Zone, m.rec.Spot) {
+			sum += places(resources{m.told.Ending.CPUs, m.told.Ending.GPUs, m.told.Ending.GB}, need(j))
+		}
+	}
+	return sum
 }
 
 // quantile is the smallest number that a Poisson variable of a mean stays at
--- a/internal/coordination/classes_test.go
+++ b/internal/coordination/classes_test.go
@@ -84,7 +84,7 @@
 		for i, s := range sizes {
 			k.arrivals = append(k.arrivals, arrival{at: b.c.now - Time(time.Duration(len(sizes)-i)*4*time.Second), tasks: s})
 		}
-		return b.c.expect(k, func(a arrival) float64 { return a.tasks })
+		return b.c.arrivingOf(k, func(a arrival) float64 { return a.tasks }).within(8)
 	}
 	b.c.now = Time(time.Hour)
 	even, uneven := seen(10, 10, 10, 10, 10, 10, 10, 10, 10, 10), seen(1, 19, 1, 19, 1, 19, 1, 19, 1, 19)
@@ -98,7 +98,33 @@
 	for i := range 10 { // as often as before, and none for 20 s
 		k.arrivals = append(k.arrivals, arrival{at: b.c.now - Time(time.Duration(20+4*(9-i))*time.Second), tasks: 10})
 	}
-	if after := b.c.expect(k, func(a arrival) float64 { return a.tasks }); after >= even {
+	if after := b.c.arrivingOf(k, func(a arrival) float64 { return a.tasks }).within(8); after >= even {
 		t.Errorf("%v after a long silence, %v before", after, even)
 	}
 }
+
+// TestRoomThatEndsIsNotKept: what ends while a machine boots makes room, too;
+// what comes at once is kept room for all the same. A gang finds no room
+// piece by piece.
+func TestRoomThatEndsIsNotKept(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.ready("vm-2")
+	k := &class{job: protocol.Job{Class: "cert", Kind: protocol.KindArray, CPUs: 1, MemoryGB: 1}, share: 0.8, awaited: true}
+	for i := range 10 {
+		k.arrivals = append(k.arrivals, arrival{at: b.c.now - Time(time.Duration(i)*4*time.Second), tasks: float64(10 + i)})
+	}
+	none := b.c.reserve(k)
+	b.c.machines["vm-1"].told.Ending = Use{CPUs: 2, GB: 8}
+	b.c.machines["vm-2"].told.Ending = Use{CPUs: 2, GB: 8}
+	some := b.c.reserve(k)
+	b.c.machines["vm-2"].told.Ending = Use{CPUs: 20, GB: 80}
+	many := b.c.reserve(k)
+	if some >= none || many > some || many < 15 {
+		t.Errorf("room kept for %d, with ends for %d, with many for %d", none, some, many)
+	}
+	k.job.Kind = protocol.KindGang
+	if n := b.c.reserve(k); n != none {
+		t.Errorf("room kept for %d of a gang, want %d", n, none)
+	}
+}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -110,6 +110,7 @@
 	FreeGPUs float64
 	FreeGB   float64
 	Uses     []Use // what is on it or in its queue, by level
+	Ending   Use   // what comes free each second, by estimate, as its tasks end
 	Held     int   // attempts on it or in its queue
 	Queued   int   // of these, never sent
 	Closed   bool
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -705,6 +705,19 @@
 	return u
 }
 
+// ending is what comes free each second, on average, as tasks end.
+func (q *queue) ending() Use {
+	var u Use
+	for _, e := range q.entries {
+		if e.state == protocol.TaskRunning && e.estimate > 0 {
+			u.CPUs += e.need.cpus / e.estimate
+			u.GPUs += e.need.gpus / e.estimate
+			u.GB += e.need.gb / e.estimate
+		}
+	}
+	return u
+}
+
 // wait is the sum of the estimates of all that is queued or runs here, each
 // weighed by the processors the task takes.
 func (q *queue) wait() float64 {
@@ -754,7 +767,7 @@
 	held := q.held()
 	s := MachineState{
 		Machine: q.id, Epoch: q.epoch, Wait: q.wait(), FreeCPUs: f.cpus, FreeGPUs: f.gpus, FreeGB: f.gb,
-		Images: slices.Clone(q.images), Uses: held.list(),
+		Images: slices.Clone(q.images), Uses: held.list(), Ending: q.ending(),
 		Held: len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
 		SilentS: c.since(q.lastAnswer).Seconds(), Noticed: q.notice != nil,
 		Closed: q.draining || q.suspect || q.notice != nil || c.since(q.lastAnswer) > 2*silence(c.settings.Site.Workers.ReportS),
