--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -282,29 +282,42 @@
 	return (j.Zone == "" || j.Zone == z) && (j.Spot || !spot) && capacity(t).covers(need(&j.Job))
 }
 
-// teamUsage sums what limited teams' attempts take that are not proven gone.
-// Tasks of a job just taken over count as running until proven otherwise.
+// teamUsage sums what limited teams' attempts may take that are not proven
+// gone. Of a team just taken over, attempts that are not listed, of jobs that
+// are over too, can be only on machines that were not heard since: they take no
+// more than all there is of these.
 func (c *Core) teamUsage() map[protocol.Team]resources {
 	usage := map[protocol.Team]resources{}
 	for _, o := range c.owner.jobs {
-		if !c.limited(o.Team) {
-			continue
-		}
-		n := len(o.placed)
-		if o.unknown {
-			n = int(o.Tasks - o.nDone)
-			if !o.loaded {
-				n = int(o.Tasks)
-			}
+		if c.limited(o.Team) {
+			c.use(o, usage, len(o.placed))
 		}
-		c.use(o, usage, n)
 	}
 	for _, t := range c.owner.leaving {
 		usage[t.team] = usage[t.team].plus(t.need)
 	}
+	if len(c.owner.unsure) > 0 {
+		var unheard resources
+		for id := range c.owner.pending {
+			if m := c.machines[id]; m != nil {
+				unheard = unheard.plus(mostOn(m))
+			}
+		}
+		for team := range c.owner.unsure {
+			usage[team] = usage[team].plus(unheard)
+		}
+	}
 	return usage
 }
 
+// mostOn is the most that attempts on a machine may take.
+func mostOn(m *machineEntry) resources {
+	if m.info.Name == "" {
+		return resources{math.Inf(1), math.Inf(1), math.Inf(1)} // of a type that the cloud does not list
+	}
+	return capacity(m.info)
+}
+
 func (c *Core) limited(name protocol.Team) bool {
 	t, ok := c.settings.Team(name)
 	return ok && t.Limited()
@@ -320,8 +333,8 @@
 // withinLimit reports whether n more tasks keep the team within its limit.
 func (c *Core) withinLimit(o *ownedJob, usage map[protocol.Team]resources, n int) bool {
 	t, ok := c.settings.Team(o.Team)
-	if !ok || c.owner.unsure[o.Team] {
-		return false // attempts of jobs long over may still run somewhere
+	if !ok {
+		return false
 	}
 	u := usage[o.Team]
 	return (t.MaxCPUs == 0 || u.cpus+o.CPUs*float64(n) <= t.MaxCPUs+slack) &&
