--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -25,6 +25,7 @@
 	lastAnswer  Time
 	inventoried bool // owners have an inventory of this term
 	known       bool // what is on the machine was reported since it is kept here
+	sole        bool // kept here without a break since the worker saw a term of that: nobody else can have started anything
 	registering bool
 	removing    bool
 	commanding  bool // a direct command has no answer yet
@@ -101,7 +102,7 @@
 		}
 		q.inventoried = false
 		if !keeps {
-			q.known = false
+			q.known, q.sole = false, false
 		}
 		for _, e := range slices.Clone(q.waiting) {
 			j := c.live[e.task.Job]
@@ -311,9 +312,8 @@
 		c.register(q, r)
 	}
 	c.takeReport(q, &r, true)
-	if q.epoch != 0 && r.Term == c.view.Term && !q.inventoried && !c.holdsOver(q) {
-		c.sendInventory(q)
-	}
+	q.sole = q.sole || r.Term == c.view.Term
+	c.takeStock(q)
 	q.push = false
 	reply.Orders = c.orders(q, r.Term)
 	c.do(ReplyReport{Status: 200, Reply: reply})
@@ -326,7 +326,7 @@
 	}
 	// The old record stands until the new one is written; owners learn from
 	// the record that everything of the old session is gone.
-	q.session, q.seq, q.epoch = s, 0, 0
+	q.session, q.seq, q.epoch, q.sole = s, 0, 0, false
 	q.entries = map[protocol.TaskID]*entry{}
 	q.waiting = nil
 	q.notice = nil
@@ -549,6 +549,16 @@
 	return false
 }
 
+// takeStock gives an inventory once in each term: when the worker has seen it,
+// or at once if this controller has kept the queue without a break since the
+// worker saw an earlier one. Else each restart of one controller would have
+// the owners wait for all machines, and one that is cut off hold up all.
+func (c *Core) takeStock(q *queue) {
+	if q.epoch != 0 && q.sole && !q.inventoried && !c.holdsOver(q) {
+		c.sendInventory(q)
+	}
+}
+
 // sendInventory tells every owner what of its jobs is here.
 func (c *Core) sendInventory(q *queue) {
 	q.inventoried, q.known = true, true
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -219,3 +219,34 @@
 	}
 	t.Fatal("the record of its earlier session stays")
 }
+
+// TestInventoryOfAQueueKept: who kept a queue without a break since the worker
+// saw a term of that knows all that may be on the machine, and says so at once
+// in a new term. After a missed term, or where the worker has begun a new
+// session, only its next report tells.
+func TestInventoryOfAQueueKept(t *testing.T) {
+	b := newBench(t, "node-1")
+	id := protocol.MachineID("vm-0")
+	for i := 0; machineKeeper(b.c.view, id) != "node-0"; i++ {
+		id = protocol.MachineID("vm-" + string(rune('a'+i)))
+	}
+	b.ready(id)
+	awaited := func(want bool, when string) {
+		t.Helper()
+		if b.c.owner.pending[id] != want {
+			t.Errorf("inventory awaited %v %s, want %v", !want, when, want)
+		}
+	}
+	b.report(id, 1, 1)
+	b.view(2, "node-0")
+	awaited(false, "after the next term")
+	b.view(4, "node-0")
+	awaited(true, "after a missed term")
+	b.report(id, 1, 4)
+	awaited(false, "after a report")
+	b.report(id, 2, 4)
+	b.c.queues[id].sole = false // as the report of a worker that has not seen the term leaves it
+	b.machine(id, 2)
+	b.view(5, "node-0")
+	awaited(true, "in a new session")
+}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -152,6 +152,9 @@
 	keeps := consecutive && wasMember
 	c.adoptQueues(old, keeps)
 	c.adoptJobs(old, keeps)
+	for _, q := range inOrder(c.queues) {
+		c.takeStock(q)
+	}
 	if !wasMember {
 		c.askTables()
 	}
