--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -118,7 +118,7 @@
 	// A silence that this rate makes unlikely tells more than the rate: jobs
 	// come less often now, or have stopped coming.
 	if silent := c.since(k.arrivals[len(k.arrivals)-1].at).Seconds(); rate*silent > unlikelySilence {
-		rate = unlikelySilence / silent
+		rate *= math.Exp(unlikelySilence - rate*silent)
 	}
 	// Room for half as many misses as the objective allows.
 	share := (1 + k.share) / 2
@@ -143,7 +143,7 @@
 // another machine is up beyond what room came for by itself, at a rate.
 func (a arriving) beyond(seconds, rate float64) float64 {
 	most := 0.0
-	if rate > 0 && a.rate > 0 {
+	if rate > 0 && a.rate*seconds > 1-a.share {
 		most = a.largest // comes at once
 	}
 	for range 8 {
