--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -20,6 +20,7 @@
 	risk float64 // what a spot machine adds to the wait, in seconds
 	shun bool    // spot machines only if there is no other way
 	kept []kept
+	dear map[kind]float64
 	heap []candidate
 }
 
@@ -60,7 +61,7 @@
 
 // candidatesFor looks for the machines that may run a job's tasks.
 func (c *Core) candidatesFor(o *ownedJob, zones map[protocol.Zone]int, kept []kept) *candidates {
-	s := &candidates{job: o, need: need(&o.Job), kept: kept, risk: c.spotStretch(&o.Job) * c.estimate(&o.Job), shun: c.risky(&o.Job)}
+	s := &candidates{job: o, need: need(&o.Job), kept: kept, risk: c.spotStretch(&o.Job) * c.estimate(&o.Job), shun: c.risky(&o.Job), dear: c.dearness()}
 	for _, m := range c.machinesInOrder() {
 		if c.mayTake(o, m, zones) {
 			if k, ok := s.weigh(m, c.rng.Uint32()); ok {
@@ -73,6 +74,31 @@
 	return s
 }
 
+// dearness is how much dearer each kind of machine is than the cheapest: the
+// part of its price, for a processor, that the cheapest would save. Among
+// machines with room it counts like the part of one that is free: the cheap and
+// the full ones are filled first, so that the dear ones become idle.
+func (c *Core) dearness() map[kind]float64 {
+	dear := map[kind]float64{}
+	least := math.Inf(1)
+	for _, t := range c.types {
+		for _, z := range t.AllowZones {
+			for _, spot := range []bool{true, false} {
+				k := kind{t.Name, z, spot}
+				dear[k] = c.price(k)
+				least = math.Min(least, dear[k])
+			}
+		}
+	}
+	for k, price := range dear {
+		dear[k] = 0
+		if price > 0 {
+			dear[k] = 1 - least/price
+		}
+	}
+	return dear
+}
+
 // mayTake reports whether a job may have a task on a machine at present.
 func (c *Core) mayTake(o *ownedJob, m *machineEntry, zones map[protocol.Zone]int) bool {
 	return c.usable(m) && (!o.failedOn[m.id] || len(o.failedOn) >= 3) && o.allows(m, zones)
@@ -94,6 +120,9 @@
 	if m.rec.Spot {
 		w += s.risk
 	}
+	if room {
+		w += s.dear[m.kind()]
+	}
 	k := candidate{m: m, rank: rankQueue, wait: int64(math.Round(w * 1e6)), tie: tie}
 	if room && !(s.shun && m.rec.Spot) {
 		k.rank = rankFree
--- a/internal/coordination/candidates_test.go
+++ b/internal/coordination/candidates_test.go
@@ -109,3 +109,26 @@
 		}
 	})
 }
+
+// TestCheapMachinesFillFirst: of machines with room the cheap ones are filled
+// first, the fuller ones before the others, so that dear ones become idle.
+func TestCheapMachinesFillFirst(t *testing.T) {
+	b := newBench(t)
+	b.c.types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, Price: 0.6, SpotPrice: 0.2, AllowZones: []protocol.Zone{"a"}}
+	for i, spot := range []bool{false, true, false, true} {
+		id := protocol.MachineID(fmt.Sprint("vm-", i))
+		b.ready(id)
+		m := b.c.machines[id]
+		m.rec.Spot, m.told.Queued = spot, 0
+	}
+	j := protocol.Job{ID: "job-1", Class: "sheet", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 6, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}
+	b.put(bookkeeping.LiveKey(j.ID), j)
+	b.step(Tick{})
+	on := map[bool]int{}
+	for _, p := range b.c.owner.jobs["job-1"].placed {
+		on[b.c.machines[p.machine].rec.Spot]++
+	}
+	if on[true] != 6 {
+		t.Errorf("%d of 6 tasks on the cheap machines", on[true])
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -34,6 +35,9 @@
 	spot bool
 }
 
+// kind is the kind of a machine that is up.
+func (m *machineEntry) kind() kind { return kind{m.rec.Type, m.rec.Zone, m.rec.Spot} }
+
 // coming is a machine rented that has not reported yet.
 type coming struct {
 	kind
@@ -221,7 +225,12 @@
 	f := &c.fleet
 	var gone []protocol.MachineID
 	kept, spare := c.keptRoom(), c.spareCPUs()
-	for id, m := range inOrder(c.machines) {
+	machines := slices.Clone(c.machinesInOrder())
+	slices.SortStableFunc(machines, func(a, b *machineEntry) int { // the dearest first
+		return cmp.Compare(c.price(b.kind()), c.price(a.kind()))
+	})
+	for _, m := range machines {
+		id := m.id
 		if f.returned[id] != 0 {
 			// The cloud's word is there, only its record could not be written
 			// then: owners would wait out the lease of what is long gone.
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -26,7 +26,7 @@
 	var slots []slot
 	for _, m := range c.machinesInOrder() {
 		if c.usable(m) {
-			s := slot{kind: kind{m.rec.Type, m.rec.Zone, m.rec.Spot}, info: m.info, free: m.room(), held: m.held}
+			s := slot{kind: m.kind(), info: m.info, free: m.room(), held: m.held}
 			for r := range s.held {
 				s.held[r] = s.held[r].plus(m.taken[r])
 			}
