--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -192,11 +192,20 @@
 }
 
 // keepIdle is how long a machine is kept idle, in seconds: as long as the boot
-// of another would cost.
-func (c *Core) keepIdle(t protocol.TypeInfo) float64 {
-	return math.Min(t.BootS, c.op.IdleReturn.Seconds())
+// of another would cost. Where it is known what is likely to come meanwhile,
+// and there is room for that without the machine, it is not waited for.
+func (c *Core) keepIdle(t protocol.TypeInfo, spare float64) float64 {
+	keep := math.Min(t.BootS, c.op.IdleReturn.Seconds())
+	if !math.IsInf(spare, 1) {
+		keep = math.Min(keep, idleKnown.Seconds())
+	}
+	return keep
 }
 
+// idleKnown is how long a machine is idle before that is more than the moment
+// between two tasks.
+const idleKnown = 2 * planEvery
+
 // spareCPUs is how many processors there are beyond what is held by more
 // urgent work and what the classes that need not start at once are likely to
 // need.
@@ -251,7 +260,7 @@
 			gone = append(gone, id)
 		case empty && (m.told.Draining || m.told.Suspect):
 			gone = append(gone, id)
-		case empty && !m.told.Draining && m.told.IdleS > c.keepIdle(m.info) && spare >= m.info.CPUs && give(m, kept):
+		case empty && !m.told.Draining && m.told.IdleS > c.keepIdle(m.info, spare) && spare >= m.info.CPUs && give(m, kept):
 			spare -= m.info.CPUs
 			c.log.Info("returning an idle machine", "machine", id, "idle_s", int(m.told.IdleS))
 			c.send(c.keeper(id), PeerMessage{Drain: &id})
