--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -109,7 +109,7 @@
 // way, which is stopped for it: behind the rest it would keep the machines of
 // all others idle until they give it up.
 func (s *candidates) weigh(m *machineEntry, tie uint32) (candidate, bool) {
-	w, room := m.waitFor(&s.job.Job)
+	w, room := m.waitFor(&s.job.Job, s.job.level)
 	if !room && s.job.together() {
 		firm := m.firmRoom(s.job.level)
 		if !firm.covers(s.need) {
--- a/internal/coordination/candidates_test.go
+++ b/internal/coordination/candidates_test.go
@@ -22,7 +22,7 @@
 		if !c.mayTake(o, m, zones) {
 			continue
 		}
-		w, room := m.waitFor(&o.Job)
+		w, room := m.waitFor(&o.Job, o.level)
 		if room {
 			if !spared(o, m, n, kept) {
 				continue
@@ -132,3 +132,30 @@
 		t.Errorf("%d of 6 tasks on the cheap machines", on[true])
 	}
 }
+
+// TestWaitsOnlyForWhatGoesBefore: a task is queued where the least goes before
+// it, however much of lower levels waits there.
+func TestWaitsOnlyForWhatGoesBefore(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.ready("vm-2")
+	queued := func(id protocol.MachineID, l level, work float64) {
+		m := b.c.machines[id]
+		m.told.Queued, m.told.Wait, m.told.Queue = 1, 100+work, make([]float64, l+1)
+		m.told.Queue[l] = work
+	}
+	queued("vm-1", levelOf("standard", false), 900)
+	queued("vm-2", levelOf("high", false), 400)
+	for _, tc := range []struct {
+		priority protocol.Priority
+		want     protocol.MachineID
+	}{{"high", "vm-1"}, {"standard", "vm-2"}} {
+		id := protocol.JobID("job-" + tc.priority)
+		b.put(bookkeeping.LiveKey(id), protocol.Job{ID: id, Team: "free", Kind: protocol.KindArray, Priority: tc.priority, Tasks: 1, CPUs: 1, MemoryGB: 1, EstimateS: 10})
+		for _, p := range b.c.owner.jobs[id].placed {
+			if p.machine != tc.want {
+				t.Errorf("a task of priority %s is queued on %s, want %s", tc.priority, p.machine, tc.want)
+			}
+		}
+	}
+}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -105,7 +105,8 @@
 type MachineState struct {
 	Machine  protocol.MachineID
 	Epoch    protocol.Version
-	Wait     float64 // processor seconds
+	Wait     float64   // processor seconds
+	Queue    []float64 // of these, of what was never sent, by level
 	FreeCPUs float64
 	FreeGPUs float64
 	FreeGB   float64
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -193,6 +193,18 @@
 // controller knows.
 func (m *machineEntry) wait() float64 { return math.Max(0, m.told.Wait+m.extra) }
 
+// waitBefore is what of the machine's expected wait comes before a task of a
+// level: what is queued there at lower levels lets it go first.
+func (m *machineEntry) waitBefore(l level) float64 {
+	wait := m.wait()
+	for lower, work := range m.told.Queue {
+		if level(lower) < l {
+			wait -= work
+		}
+	}
+	return math.Max(0, wait)
+}
+
 // room is what a machine has free now, as far as this controller knows. One
 // with a queue has none: what waits there comes first.
 func (m *machineEntry) room() resources {
@@ -225,13 +237,13 @@
 // in seconds, its image's fetch included, and whether the machine has room for
 // it now. With room, the fuller machine counts a little less, so that small
 // tasks leave whole machines to large ones.
-func (m *machineEntry) waitFor(j *protocol.Job) (wait float64, room bool) {
+func (m *machineEntry) waitFor(j *protocol.Job, l level) (wait float64, room bool) {
 	n := need(j)
 	fetch := m.fetch(j)
 	if free := m.room(); free.covers(n) {
 		return fetch + (free.cpus-n.cpus)/math.Max(m.info.CPUs, 1), true
 	}
-	return m.wait()/math.Max(m.info.CPUs, 1) + fetch, false
+	return m.waitBefore(l)/math.Max(m.info.CPUs, 1) + fetch, false
 }
 
 // fetch is how long the machine takes to get a job's image, in seconds.
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -740,6 +740,18 @@
 	return w
 }
 
+// waits is the part of the wait that was never sent, by level.
+func (q *queue) waits() []float64 {
+	var by []float64
+	for _, e := range q.waiting {
+		for len(by) <= int(e.level) {
+			by = append(by, 0)
+		}
+		by[e.level] += e.estimate * e.need.cpus
+	}
+	return by
+}
+
 // expireSilent removes the records of machines whose lease is surely over:
 // nobody entitled has answered them for longer than it lasts. That holds for a
 // worker that came back with a new session and fell silent before it could be
@@ -776,7 +788,7 @@
 	f := q.free()
 	held := q.held()
 	s := MachineState{
-		Machine: q.id, Epoch: q.epoch, Wait: q.wait(), FreeCPUs: f.cpus, FreeGPUs: f.gpus, FreeGB: f.gb,
+		Machine: q.id, Epoch: q.epoch, Wait: q.wait(), Queue: q.waits(), FreeCPUs: f.cpus, FreeGPUs: f.gpus, FreeGB: f.gb,
 		Images: slices.Clone(q.images), Uses: held.list(), Ending: q.ending(),
 		Held: len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
 		SilentS: c.since(q.lastAnswer).Seconds(), Noticed: q.notice != nil,
