--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -80,6 +80,7 @@
 	running   bool
 	runs      Time // since when, as far as told
 	uncertain bool // its machine's inventory of this term decides
+	midway    bool // may have run for a while when it was first told to run
 	stopping  bool // told to be killed
 	moving    bool // asked back, if it was never sent
 }
@@ -596,7 +597,7 @@
 	if t == nil && o.unknown {
 		t = &placedTask{
 			task: h.Task, attempt: h.Attempt, machine: m.id, epoch: m.epoch, zone: m.rec.Zone,
-			estimate: c.estimate(&o.Job),
+			estimate: c.estimate(&o.Job), midway: true,
 		}
 		o.placed[h.Task] = t
 		m.mine[h.Task] = t
@@ -605,6 +606,7 @@
 		}
 	}
 	if t != nil && t.attempt == h.Attempt && t.machine == m.id {
+		t.midway = t.midway || t.uncertain && !t.running
 		t.uncertain = false
 	}
 	switch h.State {
--- a/internal/coordination/runtimes.go
+++ b/internal/coordination/runtimes.go
@@ -21,9 +21,11 @@
 )
 
 // noteRun learns from a task that is done how long the job's tasks run. One
-// that ran before may have saved its progress, and tells nothing.
+// that ran before may have saved its progress, and one taken over may have run
+// for long unseen: they tell nothing. Counted as short, the latter made all
+// others seem late after each takeover, and their machines slow.
 func (c *Core) noteRun(o *ownedJob, t *placedTask) {
-	if !t.running || o.again.Test(uint(t.task.Index)) {
+	if !t.running || t.midway || o.again.Test(uint(t.task.Index)) {
 		return
 	}
 	r, s := &o.ran, time.Duration(c.now-t.runs).Seconds()
--- a/internal/coordination/runtimes_test.go
+++ b/internal/coordination/runtimes_test.go
@@ -41,3 +41,30 @@
 		t.Errorf("estimate %v s, tasks took 5 to 20 s", s)
 	}
 }
+
+// TestTakenOverTellsNothing: a task that ran already when its job was taken
+// over may have run for long, so its end says nothing of how long tasks run.
+// Counted as short it made all others seem late, and their machines slow: 42 of
+// them were given up on one day with restarts.
+func TestTakenOverTellsNothing(t *testing.T) {
+	b := newBench(t)
+	b.machine("vm-1", 1)
+	b.job("job-1", "free", 20)
+	b.view(3, "node-0") // a view was missed
+	b.step(JobLoaded{Job: "job-1", OK: true})
+	var held []Held
+	for i := range uint32(12) {
+		held = append(held, Held{Task: protocol.TaskID{Job: "job-1", Index: i}, Attempt: 1, State: protocol.TaskRunning})
+	}
+	b.inventory("vm-1", held...)
+	o := b.c.owner.jobs["job-1"]
+	for _, h := range held {
+		b.c.event(TaskEvent{TaskRef: TaskRef{Task: h.Task, Attempt: 1, Machine: "vm-1"}, What: WhatEnded, Cause: protocol.EndDone})
+	}
+	if o.nDone != 12 {
+		t.Fatalf("%d of 12 done", o.nDone)
+	}
+	if s, ok := o.usual(); ok {
+		t.Errorf("tasks are said to take %v s", s)
+	}
+}
--- a/internal/coordination/slow.go
+++ b/internal/coordination/slow.go
@@ -79,7 +79,7 @@
 		}
 		usual, ok := o.usual()
 		switch late := t.runs + tooLong(usual); {
-		case !ok || c.since(m.at) > 3*c.op.RelayEvery || m.told.SilentS > silence(c.settings.Site.Workers.ReportS).Seconds():
+		case !ok || c.owner.pending[m.id] || c.since(m.at) > 3*c.op.RelayEvery || m.told.SilentS > silence(c.settings.Site.Workers.ReportS).Seconds():
 			heap.Push(h, overdue{c.after(5 * time.Second), t}) // nothing can be said yet
 		case late > c.now:
 			heap.Push(h, overdue{late, t})
@@ -112,6 +112,7 @@
 	if draining*slowShare > len(c.machines) {
 		return
 	}
+	m.told.Draining = true // at once, though its keeper has not said so yet
 	c.log.Info("machine runs its tasks slowly: giving it up", "machine", m.id)
 	c.send(c.keeper(m.id), PeerMessage{Drain: &m.id})
 	for _, t := range tasksInOrder(m.mine) {
@@ -124,7 +125,7 @@
 // runsWell takes back what was held against a machine.
 func (c *Core) runsWell(o *ownedJob, t *placedTask) {
 	if m := c.machines[t.machine]; m != nil && t.running {
-		if usual, ok := o.usual(); ok && c.since(t.runs).Seconds() < usual {
+		if usual, ok := o.usual(); ok && !t.midway && c.since(t.runs).Seconds() < usual {
 			m.late = 0
 		}
 	}
