--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -399,3 +399,26 @@
 		}
 	}
 }
+
+// TestHeldBackReport: what a report of an earlier term lists is told to nobody
+// before the machine's inventory. The network may have held it back, and an
+// attempt it lists may be long gone: its owner would have it killed.
+func TestHeldBackReport(t *testing.T) {
+	b := newBench(t)
+	b.machine("vm-2", 1)
+	b.job("job-1", "free", 1) // placed there
+	b.machine("vm-1", 1)
+	running := protocol.TaskReport{Task: protocol.TaskID{Job: "job-1"}, Attempt: 77, State: protocol.TaskRunning}
+	b.report("vm-1", 1, 0, running)
+	e := b.c.queues["vm-1"].entries[running.Task]
+	if e == nil || e.attempt != 77 {
+		t.Fatalf("not taken: %+v", e)
+	}
+	if e.kill {
+		t.Error("to be killed on the word of an old report")
+	}
+	b.report("vm-1", 1, b.c.view.Term, running)
+	if !e.kill {
+		t.Error("an attempt that its owner never placed goes on")
+	}
+}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -484,9 +484,19 @@
 		c.tell(q, e, WhatEnded)
 	case e.state == protocol.TaskRunning && before != protocol.TaskRunning:
 		e.runs = c.now
-		c.tell(q, e, WhatRunning)
+		c.tellPresent(q, e, WhatRunning)
 	case first:
-		c.tell(q, e, WhatPresent)
+		c.tellPresent(q, e, WhatPresent)
+	}
+}
+
+// tellPresent passes on that an attempt is on its machine, once a report is
+// known to be of this term: until then it may be one that the network held back
+// for minutes, of attempts long gone, which their owners would have killed. The
+// inventory says all of it.
+func (c *Core) tellPresent(q *queue, e *entry, what What) {
+	if q.known {
+		c.tell(q, e, what)
 	}
 }
 
