--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -101,7 +101,23 @@
 
 // mayTake reports whether a job may have a task on a machine at present.
 func (c *Core) mayTake(o *ownedJob, m *machineEntry, zones map[protocol.Zone]int) bool {
-	return c.usable(m) && (!o.failedOn[m.id] || len(o.failedOn) >= 3) && o.allows(m, zones)
+	return c.usable(m) && (!o.failedOn[m.id] || c.failsEverywhere(o)) && o.allows(m, zones)
+}
+
+// failsEverywhere reports whether a job failed on several machines, or on all
+// that there are for it: then no other is waited for. Where the only machine of
+// a zone had failed it once, it was never tried again, and no other was rented
+// since that one had room.
+func (c *Core) failsEverywhere(o *ownedJob) bool {
+	if len(o.failedOn) >= 3 {
+		return true
+	}
+	for _, m := range c.machinesInOrder() {
+		if !o.failedOn[m.id] && c.usable(m) && o.allowsKind(m.info, m.rec.Zone, m.rec.Spot) {
+			return false
+		}
+	}
+	return len(o.failedOn) > 0
 }
 
 // weigh is what a machine is worth for the job's next task, if it is. A task
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -426,3 +426,31 @@
 		t.Error("an attempt that its owner never placed goes on")
 	}
 }
+
+// TestOnlyMachineFailed: a job that failed on the only machine there is for it
+// waits a moment and is tried there again.
+func TestOnlyMachineFailed(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.job("job-1", "free", 1)
+	o := b.c.owner.jobs["job-1"]
+	for _, p := range o.placed {
+		b.c.event(TaskEvent{TaskRef: TaskRef{p.task, p.attempt, p.machine}, What: WhatEnded, Cause: protocol.EndError})
+	}
+	q := b.c.queues["vm-1"]
+	q.entries, q.waiting = map[protocol.TaskID]*entry{}, nil
+	b.step(Tick{})
+	if len(o.placed) > 0 {
+		t.Error("tried again at once")
+	}
+	b.now += Time(6 * time.Second)
+	b.report("vm-1", 1, 1)
+	b.step(Tick{})
+	if b.step(Tick{}); len(o.placed) == 0 {
+		t.Error("not tried again")
+	}
+	b.machine("vm-2", 1)
+	if b.c.mayTake(o, b.c.machines["vm-1"], nil) {
+		t.Error("tried there again though there is another machine")
+	}
+}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -38,7 +38,7 @@
 type leavingTask struct {
 	team   protocol.Team
 	need   resources
-	number uint64 // of the Place that carried it
+	number uint64 // of the Place that carried it; 0: any inventory counts
 }
 
 // ownedJob is a job this controller owns.
@@ -138,7 +138,11 @@
 	if o := c.owner.jobs[id]; o != nil {
 		for _, t := range tasksInOrder(o.placed) {
 			if c.limited(o.Team) {
-				c.owner.leaving[TaskRef{t.task, t.attempt, t.machine}] = leavingTask{o.Team, need(&o.Job), t.number}
+				left := leavingTask{o.Team, need(&o.Job), t.number}
+				if t.uncertain {
+					left.number = 0
+				}
+				c.owner.leaving[TaskRef{t.task, t.attempt, t.machine}] = left
 			}
 			c.askStop(t, true, 0)
 			c.unplace(o, t)
@@ -170,6 +174,14 @@
 	if !keeps {
 		clear(c.owner.leaving)
 	}
+	for ref, t := range c.owner.leaving {
+		// A keeper's new session counts placements anew: held against its
+		// count, an attempt long gone would take of its team's limit for ever.
+		if c.changedKeeper(old, ref.Machine) {
+			t.number = 0
+			c.owner.leaving[ref] = t
+		}
+	}
 	for _, t := range c.settings.Site.Teams {
 		if j := (&protocol.Job{Team: t.Name}); t.Limited() && c.jobOwner(c.view, j) == c.self && (!keeps || c.jobOwner(old, j) != c.self) {
 			c.owner.unsure[t.Name] = true
@@ -193,8 +205,7 @@
 		}
 		c.owner.jobs[id] = o
 		for _, t := range o.placed {
-			keeper := c.keeper(t.machine)
-			if machineKeeper(old, t.machine) != keeper || !sameSession(old, c.view, keeper) {
+			if c.changedKeeper(old, t.machine) {
 				t.uncertain = true
 			}
 			if m := c.machines[t.machine]; m != nil {
@@ -205,6 +216,13 @@
 	c.resolveUnknown()
 }
 
+// changedKeeper reports whether a machine is kept by another controller, or
+// another session of the same, than by an earlier view.
+func (c *Core) changedKeeper(old bookkeeping.View, id protocol.MachineID) bool {
+	keeper := c.keeper(id)
+	return machineKeeper(old, id) != keeper || !sameSession(old, c.view, keeper)
+}
+
 func (c *Core) jobLoaded(m JobLoaded) {
 	o := c.owner.jobs[m.Job]
 	if o == nil || o.loaded {
@@ -435,7 +453,7 @@
 	switch e.Cause {
 	case protocol.EndError:
 		o.failedOn[e.Machine] = true
-		if len(o.failedOn) >= 3 {
+		if c.failsEverywhere(o) {
 			o.backoff = min(max(2*o.backoff, 5*time.Second), 5*time.Minute)
 			o.notBefore = c.after(o.backoff)
 			c.log.Info("job fails wherever it runs: it waits", "job", o.ID, "machines", len(o.failedOn), "wait", o.backoff)
@@ -607,7 +625,9 @@
 	}
 	if t != nil && t.attempt == h.Attempt && t.machine == m.id {
 		t.midway = t.midway || t.uncertain && !t.running
-		t.uncertain = false
+		if t.uncertain {
+			t.number, t.uncertain = 0, false // counted by a session that is over
+		}
 	}
 	switch h.State {
 	case "":
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/protocol"
 )
 
@@ -45,6 +47,10 @@
 	n := w.nodes[w.rng.IntN(3)]
 	d := time.Duration(2+w.rng.IntN(25)) * time.Second
 	hold := w.rng.IntN(2) == 0
+	if len(w.order) == 0 {
+		w.crash(n)
+		return
+	}
 	machine := w.order[w.rng.IntN(len(w.order))]
 	switch w.rng.IntN(12) {
 	case 0, 1:
@@ -104,13 +110,23 @@
 	machines int
 	job      func(*world) protocol.Job
 	lasts    time.Duration
+	empty    bool // no machine is up at the start
+	teams    []config.Team
+	trouble  func(*world) // beside those that every day has
 }
 
 // play plays a day of troubles; when all is well again, every job must come to
 // its end.
 func (d day) play(t *testing.T, seed int) {
 	t.Parallel()
-	w := newWorld(t, uint64(seed), d.machines)
+	settings, up := testSettings(), d.machines
+	if d.teams != nil {
+		settings.Site.Teams = d.teams
+	}
+	if d.empty {
+		up = 0
+	}
+	w := newWorld(t, uint64(seed), settings, d.machines, up)
 	w.run(3 * time.Second)
 	for w.now < d.lasts {
 		if w.rng.IntN(3) > 0 {
@@ -126,6 +142,10 @@
 			w.wave()
 		case 1:
 			w.roll()
+		case 2, 3:
+			if d.trouble != nil {
+				d.trouble(w)
+			}
 		default:
 			if w.rng.IntN(2) == 0 {
 				w.trouble()
@@ -143,7 +163,7 @@
 	w.run(w.now + 160*time.Second)
 	for _, id := range w.jobOrder {
 		if w.final[id] == "" {
-			t.Errorf("job %s never came to its end: %+v", id, w.jobs[id])
+			t.Errorf("job %s never came to its end: %+v\n%s", id, w.jobs[id], w.whereabouts(id))
 		}
 	}
 	if w.starts == 0 {
@@ -151,6 +171,36 @@
 	}
 }
 
+// whereabouts tells what the controllers know of a job that does not end.
+func (w *world) whereabouts(id protocol.JobID) string {
+	var b strings.Builder
+	for _, n := range w.nodes {
+		if n.core == nil || n.core.owner.jobs[id] == nil {
+			continue
+		}
+		c, o := n.core, n.core.owner.jobs[id]
+		fmt.Fprintf(&b, "owner %s: unknown %v, pending %d, not before %v, its team uses %+v, awaited %d, leaving %v, failed on %v\n",
+			n.name, o.unknown, o.pending.Count(), c.since(o.notBefore), c.teamUsage()[o.Team], len(c.owner.pending), c.owner.leaving, o.failedOn)
+		for _, t := range o.placed {
+			fmt.Fprintf(&b, "  placed %+v\n", *t)
+		}
+		for _, m := range c.machinesInOrder() {
+			fmt.Fprintf(&b, "  %s in %s, spot %v, kept by %s: usable %v, room %+v, told %+v\n", m.id, m.rec.Zone, m.rec.Spot, c.keeper(m.id), c.usable(m), m.room(), m.told)
+		}
+	}
+	for _, n := range w.nodes {
+		if n.core == nil {
+			continue
+		}
+		for _, q := range n.core.queues {
+			for _, e := range q.entries {
+				fmt.Fprintf(&b, "  %s has on %s: %+v\n", n.name, q.id, *e)
+			}
+		}
+	}
+	return b.String()
+}
+
 // seeds is how many days are played; WORLD_SEEDS asks for a longer search.
 func seeds(usual int) int {
 	if n, err := strconv.Atoi(os.Getenv("WORLD_SEEDS")); err == nil {
@@ -190,3 +240,40 @@
 		})
 	}
 }
+
+// TestRulesHoldForPlants plays days that begin without a machine, with teams
+// that all have limits, zones cut off from everything or from one another for
+// longer than leases and cancellations last, and a cloud that has fewer machines
+// for a while.
+func TestRulesHoldForPlants(t *testing.T) {
+	const machines = 9
+	teams := []config.Team{{Name: "cold", CPUs: 8, MaxCPUs: 24}, {Name: "desk", CPUs: 6, MaxCPUs: 12}, {Name: "yield", MaxCPUs: 8}}
+	job := func(w *world) protocol.Job {
+		j := w.randomJob()
+		j.Team = teams[w.rng.IntN(len(teams))].Name
+		j.Priority = []protocol.Priority{"high", "standard", "best_effort"}[w.rng.IntN(3)]
+		if n := uint32(teams[2].MaxCPUs / j.CPUs); j.Kind != protocol.KindArray {
+			j.Tasks = min(j.Tasks, n)
+		}
+		return j
+	}
+	trouble := func(w *world) {
+		d := time.Duration(5+w.rng.IntN(50)) * time.Second // leases last 15 s, cancellations 35 s
+		switch w.rng.IntN(4) {
+		case 0:
+			w.part(w.zoneOf(w.rng.IntN(2)), true, d, w.rng.IntN(2) == 0)
+		case 1:
+			w.part(w.zoneOf(w.rng.IntN(2)), false, d, w.rng.IntN(2) == 0)
+		case 2:
+			w.cut(string(w.nodes[w.rng.IntN(3)].name), "state", d, false)
+		case 3:
+			w.cloud.Capacity = len(w.cloud.Machines) / 2
+			w.after(d, func() { w.cloud.Capacity = machines + 6 })
+		}
+	}
+	for seed := range seeds(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			day{machines: machines, job: job, lasts: 150 * time.Second, empty: true, teams: teams, trouble: trouble}.play(t, 200_000+seed)
+		})
+	}
+}
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/protocol"
 )
 
@@ -250,3 +251,48 @@
 	b.view(5, "node-0")
 	awaited(true, "in a new session")
 }
+
+// TestLeavingAfterKeeperRestart: what a job that is over had on a machine
+// counts against its team's limit only until the inventory of the machine's
+// next keeper, whose count of placements begins anew.
+func TestLeavingAfterKeeperRestart(t *testing.T) {
+	for _, over := range []string{"before the view", "after it"} {
+		b := newBench(t, "node-1")
+		id := protocol.MachineID("vm-0")
+		for i := 0; machineKeeper(b.c.view, id) != "node-1"; i++ {
+			id = protocol.MachineID("vm-" + string(rune('a'+i)))
+		}
+		team := protocol.Team("bound")
+		b.c.settings.Site.Teams = nil
+		for i := 0; rendezvous(b.c.view, "team "+string(team)) != "node-0" || rendezvousBut(b.c.view, []protocol.NodeName{"node-1"}, "team "+string(team)) != "node-0"; i++ {
+			team = protocol.Team("bound" + string(rune('a'+i)))
+		}
+		b.c.settings.Site.Teams = []config.Team{{Name: team, MaxCPUs: 4}}
+		b.machine(id, 1)
+		for i := range 2 { // the first is over before the second is placed
+			job := protocol.JobID("job-" + string(rune('1'+i)))
+			b.job(job, team, 4)
+			if i == 0 {
+				b.step(Changed{protocol.Event{Delete: bookkeeping.LiveKey(job), Version: 90}})
+				clear(b.c.owner.leaving)
+				b.step(Tick{})
+			}
+		}
+		end := func() { b.step(Changed{protocol.Event{Delete: bookkeeping.LiveKey("job-2"), Version: 91}}) }
+		if over == "before the view" {
+			end()
+		}
+		b.c.view.Members["node-1"] = 77 // its process before this one
+		b.view(2, "node-0", "node-1")
+		if over == "after it" {
+			end()
+		}
+		if len(b.c.owner.leaving) != 4 {
+			t.Fatalf("over %s: %d attempts count", over, len(b.c.owner.leaving))
+		}
+		b.c.inventory("node-1", &Inventory{Term: 2, Machine: id, Epoch: b.c.machines[id].epoch})
+		if n := len(b.c.owner.leaving); n > 0 {
+			t.Errorf("over %s: %d attempts count for ever", over, n)
+		}
+	}
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -109,9 +109,11 @@
 	return s
 }
 
-func newWorld(t testing.TB, seed uint64, machines int) *world {
+// newWorld has three controllers, and a cloud that has some more machines than
+// are up at the start.
+func newWorld(t testing.TB, seed uint64, settings *config.Settings, machines, up int) *world {
 	w := &world{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), settings: testSettings(), state: standin.NewState(),
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), settings: settings, state: standin.NewState(),
 		cloud: standin.NewCloud(machines + 6), workers: map[protocol.MachineID]*simWorker{}, cuts: map[string]cut{},
 		jobs: map[protocol.JobID]protocol.Job{}, cancelled: map[protocol.JobID]time.Duration{}, final: map[protocol.JobID]string{},
 		results: map[protocol.TaskID]bool{}, onMachine: map[protocol.TaskID]*standin.Worker{},
@@ -120,7 +122,7 @@
 			{Name: "large", CPUs: 8, MemoryGB: 32, FetchGBPS: 1, Price: 2, SpotPrice: 0.6, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}},
 		},
 	}
-	for i := range machines {
+	for i := range up {
 		r := protocol.RentRequest{Name: fmt.Sprint("first", i), Type: w.types[i%2].Name, Zone: w.types[0].AllowZones[i/2%2], Spot: i%3 == 0, Count: 1}
 		_, ids := w.cloud.Rent(r)
 		w.boot(ids[0], r)
@@ -156,6 +158,39 @@
 	return true
 }
 
+// carryToZone is carry between a controller and a machine, whose zone may be
+// cut off from it.
+func (w *world) carryToZone(n *simNode, z protocol.Zone, deliver func()) {
+	w.carry(string(n.name), "zone "+string(z), func() { w.carry(string(n.name), "workers", deliver) })
+}
+
+// zoneOf is the zone of a controller.
+func (w *world) zoneOf(i int) protocol.Zone {
+	zones := w.types[0].AllowZones
+	return zones[i%len(zones)]
+}
+
+// part cuts zones off from one another: all their controllers and machines. A
+// zone that is cut off from everything does not reach the state service.
+func (w *world) part(z protocol.Zone, everything bool, d time.Duration, hold bool) {
+	for i, n := range w.nodes {
+		inside := w.zoneOf(i) == z
+		if inside && everything {
+			w.cut(string(n.name), "state", d, hold)
+		}
+		for _, other := range w.types[0].AllowZones {
+			if (other == z) != inside {
+				w.cut(string(n.name), "zone "+string(other), d, hold)
+			}
+		}
+		for k, peer := range w.nodes {
+			if inside && w.zoneOf(k) != z {
+				w.cut(string(n.name), string(peer.name), d, hold)
+			}
+		}
+	}
+}
+
 func (w *world) cut(a, b string, d time.Duration, hold bool) {
 	w.cuts[a+">"+b] = cut{w.now + d, hold}
 }
@@ -442,9 +477,12 @@
 	life := n.life
 	answered := false
 	done := Commanded{Machine: a.Machine, Term: a.Commands.Term, Session: a.Commands.Session, Orders: a.Commands.Orders}
-	w.carry(string(n.name), "workers", func() {
-		sw := w.workers[a.Machine]
-		if sw == nil || sw.Dead {
+	sw := w.workers[a.Machine]
+	if sw == nil {
+		sw = &simWorker{Worker: &standin.Worker{Dead: true}}
+	}
+	w.carryToZone(n, sw.Zone, func() {
+		if sw.Dead {
 			return
 		}
 		done.Executed = sw.Do(a.Commands)
@@ -485,7 +523,7 @@
 			next(time.Second)
 		}
 	})
-	w.carry(string(n.name), "workers", func() {
+	w.carryToZone(n, sw.Zone, func() {
 		if n.core == nil {
 			if !over {
 				sw.target = (sw.target + 1) % 3
