--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/protocol"
 )
 
@@ -252,7 +253,7 @@
 		l, listed := f.listed[id]
 		f.seen[id] = f.seen[id] || listed && l.State == "running"
 		silent := m.told.SilentS > 2*silence(c.settings.Site.Workers.ReportS).Seconds()
-		switch empty := m.told.Held == 0 && m.extra == 0; {
+		switch empty := m.told.Heard && m.told.Held == 0 && m.extra == 0; {
 		case silent && (m.told.Noticed || f.seen[id] && !listed):
 			// Taken, by all signs. The cloud's answer to its deletion proves
 			// it, long before the worker's lease would.
@@ -274,14 +275,16 @@
 			}
 			continue
 		}
-		if f.orphan[id] == 0 {
-			f.orphan[id] = c.now
+		if f.orphan[id] == 0 || l.State == "booting" {
+			f.orphan[id] = c.now // not up yet: its worker can't report
 		}
 		age := time.Duration(l.AgeS * float64(time.Second))
 		switch {
 		case l.State == "failed",
 			l.State == "booting" && age > c.bootLimit(l.Type),
-			l.State != "booting" && c.since(f.orphan[id]) > c.leaseOver():
+			c.since(f.orphan[id]) > c.leaseOver()+config.Seconds(c.types[l.Type].BootS):
+			// Another takes as long to boot, and where a whole zone is cut
+			// off it could not report either.
 			c.log.Info("returning a machine that does not report", "machine", id, "state", l.State)
 			gone = append(gone, id)
 		}
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -102,3 +102,67 @@
 		t.Errorf("%d still wait", len(q.waiting))
 	}
 }
+
+// returns lists the machines that actions return, or have drained for that.
+func (b *bench) returns(actions []Action) (ids []protocol.MachineID) {
+	for _, a := range actions {
+		if d, ok := a.(Delete); ok {
+			ids = append(ids, d.Machines...)
+		}
+	}
+	for id, q := range b.c.queues {
+		if q.draining {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// TestUnheardIsNotIdle: a machine whose keeper has not heard it yet is not
+// known to be idle. After two controllers had crashed 129 machines of a zone
+// that was cut off were returned, with all they ran.
+func TestUnheardIsNotIdle(t *testing.T) {
+	b := planner(t)
+	b.c.spots = spotRisk{}
+	b.machine("vm-1", 1) // kept here, its worker is silent so far
+	for range 5 {
+		if ids := b.returns(b.relay()); len(ids) > 0 {
+			t.Fatalf("returned %v", ids)
+		}
+	}
+	if b.c.machines["vm-1"].told.Heard || b.c.machines["vm-1"].told.IdleS > 0 {
+		t.Errorf("told %+v", b.c.machines["vm-1"].told)
+	}
+	b.report("vm-1", 1, b.c.view.Term)
+	b.relay()
+	if !b.c.machines["vm-1"].told.Heard {
+		t.Error("not heard after a report")
+	}
+}
+
+// TestOrphans: a machine whose worker does not report is returned when that
+// lasts longer than a lease and a boot, counted from when it is up: one that
+// boots can't report, and one that is cut off is back sooner than another.
+func TestOrphans(t *testing.T) {
+	b := planner(t)
+	list := func(state string) []protocol.MachineID {
+		l := protocol.ListedMachine{ID: "vm-7", Type: "small", Zone: "a", State: state, AgeS: 10}
+		return b.returns(append(b.step(Listed{Machines: []protocol.ListedMachine{l}, OK: true}), b.relay()...))
+	}
+	wait := b.c.leaseOver() + 8*time.Second // the type boots in 8 s
+	for range 20 {
+		if ids := list("booting"); len(ids) > 0 {
+			t.Fatalf("returned %v while it boots", ids)
+		}
+	}
+	up := b.now
+	for b.now < up+Time(wait)-2*Time(planEvery) {
+		if ids := list("running"); len(ids) > 0 {
+			t.Fatalf("returned %v after %v", ids, time.Duration(b.now-up))
+		}
+	}
+	b.now += Time(2 * planEvery)
+	if ids := append(list("running"), list("running")...); len(ids) == 0 {
+		t.Error("not returned though it never reports")
+	}
+}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -112,6 +112,7 @@
 	FreeGB   float64
 	Uses     []Use // what is on it or in its queue, by level
 	Ending   Use   // what comes free each second, by estimate, as its tasks end
+	Heard    bool  // what is on it is known: else it may hold more
 	Held     int   // attempts on it or in its queue
 	Queued   int   // of these, never sent
 	Closed   bool
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -571,6 +571,9 @@
 
 // sendInventory tells every owner what of its jobs is here.
 func (c *Core) sendInventory(q *queue) {
+	if !q.known {
+		q.idleSince = c.now
+	}
 	q.inventoried, q.known = true, true
 	byOwner := map[protocol.NodeName][]Held{}
 	for _, e := range tasksInOrder(q.entries) {
@@ -800,11 +803,11 @@
 	s := MachineState{
 		Machine: q.id, Epoch: q.epoch, Wait: q.wait(), Queue: q.waits(), FreeCPUs: f.cpus, FreeGPUs: f.gpus, FreeGB: f.gb,
 		Images: slices.Clone(q.images), Uses: held.list(), Ending: q.ending(),
-		Held: len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
+		Heard: q.known, Held: len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
 		SilentS: c.since(q.lastAnswer).Seconds(), Noticed: q.notice != nil,
 		Closed: q.draining || q.suspect || q.notice != nil || c.since(q.lastAnswer) > 2*silence(c.settings.Site.Workers.ReportS),
 	}
-	if len(q.entries) == 0 {
+	if q.known && len(q.entries) == 0 {
 		s.IdleS = c.since(q.idleSince).Seconds()
 	}
 	return s
