--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -113,7 +113,7 @@
 	if k.arrivals[0].at < first {
 		first = c.now - Time(window*float64(time.Second))
 	}
-	span := math.Min(window, math.Max(c.since(first).Seconds(), 5*boot))
+	span := math.Min(window, math.Max(c.since(first).Seconds(), knownBoots*boot))
 	rate := n / span
 	// A silence that this rate makes unlikely tells more than the rate: jobs
 	// come less often now, or have stopped coming.
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -42,6 +42,7 @@
 	hearing  hearing
 	copy     tableCopy
 	classes  map[string]*class
+	begun    Time // when this session began to watch them
 	live     map[protocol.JobID]*liveJob
 	over     map[protocol.JobID]Time // seen to end, and when
 	machines map[protocol.MachineID]*machineEntry
@@ -119,7 +120,7 @@
 	switch m := msg.(type) {
 	case Snapshot:
 		c.reset()
-		c.session = m.Session
+		c.session, c.begun = m.Session, c.now
 		if m.WallMS != 0 {
 			c.epochMS = m.WallMS - int64(c.now/Time(time.Millisecond))
 		}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -194,22 +194,27 @@
 
 // keepIdle is how long a machine is kept idle, in seconds: as long as the boot
 // of another would cost. Where it is known what is likely to come meanwhile,
-// and there is room for that without the machine, it is not waited for.
+// and there is room for that without the machine, it is not waited for. A
+// controller that has just begun knows that of no class.
 func (c *Core) keepIdle(t protocol.TypeInfo, spare float64) float64 {
 	keep := math.Min(t.BootS, c.op.IdleReturn.Seconds())
-	if !math.IsInf(spare, 1) {
+	if !math.IsInf(spare, 1) && c.since(c.begun).Seconds() > knownBoots*t.BootS {
 		keep = math.Min(keep, idleKnown.Seconds())
 	}
 	return keep
 }
 
+// knownBoots is for how many boots' time arrivals have to be watched to tell
+// what is likely to come.
+const knownBoots = 5
+
 // idleKnown is how long a machine is idle before that is more than the moment
 // between two tasks.
 const idleKnown = 2 * planEvery
 
 // spareCPUs is how many processors there are beyond what is held by more
-// urgent work and what the classes that need not start at once are likely to
-// need.
+// urgent work, what waits, and what the classes that need not start at once are
+// likely to need.
 func (c *Core) spareCPUs() float64 {
 	top, spare, any := 0, 0.0, false
 	for _, k := range c.classes {
@@ -218,9 +223,18 @@
 			top, any = max(top, k.job.Priority.Rank()), true
 		}
 	}
-	if !any {
+	waits := 0.0
+	for _, p := range c.peers {
+		for _, d := range p.demand {
+			if j := c.live[d.Job]; j != nil && j.Priority.Rank() <= top { // the rest is held by queues
+				waits += float64(d.Unstarted) * j.CPUs
+			}
+		}
+	}
+	if !any && waits == 0 {
 		return math.Inf(1)
 	}
+	spare -= waits
 	for _, m := range c.machinesInOrder() {
 		if c.usable(m) {
 			spare += m.roomBelow(top).cpus
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -166,3 +167,28 @@
 		t.Error("not returned though it never reports")
 	}
 }
+
+// TestJustBegun: a controller that has just begun does not know what is likely
+// to come, and keeps idle machines for as long as another would boot; what
+// waits is room that can't be spared. Without, the one that came back after a
+// zone was cut off returned the zone's machines while 30 jobs waited.
+func TestJustBegun(t *testing.T) {
+	b := planner(t)
+	info := protocol.TypeInfo{Name: "small", CPUs: 4, BootS: 20}
+	if s := b.c.keepIdle(info, 100); s != info.BootS {
+		t.Errorf("kept %v s at first", s)
+	}
+	b.c.now += Time(time.Duration(knownBoots*info.BootS+1) * time.Second)
+	if s := b.c.keepIdle(info, 100); s != idleKnown.Seconds() {
+		t.Errorf("kept %v s once arrivals are known", s)
+	}
+	if s := b.c.keepIdle(info, math.Inf(1)); s != info.BootS {
+		t.Errorf("kept %v s where nothing comes", s)
+	}
+	b.ready("vm-1")
+	b.c.live["job-1"] = &liveJob{Job: protocol.Job{ID: "job-1", Priority: "best_effort", CPUs: 2}}
+	b.c.peers["node-0"].demand = []Demand{{Job: "job-1", Unstarted: 9}}
+	if spare := b.c.spareCPUs(); spare != 4-18 {
+		t.Errorf("%v processors to spare of 4 while 18 are waited for", spare)
+	}
+}
