Divide queue.go and owner.go by what they hold

queue.go held a machine's queue, reports, registration, inventories, commands and what others are told; owner.go held jobs, takeovers, events and ends. Moved as they are, no line changed; decisions unchanged.

--- /dev/null
+++ b/internal/coordination/finish.go
@@ -0,0 +1,97 @@
+package coordination
+
+import (
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+)
+
+func (c *Core) markDone(o *ownedJob, i uint32) {
+	o.pending.Clear(uint(i))
+	if o.done.Test(uint(i)) {
+		return
+	}
+	o.done.Set(uint(i))
+	o.nDone++
+	o.dirty[int(i)/bookkeeping.ChunkTasks] = true
+	if o.backoff > 0 {
+		o.backoff, o.notBefore = 0, 0
+		clear(o.failedOn)
+	}
+}
+
+// checkDone has a job's end written once all its tasks are done. It is told
+// to nobody before that is durable.
+func (c *Core) checkDone(o *ownedJob) {
+	if !o.loaded || o.nDone < o.Tasks || o.finish {
+		return
+	}
+	o.finish = true
+	c.writeFinish(o)
+}
+
+func (c *Core) writeFinish(o *ownedJob) {
+	if o.ending || !c.acting() {
+		return
+	}
+	o.ending = true
+	txn := protocol.Txn{
+		If: []protocol.Condition{{Key: bookkeeping.LiveKey(o.ID), Version: o.version}, {Key: bookkeeping.JobKey(o.ID), Version: o.version}},
+		Then: []protocol.Change{
+			{Put: bookkeeping.JobKey(o.ID), Value: bookkeeping.JobRecord{State: bookkeeping.RecordDone, Tasks: o.Tasks}},
+			{Delete: bookkeeping.LiveKey(o.ID)},
+		},
+	}
+	for chunk := 0; chunk*bookkeeping.ChunkTasks < int(o.Tasks); chunk++ {
+		txn.Then = append(txn.Then, protocol.Change{Delete: bookkeeping.BitsKey(o.ID, chunk)})
+	}
+	c.do(Commit{Tag: finishTag{o.ID}, Txn: txn})
+}
+
+func (c *Core) finishDone(tag finishTag, out Outcome) {
+	o := c.owner.jobs[tag.job]
+	if o == nil {
+		return
+	}
+	o.ending = out == OutcomeDone // otherwise again at a later tick; a conflict shows in the records
+}
+
+// flushBits writes the bitmaps that changed, a few at a time.
+func (c *Core) flushBits() {
+	if !c.acting() {
+		return
+	}
+	n := 0
+	for _, o := range inOrder(c.owner.jobs) {
+		if len(o.dirty) == 0 || o.writing || o.finish || !o.loaded {
+			continue
+		}
+		if n++; n > c.settings.Site.State.TxnOps {
+			return
+		}
+		tag := bitsTag{job: o.ID}
+		txn := protocol.Txn{If: []protocol.Condition{
+			{Key: bookkeeping.ViewKey, Version: c.viewVersion}, // a former owner writes nothing late
+			{Key: bookkeeping.LiveKey(o.ID), Version: o.version},
+		}}
+		for chunk := range inOrder(o.dirty) {
+			tag.chunks = append(tag.chunks, chunk)
+			txn.Then = append(txn.Then, protocol.Change{Put: bookkeeping.BitsKey(o.ID, chunk), Value: bookkeeping.EncodeChunk(o.done, chunk)})
+		}
+		clear(o.dirty)
+		o.writing = true
+		c.do(Commit{Tag: tag, Txn: txn})
+	}
+}
+
+func (c *Core) bitsDone(tag bitsTag, out Outcome) {
+	o := c.owner.jobs[tag.job]
+	if o == nil {
+		return
+	}
+	o.writing = false
+	if out != OutcomeDone {
+		for _, chunk := range tag.chunks {
+			o.dirty[chunk] = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/orders.go
@@ -0,0 +1,99 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+
+	"damsonkeel/internal/protocol"
+)
+
+// orders fills an answer: reaps first, so that room and task ids are free,
+// then kills, then starts in order of service while they fit.
+func (c *Core) orders(q *queue, term protocol.Term) []protocol.Order {
+	orders := []protocol.Order{}
+	told := func(_ protocol.TaskID, e *entry) bool {
+		return e.present && (e.ended() || e.kill || c.live[e.task.Job] == nil) || e.direct != 0
+	}
+	for _, e := range tasksWhere(q.entries, told) {
+		live := c.live[e.task.Job] != nil
+		switch {
+		case !e.present:
+			if e.sent && e.direct != 0 && live && !e.kill {
+				orders = append(orders, protocol.Order{Op: protocol.OpStart, Task: e.task, Attempt: e.attempt})
+			}
+		case e.ended() && (e.reap || !live):
+			// After a reap the worker no longer knows the attempt: a direct
+			// start that is still under way would run it again.
+			if e.direct == 0 || term > e.direct {
+				orders = append(orders, protocol.Order{Op: protocol.OpForget, Task: e.task, Attempt: e.attempt})
+			}
+		case !e.ended() && (e.kill || !live):
+			grace := e.graceS
+			if !live {
+				grace = 0
+			}
+			orders = append(orders, protocol.Order{Op: protocol.OpStop, Task: e.task, Attempt: e.attempt, GraceS: &grace})
+		}
+	}
+	slices.SortStableFunc(orders, func(a, b protocol.Order) int {
+		return cmp.Compare(orderRank(a.Op), orderRank(b.Op))
+	})
+	for _, e := range c.startable(q) {
+		e.sent = true
+		orders = append(orders, protocol.Order{Op: protocol.OpStart, Task: e.task, Attempt: e.attempt})
+		c.log.Debug("start", "machine", q.id, "task", e.task, "attempt", e.attempt)
+	}
+	return orders
+}
+
+// startable takes from the queue what fits the free room.
+func (c *Core) startable(q *queue) []*entry {
+	if q.epoch == 0 || q.draining || q.notice != nil || q.suspect || len(q.waiting) == 0 {
+		return nil
+	}
+	var out []*entry
+	free := q.free()
+	c.sortWaiting(q)
+	for len(q.waiting) > 0 {
+		e := q.waiting[0]
+		j := c.live[e.task.Job]
+		if j == nil {
+			break // its record has not arrived yet
+		}
+		e.need = need(&j.Job)
+		if !free.covers(e.need) {
+			break // first come, first served: what is behind waits too
+		}
+		free = free.minus(e.need)
+		q.waiting = q.waiting[1:]
+		q.idleSince = c.now
+		out = append(out, e)
+	}
+	return out
+}
+
+func orderRank(op protocol.Op) int {
+	if op == protocol.OpForget {
+		return 0
+	}
+	return 1
+}
+
+// sortWaiting keeps the higher level first, then what is due first, then the
+// order of arrival.
+func (c *Core) sortWaiting(q *queue) {
+	if q.sorted {
+		return
+	}
+	q.sorted = true
+	for _, e := range q.waiting {
+		if l := c.live[e.task.Job]; l != nil {
+			e.due = l.due
+		} else {
+			q.sorted = false // its record has not arrived yet
+		}
+	}
+	slices.SortStableFunc(q.waiting, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(b.level, a.level), cmp.Compare(a.due, b.due), cmp.Compare(a.order, b.order))
+	})
+}
--- /dev/null
+++ b/internal/coordination/stock.go
@@ -0,0 +1,52 @@
+package coordination
+
+import (
+	"damsonkeel/internal/protocol"
+)
+
+// holdsOver reports whether attempts of jobs that are over may still run here.
+// The inventory waits for their end: it tells the owners of limited teams that
+// nothing but what it lists takes part of a limit.
+func (c *Core) holdsOver(q *queue) bool {
+	for id, e := range q.entries {
+		if e.sent && !e.ended() && c.live[id.Job] == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// takeStock gives an inventory once in each term: when the worker has seen it,
+// or at once if this controller has kept the queue without a break since the
+// worker saw an earlier one. Else each restart of one controller would have
+// the owners wait for all machines, and one that is cut off hold up all.
+func (c *Core) takeStock(q *queue) {
+	if q.epoch != 0 && q.sole && !q.inventoried && !c.holdsOver(q) {
+		c.sendInventory(q)
+	}
+}
+
+// sendInventory tells every owner what of its jobs is here.
+func (c *Core) sendInventory(q *queue) {
+	if !q.known {
+		q.idleSince = c.now
+	}
+	q.inventoried, q.known = true, true
+	byOwner := map[protocol.NodeName][]Held{}
+	for _, e := range tasksInOrder(q.entries) {
+		owner := c.entryOwner(e)
+		if owner == "" {
+			continue
+		}
+		h := Held{Task: e.task, Attempt: e.attempt, Cause: e.cause, Saved: e.saved}
+		if e.present {
+			h.State = e.state
+		}
+		byOwner[owner] = append(byOwner[owner], h)
+	}
+	for name, p := range inOrder(c.peers) {
+		c.send(name, PeerMessage{Inventory: &Inventory{
+			Term: c.view.Term, Machine: q.id, Epoch: q.epoch, Upto: p.handled, Held: byOwner[name],
+		}})
+	}
+}
--- /dev/null
+++ b/internal/coordination/takeover.go
@@ -0,0 +1,178 @@
+package coordination
+
+import (
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+)
+
+// adoptJobs goes over to a new view: jobs owned without a break are kept, with
+// what changed hands made uncertain; others are taken over or let go.
+func (c *Core) adoptJobs(old bookkeeping.View, keeps bool) {
+	before := c.owner.jobs
+	c.owner.jobs = map[protocol.JobID]*ownedJob{}
+	c.owner.sorted = nil
+	c.owner.dirty = true
+	c.owner.pending = map[protocol.MachineID]bool{}
+	if !keeps {
+		clear(c.owner.leaving)
+	}
+	for ref, t := range c.owner.leaving {
+		// A keeper's new session counts placements anew: held against its
+		// count, an attempt long gone would take of its team's limit for ever.
+		if c.changedKeeper(old, ref.Machine) {
+			t.number = 0
+			c.owner.leaving[ref] = t
+		}
+	}
+	for _, t := range c.settings.Site.Teams {
+		if j := (&protocol.Job{Team: t.Name}); t.Limited() && c.jobOwner(c.view, j) == c.self && (!keeps || c.jobOwner(old, j) != c.self) {
+			c.owner.unsure[t.Name] = true
+		}
+	}
+	for id, m := range c.machines {
+		c.owner.pending[id] = true
+		clear(m.mine)
+	}
+	for id, l := range inOrder(c.live) {
+		if c.ownerOf(l) != c.self {
+			continue
+		}
+		o := before[id]
+		if o == nil || !keeps {
+			o = c.own(l)
+			o.unknown = true
+			o.loading = true
+			c.do(LoadBits{Job: id})
+			continue
+		}
+		c.owner.jobs[id] = o
+		for _, t := range o.placed {
+			if c.changedKeeper(old, t.machine) {
+				t.uncertain = true
+			}
+			if m := c.machines[t.machine]; m != nil {
+				m.mine[t.task] = t
+			}
+		}
+	}
+	c.resolveUnknown()
+}
+
+// changedKeeper reports whether a machine is kept by another controller, or
+// another session of the same, than by an earlier view.
+func (c *Core) changedKeeper(old bookkeeping.View, id protocol.MachineID) bool {
+	keeper := c.keeper(id)
+	return machineKeeper(old, id) != keeper || !sameSession(old, c.view, keeper)
+}
+
+func (c *Core) jobLoaded(m JobLoaded) {
+	o := c.owner.jobs[m.Job]
+	if o == nil || o.loaded {
+		return
+	}
+	o.loading = false
+	if !m.OK {
+		return // asked for again at a later tick
+	}
+	for _, it := range m.Chunks {
+		var b bookkeeping.Bits
+		err := protocol.Decode(it.Value, &b)
+		if err == nil {
+			err = bookkeeping.DecodeChunk(it.Key, b, o.done, o.Tasks)
+		}
+		if err != nil {
+			c.log.Error("bitmap can't be read", "job", m.Job, "err", err)
+		}
+	}
+	o.loaded = true
+	o.nDone = uint32(o.done.Count())
+	for id, t := range tasksInOrder(o.placed) {
+		if o.done.Test(uint(id.Index)) {
+			c.askStop(t, true, 0)
+		}
+	}
+	c.checkDone(o)
+	c.resolveUnknown()
+}
+
+// resolveUnknown makes the unlisted tasks of jobs taken over placeable, once
+// every machine that might hold one has been heard or is proven empty.
+func (c *Core) resolveUnknown() {
+	if len(c.owner.pending) > 0 {
+		return
+	}
+	clear(c.owner.unsure)
+	c.owner.dirty = true
+	for _, o := range c.owner.jobs {
+		if !o.unknown || !o.loaded {
+			continue
+		}
+		o.unknown = false
+		for i := uint32(0); i < o.Tasks; i++ {
+			if !o.done.Test(uint(i)) && o.placed[protocol.TaskID{Job: o.ID, Index: i}] == nil {
+				o.pending.Set(uint(i))
+			}
+		}
+		c.owner.dirty = true
+		c.log.Debug("job taken over", "id", o.ID, "done", o.nDone, "placed", len(o.placed))
+	}
+}
+
+// inventory takes a keeper's proof of all that is on a machine.
+func (c *Core) inventory(from protocol.NodeName, inv *Inventory) {
+	m := c.machines[inv.Machine]
+	if inv.Term != c.view.Term || m == nil || m.epoch != inv.Epoch || c.keeper(inv.Machine) != from {
+		return
+	}
+	listed := map[protocol.TaskID]bool{}
+	for _, h := range inv.Held {
+		o := c.owner.jobs[h.Task.Job]
+		if o == nil || h.Task.Index >= o.Tasks {
+			continue
+		}
+		listed[h.Task] = true
+		c.takeHeld(o, m, h)
+	}
+	for _, t := range tasksInOrder(m.mine) {
+		o := c.owner.jobs[t.task.Job]
+		if o == nil || listed[t.task] || (!t.uncertain && t.number > inv.Upto) {
+			continue
+		}
+		c.gone(o, t)
+	}
+	c.left(inv.Machine, inv.Upto)
+	delete(c.owner.pending, inv.Machine)
+	c.resolveUnknown()
+}
+
+// takeHeld takes one attempt of an inventory.
+func (c *Core) takeHeld(o *ownedJob, m *machineEntry, h Held) {
+	ref := TaskRef{Task: h.Task, Attempt: h.Attempt, Machine: m.id}
+	t := o.placed[h.Task]
+	if t == nil && o.unknown {
+		t = &placedTask{
+			task: h.Task, attempt: h.Attempt, machine: m.id, epoch: m.epoch, zone: m.rec.Zone,
+			estimate: c.estimate(&o.Job), midway: true,
+		}
+		o.placed[h.Task] = t
+		m.mine[h.Task] = t
+		if o.done.Test(uint(h.Task.Index)) {
+			c.askStop(t, true, 0)
+		}
+	}
+	if t != nil && t.attempt == h.Attempt && t.machine == m.id {
+		t.midway = t.midway || t.uncertain && !t.running
+		if t.uncertain {
+			t.number, t.uncertain = 0, false // counted by a session that is over
+		}
+	}
+	switch h.State {
+	case "":
+	case protocol.TaskEnded:
+		c.event(TaskEvent{TaskRef: ref, What: WhatEnded, Cause: h.Cause, Saved: h.Saved})
+	case protocol.TaskRunning:
+		c.event(TaskEvent{TaskRef: ref, What: WhatRunning})
+	default:
+		c.event(TaskEvent{TaskRef: ref, What: WhatPresent})
+	}
+}
