Calls to a silent peer give up together, not one after the other

Found by reading the change again: submissions passed on at the same time to a peer that is silent waited for each other's attempt to connect, 0.7 s each, so the tenth user would have had the 503 after 7 s instead of at once. Calls now wait for one connection being made together, each no longer than its own timeout. Excluded: the regular messages to peers, which go one at a time.

Test: TestCallsToASilentPeer (ten calls take ten seconds without).

--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -40,13 +40,19 @@
 // Peer calls one other controller, over one connection at a time.
 type Peer struct {
 	addr string
+	dial func(addr string, timeout time.Duration) (net.Conn, error)
 
-	mu     sync.Mutex
-	client *rpc.Client
+	mu      sync.Mutex
+	client  *rpc.Client
+	dialing chan struct{} // closed when the connection under way is there or has failed
 }
 
 // NewPeer makes a caller of addr.
-func NewPeer(addr string) *Peer { return &Peer{addr: addr} }
+func NewPeer(addr string) *Peer {
+	return &Peer{addr: addr, dial: func(addr string, timeout time.Duration) (net.Conn, error) {
+		return net.DialTimeout("tcp", addr, timeout)
+	}}
+}
 
 // Call calls method and waits at most timeout. After an error it is not known
 // whether the call was executed.
@@ -74,13 +80,27 @@
 	return nil
 }
 
+// connect returns the connection. Calls at the same time wait for one that is
+// being made together, each no longer than its own timeout: one after the other
+// they would wait for a silent peer many times as long.
 func (p *Peer) connect(timeout time.Duration) (*rpc.Client, error) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.client != nil {
+		defer p.mu.Unlock()
 		return p.client, nil
 	}
-	c, err := net.DialTimeout("tcp", p.addr, timeout)
+	if others := p.dialing; others != nil {
+		p.mu.Unlock()
+		return p.connected(others, timeout)
+	}
+	done := make(chan struct{})
+	p.dialing = done
+	p.mu.Unlock()
+	c, err := p.dial(p.addr, timeout)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing = nil
+	close(done)
 	if err != nil {
 		return nil, fmt.Errorf("peer %s: %w", p.addr, err)
 	}
@@ -88,6 +108,22 @@
 	return p.client, nil
 }
 
+// connected waits for the connection that another call makes.
+func (p *Peer) connected(done <-chan struct{}, timeout time.Duration) (*rpc.Client, error) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.client == nil {
+		return nil, fmt.Errorf("peer %s: %w", p.addr, ErrTimeout)
+	}
+	return p.client, nil
+}
+
 func (p *Peer) drop(client *rpc.Client) {
 	p.mu.Lock()
 	if p.client == client {
--- /dev/null
+++ b/internal/transport/peers_test.go
@@ -0,0 +1,39 @@
+package transport
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestCallsToASilentPeer: calls at the same time to a peer that takes no
+// connection each give up after their timeout, not one after the other.
+func TestCallsToASilentPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dials := 0
+		p := NewPeer("peer")
+		p.dial = func(_ string, timeout time.Duration) (net.Conn, error) {
+			dials++
+			time.Sleep(timeout) // of the bubble's clock
+			return nil, ErrTimeout
+		}
+		began := time.Now()
+		var calls sync.WaitGroup
+		for range 10 {
+			calls.Go(func() {
+				if err := p.Call("Peer.Submit", 1, nil, time.Second); err == nil {
+					t.Error("answered")
+				}
+			})
+		}
+		calls.Wait()
+		if took := time.Since(began); took > time.Second || dials != 1 {
+			t.Errorf("%d connections tried in %v", dials, took)
+		}
+		if p.Call("Peer.Submit", 1, nil, time.Second) == nil || dials != 2 {
+			t.Error("not tried again")
+		}
+	})
+}
