--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -61,7 +61,7 @@
 
 // candidatesFor looks for the machines that may run a job's tasks.
 func (c *Core) candidatesFor(o *ownedJob, zones map[protocol.Zone]int, kept []kept) *candidates {
-	s := &candidates{job: o, need: need(&o.Job), kept: kept, risk: c.spotStretch(&o.Job) * c.estimate(&o.Job), shun: c.risky(&o.Job), dear: c.dearness()}
+	s := &candidates{job: o, need: need(&o.Job), kept: kept, risk: c.spotStretch(&o.Job) * c.estimate(&o.Job), shun: c.risky(&o.Job), dear: c.dear}
 	for _, m := range c.machinesInOrder() {
 		if c.mayTake(o, m, zones) {
 			if k, ok := s.weigh(m, c.rng.Uint32()); ok {
--- a/internal/coordination/candidates_test.go
+++ b/internal/coordination/candidates_test.go
@@ -114,7 +114,7 @@
 // first, the fuller ones before the others, so that dear ones become idle.
 func TestCheapMachinesFillFirst(t *testing.T) {
 	b := newBench(t)
-	b.c.types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, Price: 0.6, SpotPrice: 0.2, AllowZones: []protocol.Zone{"a"}}
+	b.step(CatalogueRead{[]protocol.TypeInfo{{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, Price: 0.6, SpotPrice: 0.2, AllowZones: []protocol.Zone{"a"}}}})
 	for i, spot := range []bool{false, true, false, true} {
 		id := protocol.MachineID(fmt.Sprint("vm-", i))
 		b.ready(id)
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -78,7 +78,7 @@
 // chance brings about once in twenty times.
 const unlikelySilence = 3
 
-// coming is how often jobs of a class come, and how large they are.
+// arriving is how often jobs of a class come, and how large they are.
 type arriving struct {
 	rate    float64 // a second
 	mean    float64 // size
@@ -179,9 +179,9 @@
 	if j.Kind != protocol.KindArray {
 		return 0
 	}
-	sum := 0.0
+	l, sum := liveJob{Job: *j}, 0.0
 	for _, m := range c.machinesInOrder() {
-		if l := (liveJob{Job: *j}); c.usable(m) && l.allowsKind(m.info, m.rec.Zone, m.rec.Spot) {
+		if c.usable(m) && l.allowsKind(m.info, m.rec.Zone, m.rec.Spot) {
 			sum += places(resources{m.told.Ending.CPUs, m.told.Ending.GPUs, m.told.Ending.GB}, need(j))
 		}
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -28,6 +28,7 @@
 	local    []PeerMessage // to itself, handled before the step ends
 
 	types map[protocol.MachineType]protocol.TypeInfo
+	dear  map[kind]float64 // see dearness: by the prices last read
 
 	session     protocol.LeaseID
 	until       Time // acts only before
@@ -236,6 +237,7 @@
 	for _, t := range types {
 		c.types[t.Name] = t
 	}
+	c.dear = c.dearness()
 	for _, m := range c.machines {
 		m.info = c.types[m.rec.Type]
 	}
--- a/internal/coordination/forward.go
+++ b/internal/coordination/forward.go
@@ -32,11 +32,8 @@
 
 func newForward(n *Node) forward {
 	f := forward{peers: map[protocol.NodeName]caller{}, acting: func() []protocol.NodeName {
-		answer := make(chan []protocol.NodeName, 1)
-		if !n.offer(envelope{ask: func(c *Core) { answer <- c.actingPeers() }}) {
-			return nil
-		}
-		return <-answer
+		names, _ := ask(n, (*Core).actingPeers)
+		return names
 	}}
 	for _, m := range n.settings.Members {
 		f.peers[m.Name] = transport.NewPeer(m.Peer) // not the outbox's, whose calls may wait
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -104,6 +104,15 @@
 	return n
 }
 
+// keptBy is a machine that one of the members keeps.
+func (b *bench) keptBy(n protocol.NodeName) protocol.MachineID {
+	id := protocol.MachineID("vm-0")
+	for i := 0; machineKeeper(b.c.view, id) != n; i++ {
+		id = protocol.MachineID("vm-" + string(rune('a'+i)))
+	}
+	return id
+}
+
 // ready brings one machine into service, term and inventory settled.
 func (b *bench) ready(id protocol.MachineID) {
 	b.report(id, 1, 0)
--- a/internal/coordination/intake.go
+++ b/internal/coordination/intake.go
@@ -211,11 +211,8 @@
 		s.State = protocol.JobCancelled
 	default:
 		s.State = protocol.JobQueued
-		answer := make(chan Progress, 1)
-		if in.n.offer(envelope{ask: func(c *Core) { p, _ := c.JobProgress(id); answer <- p }}) {
-			p := <-answer
-			done, running = p.Done, p.Running
-		}
+		p, _ := ask(in.n, func(c *Core) Progress { p, _ := c.JobProgress(id); return p })
+		done, running = p.Done, p.Running
 		if running > 0 {
 			s.State = protocol.JobRunning
 		}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -141,6 +141,16 @@
 	}
 }
 
+// ask puts a question about the core to its actor, and waits for the answer;
+// not ok if its mailbox is full.
+func ask[T any](n *Node, question func(*Core) T) (answer T, ok bool) {
+	answers := make(chan T, 1)
+	if !n.offer(envelope{ask: func(c *Core) { answers <- question(c) }}) {
+		return answer, false
+	}
+	return <-answers, true
+}
+
 // acting reports whether this controller may act now.
 func (n *Node) acting() bool { return int64(n.now()) < n.actingUntil.Load() }
 
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -46,10 +46,7 @@
 // gone is uncertain until its machine's new keeper has an inventory.
 func TestChangedKeeperMakesUncertain(t *testing.T) {
 	b := newBench(t, "node-1")
-	id := protocol.MachineID("vm-0")
-	for i := 0; machineKeeper(b.c.view, id) != "node-1"; i++ {
-		id = protocol.MachineID("vm-" + string(rune('a'+i)))
-	}
+	id := b.keptBy("node-1")
 	b.machine(id, 1)
 	job := protocol.JobID("job-1")
 	for i := 0; b.c.jobOwner(b.c.view, &protocol.Job{ID: job, Team: "free"}) != "node-0"; i++ {
@@ -173,10 +170,7 @@
 // which every member is known to act by this term.
 func TestLeaseExpiry(t *testing.T) {
 	b := newBench(t, "node-1")
-	id := protocol.MachineID("vm-0")
-	for i := 0; machineKeeper(b.c.view, id) != "node-0"; i++ {
-		id = protocol.MachineID("vm-" + string(rune('a'+i)))
-	}
+	id := b.keptBy("node-0")
 	b.machine(id, 1)
 	removed := func() bool {
 		for _, a := range b.step(Tick{}) {
@@ -227,10 +221,7 @@
 // session, only its next report tells.
 func TestInventoryOfAQueueKept(t *testing.T) {
 	b := newBench(t, "node-1")
-	id := protocol.MachineID("vm-0")
-	for i := 0; machineKeeper(b.c.view, id) != "node-0"; i++ {
-		id = protocol.MachineID("vm-" + string(rune('a'+i)))
-	}
+	id := b.keptBy("node-0")
 	b.ready(id)
 	awaited := func(want bool, when string) {
 		t.Helper()
@@ -258,10 +249,7 @@
 func TestLeavingAfterKeeperRestart(t *testing.T) {
 	for _, over := range []string{"before the view", "after it"} {
 		b := newBench(t, "node-1")
-		id := protocol.MachineID("vm-0")
-		for i := 0; machineKeeper(b.c.view, id) != "node-1"; i++ {
-			id = protocol.MachineID("vm-" + string(rune('a'+i)))
-		}
+		id := b.keptBy("node-1")
 		team := protocol.Team("bound")
 		b.c.settings.Site.Teams = nil
 		for i := 0; rendezvous(b.c.view, "team "+string(team)) != "node-0" || rendezvousBut(b.c.view, []protocol.NodeName{"node-1"}, "team "+string(team)) != "node-0"; i++ {
