--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -146,6 +146,10 @@
 		c.jobLoaded(m)
 	case Commanded:
 		c.commanded(m)
+	case PeerActs:
+		if p := c.peers[m.Peer]; p != nil {
+			p.actingAt = c.now
+		}
 	case Rented:
 		c.rented(m)
 	case Deleted:
--- a/internal/coordination/intake.go
+++ b/internal/coordination/intake.go
@@ -24,13 +24,14 @@
 type intake struct {
 	n     *Node
 	slots chan struct{}
+	next  forward
 
 	mu     sync.Mutex
 	finals map[protocol.JobID]bookkeeping.JobRecord // final states never change
 }
 
 func newIntake(n *Node) *intake {
-	return &intake{n: n, slots: make(chan struct{}, maxRequests), finals: map[protocol.JobID]bookkeeping.JobRecord{}}
+	return &intake{n: n, slots: make(chan struct{}, maxRequests), finals: map[protocol.JobID]bookkeeping.JobRecord{}, next: newForward(n)}
 }
 
 // handle routes a request. It runs on the event loop and never waits.
@@ -46,7 +47,7 @@
 		}
 	case m.Path == "/work":
 		if allow(m, reply, "POST") {
-			in.async(reply, func(ctx context.Context) *transport.Message { return in.submit(ctx, m.Body) })
+			in.async(reply, func(ctx context.Context) *transport.Message { return in.accept(ctx, m.Body) })
 		}
 	case strings.HasPrefix(m.Path, "/work/"):
 		name, abort := strings.CutSuffix(strings.TrimPrefix(m.Path, "/work/"), "/abort")
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -181,6 +181,7 @@
 	BatchTaken  BatchReply = iota + 1
 	BatchBehind            // the receiver has not read the sender's term yet: send again
 	BatchStale             // one of the sessions is over: drop it
+	BatchPassed            // the same, and who answers acts by a view without the sender
 )
 
 // Messages to the core's step function.
@@ -226,6 +227,8 @@
 		Executed bool
 		Report   protocol.Report // if answered
 	}
+	// PeerActs says that a peer acts by a view without this controller.
+	PeerActs struct{ Peer protocol.NodeName }
 	// Rented answers a Rent.
 	Rented struct {
 		Request  protocol.RentRequest
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -65,7 +65,9 @@
 	}
 	n.core = NewCore(s, op, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), log)
 	for _, m := range s.Members {
-		n.outbox[m.Name] = newOutbox(s.Name, transport.NewPeer(m.Peer), log)
+		o := newOutbox(s.Name, transport.NewPeer(m.Peer), log)
+		o.passed = func() { n.post(PeerActs{m.Name}) }
+		n.outbox[m.Name] = o
 	}
 	_, commands := sockets(s.Site.Limits.MaxConns)
 	n.workers = newWorkerClients(commands)
--- a/internal/coordination/outbox.go
+++ b/internal/coordination/outbox.go
@@ -22,6 +22,8 @@
 	peer *transport.Peer
 	log  *slog.Logger
 	wake chan struct{}
+	// passed is told that the peer acts by a view without this controller.
+	passed func()
 
 	mu       sync.Mutex
 	from, to protocol.LeaseID
@@ -87,7 +89,7 @@
 	case BatchTaken:
 		o.queue = o.queue[len(b.Messages):]
 		o.next += uint64(len(b.Messages))
-	case BatchStale:
+	case BatchStale, BatchPassed:
 		o.queue = nil
 	}
 }
@@ -110,8 +112,11 @@
 			continue
 		}
 		o.settle(b, reply)
-		if reply == BatchBehind {
+		switch reply {
+		case BatchBehind:
 			sleep(ctx, 30*time.Millisecond)
+		case BatchPassed:
+			o.passed()
 		}
 	}
 }
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -191,6 +191,10 @@
 			c.do(ReplyBatch{BatchBehind})
 			return
 		}
+		if b.ToSession == c.session && c.acting() {
+			c.do(ReplyBatch{BatchPassed})
+			return
+		}
 		c.do(ReplyBatch{BatchStale})
 		return
 	}
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -135,13 +135,18 @@
 // alone reports whether another controller is known to act now. One that may
 // not act itself is then refused by the state service alone; otherwise the
 // service is out for all, or nobody can be heard.
-func (c *Core) alone() bool {
-	for name, p := range c.peers {
+func (c *Core) alone() bool { return len(c.actingPeers()) > 0 }
+
+// actingPeers lists the other controllers known to act now. They say so
+// themselves; to one that they have left out of the view, in their answers.
+func (c *Core) actingPeers() []protocol.NodeName {
+	var names []protocol.NodeName
+	for name, p := range inOrder(c.peers) {
 		if name != c.self && p.actingAt != 0 && c.since(p.actingAt) < 3*c.op.RelayEvery {
-			return true
+			names = append(names, name)
 		}
 	}
-	return false
+	return names
 }
 
 // tableCopy is a restarted controller's search for a first table.
