--- a/internal/coordination/candidates_test.go
+++ b/internal/coordination/candidates_test.go
@@ -66,9 +66,8 @@
 		if m.told.FreeCPUs == 0 && rapid.Bool().Draw(t, "queue") {
 			m.told.Queued, m.told.Wait = 3, m.told.Wait+float64(rapid.IntRange(0, 50).Draw(t, "queued"))
 		}
-		c.machines[id] = m
+		c.addMachine(m)
 	}
-	c.sorted = nil
 }
 
 // TestSmallestWait: placing a job from an ordered list of machines decides, task
--- a/internal/coordination/classes_test.go
+++ b/internal/coordination/classes_test.go
@@ -64,7 +64,7 @@
 	if b.c.alone() {
 		t.Error("alone though nobody is known to act")
 	}
-	b.c.summary("node-1", &Summary{Acting: true})
+	b.c.relayed("node-1", &Relay{Acting: true})
 	if !b.c.alone() {
 		t.Error("not alone though a peer acts")
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -47,10 +47,16 @@
 	live     map[protocol.JobID]*liveJob
 	over     map[protocol.JobID]Time // seen to end, and when
 	machines map[protocol.MachineID]*machineEntry
-	sorted   []*machineEntry // the machines in order; nil: to be sorted again
+	sorted   []*machineEntry // the machines in order of their names
+	spotsUp  int             // of these, spot machines
 
 	owner  ownerState
 	queues map[protocol.MachineID]*queue
+	kept   []*queue // the queues in order of their machines' names; nil: to be sorted again
+	relays relays
+	// allSince is since when this controller has acted and known that all act
+	// by this term; 0: not now. See expireSilent.
+	allSince Time
 	// sessionFloor is the first session of a machine that may be alive: a
 	// report of an earlier one was held back by the network.
 	sessionFloor map[protocol.MachineID]protocol.Session
@@ -74,20 +80,12 @@
 	next     uint64        // number of the next message expected
 	placed   uint64        // number of the last Place sent to it
 	handled  uint64        // number of the last Place handled from it
-	unheard  []ownWait     // placements its summaries do not include yet
 	actingAt Time          // when it last said that it may act
+	told     hearsay       // its word on the machines it keeps
 	demand   []Demand
 	progress map[protocol.JobID]Progress
 }
 
-type ownWait struct {
-	number  uint64
-	machine protocol.MachineID
-	add     float64
-	level   level
-	taken   resources
-}
-
 // NewCore makes a controller's state before its first session.
 func NewCore(s *config.Settings, op config.Operator, rng *rand.Rand, log *slog.Logger) *Core {
 	c := &Core{self: s.Name, settings: s, op: op, rng: rng, log: log, types: map[protocol.MachineType]protocol.TypeInfo{}}
@@ -105,8 +103,9 @@
 	c.classes = map[string]*class{}
 	c.sessionFloor = map[protocol.MachineID]protocol.Session{}
 	c.live, c.over = map[protocol.JobID]*liveJob{}, map[protocol.JobID]Time{}
-	c.machines, c.sorted = map[protocol.MachineID]*machineEntry{}, nil
-	c.queues, c.pushing = map[protocol.MachineID]*queue{}, nil
+	c.machines, c.sorted, c.spotsUp = map[protocol.MachineID]*machineEntry{}, nil, 0
+	c.queues, c.kept, c.pushing = map[protocol.MachineID]*queue{}, nil, nil
+	c.relays, c.allSince = relays{}, 0
 	c.keepers = map[protocol.MachineID]protocol.NodeName{}
 	c.nextPlaced = 0
 	c.peers = map[protocol.NodeName]*peer{}
@@ -314,12 +313,14 @@
 		c.watchSlow()
 		c.expireSilent()
 		c.rebalance()
-		for _, q := range inOrder(c.queues) {
+		for _, q := range c.queuesInOrder() {
 			c.preempt(q)
 		}
 		c.flushBits()
-		c.sendSummaries()
+		c.sendRelays(true)
 		c.fleetStep()
+	} else {
+		c.sendRelays(false)
 	}
 	c.askMoreTables()
 	c.retryJobs()
--- a/internal/coordination/cost_test.go
+++ b/internal/coordination/cost_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"encoding/gob"
 	"fmt"
 	"testing"
 	"time"
@@ -14,7 +15,7 @@
 func fleetOf(tb testing.TB, machines, tasks int) *bench {
 	b := newBench(tb)
 	for i := range machines {
-		b.machine(protocol.MachineID(fmt.Sprintf("vm-%04d", i)), 1)
+		b.machine(protocol.MachineID(fmt.Sprintf("vm-%05d", i)), 1)
 	}
 	for i := range 10 {
 		b.job(protocol.JobID(fmt.Sprint("job-", i)), "free", uint32(tasks/10))
@@ -26,29 +27,155 @@
 }
 
 // sizes are fleets and backlogs from the smallest to twice the largest known.
-var sizes = []struct{ machines, tasks int }{{100, 300}, {300, 3000}, {900, 3000}, {900, 10000}}
+var sizes = []struct{ machines, tasks int }{{100, 300}, {300, 3000}, {900, 3000}, {900, 10000}, {10000, 100000}}
 
-// BenchmarkRelay is a second's regular work: summaries, queues and the plan.
+// busyFleet is a fleet kept by one core, beside two controllers that workers
+// can't reach: all tasks are queued or run there, and its jobs are its own.
+type busyFleet struct {
+	*bench
+	ids  []protocol.MachineID
+	runs map[protocol.MachineID][]protocol.TaskReport
+	turn int
+}
+
+func newBusyFleet(tb testing.TB, machines, tasks int) *busyFleet {
+	f := &busyFleet{bench: newBench(tb, "node-1", "node-2"), runs: map[protocol.MachineID][]protocol.TaskReport{}}
+	v := f.c.view
+	f.put(bookkeeping.ViewKey, bookkeeping.View{Term: 2, Members: v.Members, Deaf: []protocol.NodeName{"node-1", "node-2"}})
+	for i := range machines {
+		id := protocol.MachineID(fmt.Sprintf("vm-%05d", i))
+		f.ids = append(f.ids, id)
+		f.machine(id, 1)
+	}
+	f.hear(0)
+	for i := 0; len(f.c.owner.jobs) < 10; i++ {
+		id := protocol.JobID(fmt.Sprint("job-", i))
+		if rendezvous(f.c.view, "job "+string(id)) == "node-0" {
+			f.obey(nil, f.put(bookkeeping.LiveKey(id), protocol.Job{
+				ID: id, Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: uint32(tasks / 10), CPUs: 1, MemoryGB: 1, EstimateS: 10, Image: "i",
+			}))
+		}
+	}
+	for range 10 + tasks/maxPerStep {
+		f.hear(0)
+		f.second()
+	}
+	placed := 0
+	for _, o := range f.c.owner.jobs {
+		placed += len(o.placed)
+	}
+	if placed < tasks {
+		tb.Fatalf("%d of %d tasks placed", placed, tasks)
+	}
+	return f
+}
+
+// play handles a message, and carries out what it asks workers to do.
+func (f *busyFleet) play(msg any) []Action {
+	actions := f.c.Step(f.now, msg)
+	f.obey(msg, actions)
+	return actions
+}
+
+// obey has workers start what they are told to.
+func (f *busyFleet) obey(msg any, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case ReplyReport:
+			f.start(msg.(Reported).Report.Machine, a.Reply.Orders)
+		case Command:
+			f.start(a.Machine, a.Commands.Orders)
+			f.play(Commanded{
+				Machine: a.Machine, Term: a.Commands.Term, Session: 1, Orders: a.Commands.Orders, Answered: true, Executed: true, Report: f.says(a.Machine),
+			})
+		}
+	}
+}
+
+func (f *busyFleet) start(id protocol.MachineID, orders []protocol.Order) {
+	for _, o := range orders {
+		if o.Op == protocol.OpStart {
+			f.runs[id] = append(f.runs[id], protocol.TaskReport{Task: o.Task, Attempt: o.Attempt, State: protocol.TaskRunning})
+		}
+	}
+}
+
+func (f *busyFleet) says(id protocol.MachineID) protocol.Report {
+	f.seq++
+	return protocol.Report{Machine: id, Address: "x", Type: "small", Zone: "a", Session: 1, Seq: f.seq, Term: f.c.view.Term, Tasks: f.runs[id]}
+}
+
+// hear has every worker report. Of so many machines, others each time, one task
+// has changed.
+func (f *busyFleet) hear(changed int) {
+	for range changed {
+		id := f.ids[f.turn%len(f.ids)]
+		f.turn++
+		if on := f.runs[id]; len(on) > 0 {
+			state := protocol.TaskSaving
+			if on[0].State == state {
+				state = protocol.TaskRunning
+			}
+			f.runs[id] = append([]protocol.TaskReport{{Task: on[0].Task, Attempt: on[0].Attempt, State: state}}, on[1:]...)
+		}
+	}
+	for _, id := range f.ids {
+		f.play(Reported{f.says(id)})
+	}
+}
+
+// second lets a second pass.
+func (f *busyFleet) second() []Action {
+	f.now += Time(time.Second)
+	return f.play(Tick{})
+}
+
+// BenchmarkRelay is a second's regular work, with what it sends to two peers in
+// the form of the wire: one task in a hundred has changed.
 func BenchmarkRelay(b *testing.B) {
 	for _, s := range sizes {
 		b.Run(fmt.Sprintf("%d machines, %d tasks", s.machines, s.tasks), func(b *testing.B) {
-			w := fleetOf(b, s.machines, s.tasks)
-			for b.Loop() {
-				w.now += Time(time.Second)
-				w.step(Tick{})
+			f := newBusyFleet(b, s.machines, s.tasks)
+			sent := &counter{}
+			wire := gob.NewEncoder(sent)
+			for range 3 {
+				f.hear(s.tasks / 100)
+				f.second()
 			}
+			b.ResetTimer()
+			for range b.N {
+				b.StopTimer()
+				f.hear(s.tasks / 100)
+				b.StartTimer()
+				for _, a := range f.second() {
+					if s, ok := a.(Send); ok {
+						if err := wire.Encode(s.Message); err != nil {
+							b.Fatal(err)
+						}
+					}
+				}
+			}
+			b.ReportMetric(float64(sent.bytes)/float64(b.N), "sent-B/op")
 		})
 	}
 }
 
+// counter counts what is written.
+type counter struct{ bytes int }
+
+func (c *counter) Write(p []byte) (int, error) {
+	c.bytes += len(p)
+	return len(p), nil
+}
+
 // BenchmarkReport is a worker's report that says nothing new.
 func BenchmarkReport(b *testing.B) {
 	for _, s := range sizes {
 		b.Run(fmt.Sprintf("%d machines, %d tasks", s.machines, s.tasks), func(b *testing.B) {
 			w := fleetOf(b, s.machines, s.tasks)
-			w.report("vm-0001", 1, 1)
+			w.report("vm-00001", 1, 1)
 			for b.Loop() {
-				w.report("vm-0001", 1, 1)
+				w.report("vm-00001", 1, 1)
 			}
 		})
 	}
--- a/internal/coordination/due_test.go
+++ b/internal/coordination/due_test.go
@@ -43,15 +43,14 @@
 		b.c.jobLive(protocol.Job{ID: id, Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, EstimateS: 10, DeadlineS: deadline}, 1, false)
 		return &entry{task: protocol.TaskID{Job: id}, level: 1}
 	}
-	q := b.c.newQueue("vm-1")
+	q := b.c.keep("vm-1")
 	late, soon := job("job-1", 20), job("job-2", 60)
-	q.enqueue(soon)
-	q.enqueue(late)
+	b.c.enqueue(q, soon)
+	b.c.enqueue(q, late)
 	b.c.sortWaiting(q)
 	if q.waiting[0] != late || b.c.jobsInOrder()[0].ID != "job-1" {
 		t.Fatal("what is due first does not go first")
 	}
-	b.c.queues["vm-1"] = q
 	b.c.now += Time(35 * time.Second)
 	b.c.refreshDue()
 	b.c.sortWaiting(q)
--- a/internal/coordination/events.go
+++ b/internal/coordination/events.go
@@ -55,10 +55,14 @@
 }
 
 func (c *Core) markStarted(o *ownedJob, t *placedTask, running bool) {
+	if !t.started {
+		o.waits--
+	}
 	t.started, t.moving = true, false
 	if running && !t.running {
 		t.running, t.runs = true, c.now
 		o.running++
+		c.relays.jobs.Touch(o.ID)
 		c.watchRun(o, t)
 	}
 }
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -261,23 +261,23 @@
 			c.dropRecord(m)
 			continue
 		}
-		if m.told.Epoch != m.epoch || c.since(m.at) > 5*time.Second {
+		if m.told.Epoch != m.epoch || !c.recent(m, 5*time.Second) {
 			continue // nothing recent is known of it
 		}
 		l, listed := f.listed[id]
 		f.seen[id] = f.seen[id] || listed && l.State == "running"
-		silent := m.told.SilentS > 2*silence(c.settings.Site.Workers.ReportS).Seconds()
+		silent, idleS := m.told.Silence == silenceLong, m.told.IdleS+c.since(m.at).Seconds()
 		switch empty := m.told.Heard && m.told.Held == 0 && m.extra == 0; {
 		case silent && (m.told.Noticed || f.seen[id] && !listed):
 			// Taken, by all signs. The cloud's answer to its deletion proves
 			// it, long before the worker's lease would.
-			c.log.Info("deleting a silent machine that seems taken", "machine", id, "silent_s", int(m.told.SilentS))
+			c.log.Info("deleting a silent machine that seems taken", "machine", id)
 			gone = append(gone, id)
 		case empty && (m.told.Draining || m.told.Suspect):
 			gone = append(gone, id)
-		case empty && !m.told.Draining && m.told.IdleS > c.keepIdle(m.info, spare) && spare >= m.info.CPUs && give(m, kept):
+		case empty && !m.told.Draining && idleS > c.keepIdle(m.info, spare) && spare >= m.info.CPUs && give(m, kept):
 			spare -= m.info.CPUs
-			c.log.Info("returning an idle machine", "machine", id, "idle_s", int(m.told.IdleS))
+			c.log.Info("returning an idle machine", "machine", id, "idle_s", int(idleS))
 			c.send(c.keeper(id), PeerMessage{Drain: &id})
 		}
 	}
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -49,8 +49,7 @@
 		if m == nil {
 			for _, p := range out { // all or none
 				t := o.placed[p.Task]
-				c.machines[t.machine].extra -= t.estimate * o.CPUs
-				c.machines[t.machine].taken.add(o.level, resources{}.minus(need(&o.Job)))
+				c.machines[t.machine].takeBack(1)
 				c.unplace(o, t)
 				o.pending.Set(uint(p.Task.Index))
 			}
--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -19,9 +19,8 @@
 		}
 		free := capacity(m.info).minus(held.firm(0))
 		m.told = MachineState{Machine: id, Epoch: 1, FreeCPUs: free.cpus, FreeGB: free.gb}
-		b.c.machines[id] = m
+		b.c.addMachine(m)
 	}
-	b.c.sorted = nil
 }
 
 func (b *bench) gang(id protocol.JobID, tasks uint32) *ownedJob {
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -294,7 +294,10 @@
 		}
 		return 0
 	}
-	good := Batch{From: "node-1", FromSession: 101, ToSession: 100, Term: 1, Messages: []PeerMessage{{Waits: []Wait{{Machine: "vm-1", Add: 5}}}}}
+	good := Batch{From: "node-1", FromSession: 101, ToSession: 100, Term: 1, Messages: []PeerMessage{{Added: &Added{
+		Term: 1, Numbers: map[protocol.NodeName]uint64{machineKeeper(b.c.view, "vm-1"): 1},
+		Waits: []Wait{{Machine: "vm-1", Add: 5, Taken: []Use{{CPUs: 1}}}},
+	}}}}
 	b.machine("vm-1", 1)
 	for range 2 {
 		if r := deliver(good); r != BatchTaken {
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/protocol"
 )
 
@@ -95,18 +96,28 @@
 	Taken   []Use
 }
 
+// Added tells all peers what placing tasks has added to machines. Numbers are,
+// by keeper, those of the Place messages that carry these placements: a table
+// that includes a keeper's word on them already does not count them again.
+type Added struct {
+	Term    protocol.Term
+	Numbers map[protocol.NodeName]uint64
+	Waits   []Wait
+}
+
 // Use is what attempts of one level take of a machine.
 type Use struct {
 	Level          int
 	CPUs, GPUs, GB float64
 }
 
-// MachineState is what a machine's controller tells all others of it.
+// MachineState is what a machine's controller tells all others of it, when it
+// changes.
 type MachineState struct {
 	Machine  protocol.MachineID
-	Epoch    protocol.Version
-	Wait     float64   // processor seconds
-	Queue    []float64 // of these, of what was never sent, by level
+	Epoch    protocol.Version // 0: its present session is not registered yet, nothing can be said
+	Wait     float64          // processor seconds
+	Queue    []float64        // of these, of what was never sent, by level
 	FreeCPUs float64
 	FreeGPUs float64
 	FreeGB   float64
@@ -118,9 +129,9 @@
 	Closed   bool
 	Suspect  bool
 	Draining bool
-	Noticed  bool     // the cloud is about to take it
-	SilentS  float64  // since it was last heard
-	IdleS    float64  // how long it has held nothing
+	Noticed  bool // the cloud is about to take it
+	Silence  silence
+	IdleS    float64  // how long it has held nothing, when this was sent
 	Images   []string // fetched lately
 }
 
@@ -140,13 +151,26 @@
 	Zone      protocol.Zone // the only one left to it, as the rest of it is there
 }
 
-// Summary is a controller's regular message to each peer.
-type Summary struct {
-	Upto     uint64 // last Place of the addressee that the waits include
-	Acting   bool   // the sender's lease is valid by its own clock
-	Machines []MachineState
+// Relay is a controller's regular message to each peer: what changed of the
+// machines it keeps and of the jobs it owns, in streams that begin anew with
+// each term (package relay).
+type Relay struct {
+	Term   protocol.Term
+	Acting bool // the sender's lease is valid by its own clock
+	// HaveMachines and HaveJobs are how far the sender holds the addressee's
+	// streams of this term.
+	HaveMachines, HaveJobs uint64
+
+	Machines relay.Piece
+	States   []MachineState
+	// Handled is, by owner, the last Place that the states include; nil while
+	// some of the states are still to come.
+	Handled map[protocol.NodeName]uint64
+
+	Jobs     relay.Piece
 	Progress []Progress
-	Demand   []Demand
+
+	Demand []Demand // all of it, each time
 }
 
 // PeerMessage is one message between controllers; one field is set.
@@ -156,8 +180,8 @@
 	Event     *TaskEvent
 	Forget    *TaskRef
 	Inventory *Inventory
-	Waits     []Wait
-	Summary   *Summary
+	Added     *Added
+	Relay     *Relay
 	Drain     *protocol.MachineID
 	AskTable  bool
 	Table     []Wait
@@ -316,12 +340,15 @@
 	epoch protocol.Version
 	info  protocol.TypeInfo
 
-	told   MachineState // by its controller
-	at     Time
-	extra  float64 // waits added since by placements
-	held   uses    // what it was told to hold
-	taken  uses    // by placements since
-	late   int     // tasks of this owner that ran too long there lately
-	lateAt Time    // the last of them
+	told   MachineState // by its keeper
+	by     *peer        // the keeper's session that told it in this term, if any
+	at     Time         // when that was
+	coming []comingWait // placements that its keeper's word does not include yet
+	extra  float64      // their waits
+	taken  uses         // what they take
+	copied float64      // its wait by a peer's table, until its keeper is heard
+	held   uses         // what it was told to hold
+	late   int          // tasks of this owner that ran too long there lately
+	lateAt Time         // the last of them
 	mine   map[protocol.TaskID]*placedTask
 }
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -67,6 +67,7 @@
 		free = free.minus(e.need)
 		q.waiting = q.waiting[1:]
 		q.idleSince = c.now
+		c.touch(q)
 		out = append(out, e)
 	}
 	return out
--- a/internal/coordination/outbox.go
+++ b/internal/coordination/outbox.go
@@ -36,15 +36,16 @@
 	return &outbox{self: self, peer: peer, log: log, wake: make(chan struct{}, 1)}
 }
 
-// add queues a message. A summary replaces one that is still waiting.
+// add queues a message. A regular one takes in one that is still waiting.
 func (o *outbox) add(s Send) {
 	o.mu.Lock()
 	if s.From != o.from || s.Session != o.to {
 		o.from, o.to, o.next, o.inFlight, o.queue = s.From, s.Session, 0, 0, nil
 	}
-	if s.Message.Summary != nil {
+	if s.Message.Relay != nil {
 		for i := len(o.queue) - 1; i >= o.inFlight; i-- {
-			if o.queue[i].Message.Summary != nil {
+			if before := o.queue[i].Message.Relay; before != nil {
+				s.Message.Relay = mergeRelays(before, s.Message.Relay)
 				o.queue = append(o.queue[:i], o.queue[i+1:]...)
 				break
 			}
--- a/internal/coordination/outbox_test.go
+++ b/internal/coordination/outbox_test.go
@@ -7,7 +7,7 @@
 )
 
 // TestOutbox: whatever is lost, repeated or answered late, the peer gets every
-// message but superseded summaries once and in order.
+// message but regular ones once and in order.
 func TestOutbox(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := newOutbox("node-0", nil, nil)
@@ -34,7 +34,7 @@
 				sent++
 				o.add(Send{From: 1, Session: 2, Message: PeerMessage{Place: &Place{Number: sent}}})
 			case 2:
-				o.add(Send{From: 1, Session: 2, Message: PeerMessage{Summary: &Summary{}}})
+				o.add(Send{From: 1, Session: 2, Message: PeerMessage{Relay: &Relay{}}})
 			case 3: // delivered, the answer lost or late
 				if b, ok := o.batch(); ok {
 					receive(b)
@@ -67,7 +67,7 @@
 func TestOutboxLateAnswer(t *testing.T) {
 	o := newOutbox("node-0", nil, nil)
 	place := func(n uint64) { o.add(Send{From: 1, Session: 2, Message: PeerMessage{Place: &Place{Number: n}}}) }
-	summary := func() { o.add(Send{From: 1, Session: 2, Message: PeerMessage{Summary: &Summary{}}}) }
+	summary := func() { o.add(Send{From: 1, Session: 2, Message: PeerMessage{Relay: &Relay{}}}) }
 	place(1)
 	first, _ := o.batch()
 	summary()
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -52,6 +52,7 @@
 	pending *bitset.BitSet // tasks to be placed
 	placed  map[protocol.TaskID]*placedTask
 	running uint32
+	waits   int          // attempts placed that have not started
 	dirty   map[int]bool // bitmap chunks to be written
 	writing bool
 	finish  bool // all done; to be written
@@ -125,6 +126,7 @@
 		again: bitset.New(uint(l.Tasks)), placed: map[protocol.TaskID]*placedTask{}, dirty: map[int]bool{}, failedOn: map[protocol.MachineID]bool{}, since: l.since,
 	}
 	c.owner.jobs[l.ID] = o
+	c.relays.jobs.Touch(l.ID)
 	c.owner.sorted = nil
 	c.owner.dirty = true
 	return o
@@ -134,6 +136,9 @@
 func (c *Core) jobOver(id protocol.JobID) {
 	delete(c.live, id)
 	c.noteOver(id)
+	for _, p := range c.peers {
+		delete(p.progress, id)
+	}
 	if o := c.owner.jobs[id]; o != nil {
 		for _, t := range tasksInOrder(o.placed) {
 			if c.limited(o.Team) {
@@ -147,6 +152,7 @@
 			c.unplace(o, t)
 		}
 		delete(c.owner.jobs, id)
+		c.relays.jobs.Drop(id)
 		c.owner.sorted = nil
 		c.owner.dirty = true
 	}
@@ -164,11 +170,17 @@
 
 // unplace forgets an attempt that is proven gone, or not this job's concern.
 func (c *Core) unplace(o *ownedJob, t *placedTask) {
-	delete(o.placed, t.task)
+	if o.placed[t.task] == t {
+		delete(o.placed, t.task)
+		if !t.started {
+			o.waits--
+		}
+	}
 	if t.running {
 		o.running--
 		t.running = false
 	}
+	c.relays.jobs.Touch(o.ID)
 	if m := c.machines[t.machine]; m != nil && m.mine[t.task] == t {
 		delete(m.mine, t.task)
 	}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sort"
@@ -63,7 +64,6 @@
 			if o := c.owner.jobs[t.Task.Job]; o != nil && o.placed[t.Task] != nil {
 				o.placed[t.Task].number = p.placed
 			}
-			p.unheard = append(p.unheard, ownWait{p.placed, t.Machine, t.EstimateS * t.CPUs, level(t.Level), t.Need()})
 		}
 		c.send(keeper, PeerMessage{Place: &Place{Number: p.placed, Term: c.view.Term, Tasks: tasks}})
 	}
@@ -121,8 +121,11 @@
 	o.placed[t.task] = t
 	o.pending.Clear(uint(i))
 	m.mine[t.task] = t
-	m.extra += t.estimate * o.CPUs
-	m.taken.add(o.level, need(&o.Job))
+	o.waits++
+	if p := c.peers[c.keeper(m.id)]; p != nil {
+		// The Place that carries it is the next to the keeper.
+		c.expect(m, comingWait{c.self, p.placed + 1, t.estimate * o.CPUs, o.level, need(&o.Job)})
+	}
 	return Placement{Task: t.task, Attempt: a, Machine: m.id, Epoch: m.epoch, EstimateS: t.estimate, CPUs: o.CPUs, GPUs: o.GPUs, GB: o.MemoryGB, Level: int(o.level), Together: o.together()}
 }
 
@@ -179,19 +182,42 @@
 	}
 }
 
-// machinesInOrder lists the machines by name. It is kept until one comes or goes.
-func (c *Core) machinesInOrder() []*machineEntry {
-	if c.sorted == nil {
-		for _, m := range inOrder(c.machines) {
-			c.sorted = append(c.sorted, m)
-		}
+// machinesInOrder lists the machines by name.
+func (c *Core) machinesInOrder() []*machineEntry { return c.sorted }
+
+// addMachine puts a machine in its place, instead of another of its name if
+// there is one.
+func (c *Core) addMachine(m *machineEntry) {
+	c.removeMachine(m.id)
+	c.machines[m.id] = m
+	i, _ := c.findMachine(m.id)
+	c.sorted = slices.Insert(c.sorted, i, m)
+	if m.rec.Spot {
+		c.spotsUp++
+	}
+}
+
+func (c *Core) removeMachine(id protocol.MachineID) {
+	m := c.machines[id]
+	if m == nil {
+		return
+	}
+	delete(c.machines, id)
+	if i, ok := c.findMachine(id); ok {
+		c.sorted = slices.Delete(c.sorted, i, i+1)
+	}
+	if m.rec.Spot {
+		c.spotsUp--
 	}
-	return c.sorted
+}
+
+func (c *Core) findMachine(id protocol.MachineID) (int, bool) {
+	return slices.BinarySearchFunc(c.sorted, id, func(m *machineEntry, id protocol.MachineID) int { return cmp.Compare(m.id, id) })
 }
 
 // wait is the machine's expected wait, in processor seconds, as far as this
 // controller knows.
-func (m *machineEntry) wait() float64 { return math.Max(0, m.told.Wait+m.extra) }
+func (m *machineEntry) wait() float64 { return math.Max(0, m.told.Wait+m.copied+m.extra) }
 
 // waitBefore is what of the machine's expected wait comes before a task of a
 // level: what is queued there at lower levels lets it go first.
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -97,6 +97,9 @@
 	if len(q.waiting) == 0 || q.epoch == 0 || q.draining || q.notice != nil || q.suspect {
 		return
 	}
+	if c.reckonState(q); !q.contested {
+		return
+	}
 	c.sortWaiting(q)
 	free := q.free()
 	for _, e := range q.entries {
@@ -162,6 +165,7 @@
 	}
 	for _, e := range chosen {
 		e.kill, e.graceS = true, 2*c.live[e.task.Job].SaveS+1
+		c.touch(q)
 		c.wake(q)
 		c.log.Debug("stopped for a more urgent task", "machine", q.id, "task", e.task, "for", head.task)
 	}
--- a/internal/coordination/preempt_test.go
+++ b/internal/coordination/preempt_test.go
@@ -41,6 +41,7 @@
 		head := entry("job-2", tc.head, 3)
 		head.since = b.now
 		q.waiting = append(q.waiting, head)
+		b.c.touch(q)
 		b.c.preempt(q)
 		if victim.kill {
 			t.Errorf("%s: stopped before the head has waited", tc.name)
@@ -98,6 +99,7 @@
 		runs := entry("job-1", "standard", "other", tc.runs)
 		runs.sent, runs.present, runs.state, runs.runs = true, true, protocol.TaskRunning, b.now
 		q.waiting = append(q.waiting, entry("job-2", "high", tc.class, 10))
+		b.c.touch(q)
 		b.c.now += Time(preemptAfter)
 		b.c.preempt(q)
 		if runs.kill != tc.stopped {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -21,9 +21,13 @@
 	sorted  bool
 
 	lastAnswer  Time
-	inventoried bool // owners have an inventory of this term
-	known       bool // what is on the machine was reported since it is kept here
-	sole        bool // kept here without a break since the worker saw a term of that: nobody else can have started anything
+	silence     silence
+	told        bool         // said is up to date
+	said        MachineState // what others are told
+	contested   bool         // something here might be stopped for something that waits; as said
+	inventoried bool         // owners have an inventory of this term
+	known       bool         // what is on the machine was reported since it is kept here
+	sole        bool         // kept here without a break since the worker saw a term of that: nobody else can have started anything
 	registering bool
 	removing    bool
 	commanding  bool // a direct command has no answer yet
@@ -95,9 +99,10 @@
 func (c *Core) adoptQueues(old bookkeeping.View, keeps bool) {
 	for id, q := range inOrder(c.queues) {
 		if c.keeper(id) != c.self {
-			delete(c.queues, id)
+			c.dropQueue(id)
 			continue
 		}
+		q.lastAnswer = c.answered(q)
 		q.inventoried = false
 		if !keeps {
 			q.known, q.sole = false, false
@@ -116,17 +121,39 @@
 	}
 	for id, m := range c.machines {
 		if c.keeper(id) == c.self && c.queues[id] == nil {
-			c.queues[id] = c.newQueue(id)
-			c.queues[id].registered(m)
+			c.keep(id).registered(m)
 		}
 	}
+	c.allSince = 0
 }
 
-func (c *Core) newQueue(id protocol.MachineID) *queue {
-	return &queue{
+// keep begins to keep a machine's queue.
+func (c *Core) keep(id protocol.MachineID) *queue {
+	q := &queue{
 		id: id, session: c.sessionFloor[id], entries: map[protocol.TaskID]*entry{},
 		lastAnswer: c.now, idleSince: c.now, failed: map[protocol.JobID]bool{},
 	}
+	c.queues[id], c.kept = q, nil
+	c.touch(q)
+	return q
+}
+
+// dropQueue ends that.
+func (c *Core) dropQueue(id protocol.MachineID) {
+	delete(c.queues, id)
+	c.kept = nil
+	c.relays.machines.Drop(id)
+}
+
+// queuesInOrder lists the queues by their machines' names. It is kept until one
+// comes or goes.
+func (c *Core) queuesInOrder() []*queue {
+	if c.kept == nil {
+		for _, q := range inOrder(c.queues) {
+			c.kept = append(c.kept, q)
+		}
+	}
+	return c.kept
 }
 
 func (q *queue) registered(m *machineEntry) {
@@ -147,6 +174,7 @@
 
 // tell passes an event to the present owner of an attempt's job.
 func (c *Core) tell(q *queue, e *entry, what What) {
+	c.touch(q)
 	owner := c.entryOwner(e)
 	if owner == "" {
 		return
@@ -163,15 +191,16 @@
 // keep the machine from being empty and returned.
 func (c *Core) putBack(q *queue, e *entry) {
 	e.sent = false
-	q.enqueue(e)
+	c.enqueue(q, e)
 	if q.draining || q.suspect || q.notice != nil {
 		c.dropWaiting(q, e)
 		c.tell(q, e, WhatReleased)
 	}
 }
 
-func (q *queue) enqueue(e *entry) {
+func (c *Core) enqueue(q *queue, e *entry) {
 	q.waiting, q.sorted = append(q.waiting, e), false
+	c.touch(q)
 }
 
 func (c *Core) dropWaiting(q *queue, e *entry) {
@@ -179,6 +208,7 @@
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 	}
 	delete(q.entries, e.task)
+	c.touch(q)
 }
 
 // place queues placements. One that can't be queued is released at once.
@@ -190,6 +220,9 @@
 		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), level: level(t.Level), together: t.Together, from: from, since: c.now}
 		q := c.queues[t.Machine]
 		refuse := func() {
+			if q != nil {
+				c.touch(q) // the word that the owner waits for
+			}
 			c.send(from, PeerMessage{Event: &TaskEvent{
 				TaskRef: TaskRef{Task: t.Task, Attempt: t.Attempt, Machine: t.Machine}, What: WhatReleased,
 			}})
@@ -207,7 +240,7 @@
 			}
 			continue
 		}
-		if held := q.held(); e.together && !capacity(q.info).minus(held.firm(e.level)).covers(e.need) {
+		if e.together && !q.firmRoom(e.level).covers(e.need) {
 			// Its owner did not know yet of what is in the way. Waiting here
 			// would keep the machines of the whole gang idle.
 			refuse()
@@ -216,7 +249,7 @@
 		c.owner.order++
 		e.order = c.owner.order
 		q.entries[t.Task] = e
-		q.enqueue(e)
+		c.enqueue(q, e)
 		c.wake(q)
 		if e.together {
 			c.preempt(q)
@@ -241,6 +274,7 @@
 	}
 	if s.Kill && !e.ended() {
 		e.kill, e.graceS = true, s.GraceS
+		c.touch(q)
 		c.wake(q)
 	}
 }
@@ -257,6 +291,7 @@
 func (c *Core) drain(id protocol.MachineID) {
 	if q := c.queues[id]; q != nil && !q.draining {
 		q.draining = true
+		c.touch(q)
 		c.releaseWaiting(q)
 	}
 }
--- a/internal/coordination/registration.go
+++ b/internal/coordination/registration.go
@@ -47,15 +47,15 @@
 		c.loseMachine(m)
 	}
 	m = &machineEntry{id: id, rec: rec, epoch: version, info: c.types[rec.Type], mine: map[protocol.TaskID]*placedTask{}}
-	c.machines[id], c.sorted = m, nil
+	c.addMachine(m)
 	c.owner.dirty = true
 	if q := c.queues[id]; q != nil && q.session == rec.Session {
 		q.epoch = version
+		c.touch(q)
 	} else if q == nil && c.member() && c.keeper(id) == c.self {
-		q = c.newQueue(id)
-		q.registered(m)
-		c.queues[id] = q
+		c.keep(id).registered(m)
 	}
+	c.takeEarly(m)
 }
 
 // machineGone: the machine's record was deleted, on proof that nothing is left.
@@ -65,42 +65,60 @@
 		return
 	}
 	c.noteLoss(m)
-	delete(c.machines, id)
-	c.sorted = nil
+	c.removeMachine(id)
 	c.sessionFloor[id] = max(c.sessionFloor[id], m.rec.Session+1)
 	c.loseMachine(m)
 	if q := c.queues[id]; q != nil && q.session <= m.rec.Session {
-		delete(c.queues, id)
+		c.dropQueue(id)
 	}
 }
 
-// expireSilent removes the records of machines whose lease is surely over:
-// nobody entitled has answered them for longer than it lasts. That holds for a
-// worker that came back with a new session and fell silent before it could be
-// registered, too: its old record would be waited for without end.
+// expireSilent notices which machines fall silent, and removes the records of
+// those whose lease is surely over: nobody entitled has answered them for longer
+// than it lasts. That holds for a worker that came back with a new session and
+// fell silent before it could be registered, too: its old record would be waited
+// for without end.
 func (c *Core) expireSilent() {
 	if !c.acting() || !c.allAdopted() {
-		for _, q := range c.queues {
-			if !q.inventoried {
-				q.lastAnswer = max(q.lastAnswer, c.now) // the count starts when all act by this term
-			}
-		}
-		return
+		c.allSince = 0 // the count starts when all act by this term
+	} else if c.allSince == 0 {
+		c.allSince = c.now
 	}
-	for id, q := range inOrder(c.queues) {
-		m := c.machines[id]
-		if m == nil || q.removing || c.since(q.lastAnswer) <= c.leaseOver() {
+	lease := c.leaseOver()
+	for _, q := range c.queuesInOrder() {
+		quiet := c.since(c.answered(q))
+		if s := c.silenceAfter(quiet); s != q.silence {
+			q.silence = s
+			c.touch(q)
+		}
+		if c.allSince == 0 || q.removing || quiet <= lease {
+			continue
+		}
+		m := c.machines[q.id]
+		if m == nil {
 			continue
 		}
 		q.removing = true
-		c.log.Info("machine silent for longer than its lease: its tasks are gone", "machine", id,
-			"silent", c.since(q.lastAnswer).Round(time.Second))
-		c.do(Commit{Tag: removeTag{id}, Txn: protocol.Txn{
+		c.log.Info("machine silent for longer than its lease: its tasks are gone", "machine", q.id, "silent", quiet.Round(time.Second))
+		c.do(Commit{Tag: removeTag{q.id}, Txn: protocol.Txn{
 			If: []protocol.Condition{
 				{Key: bookkeeping.ViewKey, Version: c.viewVersion},
-				{Key: bookkeeping.MachineKey(id), Version: m.epoch},
+				{Key: bookkeeping.MachineKey(q.id), Version: m.epoch},
 			},
-			Then: []protocol.Change{{Delete: bookkeeping.MachineKey(id)}},
+			Then: []protocol.Change{{Delete: bookkeeping.MachineKey(q.id)}},
 		}})
 	}
 }
+
+// answered is since when nobody entitled can have answered a machine: since it
+// was answered here, or, before its inventory of this term, since all act by
+// this term. Until then an earlier keeper may answer it.
+func (c *Core) answered(q *queue) Time {
+	switch {
+	case q.inventoried:
+		return q.lastAnswer
+	case c.allSince == 0:
+		return c.now
+	}
+	return max(q.lastAnswer, c.allSince)
+}
--- /dev/null
+++ b/internal/coordination/relays.go
@@ -0,0 +1,298 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	"damsonkeel/internal/coordination/relay"
+	"damsonkeel/internal/protocol"
+)
+
+// relays are the streams of changes that this controller passes to all members
+// in one term.
+type relays struct {
+	machines relay.Log[protocol.MachineID] // whose queues are kept here
+	jobs     relay.Log[protocol.JobID]     // owned here
+}
+
+// hearsay is what is held of one peer's streams, and how far the peer holds
+// this controller's.
+type hearsay struct {
+	machinesTo, jobsTo     relay.Cursor
+	machinesFrom, jobsFrom relay.Replica
+	short                  bool // the last message could not hold all changes of machines
+	at                     Time // when its word on machines was last brought up to date in this term
+	// handled is, by owner, the last Place that the peer's word includes.
+	handled map[protocol.NodeName]uint64
+	// waits are the machines it keeps with placements that its word does not
+	// include yet.
+	waits map[*machineEntry]bool
+	// early are states of machines whose records have not arrived here.
+	early map[protocol.MachineID]MachineState
+}
+
+func newHearsay() hearsay {
+	return hearsay{handled: map[protocol.NodeName]uint64{}, waits: map[*machineEntry]bool{}, early: map[protocol.MachineID]MachineState{}}
+}
+
+// statesMost bounds the machines that one message tells of: a full copy, as each
+// term begins with, goes out in pieces, one a tick.
+const statesMost = 1000
+
+// touch notes that what others are told of a machine has changed. What makes
+// a keeper tell an owner anything of an attempt does so, too: the owner may
+// have held something against the machine until its keeper's next word.
+func (c *Core) touch(q *queue) {
+	q.told = false
+	c.relays.machines.Touch(q.id)
+}
+
+// beginRelays begins the streams of a new term, with all there is as changed:
+// what was told in the last one may have been told to, or by, a controller that
+// others have taken the machine or the job from since.
+func (c *Core) beginRelays() {
+	c.relays = relays{}
+	for _, q := range c.queuesInOrder() {
+		c.touch(q)
+	}
+	for id := range inOrder(c.owner.jobs) {
+		c.relays.jobs.Touch(id)
+	}
+	for _, m := range c.machines {
+		m.by = nil
+	}
+	for _, p := range c.peers {
+		t := &p.told
+		t.machinesTo, t.jobsTo = relay.Cursor{}, relay.Cursor{}
+		t.machinesFrom.Begin(uint64(c.view.Term))
+		t.jobsFrom.Begin(uint64(c.view.Term))
+		t.at, t.short = 0, false
+		clear(t.early)
+	}
+}
+
+// dropComing forgets announced placements as a view changes: those on machines
+// that this peer keeps no more, or keeps in another session, and those by owners
+// that have another session now. None of them will be counted.
+func (c *Core) dropComing(name protocol.NodeName, p *peer, replaced map[protocol.NodeName]bool) {
+	for m := range p.told.waits {
+		if replaced[name] || c.keeper(m.id) != name {
+			m.coming = nil
+		} else {
+			m.coming = without(m.coming, func(w comingWait) bool { return replaced[w.owner] })
+		}
+		m.reckon()
+		if len(m.coming) == 0 {
+			delete(p.told.waits, m)
+		}
+	}
+	for owner, gone := range replaced {
+		if gone {
+			delete(p.told.handled, owner)
+		}
+	}
+}
+
+// without is what is left of announced placements, in a slice of its own size.
+func without(ws []comingWait, drop func(comingWait) bool) []comingWait {
+	var left []comingWait
+	for _, w := range ws {
+		if !drop(w) {
+			left = append(left, w)
+		}
+	}
+	return left
+}
+
+// sendRelays passes on what changed: once a relay period to everybody, in
+// between only to those who lack more than one message may hold.
+func (c *Core) sendRelays(regular bool) {
+	var same *Relay // as sent to the one before
+	for name, p := range inOrder(c.peers) {
+		t := &p.told
+		if !regular && !t.short {
+			continue
+		}
+		r := &Relay{Term: c.view.Term, Acting: c.acting(), HaveMachines: t.machinesFrom.Have(), HaveJobs: t.jobsFrom.Have()}
+		if same == nil {
+			r.Demand = c.demand()
+		} else {
+			r.Demand = same.Demand
+		}
+		c.fillMachines(r, &t.machinesTo, same)
+		t.short = r.Handled == nil
+		c.fillJobs(r, &t.jobsTo)
+		c.send(name, PeerMessage{Relay: r})
+		same = r
+	}
+}
+
+// fillMachines adds what changed of machines. Most peers lack the same: what was
+// put together for one serves the next.
+func (c *Core) fillMachines(r *Relay, to *relay.Cursor, same *Relay) {
+	if same != nil && same.Machines.From == to.Next() {
+		r.Machines, r.States, r.Handled = same.Machines, same.States, same.Handled
+		to.Sent(r.Machines.Upto)
+		return
+	}
+	ids, upto := c.relays.machines.Since(to.Next(), statesMost)
+	r.Machines = relay.Piece{Stream: uint64(c.view.Term), From: to.Next(), Upto: upto}
+	to.Sent(upto)
+	r.States = make([]MachineState, 0, len(ids))
+	for _, id := range ids {
+		if q := c.queues[id]; q != nil {
+			r.States = append(r.States, c.stateOf(q))
+		}
+	}
+	if upto != c.relays.machines.Version() {
+		return // the rest goes with the next
+	}
+	r.Handled = map[protocol.NodeName]uint64{}
+	for name, p := range c.peers {
+		r.Handled[name] = p.handled
+	}
+}
+
+func (c *Core) fillJobs(r *Relay, to *relay.Cursor) {
+	ids, upto := c.relays.jobs.Since(to.Next(), statesMost)
+	r.Jobs = relay.Piece{Stream: uint64(c.view.Term), From: to.Next(), Upto: upto}
+	to.Sent(upto)
+	for _, id := range ids {
+		if o := c.owner.jobs[id]; o != nil {
+			r.Progress = append(r.Progress, Progress{Job: id, Done: o.nDone, Running: o.running})
+		}
+	}
+}
+
+// relayed takes a peer's regular message.
+func (c *Core) relayed(from protocol.NodeName, r *Relay) {
+	p := c.peers[from]
+	if p == nil {
+		return
+	}
+	if r.Acting {
+		p.actingAt = c.now
+	}
+	p.demand = r.Demand
+	if r.Term == c.view.Term {
+		t := &p.told
+		t.machinesTo.Heard(r.HaveMachines)
+		t.jobsTo.Heard(r.HaveJobs)
+		if t.machinesFrom.Accept(r.Machines) {
+			t.at = c.now
+			for _, st := range r.States {
+				c.takeState(from, p, st)
+			}
+			if r.Handled != nil {
+				c.counted(p, r.Handled)
+			}
+		}
+		if t.jobsFrom.Accept(r.Jobs) {
+			for _, g := range r.Progress {
+				p.progress[g.Job] = g
+			}
+		}
+	}
+	for _, o := range c.owner.jobs {
+		if o.notBefore <= c.now && o.pending.Any() {
+			c.owner.dirty = true
+			break
+		}
+	}
+}
+
+// earlyMost bounds the states kept for machines whose records have not
+// arrived: more than are registered while a watch answers.
+const earlyMost = 4096
+
+// takeState takes a keeper's word on one of its machines.
+func (c *Core) takeState(from protocol.NodeName, p *peer, st MachineState) {
+	m := c.machines[st.Machine]
+	switch {
+	case st.Epoch == 0:
+		if m != nil && c.keeper(m.id) == from {
+			m.by = nil
+		}
+	case m == nil || st.Epoch > m.epoch:
+		// Its record is still to come. The keeper does not tell it again.
+		if len(p.told.early) < earlyMost {
+			p.told.early[st.Machine] = st
+		}
+	case st.Epoch == m.epoch && c.keeper(m.id) == from:
+		if m.told.Closed && !st.Closed || m.told.Epoch == 0 {
+			c.owner.dirty = true
+		}
+		m.told, m.by, m.at, m.copied = st, p, c.now, 0
+		m.held = uses{}
+		m.held.addAll(st.Uses)
+	}
+}
+
+// takeEarly takes what the keeper of a machine said of it before its record
+// arrived here.
+func (c *Core) takeEarly(m *machineEntry) {
+	keeper := c.keeper(m.id)
+	p := c.peers[keeper]
+	if p == nil {
+		return
+	}
+	if st, ok := p.told.early[m.id]; ok && st.Epoch <= m.epoch {
+		delete(p.told.early, m.id)
+		c.takeState(keeper, p, st)
+	}
+}
+
+// counted drops the announced placements that a keeper's word includes now.
+func (c *Core) counted(p *peer, handled map[protocol.NodeName]uint64) {
+	for owner, n := range handled {
+		p.told.handled[owner] = max(p.told.handled[owner], n)
+	}
+	for m := range p.told.waits {
+		included := func(w comingWait) bool { return w.number <= p.told.handled[w.owner] }
+		if slices.ContainsFunc(m.coming, included) {
+			m.coming = without(m.coming, included)
+			m.reckon()
+		}
+		if len(m.coming) == 0 {
+			delete(p.told.waits, m)
+		}
+	}
+}
+
+// recent reports whether what is known of a machine is its keeper's word in this
+// term, and that word is no older than so long.
+func (c *Core) recent(m *machineEntry, d time.Duration) bool {
+	return m.by != nil && m.by == c.peers[c.keeper(m.id)] && c.since(m.by.told.at) <= d
+}
+
+// mergeRelays is one message that says what two in a row do.
+func mergeRelays(before, after *Relay) *Relay {
+	if before.Term != after.Term {
+		return after // another stream
+	}
+	merged := *after
+	if merged.Machines.Follows(before.Machines) {
+		merged.Machines.From = before.Machines.From
+		merged.States = latest(before.States, after.States, func(s MachineState) protocol.MachineID { return s.Machine })
+	}
+	if merged.Jobs.Follows(before.Jobs) {
+		merged.Jobs.From = before.Jobs.From
+		merged.Progress = latest(before.Progress, after.Progress, func(g Progress) protocol.JobID { return g.Job })
+	}
+	return &merged
+}
+
+// latest is what is said last of each thing.
+func latest[K comparable, V any](before, after []V, key func(V) K) []V {
+	said := make(map[K]bool, len(after))
+	for _, v := range after {
+		said[key(v)] = true
+	}
+	var all []V
+	for _, v := range before {
+		if !said[key(v)] {
+			all = append(all, v)
+		}
+	}
+	return append(all, after...)
+}
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -28,8 +28,7 @@
 	}
 	q := c.queues[r.Machine]
 	if q == nil {
-		q = c.newQueue(r.Machine)
-		c.queues[r.Machine] = q
+		q = c.keep(r.Machine)
 		if m := c.machines[r.Machine]; m != nil {
 			q.registered(m)
 		}
@@ -44,6 +43,10 @@
 		c.newSession(q, r.Session)
 	}
 	q.seq, q.lastAnswer, q.everSeen = r.Seq, c.now, true
+	if q.silence != silenceNone {
+		q.silence = silenceNone
+		c.touch(q)
+	}
 	if m := c.machines[q.id]; m == nil || m.rec.Session != r.Session {
 		c.register(q, r)
 	}
@@ -52,6 +55,7 @@
 	c.takeStock(q)
 	q.push = false
 	reply.Orders = c.orders(q, r.Term)
+	c.reckonState(q) // now that all of it was just looked at
 	c.do(ReplyReport{Status: 200, Reply: reply})
 }
 
@@ -63,6 +67,7 @@
 	// The old record stands until the new one is written; owners learn from
 	// the record that everything of the old session is gone.
 	q.session, q.seq, q.epoch, q.sole = s, 0, 0, false
+	c.touch(q)
 	q.entries = map[protocol.TaskID]*entry{}
 	q.waiting = nil
 	q.notice = nil
@@ -102,6 +107,7 @@
 			// The worker lets go of an attempt only when told to, so this is
 			// one that was told, or a worker that lost it: gone either way.
 			delete(q.entries, id)
+			c.touch(q)
 			if !e.ended() {
 				e.state, e.cause = protocol.TaskEnded, protocol.EndError
 				c.tell(q, e, WhatEnded)
@@ -144,6 +150,9 @@
 	before := e.state
 	e.sent, e.present = true, true
 	e.state, e.cause, e.saved = t.State, t.Cause, t.Saved
+	if first || before != e.state {
+		c.touch(q)
+	}
 	if j := c.live[e.task.Job]; j != nil && before != e.state && (e.state == protocol.TaskRunning || e.state == protocol.TaskWaiting) {
 		q.hasImage(j.Image)
 	}
@@ -177,6 +186,7 @@
 		clear(q.failed)
 		if q.suspect {
 			q.suspect = false
+			c.touch(q)
 			c.log.Info("machine works again", "machine", q.id)
 		}
 	case protocol.EndError:
@@ -189,6 +199,7 @@
 		}
 		if !q.suspect && len(q.failed) >= 2 {
 			q.suspect = true
+			c.touch(q)
 			c.log.Info("machine set aside: it fails its tasks", "machine", q.id, "jobs", len(q.failed))
 			c.releaseWaiting(q)
 		}
@@ -200,10 +211,12 @@
 	if r.NoticeS == nil {
 		if q.notice != nil {
 			q.notice = nil
+			c.touch(q)
 		}
 		return
 	}
 	if q.notice == nil {
+		c.touch(q)
 		c.log.Info("machine will be taken", "machine", q.id, "in_s", *r.NoticeS)
 		c.releaseWaiting(q)
 	}
--- a/internal/coordination/slow.go
+++ b/internal/coordination/slow.go
@@ -79,7 +79,7 @@
 		}
 		usual, ok := o.usual()
 		switch late := t.runs + tooLong(usual); {
-		case !ok || c.owner.pending[m.id] || c.since(m.at) > 3*c.op.RelayEvery || m.told.SilentS > silence(c.settings.Site.Workers.ReportS).Seconds():
+		case !ok || c.owner.pending[m.id] || !c.recent(m, 3*c.op.RelayEvery) || m.told.Silence != silenceNone:
 			heap.Push(h, overdue{c.after(5 * time.Second), t}) // nothing can be said yet
 		case late > c.now:
 			heap.Push(h, overdue{late, t})
--- a/internal/coordination/slow_test.go
+++ b/internal/coordination/slow_test.go
@@ -54,8 +54,8 @@
 		for range 2 {
 			b.c.now += Time(tc.goesOn / 2)
 			for i, m := range b.c.machinesInOrder() {
-				if tc.heard {
-					m.at = b.c.now
+				if m.by = b.c.peers[b.c.keeper(m.id)]; tc.heard {
+					m.by.told.at = b.c.now
 				}
 				m.told.Draining = i > 0 && i <= tc.draining
 			}
--- a/internal/coordination/spot.go
+++ b/internal/coordination/spot.go
@@ -35,21 +35,14 @@
 
 // noteLoss counts a machine whose record went as taken, if it looks so.
 func (c *Core) noteLoss(m *machineEntry) {
-	silent := m.told.SilentS > 2*silence(c.settings.Site.Workers.ReportS).Seconds()
-	if m.rec.Spot && !m.told.Draining && (m.told.Noticed || silent) {
+	if m.rec.Spot && !m.told.Draining && (m.told.Noticed || m.told.Silence == silenceLong) {
 		c.spots.losses++
 	}
 }
 
 // watchSpots counts the spot machines once a relay.
 func (c *Core) watchSpots() {
-	n := 0
-	for _, m := range c.machines {
-		if m.rec.Spot {
-			n++
-		}
-	}
-	c.spots.watch(n, c.op.RelayEvery)
+	c.spots.watch(c.spotsUp, c.op.RelayEvery)
 }
 
 // spotStretch is by which part one spot machine lengthens a gang that runs on
--- a/internal/coordination/stock.go
+++ b/internal/coordination/stock.go
@@ -32,6 +32,7 @@
 		q.idleSince = c.now
 	}
 	q.inventoried, q.known = true, true
+	c.touch(q)
 	byOwner := map[protocol.NodeName][]Held{}
 	for _, e := range tasksInOrder(q.entries) {
 		owner := c.entryOwner(e)
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -86,6 +86,7 @@
 	}
 	o.loaded = true
 	o.nDone = uint32(o.done.Count())
+	c.relays.jobs.Touch(o.ID)
 	for id, t := range tasksInOrder(o.placed) {
 		if o.done.Test(uint(id.Index)) {
 			c.askStop(t, true, 0)
@@ -155,6 +156,7 @@
 			estimate: c.estimate(&o.Job), midway: true,
 		}
 		o.placed[h.Task] = t
+		o.waits++
 		m.mine[h.Task] = t
 		if o.done.Test(uint(h.Task.Index)) {
 			c.askStop(t, true, 0)
--- a/internal/coordination/told.go
+++ b/internal/coordination/told.go
@@ -29,61 +29,96 @@
 	return u
 }
 
-// ending is what comes free each second, on average, as tasks end.
-func (q *queue) ending() Use {
-	var u Use
-	for _, e := range q.entries {
-		if e.state == protocol.TaskRunning && e.estimate > 0 {
-			u.CPUs += e.need.cpus / e.estimate
-			u.GPUs += e.need.gpus / e.estimate
-			u.GB += e.need.gb / e.estimate
-		}
-	}
-	return u
+// firmRoom is what a task of a level finds once all that may be stopped for it
+// is gone.
+func (q *queue) firmRoom(l level) resources {
+	held := q.held()
+	return capacity(q.info).minus(held.firm(l))
 }
 
-// wait is the sum of the estimates of all that is queued or runs here, each
-// weighed by the processors the task takes.
-func (q *queue) wait() float64 {
-	var w float64
-	for _, e := range q.entries {
-		if !e.ended() {
-			w += e.estimate * e.need.cpus
-		}
+// stateOf is what others are told of a machine, reckoned once after each change.
+func (c *Core) stateOf(q *queue) MachineState {
+	if m := c.machines[q.id]; m == nil || q.epoch != m.epoch {
+		return MachineState{Machine: q.id}
 	}
-	return w
-}
-
-// waits is the part of the wait that was never sent, by level.
-func (q *queue) waits() []float64 {
-	var by []float64
-	for _, e := range q.waiting {
-		for len(by) <= int(e.level) {
-			by = append(by, 0)
-		}
-		by[e.level] += e.estimate * e.need.cpus
+	c.reckonState(q)
+	s := q.said
+	if q.known && len(q.entries) == 0 {
+		s.IdleS = c.since(q.idleSince).Seconds()
 	}
-	return by
+	return s
 }
 
-// state is what others are told of a machine.
-func (c *Core) state(q *queue) MachineState {
-	f := q.free()
-	held := q.held()
+// reckonState goes through a queue once after each change, for what others are
+// told of it and for whether anything there might be stopped for something else.
+func (c *Core) reckonState(q *queue) {
+	if q.told {
+		return
+	}
 	s := MachineState{
-		Machine: q.id, Epoch: q.epoch, Wait: q.wait(), Queue: q.waits(), FreeCPUs: f.cpus, FreeGPUs: f.gpus, FreeGB: f.gb,
-		Images: slices.Clone(q.images), Uses: held.list(), Ending: q.ending(),
+		Machine: q.id, Epoch: q.epoch, Images: slices.Clone(q.images),
 		Heard: q.known, Held: len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
-		SilentS: c.since(q.lastAnswer).Seconds(), Noticed: q.notice != nil,
-		Closed: q.draining || q.suspect || q.notice != nil || c.since(q.lastAnswer) > 2*silence(c.settings.Site.Workers.ReportS),
+		Silence: q.silence, Noticed: q.notice != nil,
+		Closed: q.draining || q.suspect || q.notice != nil || q.silence == silenceLong,
 	}
-	if q.known && len(q.entries) == 0 {
-		s.IdleS = c.since(q.idleSince).Seconds()
+	free, held := capacity(q.info), uses{}
+	least, most := ranks, -1 // ranks of what may be stopped, and of what waits
+	borrows, guaranteed := false, false
+	for _, e := range q.entries {
+		if e.ended() {
+			continue
+		}
+		s.Wait += e.estimate * e.need.cpus
+		if e.sent {
+			free = free.minus(e.need)
+		} else if !e.present {
+			most = max(most, int(e.level)%ranks)
+			guaranteed = guaranteed || e.guaranteed()
+			for len(s.Queue) <= int(e.level) {
+				s.Queue = append(s.Queue, 0)
+			}
+			s.Queue[e.level] += e.estimate * e.need.cpus
+		}
+		if e.state == protocol.TaskRunning && e.estimate > 0 {
+			s.Ending.CPUs += e.need.cpus / e.estimate
+			s.Ending.GPUs += e.need.gpus / e.estimate
+			s.Ending.GB += e.need.gb / e.estimate
+		}
+		if e.kill {
+			continue
+		}
+		held.add(e.level, e.need)
+		if e.present {
+			least = min(least, int(e.level)%ranks)
+			borrows = borrows || !e.guaranteed()
+		}
 	}
-	return s
+	s.FreeCPUs, s.FreeGPUs, s.FreeGB, s.Uses = free.cpus, free.gpus, free.gb, held.list()
+	q.said, q.told = s, true
+	q.contested = least < most || guaranteed && borrows
 }
 
-// silence is the longest a healthy worker stays quiet.
-func silence(reportS float64) time.Duration {
+// silence is how a worker's quiet looks.
+type silence uint8
+
+const (
+	silenceNone silence = iota // no longer than a healthy worker's
+	silenceSome                // longer
+	silenceLong                // at least twice as long: nothing is placed there
+)
+
+// healthySilence is the longest a healthy worker stays quiet.
+func healthySilence(reportS float64) time.Duration {
 	return time.Duration(1.25*reportS*float64(time.Second)) + time.Second
 }
+
+// silenceAfter is how a quiet of so long looks.
+func (c *Core) silenceAfter(d time.Duration) silence {
+	switch most := healthySilence(c.settings.Site.Workers.ReportS); {
+	case d > 2*most:
+		return silenceLong
+	case d > most:
+		return silenceSome
+	}
+	return silenceNone
+}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -144,7 +144,7 @@
 	c.hearing.adopted(v, c.self, c.now)
 	if !c.member() {
 		c.owner = newOwnerState()
-		c.queues, c.pushing = map[protocol.MachineID]*queue{}, nil
+		c.queues, c.kept, c.pushing = map[protocol.MachineID]*queue{}, nil, nil
 		c.log.Info("not in the view", "term", v.Term)
 		return
 	}
@@ -152,7 +152,8 @@
 	keeps := consecutive && wasMember
 	c.adoptQueues(old, keeps)
 	c.adoptJobs(old, keeps)
-	for _, q := range inOrder(c.queues) {
+	c.beginRelays()
+	for _, q := range c.queuesInOrder() {
 		c.takeStock(q)
 	}
 	if !wasMember {
@@ -162,14 +163,19 @@
 }
 
 func (c *Core) adoptPeers(v bookkeeping.View) {
+	replaced := map[protocol.NodeName]bool{}
 	for name, p := range c.peers {
-		if v.Members[name] != p.session {
+		replaced[name] = v.Members[name] != p.session
+	}
+	for name, p := range c.peers {
+		c.dropComing(name, p, replaced)
+		if replaced[name] {
 			delete(c.peers, name)
 		}
 	}
 	for name, session := range v.Members {
 		if c.peers[name] == nil {
-			c.peers[name] = &peer{session: session, progress: map[protocol.JobID]Progress{}}
+			c.peers[name] = &peer{session: session, progress: map[protocol.JobID]Progress{}, told: newHearsay()}
 		}
 	}
 	if p := c.peers[c.self]; p != nil {
@@ -230,10 +236,10 @@
 		c.forget(*m.Forget)
 	case m.Inventory != nil:
 		c.inventory(from, m.Inventory)
-	case m.Waits != nil:
-		c.addWaits(m.Waits)
-	case m.Summary != nil:
-		c.summary(from, m.Summary)
+	case m.Added != nil:
+		c.addWaits(from, m.Added)
+	case m.Relay != nil:
+		c.relayed(from, m.Relay)
 	case m.Drain != nil:
 		c.drain(*m.Drain)
 	case m.AskTable:
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -1,17 +1,70 @@
 package coordination
 
 import (
-	"slices"
-
 	"damsonkeel/internal/protocol"
 )
 
-// addWaits takes another controller's placements into the table.
-func (c *Core) addWaits(ws []Wait) {
-	for _, w := range ws {
-		if m := c.machines[w.Machine]; m != nil {
-			m.extra += w.Add
-			m.taken.addAll(w.Taken)
+// comingWait is a placement, or what placing has added to a machine at once, that
+// has been announced and that the machine's keeper has not counted yet.
+type comingWait struct {
+	owner  protocol.NodeName // that placed it
+	number uint64            // of the owner's Place to the keeper that carries it
+	add    float64           // processor seconds
+	level  level
+	taken  resources
+}
+
+// expect counts an announced placement until its keeper's word includes it.
+func (c *Core) expect(m *machineEntry, w comingWait) {
+	p := c.peers[c.keeper(m.id)]
+	if p == nil {
+		return
+	}
+	m.coming = append(m.coming, w)
+	m.extra += w.add
+	m.taken.add(w.level, w.taken)
+	p.told.waits[m] = true
+}
+
+// reckon sums what is announced anew: nothing is subtracted, so that nothing
+// adds up.
+func (m *machineEntry) reckon() {
+	m.extra, m.taken = 0, uses{}
+	for _, w := range m.coming {
+		m.extra += w.add
+		m.taken.add(w.level, w.taken)
+	}
+}
+
+// takeBack undoes the last n placements that this controller has just announced
+// to nobody.
+func (m *machineEntry) takeBack(n int) {
+	m.coming = m.coming[:max(0, len(m.coming)-n)]
+	m.reckon()
+}
+
+// addWaits takes another controller's placements into the table, unless it
+// holds their keeper's word on them already: messages of two peers may cross.
+func (c *Core) addWaits(from protocol.NodeName, a *Added) {
+	if a.Term != c.view.Term {
+		return // its keeper refuses them, or has told of them in this term
+	}
+	for _, w := range a.Waits {
+		m := c.machines[w.Machine]
+		if m == nil {
+			continue
+		}
+		keeper := c.keeper(m.id)
+		n := a.Numbers[keeper]
+		if p := c.peers[keeper]; p == nil || n <= p.told.handled[from] {
+			continue
+		}
+		for i, u := range w.Taken {
+			add := 0.0
+			if i == 0 {
+				add = w.Add
+			}
+			c.expect(m, comingWait{from, n, add, level(u.Level), resources{u.CPUs, u.GPUs, u.GB}})
 		}
 	}
 }
@@ -27,35 +80,19 @@
 	if len(added) == 0 {
 		return
 	}
-	ws := make([]Wait, 0, len(added))
+	a := &Added{Term: c.view.Term, Numbers: map[protocol.NodeName]uint64{}}
 	for id, w := range inOrder(added) {
-		ws = append(ws, Wait{id, w.add, w.taken.list()})
+		a.Waits = append(a.Waits, Wait{id, w.add, w.taken.list()})
+		keeper := c.keeper(id)
+		if p := c.peers[keeper]; p != nil {
+			a.Numbers[keeper] = p.placed
+		}
 	}
 	for name := range inOrder(c.peers) {
 		if name != c.self {
-			c.send(name, PeerMessage{Waits: ws})
-		}
-	}
-}
-
-// sendSummaries relays to every controller what became of its machines' queues
-// and jobs.
-func (c *Core) sendSummaries() {
-	s := Summary{Acting: c.acting()}
-	for id, q := range inOrder(c.queues) {
-		if m := c.machines[id]; m != nil && q.epoch == m.epoch {
-			s.Machines = append(s.Machines, c.state(q))
+			c.send(name, PeerMessage{Added: a})
 		}
 	}
-	for _, o := range inOrder(c.owner.jobs) {
-		s.Progress = append(s.Progress, Progress{Job: o.ID, Done: o.nDone, Running: o.running})
-	}
-	s.Demand = c.demand()
-	for name, p := range inOrder(c.peers) {
-		mine := s
-		mine.Upto = p.handled
-		c.send(name, PeerMessage{Summary: &mine})
-	}
 }
 
 // demandMost bounds what one job counts for: far more than is rented at once.
@@ -72,11 +109,7 @@
 		}
 		n := c.mayStart(o, usage, min(int(o.pending.Count()), demandMost))
 		c.use(o, usage, n)
-		for _, t := range o.placed {
-			if !t.started {
-				n++
-			}
-		}
+		n += o.waits
 		if n > 0 {
 			ds = append(ds, Demand{Job: o.ID, Zone: o.boundTo(), Unstarted: n, Level: int(o.level), EstimateS: c.estimateOf(o), OldestS: c.since(o.since).Seconds()})
 		}
@@ -84,54 +117,6 @@
 	return ds
 }
 
-// summary takes a keeper's word on its machines.
-func (c *Core) summary(from protocol.NodeName, s *Summary) {
-	p := c.peers[from]
-	if p == nil {
-		return
-	}
-	if s.Acting {
-		p.actingAt = c.now
-	}
-	p.unheard = slices.DeleteFunc(p.unheard, func(w ownWait) bool { return w.number <= s.Upto })
-	unheard := map[protocol.MachineID]*ownWaits{}
-	for _, w := range p.unheard {
-		u := unheard[w.machine]
-		if u == nil {
-			u = &ownWaits{}
-			unheard[w.machine] = u
-		}
-		u.add += w.add
-		u.taken.add(w.level, w.taken)
-	}
-	for _, st := range s.Machines {
-		m := c.machines[st.Machine]
-		if m == nil || st.Epoch != m.epoch || c.keeper(m.id) != from {
-			continue
-		}
-		if m.told.Closed && !st.Closed || m.told.Epoch == 0 {
-			c.owner.dirty = true
-		}
-		m.told, m.at, m.extra = st, c.now, 0
-		m.held, m.taken = uses{}, uses{}
-		m.held.addAll(st.Uses)
-		if u := unheard[st.Machine]; u != nil {
-			m.extra, m.taken = u.add, u.taken
-		}
-	}
-	clear(p.progress)
-	for _, g := range s.Progress {
-		p.progress[g.Job] = g
-	}
-	p.demand = s.Demand
-	for _, o := range c.owner.jobs {
-		if o.pending.Any() && o.notBefore <= c.now {
-			c.owner.dirty = true
-			break
-		}
-	}
-}
-
 // alone reports whether another controller is known to act now. One that may
 // not act itself is then refused by the state service alone; otherwise the
 // service is out for all, or nobody can be heard.
@@ -202,8 +187,8 @@
 	}
 	c.copy.got = true
 	for _, w := range ws {
-		if m := c.machines[w.Machine]; m != nil && m.told.Epoch == 0 && m.extra == 0 {
-			m.extra = w.Add
+		if m := c.machines[w.Machine]; m != nil && m.told.Epoch == 0 {
+			m.copied = w.Add
 		}
 	}
 }
@@ -213,9 +198,10 @@
 	if o := c.owner.jobs[id]; o != nil {
 		return Progress{Job: id, Done: o.nDone, Running: o.running}, true
 	}
-	for _, p := range c.peers {
-		if g, ok := p.progress[id]; ok {
-			return g, true
+	if l := c.live[id]; l != nil {
+		if p := c.peers[c.ownerOf(l)]; p != nil {
+			g, ok := p.progress[id]
+			return g, ok
 		}
 	}
 	return Progress{}, false
