Machines are recorded in blocks, written by one registrar

Need: one record and one change of the state service for each machine's session: 1,300 workers that come back at once take 13 s at 100 changes a second, 15,000 two and a half minutes, in which they run nothing.

The site goes over when all members know blocks; an earlier version can't read such a view and stays out. machineRecords in the operators' settings holds it back.

--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -20,6 +20,7 @@
 	nodePrefix     = "c/node/"
 	livePrefix     = "c/live/"
 	machinePrefix  = "c/mach/"
+	blockPrefix    = "c/block/"
 	jobPrefix      = "job/"
 	bitsPrefix     = "bits/"
 )
@@ -33,7 +34,23 @@
 // JobKey is the state of a job; it is never deleted.
 func JobKey(j protocol.JobID) string { return jobPrefix + string(j) }
 
-// MachineKey is a machine's session that may hold tasks.
+// BlockKey is the record of several machines' sessions.
+func BlockKey(name string) string { return blockPrefix + name }
+
+// BlockName is the name of a block by its number, and BlockNumber the other way
+// round; 0 is no block's number.
+func BlockName(n uint64) string { return fmt.Sprintf("%08d", n) }
+
+// BlockNumber is the number of a block by its name; 0 if it has none.
+func BlockNumber(name string) uint64 {
+	n, err := strconv.ParseUint(name, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// MachineKey is a machine's session that may hold tasks, in a record of its own.
 func MachineKey(m protocol.MachineID) string { return machinePrefix + string(m) }
 
 // BitsPrefix is the prefix of the bitmaps of a job's finished tasks.
@@ -48,6 +65,7 @@
 	Node    protocol.NodeName
 	Job     protocol.JobID
 	Machine protocol.MachineID
+	Block   string
 }
 
 // ParseFollowed tells what a followed key is about.
@@ -64,20 +82,91 @@
 	if m, ok := strings.CutPrefix(key, machinePrefix); ok {
 		return Followed{Machine: protocol.MachineID(m)}, true
 	}
+	if n, ok := strings.CutPrefix(key, blockPrefix); ok {
+		return Followed{Block: n}, true
+	}
 	return Followed{}, false
 }
 
+// Layout is how machines' sessions are recorded.
+type Layout int
+
+// The layouts. Views and nodes that name none are of versions that know only
+// the first.
+const (
+	LayoutSingle Layout = 1 // each in a record of its own
+	LayoutBlocks Layout = 2 // several in one record
+)
+
 // View is who may act in a term: the controllers with their sessions.
 type View struct {
-	Term    protocol.Term                          `cbor:"term"`
-	Members map[protocol.NodeName]protocol.LeaseID `cbor:"members"`
+	Term    protocol.Term
+	Members map[protocol.NodeName]protocol.LeaseID
 	// Deaf members act, but workers can't reach them: they keep no machines.
-	Deaf []protocol.NodeName `cbor:"deaf,omitempty"`
+	Deaf []protocol.NodeName
+	// Layout is how machines are recorded in this term.
+	Layout Layout
+}
+
+// viewRecord is a view as it is written.
+type viewRecord struct {
+	Term    protocol.Term       `cbor:"term"`
+	Members any                 `cbor:"members"`
+	Who     members             `cbor:"who,omitempty"`
+	Deaf    []protocol.NodeName `cbor:"deaf,omitempty"`
+	Layout  Layout              `cbor:"layout,omitempty"`
+}
+
+type members = map[protocol.NodeName]protocol.LeaseID
+
+// laterMembers stands where versions that know no blocks look for the members.
+// They can't read such a view, so none of them ever acts by it: it would take a
+// machine recorded in a block for one that was never there.
+const laterMembers = "who"
+
+// MarshalCBOR writes a view in the form that fits its layout.
+func (v View) MarshalCBOR() ([]byte, error) {
+	r := viewRecord{Term: v.Term, Members: v.Members, Deaf: v.Deaf}
+	if v.Layout >= LayoutBlocks {
+		r.Members, r.Who, r.Layout = laterMembers, v.Members, v.Layout
+	}
+	return protocol.Encode(r)
+}
+
+// UnmarshalCBOR reads a view of either form.
+func (v *View) UnmarshalCBOR(b []byte) error {
+	r := struct {
+		viewRecord
+		Members protocol.RawValue `cbor:"members"`
+	}{}
+	if err := protocol.Decode(b, &r); err != nil {
+		return err
+	}
+	*v = View{Term: r.Term, Members: r.Who, Deaf: r.Deaf, Layout: max(r.Layout, LayoutSingle)}
+	if r.Layout >= LayoutBlocks {
+		return nil
+	}
+	return protocol.Decode(r.Members, &v.Members)
 }
 
 // Node is a controller's membership record.
 type Node struct {
 	Session protocol.LeaseID `cbor:"session"`
+	Layout  Layout           `cbor:"layout,omitempty"` // the latest it knows
+}
+
+// Block is the record of several machines.
+type Block struct {
+	Machines []BlockEntry `cbor:"machines"`
+}
+
+// BlockEntry is one machine's record in a block. Its epoch stands for the
+// version that a record of its own would have: another means that everything of
+// the one before is gone.
+type BlockEntry struct {
+	ID    protocol.MachineID `cbor:"id"`
+	Epoch protocol.Version   `cbor:"epoch"`
+	Machine
 }
 
 // Machine is a machine's record: its tasks are of this session, and gone when
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -100,11 +100,16 @@
 	if fit, err := DefaultOperator().Fit(s); err != nil || fit.NodeLease > 3*time.Second || fit.NodeLease < time.Second {
 		t.Errorf("%v, %v", fit.NodeLease, err)
 	}
+	op, err = ParseOperator(strings.NewReader(`<damsonkeel><machineRecords>single</machineRecords><copyWait>3s</copyWait></damsonkeel>`))
+	if err != nil || !op.SingleRecords || op.CopyWait != 3*time.Second {
+		t.Errorf("%+v, %v", op, err)
+	}
 	for text, named := range map[string]string{
-		`<damsonkeel><nodeLeese>9s</nodeLeese></damsonkeel>`:       "nodeLeese",
-		`<damsonkeel><nodeLease>soon</nodeLease></damsonkeel>`:     "soon",
-		`<damsonkeel><nodeLease>0s</nodeLease></damsonkeel>`:       "nodeLease",
-		`<damsonkeel><nodeLease x="1">9s</nodeLease></damsonkeel>`: "x",
+		`<damsonkeel><machineRecords>both</machineRecords></damsonkeel>`: "both",
+		`<damsonkeel><nodeLeese>9s</nodeLeese></damsonkeel>`:             "nodeLeese",
+		`<damsonkeel><nodeLease>soon</nodeLease></damsonkeel>`:           "soon",
+		`<damsonkeel><nodeLease>0s</nodeLease></damsonkeel>`:             "nodeLease",
+		`<damsonkeel><nodeLease x="1">9s</nodeLease></damsonkeel>`:       "x",
 		`<other/>`:                  "other",
 		`<damsonkeel><nodeLease>9s`: "operator settings",
 		``:                          "empty",
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -24,6 +24,9 @@
 	NodeLease time.Duration
 	// IdleReturn is how long a machine stays idle before it is returned.
 	IdleReturn time.Duration
+	// SingleRecords keeps the record of each machine apart, as versions before
+	// blocks of records did.
+	SingleRecords bool
 }
 
 // DefaultOperator returns the defaults.
@@ -76,6 +79,12 @@
 		"relayEvery": &op.RelayEvery, "copyWait": &op.CopyWait, "defaultEstimate": &op.DefaultEstimate,
 		"nodeLease": &op.NodeLease, "idleReturn": &op.IdleReturn,
 	}
+	words := map[string]func(string) bool{
+		"machineRecords": func(v string) bool {
+			op.SingleRecords = v == "single"
+			return v == "single" || v == "blocks"
+		},
+	}
 	d := xml.NewDecoder(r)
 	depth, name, text := 0, "", ""
 	for {
@@ -96,7 +105,7 @@
 			if depth == 1 && name != "damsonkeel" {
 				return op, fmt.Errorf("operator settings: root element <%s>, want <damsonkeel>", name)
 			}
-			if depth > 2 || depth == 2 && fields[name] == nil {
+			if depth > 2 || depth == 2 && fields[name] == nil && words[name] == nil {
 				return op, fmt.Errorf("operator settings: unknown element <%s>", name)
 			}
 			if len(t.Attr) > 0 {
@@ -105,7 +114,11 @@
 		case xml.CharData:
 			text += string(t)
 		case xml.EndElement:
-			if depth == 2 {
+			if take := words[name]; depth == 2 && take != nil {
+				if !take(strings.TrimSpace(text)) {
+					return op, fmt.Errorf("operator settings: <%s>: %q is none of its values", name, strings.TrimSpace(text))
+				}
+			} else if depth == 2 {
 				v, err := time.ParseDuration(strings.TrimSpace(text))
 				if err != nil || v < 100*time.Millisecond || v > time.Hour {
 					return op, fmt.Errorf("operator settings: <%s>: %q is no duration from 100ms to 1h", name, strings.TrimSpace(text))
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -11,6 +11,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/blocks"
 	"damsonkeel/internal/protocol"
 )
 
@@ -34,7 +35,7 @@
 	until       Time // acts only before
 	view        bookkeeping.View
 	viewVersion protocol.Version
-	nodes       map[protocol.NodeName]protocol.LeaseID // present in the records
+	nodes       map[protocol.NodeName]bookkeeping.Node // present in the records
 	writingView bool
 	viewRetry   Time
 	raise       bool                                     // the term is to be raised though the members are the same
@@ -60,6 +61,8 @@
 	// sessionFloor is the first session of a machine that may be alive: a
 	// report of an earlier one was held back by the network.
 	sessionFloor map[protocol.MachineID]protocol.Session
+	shelf        *blocks.Shelf // blocks of machines' records
+	pen          pen
 	peers        map[protocol.NodeName]*peer
 	spots        spotRisk
 	fleet        fleetState
@@ -97,7 +100,7 @@
 func (c *Core) reset() {
 	c.session, c.until = 0, 0
 	c.view, c.viewVersion = bookkeeping.View{}, 0
-	c.nodes = map[protocol.NodeName]protocol.LeaseID{}
+	c.nodes = map[protocol.NodeName]bookkeeping.Node{}
 	c.writingView, c.raise = false, false
 	c.hearing = newHearing()
 	c.classes = map[string]*class{}
@@ -106,6 +109,7 @@
 	c.machines, c.sorted, c.spotsUp = map[protocol.MachineID]*machineEntry{}, nil, 0
 	c.queues, c.kept, c.pushing = map[protocol.MachineID]*queue{}, nil, nil
 	c.relays, c.allSince = relays{}, 0
+	c.shelf, c.pen = blocks.NewShelf(), newPen()
 	c.keepers = map[protocol.MachineID]protocol.NodeName{}
 	c.nextPlaced = 0
 	c.peers = map[protocol.NodeName]*peer{}
@@ -259,7 +263,11 @@
 	case f.Job != "":
 		c.jobOver(f.Job)
 	case f.Machine != "":
-		c.machineGone(f.Machine)
+		if m := c.machines[f.Machine]; m != nil && !m.inBlock {
+			c.machineGone(f.Machine)
+		}
+	case f.Block != "":
+		c.blockGone(f.Block)
 	}
 }
 
@@ -279,7 +287,7 @@
 	case f.Node != "":
 		var n bookkeeping.Node
 		if err = protocol.Decode(value, &n); err == nil {
-			c.nodes[f.Node] = n.Session
+			c.nodes[f.Node] = n
 			if !snapshot {
 				c.checkView()
 			}
@@ -292,7 +300,12 @@
 	case f.Machine != "":
 		var m bookkeeping.Machine
 		if err = protocol.Decode(value, &m); err == nil {
-			c.machineRegistered(f.Machine, m, version)
+			c.machineRegistered(f.Machine, m, version, false)
+		}
+	case f.Block != "":
+		var b bookkeeping.Block
+		if err = protocol.Decode(value, &b); err == nil {
+			c.blockSeen(f.Block, b, version)
 		}
 	}
 	if err != nil {
@@ -322,6 +335,7 @@
 	} else {
 		c.sendRelays(false)
 	}
+	c.writeBlocks()
 	c.askMoreTables()
 	c.retryJobs()
 }
@@ -339,6 +353,8 @@
 		c.finishDone(tag, m.Outcome)
 	case bitsTag:
 		c.bitsDone(tag, m.Outcome)
+	case penTag:
+		c.blocksWritten(tag, m.Outcome)
 	case removeTag:
 		if q := c.queues[tag.machine]; q != nil {
 			q.removing = false
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/protocol"
 )
@@ -342,10 +341,7 @@
 
 // dropRecord deletes the record of a machine that the cloud says is gone.
 func (c *Core) dropRecord(m *machineEntry) {
-	c.do(Commit{Tag: removeTag{m.id}, Txn: protocol.Txn{
-		If:   []protocol.Condition{{Key: bookkeeping.MachineKey(m.id), Version: m.epoch}},
-		Then: []protocol.Change{{Delete: bookkeeping.MachineKey(m.id)}},
-	}})
+	c.changeRecord(removeTag{m.id}, m.id, m.epoch, nil)
 }
 
 func (c *Core) listed(m Listed) {
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -183,6 +183,7 @@
 	Added     *Added
 	Relay     *Relay
 	Drain     *protocol.MachineID
+	Record    *RecordChange
 	AskTable  bool
 	Table     []Wait
 }
@@ -339,6 +340,8 @@
 	rec   bookkeeping.Machine
 	epoch protocol.Version
 	info  protocol.TypeInfo
+	// inBlock: recorded with others, not in a record of its own.
+	inBlock bool
 
 	told   MachineState // by its keeper
 	by     *peer        // the keeper's session that told it in this term, if any
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -236,7 +236,7 @@
 	switch tag.(type) {
 	case bitsTag:
 		return bookkeeping.Spare
-	case registerTag, removeTag:
+	case registerTag, removeTag, penTag:
 		return bookkeeping.Later
 	}
 	return bookkeeping.First
--- /dev/null
+++ b/internal/coordination/pen.go
@@ -0,0 +1,208 @@
+package coordination
+
+import (
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/blocks"
+	"damsonkeel/internal/protocol"
+)
+
+// RecordChange asks the registrar to write a machine's record, or to delete it.
+type RecordChange struct {
+	Term    protocol.Term
+	Machine protocol.MachineID
+	Have    protocol.Version // the epoch of the record that the sender knows; 0: none
+	To      *bookkeeping.Machine
+}
+
+// pen is what the registrar keeps: the one member that writes machines' records
+// in a term. Only one does, so that no machine is ever in two blocks.
+type pen struct {
+	wanted  map[protocol.MachineID]RecordChange
+	busy    bool            // a transaction is under way
+	writing map[string]Time // blocks written whose change has not been seen yet, and when
+	// bound are the blocks that were to take machines that are in none. Such a
+	// write may be without an answer and executed late, so they go nowhere else:
+	// of two writes of the same block, on the same version, one at most happens.
+	bound   map[protocol.MachineID]string
+	stamps  uint64
+	retryAt Time
+}
+
+func newPen() pen {
+	return pen{wanted: map[protocol.MachineID]RecordChange{}, writing: map[string]Time{}, bound: map[protocol.MachineID]string{}}
+}
+
+type penTag struct {
+	writes  []blocks.Write
+	dropped []protocol.MachineID // whose records of their own go
+}
+
+// Timings of the registrar.
+const (
+	// askAgain is after how long without a change of the record the registrar
+	// is asked once more.
+	askAgain = 2 * time.Second
+	// seenWithin is how long a block just written is left alone: its change
+	// arrives by the watch, and writing it before would fail.
+	seenWithin = 3 * time.Second
+	penPause   = 300 * time.Millisecond
+)
+
+// registrar is the member that writes machines' records.
+func (c *Core) registrar() protocol.NodeName { return rendezvous(c.view, "machine records") }
+
+// inBlocks reports whether machines are recorded in blocks in this term.
+func (c *Core) inBlocks() bool { return c.view.Layout >= bookkeeping.LayoutBlocks }
+
+// recordWanted takes note of what a keeper asks for. What was asked for before
+// for the same machine is out of date.
+func (c *Core) recordWanted(r RecordChange) {
+	if r.Term == c.view.Term && c.inBlocks() && c.registrar() == c.self {
+		c.pen.wanted[r.Machine] = r
+	}
+}
+
+// writeBlocks writes the records that are asked for, as many at a time as one
+// transaction holds. It holds only in the present view, like every record of a
+// machine: who reads the records after a new view misses none, and a registrar
+// that others have replaced writes nothing.
+func (c *Core) writeBlocks() {
+	p := &c.pen
+	if len(p.wanted) == 0 || p.busy || c.now < p.retryAt || !c.acting() {
+		return
+	}
+	limits := blocks.LimitsOf(c.settings.Site.State.ValueKB, c.settings.Site.State.TxnOps)
+	txn := protocol.Txn{If: []protocol.Condition{c.inThisView()}}
+	dropSingle := func(id protocol.MachineID, version protocol.Version) {
+		key := bookkeeping.MachineKey(id)
+		txn.If = append(txn.If, protocol.Condition{Key: key, Version: version})
+		txn.Then = append(txn.Then, protocol.Change{Delete: key})
+	}
+	var tag penTag
+	var changes []blocks.Change
+	for id, r := range inOrder(p.wanted) {
+		ch, due := c.blockChange(id, r)
+		switch {
+		case !due:
+			delete(p.wanted, id)
+			delete(p.bound, id)
+		case ch.Entry == nil && ch.Single != 0:
+			// In no block, and not to be: its own record goes, that is all.
+			if 2*len(txn.Then) < limits.Ops {
+				dropSingle(id, ch.Single)
+				tag.dropped = append(tag.dropped, id)
+			}
+		default:
+			changes = append(changes, ch)
+		}
+	}
+	busy := func(name string) bool {
+		at, ok := p.writing[name]
+		return ok && c.since(at) < seenWithin
+	}
+	limits.Ops -= len(txn.Then)
+	tag.writes = c.shelf.Pack(changes, busy, limits)
+	for _, w := range tag.writes {
+		key := bookkeeping.BlockKey(w.Block)
+		txn.If = append(txn.If, protocol.Condition{Key: key, Version: w.Version})
+		if len(w.Entries) == 0 {
+			txn.Then = append(txn.Then, protocol.Change{Delete: key})
+		} else {
+			txn.Then = append(txn.Then, protocol.Change{Put: key, Value: bookkeeping.Block{Machines: w.Entries}})
+		}
+		p.writing[w.Block] = c.now
+		for _, ch := range w.Changes {
+			if ch.Single != 0 {
+				dropSingle(ch.Machine, ch.Single)
+			}
+			if _, ok := c.shelf.Where(ch.Machine); !ok {
+				p.bound[ch.Machine] = w.Block
+			}
+		}
+	}
+	if len(txn.Then) == 0 {
+		return
+	}
+	p.busy = true
+	c.do(Commit{Tag: tag, Txn: txn})
+}
+
+// blockChange is what a machine's record needs still, if anything.
+func (c *Core) blockChange(id protocol.MachineID, r RecordChange) (ch blocks.Change, due bool) {
+	m := c.machines[id]
+	have := protocol.Version(0)
+	if m != nil {
+		have = m.epoch
+	}
+	if have != r.Have {
+		return ch, false // it has changed since: asked again if that is not enough
+	}
+	ch = blocks.Change{Machine: id, Bound: c.pen.bound[id]}
+	if m != nil && !m.inBlock {
+		ch.Single = m.epoch
+	}
+	if r.To != nil {
+		// No stamp is given twice, and none is the version of a record of the
+		// other layout: terms are above 0, revisions far below 2^32.
+		c.pen.stamps++
+		ch.Entry = &bookkeeping.BlockEntry{ID: id, Epoch: protocol.Version(uint64(c.view.Term)<<32 | c.pen.stamps), Machine: *r.To}
+	}
+	return ch, m != nil || r.To != nil
+}
+
+// blocksWritten takes the outcome. Only a change that is seen in the records
+// counts; until then a block that may have been written is left alone.
+func (c *Core) blocksWritten(tag penTag, out Outcome) {
+	p := &c.pen
+	p.busy = false
+	if out == OutcomeDone {
+		for _, id := range tag.dropped {
+			delete(p.wanted, id)
+		}
+		return
+	}
+	p.retryAt = c.after(penPause)
+	for _, w := range tag.writes {
+		delete(p.writing, w.Block)
+	}
+}
+
+// blockSeen takes over a block's record.
+func (c *Core) blockSeen(name string, b bookkeeping.Block, version protocol.Version) {
+	delete(c.pen.writing, name)
+	changed, gone := c.shelf.Set(name, version, b.Machines)
+	for _, id := range gone {
+		c.machineGone(id)
+	}
+	for _, e := range changed {
+		c.machineRegistered(e.ID, e.Machine, e.Epoch, true)
+	}
+}
+
+// blockGone: a block's record was deleted.
+func (c *Core) blockGone(name string) {
+	delete(c.pen.writing, name)
+	for _, id := range c.shelf.Drop(name) {
+		c.machineGone(id)
+	}
+}
+
+// changeRecord has a machine's record written or deleted, by the registrar or,
+// where machines have records of their own, by this controller. only says on
+// which conditions beside those of the record itself, in the latter case.
+func (c *Core) changeRecord(tag any, id protocol.MachineID, have protocol.Version, to *bookkeeping.Machine, only ...protocol.Condition) {
+	if c.inBlocks() {
+		c.send(c.registrar(), PeerMessage{Record: &RecordChange{Term: c.view.Term, Machine: id, Have: have, To: to}})
+		return
+	}
+	key := bookkeeping.MachineKey(id)
+	change := protocol.Change{Delete: key}
+	if to != nil {
+		change = protocol.Change{Put: key, Value: *to}
+	}
+	c.do(Commit{Tag: tag, Txn: protocol.Txn{
+		If: append(only, protocol.Condition{Key: key, Version: have}), Then: []protocol.Change{change},
+	}})
+}
--- /dev/null
+++ b/internal/coordination/pen_test.go
@@ -0,0 +1,230 @@
+package coordination
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/standin"
+)
+
+// recorder is a lone core that records machines in blocks, with a state service
+// whose changes of machines' records it counts.
+type recorder struct {
+	*bench
+	state    *standin.State
+	followed int
+	changes  int
+	outcome  func(Commit) Outcome // of a transaction; nil: executed
+	late     []protocol.Txn
+}
+
+func newRecorder(tb testing.TB) *recorder {
+	r := &recorder{bench: newBench(tb), state: standin.NewState()}
+	r.c.reset()
+	lease := r.state.Lease(0, time.Hour)
+	r.step(Snapshot{Session: lease})
+	r.step(Entitled{Until: Time(time.Hour)})
+	r.state.Txn(protocol.Txn{Then: []protocol.Change{{Put: bookkeeping.NodeKey("node-0"), Value: bookkeeping.Node{Session: lease, Layout: bookkeeping.LayoutBlocks}}}})
+	r.settle(5)
+	if !r.c.member() || !r.c.inBlocks() {
+		tb.Fatalf("view %+v", r.c.view)
+	}
+	return r
+}
+
+// settle plays so many ticks with what they bring.
+func (r *recorder) settle(ticks int) {
+	for range ticks {
+		r.carry(r.step(Tick{}))
+		for r.followed < len(r.state.Log) {
+			ev := r.state.Log[r.followed]
+			r.followed++
+			if strings.HasPrefix(ev.Put+ev.Delete, bookkeeping.FollowedPrefix) {
+				r.carry(r.step(Changed{ev}))
+			}
+		}
+	}
+}
+
+func (r *recorder) carry(actions []Action) {
+	for _, a := range actions {
+		c, ok := a.(Commit)
+		if !ok {
+			continue
+		}
+		if _, pen := c.Tag.(penTag); pen {
+			r.changes += len(c.Txn.Then)
+		}
+		out := OutcomeDone
+		if r.outcome != nil {
+			out = r.outcome(c)
+		}
+		switch {
+		case out == OutcomeUnknown:
+			r.late = append(r.late, c.Txn)
+		case out == OutcomeDone && !r.state.Txn(c.Txn):
+			out = OutcomeFailed
+		}
+		r.carry(r.step(TxnDone{Tag: c.Tag, Outcome: out}))
+	}
+}
+
+// wave has so many workers report for the first time, or with a later session,
+// all at once.
+func (r *recorder) wave(machines int, session protocol.Session) {
+	for i := range machines {
+		r.seq++
+		r.now++
+		r.carry(r.c.Step(r.now, Reported{protocol.Report{
+			Machine: protocol.MachineID(fmt.Sprintf("vm-%06d", i)), Address: "10.1.0.1:9000", Type: "small", Zone: "a", Session: session, Seq: r.seq,
+		}}))
+	}
+}
+
+func (r *recorder) registered(session protocol.Session) int {
+	n := 0
+	for _, m := range r.c.machines {
+		if m.rec.Session == session {
+			n++
+		}
+	}
+	return n
+}
+
+// TestWaveCostsFewChanges: 1,300 workers that register at once, and that come
+// back with a later session at once, cost a change of the state service for
+// some 50 of them. One record for each took 1,300.
+func TestWaveCostsFewChanges(t *testing.T) {
+	const machines = 1300
+	r := newRecorder(t)
+	for session := protocol.Session(1); session <= 2; session++ {
+		r.changes = 0
+		r.wave(machines, session)
+		r.settle(60)
+		if n := r.registered(session); n != machines {
+			t.Fatalf("session %d: %d of %d registered", session, n, machines)
+		}
+		if r.changes > 2*machines/64+10 {
+			t.Errorf("session %d: %d changes for %d machines", session, r.changes, machines)
+		}
+		t.Logf("session %d: %d changes", session, r.changes)
+	}
+}
+
+// TestLateWriteOfBlocks: a write of blocks without an answer, executed much
+// later, puts no machine into two blocks and brings back no record.
+func TestLateWriteOfBlocks(t *testing.T) {
+	r := newRecorder(t)
+	r.wave(40, 1)
+	r.settle(10)
+	lost := 2
+	r.outcome = func(c Commit) Outcome {
+		if _, pen := c.Tag.(penTag); pen && lost > 0 {
+			lost--
+			return OutcomeUnknown
+		}
+		return OutcomeDone
+	}
+	r.wave(100, 1) // 60 new ones
+	r.settle(3)
+	r.wave(20, 2)
+	r.settle(30)
+	if n := r.registered(1) + r.registered(2); n != 100 || r.registered(2) != 20 {
+		t.Fatalf("%d registered, %d with the later session", n, r.registered(2))
+	}
+	if len(r.late) != 2 {
+		t.Fatalf("%d writes without an answer", len(r.late))
+	}
+	for _, txn := range r.late {
+		r.state.Txn(txn)
+	}
+	r.settle(5)
+	in := map[protocol.MachineID]string{}
+	for _, it := range r.state.List(bookkeeping.BlockKey("")) {
+		var b bookkeeping.Block
+		if err := protocol.Decode(it.Value, &b); err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range b.Machines {
+			if other, twice := in[e.ID]; twice {
+				t.Errorf("%s is in %s and in %s", e.ID, other, it.Key)
+			}
+			in[e.ID] = it.Key
+		}
+	}
+	if len(in) != 100 || r.registered(2) != 20 {
+		t.Errorf("%d machines in blocks, %d with the later session", len(in), r.registered(2))
+	}
+}
+
+// TestSilentMachineLeavesItsBlock: a machine silent for longer than its lease
+// goes from its block, and one recorded by an earlier version, in a record of
+// its own, goes with that.
+func TestSilentMachineLeavesItsBlock(t *testing.T) {
+	r := newRecorder(t)
+	rec := bookkeeping.Machine{Session: 1, Address: "x", Type: "small", Zone: "a"}
+	r.state.Txn(protocol.Txn{Then: []protocol.Change{{Put: bookkeeping.MachineKey("vm-old"), Value: rec}}})
+	r.state.Txn(protocol.Txn{Then: []protocol.Change{{Put: bookkeeping.MachineKey("vm-000000"), Value: rec}}})
+	r.settle(2)
+	epoch := r.c.machines["vm-000000"].epoch
+	r.wave(1, 2) // comes back with a later session: moves into a block
+	r.settle(5)
+	if m := r.c.machines["vm-000000"]; m == nil || !m.inBlock || m.epoch <= epoch {
+		t.Fatalf("not moved into a block: %+v", m)
+	}
+	if _, there := r.state.Get(bookkeeping.MachineKey("vm-000000")); there {
+		t.Error("its own record is still there")
+	}
+	r.now += Time(r.c.leaseOver())
+	r.settle(60)
+	if len(r.c.machines) != 0 || r.c.shelf.Len() != 0 || len(r.state.List(bookkeeping.FollowedPrefix)) != 2 {
+		t.Errorf("%d machines, %d blocks, records %v", len(r.c.machines), r.c.shelf.Len(), r.state.List(bookkeeping.FollowedPrefix))
+	}
+}
+
+// TestOlderVersionStaysOut: while one member does not know blocks, machines have
+// records of their own; once blocks are in use, a controller that does not know
+// them is not taken into the view, and could not read it.
+func TestOlderVersionStaysOut(t *testing.T) {
+	b := newBench(t)
+	// node records a controller, and returns the view that is written for it.
+	node := func(name protocol.NodeName, session protocol.LeaseID, l bookkeeping.Layout) (v bookkeeping.View) {
+		for _, a := range append(b.put(bookkeeping.NodeKey(name), bookkeeping.Node{Session: session, Layout: l}), b.step(Tick{})...) {
+			if c, ok := a.(Commit); ok && c.Tag == (viewTag{}) {
+				v = c.Txn.Then[0].Value.(bookkeeping.View)
+			}
+		}
+		b.step(TxnDone{Tag: viewTag{}, Outcome: OutcomeDone})
+		return v
+	}
+	node("node-0", 100, bookkeeping.LayoutBlocks)
+	b.view(2, "node-0")
+	v := node("node-1", 101, 0)
+	if len(v.Members) != 2 || v.Layout != bookkeeping.LayoutSingle {
+		t.Fatalf("view %+v", v)
+	}
+	b.put(bookkeeping.ViewKey, v)
+	node("node-0", 100, bookkeeping.LayoutBlocks)
+	if v = node("node-1", 201, bookkeeping.LayoutBlocks); v.Members["node-1"] != 201 || v.Layout != bookkeeping.LayoutBlocks {
+		t.Fatalf("view %+v", v)
+	}
+	b.put(bookkeeping.ViewKey, v)
+	raw, err := protocol.Encode(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var older struct {
+		Term    protocol.Term                          `cbor:"term"`
+		Members map[protocol.NodeName]protocol.LeaseID `cbor:"members"`
+	}
+	if err := protocol.Decode(raw, &older); err == nil {
+		t.Error("an older version can read a view of blocks")
+	}
+	if v = node("node-1", 301, bookkeeping.LayoutSingle); len(v.Members) != 1 || v.Layout != bookkeeping.LayoutBlocks {
+		t.Errorf("view %+v", v)
+	}
+}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -30,6 +30,7 @@
 	sole        bool         // kept here without a break since the worker saw a term of that: nobody else can have started anything
 	registering bool
 	removing    bool
+	asked       Time // when the registrar was last asked for either
 	commanding  bool // a direct command has no answer yet
 	push        bool // something may be started at once
 	notice      *float64
@@ -103,7 +104,7 @@
 			continue
 		}
 		q.lastAnswer = c.answered(q)
-		q.inventoried = false
+		q.inventoried, q.registering, q.removing = false, false, false
 		if !keeps {
 			q.known, q.sole = false, false
 		}
--- a/internal/coordination/registration.go
+++ b/internal/coordination/registration.go
@@ -12,22 +12,21 @@
 // every machine that has to be asked. It holds only in the present view:
 // who reads the records after a new view misses none.
 func (c *Core) register(q *queue, r protocol.Report) {
-	if q.registering {
+	if q.registering && !(c.inBlocks() && c.since(q.asked) > askAgain) {
 		return
 	}
-	q.registering = true
+	q.registering, q.asked = true, c.now
 	var have protocol.Version
 	if m := c.machines[q.id]; m != nil {
 		have = m.epoch
 	}
 	rec := bookkeeping.Machine{Session: r.Session, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}
-	c.do(Commit{Tag: registerTag{q.id, r.Session}, Txn: protocol.Txn{
-		If: []protocol.Condition{
-			{Key: bookkeeping.ViewKey, Version: c.viewVersion},
-			{Key: bookkeeping.MachineKey(q.id), Version: have},
-		},
-		Then: []protocol.Change{{Put: bookkeeping.MachineKey(q.id), Value: rec}},
-	}})
+	c.changeRecord(registerTag{q.id, r.Session}, q.id, have, &rec, c.inThisView())
+}
+
+// inThisView is the condition that the view is unchanged.
+func (c *Core) inThisView() protocol.Condition {
+	return protocol.Condition{Key: bookkeeping.ViewKey, Version: c.viewVersion}
 }
 
 func (c *Core) registrationDone(tag registerTag, _ Outcome) {
@@ -38,19 +37,19 @@
 
 // machineRegistered takes over a machine's record. A changed record proves
 // that everything placed by the one before is gone.
-func (c *Core) machineRegistered(id protocol.MachineID, rec bookkeeping.Machine, version protocol.Version) {
+func (c *Core) machineRegistered(id protocol.MachineID, rec bookkeeping.Machine, version protocol.Version, inBlock bool) {
 	m := c.machines[id]
-	if m != nil && m.epoch >= version {
+	if m != nil && (m.epoch == version || m.inBlock && !inBlock || m.inBlock == inBlock && m.epoch > version) {
 		return
 	}
 	if m != nil {
 		c.loseMachine(m)
 	}
-	m = &machineEntry{id: id, rec: rec, epoch: version, info: c.types[rec.Type], mine: map[protocol.TaskID]*placedTask{}}
+	m = &machineEntry{id: id, rec: rec, epoch: version, inBlock: inBlock, info: c.types[rec.Type], mine: map[protocol.TaskID]*placedTask{}}
 	c.addMachine(m)
 	c.owner.dirty = true
 	if q := c.queues[id]; q != nil && q.session == rec.Session {
-		q.epoch = version
+		q.epoch, q.registering = version, false
 		c.touch(q)
 	} else if q == nil && c.member() && c.keeper(id) == c.self {
 		c.keep(id).registered(m)
@@ -91,22 +90,16 @@
 			q.silence = s
 			c.touch(q)
 		}
-		if c.allSince == 0 || q.removing || quiet <= lease {
+		if c.allSince == 0 || quiet <= lease || q.removing && !(c.inBlocks() && c.since(q.asked) > askAgain) {
 			continue
 		}
 		m := c.machines[q.id]
 		if m == nil {
 			continue
 		}
-		q.removing = true
+		q.removing, q.asked = true, c.now
 		c.log.Info("machine silent for longer than its lease: its tasks are gone", "machine", q.id, "silent", quiet.Round(time.Second))
-		c.do(Commit{Tag: removeTag{q.id}, Txn: protocol.Txn{
-			If: []protocol.Condition{
-				{Key: bookkeeping.ViewKey, Version: c.viewVersion},
-				{Key: bookkeeping.MachineKey(q.id), Version: m.epoch},
-			},
-			Then: []protocol.Change{{Delete: bookkeeping.MachineKey(q.id)}},
-		}})
+		c.changeRecord(removeTag{q.id}, q.id, m.epoch, nil, c.inThisView())
 	}
 }
 
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/protocol"
 )
@@ -111,6 +112,7 @@
 	job      func(*world) protocol.Job
 	lasts    time.Duration
 	empty    bool // no machine is up at the start
+	old      bool // controllers record machines singly until they are restarted
 	teams    []config.Team
 	trouble  func(*world) // beside those that every day has
 }
@@ -127,6 +129,11 @@
 		up = 0
 	}
 	w := newWorld(t, uint64(seed), settings, d.machines, up)
+	if d.old {
+		for _, n := range w.nodes {
+			n.layout = bookkeeping.LayoutSingle
+		}
+	}
 	w.run(3 * time.Second)
 	for w.now < d.lasts {
 		if w.rng.IntN(3) > 0 {
@@ -215,7 +222,7 @@
 func TestRulesHold(t *testing.T) {
 	for seed := range seeds(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			day{machines: 9, job: (*world).randomJob, lasts: 150 * time.Second}.play(t, seed)
+			day{machines: 9, job: (*world).randomJob, lasts: 150 * time.Second, old: seed%2 == 0}.play(t, seed)
 		})
 	}
 }
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -49,7 +49,7 @@
 	}
 	_, err = n.state.Txn(ctx, protocol.Txn{
 		If:   []protocol.Condition{{Key: key, Version: have}},
-		Then: []protocol.Change{{Put: key, Value: bookkeeping.Node{Session: lease}, Lease: &lease}},
+		Then: []protocol.Change{{Put: key, Value: bookkeeping.Node{Session: lease, Layout: n.layout()}, Lease: &lease}},
 	}, bookkeeping.First)
 	if err != nil {
 		return fmt.Errorf("enter: %w", err)
@@ -65,6 +65,14 @@
 	return n.extend(ctx, lease, l, followEnd)
 }
 
+// layout is the latest layout of machines' records that this controller uses.
+func (n *Node) layout() bookkeeping.Layout {
+	if n.op.SingleRecords {
+		return bookkeeping.LayoutSingle
+	}
+	return bookkeeping.LayoutBlocks
+}
+
 func (n *Node) readRecords(ctx context.Context) ([]protocol.Item, protocol.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
 	defer cancel()
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -96,19 +96,16 @@
 	if c.session == 0 || c.now >= c.until || c.writingView || c.now < c.viewRetry {
 		return
 	}
-	if c.nodes[c.self] != c.session {
+	want, layout := c.wantMembers()
+	if want[c.self] != c.session {
 		return // not present itself: it has no say
 	}
-	want := map[protocol.NodeName]protocol.LeaseID{}
-	for n, s := range c.nodes {
-		want[n] = s
-	}
 	deaf := c.deafNodes(want)
-	if sameMembers(want, c.view.Members) && slices.Equal(deaf, c.view.Deaf) && !c.raise {
+	if sameMembers(want, c.view.Members) && layout == c.view.Layout && slices.Equal(deaf, c.view.Deaf) && !c.raise {
 		return
 	}
 	c.writingView = true
-	next := bookkeeping.View{Term: c.view.Term + 1, Members: want, Deaf: deaf}
+	next := bookkeeping.View{Term: c.view.Term + 1, Members: want, Deaf: deaf, Layout: layout}
 	c.do(Commit{Tag: viewTag{}, Txn: protocol.Txn{
 		If: []protocol.Condition{
 			{Key: bookkeeping.ViewKey, Version: c.viewVersion},
@@ -117,6 +114,23 @@
 	}})
 }
 
+// wantMembers is who should be in the view, and how machines are recorded then:
+// in the latest way that all of them know. Once it is in use, who does not know
+// it stays out: it would miss machines that may hold tasks.
+func (c *Core) wantMembers() (map[protocol.NodeName]protocol.LeaseID, bookkeeping.Layout) {
+	want := map[protocol.NodeName]protocol.LeaseID{}
+	least := bookkeeping.LayoutBlocks
+	for name, n := range c.nodes {
+		l := max(n.Layout, bookkeeping.LayoutSingle)
+		if l < c.view.Layout {
+			continue
+		}
+		want[name] = n.Session
+		least = min(least, l)
+	}
+	return want, max(least, c.view.Layout)
+}
+
 func sameMembers(a, b map[protocol.NodeName]protocol.LeaseID) bool {
 	if len(a) != len(b) {
 		return false
@@ -139,6 +153,7 @@
 	wasMember := c.member()
 	c.view, c.viewVersion = v, version
 	clear(c.keepers)
+	c.pen = newPen()
 	c.viewRetry, c.raise = 0, false
 	c.adoptPeers(v)
 	c.hearing.adopted(v, c.self, c.now)
@@ -242,6 +257,8 @@
 		c.relayed(from, m.Relay)
 	case m.Drain != nil:
 		c.drain(*m.Drain)
+	case m.Record != nil:
+		c.recordWanted(*m.Record)
 	case m.AskTable:
 		c.sendTable(from)
 	case m.Table != nil:
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -43,6 +44,8 @@
 	results   map[protocol.TaskID]bool
 	onMachine map[protocol.TaskID]*standin.Worker
 	starts    int
+
+	blockWrites int
 }
 
 type cut struct {
@@ -57,6 +60,7 @@
 	outboxes map[protocol.NodeName]*simOutbox
 	session  protocol.LeaseID
 	followed int
+	layout   bookkeeping.Layout
 	extendAt time.Duration
 	born     time.Duration
 }
@@ -128,7 +132,7 @@
 		w.boot(ids[0], r)
 	}
 	for i := range 3 {
-		n := &simNode{name: protocol.NodeName(fmt.Sprint("node-", i))}
+		n := &simNode{name: protocol.NodeName(fmt.Sprint("node-", i)), layout: bookkeeping.LayoutBlocks}
 		w.nodes = append(w.nodes, n)
 		w.startNode(n)
 	}
@@ -352,6 +356,7 @@
 	life := n.life
 	w.after(6*time.Second, func() {
 		if n.life == life {
+			n.layout = bookkeeping.LayoutBlocks
 			w.startNode(n)
 		}
 	})
@@ -372,7 +377,7 @@
 	it, _ := w.state.Get(key)
 	w.state.Txn(protocol.Txn{
 		If:   []protocol.Condition{{Key: key, Version: it.Version}},
-		Then: []protocol.Change{{Put: key, Value: bookkeeping.Node{Session: lease}, Lease: &lease}},
+		Then: []protocol.Change{{Put: key, Value: bookkeeping.Node{Session: lease, Layout: n.layout}, Lease: &lease}},
 	})
 	n.session, n.followed, n.extendAt = lease, at, w.now
 	w.stepNode(n, Snapshot{Session: lease, Items: items, WallMS: 1 + w.now.Milliseconds()})
@@ -448,6 +453,7 @@
 // commit applies a transaction; behind a cut it may be applied late, with no
 // answer.
 func (w *world) commit(n *simNode, a Commit) {
+	w.checkSize(a)
 	if !w.stateReachable(n) {
 		c := w.cuts[string(n.name)+">state"]
 		if c.hold && w.outage <= w.now {
@@ -473,6 +479,24 @@
 	w.later(n, TxnDone{Tag: a.Tag, Outcome: out})
 }
 
+// checkSize holds a transaction against the limits of the state service.
+func (w *world) checkSize(a Commit) {
+	s := w.settings.Site.State
+	if ops := len(a.Txn.Then); ops > s.TxnOps || len(a.Txn.If) > 4*s.TxnOps {
+		w.t.Fatalf("%v transaction %T of %d conditions and %d changes", w.now, a.Tag, len(a.Txn.If), ops)
+	}
+	total := 0
+	for _, ch := range a.Txn.Then {
+		if b, ok := ch.Value.(bookkeeping.Block); ok {
+			w.blockWrites++
+			text, err := json.Marshal(b)
+			if total += len(text); err != nil || float64(len(text)) > 1024*s.ValueKB || total > 64<<10 {
+				w.t.Fatalf("%v value of %d bytes, %d in all, %v", w.now, len(text), total, err)
+			}
+		}
+	}
+}
+
 func (w *world) command(n *simNode, a Command) {
 	life := n.life
 	answered := false
