Controllers lend one another what they do not need of the state service

Need: the state service's rates were shared out equally, though one controller often does nearly all the work: the registrar when machines come back, or whoever is left while others restart.

Change: package shares. Each regular message asks for what its sender could use beyond its share; peers that need less lend for a few seconds. A loan is used until a while after it was asked for, by the borrower's clock, and missed until a longer while after it was lent, so it is never in use twice (docs/state-shares.md). What ends is enforced where requests are made, not by a timer. Lease extensions never wait.

--- a/internal/bookkeeping/state.go
+++ b/internal/bookkeeping/state.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"damsonkeel/internal/protocol"
@@ -38,24 +39,88 @@
 type State struct {
 	client *transport.Client
 	follow *transport.Client
+	opens  *rate.Limiter // watches opened
+
+	mu     sync.Mutex
 	reads  *rate.Limiter // all requests
 	writes *rate.Limiter // puts and deletes
-	opens  *rate.Limiter // watches opened
+	own    Share         // what is left when loans are over
+	until  time.Time     // when the first of them is; zero: there are none
+	asked  Share         // since last told
 }
 
+// Share is a part of the service's rates: requests and changes a second.
+type Share struct{ Requests, Writes float64 }
+
 // NewState makes a client. The configured rates hold for all controllers
-// together; each takes an equal share, a tenth of it kept back for the lease.
+// together; each takes an equal share, a tenth of it kept back for the lease,
+// until SetShare says otherwise.
 func NewState(addr string, rps, writeRPS float64, count int) *State {
 	share := 0.9 / float64(count)
 	return &State{
 		client: transport.NewClient(addr),
 		follow: transport.NewClient(addr),
-		reads:  rate.NewLimiter(rate.Limit(rps*share), max(1, int(rps*share))),
-		writes: rate.NewLimiter(rate.Limit(writeRPS*share), max(1, int(writeRPS*share))),
+		reads:  rate.NewLimiter(rate.Limit(rps*share), burst(rps*share)),
+		writes: rate.NewLimiter(rate.Limit(writeRPS*share), burst(writeRPS*share)),
 		opens:  rate.NewLimiter(rate.Limit(rps*share/4), 1),
 	}
 }
 
+// burst is what may be used at once of a rate: a second's worth.
+func burst(perSecond float64) int { return max(1, int(perSecond)) }
+
+// SetShare sets what may be used of the rates: all until a time, if that is not
+// past, and then own.
+func (s *State) SetShare(own, all Share, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.own, s.until = own, time.Time{}
+	if !until.After(now) {
+		s.apply(now, own)
+		return
+	}
+	s.until = until
+	s.apply(now, all)
+}
+
+func (s *State) apply(now time.Time, share Share) {
+	s.reads.SetLimitAt(now, rate.Limit(share.Requests))
+	s.reads.SetBurstAt(now, burst(share.Requests))
+	s.writes.SetLimitAt(now, rate.Limit(share.Writes))
+	s.writes.SetBurstAt(now, burst(share.Writes))
+}
+
+// Asked is what was asked for since it was last called, within the share or
+// not.
+func (s *State) Asked() Share {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.asked
+	s.asked = Share{}
+	return a
+}
+
+// ask takes a request with n changes out of the share. One that is not to be
+// held back is counted, but never refused.
+func (s *State) ask(n int, p Precedence, heldBack bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if !s.until.IsZero() && now.After(s.until) {
+		// Whoever lent takes it back, whether or not anybody here has noticed.
+		s.until = time.Time{}
+		s.apply(now, s.own)
+	}
+	s.asked.Requests++
+	s.asked.Writes += float64(n)
+	if !heldBack {
+		s.reads.AllowN(now, 1)
+		return true
+	}
+	return !s.yields(now, n, p) && s.reads.AllowN(now, 1) && s.writes.AllowN(now, n)
+}
+
 func (s *State) do(ctx context.Context, method, target string, in, out any) error {
 	return call(ctx, s.client, callTimeout, method, target, in, out)
 }
@@ -105,7 +170,7 @@
 // Get reads a key.
 func (s *State) Get(ctx context.Context, key string) (protocol.Item, error) {
 	var it protocol.Item
-	if !s.reads.Allow() {
+	if !s.ask(0, First, true) {
 		return it, ErrRefused
 	}
 	err := s.do(ctx, "GET", "/keys/"+key, nil, &it)
@@ -119,6 +184,9 @@
 	var rev protocol.Revision
 	from := ""
 	for {
+		s.mu.Lock()
+		s.asked.Requests++
+		s.mu.Unlock()
 		if err := s.reads.Wait(ctx); err != nil {
 			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
 		}
@@ -160,8 +228,7 @@
 
 // Txn executes a transaction and returns its revision.
 func (s *State) Txn(ctx context.Context, t protocol.Txn, p Precedence) (protocol.Revision, error) {
-	now := time.Now()
-	if s.yields(now, len(t.Then), p) || !s.reads.Allow() || !s.writes.AllowN(now, len(t.Then)) {
+	if !s.ask(len(t.Then), p, true) {
 		return 0, ErrRefused
 	}
 	if t.If == nil {
@@ -178,7 +245,7 @@
 // Lease asks for a lease.
 func (s *State) Lease(ctx context.Context, ttl time.Duration) (protocol.LeaseID, error) {
 	var reply protocol.LeaseReply
-	s.reads.Allow()
+	s.ask(0, First, false)
 	err := s.do(ctx, "POST", "/holds", protocol.LeaseRequest{TTLMS: ttl.Milliseconds()}, &reply)
 	return reply.Lease, err
 }
@@ -186,7 +253,7 @@
 // Extend renews a lease. It never waits for the budget: everything else
 // yields to it.
 func (s *State) Extend(ctx context.Context, id protocol.LeaseID) error {
-	s.reads.Allow()
+	s.ask(0, First, false)
 	return s.do(ctx, "POST", "/holds/"+strconv.FormatUint(uint64(id), 10)+"/extend", struct{}{}, nil)
 }
 
@@ -199,7 +266,7 @@
 	if err := s.opens.Wait(ctx); err != nil {
 		return ev, err
 	}
-	s.reads.Allow()
+	s.ask(0, First, false)
 	ctx, cancel := context.WithTimeout(ctx, hold+3*time.Second)
 	defer cancel()
 	target := fmt.Sprintf("/follow?starts=%s&from=%d&hold_ms=%d", url.QueryEscape(prefix), from, hold.Milliseconds())
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -12,6 +12,7 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/blocks"
+	"damsonkeel/internal/coordination/shares"
 	"damsonkeel/internal/protocol"
 )
 
@@ -64,11 +65,14 @@
 	// sessionFloor is the first session of a machine that may be alive: a
 	// report of an earlier one was held back by the network.
 	sessionFloor map[protocol.MachineID]protocol.Session
-	shelf        *blocks.Shelf // blocks of machines' records
-	pen          pen
-	peers        map[protocol.NodeName]*peer
-	spots        spotRisk
-	fleet        fleetState
+	// shares outlives sessions: what was lent in the last one is still lent.
+	shares *shares.Book[protocol.LeaseID]
+	share  SetShare      // as last set
+	shelf  *blocks.Shelf // blocks of machines' records
+	pen    pen
+	peers  map[protocol.NodeName]*peer
+	spots  spotRisk
+	fleet  fleetState
 
 	lastRelay  Time
 	nextPlaced Time     // not placed again before
@@ -126,6 +130,9 @@
 func (c *Core) Step(now Time, msg any) []Action {
 	c.now = now
 	c.out = nil
+	if c.shares == nil {
+		c.shares = shares.NewBook[protocol.LeaseID](c.equalShare(), shares.Time(now))
+	}
 	switch m := msg.(type) {
 	case Snapshot:
 		c.reset()
@@ -136,6 +143,11 @@
 		for _, it := range m.Items {
 			c.record(it.Key, it.Value, it.Version, true)
 		}
+		if _, was := c.nodes[c.self]; !was && c.op.NodeLease >= shares.LoanMost {
+			// An earlier process of this controller was gone for its whole
+			// lease: what it lent is over.
+			c.shares.NothingLent()
+		}
 	case Changed:
 		c.changed(m.Event)
 	case Entitled:
@@ -149,7 +161,10 @@
 	case Received:
 		c.received(m.Batch)
 	case Tick:
+		c.setShare()
 		c.tick()
+	case StateAsked:
+		c.shares.Used(m.Amount)
 	case TxnDone:
 		c.txnDone(m)
 	case JobLoaded:
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -3,6 +3,7 @@
 import (
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/relay"
+	"damsonkeel/internal/coordination/shares"
 	"damsonkeel/internal/protocol"
 )
 
@@ -171,6 +172,10 @@
 	Progress []Progress
 
 	Demand []Demand // all of it, each time
+
+	// Ask and Loan share out the state service's rates by need (package shares).
+	Ask  shares.Ask
+	Loan *shares.Loan
 }
 
 // PeerMessage is one message between controllers; one field is set.
@@ -233,6 +238,9 @@
 	Received struct{ Batch Batch }
 	// Tick lets time pass.
 	Tick struct{}
+	// StateAsked says what was asked of the state service in the last second,
+	// within this controller's share or not.
+	StateAsked struct{ Amount shares.Amount }
 	// TxnDone answers a Commit.
 	TxnDone struct {
 		Tag     any
@@ -320,6 +328,12 @@
 	Rent struct{ Request protocol.RentRequest }
 	// Delete returns machines to the cloud.
 	Delete struct{ Machines []protocol.MachineID }
+	// SetShare sets what may be used of the state service's rates: All until a
+	// time, from then on only Own.
+	SetShare struct {
+		Own, All shares.Amount
+		Until    Time
+	}
 	// ListMachines reads the cloud's list.
 	ListMachines struct{}
 )
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -10,12 +10,14 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/shares"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
 )
 
 const (
 	mailboxSize   = 2048
+	askedTicks    = 10 // ticks a second
 	tickEvery     = 100 * time.Millisecond
 	catalogueWait = time.Second
 	catalogueKeep = time.Minute
@@ -157,10 +159,13 @@
 func (n *Node) ticks(ctx context.Context) {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
-	for {
+	for i := 1; ; i++ {
 		select {
 		case <-t.C:
 			n.offer(envelope{msg: Tick{}})
+			if i%askedTicks == 0 {
+				n.offer(envelope{msg: StateAsked{shares.Amount(n.state.Asked())}})
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -219,6 +224,8 @@
 				}
 				n.post(Deleted{Machines: a.Machines, OK: err == nil})
 			}()
+		case SetShare:
+			n.state.SetShare(bookkeeping.Share(a.Own), bookkeeping.Share(a.All), n.start.Add(time.Duration(a.Until)))
 		case ListMachines:
 			go func() {
 				list, err := n.cloud.Machines(ctx)
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damsonkeel/internal/coordination/relay"
+	"damsonkeel/internal/coordination/shares"
 	"damsonkeel/internal/protocol"
 )
 
@@ -107,6 +108,11 @@
 // sendRelays passes on what changed: once a relay period to everybody, in
 // between only to those who lack more than one message may hold.
 func (c *Core) sendRelays(regular bool) {
+	var loans map[protocol.LeaseID]shares.Loan
+	if regular {
+		loans = c.shares.Lend(shares.Time(c.now))
+		c.setShare() // before anybody can use what is lent
+	}
 	var same *Relay // as sent to the one before
 	for name, p := range inOrder(c.peers) {
 		t := &p.told
@@ -114,6 +120,10 @@
 			continue
 		}
 		r := &Relay{Term: c.view.Term, Acting: c.acting(), HaveMachines: t.machinesFrom.Have(), HaveJobs: t.jobsFrom.Have()}
+		r.Ask = c.shares.Asks(shares.Time(c.now))
+		if l, ok := loans[p.session]; ok {
+			r.Loan = &l
+		}
 		if same == nil {
 			r.Demand = c.demand()
 		} else {
@@ -174,6 +184,12 @@
 		p.actingAt = c.now
 	}
 	p.demand = r.Demand
+	if from != c.self {
+		c.shares.Heard(p.session, r.Ask, shares.Time(c.now))
+		if r.Loan != nil {
+			c.shares.Borrowed(p.session, *r.Loan)
+		}
+	}
 	if r.Term == c.view.Term {
 		t := &p.told
 		t.machinesTo.Heard(r.HaveMachines)
@@ -265,12 +281,35 @@
 	return m.by != nil && m.by == c.peers[c.keeper(m.id)] && c.since(m.by.told.at) <= d
 }
 
+// equalShare is this controller's part of the state service's rates before
+// anything is lent: a tenth is kept back for leases.
+func (c *Core) equalShare() shares.Amount {
+	st := c.settings.Site.State
+	return shares.Amount{Requests: st.RPS, Writes: st.WriteRPS}.Times(0.9 / float64(max(c.settings.Site.Count, 1)))
+}
+
+// setShare has what may be used now set, if that has changed.
+func (c *Core) setShare() {
+	now := shares.Time(c.now)
+	s := SetShare{Own: c.shares.Own(now), All: c.shares.Share(now)}
+	if until, ok := c.shares.Until(now); ok {
+		s.Until = Time(until)
+	}
+	if s != c.share {
+		c.share = s
+		c.do(s)
+	}
+}
+
 // mergeRelays is one message that says what two in a row do.
 func mergeRelays(before, after *Relay) *Relay {
 	if before.Term != after.Term {
 		return after // another stream
 	}
 	merged := *after
+	if merged.Loan == nil {
+		merged.Loan = before.Loan
+	}
 	if merged.Machines.Follows(before.Machines) {
 		merged.Machines.From = before.Machines.From
 		merged.States = latest(before.States, after.States, func(s MachineState) protocol.MachineID { return s.Machine })
