--- a/internal/coordination/intake.go
+++ b/internal/coordination/intake.go
@@ -136,18 +136,7 @@
 		reply(failure(400, err.Error()))
 		return
 	}
-	ok := in.n.offer(envelope{msg: Reported{r}, reply: func(actions []Action) {
-		for _, a := range actions {
-			if rr, ok := a.(ReplyReport); ok {
-				reply(reportAnswer(rr))
-				return
-			}
-		}
-		reply(failure(503, "not entitled"))
-	}})
-	if !ok {
-		reply(failure(503, "busy"))
-	}
+	in.n.reports.add(in.n.now(), pendingReport{r, reply})
 }
 
 func reportAnswer(rr ReplyReport) *transport.Message {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -38,6 +38,7 @@
 	start    time.Time
 
 	mailbox  chan envelope
+	reports  *reports
 	core     *Core
 	outbox   map[protocol.NodeName]*outbox
 	workers  *workerClients
@@ -64,6 +65,7 @@
 		cloud:   bookkeeping.NewCloud(s.Services.Cloud, s.Site.Cloud.RPS),
 		mailbox: make(chan envelope, mailboxSize),
 		outbox:  map[protocol.NodeName]*outbox{},
+		reports: newReports(),
 	}
 	n.core = NewCore(s, op, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), log)
 	for _, m := range s.Members {
@@ -109,6 +111,11 @@
 		var e envelope
 		select {
 		case e = <-n.mailbox:
+		case <-n.reports.ready:
+			var any bool
+			if e, any = n.reports.next(n.now); !any {
+				continue
+			}
 		case <-ctx.Done():
 			return
 		}
--- /dev/null
+++ b/internal/coordination/reports_test.go
@@ -0,0 +1,63 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/transport"
+)
+
+// TestReportsAreRefusedAtOnce: beyond what may wait, the report of the machine
+// answered last is refused at once, with when to come back; one that waited too
+// long is refused rather than handed to the core; only an answer that renews the
+// lease counts.
+func TestReportsAreRefusedAtOnce(t *testing.T) {
+	r := newReports()
+	status := map[string]int{}
+	retry := map[string]int{}
+	add := func(now Time, id string) {
+		r.add(now, pendingReport{protocol.Report{Machine: protocol.MachineID(id)}, func(m *transport.Message) {
+			status[id], retry[id] = m.Status, m.RetryAfterS
+		}})
+	}
+	now := Time(1e9)
+	clock := func() Time { return now }
+	answer := func(code int) string {
+		e, ok := r.next(clock)
+		if !ok {
+			t.Fatal("none waits")
+		}
+		e.reply([]Action{ReplyReport{Status: code}})
+		return string(e.msg.(Reported).Report.Machine)
+	}
+	add(now, "vm-answered")
+	add(now, "vm-sent-on")
+	for range 2 {
+		if answer(map[bool]int{true: 200, false: 421}[r.desk.Len() == 2]); len(status) == 0 {
+			t.Fatal("not answered")
+		}
+	}
+	if status["vm-answered"] != 200 || status["vm-sent-on"] != 421 {
+		t.Fatalf("answers %v", status)
+	}
+	clear(status)
+	add(now, "vm-answered")
+	add(now, "vm-sent-on")
+	for i := range reportsMost - 1 {
+		add(now, fmt.Sprint("vm-", i))
+	}
+	if len(status) != 1 || status["vm-answered"] != 503 || retry["vm-answered"] == 0 {
+		t.Fatalf("refused %v, to come back after %v", status, retry)
+	}
+	if id := answer(200); id != "vm-sent-on" {
+		t.Errorf("%s goes first", id)
+	}
+	now += Time(reportPatience) + 1
+	if _, ok := r.next(clock); ok {
+		t.Error("a report given up is handed to the core")
+	}
+	if len(status) != reportsMost+1 || status["vm-7"] != 503 {
+		t.Errorf("%d answered of %d", len(status), reportsMost+1)
+	}
+}
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -176,6 +176,7 @@
 	if w.starts == 0 {
 		t.Error("nothing ran")
 	}
+	t.Logf("%d machines at first, %d jobs, %d starts, at most %d tasks on machines, %d writes of blocks", up, len(w.jobOrder), w.starts, w.mostOn, w.blockWrites)
 }
 
 // whereabouts tells what the controllers know of a job that does not end.
@@ -248,6 +249,47 @@
 	}
 }
 
+// fleetMachines is how large a fleet the generated days of a fleet have;
+// WORLD_MACHINES asks for another.
+func fleetMachines() int {
+	if n, err := strconv.Atoi(os.Getenv("WORLD_MACHINES")); err == nil {
+		return n
+	}
+	return 3000
+}
+
+// TestRulesHoldForAFleet plays days of thousands of machines, that all register
+// at once, with arrays of thousands of tasks, zones cut off, and all controllers
+// gone for longer than the workers' leases.
+func TestRulesHoldForAFleet(t *testing.T) {
+	large := func(w *world) protocol.Job {
+		j := w.randomJob()
+		switch {
+		case j.Team == "bound": // its limit is for the few
+		case j.Kind == protocol.KindGang:
+			j.Tasks = uint32(2 + w.rng.IntN(23))
+		case j.Kind == protocol.KindArray:
+			j.Tasks *= 500
+		}
+		return j
+	}
+	trouble := func(w *world) {
+		d := time.Duration(10+w.rng.IntN(30)) * time.Second
+		if w.rng.IntN(3) > 0 {
+			w.part(w.zoneOf(w.rng.IntN(2)), w.rng.IntN(2) == 0, d, w.rng.IntN(2) == 0)
+			return
+		}
+		for _, n := range w.nodes { // longer than the leases, which last 15 s
+			w.crashFor(n, 20*time.Second)
+		}
+	}
+	for seed := range seeds(1) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			day{machines: fleetMachines(), job: large, lasts: 50 * time.Second, trouble: trouble, old: seed%2 == 0}.play(t, 300_000+seed)
+		})
+	}
+}
+
 // TestRulesHoldForPlants plays days that begin without a machine, with teams
 // that all have limits, zones cut off from everything or from one another for
 // longer than leases and cancellations last, and a cloud that has fewer machines
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -46,6 +46,7 @@
 	starts    int
 
 	blockWrites int
+	mostOn      int // tasks at a time
 }
 
 type cut struct {
@@ -243,6 +244,7 @@
 		w.t.Fatalf("%v ran_twice: %v starts on %s while on %s", w.now, id, m.ID, other.ID)
 	}
 	w.onMachine[id] = m
+	w.mostOn = max(w.mostOn, len(w.onMachine))
 	if at, ok := w.cancelled[id.Job]; ok && (w.now-at).Seconds() > w.settings.Site.Workers.CancelS {
 		w.t.Fatalf("%v ran_cancelled: %v starts on %s", w.now, id, m.ID)
 	}
@@ -350,11 +352,14 @@
 	w.after(w.delay(), func() { w.openSession(n, life) })
 }
 
-func (w *world) crash(n *simNode) {
+func (w *world) crash(n *simNode) { w.crashFor(n, 6*time.Second) }
+
+// crashFor ends a controller's process, and starts it again after a while.
+func (w *world) crashFor(n *simNode, d time.Duration) {
 	n.life++
 	n.core = nil
 	life := n.life
-	w.after(6*time.Second, func() {
+	w.after(d, func() {
 		if n.life == life {
 			n.layout = bookkeeping.LayoutBlocks
 			w.startNode(n)
