Plans by machines that are alike; stuck jobs tried less often on large fleets

Need: each plan went through all machines for each job that waits (199 ms at 15,000 machines and 300 jobs), and each gang that finds no place had all machines looked at ten times a second (1.5 s of a whole core each second at 15,000 machines and 60 gangs).

Change: a plan reckons with machines that are alike in kind, room and load as one lot. Jobs that found no place are tried again so that 30,000 machines are looked at for them in a step at the most; gangs keep their claims meanwhile. The hard cases of the large fleet are tests of 1,300 machines: all controllers gone for longer than the leases, a zone away for 70 s during a roll, a peer frozen for 40 s, a slow state service during a takeover, one controller that keeps all.

--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -69,7 +69,7 @@
 			}
 		}
 	}
-	c.looked += len(s.heap)
+	c.looked += len(c.sorted)
 	heap.Init(s)
 	return s
 }
--- a/internal/coordination/cost_test.go
+++ b/internal/coordination/cost_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/protocol"
 )
 
@@ -284,3 +285,99 @@
 		t.Errorf("%d tasks still queued after the job was cancelled", queued)
 	}
 }
+
+// BenchmarkPlan is one plan for so many jobs that wait, on a fleet that is full.
+func BenchmarkPlan(b *testing.B) {
+	for _, s := range []struct{ machines, tasks int }{{900, 10000}, {15000, 150000}} {
+		b.Run(fmt.Sprintf("%d machines, 300 jobs", s.machines), func(b *testing.B) {
+			f := newBusyFleet(b, s.machines, s.tasks)
+			f.c.fleet.haveList = true
+			f.c.settings.Site.Objectives = append(f.c.settings.Site.Objectives, config.Objective{Kind: "wait", Class: "soon", WithinS: 10, Share: 0.9})
+			var demand []Demand
+			for i := range 300 {
+				id := protocol.JobID(fmt.Sprint("job-waits-", i))
+				f.c.live[id] = &liveJob{Job: protocol.Job{ID: id, Class: "soon", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 20, CPUs: 1, MemoryGB: 1, EstimateS: 10}}
+				demand = append(demand, Demand{Job: id, Unstarted: 20, EstimateS: 10})
+			}
+			f.c.peers["node-0"].demand = demand
+			for b.Loop() {
+				f.c.out = nil
+				f.c.plan()
+			}
+		})
+	}
+}
+
+// BenchmarkStuck is a second of placing while many gangs find no place.
+func BenchmarkStuck(b *testing.B) {
+	for _, s := range []struct{ machines, tasks int }{{900, 10000}, {15000, 150000}} {
+		b.Run(fmt.Sprintf("%d machines, 60 gangs", s.machines), func(b *testing.B) {
+			f := stuckFleet(b, s.machines, s.tasks, 60)
+			for b.Loop() {
+				for range 10 {
+					f.now += Time(placeEvery)
+					f.c.now, f.c.out = f.now, nil
+					f.c.schedule()
+				}
+			}
+			b.ReportMetric(float64(f.c.looked)/float64(b.N), "looked/op")
+		})
+	}
+}
+
+// stuckFleet is a full fleet with gangs that find no place.
+func stuckFleet(tb testing.TB, machines, tasks, gangs int) *busyFleet {
+	f := newBusyFleet(tb, machines, tasks)
+	for i, n := 0, 0; n < gangs; i++ {
+		id := protocol.JobID(fmt.Sprint("job-gang-", i))
+		if rendezvous(f.c.view, "job "+string(id)) != "node-0" {
+			continue
+		}
+		n++
+		f.obey(nil, f.put(bookkeeping.LiveKey(id), protocol.Job{
+			ID: id, Class: "gang", Team: "free", Kind: protocol.KindGang, Priority: "best_effort", Tasks: 4, CPUs: 4, MemoryGB: 1, EstimateS: 10, Image: "i",
+		}))
+	}
+	f.hear(0)
+	f.c.looked = 0
+	return f
+}
+
+// TestStuckJobsAreRetriedLess: on a large fleet, gangs that find no place cost
+// a bounded number of machines looked at each second, however many they are;
+// each is tried again all the same, and placed once there is room.
+func TestStuckJobsAreRetriedLess(t *testing.T) {
+	const machines, gangs = 3000, 100
+	f := stuckFleet(t, machines, 30000, gangs)
+	for range 20 {
+		f.now += Time(placeEvery)
+		f.c.owner.dirty = true
+		f.c.Step(f.now, Tick{})
+	}
+	// Two passes for each gang that is tried: one for room, one to claim.
+	if most := 2 * 20 * 2 * lookedAtOnce; f.c.looked > most || f.c.looked < gangs*machines {
+		t.Errorf("%d machines looked at in 2 s for %d gangs, want %d at the most", f.c.looked, gangs, most)
+	}
+	for _, id := range f.ids[:8] {
+		q := f.c.queues[id]
+		clear(q.entries)
+		q.waiting = nil
+		f.c.touch(q)
+		f.runs[id] = nil
+	}
+	f.hear(0)
+	for range 20 {
+		f.now += Time(placeEvery)
+		f.c.owner.dirty = true
+		f.c.Step(f.now, Tick{})
+	}
+	placed := 0
+	for _, o := range f.c.owner.jobs {
+		if o.Kind == protocol.KindGang && len(o.placed) > 0 {
+			placed++
+		}
+	}
+	if placed != 2 {
+		t.Errorf("%d gangs placed, there is room for 2", placed)
+	}
+}
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -91,6 +91,7 @@
 func (c *Core) zoneRoom(o *ownedJob, claimed claims, shun bool) (now, firm map[protocol.Zone]int) {
 	now, firm = map[protocol.Zone]int{}, map[protocol.Zone]int{}
 	size, none := need(&o.Job), map[protocol.Zone]int{}
+	c.looked += len(c.sorted)
 	for _, m := range c.machinesInOrder() {
 		if c.mayTake(o, m, none) && !claimed.against(o, m) && !(shun && m.rec.Spot) {
 			now[m.rec.Zone] += fit(m.room(), size)
@@ -126,6 +127,7 @@
 		}
 	}
 	left := int(o.Tasks)
+	c.looked += len(c.sorted)
 	for _, m := range c.machinesInOrder() {
 		if left <= 0 {
 			return
@@ -135,11 +137,22 @@
 		}
 		if n := fit(m.firmRoom(o.level), size); n > 0 {
 			claimed[m] = o.level
+			o.claimed = append(o.claimed, m)
 			left -= n
 		}
 	}
 }
 
+// claimAgain claims what a gang claimed when it was last tried, until it is
+// tried again.
+func (c *Core) claimAgain(o *ownedJob, claimed claims) {
+	for _, m := range o.claimed {
+		if c.machines[m.id] == m && !claimed.against(o, m) {
+			claimed[m] = o.level
+		}
+	}
+}
+
 // claimFor bounds how long a gang claims machines: what has not come in the
 // time that several boots take may never come.
 func (c *Core) claimFor(o *ownedJob) time.Duration {
--- /dev/null
+++ b/internal/coordination/hard_test.go
@@ -0,0 +1,180 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"damsonkeel/internal/protocol"
+)
+
+// hardFleet is how many machines the hard cases of a fleet have.
+const hardFleet = 1300
+
+// fleetJob is an array of some hundred tasks of half a machine or a whole one, now and
+// then a gang.
+func fleetJob(w *world) protocol.Job {
+	j := protocol.Job{
+		Class: "array", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: uint32(200 + w.rng.IntN(200)), CPUs: 4, EstimateS: 5,
+		Spot: true,
+	}
+	if w.rng.IntN(4) == 0 {
+		j.Class, j.Kind, j.Tasks, j.CPUs, j.Priority = "gang", protocol.KindGang, uint32(2+w.rng.IntN(11)), 4, "high"
+	}
+	return j
+}
+
+// newFleet is a world whose machines are all up and registered, and so busy that
+// none is returned as idle.
+func newFleet(t *testing.T, seed uint64) *world {
+	w := newWorld(t, seed, testSettings(), hardFleet, hardFleet)
+	w.run(3 * time.Second)
+	w.submitEvery(500*time.Millisecond, 8*time.Second)
+	if n := w.kept(); n < hardFleet*9/10 {
+		t.Fatalf("%d of %d machines kept after %v", n, hardFleet, w.now)
+	}
+	return w
+}
+
+// submitEvery submits a job at each of so many times until a while has passed.
+func (w *world) submitEvery(every, d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.submit(fleetJob(w))
+		w.run(w.now + every)
+	}
+}
+
+// kept is how many machines are known and heard by the controllers that keep
+// them.
+func (w *world) kept() int {
+	n := 0
+	for _, node := range w.nodes {
+		if node.core == nil {
+			continue
+		}
+		for _, q := range node.core.queues {
+			if q.known && q.epoch != 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// allEnd reports what has not ended after a while.
+func (w *world) allEnd(d time.Duration) {
+	for end := w.now + d; w.unended() > 0 && w.now < end; {
+		w.run(w.now + 2*time.Second)
+	}
+	w.run(w.now + 5*time.Second)
+	if n := w.unended(); n > 0 {
+		w.t.Errorf("%d of %d jobs have not ended", n, len(w.jobOrder))
+	}
+}
+
+// TestAllGoneThenAllAtOnce: all controllers are away for longer than the
+// workers' leases. Then 1,300 workers come with new sessions at once, while jobs
+// come three times as often: they are registered within seconds, by a few
+// changes, and everything ends.
+func TestAllGoneThenAllAtOnce(t *testing.T) {
+	t.Parallel()
+	w := newFleet(t, 1)
+	for _, n := range w.nodes {
+		w.crashFor(n, 25*time.Second) // leases last 15 s
+	}
+	w.run(w.now + 25*time.Second)
+	if w.lapsed < hardFleet*9/10 {
+		t.Fatalf("%d leases have run out", w.lapsed)
+	}
+	writes := w.blockWrites
+	w.submitEvery(170*time.Millisecond, 10*time.Second)
+	if n := w.kept(); n < hardFleet*9/10 {
+		t.Errorf("%d machines kept 10 s later", n)
+	}
+	// Each worker comes when it is its time, over several seconds, and not all
+	// of a block at once; still far fewer changes than machines.
+	if n := w.blockWrites - writes; n > hardFleet/3 {
+		t.Errorf("%d changes for %d machines", n, hardFleet)
+	}
+	w.allEnd(100 * time.Second)
+}
+
+// TestZoneAwayDuringARoll: a zone with its controllers and half of the machines
+// is cut off from everything for 70 s, far longer than leases and cancellations
+// last, and comes back while the controllers are restarted one after the other.
+func TestZoneAwayDuringARoll(t *testing.T) {
+	t.Parallel()
+	w := newFleet(t, 2)
+	w.part("a", true, 70*time.Second, true)
+	w.submitEvery(2*time.Second, 20*time.Second)
+	w.cancel(w.jobOrder[len(w.jobOrder)-1])
+	w.submitEvery(3*time.Second, 40*time.Second)
+	w.roll()
+	w.submitEvery(2*time.Second, 30*time.Second)
+	w.allEnd(120 * time.Second)
+}
+
+// TestFrozenPeerWakes: a controller stands still for 40 s while its clocks run
+// on. Others take over; then it goes on with all it had still to send, its lease
+// long gone. What it says changes nothing: rules hold, and no table keeps
+// anything of it.
+func TestFrozenPeerWakes(t *testing.T) {
+	t.Parallel()
+	w := newFleet(t, 3)
+	frozen := w.nodes[1]
+	w.submit(fleetJob(w))
+	w.run(w.now + 100*time.Millisecond)
+	frozen.frozen = w.now + 40*time.Second
+	term := w.nodes[0].core.view.Term
+	w.submitEvery(2*time.Second, 39*time.Second)
+	if w.nodes[0].core.view.Term == term {
+		t.Error("nobody took over")
+	}
+	w.submitEvery(2*time.Second, 10*time.Second)
+	w.allEnd(100 * time.Second)
+	for _, n := range w.nodes {
+		for _, m := range n.core.machinesInOrder() {
+			if len(m.coming) > 0 || m.wait() != 0 {
+				t.Fatalf("%s: %s has a wait of %v and %d announced placements with nothing left to run", n.name, m.id, m.wait(), len(m.coming))
+			}
+		}
+	}
+}
+
+// TestTakeoverWithASlowStateService: a controller ends while the state service
+// takes 15 times as long, for writes and for what the watch brings.
+func TestTakeoverWithASlowStateService(t *testing.T) {
+	t.Parallel()
+	w := newFleet(t, 4)
+	w.slow = 450 * time.Millisecond
+	w.submitEvery(time.Second, 6*time.Second)
+	w.crashFor(w.nodes[2], 30*time.Second)
+	w.submitEvery(time.Second, 28*time.Second)
+	if n := w.kept(); n < hardFleet*8/10 {
+		t.Errorf("%d machines kept by the two that are left", n)
+	}
+	w.slow = 0
+	w.allEnd(120 * time.Second)
+}
+
+// TestOneKeepsAll: two of three controllers are away for a minute. The third
+// keeps all machines, no worker's lease runs out once it has taken them over, and
+// work goes on.
+func TestOneKeepsAll(t *testing.T) {
+	t.Parallel()
+	w := newFleet(t, 5)
+	w.crashFor(w.nodes[0], 60*time.Second)
+	w.crashFor(w.nodes[1], 60*time.Second)
+	w.submitEvery(time.Second, 18*time.Second)
+	lapsed, starts := w.lapsed, w.starts
+	w.submitEvery(time.Second, 30*time.Second)
+	if n := len(w.nodes[2].core.queues); n < hardFleet/2 {
+		t.Errorf("%d machines kept", n)
+	}
+	if w.lapsed > lapsed {
+		t.Errorf("%d leases ran out while one controller kept all machines", w.lapsed-lapsed)
+	}
+	if w.starts == starts {
+		t.Error("nothing was started")
+	}
+	w.allEnd(120 * time.Second)
+}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -60,6 +60,10 @@
 	again   *bitset.BitSet // tasks that ran before, in part
 	ending  bool           // the write is on its way
 
+	stuck   bool // when last tried, machines were looked at and none found
+	tried   Time
+	claimed []*machineEntry // for it then
+
 	level     level // at the last placement
 	failedOn  map[protocol.MachineID]bool
 	backoff   time.Duration
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"sort"
+	"time"
 
 	"damsonkeel/internal/protocol"
 )
@@ -27,17 +28,30 @@
 	c.setLevels()
 	claims := claims{}
 	left := maxPerStep
+	stuck := 0
+	for _, o := range c.jobsInOrder() {
+		if o.stuck && !o.pending.None() {
+			stuck++
+		}
+	}
 	for _, o := range c.jobsInOrder() {
 		if !o.loaded || o.finish || o.notBefore > c.now || o.pending.None() {
 			continue
 		}
+		if o.stuck && c.since(o.tried) < c.retryEvery(stuck) {
+			c.claimAgain(o, claims)
+			continue
+		}
 		var chosen []Placement
+		looked := c.looked
+		o.claimed = nil
 		if o.Kind == protocol.KindGang {
 			chosen = c.placeGang(o, usage, kept, claims)
 		} else {
 			chosen = c.placeArray(o, usage, left, kept)
 		}
 		left -= len(chosen)
+		o.stuck, o.tried = len(chosen) == 0 && c.looked > looked, c.now
 		for _, p := range chosen {
 			keeper := c.keeper(p.Machine)
 			batches[keeper] = append(batches[keeper], p)
@@ -70,6 +84,16 @@
 	c.sendWaits(waits)
 }
 
+// lookedAtOnce is how many machines may be looked at, a step, for jobs that found
+// no place when they were last tried.
+const lookedAtOnce = 30_000
+
+// retryEvery is how often such jobs are tried again, of so many: at each step
+// where that is cheap, less often where many wait on a large fleet.
+func (c *Core) retryEvery(stuck int) time.Duration {
+	return placeEvery * time.Duration(stuck*len(c.sorted)/lookedAtOnce)
+}
+
 // placeArray places pending tasks one by one.
 func (c *Core) placeArray(o *ownedJob, usage map[protocol.Team]resources, left int, kept []kept) []Placement {
 	var out []Placement
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -11,43 +11,59 @@
 	"damsonkeel/internal/protocol"
 )
 
-// slot is room for tasks: a machine that is up, or one that is coming.
+// slots are machines that are up, or coming, and alike in what a plan asks of
+// them. A fleet has far fewer of them than machines: those of a kind run the same
+// classes of tasks.
 type slot struct {
-	kind
+	alike
 	info protocol.TypeInfo
-	free resources // now, or when it is up
-	held uses      // by attempts on it or in its queue
-	inS  float64   // when it is up, in seconds
+	n    int // machines
+}
+
+// alike is what machines of a slot have in common.
+type alike struct {
+	kind
+	free resources // now, or when they are up
+	held uses      // by attempts on each or in its queue
+	inS  float64   // when they are up, in seconds
 }
 
 // slots lists all room that is there or coming.
 func (c *Core) slots() []slot {
 	f := &c.fleet
 	var slots []slot
+	at := map[alike]int{}
 	for _, m := range c.machinesInOrder() {
-		if c.usable(m) {
-			s := slot{kind: m.kind(), info: m.info, free: m.room(), held: m.held}
-			for r := range s.held {
-				s.held[r] = s.held[r].plus(m.taken[r])
-			}
-			slots = append(slots, s)
+		if !c.usable(m) {
+			continue
+		}
+		a := alike{kind: m.kind(), free: m.room(), held: m.held}
+		for r := range a.held {
+			a.held[r] = a.held[r].plus(m.taken[r])
+		}
+		i, there := at[a]
+		if !there {
+			i = len(slots)
+			at[a] = i
+			slots = append(slots, slot{alike: a, info: m.info})
 		}
+		slots[i].n++
 	}
 	for _, m := range inOrder(f.coming) {
 		info := c.types[m.t]
 		boot := math.Max(info.BootS-c.since(m.at).Seconds(), 1)
-		slots = append(slots, slot{kind: m.kind, info: info, free: capacity(info), inS: boot})
+		slots = append(slots, slot{alike: alike{kind: m.kind, free: capacity(info), inS: boot}, info: info, n: 1})
 	}
 	for _, r := range inOrder(f.rents) {
-		slots = append(slots, c.fresh(kind{r.req.Type, r.req.Zone, r.req.Spot}, r.req.Count)...)
+		slots = append(slots, c.fresh(kind{r.req.Type, r.req.Zone, r.req.Spot}, r.req.Count))
 	}
 	return slots
 }
 
 // fresh is the room of machines just asked for.
-func (c *Core) fresh(k kind, count int) []slot {
+func (c *Core) fresh(k kind, count int) slot {
 	info := c.types[k.t]
-	return slices.Repeat([]slot{{kind: k, info: info, free: capacity(info), inS: info.BootS}}, count)
+	return slot{alike: alike{kind: k, free: capacity(info), inS: info.BootS}, info: info, n: count}
 }
 
 // plan rents what the unstarted work needs beyond what is there or coming.
@@ -133,23 +149,46 @@
 // and returns how many are left without.
 func (p *planning) fill(j *liveJob, l level, n int) int {
 	size, shun := need(&j.Job), p.c.risky(&j.Job)
-	for i := range p.slots {
+	for i := 0; i < len(p.slots) && n > 0; i++ {
 		s := &p.slots[i]
-		if n == 0 {
-			break
+		if s.n == 0 || shun && s.spot || !j.allowsKind(s.info, s.zone, s.spot) {
+			continue
 		}
-		if shun && s.spot || !j.allowsKind(s.info, s.zone, s.spot) {
+		per := fit(s.free, size)
+		if per == 0 {
 			continue
 		}
-		for n > 0 && s.free.covers(size) {
-			s.free = s.free.minus(size)
-			s.held.add(l, size)
-			n--
+		// Whole machines first, then what is left on one more.
+		full := min(s.n, n/per)
+		part := 0
+		if full < s.n {
+			part = min(n-full*per, per)
+		}
+		was := *s
+		if s.n = was.n - full; part > 0 {
+			s.n--
 		}
+		if full > 0 {
+			p.slots = append(p.slots, was.after(l, size, per, full))
+		}
+		if part > 0 {
+			p.slots = append(p.slots, was.after(l, size, part, 1))
+		}
+		n -= full*per + part
 	}
 	return n
 }
 
+// after is so many of a slot's machines once each has taken some tasks.
+func (s slot) after(l level, size resources, tasks, machines int) slot {
+	for range tasks {
+		s.free = s.free.minus(size)
+		s.held.add(l, size)
+	}
+	s.n = machines
+	return s
+}
+
 // house takes room for n tasks of a job and rents what is missing.
 func (p *planning) house(j *liveJob, l level, n int) {
 	if n > 0 && j.OneZone && j.Zone == "" {
@@ -163,7 +202,7 @@
 	for _, k := range p.c.offers(j) {
 		per := fit(capacity(p.c.types[k.t]), need(&j.Job))
 		if count := p.ask(k, (n+per-1)/per); count > 0 {
-			p.slots = append(p.slots, p.c.fresh(k, count)...)
+			p.slots = append(p.slots, p.c.fresh(k, count))
 			n = p.fill(j, l, n)
 		}
 		if n <= 0 {
@@ -179,7 +218,7 @@
 	size, shun := need(&j.Job), p.c.risky(&j.Job)
 	for i := range p.slots {
 		if s := &p.slots[i]; !(shun && s.spot) && j.allowsKind(s.info, s.zone, s.spot) {
-			room[s.zone] += fit(s.free, size)
+			room[s.zone] += s.n * fit(s.free, size)
 		}
 	}
 	for _, k := range p.c.offers(j) {
@@ -245,14 +284,14 @@
 	}
 	for _, s := range p.slots {
 		k := p.pool(s.kind)
-		room := capacity(s.info).minus(s.held.above(top))
-		if room.cpus <= slack {
+		room, n := capacity(s.info).minus(s.held.above(top)), float64(s.n)
+		if room.cpus <= slack || s.n == 0 {
 			continue
 		}
-		k.room = k.room.plus(room)
-		k.aheadS += room.cpus * s.inS
+		k.room = k.room.plus(resources{n * room.cpus, n * room.gpus, n * room.gb})
+		k.aheadS += n * room.cpus * s.inS
 		if s.inS == 0 {
-			k.aheadS += math.Max(0, room.cpus-math.Max(0, s.free.cpus)) * runS / 2
+			k.aheadS += n * math.Max(0, room.cpus-math.Max(0, s.free.cpus)) * runS / 2
 		}
 	}
 }
