--- a/internal/coordination/cost_test.go
+++ b/internal/coordination/cost_test.go
@@ -9,6 +9,7 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/transport"
 )
 
 // fleetOf is a core that keeps and knows so many machines, with so many tasks
@@ -220,6 +221,36 @@
 	}
 }
 
+// BenchmarkReportOnTheWire is such a report of a busy machine, from the bytes of
+// the request to those of the answer.
+func BenchmarkReportOnTheWire(b *testing.B) {
+	f := newBusyFleet(b, 900, 10000)
+	r := f.says(f.ids[1])
+	for b.Loop() {
+		r.Seq++
+		body, err := protocol.Encode(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.SetBytes(int64(len(body)))
+		p := transport.NewRequestParser()
+		p.Feed(transport.AppendRequest(nil, "POST", "10.0.0.1:8080", "/v1/report", body))
+		m, err := p.Next()
+		if err != nil || m == nil {
+			b.Fatal(m, err)
+		}
+		came, err := protocol.ParseReport(m.Body)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, a := range f.c.Step(f.now, Reported{came}) {
+			if rr, ok := a.(ReplyReport); ok {
+				transport.AppendResponse(nil, reportAnswer(rr))
+			}
+		}
+	}
+}
+
 // BenchmarkPlace is a new job of 300 tasks, placed and cancelled.
 func BenchmarkPlace(b *testing.B) {
 	for _, s := range sizes {
