--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -133,7 +133,7 @@
 			}
 			delete(q.entries, e.task)
 			if owner := c.entryOwner(e); owner != "" && (keeps || owner != c.self) {
-				// Without a break here nothing is known of own jobs either.
+				// To itself only if it kept its jobs: else it knows no attempt.
 				released[owner] = append(released[owner], TaskRef{Task: e.task, Attempt: e.attempt, Machine: q.id})
 			}
 			return true
