Clean up after a last reading: twins made one, dead and derivable state gone

Listing counted requests beside the rest and did not end loans. - Whether a machine is in a block follows from the shelf, whether a record is newer from its epoch: a field and two conditions go.

--- a/internal/bookkeeping/state.go
+++ b/internal/bookkeeping/state.go
@@ -52,17 +52,24 @@
 // Share is a part of the service's rates: requests and changes a second.
 type Share struct{ Requests, Writes float64 }
 
+// EqualShare is each controller's part of the rates before anything is lent: a
+// tenth is kept back for leases.
+func EqualShare(rps, writeRPS float64, count int) Share {
+	part := 0.9 / float64(max(count, 1))
+	return Share{rps * part, writeRPS * part}
+}
+
 // NewState makes a client. The configured rates hold for all controllers
 // together; each takes an equal share, a tenth of it kept back for the lease,
 // until SetShare says otherwise.
 func NewState(addr string, rps, writeRPS float64, count int) *State {
-	share := 0.9 / float64(count)
+	share := EqualShare(rps, writeRPS, count)
 	return &State{
 		client: transport.NewClient(addr),
 		follow: transport.NewClient(addr),
-		reads:  rate.NewLimiter(rate.Limit(rps*share), burst(rps*share)),
-		writes: rate.NewLimiter(rate.Limit(writeRPS*share), burst(writeRPS*share)),
-		opens:  rate.NewLimiter(rate.Limit(rps*share/4), 1),
+		reads:  rate.NewLimiter(rate.Limit(share.Requests), burst(share.Requests)),
+		writes: rate.NewLimiter(rate.Limit(share.Writes), burst(share.Writes)),
+		opens:  rate.NewLimiter(rate.Limit(share.Requests/4), 1),
 	}
 }
 
@@ -107,18 +114,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	s.note(now, n)
+	if !heldBack {
+		s.reads.AllowN(now, 1)
+		return true
+	}
+	return !s.yields(now, n, p) && s.reads.AllowN(now, 1) && s.writes.AllowN(now, n)
+}
+
+// note counts a request with n changes, and ends loans that are over: whoever
+// lent takes it back, whether or not anybody here has noticed.
+func (s *State) note(now time.Time, n int) {
 	if !s.until.IsZero() && now.After(s.until) {
-		// Whoever lent takes it back, whether or not anybody here has noticed.
 		s.until = time.Time{}
 		s.apply(now, s.own)
 	}
 	s.asked.Requests++
 	s.asked.Writes += float64(n)
-	if !heldBack {
-		s.reads.AllowN(now, 1)
-		return true
-	}
-	return !s.yields(now, n, p) && s.reads.AllowN(now, 1) && s.writes.AllowN(now, n)
 }
 
 func (s *State) do(ctx context.Context, method, target string, in, out any) error {
@@ -185,7 +197,7 @@
 	from := ""
 	for {
 		s.mu.Lock()
-		s.asked.Requests++
+		s.note(time.Now(), 0)
 		s.mu.Unlock()
 		if err := s.reads.Wait(ctx); err != nil {
 			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -75,14 +75,14 @@
 // are named in the error.
 func ParseOperator(r io.Reader) (Operator, error) {
 	op := DefaultOperator()
-	fields := map[string]*time.Duration{
-		"relayEvery": &op.RelayEvery, "copyWait": &op.CopyWait, "defaultEstimate": &op.DefaultEstimate,
-		"nodeLease": &op.NodeLease, "idleReturn": &op.IdleReturn,
-	}
-	words := map[string]func(string) bool{
-		"machineRecords": func(v string) bool {
-			op.SingleRecords = v == "single"
-			return v == "single" || v == "blocks"
+	take := map[string]func(string) error{
+		"relayEvery": duration(&op.RelayEvery), "copyWait": duration(&op.CopyWait), "defaultEstimate": duration(&op.DefaultEstimate),
+		"nodeLease": duration(&op.NodeLease), "idleReturn": duration(&op.IdleReturn),
+		"machineRecords": func(text string) error {
+			if op.SingleRecords = text == "single"; !op.SingleRecords && text != "blocks" {
+				return fmt.Errorf("%q is none of its values", text)
+			}
+			return nil
 		},
 	}
 	d := xml.NewDecoder(r)
@@ -105,7 +105,7 @@
 			if depth == 1 && name != "damsonkeel" {
 				return op, fmt.Errorf("operator settings: root element <%s>, want <damsonkeel>", name)
 			}
-			if depth > 2 || depth == 2 && fields[name] == nil && words[name] == nil {
+			if depth > 2 || depth == 2 && take[name] == nil {
 				return op, fmt.Errorf("operator settings: unknown element <%s>", name)
 			}
 			if len(t.Attr) > 0 {
@@ -114,19 +114,25 @@
 		case xml.CharData:
 			text += string(t)
 		case xml.EndElement:
-			if take := words[name]; depth == 2 && take != nil {
-				if !take(strings.TrimSpace(text)) {
-					return op, fmt.Errorf("operator settings: <%s>: %q is none of its values", name, strings.TrimSpace(text))
+			if depth == 2 {
+				if err := take[name](strings.TrimSpace(text)); err != nil {
+					return op, fmt.Errorf("operator settings: <%s>: %w", name, err)
 				}
-			} else if depth == 2 {
-				v, err := time.ParseDuration(strings.TrimSpace(text))
-				if err != nil || v < 100*time.Millisecond || v > time.Hour {
-					return op, fmt.Errorf("operator settings: <%s>: %q is no duration from 100ms to 1h", name, strings.TrimSpace(text))
-				}
-				*fields[name] = v
 			}
 			depth--
 			text = ""
 		}
 	}
 }
+
+// duration takes an element's text into a setting.
+func duration(into *time.Duration) func(string) error {
+	return func(text string) error {
+		v, err := time.ParseDuration(text)
+		if err != nil || v < 100*time.Millisecond || v > time.Hour {
+			return fmt.Errorf("%q is no duration from 100ms to 1h", text)
+		}
+		*into = v
+		return nil
+	}
+}
--- a/internal/coordination/blocks/blocks.go
+++ b/internal/coordination/blocks/blocks.go
@@ -91,18 +91,8 @@
 // Drop takes over that a block has gone, and returns the machines that were in
 // it.
 func (s *Shelf) Drop(name string) (gone []protocol.MachineID) {
-	b := s.blocks[name]
-	if b == nil {
-		return nil
-	}
+	_, gone = s.Set(name, 0, nil)
 	delete(s.blocks, name)
-	for id := range b.entries {
-		if s.where[id] == name {
-			delete(s.where, id)
-			gone = append(gone, id)
-		}
-	}
-	slices.Sort(gone)
 	return gone
 }
 
@@ -200,7 +190,7 @@
 				d.apply(c)
 			}
 		}
-		if len(d.changes) > 0 && ops+d.ops <= l.Ops && (len(drafts) == 0 || bytes+d.bytes <= l.TxnBytes) {
+		if len(d.changes) > 0 && (len(drafts) == 0 || bytes+d.bytes <= l.TxnBytes) {
 			add(d)
 		}
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -285,7 +285,7 @@
 	case f.Job != "":
 		c.jobOver(f.Job)
 	case f.Machine != "":
-		if m := c.machines[f.Machine]; m != nil && !m.inBlock {
+		if _, in := c.shelf.Where(f.Machine); !in { // else it has moved into a block
 			c.machineGone(f.Machine)
 		}
 	case f.Block != "":
@@ -322,7 +322,7 @@
 	case f.Machine != "":
 		var m bookkeeping.Machine
 		if err = protocol.Decode(value, &m); err == nil {
-			c.machineRegistered(f.Machine, m, version, false)
+			c.machineRegistered(f.Machine, m, version)
 		}
 	case f.Block != "":
 		var b bookkeeping.Block
--- a/internal/coordination/desk/desk.go
+++ b/internal/coordination/desk/desk.go
@@ -6,6 +6,8 @@
 package desk
 
 import (
+	"cmp"
+	"container/heap"
 	"time"
 
 	"damsonkeel/internal/protocol"
@@ -23,21 +25,34 @@
 	number   uint64
 }
 
-// before is the order of service: who was answered longest ago, then who came
-// first. A machine never answered here may have any part of its lease left, and
-// goes before all that have been.
-func (w *Waiting[T]) before(v *Waiting[T]) bool {
-	if w.answered != v.answered {
-		return w.answered < v.answered
-	}
-	return w.number < v.number
+// line is a heap of reports that wait, in the order of service: who was answered
+// longest ago, then who came first. A machine never answered here may have any
+// part of its lease left, and goes before all that have been.
+type line[T any] []Waiting[T]
+
+func (l line[T]) Len() int { return len(l) }
+func (l line[T]) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(l[i].answered, l[j].answered), cmp.Compare(l[i].number, l[j].number)) < 0
+}
+func (l line[T]) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
+
+// Push is part of heap.Interface.
+func (l *line[T]) Push(x any) { *l = append(*l, x.(Waiting[T])) }
+
+// Pop is part of heap.Interface.
+func (l *line[T]) Pop() any {
+	n := len(*l) - 1
+	last := (*l)[n]
+	(*l)[n] = Waiting[T]{}
+	*l = (*l)[:n]
+	return last
 }
 
 // Desk is the reports that wait.
 type Desk[T any] struct {
 	most     int
 	patience time.Duration
-	waiting  []Waiting[T] // a heap by before
+	waiting  line[T]
 	answered map[protocol.MachineID]Time
 	number   uint64
 }
@@ -55,24 +70,24 @@
 // at once: perhaps the one that came.
 func (d *Desk[T]) Add(now Time, m protocol.MachineID, report T) (refused T, any bool) {
 	d.number++
-	d.push(Waiting[T]{Machine: m, Report: report, came: now, answered: d.answered[m], number: d.number})
+	heap.Push(&d.waiting, Waiting[T]{Machine: m, Report: report, came: now, answered: d.answered[m], number: d.number})
 	if len(d.waiting) <= d.most {
 		return refused, false
 	}
 	last := 0
 	for i := range d.waiting {
-		if d.waiting[last].before(&d.waiting[i]) {
+		if d.waiting.Less(last, i) {
 			last = i
 		}
 	}
-	return d.remove(last).Report, true
+	return heap.Remove(&d.waiting, last).(Waiting[T]).Report, true
 }
 
 // Next takes the report to be answered next. Those returned as late are to be
 // refused: nobody waits for their answers.
 func (d *Desk[T]) Next(now Time) (next Waiting[T], ok bool, late []T) {
 	for len(d.waiting) > 0 {
-		w := d.remove(0)
+		w := heap.Pop(&d.waiting).(Waiting[T])
 		if time.Duration(now-w.came) <= d.patience {
 			return w, true, late
 		}
@@ -92,47 +107,3 @@
 	}
 	d.answered[m] = now
 }
-
-func (d *Desk[T]) push(w Waiting[T]) {
-	d.waiting = append(d.waiting, w)
-	d.up(len(d.waiting) - 1)
-}
-
-func (d *Desk[T]) remove(i int) Waiting[T] {
-	w := d.waiting[i]
-	n := len(d.waiting) - 1
-	d.waiting[i] = d.waiting[n]
-	d.waiting[n] = Waiting[T]{}
-	if d.waiting = d.waiting[:n]; i < n {
-		d.down(i)
-		d.up(i)
-	}
-	return w
-}
-
-func (d *Desk[T]) up(i int) {
-	for i > 0 {
-		parent := (i - 1) / 2
-		if !d.waiting[i].before(&d.waiting[parent]) {
-			return
-		}
-		d.waiting[i], d.waiting[parent] = d.waiting[parent], d.waiting[i]
-		i = parent
-	}
-}
-
-func (d *Desk[T]) down(i int) {
-	for {
-		least := i
-		for _, child := range []int{2*i + 1, 2*i + 2} {
-			if child < len(d.waiting) && d.waiting[child].before(&d.waiting[least]) {
-				least = child
-			}
-		}
-		if least == i {
-			return
-		}
-		d.waiting[i], d.waiting[least] = d.waiting[least], d.waiting[i]
-		i = least
-	}
-}
--- a/internal/coordination/desk/desk_test.go
+++ b/internal/coordination/desk/desk_test.go
@@ -86,10 +86,10 @@
 	answered(now Time, worker int)
 }
 
-// line is a server that answers in the order of arrival.
-type line struct{ waiting []int }
+// fifo is a server that answers in the order of arrival.
+type fifo struct{ waiting []int }
 
-func (l *line) add(_ Time, worker int) (int, bool) {
+func (l *fifo) add(_ Time, worker int) (int, bool) {
 	if len(l.waiting) >= 256 {
 		return worker, true
 	}
@@ -97,7 +97,7 @@
 	return 0, false
 }
 
-func (l *line) next(Time) (worker int, ok bool) {
+func (l *fifo) next(Time) (worker int, ok bool) {
 	if len(l.waiting) == 0 {
 		return 0, false
 	}
@@ -105,7 +105,7 @@
 	return worker, true
 }
 
-func (l *line) answered(Time, int) {}
+func (l *fifo) answered(Time, int) {}
 
 // byLease is a server with a desk.
 type byLease struct{ *Desk[int] }
@@ -169,7 +169,7 @@
 	if lost := lapses(byLease{New[int](256, 3500*time.Millisecond)}, workers, perSecond); lost > 0 {
 		t.Errorf("%d leases ran out", lost)
 	}
-	if lost := lapses(&line{}, workers, perSecond); lost < 100 {
+	if lost := lapses(&fifo{}, workers, perSecond); lost < 100 {
 		t.Errorf("%d leases ran out in the order of arrival: the test shows nothing", lost)
 	}
 }
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -355,8 +355,6 @@
 	rec   bookkeeping.Machine
 	epoch protocol.Version
 	info  protocol.TypeInfo
-	// inBlock: recorded with others, not in a record of its own.
-	inBlock bool
 
 	told   MachineState // by its keeper
 	by     *peer        // the keeper's session that told it in this term, if any
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -17,8 +17,8 @@
 
 const (
 	mailboxSize   = 2048
-	askedTicks    = 10 // ticks a second
 	tickEvery     = 100 * time.Millisecond
+	askedTicks    = int(time.Second / tickEvery)
 	catalogueWait = time.Second
 	catalogueKeep = time.Minute
 	// followHold is how long one watch stays open. Its return proves the
--- a/internal/coordination/pen.go
+++ b/internal/coordination/pen.go
@@ -140,12 +140,12 @@
 		return ch, false // it has changed since: asked again if that is not enough
 	}
 	ch = blocks.Change{Machine: id, Bound: c.pen.bound[id]}
-	if m != nil && !m.inBlock {
+	if _, in := c.shelf.Where(id); m != nil && !in {
 		ch.Single = m.epoch
 	}
 	if r.To != nil {
-		// No stamp is given twice, and none is the version of a record of the
-		// other layout: terms are above 0, revisions far below 2^32.
+		// Each stamp is above all before, and above the versions of records of
+		// the other layout: terms are above 0, revisions far below 2^32.
 		c.pen.stamps++
 		ch.Entry = &bookkeeping.BlockEntry{ID: id, Epoch: protocol.Version(uint64(c.view.Term)<<32 | c.pen.stamps), Machine: *r.To}
 	}
@@ -177,7 +177,7 @@
 		c.machineGone(id)
 	}
 	for _, e := range changed {
-		c.machineRegistered(e.ID, e.Machine, e.Epoch, true)
+		c.machineRegistered(e.ID, e.Machine, e.Epoch)
 	}
 }
 
--- a/internal/coordination/pen_test.go
+++ b/internal/coordination/pen_test.go
@@ -173,7 +173,8 @@
 	epoch := r.c.machines["vm-000000"].epoch
 	r.wave(1, 2) // comes back with a later session: moves into a block
 	r.settle(5)
-	if m := r.c.machines["vm-000000"]; m == nil || !m.inBlock || m.epoch <= epoch {
+	_, inBlock := r.c.shelf.Where("vm-000000")
+	if m := r.c.machines["vm-000000"]; m == nil || !inBlock || m.epoch <= epoch {
 		t.Fatalf("not moved into a block: %+v", m)
 	}
 	if _, there := r.state.Get(bookkeeping.MachineKey("vm-000000")); there {
--- a/internal/coordination/registration.go
+++ b/internal/coordination/registration.go
@@ -12,7 +12,7 @@
 // every machine that has to be asked. It holds only in the present view:
 // who reads the records after a new view misses none.
 func (c *Core) register(q *queue, r protocol.Report) {
-	if q.registering && !(c.inBlocks() && c.since(q.asked) > askAgain) {
+	if c.awaits(q, q.registering) {
 		return
 	}
 	q.registering, q.asked = true, c.now
@@ -24,6 +24,13 @@
 	c.changeRecord(registerTag{q.id, r.Session}, q.id, have, &rec, c.inThisView())
 }
 
+// awaits reports whether what was asked for is still to be waited for. A
+// transaction of this controller's own is answered; what the registrar was
+// asked for shows in the records, or is asked for again.
+func (c *Core) awaits(q *queue, asked bool) bool {
+	return asked && !(c.inBlocks() && c.since(q.asked) > askAgain)
+}
+
 // inThisView is the condition that the view is unchanged.
 func (c *Core) inThisView() protocol.Condition {
 	return protocol.Condition{Key: bookkeeping.ViewKey, Version: c.viewVersion}
@@ -37,15 +44,15 @@
 
 // machineRegistered takes over a machine's record. A changed record proves
 // that everything placed by the one before is gone.
-func (c *Core) machineRegistered(id protocol.MachineID, rec bookkeeping.Machine, version protocol.Version, inBlock bool) {
+func (c *Core) machineRegistered(id protocol.MachineID, rec bookkeeping.Machine, version protocol.Version) {
 	m := c.machines[id]
-	if m != nil && (m.epoch == version || m.inBlock && !inBlock || m.inBlock == inBlock && m.epoch > version) {
+	if m != nil && m.epoch >= version {
 		return
 	}
 	if m != nil {
 		c.loseMachine(m)
 	}
-	m = &machineEntry{id: id, rec: rec, epoch: version, inBlock: inBlock, info: c.types[rec.Type], mine: map[protocol.TaskID]*placedTask{}}
+	m = &machineEntry{id: id, rec: rec, epoch: version, info: c.types[rec.Type], mine: map[protocol.TaskID]*placedTask{}}
 	c.addMachine(m)
 	c.owner.dirty = true
 	if q := c.queues[id]; q != nil && q.session == rec.Session {
@@ -90,7 +97,7 @@
 			q.silence = s
 			c.touch(q)
 		}
-		if c.allSince == 0 || quiet <= lease || q.removing && !(c.inBlocks() && c.since(q.asked) > askAgain) {
+		if c.allSince == 0 || quiet <= lease || c.awaits(q, q.removing) {
 			continue
 		}
 		m := c.machines[q.id]
--- a/internal/coordination/relay/log.go
+++ b/internal/coordination/relay/log.go
@@ -13,7 +13,6 @@
 	version uint64
 	at      map[K]*change[K]
 	newest  *change[K]
-	oldest  *change[K]
 }
 
 // change is a key's last change, in a list by number.
@@ -26,9 +25,6 @@
 // Version is the number of the last change; 0 before the first.
 func (l *Log[K]) Version() uint64 { return l.version }
 
-// Len is how many keys the log holds.
-func (l *Log[K]) Len() int { return len(l.at) }
-
 // Touch notes that a key has changed.
 func (l *Log[K]) Touch(k K) {
 	if l.at == nil {
@@ -48,9 +44,6 @@
 		l.newest.newer = c
 	}
 	l.newest = c
-	if l.oldest == nil {
-		l.oldest = c
-	}
 }
 
 // Drop forgets a key. Receivers are not told: they learn from the records that
@@ -65,8 +58,6 @@
 func (l *Log[K]) unlink(c *change[K]) {
 	if c.older != nil {
 		c.older.newer = c.newer
-	} else {
-		l.oldest = c.newer
 	}
 	if c.newer != nil {
 		c.newer.older = c.older
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/shares"
 	"damsonkeel/internal/protocol"
@@ -282,10 +283,10 @@
 }
 
 // equalShare is this controller's part of the state service's rates before
-// anything is lent: a tenth is kept back for leases.
+// anything is lent.
 func (c *Core) equalShare() shares.Amount {
-	st := c.settings.Site.State
-	return shares.Amount{Requests: st.RPS, Writes: st.WriteRPS}.Times(0.9 / float64(max(c.settings.Site.Count, 1)))
+	site := &c.settings.Site
+	return shares.Amount(bookkeeping.EqualShare(site.State.RPS, site.State.WriteRPS, site.Count))
 }
 
 // setShare has what may be used now set, if that has changed.
--- a/internal/coordination/relays_test.go
+++ b/internal/coordination/relays_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/protocol"
 
@@ -59,7 +60,7 @@
 	f := newBusyFleet(t, 2*statesMost+300, 100)
 	v := f.c.view
 	v.Term++
-	f.put("c/view", v)
+	f.put(bookkeeping.ViewKey, v)
 	var sizes []int
 	complete := 0
 	for i := range 12 {
@@ -89,7 +90,7 @@
 	v := f.c.view
 	v.Term++
 	given, steps := 0, 0
-	for actions := f.put("c/view", v); given < machines && steps < 9; steps++ {
+	for actions := f.put(bookkeeping.ViewKey, v); given < machines && steps < 9; steps++ {
 		n := 0
 		for _, a := range actions {
 			if s, ok := a.(Send); ok && s.To == "node-1" && s.Message.Inventory != nil {
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -112,7 +112,6 @@
 	job      func(*world) protocol.Job
 	lasts    time.Duration
 	empty    bool // no machine is up at the start
-	old      bool // controllers record machines singly until they are restarted
 	teams    []config.Team
 	trouble  func(*world) // beside those that every day has
 }
@@ -129,7 +128,7 @@
 		up = 0
 	}
 	w := newWorld(t, uint64(seed), settings, d.machines, up)
-	if d.old {
+	if seed%2 == 0 { // controllers record machines singly until they are restarted
 		for _, n := range w.nodes {
 			n.layout = bookkeeping.LayoutSingle
 		}
@@ -232,36 +231,40 @@
 	return usual
 }
 
+// playSeeds plays a day with so many seeds, from the first on.
+func (d day) playSeeds(t *testing.T, usual, first int) {
+	for seed := range seeds(usual) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { d.play(t, first+seed) })
+	}
+}
+
 // TestRulesHold plays generated days of crashes, cuts, held messages, late
 // transactions, outages, lost machines and restarts in turn. Every rule is
 // checked at every step.
 func TestRulesHold(t *testing.T) {
-	for seed := range seeds(60) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			day{machines: 9, job: (*world).randomJob, lasts: 150 * time.Second, old: seed%2 == 0}.play(t, seed)
-		})
-	}
+	day{machines: 9, job: (*world).randomJob, lasts: 150 * time.Second}.playSeeds(t, 60, 0)
 }
 
-// TestRulesHoldAtSize plays days of many machines that all register at once,
-// gangs of up to ten tasks, often in one zone, and arrays of hundreds.
-func TestRulesHoldAtSize(t *testing.T) {
-	large := func(w *world) protocol.Job {
+// largeJob is a random job with gangs of up to so many tasks more than two, and
+// arrays so many times as large.
+func largeJob(gang int, array uint32) func(*world) protocol.Job {
+	return func(w *world) protocol.Job {
 		j := w.randomJob()
 		switch {
 		case j.Team == "bound": // its limit is for the few
 		case j.Kind == protocol.KindGang:
-			j.Tasks = uint32(2 + w.rng.IntN(9))
+			j.Tasks = uint32(2 + w.rng.IntN(gang))
 		case j.Kind == protocol.KindArray:
-			j.Tasks *= 20
+			j.Tasks *= array
 		}
 		return j
 	}
-	for seed := range seeds(4) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			day{machines: 150, job: large, lasts: 80 * time.Second, old: seed%2 == 0}.play(t, 100_000+seed)
-		})
-	}
+}
+
+// TestRulesHoldAtSize plays days of many machines that all register at once,
+// gangs of up to ten tasks, often in one zone, and arrays of hundreds.
+func TestRulesHoldAtSize(t *testing.T) {
+	day{machines: 150, job: largeJob(9, 20), lasts: 80 * time.Second}.playSeeds(t, 4, 100_000)
 }
 
 // machinesAsked is how large a fleet is played; WORLD_MACHINES asks for another
@@ -277,17 +280,6 @@
 // at once, with arrays of thousands of tasks, zones cut off, and all controllers
 // gone for longer than the workers' leases.
 func TestRulesHoldForAFleet(t *testing.T) {
-	large := func(w *world) protocol.Job {
-		j := w.randomJob()
-		switch {
-		case j.Team == "bound": // its limit is for the few
-		case j.Kind == protocol.KindGang:
-			j.Tasks = uint32(2 + w.rng.IntN(23))
-		case j.Kind == protocol.KindArray:
-			j.Tasks *= 500
-		}
-		return j
-	}
 	trouble := func(w *world) {
 		d := time.Duration(10+w.rng.IntN(30)) * time.Second
 		if w.rng.IntN(3) > 0 {
@@ -298,11 +290,7 @@
 			w.crashFor(n, 20*time.Second)
 		}
 	}
-	for seed := range seeds(1) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			day{machines: machinesAsked(3000), job: large, lasts: 50 * time.Second, trouble: trouble, old: seed%2 == 0}.play(t, 300_000+seed)
-		})
-	}
+	day{machines: machinesAsked(3000), job: largeJob(23, 500), lasts: 50 * time.Second, trouble: trouble}.playSeeds(t, 1, 300_000)
 }
 
 // TestRulesHoldForPlants plays days that begin without a machine, with teams
@@ -335,9 +323,5 @@
 			w.after(d, func() { w.cloud.Capacity = machines + 6 })
 		}
 	}
-	for seed := range seeds(40) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			day{machines: machines, job: job, lasts: 150 * time.Second, empty: true, teams: teams, trouble: trouble, old: seed%2 == 0}.play(t, 200_000+seed)
-		})
-	}
+	day{machines: machines, job: job, lasts: 150 * time.Second, empty: true, teams: teams, trouble: trouble}.playSeeds(t, 40, 200_000)
 }
