--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -16,7 +17,7 @@
 // that took it again.
 type candidates struct {
 	job  *ownedJob
-	need resources
+	need room.Amount
 	risk float64 // what a spot machine adds to the wait, in seconds
 	shun bool    // spot machines only if there is no other way
 	kept []kept
@@ -61,7 +62,7 @@
 
 // candidatesFor looks for the machines that may run a job's tasks.
 func (c *Core) candidatesFor(o *ownedJob, zones map[protocol.Zone]int, kept []kept) *candidates {
-	s := &candidates{job: o, need: need(&o.Job), kept: kept, risk: c.spotStretch(&o.Job) * c.estimate(&o.Job), shun: c.risky(&o.Job), dear: c.dear}
+	s := &candidates{job: o, need: room.Need(&o.Job), kept: kept, risk: c.spotStretch(&o.Job) * c.estimate(&o.Job), shun: c.risky(&o.Job), dear: c.dear}
 	for _, m := range c.machinesInOrder() {
 		if c.mayTake(o, m, zones) {
 			if k, ok := s.weigh(m, c.rng.Uint32()); ok {
@@ -128,10 +129,10 @@
 	w, room := m.waitFor(&s.job.Job, s.job.level)
 	if !room && s.job.together() {
 		firm := m.firmRoom(s.job.level)
-		if !firm.covers(s.need) {
+		if !firm.Covers(s.need) {
 			return candidate{}, false
 		}
-		w = m.fetch(&s.job.Job) + (firm.cpus-math.Max(0, m.room().cpus))/math.Max(m.info.CPUs, 1)
+		w = m.fetch(&s.job.Job) + (firm.CPUs-math.Max(0, m.free().CPUs))/math.Max(m.info.CPUs, 1)
 	}
 	if m.rec.Spot {
 		w += s.risk
@@ -163,7 +164,7 @@
 // tooDeep reports whether a machine's queue takes no more of the job. One whose
 // tasks are to be stopped for the job does.
 func (s *candidates) tooDeep(k *candidate) bool {
-	return k.rank == rankQueue && k.wait > queueAtMost.Microseconds() && !k.m.firmRoom(s.job.level).covers(s.need)
+	return k.rank == rankQueue && k.wait > queueAtMost.Microseconds() && !k.m.firmRoom(s.job.level).Covers(s.need)
 }
 
 // smallest is the machine with the smallest expected wait per processor, ties
--- a/internal/coordination/candidates_test.go
+++ b/internal/coordination/candidates_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 
 	"pgregory.net/rapid"
@@ -15,7 +16,7 @@
 // every task. It returns all that tie for the smallest wait.
 func (c *Core) plainSmallest(o *ownedJob, zones map[protocol.Zone]int, kept []kept) map[*machineEntry]bool {
 	const withRoom = 1e9
-	n := need(&o.Job)
+	n := room.Need(&o.Job)
 	best := math.Inf(1)
 	waits := map[*machineEntry]float64{}
 	for _, m := range c.machines {
@@ -31,7 +32,7 @@
 			if !wanted(o, m, kept) {
 				w -= withRoom
 			}
-		} else if w > queueAtMost.Seconds() && !m.firmRoom(o.level).covers(n) {
+		} else if w > queueAtMost.Seconds() && !m.firmRoom(o.level).Covers(n) {
 			continue
 		}
 		waits[m] = w
@@ -87,7 +88,7 @@
 		}
 		o := c.own(&liveJob{Job: j})
 		reserved := &liveJob{Job: protocol.Job{Class: "gang", Priority: "high", CPUs: 4, MemoryGB: 8, Spot: true}}
-		kept := []kept{{job: reserved, need: need(&reserved.Job), spare: rapid.IntRange(-2, 5).Draw(t, "spare")}}
+		kept := []kept{{job: reserved, need: room.Need(&reserved.Job), spare: rapid.IntRange(-2, 5).Draw(t, "spare")}}
 		zones := map[protocol.Zone]int{}
 		from := c.candidatesFor(o, zones, kept)
 		placed := 0
@@ -138,13 +139,13 @@
 	b := newBench(t)
 	b.ready("vm-1")
 	b.ready("vm-2")
-	queued := func(id protocol.MachineID, l level, work float64) {
+	queued := func(id protocol.MachineID, l room.Level, work float64) {
 		m := b.c.machines[id]
 		m.told.Queued, m.told.Wait, m.told.Queue = 1, 100+work, make([]float64, l+1)
 		m.told.Queue[l] = work
 	}
-	queued("vm-1", levelOf("standard", false), 900)
-	queued("vm-2", levelOf("high", false), 400)
+	queued("vm-1", room.LevelOf("standard", false), 900)
+	queued("vm-2", room.LevelOf("high", false), 400)
 	for _, tc := range []struct {
 		priority protocol.Priority
 		want     protocol.MachineID
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -133,7 +134,7 @@
 		return 0
 	}
 	mean := a.rate * seconds
-	if a.square-a.mean*a.mean < slack*a.mean*a.mean {
+	if a.square-a.mean*a.mean < room.Slack*a.mean*a.mean {
 		return float64(quantile(mean, a.share)) * a.mean
 	}
 	return mean*a.mean + math.Sqrt2*math.Erfinv(2*a.share-1)*math.Sqrt(mean*a.square)
@@ -182,7 +183,7 @@
 	l, sum := liveJob{Job: *j}, 0.0
 	for _, m := range c.machinesInOrder() {
 		if c.usable(m) && l.allowsKind(m.info, m.rec.Zone, m.rec.Spot) {
-			sum += places(resources{m.told.Ending.CPUs, m.told.Ending.GPUs, m.told.Ending.GB}, need(j))
+			sum += room.Amount{CPUs: m.told.Ending.CPUs, GPUs: m.told.Ending.GPUs, GB: m.told.Ending.GB}.Places(room.Need(j))
 		}
 	}
 	return sum
@@ -206,7 +207,7 @@
 type kept struct {
 	job   *liveJob
 	risky bool // spot machines are no room for it
-	need  resources
+	need  room.Amount
 	spare int // how many more tasks fit than are reserved
 }
 
@@ -219,10 +220,10 @@
 			continue
 		}
 		l := &liveJob{Job: k.job}
-		kp := kept{job: l, risky: c.risky(&l.Job), need: need(&l.Job), spare: -r}
+		kp := kept{job: l, risky: c.risky(&l.Job), need: room.Need(&l.Job), spare: -r}
 		for _, m := range c.machines {
 			if c.usable(m) && kp.suits(m) {
-				kp.spare += fit(m.room(), kp.need)
+				kp.spare += m.free().Fit(kp.need)
 			}
 		}
 		ks = append(ks, kp)
@@ -232,9 +233,9 @@
 
 // costs is how many tasks of a reserved class would have no room any more if
 // a machine took a task of a size.
-func (k *kept) costs(m *machineEntry, n resources) int {
-	room := m.room()
-	return fit(room, k.need) - fit(room.minus(n), k.need)
+func (k *kept) costs(m *machineEntry, n room.Amount) int {
+	free := m.free()
+	return free.Fit(k.need) - free.Minus(n).Fit(k.need)
 }
 
 // suits reports whether a machine could ever take a task of the class.
--- a/internal/coordination/classes_test.go
+++ b/internal/coordination/classes_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -44,11 +45,11 @@
 	m := b.c.machines["vm-1"]
 	kept := b.c.keptRoom()
 	small := &ownedJob{liveJob: &liveJob{Job: protocol.Job{Class: "array", Priority: "standard", CPUs: 1, MemoryGB: 1}}}
-	if ok := spared(small, m, need(&small.Job), kept); ok {
+	if ok := spared(small, m, room.Need(&small.Job), kept); ok {
 		t.Error("a small task may take the last room kept")
 	}
 	big := &ownedJob{liveJob: &liveJob{Job: protocol.Job{Class: "gang", Priority: "high", CPUs: 4, MemoryGB: 1}}}
-	if ok := spared(big, m, need(&big.Job), kept); !ok {
+	if ok := spared(big, m, room.Need(&big.Job), kept); !ok {
 		t.Error("the class itself may not use it")
 	}
 	b.c.now += Time(10 * time.Minute)
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -177,7 +178,7 @@
 
 // give takes a machine out of the room kept for classes, if they can spare it.
 func give(m *machineEntry, kept []kept) bool {
-	all := capacity(m.info)
+	all := room.Capacity(m.info)
 	for i := range kept {
 		if k := &kept[i]; k.suits(m) && k.spare < k.costs(m, all) {
 			return false
@@ -236,7 +237,7 @@
 	spare -= waits
 	for _, m := range c.machinesInOrder() {
 		if c.usable(m) {
-			spare += m.roomBelow(top).cpus
+			spare += m.roomBelow(top).CPUs
 		}
 	}
 	return spare
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -14,7 +15,7 @@
 
 // placeGang places all tasks of a gang with one attempt number, when nothing
 // of its last attempt is left.
-func (c *Core) placeGang(o *ownedJob, usage map[protocol.Team]resources, kept []kept, claimed claims) []Placement {
+func (c *Core) placeGang(o *ownedJob, usage map[protocol.Team]room.Amount, kept []kept, claimed claims) []Placement {
 	n := int(o.Tasks)
 	if len(o.placed) > 0 || o.unknown || !c.withinLimit(o, usage, n) {
 		return nil
@@ -90,12 +91,12 @@
 // is less urgent is stopped. Spot machines may be left out.
 func (c *Core) zoneRoom(o *ownedJob, claimed claims, shun bool) (now, firm map[protocol.Zone]int) {
 	now, firm = map[protocol.Zone]int{}, map[protocol.Zone]int{}
-	size, none := need(&o.Job), map[protocol.Zone]int{}
+	size, none := room.Need(&o.Job), map[protocol.Zone]int{}
 	c.looked += len(c.sorted)
 	for _, m := range c.machinesInOrder() {
 		if c.mayTake(o, m, none) && !claimed.against(o, m) && !(shun && m.rec.Spot) {
-			now[m.rec.Zone] += fit(m.room(), size)
-			firm[m.rec.Zone] += fit(m.firmRoom(o.level), size)
+			now[m.rec.Zone] += m.free().Fit(size)
+			firm[m.rec.Zone] += m.firmRoom(o.level).Fit(size)
 		}
 	}
 	return now, firm
@@ -106,7 +107,7 @@
 // could not be stopped for it goes elsewhere. Without that, a large gang would
 // be starved by steady small ones. A claim lasts for one step and is made anew
 // in the next, so it outlives neither its gang nor its owner.
-type claims map[*machineEntry]level
+type claims map[*machineEntry]room.Level
 
 func (l claims) against(o *ownedJob, m *machineEntry) bool {
 	claimed, ok := l[m]
@@ -116,7 +117,7 @@
 // claim claims as many machines as a gang needs, where the most of them have
 // room for it.
 func (c *Core) claim(o *ownedJob, claimed claims) {
-	size, none := need(&o.Job), map[protocol.Zone]int{}
+	size, none := room.Need(&o.Job), map[protocol.Zone]int{}
 	var best protocol.Zone
 	if o.OneZone {
 		_, firm := c.zoneRoom(o, claimed, false)
@@ -135,7 +136,7 @@
 		if best != "" && m.rec.Zone != best || claimed.against(o, m) || !c.mayTake(o, m, none) {
 			continue
 		}
-		if n := fit(m.firmRoom(o.level), size); n > 0 {
+		if n := m.firmRoom(o.level).Fit(size); n > 0 {
 			claimed[m] = o.level
 			o.claimed = append(o.claimed, m)
 			left -= n
--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -6,19 +6,20 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
 // zoned registers idle machines of a zone; held is what of each has a level.
-func (b *bench) zoned(z protocol.Zone, n int, spot bool, held uses) {
+func (b *bench) zoned(z protocol.Zone, n int, spot bool, held room.Uses) {
 	for i := range n {
 		id := protocol.MachineID(fmt.Sprintf("vm-%s%v%d", z, spot, i))
 		m := &machineEntry{
 			id: id, epoch: 1, info: protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16}, held: held,
 			rec: bookkeeping.Machine{Zone: z, Spot: spot}, mine: map[protocol.TaskID]*placedTask{},
 		}
-		free := capacity(m.info).minus(held.firm(0))
-		m.told = MachineState{Machine: id, Epoch: 1, FreeCPUs: free.cpus, FreeGB: free.gb}
+		free := room.Capacity(m.info).Minus(held.Firm(0))
+		m.told = MachineState{Machine: id, Epoch: 1, FreeCPUs: free.CPUs, FreeGB: free.GB}
 		b.c.addMachine(m)
 	}
 }
@@ -30,16 +31,16 @@
 	}, since: b.c.now})
 	o.loaded = true
 	o.pending.FlipRange(0, uint(tasks))
-	o.level = levelOf(o.Priority, false)
+	o.level = room.LevelOf(o.Priority, false)
 	return o
 }
 
 func (b *bench) placeGang(o *ownedJob, l claims) []Placement {
-	return b.c.placeGang(o, map[protocol.Team]resources{}, nil, l)
+	return b.c.placeGang(o, map[protocol.Team]room.Amount{}, nil, l)
 }
 
-func heldAt(l level, cpus float64) (u uses) {
-	u.add(l, resources{cpus: cpus})
+func heldAt(l room.Level, cpus float64) (u room.Uses) {
+	u.Add(l, room.Amount{CPUs: cpus})
 	return u
 }
 
@@ -49,7 +50,7 @@
 	b := newBench(t, "node-1")
 	b.zoned("a", 5, false, heldAt(2, 4)) // more machines, held by what is as urgent
 	b.zoned("b", 3, false, heldAt(1, 4)) // held by what may be stopped
-	b.zoned("c", 2, false, uses{})
+	b.zoned("c", 2, false, room.Uses{})
 	if ps := b.placeGang(b.gang("job-1", 4), claims{}); ps != nil {
 		t.Fatalf("%d of 4 tasks placed", len(ps))
 	}
@@ -74,7 +75,7 @@
 // while; what may be stopped for it may use it.
 func TestGangClaims(t *testing.T) {
 	b := newBench(t, "node-1")
-	b.zoned("a", 3, false, uses{})
+	b.zoned("a", 3, false, room.Uses{})
 	l := claims{}
 	large, small := b.gang("job-1", 4), b.gang("job-2", 2)
 	if b.placeGang(large, l) != nil || len(l) != 3 {
@@ -84,8 +85,8 @@
 		t.Error("a gang after it takes what is claimed")
 	}
 	urgent := b.gang("job-3", 2)
-	urgent.level = levelOf("production", false)
-	array := &ownedJob{liveJob: &liveJob{}, level: levelOf("standard", false)}
+	urgent.level = room.LevelOf("production", false)
+	array := &ownedJob{liveJob: &liveJob{}, level: room.LevelOf("standard", false)}
 	for m := range l {
 		if !l.against(urgent, m) || l.against(array, m) {
 			t.Error("claims hold against what could be stopped, or not against the rest")
@@ -110,12 +111,12 @@
 		b.c.live["job-1"] = &liveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: tc.runs, CPUs: 2, Tasks: 1}}
 		b.c.live["job-2"] = &liveJob{Job: protocol.Job{ID: "job-2", Team: "free", Kind: protocol.KindGang, Priority: "high", CPUs: 4, Tasks: 2}}
 		runs := &entry{
-			task: protocol.TaskID{Job: "job-1"}, attempt: 1, need: resources{cpus: 2}, level: levelOf(tc.runs, false),
+			task: protocol.TaskID{Job: "job-1"}, attempt: 1, need: room.Amount{CPUs: 2}, level: room.LevelOf(tc.runs, false),
 			sent: true, present: true, state: protocol.TaskRunning,
 		}
 		q.entries[runs.task] = runs
 		b.c.place("node-0", &Place{Number: 1, Term: b.c.view.Term, Tasks: []Placement{{
-			Task: protocol.TaskID{Job: "job-2"}, Attempt: 1, Machine: "vm-1", Epoch: q.epoch, CPUs: 4, Level: int(levelOf("high", false)), Together: true,
+			Task: protocol.TaskID{Job: "job-2"}, Attempt: 1, Machine: "vm-1", Epoch: q.epoch, CPUs: 4, Level: int(room.LevelOf("high", false)), Together: true,
 		}}})
 		if refused := len(q.waiting) == 0; refused != tc.refused || runs.kill == tc.refused {
 			t.Errorf("behind %s: refused %v, other stopped %v", tc.runs, refused, runs.kill)
@@ -146,7 +147,7 @@
 	if array := (&protocol.Job{Kind: protocol.KindArray, Tasks: 500, EstimateS: 10}); b.c.risky(array) {
 		t.Error("avoided for an array")
 	}
-	b.zoned("a", 2, true, uses{})
+	b.zoned("a", 2, true, room.Uses{})
 	b.zoned("b", 2, false, heldAt(1, 4))
 	b.placeGang(o, claims{})
 	for _, p := range o.placed {
--- a/internal/coordination/intake.go
+++ b/internal/coordination/intake.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
 )
@@ -317,7 +318,7 @@
 	if j.Kind != protocol.KindArray {
 		n = float64(j.Tasks)
 	}
-	if team.MaxCPUs > 0 && n*j.CPUs > team.MaxCPUs+slack || team.MaxGPUs > 0 && n*j.GPUs > team.MaxGPUs+slack {
+	if team.MaxCPUs > 0 && n*j.CPUs > team.MaxCPUs+room.Slack || team.MaxGPUs > 0 && n*j.GPUs > team.MaxGPUs+room.Slack {
 		return "more than the team's limit"
 	}
 	return ""
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -3,6 +3,7 @@
 import (
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/relay"
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/coordination/shares"
 	"damsonkeel/internal/protocol"
 )
@@ -26,7 +27,7 @@
 }
 
 // Need is what the task takes of its machine.
-func (p Placement) Need() resources { return resources{p.CPUs, p.GPUs, p.GB} }
+func (p Placement) Need() room.Amount { return room.Amount{CPUs: p.CPUs, GPUs: p.GPUs, GB: p.GB} }
 
 // Place hands placements to the controller that keeps the machines' queues.
 type Place struct {
@@ -112,6 +113,24 @@
 	CPUs, GPUs, GB float64
 }
 
+// usesIn is the form in which uses are sent.
+func usesIn(u *room.Uses) []Use {
+	var us []Use
+	for l, r := range u {
+		if r != (room.Amount{}) {
+			us = append(us, Use{l, r.CPUs, r.GPUs, r.GB})
+		}
+	}
+	return us
+}
+
+// addUses takes uses as they were sent.
+func addUses(u *room.Uses, us []Use) {
+	for _, n := range us {
+		u.Add(room.Level(n.Level), room.Amount{CPUs: n.CPUs, GPUs: n.GPUs, GB: n.GB})
+	}
+}
+
 // MachineState is what a machine's controller tells all others of it, when it
 // changes.
 type MachineState struct {
@@ -361,9 +380,9 @@
 	at     Time         // when that was
 	coming []comingWait // placements that its keeper's word does not include yet
 	extra  float64      // their waits
-	taken  uses         // what they take
+	taken  room.Uses    // what they take
 	copied float64      // its wait by a peer's table, until its keeper is heard
-	held   uses         // what it was told to hold
+	held   room.Uses    // what it was told to hold
 	late   int          // tasks of this owner that ran too long there lately
 	lateAt Time         // the last of them
 	mine   map[protocol.TaskID]*placedTask
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -60,11 +61,11 @@
 		if j == nil {
 			break // its record has not arrived yet
 		}
-		e.need = need(&j.Job)
-		if !free.covers(e.need) {
+		e.need = room.Need(&j.Job)
+		if !free.Covers(e.need) {
 			break // first come, first served: what is behind waits too
 		}
-		free = free.minus(e.need)
+		free = free.Minus(e.need)
 		q.waiting = q.waiting[1:]
 		q.idleSince = c.now
 		c.touch(q)
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 
 	"github.com/bits-and-blooms/bitset"
@@ -36,7 +37,7 @@
 // team's limit for as long as it may be on its machine.
 type leavingTask struct {
 	team   protocol.Team
-	need   resources
+	need   room.Amount
 	number uint64 // of the Place that carried it; 0: any inventory counts
 }
 
@@ -64,7 +65,7 @@
 	tried   Time
 	claimed []*machineEntry // for it then
 
-	level     level // at the last placement
+	level     room.Level // at the last placement
 	failedOn  map[protocol.MachineID]bool
 	backoff   time.Duration
 	notBefore Time
@@ -146,7 +147,7 @@
 	if o := c.owner.jobs[id]; o != nil {
 		for _, t := range tasksInOrder(o.placed) {
 			if c.limited(o.Team) {
-				left := leavingTask{o.Team, need(&o.Job), t.number}
+				left := leavingTask{o.Team, room.Need(&o.Job), t.number}
 				if t.uncertain {
 					left.number = 0
 				}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -61,7 +62,7 @@
 				waits[p.Machine] = w
 			}
 			w.add += p.EstimateS * p.CPUs
-			w.taken.add(level(p.Level), p.Need())
+			w.taken.Add(room.Level(p.Level), p.Need())
 		}
 		if left <= 0 {
 			c.owner.dirty = true
@@ -95,7 +96,7 @@
 }
 
 // placeArray places pending tasks one by one.
-func (c *Core) placeArray(o *ownedJob, usage map[protocol.Team]resources, left int, kept []kept) []Placement {
+func (c *Core) placeArray(o *ownedJob, usage map[protocol.Team]room.Amount, left int, kept []kept) []Placement {
 	var out []Placement
 	zones := o.zones()
 	var from *candidates
@@ -148,7 +149,7 @@
 	o.waits++
 	if p := c.peers[c.keeper(m.id)]; p != nil {
 		// The Place that carries it is the next to the keeper.
-		c.expect(m, comingWait{c.self, p.placed + 1, t.estimate * o.CPUs, o.level, need(&o.Job)})
+		c.expect(m, comingWait{c.self, p.placed + 1, t.estimate * o.CPUs, o.level, room.Need(&o.Job)})
 	}
 	return Placement{Task: t.task, Attempt: a, Machine: m.id, Epoch: m.epoch, EstimateS: t.estimate, CPUs: o.CPUs, GPUs: o.GPUs, GB: o.MemoryGB, Level: int(o.level), Together: o.together()}
 }
@@ -174,7 +175,7 @@
 
 // spared reports whether a machine's room may be used for a task without
 // touching what is reserved for other classes.
-func spared(o *ownedJob, m *machineEntry, n resources, kept []kept) bool {
+func spared(o *ownedJob, m *machineEntry, n room.Amount, kept []kept) bool {
 	for i := range kept {
 		k := &kept[i]
 		if !k.applies(o) || !k.suits(m) {
@@ -198,7 +199,7 @@
 }
 
 // spend takes the room that a task is about to use out of what can be spared.
-func spend(m *machineEntry, n resources, kept []kept) {
+func spend(m *machineEntry, n room.Amount, kept []kept) {
 	for i := range kept {
 		if k := &kept[i]; k.suits(m) {
 			k.spare -= k.costs(m, n)
@@ -245,10 +246,10 @@
 
 // waitBefore is what of the machine's expected wait comes before a task of a
 // level: what is queued there at lower levels lets it go first.
-func (m *machineEntry) waitBefore(l level) float64 {
+func (m *machineEntry) waitBefore(l room.Level) float64 {
 	wait := m.wait()
 	for lower, work := range m.told.Queue {
-		if level(lower) < l {
+		if room.Level(lower) < l {
 			wait -= work
 		}
 	}
@@ -257,41 +258,41 @@
 
 // room is what a machine has free now, as far as this controller knows. One
 // with a queue has none: what waits there comes first.
-func (m *machineEntry) room() resources {
+func (m *machineEntry) free() room.Amount {
 	if m.told.Epoch != m.epoch {
-		return capacity(m.info).minus(m.taken.firm(0)) // nothing told yet: as it came up
+		return room.Capacity(m.info).Minus(m.taken.Firm(0)) // nothing told yet: as it came up
 	}
 	if m.told.Queued > 0 {
-		return resources{}
+		return room.Amount{}
 	}
-	return resources{m.told.FreeCPUs, m.told.FreeGPUs, m.told.FreeGB}.minus(m.taken.firm(0))
+	return room.Amount{CPUs: m.told.FreeCPUs, GPUs: m.told.FreeGPUs, GB: m.told.FreeGB}.Minus(m.taken.Firm(0))
 }
 
 // firmRoom is what a machine has for a task of a level once everything that may
 // be stopped for it is gone.
-func (m *machineEntry) firmRoom(l level) resources {
-	room := capacity(m.info).minus(m.taken.firm(l))
+func (m *machineEntry) firmRoom(l room.Level) room.Amount {
+	room := room.Capacity(m.info).Minus(m.taken.Firm(l))
 	if m.told.Epoch == m.epoch {
-		room = room.minus(m.held.firm(l))
+		room = room.Minus(m.held.Firm(l))
 	}
 	return room
 }
 
 // roomBelow is what a machine has for work of a rank or below, beside what is
 // more urgent.
-func (m *machineEntry) roomBelow(rank int) resources {
-	return capacity(m.info).minus(m.held.above(rank)).minus(m.taken.above(rank))
+func (m *machineEntry) roomBelow(rank int) room.Amount {
+	return room.Capacity(m.info).Minus(m.held.Above(rank)).Minus(m.taken.Above(rank))
 }
 
 // waitFor is the wait per processor that a task has to expect before it runs,
 // in seconds, its image's fetch included, and whether the machine has room for
 // it now. With room, the fuller machine counts a little less, so that small
 // tasks leave whole machines to large ones.
-func (m *machineEntry) waitFor(j *protocol.Job, l level) (wait float64, room bool) {
-	n := need(j)
+func (m *machineEntry) waitFor(j *protocol.Job, l room.Level) (wait float64, now bool) {
+	n := room.Need(j)
 	fetch := m.fetch(j)
-	if free := m.room(); free.covers(n) {
-		return fetch + (free.cpus-n.cpus)/math.Max(m.info.CPUs, 1), true
+	if free := m.free(); free.Covers(n) {
+		return fetch + (free.CPUs-n.CPUs)/math.Max(m.info.CPUs, 1), true
 	}
 	return m.waitBefore(l)/math.Max(m.info.CPUs, 1) + fetch, false
 }
@@ -341,43 +342,43 @@
 	if len(j.Types) > 0 && !slices.Contains(j.Types, t.Name) {
 		return false
 	}
-	return (j.Zone == "" || j.Zone == z) && (j.Spot || !spot) && capacity(t).covers(need(&j.Job))
+	return (j.Zone == "" || j.Zone == z) && (j.Spot || !spot) && room.Capacity(t).Covers(room.Need(&j.Job))
 }
 
 // teamUsage sums what limited teams' attempts may take that are not proven
 // gone. Of a team just taken over, attempts that are not listed, of jobs that
 // are over too, can be only on machines that were not heard since: they take no
 // more than all there is of these.
-func (c *Core) teamUsage() map[protocol.Team]resources {
-	usage := map[protocol.Team]resources{}
+func (c *Core) teamUsage() map[protocol.Team]room.Amount {
+	usage := map[protocol.Team]room.Amount{}
 	for _, o := range c.owner.jobs {
 		if c.limited(o.Team) {
 			c.use(o, usage, len(o.placed))
 		}
 	}
 	for _, t := range c.owner.leaving {
-		usage[t.team] = usage[t.team].plus(t.need)
+		usage[t.team] = usage[t.team].Plus(t.need)
 	}
 	if len(c.owner.unsure) > 0 {
-		var unheard resources
+		var unheard room.Amount
 		for id := range c.owner.pending {
 			if m := c.machines[id]; m != nil {
-				unheard = unheard.plus(mostOn(m))
+				unheard = unheard.Plus(mostOn(m))
 			}
 		}
 		for team := range c.owner.unsure {
-			usage[team] = usage[team].plus(unheard)
+			usage[team] = usage[team].Plus(unheard)
 		}
 	}
 	return usage
 }
 
 // mostOn is the most that attempts on a machine may take.
-func mostOn(m *machineEntry) resources {
+func mostOn(m *machineEntry) room.Amount {
 	if m.info.Name == "" {
-		return resources{math.Inf(1), math.Inf(1), math.Inf(1)} // of a type that the cloud does not list
+		return room.Amount{CPUs: math.Inf(1), GPUs: math.Inf(1), GB: math.Inf(1)} // of a type that the cloud does not list
 	}
-	return capacity(m.info)
+	return room.Capacity(m.info)
 }
 
 func (c *Core) limited(name protocol.Team) bool {
@@ -385,25 +386,25 @@
 	return ok && t.Limited()
 }
 
-func (c *Core) use(o *ownedJob, usage map[protocol.Team]resources, n int) {
+func (c *Core) use(o *ownedJob, usage map[protocol.Team]room.Amount, n int) {
 	u := usage[o.Team]
-	u.cpus += o.CPUs * float64(n)
-	u.gpus += o.GPUs * float64(n)
+	u.CPUs += o.CPUs * float64(n)
+	u.GPUs += o.GPUs * float64(n)
 	usage[o.Team] = u
 }
 
 // withinLimit reports whether n more tasks keep the team within its limit.
-func (c *Core) withinLimit(o *ownedJob, usage map[protocol.Team]resources, n int) bool {
+func (c *Core) withinLimit(o *ownedJob, usage map[protocol.Team]room.Amount, n int) bool {
 	t, ok := c.settings.Team(o.Team)
 	if !ok {
 		return false
 	}
 	u := usage[o.Team]
-	return (t.MaxCPUs == 0 || u.cpus+o.CPUs*float64(n) <= t.MaxCPUs+slack) &&
-		(t.MaxGPUs == 0 || u.gpus+o.GPUs*float64(n) <= t.MaxGPUs+slack)
+	return (t.MaxCPUs == 0 || u.CPUs+o.CPUs*float64(n) <= t.MaxCPUs+room.Slack) &&
+		(t.MaxGPUs == 0 || u.GPUs+o.GPUs*float64(n) <= t.MaxGPUs+room.Slack)
 }
 
 // mayStart is how many of n more tasks keep the team within its limit.
-func (c *Core) mayStart(o *ownedJob, usage map[protocol.Team]resources, n int) int {
+func (c *Core) mayStart(o *ownedJob, usage map[protocol.Team]room.Amount, n int) int {
 	return sort.Search(n, func(k int) bool { return !c.withinLimit(o, usage, k+1) })
 }
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -23,9 +24,9 @@
 // alike is what machines of a slot have in common.
 type alike struct {
 	kind
-	free resources // now, or when they are up
-	held uses      // by attempts on each or in its queue
-	inS  float64   // when they are up, in seconds
+	free room.Amount // now, or when they are up
+	held room.Uses   // by attempts on each or in its queue
+	inS  float64     // when they are up, in seconds
 }
 
 // slots lists all room that is there or coming.
@@ -37,9 +38,9 @@
 		if !c.usable(m) {
 			continue
 		}
-		a := alike{kind: m.kind(), free: m.room(), held: m.held}
+		a := alike{kind: m.kind(), free: m.free(), held: m.held}
 		for r := range a.held {
-			a.held[r] = a.held[r].plus(m.taken[r])
+			a.held[r] = a.held[r].Plus(m.taken[r])
 		}
 		i, there := at[a]
 		if !there {
@@ -52,7 +53,7 @@
 	for _, m := range inOrder(f.coming) {
 		info := c.types[m.t]
 		boot := math.Max(info.BootS-c.since(m.at).Seconds(), 1)
-		slots = append(slots, slot{alike: alike{kind: m.kind, free: capacity(info), inS: boot}, info: info, n: 1})
+		slots = append(slots, slot{alike: alike{kind: m.kind, free: room.Capacity(info), inS: boot}, info: info, n: 1})
 	}
 	for _, r := range inOrder(f.rents) {
 		slots = append(slots, c.fresh(kind{r.req.Type, r.req.Zone, r.req.Spot}, r.req.Count))
@@ -63,7 +64,7 @@
 // fresh is the room of machines just asked for.
 func (c *Core) fresh(k kind, count int) slot {
 	info := c.types[k.t]
-	return slot{alike: alike{kind: k, free: capacity(info), inS: info.BootS}, info: info, n: count}
+	return slot{alike: alike{kind: k, free: room.Capacity(info), inS: info.BootS}, info: info, n: count}
 }
 
 // plan rents what the unstarted work needs beyond what is there or coming.
@@ -86,7 +87,7 @@
 		switch j := c.wants(d); {
 		case j == nil:
 		case c.awaited(&j.Job):
-			p.house(j, level(d.Level), d.Unstarted)
+			p.house(j, room.Level(d.Level), d.Unstarted)
 		default:
 			rest = append(rest, d)
 		}
@@ -94,7 +95,7 @@
 	for _, k := range inOrder(c.classes) {
 		j := &liveJob{Job: k.job}
 		j.OneZone = false // it is kept for several jobs
-		p.house(j, levelOf(j.Priority, false), c.reserve(k))
+		p.house(j, room.LevelOf(j.Priority, false), c.reserve(k))
 	}
 	// What is left works off the rest, the most pressing first. Each job finds
 	// what those before it leave of the time until it has to be done.
@@ -112,7 +113,7 @@
 	for _, k := range inOrder(c.classes) {
 		if work := c.comingWork(k); work > 0 {
 			d := Demand{EstimateS: c.estimate(&k.job)}
-			d.Unstarted = int(work / (d.EstimateS * math.Max(k.job.CPUs, slack)))
+			d.Unstarted = int(work / (d.EstimateS * math.Max(k.job.CPUs, room.Slack)))
 			p.workOff(&liveJob{Job: k.job}, d, c.upS(&k.job))
 		}
 	}
@@ -141,20 +142,20 @@
 // start at once.
 type pool struct {
 	info   protocol.TypeInfo
-	room   resources // of all together
-	aheadS float64   // processor seconds that they have to do before
+	room   room.Amount // of all together
+	aheadS float64     // processor seconds that they have to do before
 }
 
 // fill takes room for n tasks of a job out of the slots, as far as there is,
 // and returns how many are left without.
-func (p *planning) fill(j *liveJob, l level, n int) int {
-	size, shun := need(&j.Job), p.c.risky(&j.Job)
+func (p *planning) fill(j *liveJob, l room.Level, n int) int {
+	size, shun := room.Need(&j.Job), p.c.risky(&j.Job)
 	for i := 0; i < len(p.slots) && n > 0; i++ {
 		s := &p.slots[i]
 		if s.n == 0 || shun && s.spot || !j.allowsKind(s.info, s.zone, s.spot) {
 			continue
 		}
-		per := fit(s.free, size)
+		per := s.free.Fit(size)
 		if per == 0 {
 			continue
 		}
@@ -180,17 +181,17 @@
 }
 
 // after is so many of a slot's machines once each has taken some tasks.
-func (s slot) after(l level, size resources, tasks, machines int) slot {
+func (s slot) after(l room.Level, size room.Amount, tasks, machines int) slot {
 	for range tasks {
-		s.free = s.free.minus(size)
-		s.held.add(l, size)
+		s.free = s.free.Minus(size)
+		s.held.Add(l, size)
 	}
 	s.n = machines
 	return s
 }
 
 // house takes room for n tasks of a job and rents what is missing.
-func (p *planning) house(j *liveJob, l level, n int) {
+func (p *planning) house(j *liveJob, l room.Level, n int) {
 	if n > 0 && j.OneZone && j.Zone == "" {
 		in := *j // as if its user had named the zone
 		in.Zone = p.zoneFor(j, n)
@@ -200,7 +201,7 @@
 		return
 	}
 	for _, k := range p.c.offers(j) {
-		per := fit(capacity(p.c.types[k.t]), need(&j.Job))
+		per := room.Capacity(p.c.types[k.t]).Fit(room.Need(&j.Job))
 		if count := p.ask(k, (n+per-1)/per); count > 0 {
 			p.slots = append(p.slots, p.c.fresh(k, count))
 			n = p.fill(j, l, n)
@@ -214,23 +215,23 @@
 // zoneFor is the zone that lacks least to hold n tasks of a job, of those that
 // lack nothing or still have machines to rent.
 func (p *planning) zoneFor(j *liveJob, n int) protocol.Zone {
-	room, offered := map[protocol.Zone]int{}, map[protocol.Zone]bool{}
-	size, shun := need(&j.Job), p.c.risky(&j.Job)
+	has, offered := map[protocol.Zone]int{}, map[protocol.Zone]bool{}
+	size, shun := room.Need(&j.Job), p.c.risky(&j.Job)
 	for i := range p.slots {
 		if s := &p.slots[i]; !(shun && s.spot) && j.allowsKind(s.info, s.zone, s.spot) {
-			room[s.zone] += s.n * fit(s.free, size)
+			has[s.zone] += s.n * s.free.Fit(size)
 		}
 	}
 	for _, k := range p.c.offers(j) {
 		offered[k.zone] = true
-		room[k.zone] += 0
+		has[k.zone] += 0
 	}
 	var best protocol.Zone
-	for z, has := range inOrder(room) {
-		if has < n && !offered[z] {
+	for z, there := range inOrder(has) {
+		if there < n && !offered[z] {
 			continue
 		}
-		if best == "" || min(has, n) > min(room[best], n) {
+		if best == "" || min(there, n) > min(has[best], n) {
 			best = z
 		}
 	}
@@ -284,14 +285,14 @@
 	}
 	for _, s := range p.slots {
 		k := p.pool(s.kind)
-		room, n := capacity(s.info).minus(s.held.above(top)), float64(s.n)
-		if room.cpus <= slack || s.n == 0 {
+		left, n := room.Capacity(s.info).Minus(s.held.Above(top)), float64(s.n)
+		if left.CPUs <= room.Slack || s.n == 0 {
 			continue
 		}
-		k.room = k.room.plus(resources{n * room.cpus, n * room.gpus, n * room.gb})
-		k.aheadS += n * room.cpus * s.inS
+		k.room = k.room.Plus(left.Times(n))
+		k.aheadS += n * left.CPUs * s.inS
 		if s.inS == 0 {
-			k.aheadS += n * math.Max(0, room.cpus-math.Max(0, s.free.cpus)) * runS / 2
+			k.aheadS += n * math.Max(0, left.CPUs-math.Max(0, s.free.CPUs)) * runS / 2
 		}
 	}
 }
@@ -299,7 +300,7 @@
 // workOff has the pools begin a job's tasks in the time that is left, in
 // seconds, and rents machines for those that they can't.
 func (p *planning) workOff(j *liveJob, d Demand, left float64) {
-	n, size := float64(d.Unstarted), need(&j.Job)
+	n, size := float64(d.Unstarted), room.Need(&j.Job)
 	offers := p.c.offers(j)
 	upS := func(k kind) float64 { return p.c.types[k.t].BootS + fetchS(p.c.types[k.t], &j.Job) }
 	if len(offers) > 0 {
@@ -314,7 +315,7 @@
 		n -= l.take(n, size, d.EstimateS, left)
 	}
 	for _, k := range offers {
-		per := fit(capacity(p.c.types[k.t]), size)
+		per := room.Capacity(p.c.types[k.t]).Fit(size)
 		rounds := math.Max(0, left-upS(k))/d.EstimateS + 1
 		if n < 0.5 {
 			return
@@ -322,7 +323,7 @@
 		count := p.ask(k, int(math.Ceil(n/(float64(per)*rounds))))
 		l := p.pool(k)
 		for range count {
-			l.room = l.room.plus(capacity(l.info))
+			l.room = l.room.Plus(room.Capacity(l.info))
 		}
 		l.aheadS += float64(count) * l.info.CPUs * upS(k)
 		n -= l.take(n, size, d.EstimateS, left)
@@ -339,31 +340,17 @@
 }
 
 // take has a pool do as many of n tasks as it can begin before they are late.
-func (l *pool) take(n float64, size resources, estimateS, left float64) float64 {
-	places := places(l.room, size)
+func (l *pool) take(n float64, size room.Amount, estimateS, left float64) float64 {
+	places := l.room.Places(size)
 	if places < 1 {
 		return 0
 	}
-	can := math.Max(0, left+estimateS-l.aheadS/math.Max(l.room.cpus, slack)) / estimateS * places
+	can := math.Max(0, left+estimateS-l.aheadS/math.Max(l.room.CPUs, room.Slack)) / estimateS * places
 	done := math.Min(n, can)
-	l.aheadS += done * estimateS * l.room.cpus / places // a task without processors takes its part of the room, too
+	l.aheadS += done * estimateS * l.room.CPUs / places // a task without processors takes its part of the room, too
 	return done
 }
 
-// places is how many tasks of a size run at a time in a lot of room.
-func places(room, size resources) float64 {
-	n := math.Inf(1)
-	for _, r := range [][2]float64{{room.cpus, size.cpus}, {room.gpus, size.gpus}, {room.gb, size.gb}} {
-		if r[1] > 0 {
-			n = math.Min(n, r[0]/r[1])
-		}
-	}
-	if math.IsInf(n, 1) {
-		return 0
-	}
-	return n
-}
-
 // inPriceOrder lists kinds in one order, the cheapest first.
 func inPriceOrder[V any](c *Core, kinds map[kind]V) []kind {
 	ks := slices.Collect(maps.Keys(kinds))
@@ -392,16 +379,6 @@
 	return math.Max(0, time.Duration(j.due-c.now).Seconds()-1.5*d.EstimateS)
 }
 
-// fit is how many tasks of a size have room.
-func fit(room, n resources) int {
-	k := 0
-	for room.covers(n) && k < 1000 {
-		room = room.minus(n)
-		k++
-	}
-	return k
-}
-
 // offers lists what may be rented for a job, the cheapest per task first.
 func (c *Core) offers(j *liveJob) []kind {
 	type offer struct {
@@ -411,7 +388,7 @@
 	var offers []offer
 	stretch, shun := c.spotStretch(&j.Job)*float64(j.Tasks), c.risky(&j.Job)
 	for _, t := range c.types {
-		per := fit(capacity(t), need(&j.Job))
+		per := room.Capacity(t).Fit(room.Need(&j.Job))
 		if per == 0 {
 			continue
 		}
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -79,8 +80,8 @@
 func TestGangZoneIsRented(t *testing.T) {
 	b := planner(t)
 	b.c.types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}, Price: 1, SpotPrice: 1}
-	b.zoned("a", 2, false, uses{})
-	b.zoned("b", 3, false, uses{})
+	b.zoned("a", 2, false, room.Uses{})
+	b.zoned("b", 3, false, room.Uses{})
 	o := b.gang("job-1", 5)
 	o.Spot = false
 	b.c.live["job-1"] = o.liveJob
@@ -103,8 +104,8 @@
 func TestBoundJobIsRentedFor(t *testing.T) {
 	b := planner(t)
 	b.c.types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}, Price: 1, SpotPrice: 1}
-	b.zoned("a", 20, false, uses{})
-	b.zoned("b", 1, false, uses{})
+	b.zoned("a", 20, false, room.Uses{})
+	b.zoned("b", 1, false, room.Uses{})
 	o := b.c.own(&liveJob{Job: protocol.Job{
 		ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 60, CPUs: 1, MemoryGB: 1, EstimateS: 60, OneZone: true,
 	}, since: b.c.now})
@@ -129,12 +130,12 @@
 // TestPlanWithoutProcessors: a job that takes GPUs alone is reckoned by its part
 // of the room; it does not spoil the plan for what comes after it.
 func TestPlanWithoutProcessors(t *testing.T) {
-	size := resources{gpus: 1, gb: 1}
-	l := &pool{room: resources{cpus: 8, gpus: 4, gb: 32}}
+	size := room.Amount{GPUs: 1, GB: 1}
+	l := &pool{room: room.Amount{CPUs: 8, GPUs: 4, GB: 32}}
 	if n := l.take(3, size, 10, 0); n != 3 || l.aheadS != 60 {
 		t.Errorf("%v of 3 tasks taken, %v processor seconds ahead, want 3 and 60", n, l.aheadS)
 	}
-	if n := l.take(99, resources{cpus: 1}, 10, 10); n <= 0 || n >= 99 {
+	if n := l.take(99, room.Amount{CPUs: 1}, 10, 10); n <= 0 || n >= 99 {
 		t.Errorf("%v tasks taken after it", n)
 	}
 }
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -15,19 +16,19 @@
 // setLevels tells which owned jobs fit into their team's guarantee, together
 // with the team's earlier unfinished jobs.
 func (c *Core) setLevels() {
-	used := map[protocol.Team]resources{}
+	used := map[protocol.Team]room.Amount{}
 	jobs := slices.Clone(c.jobsInOrder())
 	slices.SortStableFunc(jobs, func(a, b *ownedJob) int { return cmp.Compare(a.SubmittedMS, b.SubmittedMS) })
 	for _, o := range jobs {
 		t, ok := c.settings.Team(o.Team)
 		if !ok || !c.guarantees(o.Team) {
-			o.level = levelOf(o.Priority, false)
+			o.level = room.LevelOf(o.Priority, false)
 			continue
 		}
 		n := float64(o.Tasks - o.nDone)
-		u := used[o.Team].plus(resources{cpus: n * o.CPUs, gpus: n * o.GPUs})
+		u := used[o.Team].Plus(room.Amount{CPUs: n * o.CPUs, GPUs: n * o.GPUs})
 		used[o.Team] = u
-		o.level = levelOf(o.Priority, u.cpus <= t.CPUs+slack && u.gpus <= t.GPUs+slack)
+		o.level = room.LevelOf(o.Priority, u.CPUs <= t.CPUs+room.Slack && u.GPUs <= t.GPUs+room.Slack)
 	}
 }
 
@@ -43,7 +44,7 @@
 func (c *Core) startBy(e *entry, l *liveJob) Time {
 	first := c.doneBy(l) - Time(1.5*e.estimate*float64(time.Second)) // owners' estimates are often wrong by half
 	for _, o := range c.settings.Site.Objectives {
-		asked := o.Kind == "wait" && o.Class == l.Class || o.Kind == "guarantee" && e.guaranteed()
+		asked := o.Kind == "wait" && o.Class == l.Class || o.Kind == "guarantee" && e.level.Guaranteed()
 		if by := l.since + Time(o.WithinS*float64(time.Second)); asked && by >= c.now {
 			first = min(first, by)
 		}
@@ -64,10 +65,10 @@
 
 // roomIn is how long it is likely to take until what runs on a machine ends by
 // itself and leaves room for a task.
-func (c *Core) roomIn(q *queue, free, n resources) time.Duration {
+func (c *Core) roomIn(q *queue, free, n room.Amount) time.Duration {
 	type ending struct {
 		in   time.Duration
-		need resources
+		need room.Amount
 	}
 	var ends []ending
 	for _, e := range q.entries {
@@ -78,10 +79,10 @@
 	slices.SortFunc(ends, func(a, b ending) int { return cmp.Compare(a.in, b.in) })
 	in := time.Duration(0)
 	for _, e := range ends {
-		if free.covers(n) {
+		if free.Covers(n) {
 			break
 		}
-		free, in = free.plus(e.need), e.in
+		free, in = free.Plus(e.need), e.in
 	}
 	return in
 }
@@ -104,7 +105,7 @@
 	free := q.free()
 	for _, e := range q.entries {
 		if e.present && !e.ended() && e.kill {
-			free = free.plus(e.need) // on its way out already
+			free = free.Plus(e.need) // on its way out already
 		}
 	}
 	for _, head := range q.waiting {
@@ -122,14 +123,14 @@
 		if !head.together {
 			return
 		}
-		free = free.minus(head.need)
+		free = free.Minus(head.need)
 	}
 }
 
 // preemptFor stops what has to be stopped for one attempt, given what is free,
 // and returns what is free then.
-func (c *Core) preemptFor(q *queue, head *entry, free resources) (resources, bool) {
-	if free.covers(head.need) {
+func (c *Core) preemptFor(q *queue, head *entry, free room.Amount) (room.Amount, bool) {
+	if free.Covers(head.need) {
 		return free, true
 	}
 	j := c.live[head.task.Job]
@@ -139,7 +140,7 @@
 		switch {
 		case !e.present || e.ended() || k == nil || e.kill:
 		case k.Priority.Rank() < j.Priority.Rank() && (head.level > e.level || k.Team == j.Team),
-			head.guaranteed() && !e.guaranteed() && k.Team != j.Team:
+			head.level.Guaranteed() && !e.level.Guaranteed() && k.Team != j.Team:
 			victims = append(victims, e)
 		}
 	}
@@ -154,13 +155,13 @@
 	})
 	var chosen []*entry
 	for _, e := range victims {
-		if free.covers(head.need) {
+		if free.Covers(head.need) {
 			break
 		}
-		free = free.plus(e.need)
+		free = free.Plus(e.need)
 		chosen = append(chosen, e)
 	}
-	if !free.covers(head.need) {
+	if !free.Covers(head.need) {
 		return free, false
 	}
 	for _, e := range chosen {
--- a/internal/coordination/preempt_test.go
+++ b/internal/coordination/preempt_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -32,7 +33,7 @@
 		q := b.c.queues["vm-1"]
 		entry := func(id protocol.JobID, k task, cpus float64) *entry {
 			b.c.live[id] = &liveJob{Job: protocol.Job{ID: id, Team: k.team, Priority: k.priority, CPUs: cpus, Tasks: 1}}
-			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: 900, need: resources{cpus: cpus}, level: levelOf(k.priority, k.guaranteed)}
+			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: 900, need: room.Amount{CPUs: cpus}, level: room.LevelOf(k.priority, k.guaranteed)}
 			q.entries[e.task] = e
 			return e
 		}
@@ -65,7 +66,7 @@
 	}
 	b.c.setLevels()
 	for id, within := range map[protocol.JobID]bool{"job-1": true, "job-2": true, "job-3": false} {
-		if o := b.c.owner.jobs[id]; o.level != levelOf(o.Priority, within) {
+		if o := b.c.owner.jobs[id]; o.level != room.LevelOf(o.Priority, within) {
 			t.Errorf("%s is at level %d", id, o.level)
 		}
 	}
@@ -92,7 +93,7 @@
 			l := &liveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Priority: p, CPUs: 3, Tasks: 1, EstimateS: s}, since: b.now}
 			l.due = b.c.due(l)
 			b.c.live[id] = l
-			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: s, since: b.now, need: resources{cpus: 3}, level: levelOf(p, false)}
+			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: s, since: b.now, need: room.Amount{CPUs: 3}, level: room.LevelOf(p, false)}
 			q.entries[e.task] = e
 			return e
 		}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -63,11 +64,11 @@
 	task     protocol.TaskID
 	attempt  protocol.Attempt
 	estimate float64
-	need     resources
+	need     room.Amount
 	order    uint64
 	since    Time // queued here, or first seen here
 	runs     Time // since when, as far as seen here
-	level    level
+	level    room.Level
 	due      Time              // of its job, when the queue was last sorted
 	together bool              // others of its gang wait for it
 	from     protocol.NodeName // that placed it here, if any
@@ -91,8 +92,6 @@
 	removeTag struct{ machine protocol.MachineID }
 )
 
-func (e *entry) guaranteed() bool { return e.level >= ranks }
-
 func (e *entry) ended() bool { return e.state == protocol.TaskEnded }
 
 // adoptQueues goes over to a new view. Queues that stay here keep what they
@@ -245,7 +244,7 @@
 		peer.handled = p.Number
 	}
 	for _, t := range p.Tasks {
-		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), level: level(t.Level), together: t.Together, from: from, since: c.now}
+		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), level: room.Level(t.Level), together: t.Together, from: from, since: c.now}
 		q := c.queues[t.Machine]
 		refuse := func() {
 			if q != nil {
@@ -268,7 +267,7 @@
 			}
 			continue
 		}
-		if e.together && !q.firmRoom(e.level).covers(e.need) {
+		if e.together && !q.firmRoom(e.level).Covers(e.need) {
 			// Its owner did not know yet of what is in the way. Waiting here
 			// would keep the machines of the whole gang idle.
 			refuse()
--- a/internal/coordination/rebalance.go
+++ b/internal/coordination/rebalance.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -12,7 +13,7 @@
 // longest queues first and in them the last in line first.
 type movableTasks struct {
 	job   *ownedJob
-	need  resources
+	need  room.Amount
 	tasks []movableTask
 }
 
@@ -41,7 +42,7 @@
 	}
 	var roomy []*machineEntry
 	for _, m := range c.machinesInOrder() {
-		if m.id > after && c.usable(m) && m.told.Epoch == m.epoch && m.told.Queued == 0 && m.room().cpus > slack {
+		if m.id > after && c.usable(m) && m.told.Epoch == m.epoch && m.told.Queued == 0 && m.free().CPUs > room.Slack {
 			roomy = append(roomy, m)
 		}
 	}
@@ -52,13 +53,13 @@
 	if len(movable) == 0 {
 		return
 	}
-	least := resources{math.Inf(1), math.Inf(1), math.Inf(1)}
+	least := room.Amount{CPUs: math.Inf(1), GPUs: math.Inf(1), GB: math.Inf(1)}
 	for _, g := range movable {
-		least = resources{min(least.cpus, g.need.cpus), min(least.gpus, g.need.gpus), min(least.gb, g.need.gb)}
+		least = room.Amount{CPUs: min(least.CPUs, g.need.CPUs), GPUs: min(least.GPUs, g.need.GPUs), GB: min(least.GB, g.need.GB)}
 	}
 	kept, left := c.keptRoom(), movesMost
 	for _, m := range roomy {
-		if m.room().covers(least) {
+		if m.free().Covers(least) {
 			left -= c.takeFor(m, movable, kept, left)
 		}
 		if left <= 0 {
@@ -93,7 +94,7 @@
 			}
 			g := byJob[o.ID]
 			if g == nil {
-				g = &movableTasks{job: o, need: need(&o.Job)}
+				g = &movableTasks{job: o, need: room.Need(&o.Job)}
 				byJob[o.ID] = g
 				all = append(all, g)
 			}
@@ -112,11 +113,11 @@
 // takeFor fills a machine's room with movable tasks, at most so many, the most
 // urgent first, then those of the longest queues. It returns how many it took.
 func (c *Core) takeFor(m *machineEntry, movable []*movableTasks, kept []kept, most int) (taken int) {
-	free := m.room()
+	free := m.free()
 	for ; taken < most; taken++ {
 		var best *movableTasks
 		for _, g := range movable {
-			if len(g.tasks) > 0 && free.covers(g.need) && (best == nil || g.before(best)) && c.mayMove(g, m, kept) {
+			if len(g.tasks) > 0 && free.Covers(g.need) && (best == nil || g.before(best)) && c.mayMove(g, m, kept) {
 				best = g
 			}
 		}
@@ -125,7 +126,7 @@
 		}
 		t := best.tasks[0]
 		best.tasks = best.tasks[1:]
-		free = free.minus(best.need)
+		free = free.Minus(best.need)
 		c.askStop(t.placedTask, false, 0)
 		c.log.Debug("moving a waiting task", "task", t.task, "from", t.machine, "to", m.id)
 	}
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -6,6 +6,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/relay"
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/coordination/shares"
 	"damsonkeel/internal/protocol"
 )
@@ -240,8 +241,8 @@
 			c.owner.dirty = true
 		}
 		m.told, m.by, m.at, m.copied = st, p, c.now, 0
-		m.held = uses{}
-		m.held.addAll(st.Uses)
+		m.held = room.Uses{}
+		addUses(&m.held, st.Uses)
 	}
 }
 
--- a/internal/coordination/relays_test.go
+++ b/internal/coordination/relays_test.go
@@ -7,6 +7,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/relay"
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 
 	"pgregory.net/rapid"
@@ -261,8 +262,8 @@
 	}})
 	b.machine(id, 1)
 	m := b.c.machines[id]
-	if m.room().cpus != 3 || !b.c.recent(m, time.Minute) {
-		t.Errorf("room %+v, told %+v", m.room(), m.told)
+	if m.free().CPUs != 3 || !b.c.recent(m, time.Minute) {
+		t.Errorf("room %+v, told %+v", m.free(), m.told)
 	}
 	b.view(2, "node-0", "node-1")
 	if b.c.recent(m, time.Minute) {
@@ -275,8 +276,8 @@
 // machine has more asked for than it has room for.
 func TestMovesInPieces(t *testing.T) {
 	b := newBench(t, "node-1")
-	b.zoned("a", 300, false, uses{})
-	b.zoned("b", 300, false, uses{})
+	b.zoned("a", 300, false, room.Uses{})
+	b.zoned("b", 300, false, room.Uses{})
 	o := b.c.own(&liveJob{Job: protocol.Job{ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 4000, CPUs: 1, EstimateS: 10}})
 	o.loaded = true
 	i := uint32(0)
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -91,10 +92,10 @@
 				q.strays(c, t)
 				continue
 			}
-			e = &entry{task: t.Task, attempt: t.Attempt, since: c.now, level: levels - 1}
+			e = &entry{task: t.Task, attempt: t.Attempt, since: c.now, level: room.Levels - 1}
 			if j := c.live[t.Task.Job]; j != nil {
-				e.estimate, e.need = c.estimate(&j.Job), need(&j.Job)
-				e.level = levelOf(j.Priority, c.guarantees(j.Team)) // perhaps: its owner would know
+				e.estimate, e.need = c.estimate(&j.Job), room.Need(&j.Job)
+				e.level = room.LevelOf(j.Priority, c.guarantees(j.Team)) // perhaps: its owner would know
 			}
 			q.entries[t.Task] = e
 		}
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -207,7 +207,7 @@
 			fmt.Fprintf(&b, "  placed %+v\n", *t)
 		}
 		for _, m := range c.machinesInOrder() {
-			fmt.Fprintf(&b, "  %s in %s, spot %v, kept by %s: usable %v, room %+v, told %+v\n", m.id, m.rec.Zone, m.rec.Spot, c.keeper(m.id), c.usable(m), m.room(), m.told)
+			fmt.Fprintf(&b, "  %s in %s, spot %v, kept by %s: usable %v, room %+v, told %+v\n", m.id, m.rec.Zone, m.rec.Spot, c.keeper(m.id), c.usable(m), m.free(), m.told)
 		}
 	}
 	for _, n := range w.nodes {
--- a/internal/coordination/slow_test.go
+++ b/internal/coordination/slow_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -29,7 +30,7 @@
 		{"too many", 2, 10 * time.Second, 10 * time.Second, true, 3, false},
 	} {
 		b := newBench(t, "node-1")
-		b.zoned("a", 20, false, uses{})
+		b.zoned("a", 20, false, room.Uses{})
 		o := b.c.own(&liveJob{Job: protocol.Job{
 			ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 20, CPUs: 1, EstimateS: 10, CheckpointS: 5, SaveS: 1,
 		}})
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -161,8 +161,8 @@
 	placed(12, "when all is known")
 	b.view(5, "node-0")
 	b.c.machines["vm-1"].info = protocol.TypeInfo{}
-	if usage := b.c.teamUsage()["bound"]; !math.IsInf(usage.cpus, 1) {
-		t.Fatalf("a machine of unknown size takes %v", usage.cpus)
+	if usage := b.c.teamUsage()["bound"]; !math.IsInf(usage.CPUs, 1) {
+		t.Fatalf("a machine of unknown size takes %v", usage.CPUs)
 	}
 }
 
--- a/internal/coordination/told.go
+++ b/internal/coordination/told.go
@@ -4,26 +4,27 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
 // free is what no attempt takes that may be on the machine.
-func (q *queue) free() resources {
-	f := capacity(q.info)
+func (q *queue) free() room.Amount {
+	f := room.Capacity(q.info)
 	for _, e := range q.entries {
 		if e.sent && !e.ended() {
-			f = f.minus(e.need)
+			f = f.Minus(e.need)
 		}
 	}
 	return f
 }
 
 // held is what the attempts take that are on the machine or in its queue.
-func (q *queue) held() uses {
-	var u uses
+func (q *queue) held() room.Uses {
+	var u room.Uses
 	for _, e := range q.entries {
 		if !e.ended() && !e.kill {
-			u.add(e.level, e.need)
+			u.Add(e.level, e.need)
 		}
 	}
 	return u
@@ -31,9 +32,9 @@
 
 // firmRoom is what a task of a level finds once all that may be stopped for it
 // is gone.
-func (q *queue) firmRoom(l level) resources {
+func (q *queue) firmRoom(l room.Level) room.Amount {
 	held := q.held()
-	return capacity(q.info).minus(held.firm(l))
+	return room.Capacity(q.info).Minus(held.Firm(l))
 }
 
 // stateOf is what others are told of a machine, reckoned once after each change.
@@ -61,39 +62,39 @@
 		Silence: q.silence, Noticed: q.notice != nil,
 		Closed: q.draining || q.suspect || q.notice != nil || q.silence == silenceLong,
 	}
-	free, held := capacity(q.info), uses{}
-	least, most := ranks, -1 // ranks of what may be stopped, and of what waits
+	free, held := room.Capacity(q.info), room.Uses{}
+	least, most := room.Ranks, -1 // ranks of what may be stopped, and of what waits
 	borrows, guaranteed := false, false
 	for _, e := range q.entries {
 		if e.ended() {
 			continue
 		}
-		s.Wait += e.estimate * e.need.cpus
+		s.Wait += e.estimate * e.need.CPUs
 		if e.sent {
-			free = free.minus(e.need)
+			free = free.Minus(e.need)
 		} else if !e.present {
-			most = max(most, int(e.level)%ranks)
-			guaranteed = guaranteed || e.guaranteed()
+			most = max(most, e.level.Rank())
+			guaranteed = guaranteed || e.level.Guaranteed()
 			for len(s.Queue) <= int(e.level) {
 				s.Queue = append(s.Queue, 0)
 			}
-			s.Queue[e.level] += e.estimate * e.need.cpus
+			s.Queue[e.level] += e.estimate * e.need.CPUs
 		}
 		if e.state == protocol.TaskRunning && e.estimate > 0 {
-			s.Ending.CPUs += e.need.cpus / e.estimate
-			s.Ending.GPUs += e.need.gpus / e.estimate
-			s.Ending.GB += e.need.gb / e.estimate
+			s.Ending.CPUs += e.need.CPUs / e.estimate
+			s.Ending.GPUs += e.need.GPUs / e.estimate
+			s.Ending.GB += e.need.GB / e.estimate
 		}
 		if e.kill {
 			continue
 		}
-		held.add(e.level, e.need)
+		held.Add(e.level, e.need)
 		if e.present {
-			least = min(least, int(e.level)%ranks)
-			borrows = borrows || !e.guaranteed()
+			least = min(least, e.level.Rank())
+			borrows = borrows || !e.level.Guaranteed()
 		}
 	}
-	s.FreeCPUs, s.FreeGPUs, s.FreeGB, s.Uses = free.cpus, free.gpus, free.gb, held.list()
+	s.FreeCPUs, s.FreeGPUs, s.FreeGB, s.Uses = free.CPUs, free.GPUs, free.GB, usesIn(&held)
 	q.said, q.told = s, true
 	q.contested = least < most || guaranteed && borrows
 }
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -10,8 +11,8 @@
 	owner  protocol.NodeName // that placed it
 	number uint64            // of the owner's Place to the keeper that carries it
 	add    float64           // processor seconds
-	level  level
-	taken  resources
+	level  room.Level
+	taken  room.Amount
 }
 
 // expect counts an announced placement until its keeper's word includes it.
@@ -22,17 +23,17 @@
 	}
 	m.coming = append(m.coming, w)
 	m.extra += w.add
-	m.taken.add(w.level, w.taken)
+	m.taken.Add(w.level, w.taken)
 	p.told.waits[m] = true
 }
 
 // reckon sums what is announced anew: nothing is subtracted, so that nothing
 // adds up.
 func (m *machineEntry) reckon() {
-	m.extra, m.taken = 0, uses{}
+	m.extra, m.taken = 0, room.Uses{}
 	for _, w := range m.coming {
 		m.extra += w.add
-		m.taken.add(w.level, w.taken)
+		m.taken.Add(w.level, w.taken)
 	}
 }
 
@@ -64,7 +65,7 @@
 			if i == 0 {
 				add = w.Add
 			}
-			c.expect(m, comingWait{from, n, add, level(u.Level), resources{u.CPUs, u.GPUs, u.GB}})
+			c.expect(m, comingWait{from, n, add, room.Level(u.Level), room.Amount{CPUs: u.CPUs, GPUs: u.GPUs, GB: u.GB}})
 		}
 	}
 }
@@ -72,7 +73,7 @@
 // ownWaits is what placing tasks has added to a machine.
 type ownWaits struct {
 	add   float64
-	taken uses
+	taken room.Uses
 }
 
 // sendWaits tells every peer, in one message, what placing a job has added.
@@ -82,7 +83,7 @@
 	}
 	a := &Added{Term: c.view.Term, Numbers: map[protocol.NodeName]uint64{}}
 	for id, w := range inOrder(added) {
-		a.Waits = append(a.Waits, Wait{id, w.add, w.taken.list()})
+		a.Waits = append(a.Waits, Wait{id, w.add, usesIn(&w.taken)})
 		keeper := c.keeper(id)
 		if p := c.peers[keeper]; p != nil {
 			a.Numbers[keeper] = p.placed
