What is learned from the past in a package of its own: arrivals, run times, spot machines

Reservations need it as well, and it needs nothing of the core. The three equal types of time are one (package clock). Decisions are unchanged.

--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -2,36 +2,21 @@
 
 import (
 	"math"
-	"slices"
-	"time"
 
+	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
-// arrivalsKept bounds how many arrivals of a class are remembered.
-const arrivalsKept = 512
-
 // class is what has been seen of a class of jobs that an objective of the
 // settings is about.
 type class struct {
 	job      protocol.Job // the last one seen
 	share    float64      // of its jobs that should keep the objective
 	awaited  bool         // they should start within a time
-	arrivals []arrival
-}
-
-// arrival is a job that came.
-type arrival struct {
-	at    Time
-	tasks float64
-	work  float64 // of all its tasks, in processor seconds
+	arrivals forecast.Arrivals
 }
 
-// together is how soon after another a job has to come to count as one arrival
-// with it: no room kept meets what comes at once.
-const together = 250 * time.Millisecond
-
 // noteArrival learns what jobs of a class look like and how often they come.
 func (c *Core) noteArrival(j *protocol.Job) {
 	share, awaited := 0.0, false
@@ -52,13 +37,8 @@
 		c.classes[j.Class] = k
 	}
 	k.job, k.share, k.awaited = *j, share, awaited
-	if n := len(k.arrivals); n > 0 && c.since(k.arrivals[n-1].at) < together {
-		return
-	}
-	k.arrivals = append(k.arrivals, arrival{c.now, float64(j.Tasks), float64(j.Tasks) * j.CPUs * c.estimate(j)})
-	if len(k.arrivals) > arrivalsKept {
-		k.arrivals = k.arrivals[1:]
-	}
+	work := float64(j.Tasks) * j.CPUs * c.estimate(j)
+	k.arrivals.Note(forecast.Arrival{At: c.now, Tasks: float64(j.Tasks), Work: work})
 }
 
 // upS is how long the soonest machine that a job may use takes to be ready
@@ -75,83 +55,9 @@
 	return up
 }
 
-// unlikelySilence is how many mean gaps between arrivals are a silence that
-// chance brings about once in twenty times.
-const unlikelySilence = 3
-
-// arriving is how often jobs of a class come, and how large they are.
-type arriving struct {
-	rate    float64 // a second
-	mean    float64 // size
-	square  float64 // mean of squared sizes
-	share   float64 // of all that come, that is to be met
-	largest float64 // size that so many do not exceed
-}
-
-// arrivingOf tells from what was seen how jobs of a class come.
-func (c *Core) arrivingOf(k *class, size func(arrival) float64) arriving {
-	boot := c.upS(&k.job)
-	if math.IsInf(boot, 1) {
-		return arriving{}
-	}
-	// A rate can't be told from a time much shorter than several boots, and
-	// what came long ago says little.
-	window := 8 * boot
-	var sizes []float64
-	sum, squares, first := 0.0, 0.0, c.now
-	for _, a := range k.arrivals {
-		if c.since(a.at).Seconds() <= window {
-			first = min(first, a.at)
-			sizes = append(sizes, size(a))
-			sum += size(a)
-			squares += size(a) * size(a)
-		}
-	}
-	n := float64(len(sizes))
-	if n == 0 {
-		return arriving{} // they have stopped coming
-	}
-	if k.arrivals[0].at < first {
-		first = c.now - Time(window*float64(time.Second))
-	}
-	span := math.Min(window, math.Max(c.since(first).Seconds(), knownBoots*boot))
-	rate := n / span
-	// A silence that this rate makes unlikely tells more than the rate: jobs
-	// come less often now, or have stopped coming.
-	if silent := c.since(k.arrivals[len(k.arrivals)-1].at).Seconds(); rate*silent > unlikelySilence {
-		rate *= math.Exp(unlikelySilence - rate*silent)
-	}
-	// Room for half as many misses as the objective allows.
-	share := (1 + k.share) / 2
-	slices.Sort(sizes)
-	return arriving{rate, sum / n, squares / n, share, sizes[min(len(sizes)-1, int(share*n))]}
-}
-
-// within is how much of a class is likely, by its objective's share, to come
-// in a time: a quantile of a sum of sizes as seen, that come as often as seen.
-func (a arriving) within(seconds float64) float64 {
-	if a.rate == 0 {
-		return 0
-	}
-	mean := a.rate * seconds
-	if a.square-a.mean*a.mean < room.Slack*a.mean*a.mean {
-		return float64(quantile(mean, a.share)) * a.mean
-	}
-	return mean*a.mean + math.Sqrt2*math.Erfinv(2*a.share-1)*math.Sqrt(mean*a.square)
-}
-
-// beyond is how much of a class is likely to have come at any time until
-// another machine is up beyond what room came for by itself, at a rate.
-func (a arriving) beyond(seconds, rate float64) float64 {
-	most := 0.0
-	if rate > 0 && a.rate*seconds > 1-a.share {
-		most = a.largest // comes at once
-	}
-	for range 8 {
-		most = math.Max(most, a.within(seconds)-rate*seconds)
-		seconds /= 2
-	}
-	return most
+// coming tells from what was seen how jobs of a class come.
+func (c *Core) coming(k *class, size func(forecast.Arrival) float64) forecast.Arriving {
+	return k.arrivals.Coming(c.now, c.upS(&k.job), k.share, size)
 }
 
 // comingWork is the work, in processor seconds, of a class that need not start
@@ -160,7 +66,7 @@
 	if k.awaited {
 		return 0
 	}
-	return c.arrivingOf(k, func(a arrival) float64 { return a.work }).within(c.upS(&k.job))
+	return c.coming(k, func(a forecast.Arrival) float64 { return a.Work }).Within(c.upS(&k.job))
 }
 
 // reserve is how much room is kept for a class whose tasks should start in
@@ -170,7 +76,7 @@
 	if !k.awaited {
 		return 0
 	}
-	return int(math.Ceil(c.arrivingOf(k, func(a arrival) float64 { return a.tasks }).beyond(c.upS(&k.job), c.turnover(&k.job))))
+	return int(math.Ceil(c.coming(k, func(a forecast.Arrival) float64 { return a.Tasks }).Beyond(c.upS(&k.job), c.turnover(&k.job))))
 }
 
 // turnover is how many places for a job's tasks come free each second where
@@ -189,20 +95,6 @@
 	return sum
 }
 
-// quantile is the smallest number that a Poisson variable of a mean stays at
-// or below with a probability.
-func quantile(mean, probability float64) int {
-	p := math.Exp(-mean)
-	sum := p
-	k := 0
-	for sum < probability && k < 100 {
-		k++
-		p *= mean / float64(k)
-		sum += p
-	}
-	return k
-}
-
 // kept is the room reserved for one class while tasks are placed.
 type kept struct {
 	job   *liveJob
--- a/internal/coordination/classes_test.go
+++ b/internal/coordination/classes_test.go
@@ -4,21 +4,11 @@
 	"testing"
 	"time"
 
+	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
-func TestQuantile(t *testing.T) {
-	for _, tc := range []struct {
-		mean, p float64
-		want    int
-	}{{0, 0.9, 0}, {1, 0.7, 1}, {1, 0.9, 2}, {4, 0.5, 4}} {
-		if got := quantile(tc.mean, tc.p); got != tc.want {
-			t.Errorf("quantile(%v, %v) = %d, want %d", tc.mean, tc.p, got, tc.want)
-		}
-	}
-}
-
 // TestReserve: room is kept for a class with an objective while its jobs come,
 // a burst counts once, small tasks leave the room alone and the class uses it.
 func TestReserve(t *testing.T) {
@@ -76,34 +66,6 @@
 	}
 }
 
-// TestExpect: what is reckoned to come grows with how often jobs come and how
-// unlike they are, and covers at least what comes on average.
-func TestExpect(t *testing.T) {
-	b := newBench(t)
-	seen := func(sizes ...float64) float64 {
-		k := &class{job: protocol.Job{Class: "array", CPUs: 1, MemoryGB: 1}, share: 0.8}
-		for i, s := range sizes {
-			k.arrivals = append(k.arrivals, arrival{at: b.c.now - Time(time.Duration(len(sizes)-i)*4*time.Second), tasks: s})
-		}
-		return b.c.arrivingOf(k, func(a arrival) float64 { return a.tasks }).within(8)
-	}
-	b.c.now = Time(time.Hour)
-	even, uneven := seen(10, 10, 10, 10, 10, 10, 10, 10, 10, 10), seen(1, 19, 1, 19, 1, 19, 1, 19, 1, 19)
-	if even < 20 || uneven <= even {
-		t.Errorf("%v of even sizes, %v of uneven ones; 20 come in 8 s on average", even, uneven)
-	}
-	if few := seen(10, 10, 10); few >= even {
-		t.Errorf("%v of three, %v of ten", few, even)
-	}
-	k := &class{job: protocol.Job{Class: "array", CPUs: 1, MemoryGB: 1}, share: 0.8}
-	for i := range 10 { // as often as before, and none for 20 s
-		k.arrivals = append(k.arrivals, arrival{at: b.c.now - Time(time.Duration(20+4*(9-i))*time.Second), tasks: 10})
-	}
-	if after := b.c.arrivingOf(k, func(a arrival) float64 { return a.tasks }).within(8); after >= even {
-		t.Errorf("%v after a long silence, %v before", after, even)
-	}
-}
-
 // TestRoomThatEndsIsNotKept: what ends while a machine boots makes room, too;
 // what comes at once is kept room for all the same. A gang finds no room
 // piece by piece.
@@ -113,7 +75,7 @@
 	b.ready("vm-2")
 	k := &class{job: protocol.Job{Class: "cert", Kind: protocol.KindArray, CPUs: 1, MemoryGB: 1}, share: 0.8, awaited: true}
 	for i := range 10 {
-		k.arrivals = append(k.arrivals, arrival{at: b.c.now - Time(time.Duration(9-i)*4*time.Second), tasks: float64(10 + i)})
+		k.arrivals = append(k.arrivals, forecast.Arrival{At: b.c.now - Time(time.Duration(9-i)*4*time.Second), Tasks: float64(10 + i)})
 	}
 	none := b.c.reserve(k)
 	b.c.machines["vm-1"].told.Ending = Use{CPUs: 2, GB: 8}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -12,6 +12,7 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/blocks"
+	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/shares"
 	"damsonkeel/internal/protocol"
 )
@@ -71,7 +72,7 @@
 	shelf  *blocks.Shelf // blocks of machines' records
 	pen    pen
 	peers  map[protocol.NodeName]*peer
-	spots  spotRisk
+	spots  forecast.Spot
 	fleet  fleetState
 
 	lastRelay  Time
@@ -133,7 +134,7 @@
 	c.now = now
 	c.out = nil
 	if c.shares == nil {
-		c.shares = shares.NewBook[protocol.LeaseID](c.equalShare(), shares.Time(now))
+		c.shares = shares.NewBook[protocol.LeaseID](c.equalShare(), now)
 	}
 	switch m := msg.(type) {
 	case Snapshot:
--- a/internal/coordination/desk/desk.go
+++ b/internal/coordination/desk/desk.go
@@ -10,18 +10,16 @@
 	"container/heap"
 	"time"
 
+	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/protocol"
 )
 
-// Time is a steady clock, in nanoseconds.
-type Time int64
-
 // Waiting is a report that waits to be answered.
 type Waiting[T any] struct {
 	Machine  protocol.MachineID
 	Report   T
-	came     Time
-	answered Time // when its machine was last answered here; 0: never
+	came     clock.Time
+	answered clock.Time // when its machine was last answered here; 0: never
 	number   uint64
 }
 
@@ -53,14 +51,14 @@
 	most     int
 	patience time.Duration
 	waiting  line[T]
-	answered map[protocol.MachineID]Time
+	answered map[protocol.MachineID]clock.Time
 	number   uint64
 }
 
 // New holds at most so many reports. One that has waited longer than patience is
 // worth nothing: its worker has given the answer up.
 func New[T any](most int, patience time.Duration) *Desk[T] {
-	return &Desk[T]{most: most, patience: patience, answered: map[protocol.MachineID]Time{}}
+	return &Desk[T]{most: most, patience: patience, answered: map[protocol.MachineID]clock.Time{}}
 }
 
 // Len is how many wait.
@@ -68,7 +66,7 @@
 
 // Add takes a report. If there are too many then, one is returned to be refused
 // at once: perhaps the one that came.
-func (d *Desk[T]) Add(now Time, m protocol.MachineID, report T) (refused T, any bool) {
+func (d *Desk[T]) Add(now clock.Time, m protocol.MachineID, report T) (refused T, any bool) {
 	d.number++
 	heap.Push(&d.waiting, Waiting[T]{Machine: m, Report: report, came: now, answered: d.answered[m], number: d.number})
 	if len(d.waiting) <= d.most {
@@ -85,7 +83,7 @@
 
 // Next takes the report to be answered next. Those returned as late are to be
 // refused: nobody waits for their answers.
-func (d *Desk[T]) Next(now Time) (next Waiting[T], ok bool, late []T) {
+func (d *Desk[T]) Next(now clock.Time) (next Waiting[T], ok bool, late []T) {
 	for len(d.waiting) > 0 {
 		w := heap.Pop(&d.waiting).(Waiting[T])
 		if time.Duration(now-w.came) <= d.patience {
@@ -101,7 +99,7 @@
 const machinesMost = 1 << 16
 
 // Answered notes that a machine was answered in a way that renews its lease.
-func (d *Desk[T]) Answered(now Time, m protocol.MachineID) {
+func (d *Desk[T]) Answered(now clock.Time, m protocol.MachineID) {
 	if len(d.answered) >= machinesMost {
 		clear(d.answered)
 	}
--- a/internal/coordination/desk/desk_test.go
+++ b/internal/coordination/desk/desk_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/fixedseed"
 	"damsonkeel/internal/protocol"
 
@@ -46,7 +47,7 @@
 				r := report{n, last[m], now}
 				held = append(held, r)
 				slices.SortFunc(held, order)
-				if refused, any := d.Add(Time(now), protocol.MachineID(fmt.Sprint(m)), r); any {
+				if refused, any := d.Add(clock.Time(now), protocol.MachineID(fmt.Sprint(m)), r); any {
 					if refused != held[len(held)-1] {
 						t.Fatalf("%+v refused, want %+v", refused, held[len(held)-1])
 					}
@@ -54,7 +55,7 @@
 				}
 				continue
 			}
-			next, ok, late := d.Next(Time(now))
+			next, ok, late := d.Next(clock.Time(now))
 			for _, r := range late {
 				if now-r.came <= patience {
 					t.Fatalf("%+v given up at %d", r, now)
@@ -74,22 +75,22 @@
 			m := 0
 			fmt.Sscan(string(next.Machine), &m)
 			last[m] = now
-			d.Answered(Time(now), next.Machine)
+			d.Answered(clock.Time(now), next.Machine)
 		}
 	})
 }
 
 // server answers workers' reports, some refused at once.
 type server interface {
-	add(now Time, worker int) (refused int, any bool)
-	next(now Time) (worker int, ok bool)
-	answered(now Time, worker int)
+	add(now clock.Time, worker int) (refused int, any bool)
+	next(now clock.Time) (worker int, ok bool)
+	answered(now clock.Time, worker int)
 }
 
 // fifo is a server that answers in the order of arrival.
 type fifo struct{ waiting []int }
 
-func (l *fifo) add(_ Time, worker int) (int, bool) {
+func (l *fifo) add(_ clock.Time, worker int) (int, bool) {
 	if len(l.waiting) >= 256 {
 		return worker, true
 	}
@@ -97,7 +98,7 @@
 	return 0, false
 }
 
-func (l *fifo) next(Time) (worker int, ok bool) {
+func (l *fifo) next(clock.Time) (worker int, ok bool) {
 	if len(l.waiting) == 0 {
 		return 0, false
 	}
@@ -105,40 +106,42 @@
 	return worker, true
 }
 
-func (l *fifo) answered(Time, int) {}
+func (l *fifo) answered(clock.Time, int) {}
 
 // byLease is a server with a desk.
 type byLease struct{ *Desk[int] }
 
 func name(worker int) protocol.MachineID { return protocol.MachineID(fmt.Sprint(worker)) }
 
-func (b byLease) add(now Time, worker int) (int, bool) { return b.Add(now, name(worker), worker) }
-func (b byLease) next(now Time) (int, bool) {
+func (b byLease) add(now clock.Time, worker int) (int, bool) { return b.Add(now, name(worker), worker) }
+func (b byLease) next(now clock.Time) (int, bool) {
 	w, ok, _ := b.Next(now)
 	return w.Report, ok
 }
-func (b byLease) answered(now Time, worker int) { b.Answered(now, name(worker)) }
+func (b byLease) answered(now clock.Time, worker int) { b.Answered(now, name(worker)) }
 
 // lapses plays workers that all report to one server, which answers so many a
 // second, and counts the leases that run out. Workers report every 5 s, wait 4 s
 // for an answer, and come again 1 s after a refusal or a second one elsewhere.
 func lapses(s server, workers, perSecond int) int {
 	const (
-		step   = Time(10 * time.Millisecond)
-		lease  = Time(31 * time.Second)
-		length = Time(2 * time.Minute)
+		step   = clock.Time(10 * time.Millisecond)
+		lease  = clock.Time(31 * time.Second)
+		length = clock.Time(2 * time.Minute)
 	)
 	rng := rand.New(rand.NewPCG(1, 1))
-	next, sent, renewed := make([]Time, workers), make([]Time, workers), make([]Time, workers)
+	next, sent, renewed := make([]clock.Time, workers), make([]clock.Time, workers), make([]clock.Time, workers)
 	for i := range workers {
-		next[i] = Time(rng.Int64N(int64(5 * time.Second)))
+		next[i] = clock.Time(rng.Int64N(int64(5 * time.Second)))
+	}
+	again := func(now clock.Time) clock.Time {
+		return now + clock.Time(time.Second) + clock.Time(rng.Int64N(int64(time.Second)))
 	}
-	again := func(now Time) Time { return now + Time(time.Second) + Time(rng.Int64N(int64(time.Second))) }
 	lost := 0
 	for now := step; now < length; now += step {
 		for i := range workers {
 			switch {
-			case sent[i] != 0 && now-sent[i] > Time(4*time.Second):
+			case sent[i] != 0 && now-sent[i] > clock.Time(4*time.Second):
 				sent[i], next[i] = 0, again(now) // given up
 			case sent[i] == 0 && now >= next[i]:
 				sent[i] = now
@@ -153,7 +156,7 @@
 		}
 		for range perSecond * int(step) / int(time.Second) {
 			if i, ok := s.next(now); ok && sent[i] != 0 {
-				renewed[i], sent[i], next[i] = sent[i], 0, now+Time(5*time.Second)
+				renewed[i], sent[i], next[i] = sent[i], 0, now+clock.Time(5*time.Second)
 				s.answered(now, i)
 			}
 		}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -198,16 +199,12 @@
 // controller that has just begun knows that of no class.
 func (c *Core) keepIdle(t protocol.TypeInfo, spare float64) float64 {
 	keep := math.Min(t.BootS, c.op.IdleReturn.Seconds())
-	if !math.IsInf(spare, 1) && c.since(c.begun).Seconds() > knownBoots*t.BootS {
+	if !math.IsInf(spare, 1) && c.since(c.begun).Seconds() > forecast.KnownBoots*t.BootS {
 		keep = math.Min(keep, idleKnown.Seconds())
 	}
 	return keep
 }
 
-// knownBoots is for how many boots' time arrivals have to be watched to tell
-// what is likely to come.
-const knownBoots = 5
-
 // idleKnown is how long a machine is idle before that is more than the moment
 // between two tasks.
 const idleKnown = 2 * planEvery
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/protocol"
 )
 
@@ -124,7 +125,7 @@
 // that was cut off were returned, with all they ran.
 func TestUnheardIsNotIdle(t *testing.T) {
 	b := planner(t)
-	b.c.spots = spotRisk{}
+	b.c.spots = forecast.Spot{}
 	b.machine("vm-1", 1) // kept here, its worker is silent so far
 	for range 5 {
 		if ids := b.returns(b.relay()); len(ids) > 0 {
@@ -178,7 +179,7 @@
 	if s := b.c.keepIdle(info, 100); s != info.BootS {
 		t.Errorf("kept %v s at first", s)
 	}
-	b.c.now += Time(time.Duration(knownBoots*info.BootS+1) * time.Second)
+	b.c.now += Time(time.Duration(forecast.KnownBoots*info.BootS+1) * time.Second)
 	if s := b.c.keepIdle(info, 100); s != idleKnown.Seconds() {
 		t.Errorf("kept %v s once arrivals are known", s)
 	}
--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -138,8 +139,8 @@
 		m.told = MachineState{Draining: true, Noticed: true}
 		b.c.noteLoss(m) // returned by ourselves
 	}
-	if b.c.spots.losses != 40 {
-		t.Errorf("%v losses counted, want 40", b.c.spots.losses)
+	if b.c.spots.Losses() != 40 {
+		t.Errorf("%v losses counted, want 40", b.c.spots.Losses())
 	}
 	if !b.c.risky(&o.Job) {
 		t.Fatal("not avoided though they are taken all the time")
@@ -155,7 +156,7 @@
 			t.Error("placed on a spot machine rather than where something may be stopped")
 		}
 	}
-	b.c.spots.watch(0, 10*spotMemory)
+	b.c.spots.Watch(0, 10*forecast.SpotMemory)
 	if b.c.risky(&o.Job) {
 		t.Error("avoided long after the last was taken")
 	}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -2,14 +2,15 @@
 
 import (
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/coordination/shares"
 	"damsonkeel/internal/protocol"
 )
 
-// Time is this process's steady clock, in nanoseconds since it started.
-type Time int64
+// Time is this process's steady clock.
+type Time = clock.Time
 
 // Placement puts one attempt of a task into a machine's queue.
 type Placement struct {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 
@@ -57,7 +58,7 @@
 	dirty   map[int]bool // bitmap chunks to be written
 	writing bool
 	finish  bool // all done; to be written
-	ran     runTimes
+	ran     forecast.RunTimes
 	again   *bitset.BitSet // tasks that ran before, in part
 	ending  bool           // the write is on its way
 
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -112,7 +112,7 @@
 func (c *Core) sendRelays(regular bool) {
 	var loans map[protocol.LeaseID]shares.Loan
 	if regular {
-		loans = c.shares.Lend(shares.Time(c.now))
+		loans = c.shares.Lend(c.now)
 		c.setShare() // before anybody can use what is lent
 	}
 	var same *Relay // as sent to the one before
@@ -122,7 +122,7 @@
 			continue
 		}
 		r := &Relay{Term: c.view.Term, Acting: c.acting(), HaveMachines: t.machinesFrom.Have(), HaveJobs: t.jobsFrom.Have()}
-		r.Ask = c.shares.Asks(shares.Time(c.now))
+		r.Ask = c.shares.Asks(c.now)
 		if l, ok := loans[p.session]; ok {
 			r.Loan = &l
 		}
@@ -187,7 +187,7 @@
 	}
 	p.demand = r.Demand
 	if from != c.self {
-		c.shares.Heard(p.session, r.Ask, shares.Time(c.now))
+		c.shares.Heard(p.session, r.Ask, c.now)
 		if r.Loan != nil {
 			c.shares.Borrowed(p.session, *r.Loan)
 		}
@@ -292,7 +292,7 @@
 
 // setShare has what may be used now set, if that has changed.
 func (c *Core) setShare() {
-	now := shares.Time(c.now)
+	now := c.now
 	s := SetShare{Own: c.shares.Own(now), All: c.shares.Share(now)}
 	if until, ok := c.shares.Until(now); ok {
 		s.Until = Time(until)
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -40,7 +40,7 @@
 // add takes a report. It runs on the event loop and never waits.
 func (r *reports) add(now Time, p pendingReport) {
 	r.mu.Lock()
-	refused, any := r.desk.Add(desk.Time(now), p.report.Machine, p)
+	refused, any := r.desk.Add(now, p.report.Machine, p)
 	r.mu.Unlock()
 	if any {
 		refused.reply(failure(503, "busy"))
@@ -58,7 +58,7 @@
 // next is the message to the core for the report to be answered next.
 func (r *reports) next(now func() Time) (envelope, bool) {
 	r.mu.Lock()
-	w, ok, late := r.desk.Next(desk.Time(now()))
+	w, ok, late := r.desk.Next(now())
 	more := r.desk.Len() > 0
 	r.mu.Unlock()
 	for _, p := range late {
@@ -87,5 +87,5 @@
 func (r *reports) answered(now Time, m protocol.MachineID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.desk.Answered(desk.Time(now), m)
+	r.desk.Answered(now, m)
 }
--- a/internal/coordination/shares/shares.go
+++ b/internal/coordination/shares/shares.go
@@ -15,10 +15,9 @@
 import (
 	"math"
 	"time"
-)
 
-// Time is a controller's own steady clock, in nanoseconds.
-type Time int64
+	"damsonkeel/internal/coordination/clock"
+)
 
 // Amount is a part of the service's rates: requests and changes a second.
 type Amount struct{ Requests, Writes float64 }
@@ -35,22 +34,22 @@
 
 // Ask says what a controller could use beyond its own share.
 type Ask struct {
-	At   Time // by its own clock
+	At   clock.Time // by its own clock
 	Want Amount
 }
 
 // Loan is the answer to an ask.
 type Loan struct {
-	Asked  Time // the ask's At
+	Asked  clock.Time // the ask's At
 	Amount Amount
 }
 
 const (
 	// loanFor is how long after it asked a borrower may use a loan.
-	loanFor = Time(4 * time.Second)
+	loanFor = clock.Time(4 * time.Second)
 	// backAfter is how long after it lent a lender does without it: longer, for
 	// clocks that differ by 0.05% each and for requests on their way.
-	backAfter = loanFor + loanFor/100 + Time(500*time.Millisecond)
+	backAfter = loanFor + loanFor/100 + clock.Time(500*time.Millisecond)
 	// lendMost is the part of its share that a controller lends at the most.
 	lendMost = 0.5
 	// headroom is how many times what it asked for lately a controller keeps.
@@ -62,7 +61,7 @@
 // to whom it came from, by whose clock it counts, or to nobody.
 type Book[K comparable] struct {
 	base  Amount
-	clean Time // nothing lent before this book began is in use from then on
+	clean clock.Time // nothing lent before this book began is in use from then on
 	need  Amount
 	asks  map[K]heard
 	lent  map[K][]lent
@@ -71,16 +70,16 @@
 
 type heard struct {
 	ask Ask
-	at  Time
+	at  clock.Time
 }
 
 type lent struct {
 	amount Amount
-	back   Time
+	back   clock.Time
 }
 
 // NewBook begins with an equal share.
-func NewBook[K comparable](base Amount, now Time) *Book[K] {
+func NewBook[K comparable](base Amount, now clock.Time) *Book[K] {
 	return &Book[K]{base: base, clean: now + backAfter, asks: map[K]heard{}, lent: map[K][]lent{}, got: map[K]Loan{}}
 }
 
@@ -97,16 +96,16 @@
 }
 
 // Asks is what to ask all peers for now.
-func (b *Book[K]) Asks(now Time) Ask {
+func (b *Book[K]) Asks(now clock.Time) Ask {
 	want := each(b.need, b.base, func(need, base float64) float64 { return math.Max(0, headroom*need-base) })
 	return Ask{At: now, Want: want}
 }
 
 // Heard takes a peer's ask.
-func (b *Book[K]) Heard(peer K, a Ask, now Time) { b.asks[peer] = heard{a, now} }
+func (b *Book[K]) Heard(peer K, a Ask, now clock.Time) { b.asks[peer] = heard{a, now} }
 
 // Lend answers the peers' last asks, each once, out of what is not needed here.
-func (b *Book[K]) Lend(now Time) map[K]Loan {
+func (b *Book[K]) Lend(now clock.Time) map[K]Loan {
 	b.forget(now)
 	spare := each(b.base.Times(lendMost), each(b.base, b.need, func(base, need float64) float64 { return base - headroom*need }), math.Min)
 	spare = each(spare, b.out(now), func(spare, out float64) float64 { return math.Max(0, spare-out) })
@@ -146,7 +145,7 @@
 }
 
 // Share is what may be used now.
-func (b *Book[K]) Share(now Time) Amount {
+func (b *Book[K]) Share(now clock.Time) Amount {
 	s := b.Own(now)
 	for _, l := range b.got {
 		s = s.Plus(l.Amount)
@@ -155,13 +154,13 @@
 }
 
 // Own is the part of Share that nobody lent.
-func (b *Book[K]) Own(now Time) Amount {
+func (b *Book[K]) Own(now clock.Time) Amount {
 	b.forget(now)
 	return each(b.base, b.out(now), func(base, out float64) float64 { return base - out })
 }
 
 // Until is when the first loan in use is over; ok if there is any.
-func (b *Book[K]) Until(now Time) (until Time, ok bool) {
+func (b *Book[K]) Until(now clock.Time) (until clock.Time, ok bool) {
 	b.forget(now)
 	for _, l := range b.got {
 		if end := l.Asked + loanFor; !ok || end < until {
@@ -172,7 +171,7 @@
 }
 
 // out is what is lent to all peers, or may have been before this book began.
-func (b *Book[K]) out(now Time) Amount {
+func (b *Book[K]) out(now clock.Time) Amount {
 	if now < b.clean {
 		return b.base.Times(lendMost)
 	}
@@ -193,7 +192,7 @@
 }
 
 // forget drops the loans that are over.
-func (b *Book[K]) forget(now Time) {
+func (b *Book[K]) forget(now clock.Time) {
 	for peer, ls := range b.lent {
 		var left []lent
 		for _, l := range ls {
--- a/internal/coordination/shares/shares_test.go
+++ b/internal/coordination/shares/shares_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/fixedseed"
 
 	"pgregory.net/rapid"
@@ -22,8 +23,8 @@
 // name is a member's session.
 type name struct{ member, life int }
 
-func (m *member) now(at float64) Time {
-	return Time((at - m.start) * m.fast * float64(time.Second))
+func (m *member) now(at float64) clock.Time {
+	return clock.Time((at - m.start) * m.fast * float64(time.Second))
 }
 
 var base = Amount{Requests: 45, Writes: 15}
@@ -104,7 +105,7 @@
 		members = append(members, NewBook[int](base, 0))
 	}
 	second := func(n int, used ...Amount) {
-		now := Time(n) * Time(time.Second)
+		now := clock.Time(n) * clock.Time(time.Second)
 		for i, m := range members {
 			m.Used(used[i])
 			loans := m.Lend(now)
@@ -123,21 +124,21 @@
 	for n := 10; n < 20; n++ {
 		second(n, busy, idle, idle)
 	}
-	if s := members[0].Share(Time(20 * time.Second)); s.Requests < 80 || s.Writes < 28 {
+	if s := members[0].Share(clock.Time(20 * time.Second)); s.Requests < 80 || s.Writes < 28 {
 		t.Errorf("the busy one may use %v of its own %v", s, base)
 	}
 	for n := 20; n < 32; n++ {
 		second(n, idle, Amount{40, 14}, Amount{40, 14})
 	}
 	for _, m := range members[1:] {
-		if s := m.Share(Time(32 * time.Second)); s.Requests < base.Requests || s.Writes < base.Writes {
+		if s := m.Share(clock.Time(32 * time.Second)); s.Requests < base.Requests || s.Writes < base.Writes {
 			t.Errorf("one that needs its share has %v of %v", s, base)
 		}
 	}
 	for n := 32; n < 40; n++ { // all silent: nothing is lent for longer
 		members[0].Used(busy)
 	}
-	if s := members[0].Share(Time(40 * time.Second)); s.Requests > base.Requests+1e-9 {
+	if s := members[0].Share(clock.Time(40 * time.Second)); s.Requests > base.Requests+1e-9 {
 		t.Errorf("%v in use without anybody's loan", s)
 	}
 }
--- a/internal/coordination/spot.go
+++ b/internal/coordination/spot.go
@@ -2,47 +2,24 @@
 
 import (
 	"math"
-	"time"
 
 	"damsonkeel/internal/protocol"
 )
 
-// spotRisk is how often spot machines are taken, as seen lately.
-type spotRisk struct {
-	losses float64
-	upS    float64 // machine seconds
-}
-
-const (
-	// Before anything was seen, one loss in so many machine seconds is assumed.
-	spotPriorS = 7200
-	// What was seen counts half after so long.
-	spotMemory = 10 * time.Minute
-	// A gang is kept off spot machines that would lengthen it by more than
-	// this part.
-	mostStretch = 0.1
-)
-
-// watch counts the spot machines that are up for a while.
-func (s *spotRisk) watch(machines int, d time.Duration) {
-	keep := math.Exp2(-d.Seconds() / spotMemory.Seconds())
-	s.losses *= keep
-	s.upS = s.upS*keep + float64(machines)*d.Seconds()
-}
-
-// rate is how many times a second a spot machine is taken.
-func (s *spotRisk) rate() float64 { return (s.losses + 1) / (s.upS + spotPriorS) }
+// mostStretch: a gang is kept off spot machines that would lengthen it by more
+// than this part.
+const mostStretch = 0.1
 
 // noteLoss counts a machine whose record went as taken, if it looks so.
 func (c *Core) noteLoss(m *machineEntry) {
 	if m.rec.Spot && !m.told.Draining && (m.told.Noticed || m.told.Silence == silenceLong) {
-		c.spots.losses++
+		c.spots.Lost()
 	}
 }
 
 // watchSpots counts the spot machines once a relay.
 func (c *Core) watchSpots() {
-	c.spots.watch(c.spotsUp, c.op.RelayEvery)
+	c.spots.Watch(c.spotsUp, c.op.RelayEvery)
 }
 
 // spotStretch is by which part one spot machine lengthens a gang that runs on
@@ -59,7 +36,7 @@
 	if up := c.upS(j); !math.IsInf(up, 1) {
 		lost += up
 	}
-	return c.spots.rate() * lost
+	return c.spots.Rate() * lost
 }
 
 // risky reports whether spot machines are to be avoided for a job.
