--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -85,7 +85,7 @@
 	for _, t := range c.types {
 		for _, z := range t.AllowZones {
 			for _, spot := range []bool{true, false} {
-				k := kind{t.Name, z, spot}
+				k := kind{Type: t.Name, Zone: z, Spot: spot}
 				dear[k] = c.price(k)
 				least = math.Min(least, dear[k])
 			}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -30,15 +30,8 @@
 	seen     map[protocol.MachineID]bool // listed as running at some time
 }
 
-// kind is what the cloud has or has not.
-type kind struct {
-	t    protocol.MachineType
-	zone protocol.Zone
-	spot bool
-}
-
 // kind is the kind of a machine that is up.
-func (m *machineEntry) kind() kind { return kind{m.rec.Type, m.rec.Zone, m.rec.Spot} }
+func (m *machineEntry) kind() kind { return kind{Type: m.rec.Type, Zone: m.rec.Zone, Spot: m.rec.Spot} }
 
 // coming is a machine rented that has not reported yet.
 type coming struct {
@@ -60,6 +53,9 @@
 	busy  bool
 }
 
+// kind is what was asked for.
+func (r *rentCall) kind() kind { return kind{Type: r.req.Type, Zone: r.req.Zone, Spot: r.req.Spot} }
+
 func newFleetState() fleetState {
 	return fleetState{
 		listed: map[protocol.MachineID]protocol.ListedMachine{}, orphan: map[protocol.MachineID]Time{},
@@ -114,11 +110,11 @@
 	f := &c.fleet
 	for id, l := range f.listed {
 		if _, ok := f.coming[id]; !ok && c.machines[id] == nil && l.State == "booting" && f.returned[id] == 0 {
-			f.coming[id] = coming{kind{l.Type, l.Zone, l.Spot}, c.now - Time(l.AgeS*float64(time.Second))}
+			f.coming[id] = coming{kind{Type: l.Type, Zone: l.Zone, Spot: l.Spot}, c.now - Time(l.AgeS*float64(time.Second))}
 		}
 	}
 	for id, m := range f.coming {
-		late := Time(c.bootLimit(m.t))
+		late := Time(c.bootLimit(m.Type))
 		if c.machines[id] != nil || c.now-m.at > late || f.returned[id] != 0 {
 			delete(f.coming, id)
 		}
@@ -144,7 +140,7 @@
 		return
 	}
 	r.busy = false
-	k := kind{m.Request.Type, m.Request.Zone, m.Request.Spot}
+	k := r.kind()
 	switch m.Outcome {
 	case OutcomeDone:
 		delete(f.rents, m.Request.Name)
@@ -161,7 +157,7 @@
 		}
 	case OutcomeFailed, OutcomeRefused:
 		delete(f.rents, m.Request.Name)
-		c.log.Debug("not rented", "type", k.t, "zone", k.zone, "spot", k.spot)
+		c.log.Debug("not rented", "type", k.Type, "zone", k.Zone, "spot", k.Spot)
 	default:
 		return // asked again by the same name
 	}
