Room kept for classes and gangs' claims are one thing: claims

They were two notions handed from function to function, and reservations would have been a third. A claim is room that is not free for everybody though nothing is on it; it holds for one step.

--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -16,13 +16,13 @@
 // once for all that are placed in one go, and after each task only the one
 // that took it again.
 type candidates struct {
-	job  *ownedJob
-	need room.Amount
-	risk float64 // what a spot machine adds to the wait, in seconds
-	shun bool    // spot machines only if there is no other way
-	kept []kept
-	dear map[kind]float64
-	heap []candidate
+	job    *ownedJob
+	need   room.Amount
+	risk   float64 // what a spot machine adds to the wait, in seconds
+	shun   bool    // spot machines only if there is no other way
+	claims *claims
+	dear   map[kind]float64
+	heap   []candidate
 }
 
 // candidate is a machine as the job's next task would find it.
@@ -61,8 +61,8 @@
 }
 
 // candidatesFor looks for the machines that may run a job's tasks.
-func (c *Core) candidatesFor(o *ownedJob, zones map[protocol.Zone]int, kept []kept) *candidates {
-	s := &candidates{job: o, need: room.Need(&o.Job), kept: kept, risk: c.spotStretch(&o.Job) * c.estimate(&o.Job), shun: c.risky(&o.Job), dear: c.dear}
+func (c *Core) candidatesFor(o *ownedJob, zones map[protocol.Zone]int, cl *claims) *candidates {
+	s := &candidates{job: o, need: room.Need(&o.Job), claims: cl, risk: c.spotStretch(&o.Job) * c.estimate(&o.Job), shun: c.risky(&o.Job), dear: c.dear}
 	for _, m := range c.machinesInOrder() {
 		if c.mayTake(o, m, zones) {
 			if k, ok := s.weigh(m, c.rng.Uint32()); ok {
@@ -143,7 +143,7 @@
 	k := candidate{m: m, rank: rankQueue, wait: int64(math.Round(w * 1e6)), tie: tie}
 	if room && !(s.shun && m.rec.Spot) {
 		k.rank = rankFree
-		if wanted(s.job, m, s.kept) {
+		if s.claims.wanted(s.job, m) {
 			k.rank = rankWanted
 		}
 	}
@@ -173,7 +173,7 @@
 func (s *candidates) smallest(zones map[protocol.Zone]int) *machineEntry {
 	for len(s.heap) > 0 {
 		top := &s.heap[0]
-		if !s.job.allowsZone(top.m, zones) || s.tooDeep(top) || top.rank != rankQueue && !spared(s.job, top.m, s.need, s.kept) {
+		if !s.job.allowsZone(top.m, zones) || s.tooDeep(top) || top.rank != rankQueue && !s.claims.spared(s.job, top.m, s.need) {
 			heap.Pop(s)
 			continue
 		}
--- a/internal/coordination/candidates_test.go
+++ b/internal/coordination/candidates_test.go
@@ -14,7 +14,7 @@
 
 // plainSmallest is the decision written plainly: it visits every machine for
 // every task. It returns all that tie for the smallest wait.
-func (c *Core) plainSmallest(o *ownedJob, zones map[protocol.Zone]int, kept []kept) map[*machineEntry]bool {
+func (c *Core) plainSmallest(o *ownedJob, zones map[protocol.Zone]int, cl *claims) map[*machineEntry]bool {
 	const withRoom = 1e9
 	n := room.Need(&o.Job)
 	best := math.Inf(1)
@@ -25,11 +25,11 @@
 		}
 		w, room := m.waitFor(&o.Job, o.level)
 		if room {
-			if !spared(o, m, n, kept) {
+			if !cl.spared(o, m, n) {
 				continue
 			}
 			w -= withRoom
-			if !wanted(o, m, kept) {
+			if !cl.wanted(o, m) {
 				w -= withRoom
 			}
 		} else if w > queueAtMost.Seconds() && !m.firmRoom(o.level).Covers(n) {
@@ -88,12 +88,12 @@
 		}
 		o := c.own(&liveJob{Job: j})
 		reserved := &liveJob{Job: protocol.Job{Class: "gang", Priority: "high", CPUs: 4, MemoryGB: 8, Spot: true}}
-		kept := []kept{{job: reserved, need: room.Need(&reserved.Job), spare: rapid.IntRange(-2, 5).Draw(t, "spare")}}
+		cl := &claims{classes: []kept{{job: reserved, need: room.Need(&reserved.Job), spare: rapid.IntRange(-2, 5).Draw(t, "spare")}}}
 		zones := map[protocol.Zone]int{}
-		from := c.candidatesFor(o, zones, kept)
+		from := c.candidatesFor(o, zones, cl)
 		placed := 0
 		for i := range o.Tasks {
-			want := c.plainSmallest(o, zones, kept)
+			want := c.plainSmallest(o, zones, cl)
 			m := from.smallest(zones)
 			if m == nil && len(want) > 0 || m != nil && !want[m] {
 				t.Fatalf("task %d goes to %+v, not to one of %d", i, m, len(want))
--- a/internal/coordination/classes_test.go
+++ b/internal/coordination/classes_test.go
@@ -33,13 +33,13 @@
 	}
 	b.ready("vm-1")
 	m := b.c.machines["vm-1"]
-	kept := b.c.keptRoom()
+	cl := b.c.claims()
 	small := &ownedJob{liveJob: &liveJob{Job: protocol.Job{Class: "array", Priority: "standard", CPUs: 1, MemoryGB: 1}}}
-	if ok := spared(small, m, room.Need(&small.Job), kept); ok {
+	if ok := cl.spared(small, m, room.Need(&small.Job)); ok {
 		t.Error("a small task may take the last room kept")
 	}
 	big := &ownedJob{liveJob: &liveJob{Job: protocol.Job{Class: "gang", Priority: "high", CPUs: 4, MemoryGB: 1}}}
-	if ok := spared(big, m, room.Need(&big.Job), kept); !ok {
+	if ok := cl.spared(big, m, room.Need(&big.Job)); !ok {
 		t.Error("the class itself may not use it")
 	}
 	b.c.now += Time(10 * time.Minute)
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -8,7 +8,6 @@
 
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/forecast"
-	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -173,22 +172,6 @@
 	return c.acting() && len(c.types) > 0 && rendezvous(c.view, "fleet") == c.self && c.fleet.haveList && c.since(c.fleet.since) >= settleTime
 }
 
-// give takes a machine out of the room kept for classes, if they can spare it.
-func give(m *machineEntry, kept []kept) bool {
-	all := room.Capacity(m.info)
-	for i := range kept {
-		if k := &kept[i]; k.suits(m) && k.spare < k.costs(m, all) {
-			return false
-		}
-	}
-	for i := range kept {
-		if k := &kept[i]; k.suits(m) {
-			k.spare -= k.costs(m, all)
-		}
-	}
-	return true
-}
-
 // keepIdle is how long a machine is kept idle, in seconds: as long as the boot
 // of another would cost. Where it is known what is likely to come meanwhile,
 // and there is room for that without the machine, it is not waited for. A
@@ -241,7 +224,7 @@
 func (c *Core) returnMachines() {
 	f := &c.fleet
 	var gone []protocol.MachineID
-	kept, spare := c.keptRoom(), c.spareCPUs()
+	cl, spare := c.claims(), c.spareCPUs()
 	machines := slices.Clone(c.machinesInOrder())
 	slices.SortStableFunc(machines, func(a, b *machineEntry) int { // the dearest first
 		return cmp.Compare(c.price(b.kind()), c.price(a.kind()))
@@ -268,7 +251,7 @@
 			gone = append(gone, id)
 		case empty && (m.told.Draining || m.told.Suspect):
 			gone = append(gone, id)
-		case empty && !m.told.Draining && idleS > c.keepIdle(m.info, spare) && spare >= m.info.CPUs && give(m, kept):
+		case empty && !m.told.Draining && idleS > c.keepIdle(m.info, spare) && spare >= m.info.CPUs && cl.give(m):
 			spare -= m.info.CPUs
 			c.log.Info("returning an idle machine", "machine", id, "idle_s", int(idleS))
 			c.send(c.keeper(id), PeerMessage{Drain: &id})
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -15,33 +15,33 @@
 
 // placeGang places all tasks of a gang with one attempt number, when nothing
 // of its last attempt is left.
-func (c *Core) placeGang(o *ownedJob, usage map[protocol.Team]room.Amount, kept []kept, claimed claims) []Placement {
+func (c *Core) placeGang(o *ownedJob, usage map[protocol.Team]room.Amount, cl *claims) []Placement {
 	n := int(o.Tasks)
 	if len(o.placed) > 0 || o.unknown || !c.withinLimit(o, usage, n) {
 		return nil
 	}
 	var out []Placement
-	for _, zone := range c.gangZones(o, claimed) {
-		if out = c.placeGangIn(o, zone, kept, claimed); out != nil {
+	for _, zone := range c.gangZones(o, cl) {
+		if out = c.placeGangIn(o, zone, cl); out != nil {
 			c.use(o, usage, n)
 			return out
 		}
 	}
 	if o.together() && c.since(o.since) < c.claimFor(o) {
-		c.claim(o, claimed)
+		c.claim(o, cl)
 	}
 	return nil
 }
 
 // placeGangIn places a gang in a zone, or in any if none is named.
-func (c *Core) placeGangIn(o *ownedJob, zone protocol.Zone, kept []kept, claimed claims) []Placement {
-	before := slices.Clone(kept)
+func (c *Core) placeGangIn(o *ownedJob, zone protocol.Zone, cl *claims) []Placement {
+	undo := cl.tried()
 	zones := map[protocol.Zone]int{}
 	attempt := c.nextAttempt()
-	from := c.candidatesFor(o, zones, kept)
-	if zone != "" || len(claimed) > 0 {
+	from := c.candidatesFor(o, zones, cl)
+	if zone != "" || len(cl.gangs) > 0 {
 		from.only(func(m *machineEntry) bool {
-			return (zone == "" || m.rec.Zone == zone) && !claimed.against(o, m)
+			return (zone == "" || m.rec.Zone == zone) && !cl.against(o, m)
 		})
 	}
 	var out []Placement
@@ -54,7 +54,7 @@
 				c.unplace(o, t)
 				o.pending.Set(uint(p.Task.Index))
 			}
-			copy(kept, before)
+			undo()
 			return nil
 		}
 		out = append(out, c.putOn(from, i, m, attempt, zones))
@@ -65,13 +65,13 @@
 // gangZones lists the zones to try for a gang: any, unless its tasks have to
 // be in the same one. Then those that can hold it come in the order of what
 // they have room for now.
-func (c *Core) gangZones(o *ownedJob, claimed claims) []protocol.Zone {
+func (c *Core) gangZones(o *ownedJob, cl *claims) []protocol.Zone {
 	if !o.OneZone || !o.together() {
 		return []protocol.Zone{""}
 	}
 	n := int(o.Tasks)
 	var zones []protocol.Zone
-	now, firm := c.zoneRoom(o, claimed, c.risky(&o.Job))
+	now, firm := c.zoneRoom(o, cl, c.risky(&o.Job))
 	for range 2 {
 		for z := range inOrder(firm) {
 			if firm[z] >= n {
@@ -81,7 +81,7 @@
 		if len(zones) > 0 || !c.risky(&o.Job) {
 			break
 		}
-		now, firm = c.zoneRoom(o, claimed, false) // rather on spot machines than not at all
+		now, firm = c.zoneRoom(o, cl, false) // rather on spot machines than not at all
 	}
 	slices.SortStableFunc(zones, func(a, b protocol.Zone) int { return min(now[b], n) - min(now[a], n) })
 	return zones
@@ -89,12 +89,12 @@
 
 // zoneRoom is how many of a gang's tasks have room by zone: now, and once what
 // is less urgent is stopped. Spot machines may be left out.
-func (c *Core) zoneRoom(o *ownedJob, claimed claims, shun bool) (now, firm map[protocol.Zone]int) {
+func (c *Core) zoneRoom(o *ownedJob, cl *claims, shun bool) (now, firm map[protocol.Zone]int) {
 	now, firm = map[protocol.Zone]int{}, map[protocol.Zone]int{}
 	size, none := room.Need(&o.Job), map[protocol.Zone]int{}
 	c.looked += len(c.sorted)
 	for _, m := range c.machinesInOrder() {
-		if c.mayTake(o, m, none) && !claimed.against(o, m) && !(shun && m.rec.Spot) {
+		if c.mayTake(o, m, none) && !cl.against(o, m) && !(shun && m.rec.Spot) {
 			now[m.rec.Zone] += m.free().Fit(size)
 			firm[m.rec.Zone] += m.firmRoom(o.level).Fit(size)
 		}
@@ -102,25 +102,13 @@
 	return now, firm
 }
 
-// claims are the machines that a gang which could not be placed yet waits for,
-// with its level: what is placed after it in the same step and
-// could not be stopped for it goes elsewhere. Without that, a large gang would
-// be starved by steady small ones. A claim lasts for one step and is made anew
-// in the next, so it outlives neither its gang nor its owner.
-type claims map[*machineEntry]room.Level
-
-func (l claims) against(o *ownedJob, m *machineEntry) bool {
-	claimed, ok := l[m]
-	return ok && o.level >= claimed
-}
-
 // claim claims as many machines as a gang needs, where the most of them have
 // room for it.
-func (c *Core) claim(o *ownedJob, claimed claims) {
+func (c *Core) claim(o *ownedJob, cl *claims) {
 	size, none := room.Need(&o.Job), map[protocol.Zone]int{}
 	var best protocol.Zone
 	if o.OneZone {
-		_, firm := c.zoneRoom(o, claimed, false)
+		_, firm := c.zoneRoom(o, cl, false)
 		for z, n := range inOrder(firm) {
 			if best == "" || n > firm[best] {
 				best = z
@@ -133,11 +121,11 @@
 		if left <= 0 {
 			return
 		}
-		if best != "" && m.rec.Zone != best || claimed.against(o, m) || !c.mayTake(o, m, none) {
+		if best != "" && m.rec.Zone != best || cl.against(o, m) || !c.mayTake(o, m, none) {
 			continue
 		}
 		if n := m.firmRoom(o.level).Fit(size); n > 0 {
-			claimed[m] = o.level
+			cl.gangs[m] = o.level
 			o.claimed = append(o.claimed, m)
 			left -= n
 		}
@@ -146,10 +134,10 @@
 
 // claimAgain claims what a gang claimed when it was last tried, until it is
 // tried again.
-func (c *Core) claimAgain(o *ownedJob, claimed claims) {
+func (c *Core) claimAgain(o *ownedJob, cl *claims) {
 	for _, m := range o.claimed {
-		if c.machines[m.id] == m && !claimed.against(o, m) {
-			claimed[m] = o.level
+		if c.machines[m.id] == m && !cl.against(o, m) {
+			cl.gangs[m] = o.level
 		}
 	}
 }
--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -36,8 +36,8 @@
 	return o
 }
 
-func (b *bench) placeGang(o *ownedJob, l claims) []Placement {
-	return b.c.placeGang(o, map[protocol.Team]room.Amount{}, nil, l)
+func (b *bench) placeGang(o *ownedJob, l *claims) []Placement {
+	return b.c.placeGang(o, map[protocol.Team]room.Amount{}, l)
 }
 
 func heldAt(l room.Level, cpus float64) (u room.Uses) {
@@ -52,7 +52,7 @@
 	b.zoned("a", 5, false, heldAt(2, 4)) // more machines, held by what is as urgent
 	b.zoned("b", 3, false, heldAt(1, 4)) // held by what may be stopped
 	b.zoned("c", 2, false, room.Uses{})
-	if ps := b.placeGang(b.gang("job-1", 4), claims{}); ps != nil {
+	if ps := b.placeGang(b.gang("job-1", 4), noClaims()); ps != nil {
 		t.Fatalf("%d of 4 tasks placed", len(ps))
 	}
 	for _, tc := range []struct {
@@ -61,7 +61,7 @@
 		zone  protocol.Zone
 	}{{"job-2", 3, "b"}, {"job-3", 2, "c"}} {
 		o := b.gang(tc.id, tc.tasks)
-		if ps := b.placeGang(o, claims{}); len(ps) != int(tc.tasks) {
+		if ps := b.placeGang(o, noClaims()); len(ps) != int(tc.tasks) {
 			t.Fatalf("%s: %d tasks placed", tc.id, len(ps))
 		}
 		for _, p := range o.placed {
@@ -77,10 +77,10 @@
 func TestGangClaims(t *testing.T) {
 	b := newBench(t, "node-1")
 	b.zoned("a", 3, false, room.Uses{})
-	l := claims{}
+	l := noClaims()
 	large, small := b.gang("job-1", 4), b.gang("job-2", 2)
-	if b.placeGang(large, l) != nil || len(l) != 3 {
-		t.Fatalf("%d machines claimed, want 3", len(l))
+	if b.placeGang(large, l) != nil || len(l.gangs) != 3 {
+		t.Fatalf("%d machines claimed, want 3", len(l.gangs))
 	}
 	if ps := b.placeGang(small, l); ps != nil {
 		t.Error("a gang after it takes what is claimed")
@@ -88,13 +88,13 @@
 	urgent := b.gang("job-3", 2)
 	urgent.level = room.LevelOf("production", false)
 	array := &ownedJob{liveJob: &liveJob{}, level: room.LevelOf("standard", false)}
-	for m := range l {
+	for m := range l.gangs {
 		if !l.against(urgent, m) || l.against(array, m) {
 			t.Error("claims hold against what could be stopped, or not against the rest")
 		}
 	}
 	b.c.now += Time(4 * 8 * time.Second)
-	if b.placeGang(large, claims{}); b.placeGang(small, claims{}) == nil {
+	if b.placeGang(large, noClaims()); b.placeGang(small, &claims{gangs: map[*machineEntry]room.Level{}}) == nil {
 		t.Error("a claim without end")
 	}
 }
@@ -150,7 +150,7 @@
 	}
 	b.zoned("a", 2, true, room.Uses{})
 	b.zoned("b", 2, false, heldAt(1, 4))
-	b.placeGang(o, claims{})
+	b.placeGang(o, noClaims())
 	for _, p := range o.placed {
 		if p.zone != "b" {
 			t.Error("placed on a spot machine rather than where something may be stopped")
@@ -161,3 +161,5 @@
 		t.Error("avoided long after the last was taken")
 	}
 }
+
+func noClaims() *claims { return &claims{gangs: map[*machineEntry]room.Level{}} }
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -25,9 +25,8 @@
 	usage := c.teamUsage()
 	batches := map[protocol.NodeName][]Placement{}
 	waits := map[protocol.MachineID]*ownWaits{}
-	kept := c.keptRoom()
+	cl := c.claims()
 	c.setLevels()
-	claims := claims{}
 	left := maxPerStep
 	stuck := 0
 	for _, o := range c.jobsInOrder() {
@@ -40,16 +39,16 @@
 			continue
 		}
 		if o.stuck && c.since(o.tried) < c.retryEvery(stuck) {
-			c.claimAgain(o, claims)
+			c.claimAgain(o, cl)
 			continue
 		}
 		var chosen []Placement
 		looked := c.looked
 		o.claimed = nil
 		if o.Kind == protocol.KindGang {
-			chosen = c.placeGang(o, usage, kept, claims)
+			chosen = c.placeGang(o, usage, cl)
 		} else {
-			chosen = c.placeArray(o, usage, left, kept)
+			chosen = c.placeArray(o, usage, left, cl)
 		}
 		left -= len(chosen)
 		o.stuck, o.tried = len(chosen) == 0 && c.looked > looked, c.now
@@ -96,7 +95,7 @@
 }
 
 // placeArray places pending tasks one by one.
-func (c *Core) placeArray(o *ownedJob, usage map[protocol.Team]room.Amount, left int, kept []kept) []Placement {
+func (c *Core) placeArray(o *ownedJob, usage map[protocol.Team]room.Amount, left int, cl *claims) []Placement {
 	var out []Placement
 	zones := o.zones()
 	var from *candidates
@@ -108,7 +107,7 @@
 			break
 		}
 		if from == nil {
-			from = c.candidatesFor(o, zones, kept)
+			from = c.candidatesFor(o, zones, cl)
 		}
 		m := from.smallest(zones)
 		if m == nil {
@@ -129,7 +128,7 @@
 // with that for the next.
 func (c *Core) putOn(from *candidates, i uint32, m *machineEntry, a protocol.Attempt, zones map[protocol.Zone]int) Placement {
 	if from.heap[0].rank != rankQueue {
-		spend(m, from.need, from.kept)
+		from.claims.spend(m, from.need)
 	}
 	p := c.put(from.job, i, m, a)
 	c.took(from)
@@ -173,40 +172,6 @@
 	return z
 }
 
-// spared reports whether a machine's room may be used for a task without
-// touching what is reserved for other classes.
-func spared(o *ownedJob, m *machineEntry, n room.Amount, kept []kept) bool {
-	for i := range kept {
-		k := &kept[i]
-		if !k.applies(o) || !k.suits(m) {
-			continue
-		}
-		if cost := k.costs(m, n); cost > 0 && k.spare < cost {
-			return false
-		}
-	}
-	return true
-}
-
-// wanted reports whether a class that room is kept for could use the machine.
-func wanted(o *ownedJob, m *machineEntry, kept []kept) bool {
-	for i := range kept {
-		if k := &kept[i]; k.applies(o) && k.suits(m) {
-			return true
-		}
-	}
-	return false
-}
-
-// spend takes the room that a task is about to use out of what can be spared.
-func spend(m *machineEntry, n room.Amount, kept []kept) {
-	for i := range kept {
-		if k := &kept[i]; k.suits(m) {
-			k.spare -= k.costs(m, n)
-		}
-	}
-}
-
 // machinesInOrder lists the machines by name.
 func (c *Core) machinesInOrder() []*machineEntry { return c.sorted }
 
--- a/internal/coordination/rebalance.go
+++ b/internal/coordination/rebalance.go
@@ -57,10 +57,10 @@
 	for _, g := range movable {
 		least = room.Amount{CPUs: min(least.CPUs, g.need.CPUs), GPUs: min(least.GPUs, g.need.GPUs), GB: min(least.GB, g.need.GB)}
 	}
-	kept, left := c.keptRoom(), movesMost
+	cl, left := c.claims(), movesMost
 	for _, m := range roomy {
 		if m.free().Covers(least) {
-			left -= c.takeFor(m, movable, kept, left)
+			left -= c.takeFor(m, movable, cl, left)
 		}
 		if left <= 0 {
 			c.movedUpTo = m.id
@@ -112,12 +112,12 @@
 
 // takeFor fills a machine's room with movable tasks, at most so many, the most
 // urgent first, then those of the longest queues. It returns how many it took.
-func (c *Core) takeFor(m *machineEntry, movable []*movableTasks, kept []kept, most int) (taken int) {
+func (c *Core) takeFor(m *machineEntry, movable []*movableTasks, cl *claims, most int) (taken int) {
 	free := m.free()
 	for ; taken < most; taken++ {
 		var best *movableTasks
 		for _, g := range movable {
-			if len(g.tasks) > 0 && free.Covers(g.need) && (best == nil || g.before(best)) && c.mayMove(g, m, kept) {
+			if len(g.tasks) > 0 && free.Covers(g.need) && (best == nil || g.before(best)) && c.mayMove(g, m, cl) {
 				best = g
 			}
 		}
@@ -141,7 +141,7 @@
 }
 
 // mayMove reports whether a machine may take the next of a job's movable tasks.
-func (c *Core) mayMove(g *movableTasks, m *machineEntry, kept []kept) bool {
+func (c *Core) mayMove(g *movableTasks, m *machineEntry, cl *claims) bool {
 	o, t := g.job, g.tasks[0]
 	if t.machine == m.id || o.failedOn[m.id] {
 		return false
@@ -151,5 +151,5 @@
 		zones = o.zones()
 		zones[t.zone]--
 	}
-	return o.allows(m, zones) && spared(o, m, g.need, kept)
+	return o.allows(m, zones) && cl.spared(o, m, g.need)
 }
