Held room survives lost controllers, wrong estimates and full fleets

Spares are held, and what comes free soonest is held where nothing is free. A machine that refused a placement is told from one whose keeper closes it.

--- a/internal/bookkeeping/calendar.go
+++ b/internal/bookkeeping/calendar.go
@@ -6,7 +6,9 @@
 // cancellation is conditional on it, so that all were decided one after the
 // other, each on what those before it left.
 const (
-	CalendarKey       = "c/calendar"
+	CalendarKey = "c/calendar"
+	// HeldKey is what was held for reservations a moment ago, for who starts anew.
+	HeldKey           = "c/held"
 	reservationPrefix = "c/reservation/"
 	windowPrefix      = "c/window/"
 )
@@ -25,7 +27,7 @@
 
 // Calendar is the record under CalendarKey.
 type Calendar struct {
-	Changes uint64 `cbor:"changes"`
+	Changes uint64 `json:"changes"`
 }
 
 // ReservationState is what a reservation's present occurrence is.
@@ -50,70 +52,70 @@
 
 // ReservationSpec is what an operator asks for.
 type ReservationSpec struct {
-	Name EntryName `cbor:"name"`
+	Name EntryName `json:"name"`
 	// Job is the job it is for, or Class its class, of Team if that is named.
-	Job   protocol.JobID `cbor:"job,omitempty"`
-	Class string         `cbor:"class,omitempty"`
-	Team  protocol.Team  `cbor:"team,omitempty"`
+	Job   protocol.JobID `json:"job,omitempty"`
+	Class string         `json:"class,omitempty"`
+	Team  protocol.Team  `json:"team,omitempty"`
 	// When it begins: see calendar.ParseWhen.
-	When string `cbor:"when"`
+	When string `json:"when"`
 	// HoldS is how long it is held if its job doesn't come, LengthS how long the
 	// job is expected to run, in seconds.
-	HoldS   float64 `cbor:"hold_s"`
-	LengthS float64 `cbor:"length_s"`
+	HoldS   float64 `json:"hold_s"`
+	LengthS float64 `json:"length_s"`
 
-	Tasks    int                    `cbor:"tasks"`
-	CPUs     float64                `cbor:"cpus"`
-	GPUs     float64                `cbor:"gpus,omitempty"`
-	MemoryGB float64                `cbor:"memory_gb,omitempty"`
-	Types    []protocol.MachineType `cbor:"types,omitempty"`
-	Zone     protocol.Zone          `cbor:"zone,omitempty"`
-	OneZone  bool                   `cbor:"one_zone,omitempty"`
-	Spot     bool                   `cbor:"spot,omitempty"`
-	Priority protocol.Priority      `cbor:"priority"`
+	Tasks    int                    `json:"tasks"`
+	CPUs     float64                `json:"cpus"`
+	GPUs     float64                `json:"gpus,omitempty"`
+	MemoryGB float64                `json:"memory_gb,omitempty"`
+	Types    []protocol.MachineType `json:"types,omitempty"`
+	Zone     protocol.Zone          `json:"zone,omitempty"`
+	OneZone  bool                   `json:"one_zone,omitempty"`
+	Spot     bool                   `json:"spot,omitempty"`
+	Priority protocol.Priority      `json:"priority"`
 }
 
 // Reservation is the record of a reservation.
 type Reservation struct {
-	Spec    ReservationSpec  `cbor:"spec"`
-	Request string           `cbor:"request"` // that made it: a repeated one gets the same answer
-	By      string           `cbor:"by"`      // the operator's key
-	MadeMS  Moment           `cbor:"made_ms"`
-	Order   uint64           `cbor:"order"` // of acceptance
-	State   ReservationState `cbor:"state"`
-	StartMS Moment           `cbor:"start_ms"` // of the present occurrence
+	Spec    ReservationSpec  `json:"spec"`
+	Request string           `json:"request"` // that made it: a repeated one gets the same answer
+	By      string           `json:"by"`      // the operator's key
+	MadeMS  Moment           `json:"made_ms"`
+	Order   uint64           `json:"order"` // of acceptance
+	State   ReservationState `json:"state"`
+	StartMS Moment           `json:"start_ms"` // of the present occurrence
 	// Risk is why the present occurrence is at risk, and since when; empty: it is
 	// not.
-	Risk   string    `cbor:"risk,omitempty"`
-	RiskMS Moment    `cbor:"risk_ms,omitempty"`
-	Past   []Outcome `cbor:"past,omitempty"` // of earlier occurrences, the latest last
+	Risk   string    `json:"risk,omitempty"`
+	RiskMS Moment    `json:"risk_ms,omitempty"`
+	Past   []Outcome `json:"past,omitempty"` // of earlier occurrences, the latest last
 }
 
 // Outcome is how an occurrence of a reservation ended.
 type Outcome struct {
-	StartMS Moment           `cbor:"start_ms"`
-	State   ReservationState `cbor:"state"`
-	EndMS   Moment           `cbor:"end_ms"` // when it was used or expired
-	Risk    string           `cbor:"risk,omitempty"`
+	StartMS Moment           `json:"start_ms"`
+	State   ReservationState `json:"state"`
+	EndMS   Moment           `json:"end_ms"` // when it was used or expired
+	Risk    string           `json:"risk,omitempty"`
 }
 
 // WindowSpec is a maintenance window as an operator asks for it: it covers the
 // machines named, or those of a type, a zone or both; with none of them, the
 // site.
 type WindowSpec struct {
-	Name     EntryName            `cbor:"name"`
-	When     string               `cbor:"when"`
-	LengthS  float64              `cbor:"length_s"`
-	Machines []protocol.MachineID `cbor:"machines,omitempty"`
-	Type     protocol.MachineType `cbor:"type,omitempty"`
-	Zone     protocol.Zone        `cbor:"zone,omitempty"`
+	Name     EntryName            `json:"name"`
+	When     string               `json:"when"`
+	LengthS  float64              `json:"length_s"`
+	Machines []protocol.MachineID `json:"machines,omitempty"`
+	Type     protocol.MachineType `json:"type,omitempty"`
+	Zone     protocol.Zone        `json:"zone,omitempty"`
 }
 
 // Window is the record of a maintenance window.
 type Window struct {
-	Spec      WindowSpec `cbor:"spec"`
-	Request   string     `cbor:"request"`
-	By        string     `cbor:"by"`
-	MadeMS    Moment     `cbor:"made_ms"`
-	Cancelled bool       `cbor:"cancelled,omitempty"`
+	Spec      WindowSpec `json:"spec"`
+	Request   string     `json:"request"`
+	By        string     `json:"by"`
+	MadeMS    Moment     `json:"made_ms"`
+	Cancelled bool       `json:"cancelled,omitempty"`
 }
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -68,6 +68,7 @@
 	Block   string
 
 	Calendar    bool
+	Held        bool
 	Reservation EntryName
 	Window      EntryName
 }
@@ -89,6 +90,9 @@
 	if n, ok := strings.CutPrefix(key, blockPrefix); ok {
 		return Followed{Block: n}, true
 	}
+	if key == HeldKey {
+		return Followed{Held: true}, true
+	}
 	if key == CalendarKey {
 		return Followed{Calendar: true}, true
 	}
--- a/internal/coordination/calendar/hold.go
+++ b/internal/coordination/calendar/hold.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -13,10 +14,13 @@
 
 // Run is work that a machine does, or has in its queue.
 type Run struct {
-	Ends  Moment // when it is likely to be over, by its estimate and how far such are off
-	Need  room.Amount
-	Level room.Level
-	For   Name // the reservation it is of, if any
+	Task    protocol.TaskID
+	Attempt protocol.Attempt
+	Ends    Moment // when it is likely to be over, by its estimate and how far such are off
+	Need    room.Amount
+	Level   room.Level
+	For     Name // the reservation it is of, if any
+	Sure    bool // its machine's keeper has seen it start
 }
 
 // Machine is a machine as far as room is held on it.
@@ -57,6 +61,8 @@
 	Clear   Moment             `cbor:"clear"`
 	From    Moment             `cbor:"from"`
 	Until   Moment             `cbor:"until"`
+	// Ends is when the last of what can't be stopped for it is likely to be over.
+	Ends Moment `cbor:"ends"`
 }
 
 // Plan is what is held, and what is missing.
@@ -80,11 +86,15 @@
 func (m *machineRoom) free(d *Due, now Moment, firm bool) room.Amount {
 	by := Moment(0)
 	if now <= d.Clear {
-		by = d.Clear
+		by = After(d.Clear, reportedLate)
 	}
 	return m.freeBy(d, by, firm)
 }
 
+// reportedLate is by how much later than it was let start work may be reckoned
+// to end: it begins when its image is there and its start was reported.
+const reportedLate = 15 * time.Second
+
 // freeBy is what is left if everything is over that is likely to be by a moment.
 func (m *machineRoom) freeBy(d *Due, by Moment, firm bool) room.Amount {
 	free := room.Capacity(m.Info)
@@ -142,15 +152,29 @@
 			p.Zones[d.Spec.Name] = zone
 			mine = slices.DeleteFunc(mine, func(m *machineRoom) bool { return m.Zone != zone })
 		}
-		left, spare := d.Left, 0
+		left, spare := d.Left, 1+d.Left/spareLater
 		if now < d.Clear {
 			spare = 1 + d.Left/spareShare
 		}
-		for _, m := range preferred(d, mine, held[d.Spec.Name], at, now) {
-			if left+spare <= 0 {
-				break
+		order := preferred(d, mine, held[d.Spec.Name], at, now)
+		// What was held is taken first, and only then more of it elsewhere: the
+		// keepers hear of a change a moment later, and others start meanwhile in
+		// what was let go and what is not held yet.
+		chosen := map[*machineRoom]int{}
+		for _, most := range []func(*machineRoom) int{
+			func(m *machineRoom) int { return heldOn(held[d.Spec.Name], m.ID) },
+			func(m *machineRoom) int { return math.MaxInt },
+		} {
+			for _, m := range order {
+				n := min(left+spare, most(m)-chosen[m], m.free(d, now, true).Fit(d.size())-chosen[m])
+				if n > 0 {
+					chosen[m] += n
+					left -= n
+				}
 			}
-			left -= p.hold(d, m, min(left+spare, m.free(d, now, true).Fit(d.size())))
+		}
+		for _, m := range order {
+			p.hold(d, m, chosen[m])
 		}
 		if left <= 0 {
 			continue
@@ -172,10 +196,22 @@
 	return p
 }
 
+// heldOn is for how many tasks room was held on a machine.
+func heldOn(holds []Hold, id protocol.MachineID) int {
+	for _, h := range holds {
+		if h.Machine == id {
+			return h.Tasks
+		}
+	}
+	return 0
+}
+
 const (
 	// spareShare: beside each so many tasks room is held for one more until all
 	// of it has to be clear, as some of what runs there is not over by then.
 	spareShare = 4
+	// spareLater is the same from then on, for machines that are lost.
+	spareLater = 8
 	// lateBy is how late room may come after its time and still be in time.
 	lateBy = 30 * time.Second
 )
@@ -189,6 +225,11 @@
 		For: d.Spec.Name, Machine: m.ID, Tasks: n, Need: d.size().Times(float64(n)), Level: d.level(),
 		Clear: d.Clear, From: d.StartMS, Until: afterS(d.StartMS, d.Spec.HoldS+d.Spec.LengthS),
 	}
+	for _, r := range m.Runs {
+		if r.For != d.Spec.Name && r.Level >= h.Level {
+			h.Ends = max(h.Ends, r.Ends)
+		}
+	}
 	m.taken = append(m.taken, h)
 	p.Holds = append(p.Holds, h)
 	return n
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -334,6 +334,8 @@
 		if err = protocol.Decode(value, &b); err == nil {
 			c.blockSeen(f.Block, b, version)
 		}
+	case f.Held:
+		err = c.heldBefore(value)
 	case f.Calendar || f.Reservation != "" || f.Window != "":
 		err = c.calendarRecord(f, value, version)
 	}
--- a/internal/coordination/events.go
+++ b/internal/coordination/events.go
@@ -27,7 +27,7 @@
 			// Refused by the keeper, which knows something of the machine
 			// that the table does not: not again before its next summary.
 			if m := c.machines[t.machine]; m != nil {
-				m.told.Closed = true
+				m.refused = true
 			}
 		}
 		c.gone(o, t)
@@ -124,7 +124,7 @@
 		o.notBefore = c.after(2 * time.Second)
 	case protocol.EndFull, protocol.EndInUse:
 		if m := c.machines[e.Machine]; m != nil {
-			m.told.Closed = true
+			m.refused = true
 		}
 	}
 	c.log.Debug("attempt ended", "task", e.Task, "cause", e.Cause, "saved", e.Saved, "machine", e.Machine)
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -95,8 +95,13 @@
 	c.looked += len(c.sorted)
 	for _, m := range c.machinesInOrder() {
 		if c.mayTake(o, m, none) && !cl.against(o, m) && !(shun && m.rec.Spot) {
-			now[m.rec.Zone] += m.free().Fit(size)
-			firm[m.rec.Zone] += m.firmRoom(o.level).Fit(size)
+			free, most := m.free(), m.firmRoom(o.level)
+			if c.holdsFor(o, m) {
+				free = m.idle() // it does not wait behind the rest
+				most = free
+			}
+			now[m.rec.Zone] += free.Fit(size)
+			firm[m.rec.Zone] += most.Fit(size)
 		}
 	}
 	return now, firm
--- a/internal/coordination/holding.go
+++ b/internal/coordination/holding.go
@@ -34,14 +34,19 @@
 // sweepEvery is how often all reservations are looked at for what was missed.
 const sweepEvery = time.Minute
 
-type reservationTag struct{ name calendar.Name }
+type (
+	reservationTag struct{ name calendar.Name }
+	heldTag        struct{}
+)
 
 // lead is how long before its time a reservation's room is clear: as long as
 // another machine takes to come, and one more in its place.
 func (c *Core) lead(s *bookkeeping.ReservationSpec) time.Duration {
 	boot := 0.0
-	for _, k := range c.offers(jobOf(s)) {
-		boot = max(boot, c.promised.boots.Likely(c.types[k.Type].BootS))
+	for _, t := range c.types { // those the cloud has none of at present, too: this must not change from moment to moment
+		if calendar.Allows(s, t, s.Zone, false) && room.Capacity(t).Covers(room.Amount{CPUs: s.CPUs, GPUs: s.GPUs, GB: s.MemoryGB}) {
+			boot = max(boot, c.promised.boots.Likely(t.BootS))
+		}
 	}
 	return time.Duration(2*boot*float64(time.Second)) + leadSlack
 }
@@ -80,12 +85,24 @@
 	now := c.moment()
 	var ms []calendar.Machine
 	for _, m := range c.machinesInOrder() {
-		if !c.usable(m) || !c.recent(m, 3*c.op.RelayEvery) || m.told.Epoch != m.epoch {
+		if !m.open() {
+			continue
+		}
+		if !c.recent(m, 3*c.op.RelayEvery) && len(c.promised.holds[m.id]) == 0 || m.told.Epoch != m.epoch {
+			// Nobody tells of it at present. Where room is held already it stays
+			// so: while a controller is away its machines would lose their holds
+			// to others, and be filled.
 			continue
 		}
 		runs := slices.Clone(m.told.Runs)
 		for i := range runs {
-			if r := &runs[i]; r.Ends < now {
+			r := &runs[i]
+			for _, h := range c.promised.holds[m.id] {
+				if !r.Sure && r.For != h.For && h.Ends != 0 {
+					r.Ends = min(r.Ends, h.Ends) // as was known of it before
+				}
+			}
+			if r.Ends < now {
 				r.Ends = calendar.After(now, overrunning)
 			}
 		}
@@ -109,6 +126,10 @@
 	if !pr.any && len(pr.list) == 0 || !c.planning() {
 		return
 	}
+	if !pr.listed && c.since(c.fleet.since) < settleHolds && !c.mostHeard() {
+		return
+	}
+	pr.listed = true
 	now := c.moment()
 	dues := c.dues()
 	usable := func(m *calendar.Machine, d *calendar.Due) bool {
@@ -119,12 +140,89 @@
 	pr.short, pr.missing, pr.zones = plan.Short, plan.Missing, plan.Zones
 	if !slices.Equal(plan.Holds, pr.list) || pr.number>>32 != uint64(c.view.Term) {
 		c.setHolds(plan.Holds)
+		pr.stale = true
 		pr.number = max(pr.number+1, uint64(c.view.Term)<<32|1)
 	}
+	c.writeHeld()
 	c.noteRisks(dues)
 	c.advancePromised()
 }
 
+// settleHolds is how long, after all have ended, it takes at the most until
+// room is held anew: machines have to be heard first.
+const settleHolds = 20 * time.Second
+
+// mostHeard reports whether nearly all machines are told of.
+func (c *Core) mostHeard() bool {
+	heard := 0
+	for _, m := range c.machines {
+		if c.recent(m, 3*c.op.RelayEvery) && m.told.Heard {
+			heard++
+		}
+	}
+	return 10*heard >= 9*len(c.machines)
+}
+
+// unsettled reports whether what ends at a moment might be in the way of something
+// that room was held for before all controllers ended: until it is held anew,
+// that waits.
+func (c *Core) unsettled(j *protocol.Job, ends calendar.Moment) bool {
+	pr := &c.promised
+	if pr.listed || c.since(c.begun) > settleHolds+10*time.Second {
+		return false
+	}
+	of, now := c.of(j), c.moment()
+	for _, o := range pr.book.Overlapping(now, max(ends, now+1)) {
+		e := pr.book.Reservation(o.Name)
+		if !o.Window && e != nil && e.StartMS == o.Start && (e.State == bookkeeping.Accepted || e.State == bookkeeping.Holding) && !of(o.Name) &&
+			ends > calendar.After(o.Start, -c.lead(&e.Reservation.Spec)) {
+			return true
+		}
+	}
+	return false
+}
+
+// heldRecord is what is held, as it is written for who starts anew.
+type heldRecord struct {
+	Holds []calendar.Hold `cbor:"holds"`
+}
+
+const (
+	// writeHeldEvery is how often it is written at the most.
+	writeHeldEvery = 5 * time.Second
+	// heldBytes is more than one hold takes in a record.
+	heldBytes = 350
+)
+
+// writeHeld writes what is held, what is due first if not all of it fits into a
+// record. Nothing depends on it but how soon the same is held again after all
+// controllers have ended: without it their machines are filled before any of
+// them knows what was held.
+func (c *Core) writeHeld() {
+	pr := &c.promised
+	if !pr.stale || c.since(pr.written) < writeHeldEvery {
+		return
+	}
+	pr.stale, pr.written = false, c.now
+	list := pr.list[:min(len(pr.list), int(1024*c.settings.Site.State.ValueKB/heldBytes))]
+	c.do(Commit{Tag: heldTag{}, Txn: protocol.Txn{
+		If:   []protocol.Condition{c.inThisView()},
+		Then: []protocol.Change{{Put: bookkeeping.HeldKey, Value: heldRecord{list}}},
+	}})
+}
+
+// heldBefore takes over what was written, unless a list was heard already, which
+// is newer.
+func (c *Core) heldBefore(value protocol.RawValue) error {
+	var r heldRecord
+	if err := protocol.Decode(value, &r); err != nil || c.promised.listed {
+		return err
+	}
+	c.promised.listed = true
+	c.setHolds(r.Holds)
+	return nil
+}
+
 // inWindowAt reports whether a window covers a machine at some time.
 func (c *Core) inWindowAt(m *calendar.Machine, from, to calendar.Moment) bool {
 	for i := range c.promised.windows {
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -159,10 +159,13 @@
 	Runs []calendar.Run
 }
 
-// Progress is how far a job is, for display.
+// Progress is how far a job is.
 type Progress struct {
 	Job           protocol.JobID
 	Done, Running uint32
+	// Level is its level and 1, while anything is promised for later: keepers who
+	// found its tasks on machines have to guess it otherwise. 0: not told.
+	Level int
 }
 
 // Demand is work of one job that no machine has started.
@@ -401,6 +404,7 @@
 	reserved room.Amount  // of what it has free: held for reservations now
 	copied   float64      // its wait by a peer's table, until its keeper is heard
 	held     room.Uses    // what it was told to hold
+	refused  bool         // its keeper refused something and has not said since why
 	late     int          // tasks of this owner that ran too long there lately
 	lateAt   Time         // the last of them
 	mine     map[protocol.TaskID]*placedTask
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -65,7 +65,7 @@
 		e.need = room.Need(&j.Job)
 		later, reserved := c.mayStartOn(q, e, j, free)
 		if !free.Covers(e.need) || later == startSoon || held && !reserved {
-			if len(c.promised.holds[q.id]) == 0 {
+			if len(c.promised.holds[q.id]) == 0 && later != startSoon {
 				break // first come, first served: what is behind waits too
 			}
 			held = true // but for what room is held here for
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -293,6 +293,11 @@
 
 // usable reports whether tasks may be placed on a machine at all.
 func (c *Core) usable(m *machineEntry) bool {
+	return m.open() && !m.refused
+}
+
+// open reports whether its keeper lets tasks be placed on a machine.
+func (m *machineEntry) open() bool {
 	return m.info.Name != "" && !m.told.Closed && !m.told.Draining && !m.told.Suspect
 }
 
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -22,16 +22,24 @@
 	for _, o := range jobs {
 		t, ok := c.settings.Team(o.Team)
 		if !ok || !c.guarantees(o.Team) {
-			o.level = room.LevelOf(o.Priority, false)
+			c.setLevel(o, room.LevelOf(o.Priority, false))
 			continue
 		}
 		n := float64(o.Tasks - o.nDone)
 		u := used[o.Team].Plus(room.Amount{CPUs: n * o.CPUs, GPUs: n * o.GPUs})
 		used[o.Team] = u
-		o.level = room.LevelOf(o.Priority, u.CPUs <= t.CPUs+room.Slack && u.GPUs <= t.GPUs+room.Slack)
+		c.setLevel(o, room.LevelOf(o.Priority, u.CPUs <= t.CPUs+room.Slack && u.GPUs <= t.GPUs+room.Slack))
 	}
 }
 
+// setLevel sets a job's level, and has it told if anybody reckons with it.
+func (c *Core) setLevel(o *ownedJob, l room.Level) {
+	if o.level != l && c.promised.any {
+		c.relays.jobs.Touch(o.ID)
+	}
+	o.level = l
+}
+
 // guarantees reports whether a team is guaranteed anything.
 func (c *Core) guarantees(name protocol.Team) bool {
 	t, ok := c.settings.Team(name)
--- a/internal/coordination/promises.go
+++ b/internal/coordination/promises.go
@@ -24,6 +24,9 @@
 
 	holds   map[protocol.MachineID][]calendar.Hold
 	list    []calendar.Hold // all of them
+	written Time            // when the list was last written
+	stale   bool            // it has changed since
+	listed  bool            // the list is known since this session began
 	number  uint64          // of the list, by the controller that chose it
 	windows []openWindow    // open, or soon
 	teams   map[protocol.Team][]teamClaim
@@ -273,11 +276,12 @@
 	return estimateS * c.promised.errors[j.Class].Factor()
 }
 
-// noteError learns how far estimates are off from a task that ran to its end
-// here.
+// noteError learns how far estimates are off from a task that was started here
+// and ran to its end. One that was found on its machine may have run for long:
+// counted from then, estimates would seem good, and room clear that is not.
 func (c *Core) noteError(e *entry) {
 	j := c.live[e.task.Job]
-	if !c.promised.any || j == nil || e.runs == 0 || e.cause != protocol.EndDone {
+	if !c.promised.any || j == nil || e.order == 0 || e.runs == 0 || e.cause != protocol.EndDone {
 		return
 	}
 	f := c.promised.errors[j.Class]
@@ -349,7 +353,7 @@
 func (c *Core) mayStartOn(q *queue, e *entry, j *liveJob, free room.Amount) (startLater, bool) {
 	pr := &c.promised
 	holds := pr.holds[q.id]
-	if len(pr.windows) == 0 && len(holds) == 0 {
+	if len(pr.windows) == 0 && len(holds) == 0 && (pr.listed || !pr.any) {
 		return startNow, false
 	}
 	now := c.moment()
@@ -361,6 +365,8 @@
 		return startElsewhere, owns
 	}
 	switch {
+	case c.unsettled(&j.Job, t.Ends):
+		return startSoon, owns
 	case calendar.Leaves(holds, &t, free, now):
 		return startNow, owns
 	case calendar.Leaves(holds, &t, room.Capacity(q.info), now):
@@ -369,6 +375,12 @@
 	return startElsewhere, owns
 }
 
+// ownsRoom reports whether room that is held for an attempt's job is free.
+func (c *Core) ownsRoom(q *queue, e *entry) bool {
+	j := c.live[e.task.Job]
+	return j != nil && q.free().Covers(e.need) && calendar.Owns(c.promised.holds[q.id], &calendar.Task{Of: c.of(&j.Job)})
+}
+
 // fetchS is how long the machine takes to get a job's image, in seconds.
 func (q *queue) fetchS(j *liveJob) float64 {
 	if slices.Contains(q.images, j.Image) {
@@ -390,7 +402,7 @@
 		if !e.sent || e.ended() {
 			continue
 		}
-		r := calendar.Run{Need: e.need, Level: e.level}
+		r := calendar.Run{Task: e.task, Attempt: e.attempt, Need: e.need, Level: e.level, Sure: e.order != 0}
 		left := 0.0
 		if j != nil {
 			left = c.likelyS(&j.Job, e.estimate)
@@ -415,6 +427,41 @@
 	return runs
 }
 
+// learnLevels takes over, for attempts found on machines, how urgent their owners
+// say they are. What is guessed may be too high: nothing of it would be stopped.
+func (c *Core) learnLevels(q *queue) {
+	if !c.promised.any {
+		return
+	}
+	for _, e := range q.entries {
+		if !e.guessed {
+			continue
+		}
+		if g, ok := c.JobProgress(e.task.Job); ok && g.Level > 0 {
+			e.guessed = false
+			if l := room.Level(g.Level - 1); l != e.level {
+				e.level = l
+				c.touch(q)
+			}
+		}
+	}
+}
+
+// knewMore corrects what a keeper tells of what it found on a machine by what the
+// one before told: since when it has run, its worker does not say. Without that
+// all room held on the machines of a controller that ended would seem lost.
+func knewMore(before, now []calendar.Run) []calendar.Run {
+	for i := range now {
+		for _, r := range before {
+			if r.Task == now[i].Task && r.Attempt == now[i].Attempt {
+				now[i].Ends = min(now[i].Ends, r.Ends)
+				break
+			}
+		}
+	}
+	return now
+}
+
 // forever is how long a service runs, in seconds.
 const forever = 1e8
 
@@ -432,6 +479,7 @@
 // moment that leaves time to save: only what is less urgent than the reserved
 // work and beyond its team's guarantee.
 func (c *Core) clearHeld(q *queue) {
+	c.learnLevels(q)
 	holds := c.promised.holds[q.id]
 	if len(holds) == 0 {
 		return
--- a/internal/coordination/promises_test.go
+++ b/internal/coordination/promises_test.go
@@ -96,6 +96,7 @@
 	b.do(operators.Request{Op: operators.OpAdd, ID: "1", Reservation: reserve("one", b.in(20*time.Minute), 2)})
 	now := b.c.moment()
 	hold := calendar.Hold{For: "one", Machine: "vm-1", Tasks: 2, Need: room.Amount{CPUs: 4, GB: 2}, Level: 1, Clear: calendar.After(now, 18*time.Minute), From: calendar.After(now, 20*time.Minute), Until: calendar.After(now, 40*time.Minute)}
+	b.c.promised.listed = true
 	b.c.setHolds([]calendar.Hold{hold})
 	q := b.c.queues["vm-1"]
 	wait := func(id protocol.JobID, class string, estimate float64) *entry {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -71,6 +71,7 @@
 	since    Time // queued here, or first seen here
 	runs     Time // since when, as far as seen here
 	level    room.Level
+	guessed  bool              // its level is guessed
 	due      Time              // of its job, when the queue was last sorted
 	together bool              // others of its gang wait for it
 	from     protocol.NodeName // that placed it here, if any
@@ -269,7 +270,7 @@
 			}
 			continue
 		}
-		if e.together && !q.firmRoom(e.level).Covers(e.need) {
+		if e.together && !q.firmRoom(e.level).Covers(e.need) && !c.ownsRoom(q, e) {
 			// Its owner did not know yet of what is in the way. Waiting here
 			// would keep the machines of the whole gang idle.
 			refuse()
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -179,7 +179,7 @@
 	to.Sent(upto)
 	for _, id := range ids {
 		if o := c.owner.jobs[id]; o != nil {
-			r.Progress = append(r.Progress, Progress{Job: id, Done: o.nDone, Running: o.running})
+			r.Progress = append(r.Progress, c.progressOf(o))
 		}
 	}
 }
@@ -207,6 +207,7 @@
 		t.holdsTo = r.HaveHolds
 		if r.Holds != nil && from != c.self {
 			t.holdsFrom = r.Holds.Number
+			c.promised.listed = true
 			c.setHolds(r.Holds.List)
 		}
 		if t.machinesFrom.Accept(r.Machines) {
@@ -250,10 +251,13 @@
 			p.told.early[st.Machine] = st
 		}
 	case st.Epoch == m.epoch && c.keeper(m.id) == from:
-		if m.told.Closed && !st.Closed || m.told.Epoch == 0 {
+		if (m.told.Closed || m.refused) && !st.Closed || m.told.Epoch == 0 {
 			c.owner.dirty = true
 		}
-		m.told, m.by, m.at, m.copied = st, p, c.now, 0
+		if st.Runs = knewMore(m.told.Runs, st.Runs); !st.Heard && m.told.Epoch == m.epoch {
+			st.Runs = m.told.Runs // it has not heard the machine yet
+		}
+		m.told, m.by, m.at, m.copied, m.refused = st, p, c.now, 0, false
 		m.held = room.Uses{}
 		addUses(&m.held, st.Uses)
 	}
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -96,6 +96,7 @@
 			if j := c.live[t.Task.Job]; j != nil {
 				e.estimate, e.need = c.estimate(&j.Job), room.Need(&j.Job)
 				e.level = room.LevelOf(j.Priority, c.guarantees(j.Team)) // perhaps: its owner would know
+				e.guessed = true
 			}
 			q.entries[t.Task] = e
 		}
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -194,10 +194,19 @@
 	}
 }
 
+// progressOf is how far an owned job is.
+func (c *Core) progressOf(o *ownedJob) Progress {
+	g := Progress{Job: o.ID, Done: o.nDone, Running: o.running}
+	if c.promised.any {
+		g.Level = int(o.level) + 1
+	}
+	return g
+}
+
 // JobProgress is how far a live job is, as far as this controller knows.
 func (c *Core) JobProgress(id protocol.JobID) (Progress, bool) {
 	if o := c.owner.jobs[id]; o != nil {
-		return Progress{Job: id, Done: o.nDone, Running: o.running}, true
+		return c.progressOf(o), true
 	}
 	if l := c.live[id]; l != nil {
 		if p := c.peers[c.ownerOf(l)]; p != nil {
--- a/internal/emulator/nodes.go
+++ b/internal/emulator/nodes.go
@@ -191,7 +191,7 @@
 				if w.workers[id] != nil {
 					st = "running"
 				}
-				list = append(list, protocol.ListedMachine{ID: id, Type: r.Type, Zone: r.Zone, Spot: r.Spot, State: st, AgeS: 30})
+				list = append(list, protocol.ListedMachine{ID: id, Type: r.Type, Zone: r.Zone, Spot: r.Spot, State: st, AgeS: w.heldS(id)})
 			}
 			w.later(n, coordination.Listed{Machines: list, OK: true})
 		}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -54,6 +54,7 @@
 	bootTime func(protocol.RentRequest) time.Duration
 	rented   func(protocol.MachineID, protocol.RentRequest)
 	gone     func(protocol.MachineID)
+	heldS    func(protocol.MachineID) float64          // how long a machine has been rented
 	started  func(protocol.MachineID, protocol.TaskID) // a task starts
 	silent   time.Duration                             // until when the cloud answers nothing
 	checked  int                                       // changes of the state service that the rules have been held against
@@ -112,6 +113,7 @@
 	w.step, w.startMS, w.operator = usualStep, 1, config.DefaultOperator()
 	w.runTime = func(protocol.TaskID) time.Duration { return time.Duration(1000+w.rng.IntN(9000)) * time.Millisecond }
 	w.bootTime = func(protocol.RentRequest) time.Duration { return time.Duration(3+w.rng.IntN(8)) * time.Second }
+	w.heldS = func(protocol.MachineID) float64 { return 30 }
 	w.started = func(protocol.MachineID, protocol.TaskID) {}
 	w.rented, w.gone = func(protocol.MachineID, protocol.RentRequest) {}, func(protocol.MachineID) {}
 	for i := range up {
