--- /dev/null
+++ b/internal/emulator/play_test.go
@@ -0,0 +1,133 @@
+package emulator
+
+import (
+	"testing"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/operators"
+	"damsonkeel/internal/protocol"
+)
+
+// smallSite is twelve machines kept busy by work whose estimates are half of the
+// truth, and one reservation an hour and a half after the start.
+func smallSite() *Site {
+	return &Site{
+		Start: time.Date(2026, 3, 28, 23, 0, 0, 0, time.UTC), Machines: 12, ReportS: 5, LeaseS: 25,
+		Types: []Type{{Name: "m8", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.4, BootS: 20, Zones: []protocol.Zone{"a", "b"}}},
+		Teams: []Team{{Name: "free"}, {Name: "bound", MaxCPUs: 24}},
+		Load: []Load{
+			{Class: "long", Team: "free", Priority: "standard", EveryS: 84, Tasks: 8, CPUs: 2, EstimateS: 180, Factor: 2},
+			{Class: "short", Team: "free", Priority: "standard", EveryS: 20, Tasks: 8, CPUs: 1, EstimateS: 30, Factor: 1},
+			{Class: "low", Team: "free", Priority: "best_effort", EveryS: 200, Tasks: 4, CPUs: 2, EstimateS: 300, Factor: 1.5, CheckpointS: 30, SaveS: 4, Spot: true},
+		},
+		Reservations: []Reservation{{Name: "one", Class: "one", Team: "free", Priority: "standard", When: "2026-03-29 at 00:30", HoldS: 600, LengthS: 300, Tasks: 8, CPUs: 4, MemoryGB: 1}},
+	}
+}
+
+const (
+	due     = 90 * time.Minute // of the small site's reservation
+	playFor = 105 * time.Minute
+)
+
+// TestPromisesAreKept: a reserved job starts within a minute of its time, on a
+// full fleet of equally urgent work that runs twice as long as its owners say,
+// whatever happens right before: what each of the hard cases names.
+func TestPromisesAreKept(t *testing.T) {
+	for name, tc := range map[string]struct {
+		change func(*Site)
+		before time.Duration // how long before its time it happens
+		do     func(*player)
+		never  bool // no job is expected to start
+	}{
+		"nothing happens": {},
+		"all controllers end a second before": {before: time.Second, do: func(p *player) {
+			for _, n := range p.nodes {
+				p.crash(n)
+			}
+		}},
+		"all controllers end while it turns to holding": {before: 81 * time.Second, do: func(p *player) {
+			for _, n := range p.nodes {
+				p.crash(n)
+			}
+		}},
+		"the controller that rents ends":                 {before: 2 * time.Minute, do: func(p *player) { p.crash(p.nodes[2]) }},
+		"the state service is out over the moment":       {before: 10 * time.Second, do: func(p *player) { p.outage = p.now + 25*time.Second }},
+		"the cloud is silent for the ten minutes before": {before: 10 * time.Minute, do: func(p *player) { p.silent = p.now + 10*time.Minute }},
+		"spot machines are taken 30 s before":            {before: 30 * time.Second, do: (*player).takeSpots},
+		"a machine that is held for it is lost": {before: 20 * time.Second, do: func(p *player) {
+			for _, n := range p.nodes {
+				if n.core != nil && len(n.core.Look().Holds) > 0 {
+					p.kill(n.core.Look().Holds[0].Machine)
+					return
+				}
+			}
+		}},
+		"its job comes four minutes late":  {change: func(s *Site) { s.Reservations[0].ComesS = 240 }},
+		"its job comes five minutes early": {change: func(s *Site) { s.Reservations[0].ComesS = -300 }},
+		"it has more tasks than reserved":  {change: func(s *Site) { s.Reservations[0].More = 6 }},
+		"a gang in one zone":               {change: func(s *Site) { s.Reservations[0].Gang, s.Reservations[0].OneZone = true, true }},
+		"no job ever comes":                {change: func(s *Site) { s.Reservations[0].Never = true }, never: true},
+		"it is cancelled while one is away": {never: true, change: func(s *Site) { s.Reservations[0].Never = true }, before: 5 * time.Minute, do: func(p *player) {
+			p.cut("node-1", "state", 4*time.Second, false)
+			p.ask(operators.Request{Op: operators.OpCancel, Name: "one"})
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := smallSite()
+			if tc.change != nil {
+				tc.change(s)
+			}
+			o := Options{For: playFor, Seed: 1}
+			if tc.do != nil {
+				o.script = func(p *player) { p.at(warmUp+due-tc.before, func() { tc.do(p) }) }
+			}
+			var state bookkeeping.ReservationState
+			o.atEnd = func(p *player) {
+				it, _ := p.state.Get(bookkeeping.ReservationKey("one"))
+				var r bookkeeping.Reservation
+				if err := protocol.Decode(it.Value, &r); err != nil {
+					t.Error(err)
+				}
+				state = r.State
+			}
+			r, err := Play(s, o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(r.Refused) > 0 || len(r.Occurrences) != 1 {
+				t.Fatalf("refused %v, %d due", r.Refused, len(r.Occurrences))
+			}
+			got := r.Occurrences[0]
+			switch {
+			case tc.never:
+				if state != bookkeeping.Expired && state != bookkeeping.Cancelled {
+					t.Errorf("it is %s", state)
+				}
+			case !got.Started || got.DelayS > inTime:
+				t.Errorf("started %v, %.0f s late, at risk %q", got.Started, got.DelayS, got.Risk)
+			case state != bookkeeping.Used:
+				t.Errorf("it is %s after its job started", state)
+			}
+		})
+	}
+}
+
+// TestWithoutReservation: the same job on the same site waits where no room is
+// held for it, so the test above could fail; and nothing starts in a window.
+func TestWithoutReservation(t *testing.T) {
+	t.Parallel()
+	s := smallSite()
+	s.Windows = []Window{{Name: "w", When: "daily at 00:50", LengthS: 300, Zone: "a"}}
+	r, err := Play(s, Options{For: playFor, Seed: 1, Without: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := r.Occurrences[0]; got.Started && got.DelayS <= inTime {
+		t.Errorf("%.0f s late", got.DelayS)
+	}
+	if r.InWindow > 0 {
+		t.Errorf("%d starts in an open window", r.InWindow)
+	}
+}
