--- a/cmd/damsonkeel/main.go
+++ b/cmd/damsonkeel/main.go
@@ -1,74 +1,55 @@
 // Command damsonkeel is a cluster scheduler: one daemon, the same on every
-// controller.
+// controller, and the commands of its operators.
 package main
 
 import (
-	"context"
+	"errors"
 	"fmt"
-	"log/slog"
 	"os"
-	"runtime"
-	"runtime/debug"
-
-	"damsonkeel/internal/config"
-	"damsonkeel/internal/coordination"
 
 	"github.com/alecthomas/kong"
 )
 
-const version = "0.1.0"
+const version = "0.2.0"
 
 type commandLine struct {
-	Config   string           `help:"Settings file of the platform (TOML)." required:"" type:"path" placeholder:"FILE"`
-	Operator string           `help:"Operators' own settings (XML)." env:"DAMSONKEEL_OPERATOR" type:"path" placeholder:"FILE"`
-	Check    bool             `help:"Check the settings and exit."`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
+	Run     runCommand     `cmd:"" default:"withargs" help:"Run a controller; the command if none is named."`
+	Reserve reserveCommand `cmd:"" help:"Reservations: room for a job at a time."`
+	Window  windowCommand  `cmd:"" help:"Maintenance windows: nothing new starts on what they cover."`
+	Key     keyCommand     `cmd:"" help:"Make an operator's key."`
+	Emulate emulateCommand `cmd:"" help:"Play a site in simulated time, with simulated machines."`
+
+	Version kong.VersionFlag `help:"Print the version and exit."`
 }
 
+// Exit codes, beside 1 for what went wrong and the command line's own.
+const (
+	exitRefused  = 3
+	exitNotFound = 4
+	exitDenied   = 5
+)
+
+// exitError ends a command with a code of its own.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
 func main() {
 	var cl commandLine
-	kong.Parse(&cl, kong.Name("damsonkeel"),
-		kong.Description("A cluster scheduler: one daemon, the same on every controller. LOG_LEVEL is error, info or debug."),
-		kong.Vars{"version": "damsonkeel " + version})
-	if err := run(&cl); err != nil {
+	ctx := kong.Parse(&cl, kong.Name("damsonkeel"), kong.UsageOnError(),
+		kong.Description("A cluster scheduler: one daemon, the same on every controller. LOG_LEVEL is error, info or debug.\n\n"+
+			"Commands exit with 0 when done, 3 when refused, 4 when there is nothing of the name, 5 when the key is no operator's, 80 for a wrong command line, 1 otherwise."),
+		kong.Vars{"version": "damsonkeel " + version, "when": whenHelp})
+	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "damsonkeel:", err)
+		var e *exitError
+		if errors.As(err, &e) {
+			os.Exit(e.code)
+		}
 		os.Exit(1)
 	}
 }
-
-func run(cl *commandLine) error {
-	level, err := logLevel(os.Getenv("LOG_LEVEL"))
-	if err != nil {
-		return err
-	}
-	settings, err := config.Load(cl.Config)
-	if err != nil {
-		return err
-	}
-	op, err := config.LoadOperator(cl.Operator)
-	if err != nil {
-		return err
-	}
-	if op, err = op.Fit(settings); err != nil {
-		return err
-	}
-	if cl.Check {
-		return nil
-	}
-	runtime.GOMAXPROCS(1) // a small share of one core: more threads only take turns
-	debug.SetMemoryLimit(int64(settings.Site.Limits.MemoryMB * 0.6 * (1 << 20)))
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-	return coordination.NewNode(settings, op, log).Run(context.Background())
-}
-
-func logLevel(s string) (slog.Level, error) {
-	switch s {
-	case "", "info":
-		return slog.LevelInfo, nil
-	case "error":
-		return slog.LevelError, nil
-	case "debug":
-		return slog.LevelDebug, nil
-	}
-	return 0, fmt.Errorf("LOG_LEVEL: %q is none of error, info, debug", s)
-}
--- /dev/null
+++ b/cmd/damsonkeel/run.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime"
+	"runtime/debug"
+
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination"
+)
+
+type runCommand struct {
+	Config   string `help:"Settings file of the platform (TOML)." required:"" type:"path" placeholder:"FILE"`
+	Operator string `help:"Operators' own settings (XML)." env:"DAMSONKEEL_OPERATOR" type:"path" placeholder:"FILE"`
+	Check    bool   `help:"Check the settings and exit."`
+}
+
+// Run runs a controller until it is ended.
+func (cl *runCommand) Run() error {
+	level, err := logLevel(os.Getenv("LOG_LEVEL"))
+	if err != nil {
+		return err
+	}
+	settings, err := config.Load(cl.Config)
+	if err != nil {
+		return err
+	}
+	op, err := config.LoadOperator(cl.Operator)
+	if err != nil {
+		return err
+	}
+	if op, err = op.Fit(settings); err != nil {
+		return err
+	}
+	if cl.Check {
+		return nil
+	}
+	runtime.GOMAXPROCS(1) // a small share of one core: more threads only take turns
+	debug.SetMemoryLimit(int64(settings.Site.Limits.MemoryMB * 0.6 * (1 << 20)))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	return coordination.NewNode(settings, op, log).Run(context.Background())
+}
+
+func logLevel(s string) (slog.Level, error) {
+	switch s {
+	case "", "info":
+		return slog.LevelInfo, nil
+	case "error":
+		return slog.LevelError, nil
+	case "debug":
+		return slog.LevelDebug, nil
+	}
+	return 0, fmt.Errorf("LOG_LEVEL: %q is none of error, info, debug", s)
+}
