--- a/internal/emulator/play.go
+++ b/internal/emulator/play.go
@@ -420,7 +420,7 @@
 			followed = min(followed, n.followed)
 		}
 	}
-	if n := min(followed, p.checked) - p.state.Before; n > 1000 {
+	if n := min(min(followed, p.checked)-p.state.Before, len(p.loggedAt)); n > 1000 {
 		p.loggedAt = slices.Clone(p.loggedAt[n:])
 		p.state.Forget(p.state.Before + n)
 	}
