--- a/internal/coordination/calendar/book.go
+++ b/internal/coordination/calendar/book.go
@@ -239,12 +239,6 @@
 // Empty reports whether nothing is in the book.
 func (b *Book) Empty() bool { return len(b.entries[false]) == 0 && len(b.entries[true]) == 0 }
 
-// Current is the occurrence of a reservation that is due or comes next, from the
-// one its record names.
-func (e *Entry) Current() Occurrence {
-	return Occurrence{Name: e.Name(), Start: e.StartMS, End: After(e.StartMS, e.length)}
-}
-
 // Covers reports whether a window covers a machine.
 func Covers(s *bookkeeping.WindowSpec, id protocol.MachineID, t protocol.MachineType, z protocol.Zone) bool {
 	if len(s.Machines) > 0 {
--- a/internal/coordination/calendar/decide.go
+++ b/internal/coordination/calendar/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -70,20 +71,10 @@
 		return refused(nil, "its time is over, or more than a year away")
 	}
 	beside := map[Name]bool{}
-	tried := map[string]bool{}
-	for _, start := range times {
-		at := Occurrence{Name: s.Name, Start: start, End: After(start, Busy(s))}
-		for _, m := range b.changes(at) {
-			active := b.active(m, s.Name, beside)
-			key := fmt.Sprint(active)
-			if tried[key] {
-				continue // the same as on another day
-			}
-			tried[key] = true
-			if a := b.fit(s, active, f); !a.OK {
-				a.Reason += " on " + clockTime(m)
-				return a
-			}
+	for m, active := range b.neighbours(times, Busy(s), s.Name, beside) {
+		if a := b.fit(s, active, f); !a.OK {
+			a.Reason += " on " + clockTime(m)
+			return a
 		}
 	}
 	return Answer{
@@ -102,6 +93,29 @@
 	return fmt.Sprintf("room for %d tasks, within the machines that operators count on", s.Tasks)
 }
 
+// neighbours goes through what is active beside something at any of its times, at
+// each moment within at which that changes for the worse, but through the same
+// set only once: most days are alike. Reservations among it are noted, one name is
+// left out.
+func (b *Book) neighbours(times []Moment, length time.Duration, but Name, beside map[Name]bool) iter.Seq2[Moment, []Occurrence] {
+	return func(yield func(Moment, []Occurrence) bool) {
+		tried := map[string]bool{}
+		for _, start := range times {
+			for _, m := range b.changes(Occurrence{Start: start, End: After(start, length)}) {
+				active := b.active(m, but, beside)
+				key := fmt.Sprint(active)
+				if tried[key] {
+					continue
+				}
+				tried[key] = true
+				if !yield(m, active) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // changes are the moments within an occurrence at which what overlaps it
 // changes for the worse: its own beginning, and those of others.
 func (b *Book) changes(at Occurrence) []Moment {
@@ -267,18 +281,9 @@
 	}
 	trial := &Entry{Window: &bookkeeping.Window{Spec: *s}}
 	beside := map[Name]bool{}
-	tried := map[string]bool{}
-	for _, start := range times {
-		for _, m := range b.changes(Occurrence{Start: start, End: afterS(start, s.LengthS)}) {
-			active := b.active(m, "", beside)
-			key := fmt.Sprint(active)
-			if tried[key] {
-				continue
-			}
-			tried[key] = true
-			if names := b.broken(trial, active, f); len(names) > 0 {
-				return refused(names, "what is promised would have no room on %s", clockTime(m))
-			}
+	for m, active := range b.neighbours(times, time.Duration(s.LengthS*float64(time.Second)), "", beside) {
+		if names := b.broken(trial, active, f); len(names) > 0 {
+			return refused(names, "what is promised would have no room on %s", clockTime(m))
 		}
 	}
 	return Answer{OK: true, Reason: "nothing new starts there then; what runs is let run", First: times[:min(len(times), firstTimes)], Beside: slices.Sorted(maps.Keys(beside))}
--- a/internal/coordination/promises.go
+++ b/internal/coordination/promises.go
@@ -31,7 +31,10 @@
 	windows []openWindow    // open, or soon
 	teams   map[protocol.Team][]teamClaim
 
-	asked   []renting.Order // for reservations, by the plan just made
+	asked []renting.Order // for reservations, by the plan just made
+	// byClass are the live jobs of the classes that something is due for within
+	// windowsAhead, as of the last relay period.
+	byClass map[string][]*liveJob
 	seen    map[calendar.Name]*seenJob
 	short   map[calendar.Name]int           // tasks that no sure room is held for, as last chosen
 	missing map[calendar.Name]int           // of these, unlikely to have any in time
@@ -169,7 +172,19 @@
 	now, off := c.moment(), c.clockError()
 	pr.book.Extend(now)
 	pr.windows, pr.teams = nil, map[protocol.Team][]teamClaim{}
-	for _, o := range pr.book.Overlapping(calendar.After(now, -2*off), calendar.After(now, windowsAhead)) {
+	soon := pr.book.Overlapping(calendar.After(now, -2*off), calendar.After(now, windowsAhead))
+	pr.byClass = map[string][]*liveJob{}
+	for _, o := range soon {
+		if e := pr.book.Reservation(o.Name); !o.Window && e != nil {
+			pr.byClass[e.Reservation.Spec.Class] = nil
+		}
+	}
+	for _, l := range c.live {
+		if _, asked := pr.byClass[l.Class]; asked {
+			pr.byClass[l.Class] = append(pr.byClass[l.Class], l)
+		}
+	}
+	for _, o := range soon {
 		switch {
 		case o.Window:
 			pr.windows = append(pr.windows, openWindow{&pr.book.Window(o.Name).Window.Spec, calendar.After(o.Start, -off), calendar.After(o.End, off)})
@@ -233,8 +248,10 @@
 			each(l)
 		}
 	} else {
-		for _, l := range c.live {
-			each(l)
+		for _, l := range c.promised.byClass[e.Reservation.Spec.Class] {
+			if c.live[l.ID] == l {
+				each(l)
+			}
 		}
 	}
 	if came {
--- a/internal/standin/serve/serve.go
+++ b/internal/standin/serve/serve.go
@@ -113,17 +113,6 @@
 	return ts
 }
 
-// Running is how many tasks are on machines.
-func (p *Platform) Running() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 0
-	for _, w := range p.workers {
-		n += len(w.Tasks())
-	}
-	return n
-}
-
 // now is the platform's steady clock.
 func (p *Platform) now() time.Duration { return time.Since(p.begun) }
 
