--- a/internal/emulator/rules_test.go
+++ b/internal/emulator/rules_test.go
@@ -10,6 +10,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/operators"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
 )
@@ -107,6 +108,32 @@
 	}
 }
 
+// promise has an operator reserve something, declare a window or take one back.
+func (w *world) promise() {
+	n := w.nodes[w.rng.IntN(3)]
+	if n.core == nil || !w.stateReachable(n) {
+		return
+	}
+	name := bookkeeping.EntryName(fmt.Sprint("p", w.rng.IntN(4)))
+	when := time.UnixMilli(w.wallMS()).Add(time.Duration(w.rng.IntN(60)) * time.Second).UTC().Format("2006-01-02 at 15:04:05")
+	r := operators.Request{Op: operators.OpAdd, ID: fmt.Sprint(w.now), Replace: true}
+	switch w.rng.IntN(4) {
+	case 0:
+		r = operators.Request{Op: operators.OpCancel, Name: name, Window: w.rng.IntN(2) == 0}
+	case 1:
+		r.Window = true
+		r.Spec = &bookkeeping.WindowSpec{Name: name, When: when, LengthS: float64(5 + w.rng.IntN(20)), Zone: []protocol.Zone{"a", "b", ""}[w.rng.IntN(3)]}
+	default:
+		r.Reservation = &bookkeeping.ReservationSpec{
+			Name: name, Class: []string{"array", "gang"}[w.rng.IntN(2)], When: when, HoldS: 60, LengthS: 10, Tasks: 1 + w.rng.IntN(3),
+			CPUs: 2, MemoryGB: 1, Priority: []protocol.Priority{"standard", "high"}[w.rng.IntN(2)], OneZone: w.rng.IntN(2) == 0,
+		}
+	}
+	if reply, txn := n.core.Operate("ops", &r); txn != nil && reply.Code == operators.Done && w.state.Txn(*txn) {
+		w.promised++
+	}
+}
+
 // day is a generated day: how large it is, and what it plays.
 type day struct {
 	machines int
@@ -115,6 +142,7 @@
 	empty    bool // no machine is up at the start
 	teams    []config.Team
 	trouble  func(*world) // beside those that every day has
+	promises bool         // reservations and windows come and go
 }
 
 // play plays a day of troubles; when all is well again, every job must come to
@@ -144,6 +172,9 @@
 				w.cancel(id)
 			}
 		}
+		if d.promises && w.rng.IntN(4) == 0 {
+			w.promise()
+		}
 		switch w.rng.IntN(20) {
 		case 0:
 			w.wave()
@@ -180,7 +211,7 @@
 	if w.starts == 0 {
 		t.Error("nothing ran")
 	}
-	t.Logf("%d machines at first, %d jobs, %d starts, at most %d tasks on machines, %d writes of blocks", up, len(w.jobOrder), w.starts, w.mostOn, w.blockWrites)
+	t.Logf("%d machines at first, %d jobs, %d starts, at most %d tasks on machines, %d writes of blocks, %d changes of the calendar", up, len(w.jobOrder), w.starts, w.mostOn, w.blockWrites, w.promised)
 }
 
 // unended is how many jobs have not come to their end.
@@ -227,6 +258,12 @@
 	day{machines: 9, job: (*world).randomJob, lasts: 150 * time.Second}.playSeeds(t, 60, 0)
 }
 
+// TestRulesHoldWithPromises plays the same with reservations and windows that
+// come, change and go at any moment, due within a minute.
+func TestRulesHoldWithPromises(t *testing.T) {
+	day{machines: 9, job: (*world).randomJob, lasts: 150 * time.Second, promises: true}.playSeeds(t, 25, 400_000)
+}
+
 // largeJob is a random job with gangs of up to so many tasks more than two, and
 // arrays so many times as large.
 func largeJob(gang int, array uint32) func(*world) protocol.Job {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -61,6 +61,7 @@
 
 	slow     time.Duration   // how long the state service takes
 	loggedAt []time.Duration // when its changes happened
+	promised int             // changes of the calendar
 	lapsed   int             // workers' leases that ran out
 
 	blockWrites int
