--- a/internal/coordination/calendar/book_test.go
+++ b/internal/coordination/calendar/book_test.go
@@ -295,3 +295,23 @@
 		}
 	}
 }
+
+// TestHeldStaysHeld: what is held is not given up for more of it elsewhere: by
+// the time the keepers heard of that, both had been filled by others.
+func TestHeldStaysHeld(t *testing.T) {
+	info := facts(0).Types["m8"]
+	r := &bookkeeping.Reservation{Spec: *spec("one", "daily at 04:00", 4), StartMS: After(noon, 10*time.Second)}
+	due := Due{Reservation: r, Left: 4, Clear: After(noon, -time.Minute)}
+	half := Machine{ID: "vm-half", Info: info, Zone: "a", Runs: []Run{{Ends: noon + 1e7, Need: room.Amount{CPUs: 4}, Level: 1}}}
+	large := info
+	large.CPUs = 64
+	free := Machine{ID: "vm-free", Info: large, Zone: "a"}
+	before := []Hold{{For: "one", Machine: "vm-half", Tasks: 1}, {For: "one", Machine: "vm-free", Tasks: 3}}
+	p := Choose([]Due{due}, []Machine{half, free}, before, func(*Machine, *Due) bool { return true }, noon)
+	for _, h := range p.Holds {
+		if h.Machine == "vm-half" {
+			return
+		}
+	}
+	t.Errorf("let go: %+v", p.Holds)
+}
--- a/internal/coordination/promises.go
+++ b/internal/coordination/promises.go
@@ -504,10 +504,13 @@
 	now := c.moment()
 	for i := range holds {
 		h := &holds[i]
+		if !h.Stop(savesAtMost, now) {
+			continue // long before it
+		}
 		victims := c.stoppable(q, h.Level, h.For)
 		save := 0.0
 		for _, e := range victims {
-			save = max(save, c.saveS(e))
+			save = min(max(save, c.saveS(e)), savesAtMost.Seconds())
 		}
 		if !h.Stop(time.Duration(save*float64(time.Second)), now) {
 			continue
@@ -529,6 +532,9 @@
 	}
 }
 
+// savesAtMost is longer than a task takes to save.
+const savesAtMost = 10 * time.Minute
+
 // saveS is how long an attempt may take to be gone once it is stopped.
 func (c *Core) saveS(e *entry) float64 {
 	if j := c.live[e.task.Job]; j != nil {
