--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -78,7 +78,11 @@
 			continue
 		}
 		free = free.Minus(e.need)
-		q.waiting = slices.Delete(q.waiting, i, i+1)
+		if i == 0 {
+			q.waiting = q.waiting[1:] // as a rule; the queue may be long
+		} else {
+			q.waiting = slices.Delete(q.waiting, i, i+1)
+		}
 		q.idleSince = c.now
 		c.touch(q)
 		out = append(out, e)
