--- a/internal/coordination/calendar/book_test.go
+++ b/internal/coordination/calendar/book_test.go
@@ -85,6 +85,18 @@
 	if in.Zone = "a"; b.Reserve(in, facts(9), noon).OK {
 		t.Error("in a zone under maintenance")
 	}
+	// Of four machines each zone has two: a zone that is closed takes them with
+	// it, and what needs one zone finds no more in any.
+	if a := b.Reserve(spec("one", "daily at 12:05", 5), facts(4), noon); a.OK || !slices.Contains(a.InTheWay, "zone-a") {
+		t.Errorf("more than the zone that is left has: %+v", a)
+	}
+	whole := spec("one", "daily at 06:00", 5)
+	if a := b.Reserve(whole, facts(4), noon); !a.OK {
+		t.Errorf("in both zones: %+v", a)
+	}
+	if whole.OneZone = true; b.Reserve(whole, facts(4), noon).OK {
+		t.Error("in one zone, which has not as many")
+	}
 	large := spec("one", "daily at 06:00", 1)
 	if large.CPUs = 9; b.Reserve(large, facts(0), noon).OK {
 		t.Error("larger than any machine")
--- a/internal/coordination/calendar/decide.go
+++ b/internal/coordination/calendar/decide.go
@@ -220,32 +220,26 @@
 	var slots []renting.Slot
 	for _, name := range slices.Sorted(maps.Keys(f.Types)) {
 		t := f.Types[name]
-		named := 0
-		var zones []protocol.Zone
-		for _, z := range t.AllowZones {
-			covered := slices.ContainsFunc(windows, func(e *Entry) bool { return Covers(&e.Window.Spec, "", name, z) })
-			if !covered {
-				zones = append(zones, z)
+		most, known := f.Most[name]
+		for i, z := range t.AllowZones {
+			if slices.ContainsFunc(windows, func(e *Entry) bool { return Covers(&e.Window.Spec, "", name, z) }) {
+				continue
 			}
-		}
-		for _, e := range windows {
-			for _, id := range e.Window.Spec.Machines {
-				if at, _, up := f.Machine(id); up && at == name {
-					named++
+			n := unbounded
+			if known { // in each zone its part: in which the cloud has them nobody knows
+				n = most / len(t.AllowZones)
+				if i < most%len(t.AllowZones) {
+					n++
 				}
 			}
-		}
-		most, known := f.Most[name]
-		switch {
-		case len(zones) == 0:
-		case known: // wherever they are
-			t.AllowZones = zones
-			s := renting.Fresh(t, renting.Kind{Type: name}, max(0, most-named))
-			slots = append(slots, s)
-		default:
-			for _, z := range zones {
-				slots = append(slots, renting.Fresh(t, renting.Kind{Type: name, Zone: z}, unbounded))
+			for _, e := range windows {
+				for _, id := range e.Window.Spec.Machines {
+					if at, in, up := f.Machine(id); up && at == name && in == z {
+						n--
+					}
+				}
 			}
+			slots = append(slots, renting.Fresh(t, renting.Kind{Type: name, Zone: z}, max(0, n)))
 		}
 	}
 	return slots
@@ -254,13 +248,8 @@
 // workOf is a reservation's tasks as a plan reckons with them.
 func workOf(s *bookkeeping.ReservationSpec) renting.Work {
 	return renting.Work{
-		Need: room.Amount{CPUs: s.CPUs, GPUs: s.GPUs, GB: s.MemoryGB}, Level: room.LevelOf(s.Priority, false),
-		Allows: func(t protocol.TypeInfo, z protocol.Zone, spot bool) bool {
-			if z != "" {
-				return Allows(s, t, z, spot)
-			}
-			return slices.ContainsFunc(t.AllowZones, func(z protocol.Zone) bool { return Allows(s, t, z, spot) })
-		},
+		Need: room.Amount{CPUs: s.CPUs, GPUs: s.GPUs, GB: s.MemoryGB}, Level: room.LevelOf(s.Priority, false), OneZone: s.OneZone && s.Zone == "",
+		Allows: func(t protocol.TypeInfo, z protocol.Zone, spot bool) bool { return Allows(s, t, z, spot) },
 	}
 }
 
--- a/internal/coordination/renting/plan.go
+++ b/internal/coordination/renting/plan.go
@@ -129,7 +129,12 @@
 
 // Fill takes room for n tasks out of what is there, asking for nothing, and
 // returns how many are left without.
-func (p *Plan) Fill(w Work, n int) int { return p.fill(&w, n) }
+func (p *Plan) Fill(w Work, n int) int {
+	if n > 0 && w.OneZone {
+		w = w.in(p.zoneFor(&w, n))
+	}
+	return p.fill(&w, n)
+}
 
 // after is so many of a slot's machines once each has taken some tasks.
 func (s Slot) after(w *Work, tasks, machines int) Slot {
--- a/internal/emulator/play.go
+++ b/internal/emulator/play.go
@@ -117,6 +117,7 @@
 		p.infos[t.Name] = t
 	}
 	w.cloud.Capacity = p.site.Machines
+	w.cloud.PerZone = (p.site.Machines + len(p.site.zones()) - 1) / len(p.site.zones())
 	w.operator.Machines = map[protocol.MachineType]int{}
 	for _, t := range p.site.Types {
 		w.operator.Machines[t.Name] = p.site.Machines / len(p.site.Types)
--- a/internal/emulator/site.go
+++ b/internal/emulator/site.go
@@ -19,7 +19,7 @@
 type Site struct {
 	// Start is when the emulation begins, in the world's calendar.
 	Start time.Time `toml:"start"`
-	// Machines is how many the cloud has at the most.
+	// Machines is how many the cloud has at the most, in each zone its part.
 	Machines int    `toml:"machines"`
 	Types    []Type `toml:"types"`
 	Teams    []Team `toml:"teams"`
@@ -185,6 +185,17 @@
 	return c
 }
 
+// zones lists the zones of all types; each has its part of the machines.
+func (s *Site) zones() map[protocol.Zone]bool {
+	zones := map[protocol.Zone]bool{}
+	for _, t := range s.Types {
+		for _, z := range t.Zones {
+			zones[z] = true
+		}
+	}
+	return zones
+}
+
 // infos are the machine types as the cloud lists them.
 func (s *Site) infos() []protocol.TypeInfo {
 	var ts []protocol.TypeInfo
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -10,6 +10,7 @@
 type Cloud struct {
 	Machines map[protocol.MachineID]protocol.RentRequest
 	Capacity int
+	PerZone  int // of these, in each zone at the most; 0: any number
 
 	answers map[string][]protocol.MachineID
 	next    int
@@ -26,7 +27,7 @@
 		return have, nil
 	}
 	for range r.Count {
-		if len(c.Machines) >= c.Capacity {
+		if len(c.Machines) >= c.Capacity || c.PerZone > 0 && c.in(r.Zone) >= c.PerZone {
 			break
 		}
 		id := protocol.MachineID(fmt.Sprintf("vm-%06d", c.next))
@@ -39,3 +40,14 @@
 	}
 	return fresh, fresh
 }
+
+// in is how many machines there are in a zone.
+func (c *Cloud) in(z protocol.Zone) int {
+	n := 0
+	for _, r := range c.Machines {
+		if r.Zone == z {
+			n++
+		}
+	}
+	return n
+}
