--- a/internal/coordination/calendar/book_test.go
+++ b/internal/coordination/calendar/book_test.go
@@ -308,6 +308,22 @@
 	}
 }
 
+// TestPromisedBesideLater: room that is held for a job is its own for as long as
+// it was promised, though something else is held there for later and estimates of
+// its kind are often wrong. With its machines empty it waited for hours.
+func TestPromisedBesideLater(t *testing.T) {
+	mine := Hold{For: "one", Need: room.Amount{CPUs: 8}, From: 1000_000, Clear: 900_000, Until: 2000_000}
+	later := Hold{For: "two", Need: room.Amount{CPUs: 8}, From: 2000_000, Clear: 1700_000, Until: 4000_000}
+	task := &Task{Of: func(n Name) bool { return n == "one" }, Need: room.Amount{CPUs: 8}, Ends: 9000_000}
+	if !Leaves([]Hold{mine, later}, task, room.Amount{CPUs: 8}, 1000_000) {
+		t.Error("kept out by what was promised beside it")
+	}
+	later.From = 1500_000
+	if Leaves([]Hold{mine, later}, task, room.Amount{CPUs: 8}, 1000_000) {
+		t.Error("starts where something else is held meanwhile")
+	}
+}
+
 // TestHeldStaysHeld: what is held is not given up for more of it elsewhere: by
 // the time the keepers heard of that, both had been filled by others.
 func TestHeldStaysHeld(t *testing.T) {
--- a/internal/coordination/calendar/hold.go
+++ b/internal/coordination/calendar/hold.go
@@ -336,14 +336,28 @@
 // Leaves reports whether a machine's held room lets a task start in what is
 // free.
 func Leaves(holds []Hold, t *Task, free room.Amount, now Moment) bool {
+	until := OwnUntil(holds, t)
 	for i := range holds {
-		if h := &holds[i]; !h.lets(t, now) {
+		if h := &holds[i]; !h.lets(t, now) && (until == 0 || until > h.From) {
 			free = free.Minus(h.Need)
 		}
 	}
 	return free.Covers(t.Need)
 }
 
+// OwnUntil is until when room is held for the task; 0: none is. So long it was
+// promised: what begins later was promised beside that, and is not in its way,
+// however long estimates of its kind may be off.
+func OwnUntil(holds []Hold, t *Task) Moment {
+	until := Moment(0)
+	for i := range holds {
+		if h := &holds[i]; t.Of(h.For) {
+			until = max(until, h.Until)
+		}
+	}
+	return until
+}
+
 // Owns reports whether some of the held room is for the task.
 func Owns(holds []Hold, t *Task) bool {
 	return slices.ContainsFunc(holds, func(h Hold) bool { return t.Of(h.For) })
--- a/internal/coordination/heldroom.go
+++ b/internal/coordination/heldroom.go
@@ -42,14 +42,23 @@
 			wait += m.waitBefore(o.level) / max(m.info.CPUs, 1)
 		}
 		t.Ends = calendar.After(now, time.Duration((wait+likely)*float64(time.Second)))
-		if c.inWindow(m.id, m.rec.Type, m.rec.Zone, t.Ends) {
+		holds := c.promised.holds[m.id]
+		if c.inWindow(m.id, m.rec.Type, m.rec.Zone, promisedEnd(holds, &t)) {
 			return true
 		}
-		holds := c.promised.holds[m.id]
 		return len(holds) > 0 && !calendar.Leaves(holds, &t, free, now)
 	}
 }
 
+// promisedEnd is when a task is reckoned to be over by what is promised: no later
+// than its own room is held, which no window cuts short.
+func promisedEnd(holds []calendar.Hold, t *calendar.Task) calendar.Moment {
+	if until := calendar.OwnUntil(holds, t); until != 0 {
+		return min(t.Ends, until)
+	}
+	return t.Ends
+}
+
 // holdsFor reports whether room is held on a machine for a job.
 func (c *Core) holdsFor(o *ownedJob, m *machineEntry) bool {
 	holds := c.promised.holds[m.id]
@@ -78,7 +87,7 @@
 	run := c.likelyS(&j.Job, e.estimate) + q.fetchS(j)
 	t.Ends = calendar.After(now, time.Duration(run*float64(time.Second)))
 	owns := calendar.Owns(holds, &t)
-	if m := c.machines[q.id]; m != nil && c.inWindow(q.id, m.rec.Type, m.rec.Zone, t.Ends) {
+	if m := c.machines[q.id]; m != nil && c.inWindow(q.id, m.rec.Type, m.rec.Zone, promisedEnd(holds, &t)) {
 		return startElsewhere, owns
 	}
 	switch {
