--- a/internal/emulator/play.go
+++ b/internal/emulator/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -429,7 +430,7 @@
 
 // finish reckons the result.
 func (p *player) finish() {
-	for id := range p.rentedAt {
+	for _, id := range slices.Sorted(maps.Keys(p.rentedAt)) { // in one order: sums of decimal numbers are not exact
 		p.returned(id)
 	}
 	p.result.Starts = p.starts
