Clean up after a last reading: one piece of code for what stood twice

Reservations whose present occurrence is due are listed by the book (five loops did it), their size and fit, the times of a request and what is active are reckoned in one place; one check of windows instead of two; what is free once stopped work is gone, and how long work gets to save, are those that preemption and stopping had already; clock error is the settings' own. Dues are reckoned once a plan, what a plan buys stays in the plan, and who held room before is looked up instead of searched for.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -194,5 +194,10 @@
 	return Team{}, false
 }
 
+// ClockError is by how much a controller's time of day may be off.
+func (s *Site) ClockError() time.Duration {
+	return time.Duration(s.ClockErrorMS * float64(time.Millisecond))
+}
+
 // Seconds turns a setting in seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/coordination/calendar/book.go
+++ b/internal/coordination/calendar/book.go
@@ -1,12 +1,14 @@
 package calendar
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/protocol"
 
 	"github.com/zyedidia/generic/interval"
@@ -78,7 +80,7 @@
 // Busy is how long a reservation keeps its room at the most: held for its job,
 // then used by it.
 func Busy(s *bookkeeping.ReservationSpec) time.Duration {
-	return time.Duration((s.HoldS + s.LengthS) * float64(time.Second))
+	return config.Seconds(s.HoldS + s.LengthS)
 }
 
 // PutReservation takes over a record; it takes the place of an earlier one.
@@ -103,7 +105,7 @@
 	if err != nil {
 		return fmt.Errorf("window %s: %w", w.Spec.Name, err)
 	}
-	e := &Entry{Window: &w, Version: v, When: when, length: time.Duration(w.Spec.LengthS * float64(time.Second))}
+	e := &Entry{Window: &w, Version: v, When: when, length: config.Seconds(w.Spec.LengthS)}
 	b.put(true, w.Spec.Name, e, !w.Cancelled, now)
 	return nil
 }
@@ -168,8 +170,7 @@
 	}
 	b.listed = now
 	for window, es := range b.entries {
-		for n := range es {
-			e := es[n]
+		for _, e := range es {
 			old := treeTime(After(now, -behind-e.length))
 			for len(e.keys) > 0 && e.keys[0] < old {
 				b.tree.Remove(e.keys[0])
@@ -181,7 +182,7 @@
 			}
 		}
 	}
-	slices.SortFunc(b.waiting, func(x, y *Entry) int { return compareNames(x, y) })
+	slices.SortFunc(b.waiting, compareNames)
 }
 
 // Complete reports whether all that was promised is listed: until then nothing
@@ -190,15 +191,7 @@
 	return b.size < occurrencesMost && !slices.ContainsFunc(b.waiting, func(e *Entry) bool { return e.awaited })
 }
 
-func compareNames(x, y *Entry) int {
-	switch {
-	case x.Name() < y.Name():
-		return -1
-	case x.Name() > y.Name():
-		return 1
-	}
-	return 0
-}
+func compareNames(x, y *Entry) int { return cmp.Compare(x.Name(), y.Name()) }
 
 // Name is the entry's name.
 func (e *Entry) Name() Name {
@@ -220,6 +213,23 @@
 	return out
 }
 
+// Due lists the reservations whose present occurrence overlaps a time, in the
+// order of their beginnings.
+func (b *Book) Due(from, to Moment) []*Entry {
+	var out []*Entry
+	for _, o := range b.Overlapping(from, to) {
+		if e := b.Reservation(o.Name); !o.Window && e != nil && e.StartMS == o.Start {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Promised reports whether a reservation is still to be kept.
+func (e *Entry) Promised() bool {
+	return e.State == bookkeeping.Accepted || e.State == bookkeeping.Holding
+}
+
 // Reservation finds a reservation; nil if there is none.
 func (b *Book) Reservation(n Name) *Entry { return b.entries[false][n] }
 
--- a/internal/coordination/calendar/check.go
+++ b/internal/coordination/calendar/check.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -92,6 +93,17 @@
 // the one it is for.
 const earliest = 30 * time.Minute
 
+// Size is what each task of a reservation takes.
+func Size(s *bookkeeping.ReservationSpec) room.Amount {
+	return room.Amount{CPUs: s.CPUs, GPUs: s.GPUs, GB: s.MemoryGB}
+}
+
+// Fits reports whether a task of a reservation fits an ordinary machine of a type
+// in a zone that it allows.
+func Fits(s *bookkeeping.ReservationSpec, t protocol.TypeInfo, z protocol.Zone) bool {
+	return Allows(s, t, z, false) && room.Capacity(t).Covers(Size(s))
+}
+
 // Allows reports whether a reservation may hold room on a kind of machine.
 func Allows(s *bookkeeping.ReservationSpec, t protocol.TypeInfo, z protocol.Zone, spot bool) bool {
 	return (len(s.Types) == 0 || slices.Contains(s.Types, t.Name)) && (s.Zone == "" || s.Zone == z) && (s.Spot || !spot)
--- a/internal/coordination/calendar/decide.go
+++ b/internal/coordination/calendar/decide.go
@@ -1,11 +1,12 @@
 package calendar
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
 	"iter"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
@@ -47,11 +48,10 @@
 // Reserve decides whether a reservation can be kept beside everything that is
 // promised already.
 func (b *Book) Reserve(s *bookkeeping.ReservationSpec, f *Facts, now Moment) Answer {
-	size := room.Amount{CPUs: s.CPUs, GPUs: s.GPUs, GB: s.MemoryGB}
 	fits := false
 	for _, t := range f.Types {
 		for _, z := range t.AllowZones {
-			fits = fits || Allows(s, t, z, false) && room.Capacity(t).Covers(size)
+			fits = fits || Fits(s, t, z)
 		}
 	}
 	if !fits {
@@ -62,14 +62,10 @@
 			return refused(nil, "unknown team %s", s.Team)
 		}
 	}
-	w, err := ParseWhen(s.When)
+	times, err := timesOf(s.When, now)
 	if err != nil {
 		return refused(nil, "%v", err)
 	}
-	times := w.Occurrences(now, After(now, Ahead))
-	if len(times) == 0 {
-		return refused(nil, "its time is over, or more than a year away")
-	}
 	beside := map[Name]bool{}
 	for m, active := range b.neighbours(times, Busy(s), s.Name, beside) {
 		if a := b.fit(s, active, f); !a.OK {
@@ -83,6 +79,19 @@
 	}
 }
 
+// timesOf lists when something is due within the time that the calendar is kept.
+func timesOf(when string, now Moment) ([]Moment, error) {
+	w, err := ParseWhen(when)
+	if err != nil {
+		return nil, err
+	}
+	times := w.Occurrences(now, After(now, Ahead))
+	if len(times) == 0 {
+		return nil, errors.New("its time is over, or more than a year away")
+	}
+	return times, nil
+}
+
 func clockTime(m Moment) string { return time.UnixMilli(int64(m)).UTC().Format("2006-01-02 15:04 MST") }
 
 // promise says what a reservation gets.
@@ -142,23 +151,37 @@
 		}
 		out = append(out, Occurrence{Name: o.Name, Window: o.Window})
 	}
-	slices.SortFunc(out, func(x, y Occurrence) int { return strings.Compare(fmt.Sprint(x), fmt.Sprint(y)) })
+	// In one order, so that the same set is known again.
+	slices.SortFunc(out, func(x, y Occurrence) int {
+		if c := cmp.Compare(x.Name, y.Name); c != 0 || x.Window == y.Window {
+			return c
+		}
+		if y.Window {
+			return -1
+		}
+		return 1
+	})
 	return out
 }
 
-// fit tries to house a reservation beside those active at the same time.
-// Reservations accepted earlier go first.
-func (b *Book) fit(s *bookkeeping.ReservationSpec, active []Occurrence, f *Facts) Answer {
-	var windows, others []*Entry
+// entriesOf splits what is active: windows, and reservations in the order in which
+// they were accepted.
+func (b *Book) entriesOf(active []Occurrence) (windows, reservations []*Entry) {
 	for _, o := range active {
-		switch {
-		case o.Window && b.Window(o.Name) != nil:
+		if o.Window {
 			windows = append(windows, b.Window(o.Name))
-		case !o.Window && b.Reservation(o.Name) != nil:
-			others = append(others, b.Reservation(o.Name))
+		} else {
+			reservations = append(reservations, b.Reservation(o.Name))
 		}
 	}
-	slices.SortFunc(others, func(x, y *Entry) int { return int(int64(x.Order) - int64(y.Order)) })
+	slices.SortFunc(reservations, func(x, y *Entry) int { return cmp.Compare(x.Order, y.Order) })
+	return windows, reservations
+}
+
+// fit tries to house a reservation beside those active at the same time.
+// Reservations accepted earlier go first.
+func (b *Book) fit(s *bookkeeping.ReservationSpec, active []Occurrence, f *Facts) Answer {
+	windows, others := b.entriesOf(active)
 	if a := withinTeam(s, others, f); !a.OK {
 		return a
 	}
@@ -248,7 +271,7 @@
 // workOf is a reservation's tasks as a plan reckons with them.
 func workOf(s *bookkeeping.ReservationSpec) renting.Work {
 	return renting.Work{
-		Need: room.Amount{CPUs: s.CPUs, GPUs: s.GPUs, GB: s.MemoryGB}, Level: room.LevelOf(s.Priority, false), OneZone: s.OneZone && s.Zone == "",
+		Need: Size(s), Level: room.LevelOf(s.Priority, false), OneZone: s.OneZone && s.Zone == "",
 		Allows: func(t protocol.TypeInfo, z protocol.Zone, spot bool) bool { return Allows(s, t, z, spot) },
 	}
 }
@@ -260,17 +283,13 @@
 			return refused(nil, "the catalogue has no type %s", s.Type)
 		}
 	}
-	w, err := ParseWhen(s.When)
+	times, err := timesOf(s.When, now)
 	if err != nil {
 		return refused(nil, "%v", err)
 	}
-	times := w.Occurrences(now, After(now, Ahead))
-	if len(times) == 0 {
-		return refused(nil, "its time is over, or more than a year away")
-	}
 	trial := &Entry{Window: &bookkeeping.Window{Spec: *s}}
 	beside := map[Name]bool{}
-	for m, active := range b.neighbours(times, time.Duration(s.LengthS*float64(time.Second)), "", beside) {
+	for m, active := range b.neighbours(times, config.Seconds(s.LengthS), "", beside) {
 		if names := b.broken(trial, active, f); len(names) > 0 {
 			return refused(names, "what is promised would have no room on %s", clockTime(m))
 		}
@@ -281,16 +300,8 @@
 // broken names the reservations that have no room beside another window, and
 // had some without it.
 func (b *Book) broken(trial *Entry, active []Occurrence, f *Facts) (names []Name) {
-	var windows, others []*Entry
-	for _, o := range active {
-		switch {
-		case o.Window && o.Name != trial.Name() && b.Window(o.Name) != nil:
-			windows = append(windows, b.Window(o.Name))
-		case !o.Window && b.Reservation(o.Name) != nil:
-			others = append(others, b.Reservation(o.Name))
-		}
-	}
-	slices.SortFunc(others, func(x, y *Entry) int { return int(int64(x.Order) - int64(y.Order)) })
+	windows, others := b.entriesOf(active)
+	windows = slices.DeleteFunc(windows, func(e *Entry) bool { return e.Name() == trial.Name() })
 	before, with := renting.New(f.Types, slotsBeside(windows, f), nil), renting.New(f.Types, slotsBeside(append(windows, trial), f), nil)
 	for _, e := range others {
 		s := &e.Reservation.Spec
--- a/internal/coordination/calendar/hold.go
+++ b/internal/coordination/calendar/hold.go
@@ -46,9 +46,10 @@
 // level is that of the reserved work: no more than its priority gives it.
 func (d *Due) level() room.Level { return room.LevelOf(d.Spec.Priority, false) }
 
-func (d *Due) size() room.Amount {
-	return room.Amount{CPUs: d.Spec.CPUs, GPUs: d.Spec.GPUs, GB: d.Spec.MemoryGB}
-}
+func (d *Due) size() room.Amount { return Size(&d.Spec) }
+
+// until is when its job should be over at the latest.
+func (d *Due) until() Moment { return afterS(d.StartMS, d.Spec.HoldS+d.Spec.LengthS) }
 
 // Hold is room on one machine that is held for a reservation. What is not of it
 // may use the room until Clear, and what may be stopped for it until From.
@@ -109,7 +110,7 @@
 		}
 	}
 	for _, h := range m.taken {
-		if h.For != d.Spec.Name && h.From < afterS(d.StartMS, d.Spec.HoldS+d.Spec.LengthS) && d.StartMS < h.Until {
+		if h.For != d.Spec.Name && h.From < d.until() && d.StartMS < h.Until {
 			free = free.Minus(h.Need)
 		}
 	}
@@ -123,14 +124,15 @@
 func Choose(dues []Due, machines []Machine, before []Hold, usable func(*Machine, *Due) bool, now Moment) Plan {
 	p := Plan{Short: map[Name]int{}, Missing: map[Name]int{}, Zones: map[Name]protocol.Zone{}}
 	rooms := make([]*machineRoom, len(machines))
-	at := map[protocol.MachineID]*machineRoom{}
 	for i := range machines {
 		rooms[i] = &machineRoom{Machine: &machines[i]}
-		at[machines[i].ID] = rooms[i]
 	}
-	held := map[Name][]Hold{}
+	held := map[Name]map[protocol.MachineID]int{} // tasks
 	for _, h := range before {
-		held[h.For] = append(held[h.For], h)
+		if held[h.For] == nil {
+			held[h.For] = map[protocol.MachineID]int{}
+		}
+		held[h.For][h.Machine] = h.Tasks
 	}
 	dues = slices.Clone(dues)
 	slices.SortFunc(dues, func(a, b Due) int {
@@ -138,6 +140,7 @@
 	})
 	for i := range dues {
 		d := &dues[i]
+		was := held[d.Spec.Name]
 		var mine []*machineRoom
 		for _, m := range rooms {
 			if Allows(&d.Spec, m.Info, m.Zone, m.Spot) && usable(m.Machine, d) {
@@ -146,7 +149,7 @@
 		}
 		zone := d.Spec.Zone
 		if d.Spec.OneZone && zone == "" {
-			zone = bestZone(d, mine, held[d.Spec.Name], now)
+			zone = bestZone(d, mine, was, now)
 		}
 		if zone != "" {
 			p.Zones[d.Spec.Name] = zone
@@ -156,25 +159,25 @@
 		if now < d.Clear {
 			spare = 1 + d.Left/spareShare
 		}
-		order := preferred(d, mine, held[d.Spec.Name], at, now)
+		order := preferred(d, mine, was, now)
 		// What was held is taken first, and only then more of it elsewhere: the
 		// keepers hear of a change a moment later, and others start meanwhile in
 		// what was let go and what is not held yet.
 		chosen := map[*machineRoom]int{}
 		for _, most := range []func(*machineRoom) int{
-			func(m *machineRoom) int { return heldOn(held[d.Spec.Name], m.ID) },
+			func(m *machineRoom) int { return was[m.ID] },
 			func(m *machineRoom) int { return math.MaxInt },
 		} {
 			for _, m := range order {
-				n := min(left+spare, most(m)-chosen[m], m.free(d, now, true).Fit(d.size())-chosen[m])
+				n := min(left+spare, most(m.machineRoom)-chosen[m.machineRoom], m.firm-chosen[m.machineRoom])
 				if n > 0 {
-					chosen[m] += n
+					chosen[m.machineRoom] += n
 					left -= n
 				}
 			}
 		}
 		for _, m := range order {
-			p.hold(d, m, chosen[m])
+			p.hold(d, m.machineRoom, chosen[m.machineRoom])
 		}
 		if left <= 0 {
 			continue
@@ -196,16 +199,6 @@
 	return p
 }
 
-// heldOn is for how many tasks room was held on a machine.
-func heldOn(holds []Hold, id protocol.MachineID) int {
-	for _, h := range holds {
-		if h.Machine == id {
-			return h.Tasks
-		}
-	}
-	return 0
-}
-
 const (
 	// spareShare: beside each so many tasks room is held for one more until all
 	// of it has to be clear, as some of what runs there is not over by then.
@@ -223,7 +216,7 @@
 	}
 	h := Hold{
 		For: d.Spec.Name, Machine: m.ID, Tasks: n, Need: d.size().Times(float64(n)), Level: d.level(),
-		Clear: d.Clear, From: d.StartMS, Until: afterS(d.StartMS, d.Spec.HoldS+d.Spec.LengthS),
+		Clear: d.Clear, From: d.StartMS, Until: d.until(),
 	}
 	for _, r := range m.Runs {
 		if r.For != d.Spec.Name && r.Level >= h.Level {
@@ -267,24 +260,21 @@
 	return ls
 }
 
+// place is how many tasks fit on a machine, without anything being stopped and
+// with that.
+type place struct {
+	*machineRoom
+	clear, firm int
+}
+
 // preferred is the order in which machines are taken: first where nothing has to
 // be stopped, of these those held already, ordinary machines before spot
 // machines, those that are up before those that come, those where the most tasks
 // fit, and the cheapest.
-func preferred(d *Due, machines []*machineRoom, before []Hold, at map[protocol.MachineID]*machineRoom, now Moment) []*machineRoom {
-	was := map[*machineRoom]bool{}
-	for _, h := range before {
-		if m := at[h.Machine]; m != nil {
-			was[m] = true
-		}
-	}
-	type place struct {
-		*machineRoom
-		clear int // tasks that fit without anything being stopped
-	}
+func preferred(d *Due, machines []*machineRoom, was map[protocol.MachineID]int, now Moment) []place {
 	ps := make([]place, len(machines))
 	for i, m := range machines {
-		ps[i] = place{m, m.free(d, now, false).Fit(d.size())}
+		ps[i] = place{m, m.free(d, now, false).Fit(d.size()), m.free(d, now, true).Fit(d.size())}
 	}
 	bit := func(b bool) int {
 		if b {
@@ -294,28 +284,23 @@
 	}
 	slices.SortFunc(ps, func(a, b place) int {
 		return cmp.Or(
-			bit(a.clear == 0)-bit(b.clear == 0), bit(was[b.machineRoom])-bit(was[a.machineRoom]), bit(a.Spot)-bit(b.Spot),
+			bit(a.clear == 0)-bit(b.clear == 0), bit(was[b.ID] > 0)-bit(was[a.ID] > 0), bit(a.Spot)-bit(b.Spot),
 			cmp.Compare(a.Up, b.Up), cmp.Compare(b.clear, a.clear), cmp.Compare(a.Info.Price, b.Info.Price), cmp.Compare(a.ID, b.ID))
 	})
-	out := make([]*machineRoom, len(ps))
-	for i, p := range ps {
-		out[i] = p.machineRoom
-	}
-	return out
+	return ps
 }
 
 // bestZone is where a reservation that needs all its room in one zone is held:
 // where it was, as long as that can hold it or no other can, else where the most
 // of it fits.
-func bestZone(d *Due, machines []*machineRoom, before []Hold, now Moment) protocol.Zone {
-	fits, was := map[protocol.Zone]int{}, protocol.Zone("")
+func bestZone(d *Due, machines []*machineRoom, was map[protocol.MachineID]int, now Moment) protocol.Zone {
+	fits, best := map[protocol.Zone]int{}, protocol.Zone("")
 	for _, m := range machines {
 		fits[m.Zone] += m.free(d, now, true).Fit(d.size())
-		if was == "" && (slices.ContainsFunc(before, func(h Hold) bool { return h.Machine == m.ID }) || slices.ContainsFunc(m.Runs, func(r Run) bool { return r.For == d.Spec.Name })) {
-			was = m.Zone
+		if best == "" && (was[m.ID] > 0 || slices.ContainsFunc(m.Runs, func(r Run) bool { return r.For == d.Spec.Name })) {
+			best = m.Zone
 		}
 	}
-	best := was
 	for _, z := range slices.Sorted(maps.Keys(fits)) {
 		if best == "" || min(fits[z], d.Left) > min(fits[best], d.Left) {
 			best = z
@@ -336,7 +321,7 @@
 // Leaves reports whether a machine's held room lets a task start in what is
 // free.
 func Leaves(holds []Hold, t *Task, free room.Amount, now Moment) bool {
-	until := OwnUntil(holds, t)
+	until := OwnUntil(holds, t.Of)
 	for i := range holds {
 		if h := &holds[i]; !h.lets(t, now) && (until == 0 || until > h.From) {
 			free = free.Minus(h.Need)
@@ -345,24 +330,20 @@
 	return free.Covers(t.Need)
 }
 
-// OwnUntil is until when room is held for the task; 0: none is. So long it was
+// OwnUntil is until when room is held for a task, by which reservations it is of;
+// 0: none is. So long it was
 // promised: what begins later was promised beside that, and is not in its way,
 // however long estimates of its kind may be off.
-func OwnUntil(holds []Hold, t *Task) Moment {
+func OwnUntil(holds []Hold, of func(Name) bool) Moment {
 	until := Moment(0)
 	for i := range holds {
-		if h := &holds[i]; t.Of(h.For) {
+		if h := &holds[i]; of(h.For) {
 			until = max(until, h.Until)
 		}
 	}
 	return until
 }
 
-// Owns reports whether some of the held room is for the task.
-func Owns(holds []Hold, t *Task) bool {
-	return slices.ContainsFunc(holds, func(h Hold) bool { return t.Of(h.For) })
-}
-
 // lets reports whether held room may be used by a task: it is held for it, the
 // task is likely to end in time, or it can save and may be stopped in time.
 func (h *Hold) lets(t *Task, now Moment) bool {
--- a/internal/coordination/events.go
+++ b/internal/coordination/events.go
@@ -73,12 +73,12 @@
 func (c *Core) noticed(o *ownedJob, t *placedTask, leftS float64) {
 	if o.Kind == protocol.KindGang {
 		for _, other := range tasksInOrder(o.placed) {
-			c.askStop(other, true, c.grace(o))
+			c.askStop(other, true, graceS(&o.Job))
 		}
 		return
 	}
 	if o.CheckpointS > 0 || o.Kind == protocol.KindService {
-		c.askStop(t, true, c.grace(o))
+		c.askStop(t, true, graceS(&o.Job))
 		return
 	}
 	ran := 0.0
--- a/internal/coordination/heldroom.go
+++ b/internal/coordination/heldroom.go
@@ -4,18 +4,18 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
-// inWindow reports whether a machine is covered by a window that is open, or
-// opens before a moment.
-func (c *Core) inWindow(id protocol.MachineID, t protocol.MachineType, z protocol.Zone, until calendar.Moment) bool {
-	now := c.moment()
+// inWindow reports whether a window that covers a machine is open at some time
+// from a moment until before another.
+func (c *Core) inWindow(id protocol.MachineID, t protocol.MachineType, z protocol.Zone, from, to calendar.Moment) bool {
 	for i := range c.promised.windows {
 		w := &c.promised.windows[i]
-		if w.end > now && w.start < until && calendar.Covers(w.spec, id, t, z) {
+		if w.end > from && w.start < to && calendar.Covers(w.spec, id, t, z) {
 			return true
 		}
 	}
@@ -41,9 +41,9 @@
 			free = room.Capacity(m.info)
 			wait += m.waitBefore(o.level) / max(m.info.CPUs, 1)
 		}
-		t.Ends = calendar.After(now, time.Duration((wait+likely)*float64(time.Second)))
+		t.Ends = calendar.After(now, config.Seconds(wait+likely))
 		holds := c.promised.holds[m.id]
-		if c.inWindow(m.id, m.rec.Type, m.rec.Zone, promisedEnd(holds, &t)) {
+		if c.inWindow(m.id, m.rec.Type, m.rec.Zone, now, promisedEnd(holds, &t)) {
 			return true
 		}
 		return len(holds) > 0 && !calendar.Leaves(holds, &t, free, now)
@@ -53,7 +53,7 @@
 // promisedEnd is when a task is reckoned to be over by what is promised: no later
 // than its own room is held, which no window cuts short.
 func promisedEnd(holds []calendar.Hold, t *calendar.Task) calendar.Moment {
-	if until := calendar.OwnUntil(holds, t); until != 0 {
+	if until := calendar.OwnUntil(holds, t.Of); until != 0 {
 		return min(t.Ends, until)
 	}
 	return t.Ends
@@ -61,8 +61,7 @@
 
 // holdsFor reports whether room is held on a machine for a job.
 func (c *Core) holdsFor(o *ownedJob, m *machineEntry) bool {
-	holds := c.promised.holds[m.id]
-	return len(holds) > 0 && calendar.Owns(holds, &calendar.Task{Of: c.of(&o.Job)})
+	return calendar.OwnUntil(c.promised.holds[m.id], c.of(&o.Job)) != 0
 }
 
 // startLater is why something that waits in a machine's queue does not start.
@@ -85,9 +84,9 @@
 	now := c.moment()
 	t := calendar.Task{Of: c.of(&j.Job), Need: e.need, Level: e.level, Saves: j.CheckpointS > 0}
 	run := c.likelyS(&j.Job, e.estimate) + q.fetchS(j)
-	t.Ends = calendar.After(now, time.Duration(run*float64(time.Second)))
-	owns := calendar.Owns(holds, &t)
-	if m := c.machines[q.id]; m != nil && c.inWindow(q.id, m.rec.Type, m.rec.Zone, promisedEnd(holds, &t)) {
+	t.Ends = calendar.After(now, config.Seconds(run))
+	owns := calendar.OwnUntil(holds, t.Of) != 0
+	if m := c.machines[q.id]; m != nil && c.inWindow(q.id, m.rec.Type, m.rec.Zone, now, promisedEnd(holds, &t)) {
 		return startElsewhere, owns
 	}
 	switch {
@@ -104,7 +103,7 @@
 // ownsRoom reports whether room that is held for an attempt's job is free.
 func (c *Core) ownsRoom(q *queue, e *entry) bool {
 	j := c.live[e.task.Job]
-	return j != nil && q.free().Covers(e.need) && calendar.Owns(c.promised.holds[q.id], &calendar.Task{Of: c.of(&j.Job)})
+	return j != nil && q.free().Covers(e.need) && calendar.OwnUntil(c.promised.holds[q.id], c.of(&j.Job)) != 0
 }
 
 // fetchS is how long the machine takes to get a job's image, in seconds.
@@ -135,15 +134,10 @@
 		for _, e := range victims {
 			save = min(max(save, c.saveS(e)), savesAtMost.Seconds())
 		}
-		if !h.Stop(time.Duration(save*float64(time.Second)), now) {
+		if !h.Stop(config.Seconds(save), now) {
 			continue
 		}
-		free := q.free()
-		for _, e := range q.entries {
-			if e.present && !e.ended() && e.kill {
-				free = free.Plus(e.need)
-			}
-		}
+		free := q.freeSoon()
 		for _, e := range victims {
 			if free.Covers(h.Need) {
 				break
@@ -161,7 +155,7 @@
 // saveS is how long an attempt may take to be gone once it is stopped.
 func (c *Core) saveS(e *entry) float64 {
 	if j := c.live[e.task.Job]; j != nil {
-		return 2*j.SaveS + 1
+		return graceS(&j.Job)
 	}
 	return 1
 }
--- a/internal/coordination/holding.go
+++ b/internal/coordination/holding.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/renting"
 	"damsonkeel/internal/coordination/room"
@@ -44,11 +45,11 @@
 func (c *Core) lead(s *bookkeeping.ReservationSpec) time.Duration {
 	boot := 0.0
 	for _, t := range c.types { // those the cloud has none of at present, too: this must not change from moment to moment
-		if calendar.Allows(s, t, s.Zone, false) && room.Capacity(t).Covers(room.Amount{CPUs: s.CPUs, GPUs: s.GPUs, GB: s.MemoryGB}) {
+		if calendar.Fits(s, t, s.Zone) {
 			boot = max(boot, c.promised.boots.Likely(t.BootS))
 		}
 	}
-	return time.Duration(2*boot*float64(time.Second)) + leadSlack
+	return config.Seconds(2*boot) + leadSlack
 }
 
 // jobOf is a job as a reservation describes it, on ordinary machines.
@@ -63,14 +64,13 @@
 func (c *Core) dues() []calendar.Due {
 	now := c.moment()
 	var dues []calendar.Due
-	for _, o := range c.promised.book.Overlapping(now, calendar.After(now, holdAhead)) {
-		e := c.promised.book.Reservation(o.Name)
-		if o.Window || e == nil || e.StartMS != o.Start || e.State != bookkeeping.Accepted && e.State != bookkeeping.Holding {
+	for _, e := range c.promised.book.Due(now, calendar.After(now, holdAhead)) {
+		if !e.Promised() {
 			continue
 		}
 		_, wanted, started := c.jobsOf(e)
 		if left := wanted - started; left > 0 {
-			dues = append(dues, calendar.Due{Reservation: e.Reservation, Left: left, Clear: calendar.After(o.Start, -c.lead(&e.Reservation.Spec))})
+			dues = append(dues, calendar.Due{Reservation: e.Reservation, Left: left, Clear: calendar.After(e.StartMS, -c.lead(&e.Reservation.Spec))})
 		}
 	}
 	return dues
@@ -110,7 +110,7 @@
 	}
 	for id, m := range inOrder(c.fleet.coming) {
 		info := c.types[m.Type]
-		up := time.Duration(c.promised.boots.Likely(info.BootS)*float64(time.Second)) - c.since(m.at)
+		up := config.Seconds(c.promised.boots.Likely(info.BootS)) - c.since(m.at)
 		if up < 0 || c.machines[id] != nil {
 			continue // late, and may never come
 		}
@@ -131,12 +131,12 @@
 	}
 	pr.listed = true
 	now := c.moment()
-	dues := c.dues()
+	pr.dues = c.dues()
 	usable := func(m *calendar.Machine, d *calendar.Due) bool {
 		latest := max(d.StartMS, calendar.After(now, time.Minute)) // what comes later is better than nothing
-		return m.Up <= latest && !c.inWindowAt(m, d.StartMS, calendar.After(d.StartMS, calendar.Busy(&d.Spec)))
+		return m.Up <= latest && !c.inWindow(m.ID, m.Info.Name, m.Zone, d.StartMS, calendar.After(d.StartMS, calendar.Busy(&d.Spec)))
 	}
-	plan := calendar.Choose(dues, c.holders(), pr.list, usable, now)
+	plan := calendar.Choose(pr.dues, c.holders(), pr.list, usable, now)
 	pr.short, pr.missing, pr.zones = plan.Short, plan.Missing, plan.Zones
 	if !slices.Equal(plan.Holds, pr.list) || pr.number>>32 != uint64(c.view.Term) {
 		c.setHolds(plan.Holds)
@@ -144,7 +144,7 @@
 		pr.number = max(pr.number+1, uint64(c.view.Term)<<32|1)
 	}
 	c.writeHeld()
-	c.noteRisks(dues)
+	c.noteRisks()
 	c.advancePromised()
 }
 
@@ -172,14 +172,9 @@
 		return false
 	}
 	of, now := c.of(j), c.moment()
-	for _, o := range pr.book.Overlapping(now, max(ends, now+1)) {
-		e := pr.book.Reservation(o.Name)
-		if !o.Window && e != nil && e.StartMS == o.Start && (e.State == bookkeeping.Accepted || e.State == bookkeeping.Holding) && !of(o.Name) &&
-			ends > calendar.After(o.Start, -c.lead(&e.Reservation.Spec)) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(pr.book.Due(now, max(ends, now+1)), func(e *calendar.Entry) bool {
+		return e.Promised() && !of(e.Name()) && ends > calendar.After(e.StartMS, -c.lead(&e.Reservation.Spec))
+	})
 }
 
 // heldRecord is what is held, as it is written for who starts anew.
@@ -223,17 +218,6 @@
 	return nil
 }
 
-// inWindowAt reports whether a window covers a machine at some time.
-func (c *Core) inWindowAt(m *calendar.Machine, from, to calendar.Moment) bool {
-	for i := range c.promised.windows {
-		w := &c.promised.windows[i]
-		if w.start < to && w.end > from && calendar.Covers(w.spec, m.ID, m.Info.Name, m.Zone) {
-			return true
-		}
-	}
-	return false
-}
-
 // setHolds takes over what is held.
 func (c *Core) setHolds(list []calendar.Hold) {
 	pr := &c.promised
@@ -242,10 +226,7 @@
 	for _, h := range list {
 		pr.holds[h.Machine] = append(pr.holds[h.Machine], h)
 	}
-	now := c.moment()
-	for _, m := range c.machines {
-		m.reserved = reservedBy(pr.holds[m.id], now)
-	}
+	c.reckonReserved()
 	c.owner.dirty = true
 }
 
@@ -253,11 +234,11 @@
 // ahead.
 func (c *Core) rentPromised(p *renting.Plan) {
 	now := c.moment()
-	for _, d := range c.dues() {
+	for _, d := range c.promised.dues {
 		short := c.promised.short[d.Spec.Name]
 		for _, r := range c.fleet.rents {
 			if r.of == d.Spec.Name {
-				short -= r.req.Count * room.Capacity(c.types[r.req.Type]).Fit(room.Need(&jobOf(&d.Spec).Job))
+				short -= r.req.Count * room.Capacity(c.types[r.req.Type]).Fit(calendar.Size(&d.Spec))
 			}
 		}
 		if short <= 0 || now < d.Clear {
@@ -267,7 +248,7 @@
 		if z := c.promised.zones[d.Spec.Name]; z != "" {
 			j.Zone = z
 		}
-		c.promised.asked = append(c.promised.asked, p.Buy(c.work(j, room.LevelOf(d.Spec.Priority, false), d.Spec.LengthS), short, string(d.Spec.Name))...)
+		p.Buy(c.work(j, room.LevelOf(d.Spec.Priority, false), d.Spec.LengthS), short, string(d.Spec.Name))
 	}
 }
 
@@ -280,15 +261,15 @@
 			return true
 		}
 	}
-	return len(c.promised.windows) > 0 && c.inWindow(m.id, m.rec.Type, m.rec.Zone, now)
+	return len(c.promised.windows) > 0 && c.inWindow(m.id, m.rec.Type, m.rec.Zone, now, now)
 }
 
 // noteRisks tells why what is due may not be kept.
-func (c *Core) noteRisks(dues []calendar.Due) {
+func (c *Core) noteRisks() {
 	pr := &c.promised
 	now := c.moment()
 	clear(pr.risk)
-	for _, d := range dues {
+	for _, d := range pr.dues {
 		short, missing := pr.short[d.Spec.Name], pr.missing[d.Spec.Name]
 		switch {
 		case short > 0 && c.since(c.fleet.heardAt) > cloudQuiet && calendar.Between(now, d.Clear) < keepAhead:
@@ -313,10 +294,8 @@
 			}
 		}
 	}
-	for _, o := range pr.book.Overlapping(now, calendar.After(now, holdAhead)) {
-		if e := pr.book.Reservation(o.Name); !o.Window && e != nil && e.StartMS == o.Start {
-			c.advance(e, now)
-		}
+	for _, e := range pr.book.Due(now, calendar.After(now, holdAhead)) {
+		c.advance(e, now)
 	}
 }
 
@@ -328,7 +307,7 @@
 	}
 	came, wanted, started := c.jobsOf(e)
 	next, changed := calendar.Advance(*e.Reservation, e.When, calendar.Seen{
-		Now: now, ClockError: c.clockError(), Lead: c.lead(&e.Reservation.Spec),
+		Now: now, ClockError: c.settings.Site.ClockError(), Lead: c.lead(&e.Reservation.Spec),
 		Came: came, Wanted: wanted, Started: started, Risk: pr.risk[name],
 	})
 	if !changed {
@@ -356,7 +335,7 @@
 	if len(claims) == 0 {
 		return sum
 	}
-	ends := calendar.After(c.moment(), time.Duration(c.likelyS(&o.Job, c.estimateOf(o))*float64(time.Second)))
+	ends := calendar.After(c.moment(), config.Seconds(c.likelyS(&o.Job, c.estimateOf(o))))
 	of := c.of(&o.Job)
 	for _, t := range claims {
 		if ends > t.from && !of(t.of) {
--- a/internal/coordination/insight.go
+++ b/internal/coordination/insight.go
@@ -11,7 +11,6 @@
 // Insight is what can be seen of a core from outside.
 type Insight struct {
 	Term   protocol.Term
-	Member bool
 	Queues int // machines kept
 	Heard  int // of these, registered and known to have nothing but what is listed
 	Holds  []calendar.Hold
@@ -22,7 +21,7 @@
 
 // Look tells what can be seen of it.
 func (c *Core) Look() Insight {
-	in := Insight{Term: c.view.Term, Member: c.member(), Queues: len(c.queues), Holds: c.promised.list}
+	in := Insight{Term: c.view.Term, Queues: len(c.queues), Holds: c.promised.list}
 	for _, q := range c.queues {
 		if q.known && q.epoch != 0 {
 			in.Heard++
--- a/internal/coordination/operate.go
+++ b/internal/coordination/operate.go
@@ -249,7 +249,7 @@
 	if e.Cancelled {
 		return v
 	}
-	length := time.Duration(e.Window.Spec.LengthS * float64(time.Second))
+	length := config.Seconds(e.Window.Spec.LengthS)
 	if times := e.When.Occurrences(calendar.After(now, -length), calendar.After(now, calendar.Ahead)); len(times) > 0 {
 		v.NextMS, v.Open = times[0], times[0] <= now
 		v.Overruns = c.overruns(&e.Window.Spec, v.NextMS)
@@ -286,8 +286,7 @@
 		in.n.log.Error("operators' keys can't be read", "err", err)
 		return failure(503, "operators' keys can't be read")
 	}
-	off := time.Duration(in.n.settings.Site.ClockErrorMS * float64(time.Millisecond))
-	r, by, err := operators.Open(body, keys, time.Now(), off)
+	r, by, err := operators.Open(body, keys, time.Now(), in.n.settings.Site.ClockError())
 	if err != nil {
 		in.n.log.Info("operator's request refused", "err", err)
 		return success(403, operators.Reply{Code: operators.Denied, Reason: operators.ErrSeal.Error()})
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -210,13 +210,13 @@
 		// The rest of the attempt can't go on: its next one starts when all
 		// of this one are gone.
 		for _, other := range tasksInOrder(o.placed) {
-			c.askStop(other, true, c.grace(o))
+			c.askStop(other, true, graceS(&o.Job))
 		}
 	}
 }
 
-// grace lets a task save.
-func (c *Core) grace(o *ownedJob) float64 { return 2*o.SaveS + 1 }
+// graceS is how long a task of a job is given to save, in seconds.
+func graceS(j *protocol.Job) float64 { return 2*j.SaveS + 1 }
 
 // askStop asks the machine's keeper to end an attempt.
 func (c *Core) askStop(t *placedTask, kill bool, grace float64) {
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -20,7 +20,7 @@
 	f := &c.fleet
 	var up renting.Slots
 	for _, m := range c.machinesInOrder() {
-		if !c.usable(m) || len(c.promised.windows) > 0 && c.inWindow(m.id, m.rec.Type, m.rec.Zone, c.moment()) {
+		if !c.usable(m) || len(c.promised.windows) > 0 && c.inWindow(m.id, m.rec.Type, m.rec.Zone, c.moment(), c.moment()) {
 			continue
 		}
 		a := renting.Alike{Kind: m.kind(), Free: m.unreserved(), Held: m.held}
@@ -127,9 +127,7 @@
 // rentWanted sends the plan's requests, as many at a time as the cloud answers
 // in a second; the next plan asks for the rest.
 func (c *Core) rentWanted(p *renting.Plan) {
-	orders := append(p.Orders(), c.promised.asked...)
-	c.promised.asked = nil
-	for _, o := range orders {
+	for _, o := range p.Orders() {
 		if float64(len(c.fleet.rents)) >= math.Max(1, c.settings.Site.Cloud.RPS) {
 			return
 		}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -110,12 +110,7 @@
 		return
 	}
 	c.sortWaiting(q)
-	free := q.free()
-	for _, e := range q.entries {
-		if e.present && !e.ended() && e.kill {
-			free = free.Plus(e.need) // on its way out already
-		}
-	}
+	free := q.freeSoon()
 	for _, head := range q.waiting {
 		j := c.live[head.task.Job]
 		if j == nil {
--- a/internal/coordination/promises.go
+++ b/internal/coordination/promises.go
@@ -7,7 +7,6 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/forecast"
-	"damsonkeel/internal/coordination/renting"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -31,11 +30,11 @@
 	windows []openWindow    // open, or soon
 	teams   map[protocol.Team][]teamClaim
 
-	asked []renting.Order // for reservations, by the plan just made
 	// byClass are the live jobs of the classes that something is due for within
 	// windowsAhead, as of the last relay period.
 	byClass map[string][]*liveJob
 	seen    map[calendar.Name]*seenJob
+	dues    []calendar.Due                  // as last chosen for
 	short   map[calendar.Name]int           // tasks that no sure room is held for, as last chosen
 	missing map[calendar.Name]int           // of these, unlikely to have any in time
 	zones   map[calendar.Name]protocol.Zone // where one that needs one zone is held
@@ -95,11 +94,6 @@
 	}
 }
 
-// clockError is by how much a controller's time of day may be off.
-func (c *Core) clockError() time.Duration {
-	return time.Duration(c.settings.Site.ClockErrorMS * float64(time.Millisecond))
-}
-
 // calendarRecord takes over a record of the calendar.
 func (c *Core) calendarRecord(f bookkeeping.Followed, value protocol.RawValue, version protocol.Version) (err error) {
 	pr := &c.promised
@@ -154,7 +148,7 @@
 		return
 	}
 	c.promised.any = is
-	for _, q := range c.queues {
+	for _, q := range c.queuesInOrder() {
 		c.touch(q)
 	}
 }
@@ -169,14 +163,14 @@
 	if !pr.any && len(pr.list) == 0 {
 		return
 	}
-	now, off := c.moment(), c.clockError()
+	now, off := c.moment(), c.settings.Site.ClockError()
 	pr.book.Extend(now)
 	pr.windows, pr.teams = nil, map[protocol.Team][]teamClaim{}
 	soon := pr.book.Overlapping(calendar.After(now, -2*off), calendar.After(now, windowsAhead))
 	pr.byClass = map[string][]*liveJob{}
 	for _, o := range soon {
-		if e := pr.book.Reservation(o.Name); !o.Window && e != nil {
-			pr.byClass[e.Reservation.Spec.Class] = nil
+		if !o.Window {
+			pr.byClass[pr.book.Reservation(o.Name).Reservation.Spec.Class] = nil
 		}
 	}
 	for _, l := range c.live {
@@ -185,20 +179,21 @@
 		}
 	}
 	for _, o := range soon {
-		switch {
-		case o.Window:
+		if o.Window {
 			pr.windows = append(pr.windows, openWindow{&pr.book.Window(o.Name).Window.Spec, calendar.After(o.Start, -off), calendar.After(o.End, off)})
-		default:
-			c.claimLimit(o)
 		}
 	}
-	for _, m := range c.machines {
-		m.reserved = room.Amount{}
+	for _, e := range pr.book.Due(calendar.After(now, -2*off), calendar.After(now, windowsAhead)) {
+		c.claimLimit(e)
 	}
-	for id, hs := range pr.holds {
-		if m := c.machines[id]; m != nil {
-			m.reserved = reservedBy(hs, now)
-		}
+	c.reckonReserved()
+}
+
+// reckonReserved reckons what of each machine's room is held now.
+func (c *Core) reckonReserved() {
+	now := c.moment()
+	for _, m := range c.machines {
+		m.reserved = reservedBy(c.promised.holds[m.id], now)
 	}
 }
 
@@ -214,18 +209,14 @@
 
 // claimLimit notes what of its team's limit a reservation claims, as far as it
 // has not been used.
-func (c *Core) claimLimit(o calendar.Occurrence) {
-	e := c.promised.book.Reservation(o.Name)
-	if e == nil || e.StartMS != o.Start || e.State != bookkeeping.Accepted && e.State != bookkeeping.Holding {
-		return
-	}
+func (c *Core) claimLimit(e *calendar.Entry) {
 	s := &e.Reservation.Spec
-	if s.Team == "" || !c.limited(s.Team) {
+	if !e.Promised() || !c.limited(s.Team) {
 		return
 	}
 	_, wanted, started := c.jobsOf(e)
 	if n := float64(wanted - started); n > 0 {
-		c.promised.teams[s.Team] = append(c.promised.teams[s.Team], teamClaim{o.Name, room.Amount{CPUs: s.CPUs, GPUs: s.GPUs, GB: s.MemoryGB}.Times(n), o.Start})
+		c.promised.teams[s.Team] = append(c.promised.teams[s.Team], teamClaim{s.Name, calendar.Size(s).Times(n), e.StartMS})
 	}
 }
 
@@ -266,15 +257,14 @@
 		return
 	}
 	now := c.moment()
-	for _, o := range c.promised.book.Overlapping(calendar.After(now, -time.Minute), calendar.After(now, time.Hour)) {
-		e := c.promised.book.Reservation(o.Name)
-		if o.Window || e == nil || e.StartMS != o.Start || !calendar.Matches(e.Reservation, &l.Job) {
+	for _, e := range c.promised.book.Due(calendar.After(now, -time.Minute), calendar.After(now, time.Hour)) {
+		if !calendar.Matches(e.Reservation, &l.Job) {
 			continue
 		}
-		s := c.promised.seen[o.Name]
-		if s == nil || s.start != o.Start {
-			s = &seenJob{start: o.Start}
-			c.promised.seen[o.Name] = s
+		s := c.promised.seen[e.Name()]
+		if s == nil || s.start != e.StartMS {
+			s = &seenJob{start: e.StartMS}
+			c.promised.seen[e.Name()] = s
 		}
 		s.tasks += int(l.Tasks)
 	}
--- a/internal/coordination/renting/plan.go
+++ b/internal/coordination/renting/plan.go
@@ -61,6 +61,7 @@
 	pools    map[Kind]*pool
 	want     map[Kind]int // machines to be asked for
 	underWay map[Kind]int // machines asked for already
+	bought   []Order      // for one thing alone
 }
 
 // New begins a plan with the room that there is. Machines under way are asked
@@ -224,31 +225,30 @@
 // Buy asks for machines for n tasks, whatever is there, from the cheapest kind
 // offered: they are for nothing else. One request of each kind is under way at a
 // time, so its answer tells whether there are more.
-func (p *Plan) Buy(w Work, n int, what string) []Order {
-	var os []Order
+func (p *Plan) Buy(w Work, n int, what string) {
 	for _, k := range w.Offers {
 		per := room.Capacity(p.types[k.Type]).Fit(w.Need)
 		if n <= 0 || per == 0 {
-			break
+			return
 		}
 		count := min(AskAtMost-p.underWay[k], (n+per-1)/per)
 		if count <= 0 {
 			continue
 		}
 		p.underWay[k] += count
-		os = append(os, Order{k, count, what})
+		p.bought = append(p.bought, Order{k, count, what})
 		n -= count * per
 	}
-	return os
 }
 
-// Orders lists what the plan asks for, the cheapest first.
+// Orders lists what the plan asks for, the cheapest first, then what is bought for
+// one thing alone.
 func (p *Plan) Orders() []Order {
 	var os []Order
 	for _, k := range inPriceOrder(p, p.want) {
 		os = append(os, Order{Kind: k, Count: p.want[k]})
 	}
-	return os
+	return append(os, p.bought...)
 }
 
 // inPriceOrder lists kinds in one order, the cheapest first.
--- a/internal/coordination/runs.go
+++ b/internal/coordination/runs.go
@@ -1,9 +1,8 @@
 package coordination
 
 import (
-	"time"
-
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/room"
@@ -63,7 +62,7 @@
 		} else if j != nil {
 			left += q.fetchS(j)
 		}
-		r.Ends = calendar.After(now, time.Duration(left*float64(time.Second)))
+		r.Ends = calendar.After(now, config.Seconds(left))
 		runs = append(runs, r)
 	}
 	return runs
--- a/internal/coordination/slow.go
+++ b/internal/coordination/slow.go
@@ -117,7 +117,7 @@
 	c.send(c.keeper(m.id), PeerMessage{Drain: &m.id})
 	for _, t := range tasksInOrder(m.mine) {
 		if o := c.owner.jobs[t.task.Job]; o != nil && o.Kind == protocol.KindArray && o.CheckpointS > 0 {
-			c.askStop(t, true, c.grace(o)) // goes on elsewhere from what it saves
+			c.askStop(t, true, graceS(&o.Job)) // goes on elsewhere from what it saves
 		}
 	}
 }
--- a/internal/coordination/told.go
+++ b/internal/coordination/told.go
@@ -19,6 +19,17 @@
 	return f
 }
 
+// freeSoon is what is free once everything is gone that is on its way out already.
+func (q *queue) freeSoon() room.Amount {
+	f := q.free()
+	for _, e := range q.entries {
+		if e.present && !e.ended() && e.kill {
+			f = f.Plus(e.need)
+		}
+	}
+	return f
+}
+
 // held is what the attempts take that are on the machine or in its queue.
 func (q *queue) held() room.Uses {
 	var u room.Uses
