Stand-in handlers, an operator's cancellation and the emulator's windows: one piece each

Five handlers read, locked and answered in the same words; cancelling a window and a reservation were twins; the emulator parsed each window's time at each start of a task, and checked what it covers by code of its own.

--- a/cmd/damsonkeel/calendar.go
+++ b/cmd/damsonkeel/calendar.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/operators"
 	"damsonkeel/internal/protocol"
 
@@ -82,7 +83,7 @@
 	Zone     string        `help:"Zone that it covers; with no machines, type or zone, the whole site."`
 }
 
-// named is a command about one entry, found one about all.
+// named is a command about one entry.
 type named struct {
 	askFlags `embed:""`
 	Name     string `arg:"" help:"Its name."`
@@ -298,7 +299,7 @@
 		case w.NextMS == 0:
 			state = "over"
 		}
-		t.AppendRow(table.Row{w.Spec.Name, covers(&w.Spec), timeOf(w.NextMS), time.Duration(w.Spec.LengthS * float64(time.Second)), state})
+		t.AppendRow(table.Row{w.Spec.Name, covers(&w.Spec), timeOf(w.NextMS), config.Seconds(w.Spec.LengthS), state})
 	}
 	t.Render()
 	if len(ws) != 1 || len(ws[0].Overruns) == 0 {
@@ -307,7 +308,7 @@
 	t = newTable()
 	t.AppendHeader(table.Row{"machine", "overruns by"})
 	for _, o := range ws[0].Overruns {
-		t.AppendRow(table.Row{o.Machine, time.Duration(o.ByS * float64(time.Second)).Round(time.Second)})
+		t.AppendRow(table.Row{o.Machine, config.Seconds(o.ByS).Round(time.Second)})
 	}
 	t.Render()
 }
--- a/internal/coordination/calendar/book.go
+++ b/internal/coordination/calendar/book.go
@@ -90,12 +90,12 @@
 		return fmt.Errorf("reservation %s: %w", r.Spec.Name, err)
 	}
 	e := &Entry{Reservation: &r, Version: v, When: w, length: Busy(&r.Spec)}
-	if old := b.entries[false][r.Spec.Name]; old != nil && old.Order == r.Order && r.State != bookkeeping.Cancelled {
+	if old := b.entries[false][r.Spec.Name]; old != nil && old.Order == r.Order && e.Valid() {
 		// The same promise, further on: its times stay.
 		old.Reservation, old.Version = e.Reservation, v
 		return nil
 	}
-	b.put(false, r.Spec.Name, e, r.State != bookkeeping.Cancelled, now)
+	b.put(false, r.Spec.Name, e, now)
 	return nil
 }
 
@@ -106,14 +106,14 @@
 		return fmt.Errorf("window %s: %w", w.Spec.Name, err)
 	}
 	e := &Entry{Window: &w, Version: v, When: when, length: config.Seconds(w.Spec.LengthS)}
-	b.put(true, w.Spec.Name, e, !w.Cancelled, now)
+	b.put(true, w.Spec.Name, e, now)
 	return nil
 }
 
-func (b *Book) put(window bool, n Name, e *Entry, valid bool, now Moment) {
+func (b *Book) put(window bool, n Name, e *Entry, now Moment) {
 	b.Drop(window, n)
 	b.entries[window][n] = e
-	if !valid {
+	if !e.Valid() {
 		return
 	}
 	e.upTo = After(now, -behind)
@@ -201,6 +201,22 @@
 	return e.Reservation.Spec.Name
 }
 
+// Made is when it was asked for.
+func (e *Entry) Made() Moment {
+	if e.Window != nil {
+		return e.Window.MadeMS
+	}
+	return e.Reservation.MadeMS
+}
+
+// Valid reports whether it was not taken back.
+func (e *Entry) Valid() bool {
+	if e.Window != nil {
+		return !e.Cancelled
+	}
+	return e.State != bookkeeping.Cancelled
+}
+
 // Overlapping lists what overlaps a time, in the order of its beginnings.
 func (b *Book) Overlapping(from, to Moment) []Occurrence {
 	var out []Occurrence
--- a/internal/coordination/operate.go
+++ b/internal/coordination/operate.go
@@ -154,28 +154,21 @@
 func (c *Core) cancelPromised(r *operators.Request) decision {
 	pr := &c.promised
 	done := operators.Reply{Code: operators.Done, Reason: "cancelled"}
+	e, what := pr.book.Reservation(r.Name), "reservation"
 	if r.Window {
-		e := pr.book.Window(r.Name)
-		switch {
-		case e == nil:
-			return no(operators.NotFound, "no window of this name")
-		case r.Made != 0 && e.Window.MadeMS != r.Made:
-			return no(operators.Refused, "it was made anew since")
-		case e.Cancelled:
-			return decision{reply: done}
-		}
-		rec := *e.Window
-		rec.Cancelled = true
-		return decision{done, c.changeCalendar(bookkeeping.WindowKey(r.Name), e.Version, rec)}
+		e, what = pr.book.Window(r.Name), "window"
 	}
-	e := pr.book.Reservation(r.Name)
 	switch {
 	case e == nil:
-		return no(operators.NotFound, "no reservation of this name")
-	case r.Made != 0 && e.Reservation.MadeMS != r.Made:
+		return no(operators.NotFound, "no "+what+" of this name")
+	case r.Made != 0 && e.Made() != r.Made:
 		return no(operators.Refused, "it was made anew since")
-	case e.State == bookkeeping.Cancelled:
+	case !e.Valid():
 		return decision{reply: done}
+	case r.Window:
+		rec := *e.Window
+		rec.Cancelled = true
+		return decision{done, c.changeCalendar(bookkeeping.WindowKey(r.Name), e.Version, rec)}
 	}
 	rec := *e.Reservation
 	rec.State, rec.Risk, rec.RiskMS = bookkeeping.Cancelled, "", 0
--- a/internal/emulator/play.go
+++ b/internal/emulator/play.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/operators"
 	"damsonkeel/internal/protocol"
@@ -41,7 +42,8 @@
 	left     map[protocol.TaskID]time.Duration // what tasks that saved have left
 	jobState map[protocol.JobID]*jobState
 	rentedAt map[protocol.MachineID]rental
-	times    []moment
+	times    []time.Duration // of the reservations
+	windows  []openings
 	ended    []protocol.JobID // to be forgotten after a while
 }
 
@@ -50,11 +52,10 @@
 	price float64
 }
 
-// moment is a time that something is due at.
-type moment struct {
-	at time.Duration
-	r  *Reservation
-	o  *Occurrence
+// openings is a window with its times.
+type openings struct {
+	spec *bookkeeping.WindowSpec
+	when calendar.When
 }
 
 // jobState is what the result says of a job.
@@ -151,7 +152,7 @@
 	case n < 13:
 		factor = 3
 	}
-	return time.Duration(factor * p.infos[r.Type].BootS * float64(time.Second))
+	return config.Seconds(factor * p.infos[r.Type].BootS)
 }
 
 // runs is how long a task runs, or what it has left after it saved. The tasks of a
@@ -164,7 +165,7 @@
 	if j == nil {
 		return time.Second
 	}
-	return time.Duration(j.estimateS * j.factor * (0.85 + 0.3*p.world.rng.Float64()) * float64(time.Second))
+	return config.Seconds(j.estimateS * j.factor * (0.85 + 0.3*p.world.rng.Float64()))
 }
 
 // returned counts what a machine cost.
@@ -189,6 +190,12 @@
 	}
 	// The order of the day of an operator: windows, then reservations.
 	p.at(20*time.Second, func() { p.askAll() })
+	for i := range p.site.Windows {
+		x := &p.site.Windows[i]
+		if w, err := calendar.ParseWhen(x.When); err == nil { // else refused when it is asked for
+			p.windows = append(p.windows, openings{x.spec(), w})
+		}
+	}
 	from := calendar.Moment(p.site.Start.UnixMilli())
 	for i := range p.site.Reservations {
 		r := &p.site.Reservations[i]
@@ -200,14 +207,14 @@
 			at := warmUp + calendar.Between(from, m)
 			o := &Occurrence{Name: r.Name, Start: time.UnixMilli(int64(m)).UTC(), Tasks: r.Tasks}
 			p.result.Occurrences = append(p.result.Occurrences, o)
-			p.times = append(p.times, moment{at, r, o})
+			p.times = append(p.times, at)
 			if !r.Never {
-				p.at(at+time.Duration(r.ComesS*float64(time.Second)), func() { p.comes(r, o) })
+				p.at(at+config.Seconds(r.ComesS), func() { p.comes(r, o) })
 			}
 			p.at(at+time.Second, func() { p.lookAt(o) })
 		}
 	}
-	slices.SortFunc(p.times, func(a, b moment) int { return int(a.at - b.at) })
+	slices.Sort(p.times)
 	t := &p.site.Troubles
 	for _, k := range []struct {
 		name string
@@ -229,7 +236,7 @@
 		for range int(k.day*p.opts.For.Hours()/24 + 0.5) {
 			at := warmUp + time.Duration(p.rng.Float64()*float64(p.opts.For))
 			if len(p.times) > 0 && p.rng.IntN(2) == 0 {
-				at = p.times[p.rng.IntN(len(p.times))].at - time.Duration(p.rng.IntN(600))*time.Second
+				at = p.times[p.rng.IntN(len(p.times))] - time.Duration(p.rng.IntN(600))*time.Second
 			}
 			p.result.Troubles = append(p.result.Troubles, Trouble{At: p.site.Start.Add(at - warmUp), What: k.name})
 			p.at(at, k.do)
@@ -250,9 +257,7 @@
 func (p *player) askAll() {
 	for i := range p.site.Windows {
 		x := &p.site.Windows[i]
-		p.ask(operators.Request{Op: operators.OpAdd, Window: true, ID: "window " + string(x.Name), Spec: &bookkeeping.WindowSpec{
-			Name: x.Name, When: x.When, LengthS: x.LengthS, Type: x.Type, Zone: x.Zone,
-		}})
+		p.ask(operators.Request{Op: operators.OpAdd, Window: true, ID: "window " + string(x.Name), Spec: x.spec()})
 	}
 	if p.opts.Without {
 		return
@@ -288,7 +293,7 @@
 
 // nextLoad has the next job of a class come.
 func (p *player) nextLoad(l *Load) {
-	p.after(time.Duration(p.rng.ExpFloat64()*l.EveryS*float64(time.Second)), func() {
+	p.after(config.Seconds(p.rng.ExpFloat64()*l.EveryS), func() {
 		tasks := 1 + int(p.rng.ExpFloat64()*float64(l.Tasks-1)+0.5)
 		p.newJob(protocol.Job{
 			Class: l.Class, Team: l.Team, Kind: protocol.KindArray, Priority: l.Priority, Tasks: uint32(min(tasks, 20*l.Tasks)),
@@ -352,16 +357,8 @@
 func (p *player) checkWindows(id protocol.MachineID) {
 	m := p.workers[id]
 	now := calendar.Moment(p.wallMS())
-	for i := range p.site.Windows {
-		x := &p.site.Windows[i]
-		if (x.Type != "" && x.Type != m.Info.Name) || (x.Zone != "" && x.Zone != m.Zone) {
-			continue
-		}
-		w, err := calendar.ParseWhen(x.When)
-		if err != nil {
-			continue
-		}
-		if len(w.Occurrences(calendar.After(now, -time.Duration(x.LengthS*float64(time.Second))+1), now)) > 0 {
+	for _, w := range p.windows {
+		if calendar.Covers(w.spec, id, m.Info.Name, m.Zone) && len(w.when.Occurrences(calendar.After(now, -config.Seconds(w.spec.LengthS)+1), now)) > 0 {
 			p.result.InWindow++
 		}
 	}
--- a/internal/emulator/site.go
+++ b/internal/emulator/site.go
@@ -215,3 +215,8 @@
 		Tasks: r.Tasks, CPUs: r.CPUs, MemoryGB: r.MemoryGB, Zone: r.Zone, OneZone: r.OneZone, Priority: r.Priority,
 	}
 }
+
+// spec is what an operator would ask for.
+func (w *Window) spec() *bookkeeping.WindowSpec {
+	return &bookkeeping.WindowSpec{Name: w.Name, When: w.When, LengthS: w.LengthS, Type: w.Type, Zone: w.Zone}
+}
--- a/internal/standin/serve/serve.go
+++ b/internal/standin/serve/serve.go
@@ -53,13 +53,13 @@
 	state, cloud := http.NewServeMux(), http.NewServeMux()
 	state.HandleFunc("GET /keys", p.list)
 	state.HandleFunc("GET /keys/{key...}", p.get)
-	state.HandleFunc("POST /txn", p.txn)
-	state.HandleFunc("POST /holds", p.lease)
+	state.HandleFunc("POST /txn", locked(p, p.txn))
+	state.HandleFunc("POST /holds", locked(p, p.lease))
 	state.HandleFunc("POST /holds/{id}/extend", p.extend)
 	state.HandleFunc("GET /follow", p.follow)
 	cloud.HandleFunc("GET /catalog", func(w http.ResponseWriter, _ *http.Request) { answer(w, 200, protocol.Catalogue{Types: p.types}) })
-	cloud.HandleFunc("POST /hosts", p.rent)
-	cloud.HandleFunc("POST /hosts/delete", p.remove)
+	cloud.HandleFunc("POST /hosts", locked(p, p.rent))
+	cloud.HandleFunc("POST /hosts/delete", locked(p, p.remove))
 	cloud.HandleFunc("GET /hosts", p.machines)
 	var err error
 	if p.State, err = p.serve(state); err != nil {
@@ -137,6 +137,20 @@
 	return v, err == nil
 }
 
+// locked answers requests of a form, with the platform to itself.
+func locked[T any](p *Platform, do func(T) (status int, body any)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		v, ok := read[T](w, r)
+		if !ok {
+			return
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		status, body := do(v)
+		answer(w, status, body)
+	}
+}
+
 // wake lets watches look again. The lock is held.
 func (p *Platform) wake() {
 	close(p.changed)
@@ -192,29 +206,16 @@
 	answer(w, 200, page)
 }
 
-func (p *Platform) txn(w http.ResponseWriter, r *http.Request) {
-	t, ok := read[protocol.Txn](w, r)
-	if !ok {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (p *Platform) txn(t protocol.Txn) (int, any) {
 	if !p.state.Txn(t) {
-		answer(w, 409, protocol.TxnReply{Failed: []string{}, Revision: p.state.Revision})
-		return
+		return 409, protocol.TxnReply{Failed: []string{}, Revision: p.state.Revision}
 	}
 	p.wake()
-	answer(w, 200, protocol.TxnReply{Revision: p.state.Revision})
+	return 200, protocol.TxnReply{Revision: p.state.Revision}
 }
 
-func (p *Platform) lease(w http.ResponseWriter, r *http.Request) {
-	l, ok := read[protocol.LeaseRequest](w, r)
-	if !ok {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	answer(w, 200, protocol.LeaseReply{Lease: p.state.Lease(p.now(), time.Duration(l.TTLMS)*time.Millisecond)})
+func (p *Platform) lease(l protocol.LeaseRequest) (int, any) {
+	return 200, protocol.LeaseReply{Lease: p.state.Lease(p.now(), time.Duration(l.TTLMS)*time.Millisecond)}
 }
 
 func (p *Platform) extend(w http.ResponseWriter, r *http.Request) {
@@ -259,32 +260,19 @@
 	}
 }
 
-func (p *Platform) rent(w http.ResponseWriter, r *http.Request) {
-	req, ok := read[protocol.RentRequest](w, r)
-	if !ok {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (p *Platform) rent(req protocol.RentRequest) (int, any) {
 	all, fresh := p.cloud.Rent(req)
 	if len(all) == 0 {
-		answer(w, 503, protocol.ErrorBody{Error: "no capacity"})
-		return
+		return 503, protocol.ErrorBody{Error: "no capacity"}
 	}
 	i := slices.IndexFunc(p.types, func(t protocol.TypeInfo) bool { return t.Name == req.Type })
 	for _, id := range fresh {
 		time.AfterFunc(p.boot(p.types[i]), func() { p.up(id, p.types[i], req) })
 	}
-	answer(w, 200, protocol.MachineNames{Machines: all})
+	return 200, protocol.MachineNames{Machines: all}
 }
 
-func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
-	req, ok := read[protocol.MachineNames](w, r)
-	if !ok {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (p *Platform) remove(req protocol.MachineNames) (int, any) {
 	for _, id := range req.Machines {
 		delete(p.cloud.Machines, id)
 		if m := p.workers[id]; m != nil {
@@ -293,7 +281,7 @@
 			delete(p.workers, id)
 		}
 	}
-	answer(w, 200, struct{}{})
+	return 200, struct{}{}
 }
 
 func (p *Platform) machines(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/serve/worker.go
+++ b/internal/standin/serve/worker.go
@@ -35,7 +35,7 @@
 func (p *Platform) up(id protocol.MachineID, t protocol.TypeInfo, r protocol.RentRequest) {
 	w := &worker{soon: make(chan struct{}, 1)}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /do", func(rw http.ResponseWriter, req *http.Request) { p.command(w, rw, req) })
+	mux.HandleFunc("POST /do", locked(p, func(c protocol.Commands) (int, any) { return p.command(w, c) }))
 	addr, err := p.serve(mux)
 	if err != nil {
 		return // a machine that never comes up
@@ -67,20 +67,13 @@
 }
 
 // command takes direct commands.
-func (p *Platform) command(w *worker, rw http.ResponseWriter, r *http.Request) {
-	c, ok := read[protocol.Commands](rw, r)
-	if !ok {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (p *Platform) command(w *worker, c protocol.Commands) (int, any) {
 	w.Tick(p.now())
-	status := 409
+	w.change()
 	if w.Do(c) {
-		status = 200
+		return 200, w.report()
 	}
-	answer(rw, status, w.report())
-	w.change()
+	return 409, w.report()
 }
 
 // report is what it says now, with its address.
