A cancelled recurring reservation is not listed again

Cause: as the calendar is extended once a day, reservations that had been taken back were taken for such whose times end, and listed anew from 1970 on: in the way of all that was asked for after. Windows were left out.

--- a/internal/coordination/calendar/book.go
+++ b/internal/coordination/calendar/book.go
@@ -169,7 +169,7 @@
 		return
 	}
 	b.listed = now
-	for window, es := range b.entries {
+	for _, es := range b.entries {
 		for _, e := range es {
 			old := treeTime(After(now, -behind-e.length))
 			for len(e.keys) > 0 && e.keys[0] < old {
@@ -177,7 +177,7 @@
 				b.size--
 				e.keys = e.keys[1:]
 			}
-			if e.When.Recurs() && !(window && e.Cancelled) && e.upTo < After(now, Ahead) {
+			if e.When.Recurs() && e.Valid() && e.upTo < After(now, Ahead) {
 				b.waiting = append(b.waiting, e)
 			}
 		}
--- a/internal/coordination/calendar/book_test.go
+++ b/internal/coordination/calendar/book_test.go
@@ -161,6 +161,26 @@
 	})
 }
 
+// TestCancelledStaysAway: what was taken back is not listed again as time goes on.
+// A recurring reservation was, a day later, from 1970 on, and was in the way of
+// all that was asked for then.
+func TestCancelledStaysAway(t *testing.T) {
+	b := NewBook()
+	r := bookkeeping.Reservation{Spec: *spec("one", "daily at 04:00", 1), State: bookkeeping.Cancelled, Order: 1}
+	w := bookkeeping.Window{Spec: bookkeeping.WindowSpec{Name: "w", When: "daily at 04:00", LengthS: 60}, Cancelled: true}
+	if b.PutReservation(r, 1, noon) != nil || b.PutWindow(w, 1, noon) != nil {
+		t.Fatal("not taken")
+	}
+	for day := range 3 {
+		for range 3 {
+			b.Extend(After(noon, time.Duration(day)*25*time.Hour))
+		}
+	}
+	if b.size != 0 {
+		t.Errorf("%d times listed", b.size)
+	}
+}
+
 // TestThousandInAYear: asking what overlaps costs by what does: a thousand
 // recurring reservations of a year's calendar are listed in pieces, and what is
 // looked at is what overlaps.
