--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -66,6 +66,10 @@
 	Job     protocol.JobID
 	Machine protocol.MachineID
 	Block   string
+
+	Calendar    bool
+	Reservation EntryName
+	Window      EntryName
 }
 
 // ParseFollowed tells what a followed key is about.
@@ -85,6 +89,15 @@
 	if n, ok := strings.CutPrefix(key, blockPrefix); ok {
 		return Followed{Block: n}, true
 	}
+	if key == CalendarKey {
+		return Followed{Calendar: true}, true
+	}
+	if n, ok := strings.CutPrefix(key, reservationPrefix); ok {
+		return Followed{Reservation: EntryName(n)}, true
+	}
+	if n, ok := strings.CutPrefix(key, windowPrefix); ok {
+		return Followed{Window: EntryName(n)}, true
+	}
 	return Followed{}, false
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 	"time"
+
+	"damsonkeel/internal/protocol"
 )
 
 // Operator is the operators' own settings, an optional XML file. Every
@@ -27,6 +30,12 @@
 	// SingleRecords keeps the record of each machine apart, as versions before
 	// blocks of records did.
 	SingleRecords bool
+	// OperatorKeys is the file of the keys that operators' requests are sealed
+	// with; empty: no such request is taken.
+	OperatorKeys string
+	// Machines is how many machines of a type operators count on at the most,
+	// for what is promised; of types that are not named, any number.
+	Machines map[protocol.MachineType]int
 }
 
 // DefaultOperator returns the defaults.
@@ -78,6 +87,13 @@
 	take := map[string]func(string) error{
 		"relayEvery": duration(&op.RelayEvery), "copyWait": duration(&op.CopyWait), "defaultEstimate": duration(&op.DefaultEstimate),
 		"nodeLease": duration(&op.NodeLease), "idleReturn": duration(&op.IdleReturn),
+		"operatorKeys": func(text string) error {
+			if op.OperatorKeys = text; text == "" {
+				return errors.New("no file is named")
+			}
+			return nil
+		},
+		"machines": machines(&op),
 		"machineRecords": func(text string) error {
 			if op.SingleRecords = text == "single"; !op.SingleRecords && text != "blocks" {
 				return fmt.Errorf("%q is none of its values", text)
@@ -136,3 +152,25 @@
 		return nil
 	}
 }
+
+// machinesMost bounds how many machines of a type may be counted on.
+const machinesMost = 1_000_000
+
+// machines takes how many machines of each type there are, "TYPE NUMBER, ...".
+func machines(op *Operator) func(string) error {
+	return func(text string) error {
+		op.Machines = map[protocol.MachineType]int{}
+		for part := range strings.SplitSeq(text, ",") {
+			f := strings.Fields(part)
+			if len(f) != 2 {
+				return fmt.Errorf("%q is no type and number", part)
+			}
+			n, err := strconv.Atoi(f[1])
+			if err != nil || n < 0 || n > machinesMost {
+				return fmt.Errorf("%q is no number from 0 to %d", f[1], machinesMost)
+			}
+			op.Machines[protocol.MachineType(f[0])] = n
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/coordination/calendar/book.go
@@ -0,0 +1,254 @@
+package calendar
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+
+	"github.com/zyedidia/generic/interval"
+)
+
+// Name names a reservation or a window.
+type Name = bookkeeping.EntryName
+
+const (
+	// Ahead is how far ahead the calendar is kept: what is promised is checked
+	// against all of it.
+	Ahead = 366 * 24 * time.Hour
+	// behind is for how long occurrences that are over are kept.
+	behind = 25 * time.Hour
+	// extendAtOnce is for how long after its first one an entry's occurrences are
+	// listed when it comes; the rest follows, a few entries at a time.
+	extendAtOnce = 15 * 24 * time.Hour
+	// extendMost bounds the entries whose occurrences are listed in one go.
+	extendMost = 20
+	// occurrencesMost bounds the calendar.
+	occurrencesMost = 1 << 20
+)
+
+// Occurrence is one time of a reservation or a window.
+type Occurrence struct {
+	Name   Name
+	Window bool
+	Start  Moment
+	End    Moment // of a reservation: when its job should be over at the latest
+}
+
+// Entry is a reservation or a window in the book; one of the two is set.
+type Entry struct {
+	*bookkeeping.Reservation
+	*bookkeeping.Window
+	Version protocol.Version // of its record
+	When    When
+
+	length  time.Duration
+	keys    []int64 // of its occurrences in the tree
+	upTo    Moment  // until when they are listed
+	awaited bool    // some of the time ahead is not listed yet
+}
+
+// Book is all entries, with an index by time: asking what overlaps a time costs
+// by what does.
+type Book struct {
+	entries map[bool]map[Name]*Entry // by whether they are windows
+	tree    *interval.Tree[int64, Occurrence]
+	size    int
+	next    int64
+	waiting []*Entry // whose occurrences are to be listed further
+	listed  Moment   // when they were last
+}
+
+// NewBook makes an empty book.
+func NewBook() *Book {
+	return &Book{entries: map[bool]map[Name]*Entry{false: {}, true: {}}, tree: interval.New[int64, Occurrence]()}
+}
+
+// Starts in the tree have to differ: a number follows the time in them.
+const (
+	numberBits = 20
+	numberMask = 1<<numberBits - 1
+)
+
+func treeTime(m Moment) int64 { return int64(m) << numberBits }
+
+// Busy is how long a reservation keeps its room at the most: held for its job,
+// then used by it.
+func Busy(s *bookkeeping.ReservationSpec) time.Duration {
+	return time.Duration((s.HoldS + s.LengthS) * float64(time.Second))
+}
+
+// PutReservation takes over a record; it takes the place of an earlier one.
+func (b *Book) PutReservation(r bookkeeping.Reservation, v protocol.Version, now Moment) error {
+	w, err := ParseWhen(r.Spec.When)
+	if err != nil {
+		return fmt.Errorf("reservation %s: %w", r.Spec.Name, err)
+	}
+	e := &Entry{Reservation: &r, Version: v, When: w, length: Busy(&r.Spec)}
+	if old := b.entries[false][r.Spec.Name]; old != nil && old.Order == r.Order && r.State != bookkeeping.Cancelled {
+		// The same promise, further on: its times stay.
+		old.Reservation, old.Version = e.Reservation, v
+		return nil
+	}
+	b.put(false, r.Spec.Name, e, r.State != bookkeeping.Cancelled, now)
+	return nil
+}
+
+// PutWindow takes over a record.
+func (b *Book) PutWindow(w bookkeeping.Window, v protocol.Version, now Moment) error {
+	when, err := ParseWhen(w.Spec.When)
+	if err != nil {
+		return fmt.Errorf("window %s: %w", w.Spec.Name, err)
+	}
+	e := &Entry{Window: &w, Version: v, When: when, length: time.Duration(w.Spec.LengthS * float64(time.Second))}
+	b.put(true, w.Spec.Name, e, !w.Cancelled, now)
+	return nil
+}
+
+func (b *Book) put(window bool, n Name, e *Entry, valid bool, now Moment) {
+	b.Drop(window, n)
+	b.entries[window][n] = e
+	if !valid {
+		return
+	}
+	e.upTo = After(now, -behind)
+	b.list(e, window, n, After(now, extendAtOnce))
+	if e.When.Recurs() {
+		e.awaited = true
+		b.waiting = append(b.waiting, e)
+	} else {
+		b.list(e, window, n, After(now, 100*Ahead))
+	}
+}
+
+// list adds an entry's occurrences until before a moment.
+func (b *Book) list(e *Entry, window bool, n Name, to Moment) {
+	for _, m := range e.When.Occurrences(e.upTo, to) {
+		if b.size >= occurrencesMost {
+			break
+		}
+		b.next = (b.next + 1) & numberMask
+		key := treeTime(m) | b.next
+		b.tree.Put(key, treeTime(After(m, e.length)), Occurrence{n, window, m, After(m, e.length)})
+		b.size++
+		e.keys = append(e.keys, key)
+	}
+	e.upTo = max(e.upTo, to)
+}
+
+// Drop removes an entry.
+func (b *Book) Drop(window bool, n Name) {
+	e := b.entries[window][n]
+	if e == nil {
+		return
+	}
+	delete(b.entries[window], n)
+	for _, key := range e.keys {
+		b.tree.Remove(key)
+		b.size--
+	}
+	e.keys = nil
+	b.waiting = slices.DeleteFunc(b.waiting, func(w *Entry) bool { return w == e })
+}
+
+// Extend lists further occurrences, of a few entries at a time, and forgets
+// those long over. It is called regularly.
+func (b *Book) Extend(now Moment) {
+	for range min(extendMost, len(b.waiting)) {
+		e := b.waiting[0]
+		b.waiting = b.waiting[1:]
+		b.list(e, e.Window != nil, e.Name(), After(now, Ahead+24*time.Hour))
+		e.awaited = false
+	}
+	if Between(b.listed, now) < 24*time.Hour || len(b.waiting) > 0 {
+		return
+	}
+	b.listed = now
+	for window, es := range b.entries {
+		for n := range es {
+			e := es[n]
+			old := treeTime(After(now, -behind-e.length))
+			for len(e.keys) > 0 && e.keys[0] < old {
+				b.tree.Remove(e.keys[0])
+				b.size--
+				e.keys = e.keys[1:]
+			}
+			if e.When.Recurs() && !(window && e.Cancelled) && e.upTo < After(now, Ahead) {
+				b.waiting = append(b.waiting, e)
+			}
+		}
+	}
+	slices.SortFunc(b.waiting, func(x, y *Entry) int { return compareNames(x, y) })
+}
+
+// Complete reports whether all that was promised is listed: until then nothing
+// can be promised beside it.
+func (b *Book) Complete() bool {
+	return b.size < occurrencesMost && !slices.ContainsFunc(b.waiting, func(e *Entry) bool { return e.awaited })
+}
+
+func compareNames(x, y *Entry) int {
+	switch {
+	case x.Name() < y.Name():
+		return -1
+	case x.Name() > y.Name():
+		return 1
+	}
+	return 0
+}
+
+// Name is the entry's name.
+func (e *Entry) Name() Name {
+	if e.Window != nil {
+		return e.Window.Spec.Name
+	}
+	return e.Reservation.Spec.Name
+}
+
+// Overlapping lists what overlaps a time, in the order of its beginnings.
+func (b *Book) Overlapping(from, to Moment) []Occurrence {
+	var out []Occurrence
+	if to <= from {
+		to = from + 1
+	}
+	for _, kv := range b.tree.Overlaps(treeTime(from), treeTime(to)) {
+		out = append(out, kv.Val)
+	}
+	return out
+}
+
+// Reservation finds a reservation; nil if there is none.
+func (b *Book) Reservation(n Name) *Entry { return b.entries[false][n] }
+
+// Window finds a window; nil if there is none.
+func (b *Book) Window(n Name) *Entry { return b.entries[true][n] }
+
+// Reservations lists all of them by name.
+func (b *Book) Reservations() []*Entry { return b.sorted(false) }
+
+// Windows lists all of them by name.
+func (b *Book) Windows() []*Entry { return b.sorted(true) }
+
+func (b *Book) sorted(window bool) []*Entry {
+	return slices.SortedFunc(maps.Values(b.entries[window]), compareNames)
+}
+
+// Empty reports whether nothing is in the book.
+func (b *Book) Empty() bool { return len(b.entries[false]) == 0 && len(b.entries[true]) == 0 }
+
+// Current is the occurrence of a reservation that is due or comes next, from the
+// one its record names.
+func (e *Entry) Current() Occurrence {
+	return Occurrence{Name: e.Name(), Start: e.StartMS, End: After(e.StartMS, e.length)}
+}
+
+// Covers reports whether a window covers a machine.
+func Covers(s *bookkeeping.WindowSpec, id protocol.MachineID, t protocol.MachineType, z protocol.Zone) bool {
+	if len(s.Machines) > 0 {
+		return slices.Contains(s.Machines, id)
+	}
+	return (s.Type == "" || s.Type == t) && (s.Zone == "" || s.Zone == z)
+}
--- /dev/null
+++ b/internal/coordination/calendar/decide.go
@@ -0,0 +1,308 @@
+package calendar
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/renting"
+	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/protocol"
+)
+
+// Facts is what a decision knows of the site.
+type Facts struct {
+	Types map[protocol.MachineType]protocol.TypeInfo
+	Team  func(protocol.Team) (config.Team, bool)
+	// Most is how many machines of a type there can be at the most, as far as
+	// operators say so; the cloud does not.
+	Most map[protocol.MachineType]int
+	// Machine finds the type and zone of a machine that is up.
+	Machine func(protocol.MachineID) (protocol.MachineType, protocol.Zone, bool)
+}
+
+// Answer is what was decided on a reservation or a window.
+type Answer struct {
+	OK     bool
+	Reason string // why it is refused, or what is promised
+	// InTheWay names what it can't be kept beside, Beside what overlaps it and
+	// fits as well.
+	InTheWay []Name
+	Beside   []Name
+	First    []Moment // its first times
+}
+
+func refused(inTheWay []Name, format string, args ...any) Answer {
+	return Answer{Reason: fmt.Sprintf(format, args...), InTheWay: inTheWay}
+}
+
+// firstTimes is how many of its times an answer lists.
+const firstTimes = 3
+
+// Reserve decides whether a reservation can be kept beside everything that is
+// promised already.
+func (b *Book) Reserve(s *bookkeeping.ReservationSpec, f *Facts, now Moment) Answer {
+	size := room.Amount{CPUs: s.CPUs, GPUs: s.GPUs, GB: s.MemoryGB}
+	fits := false
+	for _, t := range f.Types {
+		for _, z := range t.AllowZones {
+			fits = fits || Allows(s, t, z, false) && room.Capacity(t).Covers(size)
+		}
+	}
+	if !fits {
+		return refused(nil, "a task fits no allowed machine type of the catalogue")
+	}
+	if s.Team != "" {
+		if _, ok := f.Team(s.Team); !ok {
+			return refused(nil, "unknown team %s", s.Team)
+		}
+	}
+	w, err := ParseWhen(s.When)
+	if err != nil {
+		return refused(nil, "%v", err)
+	}
+	times := w.Occurrences(now, After(now, Ahead))
+	if len(times) == 0 {
+		return refused(nil, "its time is over, or more than a year away")
+	}
+	beside := map[Name]bool{}
+	tried := map[string]bool{}
+	for _, start := range times {
+		at := Occurrence{Name: s.Name, Start: start, End: After(start, Busy(s))}
+		for _, m := range b.changes(at) {
+			active := b.active(m, s.Name, beside)
+			key := fmt.Sprint(active)
+			if tried[key] {
+				continue // the same as on another day
+			}
+			tried[key] = true
+			if a := b.fit(s, active, f); !a.OK {
+				a.Reason += " on " + clockTime(m)
+				return a
+			}
+		}
+	}
+	return Answer{
+		OK: true, Reason: promise(s, f), First: times[:min(len(times), firstTimes)],
+		Beside: slices.Sorted(maps.Keys(beside)),
+	}
+}
+
+func clockTime(m Moment) string { return time.UnixMilli(int64(m)).UTC().Format("2006-01-02 15:04 MST") }
+
+// promise says what a reservation gets.
+func promise(s *bookkeeping.ReservationSpec, f *Facts) string {
+	if len(f.Most) == 0 {
+		return fmt.Sprintf("room for %d tasks; what is not there is rented, as the cloud does not say how much it has", s.Tasks)
+	}
+	return fmt.Sprintf("room for %d tasks, within the machines that operators count on", s.Tasks)
+}
+
+// changes are the moments within an occurrence at which what overlaps it
+// changes for the worse: its own beginning, and those of others.
+func (b *Book) changes(at Occurrence) []Moment {
+	ms := []Moment{at.Start}
+	for _, o := range b.Overlapping(at.Start, at.End) {
+		if o.Start > at.Start {
+			ms = append(ms, o.Start)
+		}
+	}
+	slices.Sort(ms)
+	return slices.Compact(ms)
+}
+
+// active lists what there is at a moment, but for one name; reservations are
+// noted.
+func (b *Book) active(m Moment, but Name, beside map[Name]bool) []Occurrence {
+	var out []Occurrence
+	for _, o := range b.Overlapping(m, m+1) {
+		if !o.Window && o.Name == but {
+			continue
+		}
+		if !o.Window {
+			beside[o.Name] = true
+		}
+		out = append(out, Occurrence{Name: o.Name, Window: o.Window})
+	}
+	slices.SortFunc(out, func(x, y Occurrence) int { return strings.Compare(fmt.Sprint(x), fmt.Sprint(y)) })
+	return out
+}
+
+// fit tries to house a reservation beside those active at the same time.
+// Reservations accepted earlier go first.
+func (b *Book) fit(s *bookkeeping.ReservationSpec, active []Occurrence, f *Facts) Answer {
+	var windows, others []*Entry
+	for _, o := range active {
+		switch {
+		case o.Window && b.Window(o.Name) != nil:
+			windows = append(windows, b.Window(o.Name))
+		case !o.Window && b.Reservation(o.Name) != nil:
+			others = append(others, b.Reservation(o.Name))
+		}
+	}
+	slices.SortFunc(others, func(x, y *Entry) int { return int(int64(x.Order) - int64(y.Order)) })
+	if a := withinTeam(s, others, f); !a.OK {
+		return a
+	}
+	p := renting.New(f.Types, slotsBeside(windows, f), nil)
+	for _, e := range others {
+		p.Fill(workOf(&e.Reservation.Spec), e.Reservation.Spec.Tasks)
+	}
+	left := p.Fill(workOf(s), s.Tasks)
+	if left == 0 {
+		return Answer{OK: true}
+	}
+	var names []Name
+	for _, e := range windows {
+		names = append(names, e.Window.Spec.Name)
+	}
+	for _, e := range others {
+		if overlapTypes(s, &e.Reservation.Spec) {
+			names = append(names, e.Reservation.Spec.Name)
+		}
+	}
+	return refused(names, "no room for %d of its %d tasks", left, s.Tasks)
+}
+
+// overlapTypes reports whether two reservations could want the same machines.
+func overlapTypes(a, b *bookkeeping.ReservationSpec) bool {
+	if a.Zone != "" && b.Zone != "" && a.Zone != b.Zone {
+		return false
+	}
+	return len(a.Types) == 0 || len(b.Types) == 0 || slices.ContainsFunc(a.Types, func(t protocol.MachineType) bool { return slices.Contains(b.Types, t) })
+}
+
+// withinTeam checks the team's limit: what a team is promised for the same time
+// has to stay within it.
+func withinTeam(s *bookkeeping.ReservationSpec, others []*Entry, f *Facts) Answer {
+	team, ok := f.Team(s.Team)
+	if !ok || !team.Limited() {
+		return Answer{OK: true}
+	}
+	n := float64(s.Tasks)
+	cpus, gpus := n*s.CPUs, n*s.GPUs
+	var names []Name
+	for _, e := range others {
+		if o := &e.Reservation.Spec; o.Team == s.Team {
+			cpus, gpus = cpus+float64(o.Tasks)*o.CPUs, gpus+float64(o.Tasks)*o.GPUs
+			names = append(names, o.Name)
+		}
+	}
+	if team.MaxCPUs > 0 && cpus > team.MaxCPUs+room.Slack || team.MaxGPUs > 0 && gpus > team.MaxGPUs+room.Slack {
+		return refused(names, "more than the limit of team %s, with what is promised to it for the same time", s.Team)
+	}
+	return Answer{OK: true}
+}
+
+// unbounded stands for as many machines as anybody may ask for.
+const unbounded = 1 << 20
+
+// slotsBeside is the room there can be while windows are open.
+func slotsBeside(windows []*Entry, f *Facts) []renting.Slot {
+	var slots []renting.Slot
+	for _, name := range slices.Sorted(maps.Keys(f.Types)) {
+		t := f.Types[name]
+		named := 0
+		var zones []protocol.Zone
+		for _, z := range t.AllowZones {
+			covered := slices.ContainsFunc(windows, func(e *Entry) bool { return Covers(&e.Window.Spec, "", name, z) })
+			if !covered {
+				zones = append(zones, z)
+			}
+		}
+		for _, e := range windows {
+			for _, id := range e.Window.Spec.Machines {
+				if at, _, up := f.Machine(id); up && at == name {
+					named++
+				}
+			}
+		}
+		most, known := f.Most[name]
+		switch {
+		case len(zones) == 0:
+		case known: // wherever they are
+			t.AllowZones = zones
+			s := renting.Fresh(t, renting.Kind{Type: name}, max(0, most-named))
+			slots = append(slots, s)
+		default:
+			for _, z := range zones {
+				slots = append(slots, renting.Fresh(t, renting.Kind{Type: name, Zone: z}, unbounded))
+			}
+		}
+	}
+	return slots
+}
+
+// workOf is a reservation's tasks as a plan reckons with them.
+func workOf(s *bookkeeping.ReservationSpec) renting.Work {
+	return renting.Work{
+		Need: room.Amount{CPUs: s.CPUs, GPUs: s.GPUs, GB: s.MemoryGB}, Level: room.LevelOf(s.Priority, false),
+		Allows: func(t protocol.TypeInfo, z protocol.Zone, spot bool) bool {
+			if z != "" {
+				return Allows(s, t, z, spot)
+			}
+			return slices.ContainsFunc(t.AllowZones, func(z protocol.Zone) bool { return Allows(s, t, z, spot) })
+		},
+	}
+}
+
+// Close decides whether a window leaves room for everything that is promised.
+func (b *Book) Close(s *bookkeeping.WindowSpec, f *Facts, now Moment) Answer {
+	if s.Type != "" {
+		if _, ok := f.Types[s.Type]; !ok {
+			return refused(nil, "the catalogue has no type %s", s.Type)
+		}
+	}
+	w, err := ParseWhen(s.When)
+	if err != nil {
+		return refused(nil, "%v", err)
+	}
+	times := w.Occurrences(now, After(now, Ahead))
+	if len(times) == 0 {
+		return refused(nil, "its time is over, or more than a year away")
+	}
+	trial := &Entry{Window: &bookkeeping.Window{Spec: *s}}
+	beside := map[Name]bool{}
+	tried := map[string]bool{}
+	for _, start := range times {
+		for _, m := range b.changes(Occurrence{Start: start, End: afterS(start, s.LengthS)}) {
+			active := b.active(m, "", beside)
+			key := fmt.Sprint(active)
+			if tried[key] {
+				continue
+			}
+			tried[key] = true
+			if names := b.broken(trial, active, f); len(names) > 0 {
+				return refused(names, "what is promised would have no room on %s", clockTime(m))
+			}
+		}
+	}
+	return Answer{OK: true, Reason: "nothing new starts there then; what runs is let run", First: times[:min(len(times), firstTimes)], Beside: slices.Sorted(maps.Keys(beside))}
+}
+
+// broken names the reservations that have no room beside another window, and
+// had some without it.
+func (b *Book) broken(trial *Entry, active []Occurrence, f *Facts) (names []Name) {
+	var windows, others []*Entry
+	for _, o := range active {
+		switch {
+		case o.Window && o.Name != trial.Name() && b.Window(o.Name) != nil:
+			windows = append(windows, b.Window(o.Name))
+		case !o.Window && b.Reservation(o.Name) != nil:
+			others = append(others, b.Reservation(o.Name))
+		}
+	}
+	slices.SortFunc(others, func(x, y *Entry) int { return int(int64(x.Order) - int64(y.Order)) })
+	before, with := renting.New(f.Types, slotsBeside(windows, f), nil), renting.New(f.Types, slotsBeside(append(windows, trial), f), nil)
+	for _, e := range others {
+		s := &e.Reservation.Spec
+		if before.Fill(workOf(s), s.Tasks) < with.Fill(workOf(s), s.Tasks) {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/coordination/calendar/hold.go
@@ -0,0 +1,328 @@
+package calendar
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/protocol"
+)
+
+// Run is work that a machine does, or has in its queue.
+type Run struct {
+	Ends  Moment // when it is likely to be over, by its estimate and how far such are off
+	Need  room.Amount
+	Level room.Level
+	For   Name // the reservation it is of, if any
+}
+
+// Machine is a machine as far as room is held on it.
+type Machine struct {
+	ID   protocol.MachineID
+	Info protocol.TypeInfo
+	Zone protocol.Zone
+	Spot bool
+	// Up is when it is up; 0: it is.
+	Up   Moment
+	Runs []Run
+}
+
+// Due is an occurrence of a reservation that room is held for.
+type Due struct {
+	*bookkeeping.Reservation
+	Left int // of its tasks, not started yet
+	// Clear is from when on the room has to be free of what can't be stopped for
+	// it: as long before its time as another machine takes to come.
+	Clear Moment
+}
+
+// level is that of the reserved work: no more than its priority gives it.
+func (d *Due) level() room.Level { return room.LevelOf(d.Spec.Priority, false) }
+
+func (d *Due) size() room.Amount {
+	return room.Amount{CPUs: d.Spec.CPUs, GPUs: d.Spec.GPUs, GB: d.Spec.MemoryGB}
+}
+
+// Hold is room on one machine that is held for a reservation. What is not of it
+// may use the room until Clear, and what may be stopped for it until From.
+type Hold struct {
+	For     Name               `cbor:"for"`
+	Machine protocol.MachineID `cbor:"machine"`
+	Tasks   int                `cbor:"tasks"`
+	Need    room.Amount        `cbor:"need"` // of all of them
+	Level   room.Level         `cbor:"level"`
+	Clear   Moment             `cbor:"clear"`
+	From    Moment             `cbor:"from"`
+	Until   Moment             `cbor:"until"`
+}
+
+// Plan is what is held, and what is missing.
+type Plan struct {
+	Holds []Hold
+	// Short is how many tasks have no room that is sure: that is to be rented.
+	// Missing is how many of them are unlikely to have any at their time.
+	Short, Missing map[Name]int
+	Zones          map[Name]protocol.Zone // of those that are held in one zone
+}
+
+// machineRoom is a machine while holds are chosen.
+type machineRoom struct {
+	*Machine
+	taken []Hold
+}
+
+// free is what a machine has left for an occurrence that can be relied on: what
+// is there is likely to be over when it has to be clear, and from then on is
+// over. Firm counts what could be stopped as gone, too.
+func (m *machineRoom) free(d *Due, now Moment, firm bool) room.Amount {
+	by := Moment(0)
+	if now <= d.Clear {
+		by = d.Clear
+	}
+	return m.freeBy(d, by, firm)
+}
+
+// freeBy is what is left if everything is over that is likely to be by a moment.
+func (m *machineRoom) freeBy(d *Due, by Moment, firm bool) room.Amount {
+	free := room.Capacity(m.Info)
+	for _, r := range m.Runs {
+		switch {
+		case r.For == d.Spec.Name:
+			free = free.Minus(r.Need) // started already: its room is used
+		case r.Ends <= by:
+		case firm && r.Level < d.level():
+		default:
+			free = free.Minus(r.Need)
+		}
+	}
+	for _, h := range m.taken {
+		if h.For != d.Spec.Name && h.From < afterS(d.StartMS, d.Spec.HoldS+d.Spec.LengthS) && d.StartMS < h.Until {
+			free = free.Minus(h.Need)
+		}
+	}
+	return free
+}
+
+// Choose holds room for what is due. What was held before stays where it is as
+// long as that will do; what comes sooner goes first, then what was accepted
+// earlier. Usable tells whether a machine may be held for a time: not one that
+// is leaving, or in a window then.
+func Choose(dues []Due, machines []Machine, before []Hold, usable func(*Machine, *Due) bool, now Moment) Plan {
+	p := Plan{Short: map[Name]int{}, Missing: map[Name]int{}, Zones: map[Name]protocol.Zone{}}
+	rooms := make([]*machineRoom, len(machines))
+	at := map[protocol.MachineID]*machineRoom{}
+	for i := range machines {
+		rooms[i] = &machineRoom{Machine: &machines[i]}
+		at[machines[i].ID] = rooms[i]
+	}
+	held := map[Name][]Hold{}
+	for _, h := range before {
+		held[h.For] = append(held[h.For], h)
+	}
+	dues = slices.Clone(dues)
+	slices.SortFunc(dues, func(a, b Due) int {
+		return cmp.Or(cmp.Compare(a.StartMS, b.StartMS), cmp.Compare(a.Order, b.Order))
+	})
+	for i := range dues {
+		d := &dues[i]
+		var mine []*machineRoom
+		for _, m := range rooms {
+			if Allows(&d.Spec, m.Info, m.Zone, m.Spot) && usable(m.Machine, d) {
+				mine = append(mine, m)
+			}
+		}
+		zone := d.Spec.Zone
+		if d.Spec.OneZone && zone == "" {
+			zone = bestZone(d, mine, held[d.Spec.Name], now)
+		}
+		if zone != "" {
+			p.Zones[d.Spec.Name] = zone
+			mine = slices.DeleteFunc(mine, func(m *machineRoom) bool { return m.Zone != zone })
+		}
+		left, spare := d.Left, 0
+		if now < d.Clear {
+			spare = 1 + d.Left/spareShare
+		}
+		for _, m := range preferred(d, mine, held[d.Spec.Name], at, now) {
+			if left+spare <= 0 {
+				break
+			}
+			left -= p.hold(d, m, min(left+spare, m.free(d, now, true).Fit(d.size())))
+		}
+		if left <= 0 {
+			continue
+		}
+		p.Short[d.Spec.Name] = left
+		for _, m := range soonest(d, mine, now) {
+			if left <= 0 {
+				break
+			}
+			if m.by > After(max(d.StartMS, now), lateBy) && p.Missing[d.Spec.Name] == 0 {
+				p.Missing[d.Spec.Name] = left
+			}
+			left -= p.hold(d, m.machineRoom, min(left, m.fits))
+		}
+		if left > 0 {
+			p.Missing[d.Spec.Name] = max(left, p.Missing[d.Spec.Name])
+		}
+	}
+	return p
+}
+
+const (
+	// spareShare: beside each so many tasks room is held for one more until all
+	// of it has to be clear, as some of what runs there is not over by then.
+	spareShare = 4
+	// lateBy is how late room may come after its time and still be in time.
+	lateBy = 30 * time.Second
+)
+
+// hold holds room for so many tasks on a machine, and returns that number.
+func (p *Plan) hold(d *Due, m *machineRoom, n int) int {
+	if n <= 0 {
+		return 0
+	}
+	h := Hold{
+		For: d.Spec.Name, Machine: m.ID, Tasks: n, Need: d.size().Times(float64(n)), Level: d.level(),
+		Clear: d.Clear, From: d.StartMS, Until: afterS(d.StartMS, d.Spec.HoldS+d.Spec.LengthS),
+	}
+	m.taken = append(m.taken, h)
+	p.Holds = append(p.Holds, h)
+	return n
+}
+
+// later is a machine that is likely to have room, and by when.
+type later struct {
+	*machineRoom
+	by   Moment
+	fits int
+}
+
+// soonest lists machines that have no room to rely on yet by when they are
+// likely to have some: it is held before it comes free, or others would take it.
+func soonest(d *Due, machines []*machineRoom, now Moment) []later {
+	var ls []later
+	for _, m := range machines {
+		if slices.ContainsFunc(m.taken, func(h Hold) bool { return h.For == d.Spec.Name }) {
+			continue
+		}
+		ends := []Moment{max(now, m.Up)}
+		for _, r := range m.Runs {
+			ends = append(ends, max(r.Ends, now, m.Up))
+		}
+		slices.Sort(ends)
+		for _, by := range ends {
+			// What comes free until its time counts, whatever was first.
+			if n := m.freeBy(d, max(by, d.StartMS), true).Fit(d.size()); n > 0 {
+				ls = append(ls, later{m, by, n})
+				break
+			}
+		}
+	}
+	slices.SortFunc(ls, func(a, b later) int { return cmp.Or(cmp.Compare(a.by, b.by), cmp.Compare(a.ID, b.ID)) })
+	return ls
+}
+
+// preferred is the order in which machines are taken: first where nothing has to
+// be stopped, of these those held already, ordinary machines before spot
+// machines, those that are up before those that come, those where the most tasks
+// fit, and the cheapest.
+func preferred(d *Due, machines []*machineRoom, before []Hold, at map[protocol.MachineID]*machineRoom, now Moment) []*machineRoom {
+	was := map[*machineRoom]bool{}
+	for _, h := range before {
+		if m := at[h.Machine]; m != nil {
+			was[m] = true
+		}
+	}
+	type place struct {
+		*machineRoom
+		clear int // tasks that fit without anything being stopped
+	}
+	ps := make([]place, len(machines))
+	for i, m := range machines {
+		ps[i] = place{m, m.free(d, now, false).Fit(d.size())}
+	}
+	bit := func(b bool) int {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(ps, func(a, b place) int {
+		return cmp.Or(
+			bit(a.clear == 0)-bit(b.clear == 0), bit(was[b.machineRoom])-bit(was[a.machineRoom]), bit(a.Spot)-bit(b.Spot),
+			cmp.Compare(a.Up, b.Up), cmp.Compare(b.clear, a.clear), cmp.Compare(a.Info.Price, b.Info.Price), cmp.Compare(a.ID, b.ID))
+	})
+	out := make([]*machineRoom, len(ps))
+	for i, p := range ps {
+		out[i] = p.machineRoom
+	}
+	return out
+}
+
+// bestZone is where a reservation that needs all its room in one zone is held:
+// where it was, as long as that can hold it or no other can, else where the most
+// of it fits.
+func bestZone(d *Due, machines []*machineRoom, before []Hold, now Moment) protocol.Zone {
+	fits, was := map[protocol.Zone]int{}, protocol.Zone("")
+	for _, m := range machines {
+		fits[m.Zone] += m.free(d, now, true).Fit(d.size())
+		if was == "" && (slices.ContainsFunc(before, func(h Hold) bool { return h.Machine == m.ID }) || slices.ContainsFunc(m.Runs, func(r Run) bool { return r.For == d.Spec.Name })) {
+			was = m.Zone
+		}
+	}
+	best := was
+	for _, z := range slices.Sorted(maps.Keys(fits)) {
+		if best == "" || min(fits[z], d.Left) > min(fits[best], d.Left) {
+			best = z
+		}
+	}
+	return best
+}
+
+// Task is work that is to start, as far as holds are concerned.
+type Task struct {
+	Of    func(Name) bool // whether it is of a reservation
+	Need  room.Amount
+	Level room.Level
+	Saves bool   // when it is stopped
+	Ends  Moment // when it is likely to be over, if it starts now
+}
+
+// Leaves reports whether a machine's held room lets a task start in what is
+// free.
+func Leaves(holds []Hold, t *Task, free room.Amount, now Moment) bool {
+	for i := range holds {
+		if h := &holds[i]; !h.lets(t, now) {
+			free = free.Minus(h.Need)
+		}
+	}
+	return free.Covers(t.Need)
+}
+
+// Owns reports whether some of the held room is for the task.
+func Owns(holds []Hold, t *Task) bool {
+	return slices.ContainsFunc(holds, func(h Hold) bool { return t.Of(h.For) })
+}
+
+// lets reports whether held room may be used by a task: it is held for it, the
+// task is likely to end in time, or it can save and may be stopped in time.
+func (h *Hold) lets(t *Task, now Moment) bool {
+	return t.Of(h.For) || now >= h.Until || t.Ends <= h.Clear && now <= h.Clear ||
+		t.Saves && t.Level < h.Level && now < h.stopAt(stopLead)
+}
+
+// stopLead is how long before its time a hold's room is cleared of what may be
+// stopped for it, beyond the time that takes to save.
+const stopLead = 15 * time.Second
+
+func (h *Hold) stopAt(lead time.Duration) Moment { return After(h.From, -lead) }
+
+// Stop reports whether it is time to stop what is in the way of a hold, given how
+// long it takes to save.
+func (h *Hold) Stop(save time.Duration, now Moment) bool {
+	return now >= h.stopAt(stopLead+save) && now < h.Until
+}
--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -21,6 +21,8 @@
 	risk   float64 // what a spot machine adds to the wait, in seconds
 	shun   bool    // spot machines only if there is no other way
 	claims *claims
+	bars   func(*machineEntry) bool // see Core.bars; nil: nothing is promised
+	own    func(*machineEntry) bool // whether room is held there for the job
 	dear   map[kind]float64
 	heap   []candidate
 }
@@ -34,11 +36,13 @@
 }
 
 // rank puts machines with room now before all that have none, and among them
-// those first that no class has room kept on.
+// those first whose room is held for the job, then those that no class has room
+// kept on.
 type rank uint8
 
 const (
-	rankFree rank = iota
+	rankOwn rank = iota
+	rankFree
 	rankWanted
 	rankQueue
 )
@@ -62,7 +66,10 @@
 
 // candidatesFor looks for the machines that may run a job's tasks.
 func (c *Core) candidatesFor(o *ownedJob, zones map[protocol.Zone]int, cl *claims) *candidates {
-	s := &candidates{job: o, need: room.Need(&o.Job), claims: cl, risk: c.spotStretch(&o.Job) * c.estimate(&o.Job), shun: c.risky(&o.Job), dear: c.dear}
+	s := &candidates{job: o, need: room.Need(&o.Job), bars: c.bars(o), claims: cl, risk: c.spotStretch(&o.Job) * c.estimate(&o.Job), shun: c.risky(&o.Job), dear: c.dear}
+	if s.bars != nil {
+		s.own = func(m *machineEntry) bool { return c.holdsFor(o, m) }
+	}
 	for _, m := range c.machinesInOrder() {
 		if c.mayTake(o, m, zones) {
 			if k, ok := s.weigh(m, c.rng.Uint32()); ok {
@@ -126,7 +133,14 @@
 // way, which is stopped for it: behind the rest it would keep the machines of
 // all others idle until they give it up.
 func (s *candidates) weigh(m *machineEntry, tie uint32) (candidate, bool) {
+	if s.bars != nil && s.bars(m) {
+		return candidate{}, false
+	}
+	own := s.own != nil && s.own(m)
 	w, room := m.waitFor(&s.job.Job, s.job.level)
+	if own && !room && m.idle().Covers(s.need) {
+		w, room = m.fetch(&s.job.Job), true
+	}
 	if !room && s.job.together() {
 		firm := m.firmRoom(s.job.level)
 		if !firm.Covers(s.need) {
@@ -147,6 +161,9 @@
 			k.rank = rankWanted
 		}
 	}
+	if room && own {
+		k.rank = rankOwn
+	}
 	return k, true
 }
 
@@ -173,7 +190,7 @@
 func (s *candidates) smallest(zones map[protocol.Zone]int) *machineEntry {
 	for len(s.heap) > 0 {
 		top := &s.heap[0]
-		if !s.job.allowsZone(top.m, zones) || s.tooDeep(top) || top.rank != rankQueue && !s.claims.spared(s.job, top.m, s.need) {
+		if !s.job.allowsZone(top.m, zones) || s.tooDeep(top) || top.rank != rankQueue && top.rank != rankOwn && !s.claims.spared(s.job, top.m, s.need) {
 			heap.Pop(s)
 			continue
 		}
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -99,7 +99,7 @@
 		kp := kept{job: l, risky: c.risky(&l.Job), need: room.Need(&l.Job), spare: -r}
 		for _, m := range c.machines {
 			if c.usable(m) && kp.suits(m) {
-				kp.spare += m.free().Fit(kp.need)
+				kp.spare += m.unreserved().Fit(kp.need)
 			}
 		}
 		cl.classes = append(cl.classes, kp)
@@ -110,7 +110,7 @@
 // costs is how many tasks of a reserved class would have no room any more if
 // a machine took a task of a size.
 func (k *kept) costs(m *machineEntry, n room.Amount) int {
-	free := m.free()
+	free := m.unreserved()
 	return free.Fit(k.need) - free.Minus(n).Fit(k.need)
 }
 
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -26,7 +26,7 @@
 	log      *slog.Logger
 	rng      *rand.Rand
 	now      Time
-	epochMS  int64 // the time of day when now was 0
+	wallMS   int64 // the time of day when now was 0, as last told
 	out      []Action
 	local    []PeerMessage // to itself, handled before the step ends
 
@@ -74,6 +74,8 @@
 	peers  map[protocol.NodeName]*peer
 	spots  forecast.Spot
 	fleet  fleetState
+	// promised is the calendar: reservations and windows.
+	promised promises
 
 	lastRelay  Time
 	nextPlaced Time // not placed again before
@@ -127,6 +129,7 @@
 	c.peers = map[protocol.NodeName]*peer{}
 	c.owner = newOwnerState()
 	c.fleet = newFleetState()
+	c.promised = c.promised.anew()
 }
 
 // Step handles one message at a time of the steady clock.
@@ -140,9 +143,7 @@
 	case Snapshot:
 		c.reset()
 		c.session, c.begun = m.Session, c.now
-		if m.WallMS != 0 {
-			c.epochMS = m.WallMS - int64(c.now/Time(time.Millisecond))
-		}
+		c.tellTime(m.WallMS)
 		for _, it := range m.Items {
 			c.record(it.Key, it.Value, it.Version, true)
 		}
@@ -164,6 +165,7 @@
 	case Received:
 		c.received(m.Batch)
 	case Tick:
+		c.tellTime(m.WallMS)
 		c.setShare()
 		c.tick()
 	case StateAsked:
@@ -291,6 +293,8 @@
 		}
 	case f.Block != "":
 		c.blockGone(f.Block)
+	case f.Reservation != "" || f.Window != "":
+		c.calendarGone(f)
 	}
 }
 
@@ -330,6 +334,8 @@
 		if err = protocol.Decode(value, &b); err == nil {
 			c.blockSeen(f.Block, b, version)
 		}
+	case f.Calendar || f.Reservation != "" || f.Window != "":
+		err = c.calendarRecord(f, value, version)
 	}
 	if err != nil {
 		c.log.Error("record can't be read", "key", key, "err", err)
@@ -345,12 +351,14 @@
 	if c.since(c.lastRelay) >= c.op.RelayEvery {
 		c.lastRelay = c.now
 		c.refreshDue()
+		c.refreshPromises()
 		c.watchSpots()
 		c.watchSlow()
 		c.expireSilent()
 		c.rebalance("")
 		for _, q := range c.queuesInOrder() {
 			c.preempt(q)
+			c.clearHeld(q)
 		}
 		c.flushBits()
 		c.sendRelays(true)
@@ -374,6 +382,8 @@
 		if m.Outcome != OutcomeDone {
 			c.viewRetry = c.after(300 * time.Millisecond)
 		}
+	case reservationTag:
+		delete(c.promised.write, tag.name)
 	case registerTag:
 		c.registrationDone(tag, m.Outcome)
 	case finishTag:
--- a/internal/coordination/direct.go
+++ b/internal/coordination/direct.go
@@ -6,9 +6,9 @@
 	"damsonkeel/internal/protocol"
 )
 
-// directTimeout is how long a direct command may stay unanswered. If its worker
+// DirectTimeout is how long a direct command may stay unanswered. If its worker
 // is heard after that, the term is raised, which settles it.
-const directTimeout = 4 * time.Second
+const DirectTimeout = 4 * time.Second
 
 // wake has a queue's commands sent at once, at the end of the step.
 func (c *Core) wake(q *queue) {
--- a/internal/coordination/due.go
+++ b/internal/coordination/due.go
@@ -92,8 +92,8 @@
 
 // submitted is when a job was submitted, by this process's clock.
 func (c *Core) submitted(j *protocol.Job) Time {
-	if c.epochMS == 0 || j.SubmittedMS == 0 {
+	if c.wallMS == 0 || j.SubmittedMS == 0 {
 		return c.now
 	}
-	return min(c.now, Time(j.SubmittedMS-c.epochMS)*Time(time.Millisecond))
+	return min(c.now, Time(j.SubmittedMS-c.wallMS)*Time(time.Millisecond))
 }
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/protocol"
 )
@@ -16,6 +17,7 @@
 	since    Time // when this view was adopted
 	listed   map[protocol.MachineID]protocol.ListedMachine
 	listedAt Time
+	heardAt  Time // when a list last came
 	listing  bool
 	haveList bool
 	orphan   map[protocol.MachineID]Time // listed, not registered: since when
@@ -48,6 +50,7 @@
 type rentCall struct {
 	req   protocol.RentRequest
 	at    Time
+	of    calendar.Name // the reservation that it is for, if any
 	tries int
 	busy  bool
 }
@@ -100,6 +103,7 @@
 	}
 	f.lastPlan = c.now
 	c.noteComing()
+	c.choosePromised()
 	c.plan()
 	c.returnMachines()
 }
@@ -146,6 +150,7 @@
 		for _, id := range m.Machines {
 			f.coming[id] = coming{k, c.now}
 		}
+		c.choosePromised() // before anybody else uses them
 		c.log.Info("rented", "machines", m.Machines, "request", m.Request.Name)
 		delete(f.refused, k)
 		if len(m.Machines) == m.Request.Count {
@@ -251,6 +256,7 @@
 			gone = append(gone, id)
 		case empty && (m.told.Draining || m.told.Suspect):
 			gone = append(gone, id)
+		case c.keepPromised(m):
 		case empty && !m.told.Draining && idleS > c.keepIdle(m.info, spare) && spare >= m.info.CPUs && cl.give(m):
 			spare -= m.info.CPUs
 			c.log.Info("returning an idle machine", "machine", id, "idle_s", int(idleS))
@@ -328,7 +334,7 @@
 	if !m.OK {
 		return
 	}
-	f.haveList = true
+	f.haveList, f.heardAt = true, c.now
 	clear(f.listed)
 	for _, l := range m.Machines {
 		f.listed[l.ID] = l
--- /dev/null
+++ b/internal/coordination/holding.go
@@ -0,0 +1,269 @@
+package coordination
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/renting"
+	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/protocol"
+)
+
+// Holding is the work of the controller that rents machines: it chooses on which
+// of them room is held for what is due, rents what is missing a boot ahead, and
+// writes what becomes of reservations. What it chooses is told to all, who place
+// and start by it. It is chosen anew every two seconds, so it outlives nothing.
+
+const (
+	// holdAhead is how long before its time room is held on machines that are up:
+	// what does not end until then starts elsewhere.
+	holdAhead = 2 * time.Hour
+	// keepAhead is how much longer than a boot a machine with held room is not
+	// returned: the cloud may have none when it is needed.
+	keepAhead = 10 * time.Minute
+	// leadSlack is what a hold is clear before its time beyond two boots: one more
+	// if a machine does not come up.
+	leadSlack = 20 * time.Second
+	// cloudQuiet is for how long the cloud may give no list before that is a risk.
+	cloudQuiet = 30 * time.Second
+)
+
+// sweepEvery is how often all reservations are looked at for what was missed.
+const sweepEvery = time.Minute
+
+type reservationTag struct{ name calendar.Name }
+
+// lead is how long before its time a reservation's room is clear: as long as
+// another machine takes to come, and one more in its place.
+func (c *Core) lead(s *bookkeeping.ReservationSpec) time.Duration {
+	boot := 0.0
+	for _, k := range c.offers(jobOf(s)) {
+		boot = max(boot, c.promised.boots.Likely(c.types[k.Type].BootS))
+	}
+	return time.Duration(2*boot*float64(time.Second)) + leadSlack
+}
+
+// jobOf is a job as a reservation describes it, on ordinary machines.
+func jobOf(s *bookkeeping.ReservationSpec) *liveJob {
+	return &liveJob{Job: protocol.Job{
+		Class: s.Class, Team: s.Team, Kind: protocol.KindArray, Priority: s.Priority, Tasks: uint32(s.Tasks),
+		CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, Zone: s.Zone, OneZone: s.OneZone, EstimateS: s.LengthS,
+	}}
+}
+
+// dues lists the occurrences that room is held for now.
+func (c *Core) dues() []calendar.Due {
+	now := c.moment()
+	var dues []calendar.Due
+	for _, o := range c.promised.book.Overlapping(now, calendar.After(now, holdAhead)) {
+		e := c.promised.book.Reservation(o.Name)
+		if o.Window || e == nil || e.StartMS != o.Start || e.State != bookkeeping.Accepted && e.State != bookkeeping.Holding {
+			continue
+		}
+		_, wanted, started := c.jobsOf(e)
+		if left := wanted - started; left > 0 {
+			dues = append(dues, calendar.Due{Reservation: e.Reservation, Left: left, Clear: calendar.After(o.Start, -c.lead(&e.Reservation.Spec))})
+		}
+	}
+	return dues
+}
+
+// overrunning is how much longer work is reckoned to run that should be over.
+const overrunning = time.Minute
+
+// holders lists the machines that room can be held on: those up, and those
+// rented that are still to come.
+func (c *Core) holders() []calendar.Machine {
+	now := c.moment()
+	var ms []calendar.Machine
+	for _, m := range c.machinesInOrder() {
+		if !c.usable(m) || !c.recent(m, 3*c.op.RelayEvery) || m.told.Epoch != m.epoch {
+			continue
+		}
+		runs := slices.Clone(m.told.Runs)
+		for i := range runs {
+			if r := &runs[i]; r.Ends < now {
+				r.Ends = calendar.After(now, overrunning)
+			}
+		}
+		ms = append(ms, calendar.Machine{ID: m.id, Info: m.info, Zone: m.rec.Zone, Spot: m.rec.Spot, Runs: runs})
+	}
+	for id, m := range inOrder(c.fleet.coming) {
+		info := c.types[m.Type]
+		up := time.Duration(c.promised.boots.Likely(info.BootS)*float64(time.Second)) - c.since(m.at)
+		if up < 0 || c.machines[id] != nil {
+			continue // late, and may never come
+		}
+		ms = append(ms, calendar.Machine{ID: id, Info: info, Zone: m.Zone, Spot: m.Spot, Up: calendar.After(now, up)})
+	}
+	return ms
+}
+
+// choosePromised chooses where room is held, and writes what became of what is
+// promised.
+func (c *Core) choosePromised() {
+	pr := &c.promised
+	if !pr.any && len(pr.list) == 0 || !c.planning() {
+		return
+	}
+	now := c.moment()
+	dues := c.dues()
+	usable := func(m *calendar.Machine, d *calendar.Due) bool {
+		latest := max(d.StartMS, calendar.After(now, time.Minute)) // what comes later is better than nothing
+		return m.Up <= latest && !c.inWindowAt(m, d.StartMS, calendar.After(d.StartMS, calendar.Busy(&d.Spec)))
+	}
+	plan := calendar.Choose(dues, c.holders(), pr.list, usable, now)
+	pr.short, pr.missing, pr.zones = plan.Short, plan.Missing, plan.Zones
+	if !slices.Equal(plan.Holds, pr.list) || pr.number>>32 != uint64(c.view.Term) {
+		c.setHolds(plan.Holds)
+		pr.number = max(pr.number+1, uint64(c.view.Term)<<32|1)
+	}
+	c.noteRisks(dues)
+	c.advancePromised()
+}
+
+// inWindowAt reports whether a window covers a machine at some time.
+func (c *Core) inWindowAt(m *calendar.Machine, from, to calendar.Moment) bool {
+	for i := range c.promised.windows {
+		w := &c.promised.windows[i]
+		if w.start < to && w.end > from && calendar.Covers(w.spec, m.ID, m.Info.Name, m.Zone) {
+			return true
+		}
+	}
+	return false
+}
+
+// setHolds takes over what is held.
+func (c *Core) setHolds(list []calendar.Hold) {
+	pr := &c.promised
+	pr.list = list
+	pr.holds = map[protocol.MachineID][]calendar.Hold{}
+	for _, h := range list {
+		pr.holds[h.Machine] = append(pr.holds[h.Machine], h)
+	}
+	now := c.moment()
+	for _, m := range c.machines {
+		m.reserved = reservedBy(pr.holds[m.id], now)
+	}
+	c.owner.dirty = true
+}
+
+// rentPromised asks for machines for what no room could be held for, a boot
+// ahead.
+func (c *Core) rentPromised(p *renting.Plan) {
+	now := c.moment()
+	for _, d := range c.dues() {
+		short := c.promised.short[d.Spec.Name]
+		for _, r := range c.fleet.rents {
+			if r.of == d.Spec.Name {
+				short -= r.req.Count * room.Capacity(c.types[r.req.Type]).Fit(room.Need(&jobOf(&d.Spec).Job))
+			}
+		}
+		if short <= 0 || now < d.Clear {
+			continue
+		}
+		j := jobOf(&d.Spec)
+		if z := c.promised.zones[d.Spec.Name]; z != "" {
+			j.Zone = z
+		}
+		c.promised.asked = append(c.promised.asked, p.Buy(c.work(j, room.LevelOf(d.Spec.Priority, false), d.Spec.LengthS), short, string(d.Spec.Name))...)
+	}
+}
+
+// keepPromised reports whether a machine is kept for what is held on it, though
+// it is idle.
+func (c *Core) keepPromised(m *machineEntry) bool {
+	now := c.moment()
+	for _, h := range c.promised.holds[m.id] {
+		if now >= calendar.After(h.Clear, -keepAhead) && now < h.Until {
+			return true
+		}
+	}
+	return len(c.promised.windows) > 0 && c.inWindow(m.id, m.rec.Type, m.rec.Zone, now)
+}
+
+// noteRisks tells why what is due may not be kept.
+func (c *Core) noteRisks(dues []calendar.Due) {
+	pr := &c.promised
+	now := c.moment()
+	clear(pr.risk)
+	for _, d := range dues {
+		short, missing := pr.short[d.Spec.Name], pr.missing[d.Spec.Name]
+		switch {
+		case short > 0 && c.since(c.fleet.heardAt) > cloudQuiet && calendar.Between(now, d.Clear) < keepAhead:
+			pr.risk[d.Spec.Name] = fmt.Sprintf("no sure room for %d of %d tasks, and the cloud does not answer", short, d.Left)
+		case missing > 0 && now >= d.Clear:
+			pr.risk[d.Spec.Name] = fmt.Sprintf("no room for %d of %d tasks", missing, d.Left)
+		}
+	}
+}
+
+// advancePromised has reservations go through their states, each in one
+// transaction on its record.
+func (c *Core) advancePromised() {
+	pr := &c.promised
+	now := c.moment()
+	if c.since(pr.swept) > sweepEvery {
+		// What was due while nobody could act is long over.
+		pr.swept = c.now
+		for _, e := range pr.book.Reservations() {
+			if e.StartMS < now {
+				c.advance(e, now)
+			}
+		}
+	}
+	for _, o := range pr.book.Overlapping(now, calendar.After(now, holdAhead)) {
+		if e := pr.book.Reservation(o.Name); !o.Window && e != nil && e.StartMS == o.Start {
+			c.advance(e, now)
+		}
+	}
+}
+
+// advance has one reservation go on.
+func (c *Core) advance(e *calendar.Entry, now calendar.Moment) {
+	pr, name := &c.promised, e.Name()
+	if pr.write[name] || e.State == bookkeeping.Cancelled {
+		return
+	}
+	came, wanted, started := c.jobsOf(e)
+	next, changed := calendar.Advance(*e.Reservation, e.When, calendar.Seen{
+		Now: now, ClockError: c.clockError(), Lead: c.lead(&e.Reservation.Spec),
+		Came: came, Wanted: wanted, Started: started, Risk: pr.risk[name],
+	})
+	if !changed {
+		return
+	}
+	pr.write[name] = true
+	c.log.Info("reservation", "name", name, "state", next.State, "start", next.StartMS, "risk", next.Risk)
+	c.do(Commit{Tag: reservationTag{name}, Txn: protocol.Txn{
+		If:   []protocol.Condition{{Key: bookkeeping.ReservationKey(name), Version: e.Version}, c.inThisView()},
+		Then: []protocol.Change{{Put: bookkeeping.ReservationKey(name), Value: next}},
+	}})
+}
+
+// noteBoot learns how long a machine took to come up.
+func (c *Core) noteBoot(id protocol.MachineID, rec bookkeeping.Machine) {
+	if m, awaited := c.fleet.coming[id]; awaited && rec.Session == 1 {
+		c.promised.boots.Note(c.since(m.at), c.types[m.Type].BootS)
+	}
+}
+
+// limitClaimed is what of a team's limit is promised to other jobs by the time
+// that a task of this one is likely to be over.
+func (c *Core) limitClaimed(o *ownedJob) (sum room.Amount) {
+	claims := c.promised.teams[o.Team]
+	if len(claims) == 0 {
+		return sum
+	}
+	ends := calendar.After(c.moment(), time.Duration(c.likelyS(&o.Job, c.estimateOf(o))*float64(time.Second)))
+	of := c.of(&o.Job)
+	for _, t := range claims {
+		if ends > t.from && !of(t.of) {
+			sum = sum.Plus(t.need)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/coordination/insight.go
@@ -0,0 +1,60 @@
+package coordination
+
+import (
+	"fmt"
+	"strings"
+
+	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/protocol"
+)
+
+// Insight is what can be seen of a core from outside.
+type Insight struct {
+	Term   protocol.Term
+	Member bool
+	Queues int // machines kept
+	Heard  int // of these, registered and known to have nothing but what is listed
+	Holds  []calendar.Hold
+	// Waits are the machines whose table entry is not empty: work that is there
+	// or announced.
+	Waits []protocol.MachineID
+}
+
+// Look tells what can be seen of it.
+func (c *Core) Look() Insight {
+	in := Insight{Term: c.view.Term, Member: c.member(), Queues: len(c.queues), Holds: c.promised.list}
+	for _, q := range c.queues {
+		if q.known && q.epoch != 0 {
+			in.Heard++
+		}
+	}
+	for _, m := range c.machinesInOrder() {
+		if len(m.coming) > 0 || m.wait() != 0 {
+			in.Waits = append(in.Waits, m.id)
+		}
+	}
+	return in
+}
+
+// Whereabouts tells what it knows of a job that does not end.
+func (c *Core) Whereabouts(id protocol.JobID) string {
+	var b strings.Builder
+	if o := c.owner.jobs[id]; o != nil {
+		fmt.Fprintf(&b, "owner %s: unknown %v, pending %d, not before %v, its team uses %+v, awaited %d, leaving %v, failed on %v\n",
+			c.self, o.unknown, o.pending.Count(), c.since(o.notBefore), c.teamUsage()[o.Team], len(c.owner.pending), c.owner.leaving, o.failedOn)
+		for _, t := range o.placed {
+			fmt.Fprintf(&b, "  placed %+v\n", *t)
+		}
+		for _, m := range c.machinesInOrder() {
+			fmt.Fprintf(&b, "  %s in %s, spot %v, kept by %s: usable %v, room %+v, told %+v\n", m.id, m.rec.Zone, m.rec.Spot, c.keeper(m.id), c.usable(m), m.free(), m.told)
+		}
+	}
+	for _, q := range c.queuesInOrder() {
+		for _, e := range q.entries {
+			if e.task.Job == id {
+				fmt.Fprintf(&b, "  %s has on %s: %+v\n", c.self, q.id, *e)
+			}
+		}
+	}
+	return b.String()
+}
--- a/internal/coordination/intake.go
+++ b/internal/coordination/intake.go
@@ -9,6 +9,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/operators"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
 )
@@ -50,6 +51,10 @@
 		if allow(m, reply, "POST") {
 			in.async(reply, func(ctx context.Context) *transport.Message { return in.accept(ctx, m.Body) })
 		}
+	case m.Path == operators.Path && in.n.op.OperatorKeys != "":
+		if allow(m, reply, "POST") {
+			in.async(reply, func(ctx context.Context) *transport.Message { return in.operate(ctx, m.Body) })
+		}
 	case strings.HasPrefix(m.Path, "/work/"):
 		name, abort := strings.CutSuffix(strings.TrimPrefix(m.Path, "/work/"), "/abort")
 		method := "GET"
@@ -247,7 +252,7 @@
 		}
 	}
 	j.SubmittedMS = time.Now().UnixMilli()
-	_, err = in.n.state.Txn(ctx, acceptTxn(&j), bookkeeping.First)
+	_, err = in.n.state.Txn(ctx, AcceptTxn(&j), bookkeeping.First)
 	switch {
 	case err == nil:
 		return success(201, protocol.JobStatus{ID: j.ID, State: protocol.JobQueued})
@@ -266,8 +271,8 @@
 	return success(200, in.status(j.ID, r))
 }
 
-// acceptTxn accepts a job: it holds only if no job with its id is known.
-func acceptTxn(j *protocol.Job) protocol.Txn {
+// AcceptTxn accepts a job: it holds only if no job with its id is known.
+func AcceptTxn(j *protocol.Job) protocol.Txn {
 	return protocol.Txn{
 		If: []protocol.Condition{{Key: bookkeeping.JobKey(j.ID)}},
 		Then: []protocol.Change{
@@ -277,9 +282,9 @@
 	}
 }
 
-// cancelTxn cancels a job: it holds only if the job is still as it was read.
+// CancelTxn cancels a job: it holds only if the job is still as it was read.
 // Both of its records change together, always, so they have one version.
-func cancelTxn(id protocol.JobID, version protocol.Version, r bookkeeping.JobRecord) protocol.Txn {
+func CancelTxn(id protocol.JobID, version protocol.Version, r bookkeeping.JobRecord) protocol.Txn {
 	r.State = bookkeeping.RecordCancelled
 	return protocol.Txn{
 		If:   []protocol.Condition{{Key: bookkeeping.JobKey(id), Version: version}, {Key: bookkeeping.LiveKey(id), Version: version}},
@@ -336,7 +341,7 @@
 			return success(200, protocol.JobStatus{ID: id, State: in.status(id, r).State})
 		}
 		r.State = bookkeeping.RecordCancelled
-		_, err = in.n.state.Txn(ctx, cancelTxn(id, version, r), bookkeeping.First)
+		_, err = in.n.state.Txn(ctx, CancelTxn(id, version, r), bookkeeping.First)
 		switch {
 		case err == nil:
 			in.keepFinal(id, r)
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
@@ -154,6 +155,8 @@
 	Silence  silence
 	IdleS    float64  // how long it has held nothing, when this was sent
 	Images   []string // fetched lately
+	// Runs is what it runs, while anything is promised for later.
+	Runs []calendar.Run
 }
 
 // Progress is how far a job is, for display.
@@ -196,6 +199,17 @@
 	// Ask and Loan share out the state service's rates by need (package shares).
 	Ask  shares.Ask
 	Loan *shares.Loan
+
+	// Holds is what is held for reservations, by the controller that rents, to
+	// those who have not got it yet; HaveHolds numbers what the sender has.
+	Holds     *Holds
+	HaveHolds uint64
+}
+
+// Holds is all that is held for reservations.
+type Holds struct {
+	Number uint64
+	List   []calendar.Hold
 }
 
 // PeerMessage is one message between controllers; one field is set.
@@ -257,7 +271,9 @@
 	// Received is a peer's batch; ReplyBatch answers it.
 	Received struct{ Batch Batch }
 	// Tick lets time pass.
-	Tick struct{}
+	Tick struct {
+		WallMS int64 // the time of day; 0: as last told
+	}
 	// StateAsked says what was asked of the state service in the last second,
 	// within this controller's share or not.
 	StateAsked struct{ Amount shares.Amount }
@@ -376,15 +392,16 @@
 	epoch protocol.Version
 	info  protocol.TypeInfo
 
-	told   MachineState // by its keeper
-	by     *peer        // the keeper's session that told it in this term, if any
-	at     Time         // when that was
-	coming []comingWait // placements that its keeper's word does not include yet
-	extra  float64      // their waits
-	taken  room.Uses    // what they take
-	copied float64      // its wait by a peer's table, until its keeper is heard
-	held   room.Uses    // what it was told to hold
-	late   int          // tasks of this owner that ran too long there lately
-	lateAt Time         // the last of them
-	mine   map[protocol.TaskID]*placedTask
+	told     MachineState // by its keeper
+	by       *peer        // the keeper's session that told it in this term, if any
+	at       Time         // when that was
+	coming   []comingWait // placements that its keeper's word does not include yet
+	extra    float64      // their waits
+	taken    room.Uses    // what they take
+	reserved room.Amount  // of what it has free: held for reservations now
+	copied   float64      // its wait by a peer's table, until its keeper is heard
+	held     room.Uses    // what it was told to hold
+	late     int          // tasks of this owner that ran too long there lately
+	lateAt   Time         // the last of them
+	mine     map[protocol.TaskID]*placedTask
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -40,7 +40,7 @@
 	mailbox  chan envelope
 	reports  *reports
 	core     *Core
-	outbox   map[protocol.NodeName]*outbox
+	outbox   map[protocol.NodeName]*Outbox
 	workers  *workerClients
 	commands chan struct{} // holds one for each direct command under way
 
@@ -64,12 +64,12 @@
 		state:   bookkeeping.NewState(s.Services.State, s.Site.State.RPS, s.Site.State.WriteRPS, s.Site.Count),
 		cloud:   bookkeeping.NewCloud(s.Services.Cloud, s.Site.Cloud.RPS),
 		mailbox: make(chan envelope, mailboxSize),
-		outbox:  map[protocol.NodeName]*outbox{},
+		outbox:  map[protocol.NodeName]*Outbox{},
 		reports: newReports(),
 	}
 	n.core = NewCore(s, op, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), log)
 	for _, m := range s.Members {
-		o := newOutbox(s.Name, transport.NewPeer(m.Peer), log)
+		o := NewOutbox(s.Name, transport.NewPeer(m.Peer), log)
 		o.passed = func() { n.post(PeerActs{m.Name}) }
 		n.outbox[m.Name] = o
 	}
@@ -169,7 +169,7 @@
 	for i := 1; ; i++ {
 		select {
 		case <-t.C:
-			n.offer(envelope{msg: Tick{}})
+			n.offer(envelope{msg: Tick{WallMS: time.Now().UnixMilli()}})
 			if i%askedTicks == 0 {
 				n.offer(envelope{msg: StateAsked{shares.Amount(n.state.Asked())}})
 			}
@@ -210,7 +210,7 @@
 		switch a := a.(type) {
 		case Send:
 			if o := n.outbox[a.To]; o != nil {
-				o.add(a)
+				o.Add(a)
 			}
 		case Commit:
 			go n.commit(ctx, a)
@@ -276,7 +276,7 @@
 		n.log.Error("commands", "err", err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, directTimeout)
+	ctx, cancel := context.WithTimeout(ctx, DirectTimeout)
 	defer cancel()
 	m, err := n.workers.get(a.Address).Do(ctx, "POST", "/do", body)
 	if err != nil {
--- /dev/null
+++ b/internal/coordination/operate.go
@@ -0,0 +1,326 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/operators"
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/transport"
+)
+
+// decision is what the core answers to an operator's request: the answer, and
+// the transaction that has to hold first, if any.
+type decision struct {
+	reply operators.Reply
+	txn   *protocol.Txn
+}
+
+func no(code operators.Code, reason string) decision {
+	return decision{reply: operators.Reply{Code: code, Reason: reason}}
+}
+
+// facts is what decisions on the calendar know of the site.
+func (c *Core) facts() *calendar.Facts {
+	return &calendar.Facts{
+		Types: c.types, Most: c.op.Machines,
+		Team: func(t protocol.Team) (config.Team, bool) { return c.settings.Team(t) },
+		Machine: func(id protocol.MachineID) (protocol.MachineType, protocol.Zone, bool) {
+			m := c.machines[id]
+			if m == nil {
+				return "", "", false
+			}
+			return m.rec.Type, m.rec.Zone, true
+		},
+	}
+}
+
+// Operate decides an operator's request by what this controller has followed:
+// the answer, and the transaction that has to hold before it is given, if any.
+func (c *Core) Operate(by string, r *operators.Request) (operators.Reply, *protocol.Txn) {
+	d := c.decide(by, r)
+	return d.reply, d.txn
+}
+
+func (c *Core) decide(by string, r *operators.Request) decision {
+	if c.session == 0 || len(c.types) == 0 || c.wallMS == 0 {
+		return no(operators.Later, "not ready")
+	}
+	switch {
+	case r.Op == operators.OpList || r.Op == operators.OpShow:
+		return c.showPromised(r)
+	case r.Op == operators.OpCancel:
+		return c.cancelPromised(r)
+	case r.Op == operators.OpAdd && !r.Window && r.Reservation != nil:
+		return c.addReservation(by, r)
+	case r.Op == operators.OpAdd && r.Window && r.Spec != nil:
+		return c.addWindow(by, r)
+	}
+	return no(operators.Refused, "no such operation")
+}
+
+func (c *Core) addReservation(by string, r *operators.Request) decision {
+	pr, s := &c.promised, *r.Reservation
+	if err := calendar.CheckReservation(&s); err != nil {
+		return no(operators.Refused, err.Error())
+	}
+	have := pr.book.Reservation(s.Name)
+	if have != nil && r.ID != "" && have.Reservation.Request == r.ID {
+		return decision{reply: operators.Reply{Code: operators.Done, Reason: "was accepted already", Reservations: []operators.Reservation{c.reservationView(have)}}}
+	}
+	if have != nil && !r.Replace && have.State != bookkeeping.Cancelled && have.State != bookkeeping.Used && have.State != bookkeeping.Expired {
+		return no(operators.Refused, "there is a reservation of this name")
+	}
+	if !pr.book.Complete() {
+		return no(operators.Later, "the calendar is still being read, or is full")
+	}
+	a := pr.book.Reserve(&s, c.facts(), c.moment())
+	d := answered(a)
+	if !a.OK {
+		return d
+	}
+	rec := bookkeeping.Reservation{
+		Spec: s, Request: r.ID, By: by, MadeMS: c.moment(), Order: pr.changes + 1, State: bookkeeping.Accepted, StartMS: a.First[0],
+	}
+	if r.DryRun {
+		rec.State = bookkeeping.Proposed
+	} else {
+		d.txn = c.changeCalendar(bookkeeping.ReservationKey(s.Name), versionOf(have), rec)
+	}
+	d.reply.Reservations = []operators.Reservation{{Reservation: rec}}
+	return d
+}
+
+func (c *Core) addWindow(by string, r *operators.Request) decision {
+	pr, s := &c.promised, *r.Spec
+	if err := calendar.CheckWindow(&s); err != nil {
+		return no(operators.Refused, err.Error())
+	}
+	have := pr.book.Window(s.Name)
+	if have != nil && r.ID != "" && have.Window.Request == r.ID {
+		return decision{reply: operators.Reply{Code: operators.Done, Reason: "was accepted already", Windows: []operators.Window{c.windowView(have)}}}
+	}
+	if have != nil && !r.Replace && !have.Cancelled {
+		return no(operators.Refused, "there is a window of this name")
+	}
+	if !pr.book.Complete() {
+		return no(operators.Later, "the calendar is still being read, or is full")
+	}
+	a := pr.book.Close(&s, c.facts(), c.moment())
+	d := answered(a)
+	if !a.OK {
+		return d
+	}
+	rec := bookkeeping.Window{Spec: s, Request: r.ID, By: by, MadeMS: c.moment()}
+	if !r.DryRun {
+		d.txn = c.changeCalendar(bookkeeping.WindowKey(s.Name), versionOf(have), rec)
+	}
+	d.reply.Windows = []operators.Window{{Window: rec, NextMS: a.First[0], Overruns: c.overruns(&s, a.First[0])}}
+	return d
+}
+
+func answered(a calendar.Answer) decision {
+	code := operators.Done
+	if !a.OK {
+		code = operators.Refused
+	}
+	return decision{reply: operators.Reply{Code: code, Reason: a.Reason, InTheWay: a.InTheWay, Beside: a.Beside, FirstMS: a.First}}
+}
+
+func versionOf(e *calendar.Entry) protocol.Version {
+	if e == nil {
+		return 0
+	}
+	return e.Version
+}
+
+// changeCalendar puts a record, if neither it nor any other promise has changed
+// since this was decided.
+func (c *Core) changeCalendar(key string, version protocol.Version, value any) *protocol.Txn {
+	return &protocol.Txn{
+		If: []protocol.Condition{{Key: bookkeeping.CalendarKey, Version: c.promised.version}, {Key: key, Version: version}},
+		Then: []protocol.Change{
+			{Put: key, Value: value},
+			{Put: bookkeeping.CalendarKey, Value: bookkeeping.Calendar{Changes: c.promised.changes + 1}},
+		},
+	}
+}
+
+func (c *Core) cancelPromised(r *operators.Request) decision {
+	pr := &c.promised
+	done := operators.Reply{Code: operators.Done, Reason: "cancelled"}
+	if r.Window {
+		e := pr.book.Window(r.Name)
+		switch {
+		case e == nil:
+			return no(operators.NotFound, "no window of this name")
+		case r.Made != 0 && e.Window.MadeMS != r.Made:
+			return no(operators.Refused, "it was made anew since")
+		case e.Cancelled:
+			return decision{reply: done}
+		}
+		rec := *e.Window
+		rec.Cancelled = true
+		return decision{done, c.changeCalendar(bookkeeping.WindowKey(r.Name), e.Version, rec)}
+	}
+	e := pr.book.Reservation(r.Name)
+	switch {
+	case e == nil:
+		return no(operators.NotFound, "no reservation of this name")
+	case r.Made != 0 && e.Reservation.MadeMS != r.Made:
+		return no(operators.Refused, "it was made anew since")
+	case e.State == bookkeeping.Cancelled:
+		return decision{reply: done}
+	}
+	rec := *e.Reservation
+	rec.State, rec.Risk, rec.RiskMS = bookkeeping.Cancelled, "", 0
+	return decision{done, c.changeCalendar(bookkeeping.ReservationKey(r.Name), e.Version, rec)}
+}
+
+// listed at once: an answer is at most as large as a request.
+const listedMost = 40
+
+func (c *Core) showPromised(r *operators.Request) decision {
+	pr := &c.promised
+	reply := operators.Reply{Code: operators.Done}
+	if r.Op == operators.OpShow {
+		e := pr.book.Reservation(r.Name)
+		if r.Window {
+			e = pr.book.Window(r.Name)
+		}
+		switch {
+		case e == nil:
+			return no(operators.NotFound, "nothing of this name")
+		case r.Window:
+			reply.Windows = []operators.Window{c.windowView(e)}
+		default:
+			reply.Reservations = []operators.Reservation{c.reservationView(e)}
+		}
+		return decision{reply: reply}
+	}
+	es := pr.book.Reservations()
+	if r.Window {
+		es = pr.book.Windows()
+	}
+	for _, e := range es {
+		if e.Name() <= r.Name {
+			continue // listed before
+		}
+		if len(reply.Reservations)+len(reply.Windows) >= listedMost {
+			reply.More = true
+			break
+		}
+		if r.Window {
+			v := c.windowView(e)
+			v.Overruns = nil
+			reply.Windows = append(reply.Windows, v)
+		} else {
+			v := c.reservationView(e)
+			v.On, v.Past = nil, nil
+			reply.Reservations = append(reply.Reservations, v)
+		}
+	}
+	return decision{reply: reply}
+}
+
+func (c *Core) reservationView(e *calendar.Entry) operators.Reservation {
+	v := operators.Reservation{Reservation: *e.Reservation}
+	for _, h := range c.promised.list {
+		if h.For == e.Name() {
+			v.Held += h.Tasks
+			v.On = append(v.On, h.Machine)
+		}
+	}
+	if risk, ok := c.promised.risk[e.Name()]; ok {
+		v.Risk = risk // newer than its record
+	}
+	_, _, v.Started = c.jobsOf(e)
+	return v
+}
+
+func (c *Core) windowView(e *calendar.Entry) operators.Window {
+	now := c.moment()
+	v := operators.Window{Window: *e.Window}
+	if e.Cancelled {
+		return v
+	}
+	length := time.Duration(e.Window.Spec.LengthS * float64(time.Second))
+	if times := e.When.Occurrences(calendar.After(now, -length), calendar.After(now, calendar.Ahead)); len(times) > 0 {
+		v.NextMS, v.Open = times[0], times[0] <= now
+		v.Overruns = c.overruns(&e.Window.Spec, v.NextMS)
+	}
+	return v
+}
+
+// overruns lists the machines whose work is likely to go on after a window has
+// opened, the longest first.
+func (c *Core) overruns(s *bookkeeping.WindowSpec, opens calendar.Moment) []operators.Overrun {
+	const most = 50
+	var out []operators.Overrun
+	for _, m := range c.machinesInOrder() {
+		if !calendar.Covers(s, m.id, m.rec.Type, m.rec.Zone) {
+			continue
+		}
+		last := calendar.Moment(0)
+		for _, r := range m.told.Runs {
+			last = max(last, r.Ends)
+		}
+		if last > opens {
+			out = append(out, operators.Overrun{Machine: m.id, ByS: calendar.Between(opens, last).Seconds()})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b operators.Overrun) int { return int(b.ByS - a.ByS) })
+	return out[:min(len(out), most)]
+}
+
+// operate answers an operator's request. A change is tried again while others
+// change the calendar, or while it is not known what became of it: its id tells.
+func (in *intake) operate(ctx context.Context, body []byte) *transport.Message {
+	keys, err := operators.ReadKeys(in.n.op.OperatorKeys) // anew each time: keys are changed without a restart
+	if err != nil {
+		in.n.log.Error("operators' keys can't be read", "err", err)
+		return failure(503, "operators' keys can't be read")
+	}
+	off := time.Duration(in.n.settings.Site.ClockErrorMS * float64(time.Millisecond))
+	r, by, err := operators.Open(body, keys, time.Now(), off)
+	if err != nil {
+		in.n.log.Info("operator's request refused", "err", err)
+		return success(403, operators.Reply{Code: operators.Denied, Reason: operators.ErrSeal.Error()})
+	}
+	for ctx.Err() == nil {
+		d, ok := ask(in.n, func(c *Core) decision { return c.decide(by, &r) })
+		if !ok {
+			break
+		}
+		if d.txn == nil {
+			return operatorAnswer(d.reply)
+		}
+		_, err := in.n.state.Txn(ctx, *d.txn, bookkeeping.First)
+		switch {
+		case err == nil:
+			in.n.log.Info("calendar changed", "by", by, "op", r.Op, "window", r.Window, "name", r.Name, "id", r.ID)
+			return operatorAnswer(d.reply)
+		case errors.Is(err, bookkeeping.ErrMalformed):
+			in.n.log.Error("state service refuses a record of the calendar", "err", err)
+			return operatorAnswer(operators.Reply{Code: operators.Refused, Reason: "too large to be stored"})
+		case errors.Is(err, bookkeeping.ErrRefused):
+			return in.unavailable("operator", err)
+		}
+		sleep(ctx, 100*time.Millisecond) // until what is followed has caught up
+	}
+	return failure(503, "not settled yet")
+}
+
+func operatorAnswer(r operators.Reply) *transport.Message {
+	status := map[operators.Code]int{operators.Done: 200, operators.Refused: 409, operators.NotFound: 404, operators.Later: 503}[r.Code]
+	m := success(status, r)
+	if status == 503 {
+		m.RetryAfterS = retryAfterS
+	}
+	return m
+}
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -55,18 +55,30 @@
 	var out []*entry
 	free := q.free()
 	c.sortWaiting(q)
-	for len(q.waiting) > 0 {
-		e := q.waiting[0]
+	held := false // the first that does not fit has been passed
+	for i := 0; i < len(q.waiting); {
+		e := q.waiting[i]
 		j := c.live[e.task.Job]
 		if j == nil {
 			break // its record has not arrived yet
 		}
 		e.need = room.Need(&j.Job)
-		if !free.Covers(e.need) {
-			break // first come, first served: what is behind waits too
+		later, reserved := c.mayStartOn(q, e, j, free)
+		if !free.Covers(e.need) || later == startSoon || held && !reserved {
+			if len(c.promised.holds[q.id]) == 0 {
+				break // first come, first served: what is behind waits too
+			}
+			held = true // but for what room is held here for
+			i++
+			continue
+		}
+		if later == startElsewhere {
+			c.dropWaiting(q, e)
+			c.tell(q, e, WhatReleased)
+			continue
 		}
 		free = free.Minus(e.need)
-		q.waiting = q.waiting[1:]
+		q.waiting = slices.Delete(q.waiting, i, i+1)
 		q.idleSince = c.now
 		c.touch(q)
 		out = append(out, e)
--- a/internal/coordination/outbox.go
+++ b/internal/coordination/outbox.go
@@ -12,12 +12,12 @@
 
 const (
 	batchMax    = 200
-	peerTimeout = 2 * time.Second
+	PeerTimeout = 2 * time.Second
 )
 
-// outbox is the actor that passes messages to one peer: in order, each until
+// Outbox is the actor that passes messages to one peer: in order, each until
 // it is taken or one of the two sessions is over.
-type outbox struct {
+type Outbox struct {
 	self protocol.NodeName
 	peer *transport.Peer
 	log  *slog.Logger
@@ -32,12 +32,12 @@
 	queue    []Send
 }
 
-func newOutbox(self protocol.NodeName, peer *transport.Peer, log *slog.Logger) *outbox {
-	return &outbox{self: self, peer: peer, log: log, wake: make(chan struct{}, 1)}
+func NewOutbox(self protocol.NodeName, peer *transport.Peer, log *slog.Logger) *Outbox {
+	return &Outbox{self: self, peer: peer, log: log, wake: make(chan struct{}, 1)}
 }
 
-// add queues a message. A regular one takes in one that is still waiting.
-func (o *outbox) add(s Send) {
+// Add queues a message. A regular one takes in one that is still waiting.
+func (o *Outbox) Add(s Send) {
 	o.mu.Lock()
 	if s.From != o.from || s.Session != o.to {
 		o.from, o.to, o.next, o.inFlight, o.queue = s.From, s.Session, 0, 0, nil
@@ -59,8 +59,8 @@
 	}
 }
 
-// batch takes what is waiting, without removing it.
-func (o *outbox) batch() (Batch, bool) {
+// Batch takes what is waiting, without removing it.
+func (o *Outbox) Batch() (Batch, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	n := min(len(o.queue), batchMax)
@@ -76,8 +76,8 @@
 	return b, true
 }
 
-// settle removes what was taken, or all of a session that is over.
-func (o *outbox) settle(b Batch, r BatchReply) {
+// Settle removes what was taken, or all of a session that is over.
+func (o *Outbox) Settle(b Batch, r BatchReply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	// An answer that comes late, to a batch sent before, changes nothing: what
@@ -95,9 +95,9 @@
 	}
 }
 
-func (o *outbox) run(ctx context.Context) {
+func (o *Outbox) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		b, ok := o.batch()
+		b, ok := o.Batch()
 		if !ok {
 			select {
 			case <-o.wake:
@@ -106,13 +106,13 @@
 			continue
 		}
 		var reply BatchReply
-		err := o.peer.Call("Peer.Deliver", b, &reply, peerTimeout)
+		err := o.peer.Call("Peer.Deliver", b, &reply, PeerTimeout)
 		if err != nil {
 			o.log.Debug("peer", "err", err)
 			sleep(ctx, 300*time.Millisecond)
 			continue
 		}
-		o.settle(b, reply)
+		o.Settle(b, reply)
 		switch reply {
 		case BatchBehind:
 			sleep(ctx, 30*time.Millisecond)
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -140,6 +140,7 @@
 
 // jobOver: the job's record says done or cancelled.
 func (c *Core) jobOver(id protocol.JobID) {
+	c.reservedJobOver(c.live[id])
 	delete(c.live, id)
 	c.noteOver(id)
 	for _, p := range c.peers {
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -230,9 +230,21 @@
 	if m.told.Queued > 0 {
 		return room.Amount{}
 	}
+	return m.idle()
+}
+
+// idle is what nothing runs in on a machine, whatever waits there: what room is
+// held for does not wait behind the rest.
+func (m *machineEntry) idle() room.Amount {
+	if m.told.Epoch != m.epoch {
+		return m.free()
+	}
 	return room.Amount{CPUs: m.told.FreeCPUs, GPUs: m.told.FreeGPUs, GB: m.told.FreeGB}.Minus(m.taken.Firm(0))
 }
 
+// unreserved is what a machine has free now beside what is held for reservations.
+func (m *machineEntry) unreserved() room.Amount { return m.free().Minus(m.reserved) }
+
 // firmRoom is what a machine has for a task of a level once everything that may
 // be stopped for it is gone.
 func (m *machineEntry) firmRoom(l room.Level) room.Amount {
@@ -364,7 +376,7 @@
 	if !ok {
 		return false
 	}
-	u := usage[o.Team]
+	u := usage[o.Team].Plus(c.limitClaimed(o))
 	return (t.MaxCPUs == 0 || u.CPUs+o.CPUs*float64(n) <= t.MaxCPUs+room.Slack) &&
 		(t.MaxGPUs == 0 || u.GPUs+o.GPUs*float64(n) <= t.MaxGPUs+room.Slack)
 }
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/renting"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -19,19 +20,20 @@
 	f := &c.fleet
 	var up renting.Slots
 	for _, m := range c.machinesInOrder() {
-		if !c.usable(m) {
+		if !c.usable(m) || len(c.promised.windows) > 0 && c.inWindow(m.id, m.rec.Type, m.rec.Zone, c.moment()) {
 			continue
 		}
-		a := renting.Alike{Kind: m.kind(), Free: m.free(), Held: m.held}
+		a := renting.Alike{Kind: m.kind(), Free: m.unreserved(), Held: m.held}
 		for r := range a.Held {
 			a.Held[r] = a.Held[r].Plus(m.taken[r])
 		}
 		up.Add(a, m.info)
 	}
 	slots := up.List
-	for _, m := range inOrder(f.coming) {
+	for id, m := range inOrder(f.coming) {
 		s := renting.Fresh(c.types[m.Type], m.kind, 1)
 		s.InS = math.Max(s.Info.BootS-c.since(m.at).Seconds(), 1)
+		s.Free = s.Free.Minus(reservedBy(c.promised.holds[id], c.moment()))
 		slots = append(slots, s)
 	}
 	for _, r := range inOrder(f.rents) {
@@ -94,6 +96,7 @@
 		runS += d.EstimateS * float64(d.Unstarted)
 		weight += float64(d.Unstarted)
 	}
+	c.rentPromised(p)
 	p.Gather(top, runS/math.Max(weight, 1))
 	for _, d := range rest {
 		j := c.wants(d)
@@ -124,7 +127,9 @@
 // rentWanted sends the plan's requests, as many at a time as the cloud answers
 // in a second; the next plan asks for the rest.
 func (c *Core) rentWanted(p *renting.Plan) {
-	for _, o := range p.Orders() {
+	orders := append(p.Orders(), c.promised.asked...)
+	c.promised.asked = nil
+	for _, o := range orders {
 		if float64(len(c.fleet.rents)) >= math.Max(1, c.settings.Site.Cloud.RPS) {
 			return
 		}
@@ -133,7 +138,7 @@
 			Name: fmt.Sprintf("%s-%d-%d-%d", c.self, c.session, c.view.Term, c.fleet.requests),
 			Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: o.Count,
 		}
-		r := &rentCall{req: req}
+		r := &rentCall{req: req, of: calendar.Name(o.For)}
 		c.fleet.rents[req.Name] = r
 		c.rent(r)
 	}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -113,6 +113,9 @@
 		if j == nil {
 			return
 		}
+		if later, _ := c.mayStartOn(q, head, j, room.Capacity(q.info)); later != startNow {
+			return // it would not start there
+		}
 		if !head.together && (c.since(head.since) < preemptAfter || c.after(c.roomIn(q, free, head.need)) <= c.startBy(head, j)) {
 			return
 		}
@@ -144,15 +147,7 @@
 			victims = append(victims, e)
 		}
 	}
-	saves := func(e *entry) int {
-		if c.live[e.task.Job].CheckpointS > 0 {
-			return 0
-		}
-		return 1
-	}
-	slices.SortStableFunc(victims, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(saves(a), saves(b)), cmp.Compare(b.runs, a.runs), cmp.Compare(b.since, a.since))
-	})
+	c.sortVictims(victims)
 	var chosen []*entry
 	for _, e := range victims {
 		if free.Covers(head.need) {
@@ -165,10 +160,28 @@
 		return free, false
 	}
 	for _, e := range chosen {
-		e.kill, e.graceS = true, 2*c.live[e.task.Job].SaveS+1
-		c.touch(q)
-		c.wake(q)
+		c.stopFor(q, e)
 		c.log.Debug("stopped for a more urgent task", "machine", q.id, "task", e.task, "for", head.task)
 	}
 	return free, true
 }
+
+// sortVictims puts those that can save first, then those that ran least.
+func (c *Core) sortVictims(victims []*entry) {
+	saves := func(e *entry) int {
+		if c.live[e.task.Job].CheckpointS > 0 {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(victims, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(saves(a), saves(b)), cmp.Compare(b.runs, a.runs), cmp.Compare(b.since, a.since))
+	})
+}
+
+// stopFor has an attempt stopped for others, with time to save.
+func (c *Core) stopFor(q *queue, e *entry) {
+	e.kill, e.graceS = true, c.saveS(e)
+	c.touch(q)
+	c.wake(q)
+}
--- /dev/null
+++ b/internal/coordination/promises.go
@@ -0,0 +1,487 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/renting"
+	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/protocol"
+)
+
+// promises is what a controller keeps of the calendar: the records that all
+// follow, what is held for them at present, and what is open.
+type promises struct {
+	book    *calendar.Book
+	version protocol.Version // of the calendar's own record
+	changes uint64           // that it counts
+	// any: there is something in the book. While it is empty nothing of this
+	// costs anything, on the wire either.
+	any bool
+
+	holds   map[protocol.MachineID][]calendar.Hold
+	list    []calendar.Hold // all of them
+	number  uint64          // of the list, by the controller that chose it
+	windows []openWindow    // open, or soon
+	teams   map[protocol.Team][]teamClaim
+
+	asked   []renting.Order // for reservations, by the plan just made
+	seen    map[calendar.Name]*seenJob
+	short   map[calendar.Name]int           // tasks that no sure room is held for, as last chosen
+	missing map[calendar.Name]int           // of these, unlikely to have any in time
+	zones   map[calendar.Name]protocol.Zone // where one that needs one zone is held
+	risk    map[calendar.Name]string        // of the present occurrences
+	swept   Time                            // when all reservations were last looked at
+	write   map[calendar.Name]bool          // transactions under way
+	errors  map[string]*forecast.Errors     // of estimates, by class
+	boots   forecast.Boots
+}
+
+// openWindow is a window that is open, or will be.
+type openWindow struct {
+	spec       *bookkeeping.WindowSpec
+	start, end calendar.Moment // with what clocks may be off by
+}
+
+// teamClaim is what of a team's limit is promised from a time on.
+type teamClaim struct {
+	of   calendar.Name
+	need room.Amount
+	from calendar.Moment
+}
+
+// seenJob is what was seen of the jobs of one occurrence that are over.
+type seenJob struct {
+	start calendar.Moment
+	tasks int
+}
+
+func newPromises() promises {
+	return promises{
+		book: calendar.NewBook(), holds: map[protocol.MachineID][]calendar.Hold{},
+		seen: map[calendar.Name]*seenJob{}, short: map[calendar.Name]int{}, zones: map[calendar.Name]protocol.Zone{},
+		risk: map[calendar.Name]string{}, write: map[calendar.Name]bool{}, errors: map[string]*forecast.Errors{},
+	}
+}
+
+// anew forgets what a session knew; what is learned of estimates and boots stays.
+func (pr promises) anew() promises {
+	fresh := newPromises()
+	fresh.boots = pr.boots
+	if pr.errors != nil {
+		fresh.errors = pr.errors
+	}
+	return fresh
+}
+
+// moment is the time of day.
+func (c *Core) moment() calendar.Moment {
+	return calendar.Moment(c.wallMS + int64(c.now/Time(time.Millisecond)))
+}
+
+// tellTime takes over the time of day; steady clocks drift apart.
+func (c *Core) tellTime(wallMS int64) {
+	if wallMS != 0 {
+		c.wallMS = wallMS - int64(c.now/Time(time.Millisecond))
+	}
+}
+
+// clockError is by how much a controller's time of day may be off.
+func (c *Core) clockError() time.Duration {
+	return time.Duration(c.settings.Site.ClockErrorMS * float64(time.Millisecond))
+}
+
+// calendarRecord takes over a record of the calendar.
+func (c *Core) calendarRecord(f bookkeeping.Followed, value protocol.RawValue, version protocol.Version) (err error) {
+	pr := &c.promised
+	switch {
+	case f.Calendar:
+		var r bookkeeping.Calendar
+		err = protocol.Decode(value, &r)
+		pr.version, pr.changes = version, r.Changes
+	case f.Reservation != "":
+		var r bookkeeping.Reservation
+		if err = protocol.Decode(value, &r); err == nil {
+			err = pr.book.PutReservation(r, version, c.moment())
+			if r.State != bookkeeping.Accepted && r.State != bookkeeping.Holding {
+				c.unhold(r.Spec.Name)
+			}
+		}
+	case f.Window != "":
+		var w bookkeeping.Window
+		if err = protocol.Decode(value, &w); err == nil {
+			err = pr.book.PutWindow(w, version, c.moment())
+		}
+	}
+	c.somethingPromised()
+	return err
+}
+
+// calendarGone takes over that a record was deleted.
+func (c *Core) calendarGone(f bookkeeping.Followed) {
+	if f.Reservation != "" {
+		c.promised.book.Drop(false, f.Reservation)
+		c.unhold(f.Reservation)
+	} else {
+		c.promised.book.Drop(true, f.Window)
+	}
+	c.somethingPromised()
+}
+
+// unhold frees at once what was held for a reservation that is over: a controller
+// that hears of that before the next list does not wait for it.
+func (c *Core) unhold(n calendar.Name) {
+	held := func(h calendar.Hold) bool { return h.For == n }
+	if slices.ContainsFunc(c.promised.list, held) {
+		c.setHolds(slices.DeleteFunc(slices.Clone(c.promised.list), held))
+	}
+}
+
+// somethingPromised notes whether there is anything in the book. What machines
+// run is told from then on.
+func (c *Core) somethingPromised() {
+	is := !c.promised.book.Empty()
+	if is == c.promised.any {
+		return
+	}
+	c.promised.any = is
+	for _, q := range c.queues {
+		c.touch(q)
+	}
+}
+
+// windowsAhead is for how long ahead windows are looked at when something is
+// placed: more than tasks are likely to run.
+const windowsAhead = 24 * time.Hour
+
+// refreshPromises reckons once a relay period what is open, held and claimed now.
+func (c *Core) refreshPromises() {
+	pr := &c.promised
+	if !pr.any && len(pr.list) == 0 {
+		return
+	}
+	now, off := c.moment(), c.clockError()
+	pr.book.Extend(now)
+	pr.windows, pr.teams = nil, map[protocol.Team][]teamClaim{}
+	for _, o := range pr.book.Overlapping(calendar.After(now, -2*off), calendar.After(now, windowsAhead)) {
+		switch {
+		case o.Window:
+			pr.windows = append(pr.windows, openWindow{&pr.book.Window(o.Name).Window.Spec, calendar.After(o.Start, -off), calendar.After(o.End, off)})
+		default:
+			c.claimLimit(o)
+		}
+	}
+	for _, m := range c.machines {
+		m.reserved = room.Amount{}
+	}
+	for id, hs := range pr.holds {
+		if m := c.machines[id]; m != nil {
+			m.reserved = reservedBy(hs, now)
+		}
+	}
+}
+
+// reservedBy is what of a machine's room counts as taken now by what is held.
+func reservedBy(hs []calendar.Hold, now calendar.Moment) (sum room.Amount) {
+	for _, h := range hs {
+		if now >= h.Clear && now < h.Until {
+			sum = sum.Plus(h.Need)
+		}
+	}
+	return sum
+}
+
+// claimLimit notes what of its team's limit a reservation claims, as far as it
+// has not been used.
+func (c *Core) claimLimit(o calendar.Occurrence) {
+	e := c.promised.book.Reservation(o.Name)
+	if e == nil || e.StartMS != o.Start || e.State != bookkeeping.Accepted && e.State != bookkeeping.Holding {
+		return
+	}
+	s := &e.Reservation.Spec
+	if s.Team == "" || !c.limited(s.Team) {
+		return
+	}
+	_, wanted, started := c.jobsOf(e)
+	if n := float64(wanted - started); n > 0 {
+		c.promised.teams[s.Team] = append(c.promised.teams[s.Team], teamClaim{o.Name, room.Amount{CPUs: s.CPUs, GPUs: s.GPUs, GB: s.MemoryGB}.Times(n), o.Start})
+	}
+}
+
+// jobsOf is what became of the jobs of a reservation's present occurrence:
+// whether one came, and how many of the tasks that are within it have started.
+func (c *Core) jobsOf(e *calendar.Entry) (came bool, wanted, started int) {
+	wanted = e.Reservation.Spec.Tasks
+	tasks := 0
+	if s := c.promised.seen[e.Reservation.Spec.Name]; s != nil && s.start == e.StartMS {
+		came, tasks, started = true, s.tasks, s.tasks
+	}
+	each := func(l *liveJob) {
+		if calendar.Matches(e.Reservation, &l.Job) {
+			g, _ := c.JobProgress(l.ID)
+			came, tasks, started = true, tasks+int(l.Tasks), started+int(g.Done+g.Running)
+		}
+	}
+	if id := e.Reservation.Spec.Job; id != "" {
+		if l := c.live[id]; l != nil {
+			each(l)
+		}
+	} else {
+		for _, l := range c.live {
+			each(l)
+		}
+	}
+	if came {
+		wanted = min(wanted, tasks)
+	}
+	return came, wanted, min(started, wanted)
+}
+
+// reservedJobOver remembers a job of a reservation that is over.
+func (c *Core) reservedJobOver(l *liveJob) {
+	if !c.promised.any || l == nil {
+		return
+	}
+	now := c.moment()
+	for _, o := range c.promised.book.Overlapping(calendar.After(now, -time.Minute), calendar.After(now, time.Hour)) {
+		e := c.promised.book.Reservation(o.Name)
+		if o.Window || e == nil || e.StartMS != o.Start || !calendar.Matches(e.Reservation, &l.Job) {
+			continue
+		}
+		s := c.promised.seen[o.Name]
+		if s == nil || s.start != o.Start {
+			s = &seenJob{start: o.Start}
+			c.promised.seen[o.Name] = s
+		}
+		s.tasks += int(l.Tasks)
+	}
+}
+
+// of tells which reservations a job is one of.
+func (c *Core) of(j *protocol.Job) func(calendar.Name) bool {
+	return func(n calendar.Name) bool {
+		e := c.promised.book.Reservation(n)
+		return e != nil && calendar.Matches(e.Reservation, j)
+	}
+}
+
+// likelyS is how long a task is very likely to run at the most, in seconds.
+func (c *Core) likelyS(j *protocol.Job, estimateS float64) float64 {
+	return estimateS * c.promised.errors[j.Class].Factor()
+}
+
+// noteError learns how far estimates are off from a task that ran to its end
+// here.
+func (c *Core) noteError(e *entry) {
+	j := c.live[e.task.Job]
+	if !c.promised.any || j == nil || e.runs == 0 || e.cause != protocol.EndDone {
+		return
+	}
+	f := c.promised.errors[j.Class]
+	if f == nil {
+		f = &forecast.Errors{}
+		c.promised.errors[j.Class] = f
+	}
+	f.Note(c.since(e.runs), e.estimate)
+}
+
+// inWindow reports whether a machine is covered by a window that is open, or
+// opens before a moment.
+func (c *Core) inWindow(id protocol.MachineID, t protocol.MachineType, z protocol.Zone, until calendar.Moment) bool {
+	now := c.moment()
+	for i := range c.promised.windows {
+		w := &c.promised.windows[i]
+		if w.end > now && w.start < until && calendar.Covers(w.spec, id, t, z) {
+			return true
+		}
+	}
+	return false
+}
+
+// bars tells on which machines a job's tasks may not be placed for what is
+// promised there; nil: nothing is.
+func (c *Core) bars(o *ownedJob) func(m *machineEntry) bool {
+	if len(c.promised.windows) == 0 && len(c.promised.list) == 0 {
+		return nil
+	}
+	now := c.moment()
+	likely := c.likelyS(&o.Job, c.estimateOf(o))
+	t := calendar.Task{Of: c.of(&o.Job), Need: room.Need(&o.Job), Level: o.level, Saves: o.CheckpointS > 0}
+	return func(m *machineEntry) bool {
+		free, wait := m.free(), m.fetch(&o.Job)
+		if c.holdsFor(o, m) {
+			free = m.idle()
+		}
+		if !free.Covers(t.Need) {
+			// It would wait there: for what has room beside all that is held.
+			free = room.Capacity(m.info)
+			wait += m.waitBefore(o.level) / max(m.info.CPUs, 1)
+		}
+		t.Ends = calendar.After(now, time.Duration((wait+likely)*float64(time.Second)))
+		if c.inWindow(m.id, m.rec.Type, m.rec.Zone, t.Ends) {
+			return true
+		}
+		holds := c.promised.holds[m.id]
+		return len(holds) > 0 && !calendar.Leaves(holds, &t, free, now)
+	}
+}
+
+// holdsFor reports whether room is held on a machine for a job.
+func (c *Core) holdsFor(o *ownedJob, m *machineEntry) bool {
+	holds := c.promised.holds[m.id]
+	return len(holds) > 0 && calendar.Owns(holds, &calendar.Task{Of: c.of(&o.Job)})
+}
+
+// startLater is why something that waits in a machine's queue does not start.
+type startLater uint8
+
+const (
+	startNow  startLater = iota
+	startSoon            // once others there are over
+	startElsewhere
+)
+
+// mayStartOn decides whether something that fits may start on a machine, for what
+// is promised there.
+func (c *Core) mayStartOn(q *queue, e *entry, j *liveJob, free room.Amount) (startLater, bool) {
+	pr := &c.promised
+	holds := pr.holds[q.id]
+	if len(pr.windows) == 0 && len(holds) == 0 {
+		return startNow, false
+	}
+	now := c.moment()
+	t := calendar.Task{Of: c.of(&j.Job), Need: e.need, Level: e.level, Saves: j.CheckpointS > 0}
+	run := c.likelyS(&j.Job, e.estimate) + q.fetchS(j)
+	t.Ends = calendar.After(now, time.Duration(run*float64(time.Second)))
+	owns := calendar.Owns(holds, &t)
+	if m := c.machines[q.id]; m != nil && c.inWindow(q.id, m.rec.Type, m.rec.Zone, t.Ends) {
+		return startElsewhere, owns
+	}
+	switch {
+	case calendar.Leaves(holds, &t, free, now):
+		return startNow, owns
+	case calendar.Leaves(holds, &t, room.Capacity(q.info), now):
+		return startSoon, owns
+	}
+	return startElsewhere, owns
+}
+
+// fetchS is how long the machine takes to get a job's image, in seconds.
+func (q *queue) fetchS(j *liveJob) float64 {
+	if slices.Contains(q.images, j.Image) {
+		return 0
+	}
+	return fetchS(q.info, &j.Job)
+}
+
+// runsOf lists what a machine runs, for the controller that chooses where room
+// is held.
+func (c *Core) runsOf(q *queue) []calendar.Run {
+	if !c.promised.any {
+		return nil
+	}
+	now := c.moment()
+	var runs []calendar.Run
+	for _, e := range tasksInOrder(q.entries) {
+		j := c.live[e.task.Job]
+		if !e.sent || e.ended() {
+			continue
+		}
+		r := calendar.Run{Need: e.need, Level: e.level}
+		left := 0.0
+		if j != nil {
+			left = c.likelyS(&j.Job, e.estimate)
+			for _, o := range c.promised.list {
+				if calendar.Matches(c.reservationOf(o.For), &j.Job) {
+					r.For = o.For
+					break
+				}
+			}
+			if j.Kind == protocol.KindService {
+				left = forever
+			}
+		}
+		if e.state == protocol.TaskRunning {
+			left -= c.since(e.runs).Seconds()
+		} else if j != nil {
+			left += q.fetchS(j)
+		}
+		r.Ends = calendar.After(now, time.Duration(left*float64(time.Second)))
+		runs = append(runs, r)
+	}
+	return runs
+}
+
+// forever is how long a service runs, in seconds.
+const forever = 1e8
+
+// noReservation stands for one that is not there: it matches no job.
+var noReservation = &bookkeeping.Reservation{Spec: bookkeeping.ReservationSpec{Job: "none"}}
+
+func (c *Core) reservationOf(n calendar.Name) *bookkeeping.Reservation {
+	if e := c.promised.book.Reservation(n); e != nil {
+		return e.Reservation
+	}
+	return noReservation
+}
+
+// clearHeld stops what is in the way of room held on a machine, in the last
+// moment that leaves time to save: only what is less urgent than the reserved
+// work and beyond its team's guarantee.
+func (c *Core) clearHeld(q *queue) {
+	holds := c.promised.holds[q.id]
+	if len(holds) == 0 {
+		return
+	}
+	now := c.moment()
+	for i := range holds {
+		h := &holds[i]
+		victims := c.stoppable(q, h.Level, h.For)
+		save := 0.0
+		for _, e := range victims {
+			save = max(save, c.saveS(e))
+		}
+		if !h.Stop(time.Duration(save*float64(time.Second)), now) {
+			continue
+		}
+		free := q.free()
+		for _, e := range q.entries {
+			if e.present && !e.ended() && e.kill {
+				free = free.Plus(e.need)
+			}
+		}
+		for _, e := range victims {
+			if free.Covers(h.Need) {
+				break
+			}
+			free = free.Plus(e.need)
+			c.stopFor(q, e)
+			c.log.Info("stopped for a reservation", "machine", q.id, "task", e.task, "reservation", h.For)
+		}
+	}
+}
+
+// saveS is how long an attempt may take to be gone once it is stopped.
+func (c *Core) saveS(e *entry) float64 {
+	if j := c.live[e.task.Job]; j != nil {
+		return 2*j.SaveS + 1
+	}
+	return 1
+}
+
+// stoppable lists what may be stopped on a machine for reserved work of a level:
+// what can save first, then what ran least.
+func (c *Core) stoppable(q *queue, l room.Level, n calendar.Name) []*entry {
+	var victims []*entry
+	for _, e := range tasksInOrder(q.entries) {
+		j := c.live[e.task.Job]
+		if e.present && !e.ended() && !e.kill && j != nil && e.level < l && !calendar.Matches(c.reservationOf(n), &j.Job) {
+			victims = append(victims, e)
+		}
+	}
+	c.sortVictims(victims)
+	return victims
+}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -25,10 +26,11 @@
 	silence     silence
 	told        bool         // said is up to date
 	said        MachineState // what others are told
-	contested   bool         // something here might be stopped for something that waits; as said
-	inventoried bool         // owners have an inventory of this term
-	known       bool         // what is on the machine was reported since it is kept here
-	sole        bool         // kept here without a break since the worker saw a term of that: nobody else can have started anything
+	runs        []calendar.Run
+	contested   bool // something here might be stopped for something that waits; as said
+	inventoried bool // owners have an inventory of this term
+	known       bool // what is on the machine was reported since it is kept here
+	sole        bool // kept here without a break since the worker saw a term of that: nobody else can have started anything
 	registering bool
 	removing    bool
 	asked       Time // when the registrar was last asked for either
--- a/internal/coordination/rebalance.go
+++ b/internal/coordination/rebalance.go
@@ -14,6 +14,7 @@
 type movableTasks struct {
 	job   *ownedJob
 	need  room.Amount
+	bars  func(*machineEntry) bool // see Core.bars
 	tasks []movableTask
 }
 
@@ -42,7 +43,7 @@
 	}
 	var roomy []*machineEntry
 	for _, m := range c.machinesInOrder() {
-		if m.id > after && c.usable(m) && m.told.Epoch == m.epoch && m.told.Queued == 0 && m.free().CPUs > room.Slack {
+		if m.id > after && c.usable(m) && m.told.Epoch == m.epoch && (m.told.Queued == 0 && m.free().CPUs > room.Slack || len(c.promised.holds[m.id]) > 0 && m.idle().CPUs > room.Slack) {
 			roomy = append(roomy, m)
 		}
 	}
@@ -59,7 +60,7 @@
 	}
 	cl, left := c.claims(), movesMost
 	for _, m := range roomy {
-		if m.free().Covers(least) {
+		if m.idle().Covers(least) {
 			left -= c.takeFor(m, movable, cl, left)
 		}
 		if left <= 0 {
@@ -94,7 +95,7 @@
 			}
 			g := byJob[o.ID]
 			if g == nil {
-				g = &movableTasks{job: o, need: room.Need(&o.Job)}
+				g = &movableTasks{job: o, need: room.Need(&o.Job), bars: c.bars(o)}
 				byJob[o.ID] = g
 				all = append(all, g)
 			}
@@ -113,11 +114,11 @@
 // takeFor fills a machine's room with movable tasks, at most so many, the most
 // urgent first, then those of the longest queues. It returns how many it took.
 func (c *Core) takeFor(m *machineEntry, movable []*movableTasks, cl *claims, most int) (taken int) {
-	free := m.free()
+	free := m.idle()
 	for ; taken < most; taken++ {
 		var best *movableTasks
 		for _, g := range movable {
-			if len(g.tasks) > 0 && free.Covers(g.need) && (best == nil || g.before(best)) && c.mayMove(g, m, cl) {
+			if len(g.tasks) > 0 && free.Covers(g.need) && (m.told.Queued == 0 || c.holdsFor(g.job, m)) && (best == nil || g.before(best)) && c.mayMove(g, m, cl) {
 				best = g
 			}
 		}
@@ -151,5 +152,8 @@
 		zones = o.zones()
 		zones[t.zone]--
 	}
+	if g.bars != nil && g.bars(m) {
+		return false
+	}
 	return o.allows(m, zones) && cl.spared(o, m, g.need)
 }
--- a/internal/coordination/registration.go
+++ b/internal/coordination/registration.go
@@ -52,7 +52,9 @@
 	if m != nil {
 		c.loseMachine(m)
 	}
+	c.noteBoot(id, rec)
 	m = &machineEntry{id: id, rec: rec, epoch: version, info: c.types[rec.Type], mine: map[protocol.TaskID]*placedTask{}}
+	m.reserved = reservedBy(c.promised.holds[id], c.moment())
 	c.addMachine(m)
 	c.owner.dirty = true
 	if q := c.queues[id]; q != nil && q.session == rec.Session {
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -23,8 +23,11 @@
 type hearsay struct {
 	machinesTo, jobsTo     relay.Cursor
 	machinesFrom, jobsFrom relay.Replica
-	short                  bool // the last message could not hold all changes of machines
-	at                     Time // when its word on machines was last brought up to date in this term
+	// holdsTo and holdsFrom number what is held, as it has it of this controller
+	// and the other way round.
+	holdsTo, holdsFrom uint64
+	short              bool // the last message could not hold all changes of machines
+	at                 Time // when its word on machines was last brought up to date in this term
 	// handled is, by owner, the last Place that the peer's word includes.
 	handled map[protocol.NodeName]uint64
 	// waits are the machines it keeps with placements that its word does not
@@ -70,6 +73,7 @@
 		t.machinesFrom.Begin(uint64(c.view.Term))
 		t.jobsFrom.Begin(uint64(c.view.Term))
 		t.at, t.short = 0, false
+		t.holdsTo, t.holdsFrom = 0, 0
 		clear(t.early)
 	}
 }
@@ -126,6 +130,10 @@
 		if l, ok := loans[p.session]; ok {
 			r.Loan = &l
 		}
+		r.HaveHolds = t.holdsFrom
+		if c.promised.number != 0 && c.promised.number>>32 == uint64(c.view.Term) && t.holdsTo != c.promised.number && name != c.self {
+			r.Holds = &Holds{c.promised.number, c.promised.list}
+		}
 		if same == nil {
 			r.Demand = c.demand()
 		} else {
@@ -196,6 +204,11 @@
 		t := &p.told
 		t.machinesTo.Heard(r.HaveMachines)
 		t.jobsTo.Heard(r.HaveJobs)
+		t.holdsTo = r.HaveHolds
+		if r.Holds != nil && from != c.self {
+			t.holdsFrom = r.Holds.Number
+			c.setHolds(r.Holds.List)
+		}
 		if t.machinesFrom.Accept(r.Machines) {
 			t.at = c.now
 			for _, st := range r.States {
--- a/internal/coordination/renting/plan.go
+++ b/internal/coordination/renting/plan.go
@@ -127,6 +127,10 @@
 	return n
 }
 
+// Fill takes room for n tasks out of what is there, asking for nothing, and
+// returns how many are left without.
+func (p *Plan) Fill(w Work, n int) int { return p.fill(&w, n) }
+
 // after is so many of a slot's machines once each has taken some tasks.
 func (s Slot) after(w *Work, tasks, machines int) Slot {
 	for range tasks {
@@ -209,13 +213,35 @@
 type Order struct {
 	Kind
 	Count int
+	For   string // what they are for, if for one thing alone
+}
+
+// Buy asks for machines for n tasks, whatever is there, from the cheapest kind
+// offered: they are for nothing else. One request of each kind is under way at a
+// time, so its answer tells whether there are more.
+func (p *Plan) Buy(w Work, n int, what string) []Order {
+	var os []Order
+	for _, k := range w.Offers {
+		per := room.Capacity(p.types[k.Type]).Fit(w.Need)
+		if n <= 0 || per == 0 {
+			break
+		}
+		count := min(AskAtMost-p.underWay[k], (n+per-1)/per)
+		if count <= 0 {
+			continue
+		}
+		p.underWay[k] += count
+		os = append(os, Order{k, count, what})
+		n -= count * per
+	}
+	return os
 }
 
 // Orders lists what the plan asks for, the cheapest first.
 func (p *Plan) Orders() []Order {
 	var os []Order
 	for _, k := range inPriceOrder(p, p.want) {
-		os = append(os, Order{k, p.want[k]})
+		os = append(os, Order{Kind: k, Count: p.want[k]})
 	}
 	return os
 }
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -160,6 +160,7 @@
 	switch {
 	case e.ended() && before != protocol.TaskEnded:
 		c.noteResult(q, e)
+		c.noteError(e)
 		c.tell(q, e, WhatEnded)
 	case e.state == protocol.TaskRunning && before != protocol.TaskRunning:
 		e.runs = c.now
--- a/internal/coordination/told.go
+++ b/internal/coordination/told.go
@@ -44,6 +44,7 @@
 	}
 	c.reckonState(q)
 	s := q.said
+	s.Runs = q.runs
 	if q.known && len(q.entries) == 0 {
 		s.IdleS = c.since(q.idleSince).Seconds()
 	}
@@ -95,6 +96,7 @@
 		}
 	}
 	s.FreeCPUs, s.FreeGPUs, s.FreeGB, s.Uses = free.CPUs, free.GPUs, free.GB, usesIn(&held)
+	q.runs = c.runsOf(q)
 	q.said, q.told = s, true
 	q.contested = least < most || guaranteed && borrows
 }
--- /dev/null
+++ b/internal/emulator/machines.go
@@ -0,0 +1,167 @@
+package emulator
+
+import (
+	"fmt"
+	"time"
+
+	"damsonkeel/internal/coordination"
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/standin"
+)
+
+type simWorker struct {
+	*standin.Worker
+	target  int
+	nextAt  time.Duration
+	waiting bool
+	due     time.Duration // when time next changes something on it, in an exact world
+}
+
+func (w *world) boot(id protocol.MachineID, r protocol.RentRequest) {
+	var info protocol.TypeInfo
+	for _, t := range w.types {
+		if t.Name == r.Type {
+			info = t
+		}
+	}
+	sw := &simWorker{target: w.rng.IntN(3), Worker: &standin.Worker{
+		ID: id, Info: info, Zone: r.Zone, Spot: r.Spot, LeaseS: w.settings.Site.Workers.LeaseS, Results: w.results,
+		GangWait: time.Duration(w.settings.Site.Workers.GangWaitS) * time.Second,
+		Jobs:     func(j protocol.JobID) (protocol.Job, bool) { job, ok := w.jobs[j]; return job, ok },
+		RunTime:  w.runTime,
+		Saved:    w.saved,
+		Started:  w.taskStarted,
+		Ended: func(m *standin.Worker, id protocol.TaskID, _ protocol.EndCause) {
+			if w.onMachine[id] == m {
+				delete(w.onMachine, id)
+			}
+		},
+	}}
+	sw.Start(w.now)
+	sw.nextAt = w.now + w.delay()
+	w.workers[id] = sw
+	w.order = append(w.order, id)
+}
+
+// tickWorker lets time pass on a machine before it is told something, in an exact
+// world; elsewhere time passes for all at each step.
+func (w *world) tickWorker(sw *simWorker) {
+	if w.exact {
+		w.tick(sw)
+	}
+}
+
+func (w *world) tick(sw *simWorker) {
+	session := sw.Session
+	if sw.Tick(w.now); sw.Session != session {
+		w.lapsed++
+	}
+}
+
+// kill takes a machine away, with all on it.
+func (w *world) kill(id protocol.MachineID) {
+	if sw := w.workers[id]; sw != nil && !sw.Dead {
+		for _, t := range sw.Tasks() {
+			if w.onMachine[t] == sw.Worker {
+				delete(w.onMachine, t)
+			}
+		}
+		sw.Dead = true
+		delete(w.cloud.Machines, id)
+		w.gone(id)
+	}
+}
+
+func (w *world) report(sw *simWorker) {
+	sw.waiting = true
+	w.tickWorker(sw)
+	sent, r := w.now, sw.Report()
+	n := w.nodes[sw.target]
+	over := false
+	next := func(d time.Duration) {
+		over, sw.waiting = true, false
+		sw.nextAt = w.now + d
+	}
+	w.after(4*time.Second, func() {
+		if !over {
+			sw.target = (sw.target + 1) % 3
+			next(time.Second)
+		}
+	})
+	w.carryToZone(n, sw.Zone, func() {
+		if n.core == nil {
+			if !over {
+				sw.target = (sw.target + 1) % 3
+				next(time.Second)
+			}
+			return
+		}
+		for _, a := range w.stepNode(n, coordination.Reported{Report: r}) {
+			rr, ok := a.(coordination.ReplyReport)
+			if !ok {
+				continue
+			}
+			w.after(w.delay(), func() {
+				if over {
+					return
+				}
+				switch rr.Status {
+				case 200:
+					before := sw.Term
+					w.tickWorker(sw)
+					sw.Answer(r.Session, sent, rr.Reply)
+					sw.due = w.now
+					next(time.Duration(w.settings.Site.Workers.ReportS * float64(time.Second)))
+					if sw.Term != before || len(rr.Reply.Orders) > 0 {
+						sw.nextAt = w.now + 500*time.Millisecond
+					}
+				case 421:
+					var at int
+					fmt.Sscanf(string(rr.ReportTo), "node-%d", &at)
+					sw.target = at
+					next(w.delay())
+				default:
+					sw.target = (sw.target + 1) % 3
+					next(time.Second)
+				}
+			})
+		}
+	})
+}
+
+// gangs lets the tasks of gangs find one another, and notice who is gone.
+func (w *world) gangs() {
+	for _, id := range w.jobOrder {
+		j := w.jobs[id]
+		if j.Kind != protocol.KindGang || j.Tasks < 2 || w.final[id] != "" {
+			continue
+		}
+		waiting, running := map[protocol.Attempt]int{}, map[protocol.Attempt]int{}
+		each := func(do func(*simWorker, protocol.TaskID, protocol.Attempt, protocol.TaskState)) {
+			for _, m := range w.order {
+				for i := range j.Tasks {
+					task := protocol.TaskID{Job: id, Index: i}
+					if a, st, ok := w.workers[m].Gang(task); ok {
+						do(w.workers[m], task, a, st)
+					}
+				}
+			}
+		}
+		each(func(_ *simWorker, _ protocol.TaskID, a protocol.Attempt, st protocol.TaskState) {
+			switch st {
+			case protocol.TaskWaiting:
+				waiting[a]++
+			case protocol.TaskRunning:
+				running[a]++
+			}
+		})
+		each(func(m *simWorker, task protocol.TaskID, a protocol.Attempt, _ protocol.TaskState) {
+			switch {
+			case waiting[a] == int(j.Tasks):
+				m.Meet(task)
+			case running[a] > 0 && running[a] < int(j.Tasks):
+				m.Part(task)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/emulator/nodes.go
@@ -0,0 +1,378 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination"
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/standin"
+)
+
+type simNode struct {
+	name     protocol.NodeName
+	core     *coordination.Core
+	life     int // counts processes and sessions: answers to earlier ones are lost
+	outboxes map[protocol.NodeName]*simOutbox
+	session  protocol.LeaseID
+	followed int
+	layout   bookkeeping.Layout
+	frozen   time.Duration // until when its process stands still, clocks running on
+	extendAt time.Duration
+	born     time.Duration
+}
+
+type simOutbox struct {
+	*coordination.Outbox
+	busyUntil time.Duration
+}
+
+func (w *world) stateReachable(n *simNode) bool {
+	c, ok := w.cuts[string(n.name)+">state"]
+	return w.outage <= w.now && (!ok || c.until <= w.now)
+}
+
+func (w *world) startNode(n *simNode) {
+	n.life++
+	life := n.life
+	s := *w.settings
+	s.Name = n.name
+	level := slog.LevelError + 1
+	if os.Getenv("WORLD_LOG") != "" {
+		level = slog.LevelDebug
+	}
+	var out io.Writer = os.Stderr
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level})).With("node", n.name)
+	n.core = coordination.NewCore(&s, w.operator, rand.New(rand.NewPCG(w.rng.Uint64(), 2)), log)
+	n.born = w.now
+	n.session = 0
+	n.outboxes = map[protocol.NodeName]*simOutbox{}
+	for _, o := range w.nodes {
+		n.outboxes[o.name] = &simOutbox{Outbox: coordination.NewOutbox(n.name, nil, log)}
+	}
+	for i := range 3 {
+		name := protocol.NodeName(fmt.Sprint("node-", i))
+		n.outboxes[name] = &simOutbox{Outbox: coordination.NewOutbox(n.name, nil, log)}
+	}
+	w.stepNode(n, coordination.CatalogueRead{Types: w.types})
+	w.after(w.delay(), func() { w.openSession(n, life) })
+}
+
+func (w *world) crash(n *simNode) { w.crashFor(n, 6*time.Second) }
+
+// crashFor ends a controller's process, and starts it again after a while.
+func (w *world) crashFor(n *simNode, d time.Duration) {
+	n.life++
+	n.core = nil
+	life := n.life
+	w.after(d, func() {
+		if n.life == life {
+			n.layout = bookkeeping.LayoutBlocks
+			w.startNode(n)
+		}
+	})
+}
+
+// openSession does what Node.session does.
+func (w *world) openSession(n *simNode, life int) {
+	if n.life != life {
+		return
+	}
+	if !w.stateReachable(n) {
+		w.after(300*time.Millisecond, func() { w.openSession(n, life) })
+		return
+	}
+	items, at := w.state.List(bookkeeping.FollowedPrefix), w.state.Changes()
+	lease := w.state.Lease(w.now, simNodeLease)
+	key := bookkeeping.NodeKey(n.name)
+	it, _ := w.state.Get(key)
+	w.state.Txn(protocol.Txn{
+		If:   []protocol.Condition{{Key: key, Version: it.Version}},
+		Then: []protocol.Change{{Put: key, Value: bookkeeping.Node{Session: lease, Layout: n.layout}, Lease: &lease}},
+	})
+	n.session, n.followed, n.extendAt = lease, at, w.now
+	w.stepNode(n, coordination.Snapshot{Session: lease, Items: items, WallMS: w.wallMS()})
+}
+
+func (w *world) clock(n *simNode) coordination.Time { return coordination.Time(w.now-n.born) + 1 }
+
+func (w *world) stepNode(n *simNode, msg any) []coordination.Action {
+	if n.core == nil {
+		return nil
+	}
+	if w.now < n.frozen { // handled when it goes on; who waits for the answer has given up
+		life := n.life
+		w.after(n.frozen-w.now, func() {
+			if n.life == life {
+				w.stepNode(n, msg)
+			}
+		})
+		return nil
+	}
+	actions := n.core.Step(w.clock(n), msg)
+	w.carryOut(n, actions)
+	if w.exact && n.core != nil {
+		for _, to := range slices.Sorted(maps.Keys(n.outboxes)) {
+			w.flush(n, to, n.outboxes[to])
+		}
+	}
+	return actions
+}
+
+// later gives a node's core a message, unless that process has ended.
+func (w *world) later(n *simNode, msg any) {
+	life := n.life
+	w.after(w.delay(), func() {
+		if n.life == life {
+			w.stepNode(n, msg)
+		}
+	})
+}
+
+func (w *world) carryOut(n *simNode, actions []coordination.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case coordination.Send:
+			n.outboxes[a.To].Add(a)
+		case coordination.Commit:
+			w.commit(n, a)
+		case coordination.LoadBits:
+			ok := w.stateReachable(n)
+			w.later(n, coordination.JobLoaded{Job: a.Job, Chunks: w.state.List(bookkeeping.BitsPrefix(a.Job)), OK: ok})
+		case coordination.Command:
+			w.command(n, a)
+		case coordination.Rent:
+			if w.silent > w.now {
+				w.later(n, coordination.Rented{Request: a.Request, Outcome: coordination.OutcomeUnknown})
+				continue
+			}
+			all, fresh := w.cloud.Rent(a.Request)
+			for _, id := range fresh {
+				w.rented(id, a.Request)
+				w.after(w.bootTime(a.Request), func() {
+					if _, ok := w.cloud.Machines[id]; ok {
+						w.boot(id, a.Request)
+					}
+				})
+			}
+			out := coordination.OutcomeDone
+			if len(all) == 0 {
+				out = coordination.OutcomeFailed
+			}
+			w.later(n, coordination.Rented{Request: a.Request, Machines: all, Outcome: out})
+		case coordination.Delete:
+			if w.silent > w.now {
+				w.later(n, coordination.Deleted{Machines: a.Machines})
+				continue
+			}
+			for _, id := range a.Machines {
+				w.kill(id)
+				delete(w.cloud.Machines, id)
+			}
+			w.later(n, coordination.Deleted{Machines: a.Machines, OK: true})
+		case coordination.ListMachines:
+			if w.silent > w.now {
+				w.later(n, coordination.Listed{})
+				continue
+			}
+			var list []protocol.ListedMachine
+			for _, id := range slices.Sorted(maps.Keys(w.cloud.Machines)) {
+				r := w.cloud.Machines[id]
+				st := "booting"
+				if w.workers[id] != nil {
+					st = "running"
+				}
+				list = append(list, protocol.ListedMachine{ID: id, Type: r.Type, Zone: r.Zone, Spot: r.Spot, State: st, AgeS: 30})
+			}
+			w.later(n, coordination.Listed{Machines: list, OK: true})
+		}
+	}
+}
+
+// commit applies a transaction; behind a cut it may be applied late, with no
+// answer.
+func (w *world) commit(n *simNode, a coordination.Commit) {
+	w.checkSize(a)
+	if !w.stateReachable(n) {
+		c := w.cuts[string(n.name)+">state"]
+		if c.hold && w.outage <= w.now {
+			w.after(c.until-w.now+w.delay(), func() { w.state.Txn(a.Txn) })
+			life := n.life
+			w.after(1500*time.Millisecond, func() {
+				if n.life == life {
+					w.stepNode(n, coordination.TxnDone{Tag: a.Tag, Outcome: coordination.OutcomeUnknown})
+				}
+			})
+			return
+		}
+		w.later(n, coordination.TxnDone{Tag: a.Tag, Outcome: coordination.OutcomeRefused})
+		return
+	}
+	if w.slow > 0 {
+		w.after(w.slow/2, func() { w.execute(n, a) })
+		return
+	}
+	w.execute(n, a)
+}
+
+func (w *world) execute(n *simNode, a coordination.Commit) {
+	out := coordination.OutcomeFailed
+	if w.state.Txn(a.Txn) {
+		out = coordination.OutcomeDone
+	}
+	if w.rng.IntN(20) == 0 {
+		out = coordination.OutcomeUnknown // the answer is lost
+	}
+	life := n.life
+	w.after(w.slow/2, func() {
+		if n.life == life {
+			w.later(n, coordination.TxnDone{Tag: a.Tag, Outcome: out})
+		}
+	})
+}
+
+// checkSize holds a transaction against the limits of the state service.
+func (w *world) checkSize(a coordination.Commit) {
+	s := w.settings.Site.State
+	if ops := len(a.Txn.Then); ops > s.TxnOps || len(a.Txn.If) > 4*s.TxnOps {
+		w.fail("%v transaction %T of %d conditions and %d changes", w.now, a.Tag, len(a.Txn.If), ops)
+	}
+	total := 0
+	for _, ch := range a.Txn.Then {
+		if b, ok := ch.Value.(bookkeeping.Block); ok {
+			w.blockWrites++
+			text, err := json.Marshal(b)
+			if total += len(text); err != nil || float64(len(text)) > 1024*s.ValueKB || total > 64<<10 {
+				w.fail("%v value of %d bytes, %d in all, %v", w.now, len(text), total, err)
+			}
+		}
+	}
+}
+
+func (w *world) command(n *simNode, a coordination.Command) {
+	life := n.life
+	answered := false
+	done := coordination.Commanded{Machine: a.Machine, Term: a.Commands.Term, Session: a.Commands.Session, Orders: a.Commands.Orders}
+	sw := w.workers[a.Machine]
+	if sw == nil {
+		sw = &simWorker{Worker: &standin.Worker{Dead: true}}
+	}
+	w.carryToZone(n, sw.Zone, func() {
+		if sw.Dead {
+			return
+		}
+		w.tickWorker(sw)
+		done.Executed = sw.Do(a.Commands)
+		sw.due = w.now
+		done.Report = sw.Report()
+		done.Answered = true
+		if w.rng.IntN(30) == 0 {
+			done.Answered = false // the answer is lost
+			return
+		}
+		w.after(w.delay(), func() {
+			if !answered && n.life == life {
+				answered = true
+				w.stepNode(n, done)
+			}
+		})
+	})
+	w.after(coordination.DirectTimeout, func() {
+		if !answered && n.life == life {
+			answered = true
+			done.Answered = false
+			w.stepNode(n, done)
+		}
+	})
+}
+
+// tickMS is the time of day that ticks bring; in worlds of a minute or two that of
+// the session will do.
+func (w *world) tickMS() int64 {
+	if !w.exact {
+		return 0
+	}
+	return w.wallMS()
+}
+
+// age is how long ago a change of the state service happened.
+func (w *world) age(i int) time.Duration {
+	if i -= w.state.Before; i >= len(w.loggedAt) {
+		return 0 // in this step
+	}
+	return w.now - w.loggedAt[i]
+}
+
+func (w *world) tickNode(n *simNode) {
+	if n.core == nil || w.now < n.frozen {
+		return
+	}
+	if n.session != 0 && w.stateReachable(n) {
+		for n.followed < w.state.Changes() && w.age(n.followed) >= w.slow {
+			ev := w.state.Change(n.followed)
+			n.followed++
+			if strings.HasPrefix(ev.Put+ev.Delete, bookkeeping.FollowedPrefix) {
+				w.stepNode(n, coordination.Changed{Event: ev})
+			}
+		}
+		if w.now >= n.extendAt {
+			n.extendAt = w.now + time.Second
+			if !w.state.Extend(w.now, n.session) {
+				n.session = 0
+				w.stepNode(n, coordination.SessionOver{})
+				for _, o := range n.outboxes {
+					o.busyUntil = 0
+				}
+				life := n.life
+				w.after(300*time.Millisecond, func() { w.openSession(n, life) })
+				return
+			}
+			w.stepNode(n, coordination.Entitled{Until: w.clock(n) + coordination.Time(7700*time.Millisecond)})
+		}
+	}
+	if w.exact || w.now%(2*w.step) == 0 {
+		w.stepNode(n, coordination.Tick{WallMS: w.tickMS()})
+	}
+	for _, to := range slices.Sorted(maps.Keys(n.outboxes)) {
+		w.flush(n, to, n.outboxes[to])
+	}
+}
+
+func (w *world) flush(n *simNode, to protocol.NodeName, o *simOutbox) {
+	if w.now < o.busyUntil {
+		return
+	}
+	b, ok := o.Batch()
+	if !ok {
+		return
+	}
+	o.busyUntil = w.now + coordination.PeerTimeout
+	life := n.life
+	var peer *simNode
+	for _, p := range w.nodes {
+		if p.name == to {
+			peer = p
+		}
+	}
+	w.carry(string(n.name), string(to), func() {
+		for _, a := range w.stepNode(peer, coordination.Received{Batch: b}) {
+			if rb, ok := a.(coordination.ReplyBatch); ok {
+				w.carry(string(to), string(n.name), func() {
+					if n.life == life {
+						o.Settle(b, rb.Reply)
+						o.busyUntil = w.now
+					}
+				})
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/emulator/rules.go
@@ -0,0 +1,82 @@
+package emulator
+
+import (
+	"strings"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/standin"
+)
+
+// taskStarted checks the rules about starts.
+func (w *world) taskStarted(m *standin.Worker, id protocol.TaskID, a protocol.Attempt) {
+	w.starts++
+	w.started(m.ID, id)
+	j := w.jobs[id.Job]
+	if other := w.onMachine[id]; other != nil && other != m {
+		w.fail("%v ran_twice: %v starts on %s while on %s", w.now, id, m.ID, other.ID)
+	}
+	w.onMachine[id] = m
+	w.mostOn = max(w.mostOn, len(w.onMachine))
+	if at, ok := w.cancelled[id.Job]; ok && (w.now-at).Seconds() > w.settings.Site.Workers.CancelS {
+		w.fail("%v ran_cancelled: %v starts on %s", w.now, id, m.ID)
+	}
+	if m.Spot && !j.Spot || j.Zone != "" && j.Zone != m.Zone || len(j.Types) > 0 && j.Types[0] != m.Info.Name {
+		w.fail("%v wrong_place: %v on %s", w.now, id, m.ID)
+	}
+	var used float64
+	zones := map[protocol.Zone]int{}
+	for t, on := range w.onMachine {
+		if k := w.jobs[t.Job]; k.Team == j.Team {
+			used += k.CPUs
+		}
+		if t.Job == id.Job {
+			zones[on.Zone]++
+		}
+	}
+	if team, _ := w.settings.Team(j.Team); team.MaxCPUs > 0 && used > team.MaxCPUs+1e-9 {
+		w.fail("%v quota: %s uses %v", w.now, j.Team, used)
+	}
+	if j.OneZone && len(zones) > 1 || j.Spread && zones[m.Zone] > int(j.Tasks+1)/2 {
+		w.fail("%v wrong_place: zones of %v: %v", w.now, id.Job, zones)
+	}
+}
+
+func (w *world) checkRules() {
+	for t := range w.onMachine {
+		if at, ok := w.cancelled[t.Job]; ok && (w.now-at).Seconds() > w.settings.Site.Workers.CancelS {
+			w.fail("%v ran_cancelled: %v is still on a machine", w.now, t)
+		}
+	}
+	for ; w.checked < w.state.Changes(); w.checked++ {
+		ev := w.state.Change(w.checked)
+		key, ours := strings.CutPrefix(ev.Put+ev.Delete, bookkeeping.JobKey(""))
+		if !ours {
+			continue
+		}
+		id := protocol.JobID(key)
+		if ev.Put == "" {
+			w.fail("%v forgotten: %v", w.now, id)
+		}
+		var r bookkeeping.JobRecord
+		if err := protocol.Decode(ev.Value, &r); err != nil {
+			w.fail("%v", err)
+		}
+		if was := w.final[id]; was != "" && was != r.State {
+			w.fail("%v went_back: %v from %s to %s", w.now, id, was, r.State)
+		}
+		if r.State == bookkeeping.RecordLive || w.final[id] != "" {
+			continue
+		}
+		w.final[id] = r.State
+		j := w.jobs[id]
+		for i := range j.Tasks {
+			if r.State == bookkeeping.RecordDone && !w.results[protocol.TaskID{Job: id, Index: i}] {
+				if j.Kind == protocol.KindGang && w.results[protocol.TaskID{Job: id}] {
+					continue
+				}
+				w.fail("%v not_done: %v/%d", w.now, id, i)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulator/world.go
@@ -0,0 +1,198 @@
+// Package emulator plays days of a site in simulated time: the real cores of the
+// controllers against models of the state service, the cloud and the workers,
+// with faults, by a seed. The rules of the protocol are checked after every
+// step.
+package emulator
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination"
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/standin"
+)
+
+// world plays controllers' cores against stand-ins in simulated time, and
+// checks the rules after every step.
+type world struct {
+	fail     func(format string, args ...any) // a rule is broken
+	rng      *rand.Rand
+	now      time.Duration
+	todo     events
+	seq      int
+	settings *config.Settings
+	types    []protocol.TypeInfo
+
+	state   *standin.State
+	outage  time.Duration // until when
+	cloud   *standin.Cloud
+	workers map[protocol.MachineID]*simWorker
+	order   []protocol.MachineID
+	nodes   []*simNode
+	cuts    map[string]cut // by the two ends
+
+	jobs      map[protocol.JobID]protocol.Job
+	jobOrder  []protocol.JobID
+	submitted int // jobs, ever
+	cancelled map[protocol.JobID]time.Duration
+	final     map[protocol.JobID]string
+	results   map[protocol.TaskID]bool
+	onMachine map[protocol.TaskID]*standin.Worker
+	starts    int
+
+	step     time.Duration // between the ticks of the controllers' watches
+	exact    bool          // events happen at their own times, not with the steps
+	startMS  int64         // the time of day at the beginning
+	operator config.Operator
+	runTime  func(protocol.TaskID) time.Duration
+	saved    func(protocol.TaskID, time.Duration) // see standin.Worker
+	bootTime func(protocol.RentRequest) time.Duration
+	rented   func(protocol.MachineID, protocol.RentRequest)
+	gone     func(protocol.MachineID)
+	started  func(protocol.MachineID, protocol.TaskID) // a task starts
+	silent   time.Duration                             // until when the cloud answers nothing
+	checked  int                                       // changes of the state service that the rules have been held against
+
+	slow     time.Duration   // how long the state service takes
+	loggedAt []time.Duration // when its changes happened
+	lapsed   int             // workers' leases that ran out
+
+	blockWrites int
+	mostOn      int // tasks at a time
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+const (
+	usualStep    = 50 * time.Millisecond
+	simNodeLease = 8 * time.Second
+)
+
+// newWorld has three controllers, and a cloud that has some more machines than
+// are up at the start.
+func newWorld(fail func(string, ...any), seed uint64, settings *config.Settings, machines, up int) *world {
+	w := &world{
+		fail: fail, rng: rand.New(rand.NewPCG(seed, 1)), settings: settings, state: standin.NewState(),
+		cloud: standin.NewCloud(machines + 6), workers: map[protocol.MachineID]*simWorker{}, cuts: map[string]cut{},
+		jobs: map[protocol.JobID]protocol.Job{}, cancelled: map[protocol.JobID]time.Duration{}, final: map[protocol.JobID]string{},
+		results: map[protocol.TaskID]bool{}, onMachine: map[protocol.TaskID]*standin.Worker{},
+		types: []protocol.TypeInfo{
+			{Name: "small", CPUs: 4, MemoryGB: 16, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}},
+			{Name: "large", CPUs: 8, MemoryGB: 32, FetchGBPS: 1, Price: 2, SpotPrice: 0.6, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}},
+		},
+	}
+	w.step, w.startMS, w.operator = usualStep, 1, config.DefaultOperator()
+	w.runTime = func(protocol.TaskID) time.Duration { return time.Duration(1000+w.rng.IntN(9000)) * time.Millisecond }
+	w.bootTime = func(protocol.RentRequest) time.Duration { return time.Duration(3+w.rng.IntN(8)) * time.Second }
+	w.started = func(protocol.MachineID, protocol.TaskID) {}
+	w.rented, w.gone = func(protocol.MachineID, protocol.RentRequest) {}, func(protocol.MachineID) {}
+	for i := range up {
+		r := protocol.RentRequest{Name: fmt.Sprint("first", i), Type: w.types[i%2].Name, Zone: w.types[0].AllowZones[i/2%2], Spot: i%3 == 0, Count: 1}
+		_, ids := w.cloud.Rent(r)
+		w.boot(ids[0], r)
+	}
+	for i := range 3 {
+		n := &simNode{name: protocol.NodeName(fmt.Sprint("node-", i)), layout: bookkeeping.LayoutBlocks}
+		w.nodes = append(w.nodes, n)
+		w.startNode(n)
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.todo, event{w.now + d, w.seq, do})
+}
+
+// wallMS is the time of day.
+func (w *world) wallMS() int64 { return w.startMS + w.now.Milliseconds() }
+
+// submit accepts a job as intake does.
+func (w *world) submit(j protocol.Job) {
+	j.ID = protocol.JobID(fmt.Sprintf("job-%06d", w.submitted))
+	j.SubmittedMS = w.wallMS()
+	j.Image, j.ImageGB, j.MemoryGB = "img", 1, 1
+	if w.outage > w.now || !w.state.Txn(coordination.AcceptTxn(&j)) {
+		return
+	}
+	w.submitted++
+	w.jobs[j.ID] = j
+	w.jobOrder = append(w.jobOrder, j.ID)
+}
+
+func (w *world) cancel(id protocol.JobID) {
+	it, _ := w.state.Get(bookkeeping.JobKey(id))
+	if w.outage <= w.now && w.state.Txn(coordination.CancelTxn(id, it.Version, bookkeeping.JobRecord{Tasks: w.jobs[id].Tasks})) {
+		w.cancelled[id] = w.now
+	}
+}
+
+// run plays until a time.
+func (w *world) run(until time.Duration) {
+	for w.now < until {
+		end := w.now + w.step
+		if !w.exact {
+			w.now = end
+		}
+		for len(w.todo) > 0 && w.todo[0].at <= end {
+			e := heap.Pop(&w.todo).(event)
+			w.now = max(w.now, e.at)
+			e.do()
+		}
+		w.now = end
+		if w.outage <= w.now {
+			w.state.Expire(w.now)
+		}
+		for w.state.Before+len(w.loggedAt) < w.state.Changes() {
+			w.loggedAt = append(w.loggedAt, w.now)
+		}
+		for _, id := range w.order {
+			sw := w.workers[id]
+			switch {
+			case !w.exact:
+				w.tick(sw)
+			case w.now >= sw.due && !sw.Dead:
+				w.tick(sw)
+				if sw.due = max(sw.Next(), w.now+1); !sw.waiting {
+					sw.nextAt = min(sw.nextAt, w.now+w.step) // something changed
+				}
+			}
+			if !sw.Dead && !sw.waiting && w.now >= sw.nextAt {
+				w.report(sw)
+			}
+		}
+		w.gangs()
+		for _, n := range w.nodes {
+			w.tickNode(n)
+		}
+		w.checkRules()
+	}
+}
--- /dev/null
+++ b/internal/operators/messages.go
@@ -0,0 +1,90 @@
+// Package operators is what operators' commands and controllers say to one
+// another: requests about the calendar, sealed with an operator's key, and the
+// answers. It is the same on both sides.
+package operators
+
+import (
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+)
+
+// Path is where controllers take operators' requests, by POST.
+const Path = "/operator/v1"
+
+// Op is what is asked for.
+type Op string
+
+// The operations. Window tells reservations and windows apart.
+const (
+	OpAdd    Op = "add"
+	OpList   Op = "list"
+	OpShow   Op = "show"
+	OpCancel Op = "cancel"
+)
+
+// Request is one request; it is sealed on its way.
+type Request struct {
+	Op     Op                    `cbor:"op"`
+	Window bool                  `cbor:"window,omitempty"`
+	Name   bookkeeping.EntryName `cbor:"name,omitempty"`
+	// ID is chosen by who asks: a repeated request for a change gets the same
+	// answer and changes nothing more.
+	ID string `cbor:"id,omitempty"`
+	// DryRun has an add decided and nothing changed.
+	DryRun bool `cbor:"dry_run,omitempty"`
+	// Replace lets an add take the place of what has its name.
+	Replace bool `cbor:"replace,omitempty"`
+	// Made is when what is to be cancelled was made: another of its name stays.
+	Made bookkeeping.Moment `cbor:"made_ms,omitempty"`
+
+	Reservation *bookkeeping.ReservationSpec `cbor:"reservation,omitempty"`
+	Spec        *bookkeeping.WindowSpec      `cbor:"spec,omitempty"` // of a window
+}
+
+// Code is how a request ended.
+type Code string
+
+// The codes.
+const (
+	Done     Code = "done"
+	Refused  Code = "refused" // can't be kept, or is malformed
+	NotFound Code = "not_found"
+	Denied   Code = "denied" // the seal is no operator's, or too old
+	Later    Code = "later"  // can't be decided now: ask again
+)
+
+// Reply answers a request.
+type Reply struct {
+	Code     Code                    `cbor:"code" json:"code"`
+	Reason   string                  `cbor:"reason,omitempty" json:"reason,omitempty"`
+	InTheWay []bookkeeping.EntryName `cbor:"in_the_way,omitempty" json:"in_the_way,omitempty"`
+	Beside   []bookkeeping.EntryName `cbor:"beside,omitempty" json:"beside,omitempty"`
+	FirstMS  []bookkeeping.Moment    `cbor:"first_ms,omitempty" json:"first_ms,omitempty"`
+
+	Reservations []Reservation `cbor:"reservations,omitempty" json:"reservations,omitempty"`
+	Windows      []Window      `cbor:"windows,omitempty" json:"windows,omitempty"`
+	More         bool          `cbor:"more,omitempty" json:"more,omitempty"` // list: go on after the last name
+}
+
+// Reservation is a reservation as operators see it.
+type Reservation struct {
+	bookkeeping.Reservation
+	Held    int                  `cbor:"held" json:"held"` // tasks that room is held for
+	On      []protocol.MachineID `cbor:"on,omitempty" json:"on,omitempty"`
+	Started int                  `cbor:"started" json:"started"` // of its job's tasks
+}
+
+// Window is a window as operators see it.
+type Window struct {
+	bookkeeping.Window
+	NextMS   bookkeeping.Moment `cbor:"next_ms,omitempty" json:"next_ms,omitempty"` // that is open, or opens next
+	Open     bool               `cbor:"open" json:"open"`
+	Overruns []Overrun          `cbor:"overruns,omitempty" json:"overruns,omitempty"`
+}
+
+// Overrun is a machine of a window whose work is likely to go on after the
+// window has opened, and by how much.
+type Overrun struct {
+	Machine protocol.MachineID `cbor:"machine" json:"machine"`
+	ByS     float64            `cbor:"by_s" json:"by_s"`
+}
--- /dev/null
+++ b/internal/operators/seal_test.go
@@ -0,0 +1,72 @@
+package operators
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"damsonkeel/internal/protocol"
+)
+
+// TestSeal: a request is taken from who has a key, as long as it is fresh and as
+// it was sealed.
+func TestSeal(t *testing.T) {
+	key, err := NewKey("ops")
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, _ := NewKey("ops")
+	now := time.UnixMilli(1_770_000_000_000)
+	body, err := Seal(key, now, Request{Op: OpCancel, Name: "one"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := func(do func(*Sealed)) []byte {
+		var s Sealed
+		if err := protocol.Decode(body, &s); err != nil {
+			t.Fatal(err)
+		}
+		do(&s)
+		b, _ := protocol.Encode(s)
+		return b
+	}
+	for _, tc := range []struct {
+		name string
+		body []byte
+		keys []Key
+		at   time.Duration
+		ok   bool
+	}{
+		{"as sealed", body, []Key{key}, time.Second, true},
+		{"while the key is changed", body, []Key{other, key}, 0, true},
+		{"by another key of its name", body, []Key{other}, 0, false},
+		{"too old", body, []Key{key}, 2 * SealLasts, false},
+		{"from the future", body, []Key{key}, -2 * SealLasts, false},
+		{"another request", change(func(s *Sealed) { s.Request = "oA==" }), []Key{key}, 0, false},
+		{"another time", change(func(s *Sealed) { s.AtMS++ }), []Key{key}, 0, false},
+		{"another name", change(func(s *Sealed) { s.Key = "op" }), []Key{key, {"op", key.Secret}}, 0, false},
+		{"nothing", nil, []Key{key}, 0, false},
+	} {
+		r, by, err := Open(tc.body, tc.keys, now.Add(tc.at), time.Second)
+		if (err == nil) != tc.ok || tc.ok && (r.Name != "one" || by != "ops") {
+			t.Errorf("%s: %v", tc.name, err)
+		}
+	}
+	path := filepath.Join(t.TempDir(), "keys")
+	if err := os.WriteFile(path, []byte("# keys\n"+key.String()+"\n"+other.String()+" # the next\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadKeys(path); err == nil {
+		t.Error("keys that everybody may read are taken")
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if keys, err := ReadKeys(path); err != nil || len(keys) != 2 {
+		t.Errorf("%d keys, %v", len(keys), err)
+	}
+	if _, err := ParseKeys("ops 1234"); err == nil {
+		t.Error("a short secret is taken")
+	}
+}
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -25,6 +25,12 @@
 // Rank is larger for the more urgent priority.
 func (p Priority) Rank() int { return priorityRanks[p] }
 
+// Known reports whether it is one of the priorities that there are.
+func (p Priority) Known() bool {
+	_, ok := priorityRanks[p]
+	return ok
+}
+
 // Job is a job as its user described it.
 type Job struct {
 	ID          JobID         `cbor:"id"`
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -15,7 +15,8 @@
 // State models the state service.
 type State struct {
 	Revision protocol.Revision
-	Log      []protocol.Event // every change, in order
+	Log      []protocol.Event // the latest changes, in order
+	Before   int              // how many came before these
 
 	items  map[string]item
 	leases map[protocol.LeaseID]lease
@@ -37,6 +38,18 @@
 	return &State{items: map[string]item{}, leases: map[protocol.LeaseID]lease{}}
 }
 
+// Changes is how many changes there were.
+func (s *State) Changes() int { return s.Before + len(s.Log) }
+
+// Change is one of them, by its number from 0.
+func (s *State) Change(i int) protocol.Event { return s.Log[i-s.Before] }
+
+// Forget drops the changes up to a number.
+func (s *State) Forget(upto int) {
+	s.Log = append([]protocol.Event(nil), s.Log[upto-s.Before:]...)
+	s.Before = upto
+}
+
 // Lease gives a lease.
 func (s *State) Lease(now, ttl time.Duration) protocol.LeaseID {
 	s.next++
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -1,9 +1,9 @@
 package standin
 
 import (
+	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"damsonkeel/internal/protocol"
@@ -30,10 +30,13 @@
 	Started func(*Worker, protocol.TaskID, protocol.Attempt)
 	Ended   func(*Worker, protocol.TaskID, protocol.EndCause)
 	RunTime func(protocol.TaskID) time.Duration
+	// Saved, if set, hears what a task that saved its progress has left to run.
+	Saved   func(protocol.TaskID, time.Duration)
 	Results map[protocol.TaskID]bool // kept results, shared by all workers
 
 	tasks    map[protocol.TaskID]*workerTask
-	renewed  time.Duration // when the last answered report was sent
+	order    []protocol.TaskID // of the tasks; nil: to be sorted again
+	renewed  time.Duration     // when the last answered report was sent
 	lastTick time.Duration
 }
 
@@ -86,7 +89,7 @@
 				w.end(id, t, protocol.EndStopped)
 			}
 		}
-		w.tasks = map[protocol.TaskID]*workerTask{}
+		w.tasks, w.order = map[protocol.TaskID]*workerTask{}, nil
 		w.Session++
 		w.Seq = 0
 		w.renewed = now
@@ -97,11 +100,35 @@
 	}
 }
 
+// Next is when time next changes something here, if no command does.
+func (w *Worker) Next() time.Duration {
+	next := w.renewed + time.Duration(w.LeaseS*float64(time.Second)) + 1
+	for _, t := range w.tasks {
+		in := time.Duration(-1)
+		switch t.state {
+		case protocol.TaskFetching:
+			in = t.fetch
+		case protocol.TaskSaving:
+			in = t.save
+		case protocol.TaskRunning, protocol.TaskWaiting:
+			in = t.left
+		}
+		if in >= 0 {
+			next = min(next, w.lastTick+in)
+		}
+	}
+	return next
+}
+
 // sorted lists the tasks in order.
 func (w *Worker) sorted() []protocol.TaskID {
-	return slices.SortedFunc(maps.Keys(w.tasks), func(a, b protocol.TaskID) int {
-		return strings.Compare(a.String(), b.String())
+	if len(w.order) == len(w.tasks) && w.order != nil {
+		return w.order
+	}
+	w.order = slices.SortedFunc(maps.Keys(w.tasks), func(a, b protocol.TaskID) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
 	})
+	return w.order
 }
 
 func (w *Worker) tickTask(id protocol.TaskID, t *workerTask, passed time.Duration) {
@@ -146,6 +173,9 @@
 
 func (w *Worker) end(id protocol.TaskID, t *workerTask, cause protocol.EndCause) {
 	w.Ended(w, id, cause)
+	if t.saved && w.Saved != nil {
+		w.Saved(id, t.left)
+	}
 	t.state, t.cause = protocol.TaskEnded, cause
 }
 
@@ -223,6 +253,7 @@
 		case protocol.OpForget:
 			if t != nil && t.attempt == o.Attempt && t.state == protocol.TaskEnded {
 				delete(w.tasks, o.Task)
+				w.order = nil
 			}
 		}
 	}
@@ -234,7 +265,7 @@
 	}
 	j, ok := w.Jobs(o.Task.Job)
 	t := &workerTask{attempt: o.Attempt, state: protocol.TaskFetching, fetch: time.Second}
-	w.tasks[o.Task] = t
+	w.tasks[o.Task], w.order = t, nil
 	free := w.Info.CPUs
 	for id, other := range w.tasks {
 		if k, known := w.Jobs(id.Job); known && other != t && other.state != protocol.TaskEnded {
