The package of lent rates is called lending

Shares are to be parts of the machines from now on; the package that lends the state service's rates gets a name that says what it does.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -13,7 +13,7 @@
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/blocks"
 	"damsonkeel/internal/coordination/forecast"
-	"damsonkeel/internal/coordination/shares"
+	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/protocol"
 )
 
@@ -66,14 +66,14 @@
 	// sessionFloor is the first session of a machine that may be alive: a
 	// report of an earlier one was held back by the network.
 	sessionFloor map[protocol.MachineID]protocol.Session
-	// shares outlives sessions: what was lent in the last one is still lent.
-	shares *shares.Book[protocol.LeaseID]
-	share  SetShare      // as last set
-	shelf  *blocks.Shelf // blocks of machines' records
-	pen    pen
-	peers  map[protocol.NodeName]*peer
-	spots  forecast.Spot
-	fleet  fleetState
+	// rates outlives sessions: what was lent in the last one is still lent.
+	rates *lending.Book[protocol.LeaseID]
+	share SetShare      // as last set
+	shelf *blocks.Shelf // blocks of machines' records
+	pen   pen
+	peers map[protocol.NodeName]*peer
+	spots forecast.Spot
+	fleet fleetState
 	// promised is the calendar: reservations and windows.
 	promised promises
 
@@ -136,8 +136,8 @@
 func (c *Core) Step(now Time, msg any) []Action {
 	c.now = now
 	c.out = nil
-	if c.shares == nil {
-		c.shares = shares.NewBook[protocol.LeaseID](c.equalShare(), now)
+	if c.rates == nil {
+		c.rates = lending.NewBook[protocol.LeaseID](c.equalShare(), now)
 	}
 	switch m := msg.(type) {
 	case Snapshot:
@@ -147,10 +147,10 @@
 		for _, it := range m.Items {
 			c.record(it.Key, it.Value, it.Version, true)
 		}
-		if _, was := c.nodes[c.self]; !was && c.op.NodeLease >= shares.LoanMost {
+		if _, was := c.nodes[c.self]; !was && c.op.NodeLease >= lending.LoanMost {
 			// An earlier process of this controller was gone for its whole
 			// lease: what it lent is over.
-			c.shares.NothingLent()
+			c.rates.NothingLent()
 		}
 	case Changed:
 		c.changed(m.Event)
@@ -169,7 +169,7 @@
 		c.setShare()
 		c.tick()
 	case StateAsked:
-		c.shares.Used(m.Amount)
+		c.rates.Used(m.Amount)
 	case TxnDone:
 		c.txnDone(m)
 	case JobLoaded:
--- a/internal/coordination/shares/shares_test.go
+++ b/internal/coordination/lending/lending_test.go
@@ -1,4 +1,4 @@
-package shares
+package lending
 
 import (
 	"os"
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -4,9 +4,9 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
-	"damsonkeel/internal/coordination/shares"
 	"damsonkeel/internal/protocol"
 )
 
@@ -199,9 +199,9 @@
 
 	Demand []Demand // all of it, each time
 
-	// Ask and Loan share out the state service's rates by need (package shares).
-	Ask  shares.Ask
-	Loan *shares.Loan
+	// Ask and Loan share out the state service's rates by need (package lending).
+	Ask  lending.Ask
+	Loan *lending.Loan
 
 	// Holds is what is held for reservations, by the controller that rents, to
 	// those who have not got it yet; HaveHolds numbers what the sender has.
@@ -279,7 +279,7 @@
 	}
 	// StateAsked says what was asked of the state service in the last second,
 	// within this controller's share or not.
-	StateAsked struct{ Amount shares.Amount }
+	StateAsked struct{ Amount lending.Amount }
 	// TxnDone answers a Commit.
 	TxnDone struct {
 		Tag     any
@@ -370,7 +370,7 @@
 	// SetShare sets what may be used of the state service's rates: All until a
 	// time, from then on only Own.
 	SetShare struct {
-		Own, All shares.Amount
+		Own, All lending.Amount
 		Until    Time
 	}
 	// ListMachines reads the cloud's list.
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -10,7 +10,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
-	"damsonkeel/internal/coordination/shares"
+	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
 )
@@ -171,7 +171,7 @@
 		case <-t.C:
 			n.offer(envelope{msg: Tick{WallMS: time.Now().UnixMilli()}})
 			if i%askedTicks == 0 {
-				n.offer(envelope{msg: StateAsked{shares.Amount(n.state.Asked())}})
+				n.offer(envelope{msg: StateAsked{lending.Amount(n.state.Asked())}})
 			}
 		case <-ctx.Done():
 			return
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
-	"damsonkeel/internal/coordination/shares"
 	"damsonkeel/internal/protocol"
 )
 
@@ -114,9 +114,9 @@
 // sendRelays passes on what changed: once a relay period to everybody, in
 // between only to those who lack more than one message may hold.
 func (c *Core) sendRelays(regular bool) {
-	var loans map[protocol.LeaseID]shares.Loan
+	var loans map[protocol.LeaseID]lending.Loan
 	if regular {
-		loans = c.shares.Lend(c.now)
+		loans = c.rates.Lend(c.now)
 		c.setShare() // before anybody can use what is lent
 	}
 	var same *Relay // as sent to the one before
@@ -126,7 +126,7 @@
 			continue
 		}
 		r := &Relay{Term: c.view.Term, Acting: c.acting(), HaveMachines: t.machinesFrom.Have(), HaveJobs: t.jobsFrom.Have()}
-		r.Ask = c.shares.Asks(c.now)
+		r.Ask = c.rates.Asks(c.now)
 		if l, ok := loans[p.session]; ok {
 			r.Loan = &l
 		}
@@ -195,9 +195,9 @@
 	}
 	p.demand = r.Demand
 	if from != c.self {
-		c.shares.Heard(p.session, r.Ask, c.now)
+		c.rates.Heard(p.session, r.Ask, c.now)
 		if r.Loan != nil {
-			c.shares.Borrowed(p.session, *r.Loan)
+			c.rates.Borrowed(p.session, *r.Loan)
 		}
 	}
 	if r.Term == c.view.Term {
@@ -302,16 +302,16 @@
 
 // equalShare is this controller's part of the state service's rates before
 // anything is lent.
-func (c *Core) equalShare() shares.Amount {
+func (c *Core) equalShare() lending.Amount {
 	site := &c.settings.Site
-	return shares.Amount(bookkeeping.EqualShare(site.State.RPS, site.State.WriteRPS, site.Count))
+	return lending.Amount(bookkeeping.EqualShare(site.State.RPS, site.State.WriteRPS, site.Count))
 }
 
 // setShare has what may be used now set, if that has changed.
 func (c *Core) setShare() {
 	now := c.now
-	s := SetShare{Own: c.shares.Own(now), All: c.shares.Share(now)}
-	if until, ok := c.shares.Until(now); ok {
+	s := SetShare{Own: c.rates.Own(now), All: c.rates.Share(now)}
+	if until, ok := c.rates.Until(now); ok {
 		s.Until = Time(until)
 	}
 	if s != c.share {
