--- a/internal/coordination/candidates_test.go
+++ b/internal/coordination/candidates_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 
@@ -60,7 +61,7 @@
 			rec: bookkeeping.Machine{Zone: rapid.SampledFrom([]protocol.Zone{"a", "b"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "spot")},
 		}
 		busy := float64(rapid.IntRange(0, int(info.CPUs)).Draw(t, "busy"))
-		m.told = MachineState{
+		m.told = message.MachineState{
 			Machine: id, Epoch: 1, FreeCPUs: info.CPUs - busy, FreeGB: info.MemoryGB - busy, Wait: 10 * busy,
 			Suspect: rapid.IntRange(0, 9).Draw(t, "suspect") == 0,
 		}
@@ -114,7 +115,7 @@
 // first, the fuller ones before the others, so that dear ones become idle.
 func TestCheapMachinesFillFirst(t *testing.T) {
 	b := newBench(t)
-	b.step(CatalogueRead{[]protocol.TypeInfo{{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, Price: 0.6, SpotPrice: 0.2, AllowZones: []protocol.Zone{"a"}}}})
+	b.step(message.CatalogueRead{Types: []protocol.TypeInfo{{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, Price: 0.6, SpotPrice: 0.2, AllowZones: []protocol.Zone{"a"}}}})
 	for i, spot := range []bool{false, true, false, true} {
 		id := protocol.MachineID(fmt.Sprint("vm-", i))
 		b.ready(id)
@@ -123,7 +124,7 @@
 	}
 	j := protocol.Job{ID: "job-1", Class: "sheet", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 6, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}
 	b.put(bookkeeping.LiveKey(j.ID), j)
-	b.step(Tick{})
+	b.step(message.Tick{})
 	on := map[bool]int{}
 	for _, p := range b.c.owner.jobs["job-1"].placed {
 		on[b.c.machines[p.machine].rec.Spot]++
--- a/internal/coordination/classes_test.go
+++ b/internal/coordination/classes_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -55,7 +56,7 @@
 	if b.c.alone() {
 		t.Error("alone though nobody is known to act")
 	}
-	b.c.relayed("node-1", &Relay{Acting: true})
+	b.c.relayed("node-1", &message.Relay{Acting: true})
 	if !b.c.alone() {
 		t.Error("not alone though a peer acts")
 	}
@@ -78,10 +79,10 @@
 		k.arrivals = append(k.arrivals, forecast.Arrival{At: b.c.now - Time(time.Duration(9-i)*4*time.Second), Tasks: float64(10 + i)})
 	}
 	none := b.c.reserve(k)
-	b.c.machines["vm-1"].told.Ending = Use{CPUs: 2, GB: 8}
-	b.c.machines["vm-2"].told.Ending = Use{CPUs: 2, GB: 8}
+	b.c.machines["vm-1"].told.Ending = message.Use{CPUs: 2, GB: 8}
+	b.c.machines["vm-2"].told.Ending = message.Use{CPUs: 2, GB: 8}
 	some := b.c.reserve(k)
-	b.c.machines["vm-2"].told.Ending = Use{CPUs: 20, GB: 80}
+	b.c.machines["vm-2"].told.Ending = message.Use{CPUs: 20, GB: 80}
 	many := b.c.reserve(k)
 	if some >= none || many > some || many < 15 {
 		t.Errorf("room kept for %d, with ends for %d, with many for %d", none, some, many)
--- a/internal/coordination/copy_test.go
+++ b/internal/coordination/copy_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -12,7 +13,7 @@
 	b := newBench(t, "node-1", "node-2", "node-3", "node-4")
 	asked := func(actions []Action) (names []protocol.NodeName) {
 		for _, a := range actions {
-			if s, ok := a.(Send); ok && s.Message.AskTable {
+			if s, ok := a.(message.Send); ok && s.Message.AskTable {
 				names = append(names, s.To)
 			}
 		}
@@ -21,16 +22,16 @@
 	if n := len(b.c.copy.left); n != 2 {
 		t.Fatalf("%d left to ask at first", n)
 	}
-	if got := asked(b.step(Tick{})); len(got) != 0 {
+	if got := asked(b.step(message.Tick{})); len(got) != 0 {
 		t.Fatalf("asked %v before the wait was over", got)
 	}
 	b.now += Time(b.c.op.CopyWait)
-	if got := asked(b.step(Tick{})); len(got) != 2 {
+	if got := asked(b.step(message.Tick{})); len(got) != 2 {
 		t.Fatalf("asked %v after the wait", got)
 	}
 	b.machine("vm-1", 1)
-	b.c.fillTable([]Wait{{Machine: "vm-1", Add: 7}})
-	b.c.fillTable([]Wait{{Machine: "vm-1", Add: 9}})
+	b.c.fillTable([]message.Wait{{Machine: "vm-1", Add: 7}})
+	b.c.fillTable([]message.Wait{{Machine: "vm-1", Add: 9}})
 	if got := b.c.machines["vm-1"].wait(); got != 7 {
 		t.Errorf("wait %v, want the first table's", got)
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -14,6 +14,7 @@
 	"damsonkeel/internal/coordination/blocks"
 	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/lending"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -28,7 +29,7 @@
 	now      Time
 	wallMS   int64 // the time of day when now was 0, as last told
 	out      []Action
-	local    []PeerMessage // to itself, handled before the step ends
+	local    []message.PeerMessage // to itself, handled before the step ends
 
 	types map[protocol.MachineType]protocol.TypeInfo
 	dear  map[kind]float64 // see dearness: by the prices last read
@@ -68,8 +69,8 @@
 	sessionFloor map[protocol.MachineID]protocol.Session
 	// rates outlives sessions: what was lent in the last one is still lent.
 	rates *lending.Book[protocol.LeaseID]
-	share SetShare      // as last set
-	shelf *blocks.Shelf // blocks of machines' records
+	share message.SetShare // as last set
+	shelf *blocks.Shelf    // blocks of machines' records
 	pen   pen
 	peers map[protocol.NodeName]*peer
 	spots forecast.Spot
@@ -98,8 +99,8 @@
 	handled  uint64        // number of the last Place handled from it
 	actingAt Time          // when it last said that it may act
 	told     hearsay       // its word on the machines it keeps
-	demand   []Demand
-	progress map[protocol.JobID]Progress
+	demand   []message.Demand
+	progress map[protocol.JobID]message.Progress
 }
 
 // NewCore makes a controller's state before its first session.
@@ -140,7 +141,7 @@
 		c.rates = lending.NewBook[protocol.LeaseID](c.equalShare(), now)
 	}
 	switch m := msg.(type) {
-	case Snapshot:
+	case message.Snapshot:
 		c.reset()
 		c.session, c.begun = m.Session, c.now
 		c.tellTime(m.WallMS)
@@ -152,39 +153,39 @@
 			// lease: what it lent is over.
 			c.rates.NothingLent()
 		}
-	case Changed:
+	case message.Changed:
 		c.changed(m.Event)
-	case Entitled:
+	case message.Entitled:
 		c.until = m.Until
-	case SessionOver:
+	case message.SessionOver:
 		c.reset()
-	case CatalogueRead:
+	case message.CatalogueRead:
 		c.catalogue(m.Types)
-	case Reported:
+	case message.Reported:
 		c.report(m.Report)
-	case Received:
+	case message.Received:
 		c.received(m.Batch)
-	case Tick:
+	case message.Tick:
 		c.tellTime(m.WallMS)
 		c.setShare()
 		c.tick()
-	case StateAsked:
+	case message.StateAsked:
 		c.rates.Used(m.Amount)
-	case TxnDone:
+	case message.TxnDone:
 		c.txnDone(m)
-	case JobLoaded:
+	case message.JobLoaded:
 		c.jobLoaded(m)
-	case Commanded:
+	case message.Commanded:
 		c.commanded(m)
-	case PeerActs:
+	case message.PeerActs:
 		if p := c.peers[m.Peer]; p != nil {
 			p.actingAt = c.now
 		}
-	case Rented:
+	case message.Rented:
 		c.rented(m)
-	case Deleted:
+	case message.Deleted:
 		c.deleted(m)
-	case Listed:
+	case message.Listed:
 		c.listed(m)
 	}
 	c.settle()
@@ -229,13 +230,13 @@
 func (c *Core) since(t Time) time.Duration { return time.Duration(c.now - t) }
 
 // send passes a message to a member of the view, itself included.
-func (c *Core) send(to protocol.NodeName, m PeerMessage) {
+func (c *Core) send(to protocol.NodeName, m message.PeerMessage) {
 	if to == c.self {
 		c.local = append(c.local, m)
 		return
 	}
 	if session, ok := c.view.Members[to]; ok {
-		c.do(Send{To: to, From: c.session, Session: session, Term: c.view.Term, Message: m})
+		c.do(message.Send{To: to, From: c.session, Session: session, Term: c.view.Term, Message: m})
 	}
 }
 
@@ -377,11 +378,11 @@
 	c.retryJobs()
 }
 
-func (c *Core) txnDone(m TxnDone) {
+func (c *Core) txnDone(m message.TxnDone) {
 	switch tag := m.Tag.(type) {
 	case viewTag:
 		c.writingView = false
-		if m.Outcome != OutcomeDone {
+		if m.Outcome != message.OutcomeDone {
 			c.viewRetry = c.after(300 * time.Millisecond)
 		}
 	case reservationTag:
--- a/internal/coordination/cost_test.go
+++ b/internal/coordination/cost_test.go
@@ -8,6 +8,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
 )
@@ -23,7 +24,7 @@
 		b.job(protocol.JobID(fmt.Sprint("job-", i)), "free", uint32(tasks/10))
 	}
 	for range 1 + tasks/maxPerStep {
-		b.step(Tick{})
+		b.step(message.Tick{})
 	}
 	return b
 }
@@ -83,11 +84,11 @@
 func (f *busyFleet) obey(msg any, actions []Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
-		case ReplyReport:
-			f.start(msg.(Reported).Report.Machine, a.Reply.Orders)
-		case Command:
+		case message.ReplyReport:
+			f.start(msg.(message.Reported).Report.Machine, a.Reply.Orders)
+		case message.Command:
 			f.start(a.Machine, a.Commands.Orders)
-			f.play(Commanded{
+			f.play(message.Commanded{
 				Machine: a.Machine, Term: a.Commands.Term, Session: 1, Orders: a.Commands.Orders, Answered: true, Executed: true, Report: f.says(a.Machine),
 			})
 		}
@@ -122,14 +123,14 @@
 		}
 	}
 	for _, id := range f.ids {
-		f.play(Reported{f.says(id)})
+		f.play(message.Reported{Report: f.says(id)})
 	}
 }
 
 // second lets a second pass.
 func (f *busyFleet) second() []Action {
 	f.now += Time(time.Second)
-	return f.play(Tick{})
+	return f.play(message.Tick{})
 }
 
 // BenchmarkRelay is a second's regular work, with what it sends to two peers in
@@ -150,7 +151,7 @@
 				f.hear(s.tasks / 100)
 				b.StartTimer()
 				for _, a := range f.second() {
-					if s, ok := a.(Send); ok {
+					if s, ok := a.(message.Send); ok {
 						if err := wire.Encode(s.Message); err != nil {
 							b.Fatal(err)
 						}
@@ -196,10 +197,10 @@
 					b.Fatal(err)
 				}
 				f.version++
-				timed(&adopts, Changed{protocol.Event{Put: bookkeeping.ViewKey, Value: raw, Version: f.version}})
+				timed(&adopts, message.Changed{Event: protocol.Event{Put: bookkeeping.ViewKey, Value: raw, Version: f.version}})
 				for range 40 {
 					f.now += Time(tickEvery)
-					timed(&ticks, Tick{})
+					timed(&ticks, message.Tick{})
 				}
 			}
 			b.ReportMetric(float64(adopts.Milliseconds()), "longest-adopt-ms")
@@ -243,8 +244,8 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		for _, a := range f.c.Step(f.now, Reported{came}) {
-			if rr, ok := a.(ReplyReport); ok {
+		for _, a := range f.c.Step(f.now, message.Reported{Report: came}) {
+			if rr, ok := a.(message.ReplyReport); ok {
 				transport.AppendResponse(nil, reportAnswer(rr))
 			}
 		}
@@ -259,7 +260,7 @@
 			for b.Loop() {
 				w.job("job-new", "free", 300)
 				w.c.jobOver("job-new")
-				w.step(Tick{})
+				w.step(message.Tick{})
 			}
 		})
 	}
@@ -286,7 +287,7 @@
 	w := fleetOf(t, 20, 100)
 	w.job("job-huge", "free", protocol.MaxTasks)
 	for range 50 { // workers that stay silent for longer are given nothing
-		w.step(Tick{})
+		w.step(message.Tick{})
 	}
 	huge := w.c.owner.jobs["job-huge"]
 	most := 20 * 4 * (int(queueAtMost.Seconds())/10 + 2) // tasks of 10 s on 4 processors each
@@ -298,12 +299,12 @@
 	w.put(bookkeeping.LiveKey("job-urgent"), protocol.Job{
 		ID: "job-urgent", Team: "free", Kind: protocol.KindArray, Priority: "high", Tasks: 5, CPUs: 1, MemoryGB: 1, EstimateS: 10, Image: "i",
 	})
-	w.step(Tick{})
+	w.step(message.Tick{})
 	if n := len(w.c.owner.jobs["job-urgent"].placed); n != 5 {
 		t.Errorf("%d of 5 more urgent tasks placed", n)
 	}
 	w.c.jobOver("job-huge")
-	w.step(Tick{})
+	w.step(message.Tick{})
 	queued := 0
 	for _, q := range w.c.queues {
 		for _, e := range q.waiting {
@@ -324,11 +325,11 @@
 			f := newBusyFleet(b, s.machines, s.tasks)
 			f.c.fleet.haveList = true
 			f.c.settings.Site.Objectives = append(f.c.settings.Site.Objectives, config.Objective{Kind: "wait", Class: "soon", WithinS: 10, Share: 0.9})
-			var demand []Demand
+			var demand []message.Demand
 			for i := range 300 {
 				id := protocol.JobID(fmt.Sprint("job-waits-", i))
 				f.c.live[id] = &liveJob{Job: protocol.Job{ID: id, Class: "soon", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 20, CPUs: 1, MemoryGB: 1, EstimateS: 10}}
-				demand = append(demand, Demand{Job: id, Unstarted: 20, EstimateS: 10})
+				demand = append(demand, message.Demand{Job: id, Unstarted: 20, EstimateS: 10})
 			}
 			f.c.peers["node-0"].demand = demand
 			for b.Loop() {
@@ -383,7 +384,7 @@
 	for range 20 {
 		f.now += Time(placeEvery)
 		f.c.owner.dirty = true
-		f.c.Step(f.now, Tick{})
+		f.c.Step(f.now, message.Tick{})
 	}
 	// Two passes for each gang that is tried: one for room, one to claim.
 	if most := 2 * 20 * 2 * lookedAtOnce; f.c.looked > most || f.c.looked < gangs*machines {
@@ -400,7 +401,7 @@
 	for range 20 {
 		f.now += Time(placeEvery)
 		f.c.owner.dirty = true
-		f.c.Step(f.now, Tick{})
+		f.c.Step(f.now, message.Tick{})
 	}
 	placed := 0
 	for _, o := range f.c.owner.jobs {
--- a/internal/coordination/direct.go
+++ b/internal/coordination/direct.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -50,14 +51,14 @@
 			}
 		}
 		q.commanding = true
-		c.do(Command{Machine: q.id, Address: q.addr, Commands: protocol.Commands{
+		c.do(message.Command{Machine: q.id, Address: q.addr, Commands: protocol.Commands{
 			Term: c.view.Term, Session: q.session, Orders: orders,
 		}})
 	}
 }
 
 // commanded takes the answer to direct commands, or that there was none.
-func (c *Core) commanded(m Commanded) {
+func (c *Core) commanded(m message.Commanded) {
 	q := c.queues[m.Machine]
 	if q == nil {
 		return
--- a/internal/coordination/events.go
+++ b/internal/coordination/events.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
 // event takes what a keeper says of an attempt.
-func (c *Core) event(e TaskEvent) {
+func (c *Core) event(e message.TaskEvent) {
 	o := c.owner.jobs[e.Task.Job]
-	if o == nil && (e.What == WhatEnded || e.What == WhatReleased) {
+	if o == nil && (e.What == message.WhatEnded || e.What == message.WhatReleased) {
 		delete(c.owner.leaving, e.TaskRef)
 		c.owner.dirty = true
 	}
@@ -19,7 +20,7 @@
 	t := o.placed[e.Task]
 	mine := t != nil && t.attempt == e.Attempt && t.machine == e.Machine
 	switch e.What {
-	case WhatReleased:
+	case message.WhatReleased:
 		if !mine {
 			return
 		}
@@ -31,25 +32,25 @@
 			}
 		}
 		c.gone(o, t)
-	case WhatPresent, WhatRunning:
+	case message.WhatPresent, message.WhatRunning:
 		if mine {
-			c.markStarted(o, t, e.What == WhatRunning)
+			c.markStarted(o, t, e.What == message.WhatRunning)
 		} else if o.loaded && !o.unknown {
 			c.refuseStray(e)
 		}
-	case WhatNotice:
+	case message.WhatNotice:
 		if mine {
 			c.noticed(o, t, e.LeftS)
 		}
-	case WhatEnded:
+	case message.WhatEnded:
 		c.taskEnded(o, t, mine, e)
-		c.send(c.keeper(e.Machine), PeerMessage{Forget: &TaskRef{Task: e.Task, Attempt: e.Attempt, Machine: e.Machine}})
+		c.send(c.keeper(e.Machine), message.PeerMessage{Forget: &message.TaskRef{Task: e.Task, Attempt: e.Attempt, Machine: e.Machine}})
 	}
 }
 
 // refuseStray has an attempt killed that this owner never placed or has
 // already taken for gone.
-func (c *Core) refuseStray(e TaskEvent) {
+func (c *Core) refuseStray(e message.TaskEvent) {
 	c.log.Error("an attempt runs that is not the present one", "task", e.Task, "attempt", e.Attempt, "machine", e.Machine)
 	c.askStop(&placedTask{task: e.Task, attempt: e.Attempt, machine: e.Machine}, true, 0)
 }
@@ -90,7 +91,7 @@
 	}
 }
 
-func (c *Core) taskEnded(o *ownedJob, t *placedTask, mine bool, e TaskEvent) {
+func (c *Core) taskEnded(o *ownedJob, t *placedTask, mine bool, e message.TaskEvent) {
 	if e.Cause == protocol.EndDone && o.Kind != protocol.KindService {
 		c.markDone(o, e.Task.Index)
 		if mine {
--- a/internal/coordination/finish.go
+++ b/internal/coordination/finish.go
@@ -2,6 +2,7 @@
 
 import (
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -45,15 +46,15 @@
 	for chunk := 0; chunk*bookkeeping.ChunkTasks < int(o.Tasks); chunk++ {
 		txn.Then = append(txn.Then, protocol.Change{Delete: bookkeeping.BitsKey(o.ID, chunk)})
 	}
-	c.do(Commit{Tag: finishTag{o.ID}, Txn: txn})
+	c.do(message.Commit{Tag: finishTag{o.ID}, Txn: txn})
 }
 
-func (c *Core) finishDone(tag finishTag, out Outcome) {
+func (c *Core) finishDone(tag finishTag, out message.Outcome) {
 	o := c.owner.jobs[tag.job]
 	if o == nil {
 		return
 	}
-	o.ending = out == OutcomeDone // otherwise again at a later tick; a conflict shows in the records
+	o.ending = out == message.OutcomeDone // otherwise again at a later tick; a conflict shows in the records
 }
 
 // flushBits writes the bitmaps that changed, a few at a time.
@@ -80,17 +81,17 @@
 		}
 		clear(o.dirty)
 		o.writing = true
-		c.do(Commit{Tag: tag, Txn: txn})
+		c.do(message.Commit{Tag: tag, Txn: txn})
 	}
 }
 
-func (c *Core) bitsDone(tag bitsTag, out Outcome) {
+func (c *Core) bitsDone(tag bitsTag, out message.Outcome) {
 	o := c.owner.jobs[tag.job]
 	if o == nil {
 		return
 	}
 	o.writing = false
-	if out != OutcomeDone {
+	if out != message.OutcomeDone {
 		for _, chunk := range tag.chunks {
 			o.dirty[chunk] = true
 		}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -9,6 +9,7 @@
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -85,7 +86,7 @@
 	}
 	if !f.listing && (!f.haveList || c.since(f.listedAt) > listEvery) {
 		f.listing = true
-		c.do(ListMachines{})
+		c.do(message.ListMachines{})
 	}
 	for name, r := range inOrder(f.rents) {
 		switch {
@@ -133,10 +134,10 @@
 	r.busy, r.at = true, c.now
 	r.tries++
 	c.log.Debug("renting", "type", r.req.Type, "zone", r.req.Zone, "spot", r.req.Spot, "count", r.req.Count, "request", r.req.Name)
-	c.do(Rent{r.req})
+	c.do(message.Rent{Request: r.req})
 }
 
-func (c *Core) rented(m Rented) {
+func (c *Core) rented(m message.Rented) {
 	f := &c.fleet
 	r := f.rents[m.Request.Name]
 	if r == nil {
@@ -145,7 +146,7 @@
 	r.busy = false
 	k := r.kind()
 	switch m.Outcome {
-	case OutcomeDone:
+	case message.OutcomeDone:
 		delete(f.rents, m.Request.Name)
 		for _, id := range m.Machines {
 			f.coming[id] = coming{k, c.now}
@@ -159,7 +160,7 @@
 			}
 			return
 		}
-	case OutcomeFailed, OutcomeRefused:
+	case message.OutcomeFailed, message.OutcomeRefused:
 		delete(f.rents, m.Request.Name)
 		c.log.Debug("not rented", "type", k.Type, "zone", k.Zone, "spot", k.Spot)
 	default:
@@ -247,7 +248,7 @@
 		}
 		l, listed := f.listed[id]
 		f.seen[id] = f.seen[id] || listed && l.State == "running"
-		silent, idleS := m.told.Silence == silenceLong, m.told.IdleS+c.since(m.at).Seconds()
+		silent, idleS := m.told.Silence == message.SilenceLong, m.told.IdleS+c.since(m.at).Seconds()
 		switch empty := m.told.Heard && m.told.Held == 0 && m.extra == 0; {
 		case silent && (m.told.Noticed || f.seen[id] && !listed):
 			// Taken, by all signs. The cloud's answer to its deletion proves
@@ -260,7 +261,7 @@
 		case empty && !m.told.Draining && idleS > c.keepIdle(m.info, spare) && spare >= m.info.CPUs && cl.give(m):
 			spare -= m.info.CPUs
 			c.log.Info("returning an idle machine", "machine", id, "idle_s", int(idleS))
-			c.send(c.keeper(id), PeerMessage{Drain: &id})
+			c.send(c.keeper(id), message.PeerMessage{Drain: &id})
 		}
 	}
 	for id, l := range inOrder(f.listed) {
@@ -300,13 +301,13 @@
 		for _, id := range gone {
 			f.deleting[id] = c.now
 		}
-		c.do(Delete{gone})
+		c.do(message.Delete{Machines: gone})
 	}
 }
 
 // deleted: the cloud's word that machines are gone, and all on them. Their
 // records go, which tells every owner.
-func (c *Core) deleted(m Deleted) {
+func (c *Core) deleted(m message.Deleted) {
 	f := &c.fleet
 	for _, id := range m.Machines {
 		delete(f.deleting, id)
@@ -327,7 +328,7 @@
 	c.changeRecord(removeTag{m.id}, m.id, m.epoch, nil)
 }
 
-func (c *Core) listed(m Listed) {
+func (c *Core) listed(m message.Listed) {
 	f := &c.fleet
 	f.listing = false
 	f.listedAt = c.now
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -7,6 +7,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -14,19 +15,19 @@
 func planner(t *testing.T) *bench {
 	b := newBench(t)
 	b.now += Time(settleTime)
-	b.step(Listed{OK: true})
+	b.step(message.Listed{OK: true})
 	return b
 }
 
 // relay lets a second pass and plays one tick.
 func (b *bench) relay() []Action {
 	b.now += Time(planEvery)
-	return b.step(Tick{})
+	return b.step(message.Tick{})
 }
 
 func dropped(actions []Action, id protocol.MachineID) bool {
 	for _, a := range actions {
-		if c, ok := a.(Commit); ok && len(c.Txn.Then) == 1 && c.Txn.Then[0].Delete == bookkeeping.MachineKey(id) {
+		if c, ok := a.(message.Commit); ok && len(c.Txn.Then) == 1 && c.Txn.Then[0].Delete == bookkeeping.MachineKey(id) {
 			return true
 		}
 	}
@@ -38,15 +39,15 @@
 func TestReturnedRecordIsDroppedAgain(t *testing.T) {
 	b := planner(t)
 	b.ready("vm-1")
-	if !dropped(b.step(Deleted{Machines: []protocol.MachineID{"vm-1"}, OK: true}), "vm-1") {
+	if !dropped(b.step(message.Deleted{Machines: []protocol.MachineID{"vm-1"}, OK: true}), "vm-1") {
 		t.Fatal("not dropped")
 	}
-	b.step(TxnDone{Tag: removeTag{"vm-1"}, Outcome: OutcomeRefused})
+	b.step(message.TxnDone{Tag: removeTag{"vm-1"}, Outcome: message.OutcomeRefused})
 	if !dropped(b.relay(), "vm-1") {
 		t.Error("not dropped again after the state service refused")
 	}
 	b.ready("vm-2")
-	if dropped(b.step(Deleted{Machines: []protocol.MachineID{"vm-2"}}), "vm-2") {
+	if dropped(b.step(message.Deleted{Machines: []protocol.MachineID{"vm-2"}}), "vm-2") {
 		t.Error("dropped without the cloud's word")
 	}
 }
@@ -60,7 +61,7 @@
 	var names []string
 	rents := func(actions []Action) {
 		for _, a := range actions {
-			if r, ok := a.(Rent); ok {
+			if r, ok := a.(message.Rent); ok {
 				names = append(names, r.Request.Name)
 			}
 		}
@@ -71,12 +72,12 @@
 	if len(names) != 1 {
 		t.Fatalf("rentals %v", names)
 	}
-	b.step(Rented{Request: b.c.fleet.rents[names[0]].req, Outcome: OutcomeUnknown})
+	b.step(message.Rented{Request: b.c.fleet.rents[names[0]].req, Outcome: message.OutcomeUnknown})
 	rents(b.relay())
 	if len(names) != 2 || names[0] != names[1] {
 		t.Fatalf("rentals %v, want the same again", names)
 	}
-	rents(b.step(Rented{Request: b.c.fleet.rents[names[0]].req, Outcome: OutcomeFailed}))
+	rents(b.step(message.Rented{Request: b.c.fleet.rents[names[0]].req, Outcome: message.OutcomeFailed}))
 	b.now += Time(time.Minute)
 	rents(b.relay())
 	if len(names) < 3 || names[2] == names[0] {
@@ -108,7 +109,7 @@
 // returns lists the machines that actions return, or have drained for that.
 func (b *bench) returns(actions []Action) (ids []protocol.MachineID) {
 	for _, a := range actions {
-		if d, ok := a.(Delete); ok {
+		if d, ok := a.(message.Delete); ok {
 			ids = append(ids, d.Machines...)
 		}
 	}
@@ -149,7 +150,7 @@
 	b := planner(t)
 	list := func(state string) []protocol.MachineID {
 		l := protocol.ListedMachine{ID: "vm-7", Type: "small", Zone: "a", State: state, AgeS: 10}
-		return b.returns(append(b.step(Listed{Machines: []protocol.ListedMachine{l}, OK: true}), b.relay()...))
+		return b.returns(append(b.step(message.Listed{Machines: []protocol.ListedMachine{l}, OK: true}), b.relay()...))
 	}
 	wait := b.c.leaseOver() + 8*time.Second // the type boots in 8 s
 	for range 20 {
@@ -188,7 +189,7 @@
 	}
 	b.ready("vm-1")
 	b.c.live["job-1"] = &liveJob{Job: protocol.Job{ID: "job-1", Priority: "best_effort", CPUs: 2}}
-	b.c.peers["node-0"].demand = []Demand{{Job: "job-1", Unstarted: 9}}
+	b.c.peers["node-0"].demand = []message.Demand{{Job: "job-1", Unstarted: 9}}
 	if spare := b.c.spareCPUs(); spare != 4-18 {
 		t.Errorf("%v processors to spare of 4 while 18 are waited for", spare)
 	}
--- a/internal/coordination/forward_test.go
+++ b/internal/coordination/forward_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -69,17 +70,17 @@
 // answers that they act: it is refused alone, and does not call itself healthy.
 func TestPassedBy(t *testing.T) {
 	b := newBench(t, "node-1")
-	old := Batch{From: "node-1", FromSession: 101, ToSession: 100, Term: 1}
+	old := message.Batch{From: "node-1", FromSession: 101, ToSession: 100, Term: 1}
 	b.view(2, "node-0")
 	passed := false
-	for _, a := range b.step(Received{old}) {
-		passed = passed || a == ReplyBatch{BatchPassed}
+	for _, a := range b.step(message.Received{Batch: old}) {
+		passed = passed || a == message.ReplyBatch{Reply: message.BatchPassed}
 	}
 	if !passed {
 		t.Error("a controller that was left out is not told that others act")
 	}
 	out := newBench(t, "node-1")
-	out.step(PeerActs{"node-1"})
+	out.step(message.PeerActs{Peer: "node-1"})
 	if !out.c.alone() {
 		t.Error("not refused alone, though a peer acts")
 	}
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -15,12 +16,12 @@
 
 // placeGang places all tasks of a gang with one attempt number, when nothing
 // of its last attempt is left.
-func (c *Core) placeGang(o *ownedJob, usage map[protocol.Team]room.Amount, cl *claims) []Placement {
+func (c *Core) placeGang(o *ownedJob, usage map[protocol.Team]room.Amount, cl *claims) []message.Placement {
 	n := int(o.Tasks)
 	if len(o.placed) > 0 || o.unknown || !c.withinLimit(o, usage, n) {
 		return nil
 	}
-	var out []Placement
+	var out []message.Placement
 	for _, zone := range c.gangZones(o, cl) {
 		if out = c.placeGangIn(o, zone, cl); out != nil {
 			c.use(o, usage, n)
@@ -34,7 +35,7 @@
 }
 
 // placeGangIn places a gang in a zone, or in any if none is named.
-func (c *Core) placeGangIn(o *ownedJob, zone protocol.Zone, cl *claims) []Placement {
+func (c *Core) placeGangIn(o *ownedJob, zone protocol.Zone, cl *claims) []message.Placement {
 	undo := cl.tried()
 	zones := map[protocol.Zone]int{}
 	attempt := c.nextAttempt()
@@ -44,7 +45,7 @@
 			return (zone == "" || m.rec.Zone == zone) && !cl.against(o, m)
 		})
 	}
-	var out []Placement
+	var out []message.Placement
 	for i := range o.Tasks {
 		m := from.smallest(zones)
 		if m == nil {
--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -7,6 +7,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -20,7 +21,7 @@
 			rec: bookkeeping.Machine{Zone: z, Spot: spot}, mine: map[protocol.TaskID]*placedTask{},
 		}
 		free := room.Capacity(m.info).Minus(held.Firm(0))
-		m.told = MachineState{Machine: id, Epoch: 1, FreeCPUs: free.CPUs, FreeGB: free.GB}
+		m.told = message.MachineState{Machine: id, Epoch: 1, FreeCPUs: free.CPUs, FreeGB: free.GB}
 		b.c.addMachine(m)
 	}
 }
@@ -36,7 +37,7 @@
 	return o
 }
 
-func (b *bench) placeGang(o *ownedJob, l *claims) []Placement {
+func (b *bench) placeGang(o *ownedJob, l *claims) []message.Placement {
 	return b.c.placeGang(o, map[protocol.Team]room.Amount{}, l)
 }
 
@@ -116,7 +117,7 @@
 			sent: true, present: true, state: protocol.TaskRunning,
 		}
 		q.entries[runs.task] = runs
-		b.c.place("node-0", &Place{Number: 1, Term: b.c.view.Term, Tasks: []Placement{{
+		b.c.place("node-0", &message.Place{Number: 1, Term: b.c.view.Term, Tasks: []message.Placement{{
 			Task: protocol.TaskID{Job: "job-2"}, Attempt: 1, Machine: "vm-1", Epoch: q.epoch, CPUs: 4, Level: int(room.LevelOf("high", false)), Together: true,
 		}}})
 		if refused := len(q.waiting) == 0; refused != tc.refused || runs.kill == tc.refused {
@@ -134,9 +135,9 @@
 		t.Fatal("avoided before any was taken")
 	}
 	for range 40 {
-		m := &machineEntry{rec: bookkeeping.Machine{Spot: true}, told: MachineState{Noticed: true}}
+		m := &machineEntry{rec: bookkeeping.Machine{Spot: true}, told: message.MachineState{Noticed: true}}
 		b.c.noteLoss(m)
-		m.told = MachineState{Draining: true, Noticed: true}
+		m.told = message.MachineState{Draining: true, Noticed: true}
 		b.c.noteLoss(m) // returned by ourselves
 	}
 	if b.c.spots.Losses() != 40 {
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -9,6 +9,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
 )
@@ -26,9 +27,9 @@
 	s := standin.Settings()
 	s.Name = "node-0"
 	b := &bench{t: t, c: NewCore(s, config.DefaultOperator(), rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler)), now: 1}
-	b.step(CatalogueRead{[]protocol.TypeInfo{{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8}}})
-	b.step(Snapshot{Session: 100})
-	b.step(Entitled{Until: Time(time.Hour)})
+	b.step(message.CatalogueRead{Types: []protocol.TypeInfo{{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8}}})
+	b.step(message.Snapshot{Session: 100})
+	b.step(message.Entitled{Until: Time(time.Hour)})
 	b.view(1, append([]protocol.NodeName{"node-0"}, members...)...)
 	return b
 }
@@ -44,7 +45,7 @@
 		b.t.Fatal(err)
 	}
 	b.version++
-	return b.step(Changed{protocol.Event{Put: key, Value: raw, Version: b.version}})
+	return b.step(message.Changed{Event: protocol.Event{Put: key, Value: raw, Version: b.version}})
 }
 
 func (b *bench) view(term protocol.Term, names ...protocol.NodeName) []Action {
@@ -54,7 +55,7 @@
 		b.put(bookkeeping.NodeKey(n), bookkeeping.Node{Session: v.Members[n]})
 	}
 	b.put(bookkeeping.ViewKey, v)
-	return b.step(TxnDone{Tag: viewTag{}, Outcome: OutcomeDone})
+	return b.step(message.TxnDone{Tag: viewTag{}, Outcome: message.OutcomeDone})
 }
 
 func (b *bench) machine(id protocol.MachineID, session protocol.Session) {
@@ -68,27 +69,27 @@
 }
 
 // report sends a worker's report and returns the answer.
-func (b *bench) report(id protocol.MachineID, session protocol.Session, term protocol.Term, tasks ...protocol.TaskReport) ReplyReport {
+func (b *bench) report(id protocol.MachineID, session protocol.Session, term protocol.Term, tasks ...protocol.TaskReport) message.ReplyReport {
 	b.seq++
 	return b.reportSeq(id, session, b.seq, term, tasks...)
 }
 
-func (b *bench) reportSeq(id protocol.MachineID, session protocol.Session, seq protocol.Seq, term protocol.Term, tasks ...protocol.TaskReport) ReplyReport {
-	for _, a := range b.step(Reported{protocol.Report{
+func (b *bench) reportSeq(id protocol.MachineID, session protocol.Session, seq protocol.Seq, term protocol.Term, tasks ...protocol.TaskReport) message.ReplyReport {
+	for _, a := range b.step(message.Reported{Report: protocol.Report{
 		Machine: id, Address: "x", Type: "small", Zone: "a", Session: session, Seq: seq, Term: term, Tasks: tasks,
 	}}) {
-		if r, ok := a.(ReplyReport); ok {
+		if r, ok := a.(message.ReplyReport); ok {
 			return r
 		}
 	}
 	b.t.Fatal("a report was not answered")
-	return ReplyReport{}
+	return message.ReplyReport{}
 }
 
 func commands(actions []Action) []protocol.Order {
 	var os []protocol.Order
 	for _, a := range actions {
-		if c, ok := a.(Command); ok {
+		if c, ok := a.(message.Command); ok {
 			os = append(os, c.Commands.Orders...)
 		}
 	}
@@ -120,7 +121,7 @@
 	b.machine(id, 1)
 	b.report(id, 1, b.c.view.Term)
 	b.now += Time(1100 * time.Millisecond)
-	b.step(Tick{})
+	b.step(message.Tick{})
 }
 
 // TestUnansweredDirectStart: an attempt whose direct start has no answer is
@@ -129,11 +130,11 @@
 func TestUnansweredDirectStart(t *testing.T) {
 	b := newBench(t)
 	b.ready("vm-1")
-	var cmd Command
+	var cmd message.Command
 	for _, a := range b.put(bookkeeping.LiveKey("job-1"), protocol.Job{
 		ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, MemoryGB: 1, EstimateS: 1, Image: "i",
 	}) {
-		if c, ok := a.(Command); ok {
+		if c, ok := a.(message.Command); ok {
 			cmd = c
 		}
 	}
@@ -142,8 +143,8 @@
 	}
 	task, attempt := cmd.Commands.Orders[0].Task, cmd.Commands.Orders[0].Attempt
 	raised := func() (raised bool) {
-		for _, a := range b.step(Tick{}) {
-			c, ok := a.(Commit)
+		for _, a := range b.step(message.Tick{}) {
+			c, ok := a.(message.Commit)
 			raised = raised || ok && c.Tag == viewTag{}
 		}
 		return raised
@@ -152,7 +153,7 @@
 	if raised() {
 		t.Error("the term is raised while an answer may come")
 	}
-	b.step(Commanded{Machine: "vm-1", Term: cmd.Commands.Term, Session: 1, Orders: cmd.Commands.Orders})
+	b.step(message.Commanded{Machine: "vm-1", Term: cmd.Commands.Term, Session: 1, Orders: cmd.Commands.Orders})
 	if raised() {
 		t.Error("the term is raised for a silent worker")
 	}
@@ -188,15 +189,15 @@
 func TestHeldReportOfEarlierSession(t *testing.T) {
 	b := newBench(t)
 	b.ready("vm-1")
-	b.step(Changed{protocol.Event{Delete: bookkeeping.MachineKey("vm-1"), Version: 99}})
-	for _, a := range b.step(Reported{protocol.Report{Machine: "vm-1", Type: "small", Zone: "a", Session: 1, Seq: 500, Term: 1}}) {
-		if c, ok := a.(Commit); ok {
+	b.step(message.Changed{Event: protocol.Event{Delete: bookkeeping.MachineKey("vm-1"), Version: 99}})
+	for _, a := range b.step(message.Reported{Report: protocol.Report{Machine: "vm-1", Type: "small", Zone: "a", Session: 1, Seq: 500, Term: 1}}) {
+		if c, ok := a.(message.Commit); ok {
 			t.Fatalf("a session that is over is registered: %+v", c)
 		}
 	}
 	registered := false
-	for _, a := range b.step(Reported{protocol.Report{Machine: "vm-1", Type: "small", Zone: "a", Session: 2, Seq: 1, Term: 1}}) {
-		_, ok := a.(Commit)
+	for _, a := range b.step(message.Reported{Report: protocol.Report{Machine: "vm-1", Type: "small", Zone: "a", Session: 2, Seq: 1, Term: 1}}) {
+		_, ok := a.(message.Commit)
 		registered = registered || ok
 	}
 	if !registered {
@@ -225,8 +226,8 @@
 			}
 		}
 	}
-	for _, a := range b.step(Tick{}) {
-		if c, ok := a.(Commit); ok && c.Tag == (viewTag{}) {
+	for _, a := range b.step(message.Tick{}) {
+		if c, ok := a.(message.Commit); ok && c.Tag == (viewTag{}) {
 			next = c.Txn.Then[0].Value.(bookkeeping.View)
 		}
 	}
@@ -244,7 +245,7 @@
 func TestLapsed(t *testing.T) {
 	b := newBench(t)
 	b.ready("vm-1")
-	b.step(Entitled{Until: b.now + 1})
+	b.step(message.Entitled{Until: b.now + 1})
 	if r := b.report("vm-1", 1, 1); r.Status != 503 {
 		t.Errorf("answered %+v", r)
 	}
@@ -270,7 +271,7 @@
 	b.ready("vm-1")
 	epoch := b.c.machines["vm-1"].epoch
 	place := func(term protocol.Term, epoch protocol.Version) {
-		b.c.place("node-0", &Place{Term: term, Tasks: []Placement{{Task: protocol.TaskID{Job: "job-9"}, Attempt: 1, Machine: "vm-1", Epoch: epoch}}})
+		b.c.place("node-0", &message.Place{Term: term, Tasks: []message.Placement{{Task: protocol.TaskID{Job: "job-9"}, Attempt: 1, Machine: "vm-1", Epoch: epoch}}})
 	}
 	place(0, epoch)
 	place(1, epoch-1)
@@ -287,21 +288,21 @@
 // read yet has to wait, a repeated one is taken once.
 func TestStaleBatch(t *testing.T) {
 	b := newBench(t, "node-1")
-	deliver := func(batch Batch) BatchReply {
-		for _, a := range b.step(Received{batch}) {
-			if r, ok := a.(ReplyBatch); ok {
+	deliver := func(batch message.Batch) message.BatchReply {
+		for _, a := range b.step(message.Received{Batch: batch}) {
+			if r, ok := a.(message.ReplyBatch); ok {
 				return r.Reply
 			}
 		}
 		return 0
 	}
-	good := Batch{From: "node-1", FromSession: 101, ToSession: 100, Term: 1, Messages: []PeerMessage{{Added: &Added{
+	good := message.Batch{From: "node-1", FromSession: 101, ToSession: 100, Term: 1, Messages: []message.PeerMessage{{Added: &message.Added{
 		Term: 1, Numbers: map[protocol.NodeName]uint64{machineKeeper(b.c.view, "vm-1"): 1},
-		Waits: []Wait{{Machine: "vm-1", Add: 5, Taken: []Use{{CPUs: 1}}}},
+		Waits: []message.Wait{{Machine: "vm-1", Add: 5, Taken: []message.Use{{CPUs: 1}}}},
 	}}}}
 	b.machine("vm-1", 1)
 	for range 2 {
-		if r := deliver(good); r != BatchTaken {
+		if r := deliver(good); r != message.BatchTaken {
 			t.Fatalf("reply %v", r)
 		}
 	}
@@ -312,7 +313,7 @@
 	old.FromSession = 55
 	late.ToSession = 55
 	ahead.Term = 2
-	if deliver(old) != BatchPassed || deliver(late) != BatchStale || deliver(ahead) != BatchBehind {
+	if deliver(old) != message.BatchPassed || deliver(late) != message.BatchStale || deliver(ahead) != message.BatchBehind {
 		t.Error("a batch of another session or term is taken")
 	}
 	if got := b.c.machines["vm-1"].extra; got != 5 {
@@ -327,13 +328,13 @@
 	b.ready("vm-1")
 	b.job("job-1", "free", 2)
 	version := b.version
-	var finish *Commit
+	var finish *message.Commit
 	for i := range uint32(2) {
 		task := protocol.TaskID{Job: "job-1", Index: i}
-		b.step(Tick{})
-		b.c.event(TaskEvent{TaskRef: TaskRef{Task: task, Machine: "vm-1"}, What: WhatEnded, Cause: protocol.EndDone})
+		b.step(message.Tick{})
+		b.c.event(message.TaskEvent{TaskRef: message.TaskRef{Task: task, Machine: "vm-1"}, What: message.WhatEnded, Cause: protocol.EndDone})
 		for _, a := range b.c.out {
-			if c, ok := a.(Commit); ok && c.Tag == (finishTag{"job-1"}) {
+			if c, ok := a.(message.Commit); ok && c.Tag == (finishTag{"job-1"}) {
 				if i == 0 {
 					t.Fatal("finished with a task left")
 				}
@@ -360,9 +361,9 @@
 	for i := range 3 {
 		id := protocol.MachineID(fmt.Sprint("vm-", i))
 		b.machine(id, 1)
-		ref := TaskRef{Task: protocol.TaskID{Job: "job-1"}, Attempt: 1, Machine: id}
+		ref := message.TaskRef{Task: protocol.TaskID{Job: "job-1"}, Attempt: 1, Machine: id}
 		o().placed[ref.Task] = &placedTask{task: ref.Task, attempt: 1, machine: id}
-		b.c.event(TaskEvent{TaskRef: ref, What: WhatEnded, Cause: protocol.EndError})
+		b.c.event(message.TaskEvent{TaskRef: ref, What: message.WhatEnded, Cause: protocol.EndError})
 		q := b.c.queues[id]
 		b.c.noteResult(q, &entry{task: ref.Task, cause: protocol.EndError})
 		if q.suspect {
@@ -448,18 +449,18 @@
 	b.job("job-1", "free", 1)
 	o := b.c.owner.jobs["job-1"]
 	for _, p := range o.placed {
-		b.c.event(TaskEvent{TaskRef: TaskRef{p.task, p.attempt, p.machine}, What: WhatEnded, Cause: protocol.EndError})
+		b.c.event(message.TaskEvent{TaskRef: message.TaskRef{Task: p.task, Attempt: p.attempt, Machine: p.machine}, What: message.WhatEnded, Cause: protocol.EndError})
 	}
 	q := b.c.queues["vm-1"]
 	q.entries, q.waiting = map[protocol.TaskID]*entry{}, nil
-	b.step(Tick{})
+	b.step(message.Tick{})
 	if len(o.placed) > 0 {
 		t.Error("tried again at once")
 	}
 	b.now += Time(6 * time.Second)
 	b.report("vm-1", 1, 1)
-	b.step(Tick{})
-	if b.step(Tick{}); len(o.placed) == 0 {
+	b.step(message.Tick{})
+	if b.step(message.Tick{}); len(o.placed) == 0 {
 		t.Error("not tried again")
 	}
 	b.machine("vm-2", 1)
--- a/internal/coordination/holding.go
+++ b/internal/coordination/holding.go
@@ -8,6 +8,7 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/renting"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -200,7 +201,7 @@
 	}
 	pr.stale, pr.written = false, c.now
 	list := pr.list[:min(len(pr.list), int(1024*c.settings.Site.State.ValueKB/heldBytes))]
-	c.do(Commit{Tag: heldTag{}, Txn: protocol.Txn{
+	c.do(message.Commit{Tag: heldTag{}, Txn: protocol.Txn{
 		If:   []protocol.Condition{c.inThisView()},
 		Then: []protocol.Change{{Put: bookkeeping.HeldKey, Value: heldRecord{list}}},
 	}})
@@ -315,7 +316,7 @@
 	}
 	pr.write[name] = true
 	c.log.Info("reservation", "name", name, "state", next.State, "start", next.StartMS, "risk", next.Risk)
-	c.do(Commit{Tag: reservationTag{name}, Txn: protocol.Txn{
+	c.do(message.Commit{Tag: reservationTag{name}, Txn: protocol.Txn{
 		If:   []protocol.Condition{{Key: bookkeeping.ReservationKey(name), Version: e.Version}, c.inThisView()},
 		Then: []protocol.Change{{Put: bookkeeping.ReservationKey(name), Value: next}},
 	}})
--- a/internal/coordination/holding_test.go
+++ b/internal/coordination/holding_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -58,8 +59,8 @@
 	task := protocol.TaskID{Job: "job-1"}
 	soon := calendar.After(b.c.moment(), time.Minute)
 	m.told.Runs = []calendar.Run{{Task: task, Attempt: 3, Ends: soon, Level: 0}}
-	told := MachineState{Machine: "vm-1", Epoch: m.epoch, Heard: true, Runs: []calendar.Run{{Task: task, Attempt: 3, Ends: soon + 1e6, Level: 4}}}
-	b.c.takeState("node-0", b.c.peers["node-0"], MachineState{Machine: "vm-1", Epoch: m.epoch}) // not heard yet
+	told := message.MachineState{Machine: "vm-1", Epoch: m.epoch, Heard: true, Runs: []calendar.Run{{Task: task, Attempt: 3, Ends: soon + 1e6, Level: 4}}}
+	b.c.takeState("node-0", b.c.peers["node-0"], message.MachineState{Machine: "vm-1", Epoch: m.epoch}) // not heard yet
 	b.c.takeState("node-0", b.c.peers["node-0"], told)
 	if r := m.told.Runs[0]; r.Ends != soon {
 		t.Errorf("ends %d, want %d", r.Ends, soon)
--- a/internal/coordination/intake.go
+++ b/internal/coordination/intake.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/operators"
 	"damsonkeel/internal/protocol"
@@ -145,7 +146,7 @@
 	in.n.reports.add(in.n.now(), pendingReport{r, reply})
 }
 
-func reportAnswer(rr ReplyReport) *transport.Message {
+func reportAnswer(rr message.ReplyReport) *transport.Message {
 	switch rr.Status {
 	case 200:
 		return success(200, rr.Reply)
@@ -206,7 +207,7 @@
 		s.State = protocol.JobCancelled
 	default:
 		s.State = protocol.JobQueued
-		p, _ := ask(in.n, func(c *Core) Progress { p, _ := c.JobProgress(id); return p })
+		p, _ := ask(in.n, func(c *Core) message.Progress { p, _ := c.JobProgress(id); return p })
 		done, running = p.Done, p.Running
 		if running > 0 {
 			s.State = protocol.JobRunning
--- a/internal/coordination/messages.go
+++ b/internal/coordination/message/between.go
@@ -1,18 +1,16 @@
-package coordination
+// Package message holds what controllers say to one another, what a
+// controller's step functions are told, and the actions that they ask for.
+package message
 
 import (
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
-	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
-// Time is this process's steady clock.
-type Time = clock.Time
-
 // Placement puts one attempt of a task into a machine's queue.
 type Placement struct {
 	Task      protocol.TaskID
@@ -116,7 +114,7 @@
 }
 
 // usesIn is the form in which uses are sent.
-func usesIn(u *room.Uses) []Use {
+func UsesIn(u *room.Uses) []Use {
 	var us []Use
 	for l, r := range u {
 		if r != (room.Amount{}) {
@@ -127,7 +125,7 @@
 }
 
 // addUses takes uses as they were sent.
-func addUses(u *room.Uses, us []Use) {
+func AddUses(u *room.Uses, us []Use) {
 	for _, n := range us {
 		u.Add(room.Level(n.Level), room.Amount{CPUs: n.CPUs, GPUs: n.GPUs, GB: n.GB})
 	}
@@ -152,7 +150,7 @@
 	Suspect  bool
 	Draining bool
 	Noticed  bool // the cloud is about to take it
-	Silence  silence
+	Silence  Silence
 	IdleS    float64  // how long it has held nothing, when this was sent
 	Images   []string // fetched lately
 	// Runs is what it runs, while anything is promised for later.
@@ -253,159 +251,19 @@
 	BatchPassed            // the same, and who answers acts by a view without the sender
 )
 
-// Messages to the core's step function.
-type (
-	// Snapshot starts a session: all followed records.
-	Snapshot struct {
-		Session protocol.LeaseID
-		Items   []protocol.Item
-		WallMS  int64 // the time of day
-	}
-	// Changed is one change of a followed record.
-	Changed struct{ Event protocol.Event }
-	// Entitled says until when this controller may act.
-	Entitled struct{ Until Time }
-	// SessionOver says that the session is over.
-	SessionOver struct{}
-	// CatalogueRead brings the machine types.
-	CatalogueRead struct{ Types []protocol.TypeInfo }
-	// Reported is a worker's report; ReplyReport answers it.
-	Reported struct{ Report protocol.Report }
-	// Received is a peer's batch; ReplyBatch answers it.
-	Received struct{ Batch Batch }
-	// Tick lets time pass.
-	Tick struct {
-		WallMS int64 // the time of day; 0: as last told
-	}
-	// StateAsked says what was asked of the state service in the last second,
-	// within this controller's share or not.
-	StateAsked struct{ Amount lending.Amount }
-	// TxnDone answers a Commit.
-	TxnDone struct {
-		Tag     any
-		Outcome Outcome
-	}
-	// JobLoaded answers a LoadBits.
-	JobLoaded struct {
-		Job    protocol.JobID
-		Chunks []protocol.Item
-		OK     bool
-	}
-	// Commanded answers a Command.
-	Commanded struct {
-		Machine  protocol.MachineID
-		Term     protocol.Term
-		Session  protocol.Session
-		Orders   []protocol.Order
-		Answered bool
-		Executed bool
-		Report   protocol.Report // if answered
-	}
-	// PeerActs says that a peer acts by a view without this controller.
-	PeerActs struct{ Peer protocol.NodeName }
-	// Rented answers a Rent.
-	Rented struct {
-		Request  protocol.RentRequest
-		Machines []protocol.MachineID
-		Outcome  Outcome
-	}
-	// Deleted answers a Delete.
-	Deleted struct {
-		Machines []protocol.MachineID
-		OK       bool
-	}
-	// Listed answers a ListMachines.
-	Listed struct {
-		Machines []protocol.ListedMachine
-		OK       bool
-	}
-)
+// RecordChange asks the registrar to write a machine's record, or to delete it.
+type RecordChange struct {
+	Term    protocol.Term
+	Machine protocol.MachineID
+	Have    protocol.Version // the epoch of the record that the sender knows; 0: none
+	To      *bookkeeping.Machine
+}
 
-// Outcome is what is known of a request.
-type Outcome uint8
+// silence is how a worker's quiet looks.
+type Silence uint8
 
-// The outcomes of requests.
 const (
-	OutcomeDone    Outcome = iota + 1
-	OutcomeFailed          // a condition does not hold, or no capacity
-	OutcomeRefused         // not executed
-	OutcomeUnknown         // may have been executed, or still be
-)
-
-// Actions of the core's step function.
-type (
-	// ReplyReport answers the report just handled.
-	ReplyReport struct {
-		Status   int
-		Reply    protocol.ReportReply
-		ReportTo protocol.NodeName
-	}
-	// ReplyBatch answers the batch just handled.
-	ReplyBatch struct{ Reply BatchReply }
-	// Send passes a message to a peer's session, in order, until it is taken.
-	Send struct {
-		To      protocol.NodeName
-		From    protocol.LeaseID // the sender's session
-		Session protocol.LeaseID // the addressee's
-		Term    protocol.Term
-		Message PeerMessage
-	}
-	// Commit executes a transaction.
-	Commit struct {
-		Tag any
-		Txn protocol.Txn
-	}
-	// LoadBits reads the bitmap of a job.
-	LoadBits struct{ Job protocol.JobID }
-	// Command sends commands straight to a worker.
-	Command struct {
-		Machine  protocol.MachineID
-		Address  string
-		Commands protocol.Commands
-	}
-	// Rent asks the cloud for machines.
-	Rent struct{ Request protocol.RentRequest }
-	// Delete returns machines to the cloud.
-	Delete struct{ Machines []protocol.MachineID }
-	// SetShare sets what may be used of the state service's rates: All until a
-	// time, from then on only Own.
-	SetShare struct {
-		Own, All lending.Amount
-		Until    Time
-	}
-	// ListMachines reads the cloud's list.
-	ListMachines struct{}
+	SilenceNone Silence = iota // no longer than a healthy worker's
+	SilenceSome                // longer
+	SilenceLong                // at least twice as long: nothing is placed there
 )
-
-// liveJob is an accepted job as the records have it.
-type liveJob struct {
-	protocol.Job
-	version   protocol.Version
-	since     Time              // when it was submitted
-	due       Time              // when it should be done, as last reckoned
-	owner     protocol.NodeName // by the view of ownerTerm
-	ownerTerm protocol.Term
-}
-
-// machineEntry is a registered machine as the records have it, and what the
-// wait table holds of it.
-type machineEntry struct {
-	id    protocol.MachineID
-	rec   bookkeeping.Machine
-	epoch protocol.Version
-	info  protocol.TypeInfo
-
-	told     MachineState // by its keeper
-	by       *peer        // the keeper's session that told it in this term, if any
-	at       Time         // when that was
-	coming   []comingWait // placements that its keeper's word does not include yet
-	extra    float64      // their waits
-	taken    room.Uses    // what they take
-	reserved room.Amount  // of what it has free: held for reservations now
-	copied   float64      // its wait by a peer's table, until its keeper is heard
-	held     room.Uses    // what it was told to hold
-	refused  bool         // its keeper refused something and has not said since why
-	late     int          // tasks of this owner that ran too long there lately
-	lateAt   Time         // the last of them
-	mine     map[protocol.TaskID]*placedTask
-}
--- /dev/null
+++ b/internal/coordination/message/step.go
@@ -0,0 +1,131 @@
+package message
+
+import (
+	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/lending"
+	"damsonkeel/internal/protocol"
+)
+
+// Messages to the core's step function.
+type (
+	// Snapshot starts a session: all followed records.
+	Snapshot struct {
+		Session protocol.LeaseID
+		Items   []protocol.Item
+		WallMS  int64 // the time of day
+	}
+	// Changed is one change of a followed record.
+	Changed struct{ Event protocol.Event }
+	// Entitled says until when this controller may act.
+	Entitled struct{ Until clock.Time }
+	// SessionOver says that the session is over.
+	SessionOver struct{}
+	// CatalogueRead brings the machine types.
+	CatalogueRead struct{ Types []protocol.TypeInfo }
+	// Reported is a worker's report; ReplyReport answers it.
+	Reported struct{ Report protocol.Report }
+	// Received is a peer's batch; ReplyBatch answers it.
+	Received struct{ Batch Batch }
+	// Tick lets time pass.
+	Tick struct {
+		WallMS int64 // the time of day; 0: as last told
+	}
+	// StateAsked says what was asked of the state service in the last second,
+	// within this controller's share or not.
+	StateAsked struct{ Amount lending.Amount }
+	// TxnDone answers a Commit.
+	TxnDone struct {
+		Tag     any
+		Outcome Outcome
+	}
+	// JobLoaded answers a LoadBits.
+	JobLoaded struct {
+		Job    protocol.JobID
+		Chunks []protocol.Item
+		OK     bool
+	}
+	// Commanded answers a Command.
+	Commanded struct {
+		Machine  protocol.MachineID
+		Term     protocol.Term
+		Session  protocol.Session
+		Orders   []protocol.Order
+		Answered bool
+		Executed bool
+		Report   protocol.Report // if answered
+	}
+	// PeerActs says that a peer acts by a view without this controller.
+	PeerActs struct{ Peer protocol.NodeName }
+	// Rented answers a Rent.
+	Rented struct {
+		Request  protocol.RentRequest
+		Machines []protocol.MachineID
+		Outcome  Outcome
+	}
+	// Deleted answers a Delete.
+	Deleted struct {
+		Machines []protocol.MachineID
+		OK       bool
+	}
+	// Listed answers a ListMachines.
+	Listed struct {
+		Machines []protocol.ListedMachine
+		OK       bool
+	}
+)
+
+// Outcome is what is known of a request.
+type Outcome uint8
+
+// The outcomes of requests.
+const (
+	OutcomeDone    Outcome = iota + 1
+	OutcomeFailed          // a condition does not hold, or no capacity
+	OutcomeRefused         // not executed
+	OutcomeUnknown         // may have been executed, or still be
+)
+
+// Actions of the core's step function.
+type (
+	// ReplyReport answers the report just handled.
+	ReplyReport struct {
+		Status   int
+		Reply    protocol.ReportReply
+		ReportTo protocol.NodeName
+	}
+	// ReplyBatch answers the batch just handled.
+	ReplyBatch struct{ Reply BatchReply }
+	// Send passes a message to a peer's session, in order, until it is taken.
+	Send struct {
+		To      protocol.NodeName
+		From    protocol.LeaseID // the sender's session
+		Session protocol.LeaseID // the addressee's
+		Term    protocol.Term
+		Message PeerMessage
+	}
+	// Commit executes a transaction.
+	Commit struct {
+		Tag any
+		Txn protocol.Txn
+	}
+	// LoadBits reads the bitmap of a job.
+	LoadBits struct{ Job protocol.JobID }
+	// Command sends commands straight to a worker.
+	Command struct {
+		Machine  protocol.MachineID
+		Address  string
+		Commands protocol.Commands
+	}
+	// Rent asks the cloud for machines.
+	Rent struct{ Request protocol.RentRequest }
+	// Delete returns machines to the cloud.
+	Delete struct{ Machines []protocol.MachineID }
+	// SetShare sets what may be used of the state service's rates: All until a
+	// time, from then on only Own.
+	SetShare struct {
+		Own, All lending.Amount
+		Until    clock.Time
+	}
+	// ListMachines reads the cloud's list.
+	ListMachines struct{}
+)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -11,6 +11,7 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/lending"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
 )
@@ -70,7 +71,7 @@
 	n.core = NewCore(s, op, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), log)
 	for _, m := range s.Members {
 		o := NewOutbox(s.Name, transport.NewPeer(m.Peer), log)
-		o.passed = func() { n.post(PeerActs{m.Name}) }
+		o.passed = func() { n.post(message.PeerActs{Peer: m.Name}) }
 		n.outbox[m.Name] = o
 	}
 	_, commands := sockets(s.Site.Limits.MaxConns)
@@ -169,9 +170,9 @@
 	for i := 1; ; i++ {
 		select {
 		case <-t.C:
-			n.offer(envelope{msg: Tick{WallMS: time.Now().UnixMilli()}})
+			n.offer(envelope{msg: message.Tick{WallMS: time.Now().UnixMilli()}})
 			if i%askedTicks == 0 {
-				n.offer(envelope{msg: StateAsked{lending.Amount(n.state.Asked())}})
+				n.offer(envelope{msg: message.StateAsked{Amount: lending.Amount(n.state.Asked())}})
 			}
 		case <-ctx.Done():
 			return
@@ -189,7 +190,7 @@
 			wait = catalogueWait
 		} else {
 			n.types.Store(&cat.Types)
-			n.post(CatalogueRead{cat.Types})
+			n.post(message.CatalogueRead{Types: cat.Types})
 		}
 		sleep(ctx, wait)
 	}
@@ -208,38 +209,38 @@
 func (n *Node) carryOut(ctx context.Context, actions []Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
-		case Send:
+		case message.Send:
 			if o := n.outbox[a.To]; o != nil {
 				o.Add(a)
 			}
-		case Commit:
+		case message.Commit:
 			go n.commit(ctx, a)
-		case Command:
+		case message.Command:
 			go n.command(ctx, a)
-		case LoadBits:
+		case message.LoadBits:
 			go n.loadBits(ctx, a.Job)
-		case Rent:
+		case message.Rent:
 			go func() {
 				got, err := n.cloud.Rent(ctx, a.Request)
-				n.post(Rented{Request: a.Request, Machines: got, Outcome: outcome(err)})
+				n.post(message.Rented{Request: a.Request, Machines: got, Outcome: outcome(err)})
 			}()
-		case Delete:
+		case message.Delete:
 			go func() {
 				err := n.cloud.Delete(ctx, a.Machines)
 				if err != nil {
 					n.log.Info("machines not returned", "machines", a.Machines, "err", err)
 				}
-				n.post(Deleted{Machines: a.Machines, OK: err == nil})
+				n.post(message.Deleted{Machines: a.Machines, OK: err == nil})
 			}()
-		case SetShare:
+		case message.SetShare:
 			n.state.SetShare(bookkeeping.Share(a.Own), bookkeeping.Share(a.All), n.start.Add(time.Duration(a.Until)))
-		case ListMachines:
+		case message.ListMachines:
 			go func() {
 				list, err := n.cloud.Machines(ctx)
 				if err != nil {
 					n.log.Info("machines can't be listed", "err", err)
 				}
-				n.post(Listed{Machines: list, OK: err == nil})
+				n.post(message.Listed{Machines: list, OK: err == nil})
 			}()
 		}
 	}
@@ -256,18 +257,18 @@
 	return bookkeeping.First
 }
 
-func (n *Node) commit(ctx context.Context, a Commit) {
+func (n *Node) commit(ctx context.Context, a message.Commit) {
 	_, err := n.state.Txn(ctx, a.Txn, precedence(a.Tag))
 	if err != nil && !errors.Is(err, bookkeeping.ErrConflict) {
 		n.log.Debug("transaction", "what", a.Tag, "err", err)
 	}
-	n.post(TxnDone{Tag: a.Tag, Outcome: outcome(err)})
+	n.post(message.TxnDone{Tag: a.Tag, Outcome: outcome(err)})
 }
 
 // command sends commands to a worker. Its kept connections go when it has not
 // been commanded for a while.
-func (n *Node) command(ctx context.Context, a Command) {
-	done := Commanded{Machine: a.Machine, Term: a.Commands.Term, Session: a.Commands.Session, Orders: a.Commands.Orders}
+func (n *Node) command(ctx context.Context, a message.Command) {
+	done := message.Commanded{Machine: a.Machine, Term: a.Commands.Term, Session: a.Commands.Session, Orders: a.Commands.Orders}
 	defer func() { n.post(done) }()
 	n.commands <- struct{}{}
 	defer func() { <-n.commands }()
@@ -295,16 +296,16 @@
 	done.Answered, done.Executed, done.Report = true, m.Status == 200, r
 }
 
-func outcome(err error) Outcome {
+func outcome(err error) message.Outcome {
 	switch {
 	case err == nil:
-		return OutcomeDone
+		return message.OutcomeDone
 	case errors.Is(err, bookkeeping.ErrConflict), errors.Is(err, bookkeeping.ErrMalformed):
-		return OutcomeFailed
+		return message.OutcomeFailed
 	case errors.Is(err, bookkeeping.ErrRefused):
-		return OutcomeRefused
+		return message.OutcomeRefused
 	}
-	return OutcomeUnknown
+	return message.OutcomeUnknown
 }
 
 func (n *Node) loadBits(ctx context.Context, id protocol.JobID) {
@@ -314,5 +315,5 @@
 	if err != nil {
 		n.log.Debug("bitmap", "job", id, "err", err)
 	}
-	n.post(JobLoaded{Job: id, Chunks: items, OK: err == nil})
+	n.post(message.JobLoaded{Job: id, Chunks: items, OK: err == nil})
 }
--- a/internal/coordination/notice_test.go
+++ b/internal/coordination/notice_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -26,10 +27,10 @@
 		}})
 		task := &placedTask{task: protocol.TaskID{Job: "job-1"}, attempt: 1, machine: "vm-1", estimate: 10}
 		o.placed[task.task] = task
-		ref := TaskRef{Task: task.task, Attempt: 1, Machine: "vm-1"}
-		b.c.event(TaskEvent{TaskRef: ref, What: WhatRunning})
+		ref := message.TaskRef{Task: task.task, Attempt: 1, Machine: "vm-1"}
+		b.c.event(message.TaskEvent{TaskRef: ref, What: message.WhatRunning})
 		b.c.now += Time(time.Duration(tc.ranS) * time.Second)
-		b.c.event(TaskEvent{TaskRef: ref, What: WhatNotice, LeftS: 5})
+		b.c.event(message.TaskEvent{TaskRef: ref, What: message.WhatNotice, LeftS: 5})
 		if task.stopping != tc.stopped {
 			t.Errorf("%s: stopped %v", tc.name, task.stopping)
 		}
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -74,7 +75,7 @@
 		}
 		if later == startElsewhere {
 			c.dropWaiting(q, e)
-			c.tell(q, e, WhatReleased)
+			c.tell(q, e, message.WhatReleased)
 			continue
 		}
 		free = free.Minus(e.need)
--- a/internal/coordination/outbox.go
+++ b/internal/coordination/outbox.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
 )
@@ -29,7 +30,7 @@
 	from, to protocol.LeaseID
 	next     uint64 // number of queue[0]
 	inFlight int
-	queue    []Send
+	queue    []message.Send
 }
 
 func NewOutbox(self protocol.NodeName, peer *transport.Peer, log *slog.Logger) *Outbox {
@@ -37,7 +38,7 @@
 }
 
 // Add queues a message. A regular one takes in one that is still waiting.
-func (o *Outbox) Add(s Send) {
+func (o *Outbox) Add(s message.Send) {
 	o.mu.Lock()
 	if s.From != o.from || s.Session != o.to {
 		o.from, o.to, o.next, o.inFlight, o.queue = s.From, s.Session, 0, 0, nil
@@ -60,15 +61,15 @@
 }
 
 // Batch takes what is waiting, without removing it.
-func (o *Outbox) Batch() (Batch, bool) {
+func (o *Outbox) Batch() (message.Batch, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	n := min(len(o.queue), batchMax)
 	o.inFlight = n
 	if n == 0 {
-		return Batch{}, false
+		return message.Batch{}, false
 	}
-	b := Batch{From: o.self, FromSession: o.from, ToSession: o.to, First: o.next}
+	b := message.Batch{From: o.self, FromSession: o.from, ToSession: o.to, First: o.next}
 	for _, s := range o.queue[:n] {
 		b.Messages = append(b.Messages, s.Message)
 		b.Term = max(b.Term, s.Term)
@@ -77,7 +78,7 @@
 }
 
 // Settle removes what was taken, or all of a session that is over.
-func (o *Outbox) Settle(b Batch, r BatchReply) {
+func (o *Outbox) Settle(b message.Batch, r message.BatchReply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	// An answer that comes late, to a batch sent before, changes nothing: what
@@ -87,10 +88,10 @@
 	}
 	o.inFlight = 0
 	switch r {
-	case BatchTaken:
+	case message.BatchTaken:
 		o.queue = o.queue[len(b.Messages):]
 		o.next += uint64(len(b.Messages))
-	case BatchStale, BatchPassed:
+	case message.BatchStale, message.BatchPassed:
 		o.queue = nil
 	}
 }
@@ -105,7 +106,7 @@
 			}
 			continue
 		}
-		var reply BatchReply
+		var reply message.BatchReply
 		err := o.peer.Call("Peer.Deliver", b, &reply, PeerTimeout)
 		if err != nil {
 			o.log.Debug("peer", "err", err)
@@ -114,9 +115,9 @@
 		}
 		o.Settle(b, reply)
 		switch reply {
-		case BatchBehind:
+		case message.BatchBehind:
 			sleep(ctx, 30*time.Millisecond)
-		case BatchPassed:
+		case message.BatchPassed:
 			o.passed()
 		}
 	}
@@ -126,12 +127,12 @@
 type peerService struct{ node *Node }
 
 // Deliver takes a batch of messages.
-func (s *peerService) Deliver(b Batch, reply *BatchReply) error {
-	done := make(chan BatchReply, 1)
-	s.node.mailbox <- envelope{msg: Received{b}, reply: func(actions []Action) {
-		r := BatchStale
+func (s *peerService) Deliver(b message.Batch, reply *message.BatchReply) error {
+	done := make(chan message.BatchReply, 1)
+	s.node.mailbox <- envelope{msg: message.Received{Batch: b}, reply: func(actions []Action) {
+		r := message.BatchStale
 		for _, a := range actions {
-			if rb, ok := a.(ReplyBatch); ok {
+			if rb, ok := a.(message.ReplyBatch); ok {
 				r = rb.Reply
 			}
 		}
--- a/internal/coordination/outbox_test.go
+++ b/internal/coordination/outbox_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"damsonkeel/internal/coordination/message"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -13,8 +14,8 @@
 		o := NewOutbox("node-0", nil, nil)
 		var got, next uint64
 		sent := uint64(0)
-		var late []Batch
-		receive := func(b Batch) {
+		var late []message.Batch
+		receive := func(b message.Batch) {
 			for i, m := range b.Messages {
 				if b.First+uint64(i) != next {
 					continue
@@ -32,9 +33,9 @@
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1:
 				sent++
-				o.Add(Send{From: 1, Session: 2, Message: PeerMessage{Place: &Place{Number: sent}}})
+				o.Add(message.Send{From: 1, Session: 2, Message: message.PeerMessage{Place: &message.Place{Number: sent}}})
 			case 2:
-				o.Add(Send{From: 1, Session: 2, Message: PeerMessage{Relay: &Relay{}}})
+				o.Add(message.Send{From: 1, Session: 2, Message: message.PeerMessage{Relay: &message.Relay{}}})
 			case 3: // delivered, the answer lost or late
 				if b, ok := o.Batch(); ok {
 					receive(b)
@@ -43,18 +44,18 @@
 			case 4: // lost, or delivered and answered
 				if b, ok := o.Batch(); ok && rapid.Bool().Draw(t, "delivered") {
 					receive(b)
-					o.Settle(b, BatchTaken)
+					o.Settle(b, message.BatchTaken)
 				}
 			case 5:
 				if len(late) > 0 {
-					o.Settle(late[0], BatchTaken)
+					o.Settle(late[0], message.BatchTaken)
 					late = late[1:]
 				}
 			}
 		}
 		for b, ok := o.Batch(); ok; b, ok = o.Batch() {
 			receive(b)
-			o.Settle(b, BatchTaken)
+			o.Settle(b, message.BatchTaken)
 		}
 		if got != sent {
 			t.Fatalf("%d of %d came", got, sent)
@@ -66,14 +67,18 @@
 // numbers of what has been sent since.
 func TestOutboxLateAnswer(t *testing.T) {
 	o := NewOutbox("node-0", nil, nil)
-	place := func(n uint64) { o.Add(Send{From: 1, Session: 2, Message: PeerMessage{Place: &Place{Number: n}}}) }
-	summary := func() { o.Add(Send{From: 1, Session: 2, Message: PeerMessage{Relay: &Relay{}}}) }
+	place := func(n uint64) {
+		o.Add(message.Send{From: 1, Session: 2, Message: message.PeerMessage{Place: &message.Place{Number: n}}})
+	}
+	summary := func() {
+		o.Add(message.Send{From: 1, Session: 2, Message: message.PeerMessage{Relay: &message.Relay{}}})
+	}
 	place(1)
 	first, _ := o.Batch()
 	summary()
 	second, _ := o.Batch() // delivered: the peer has numbers 0 and 1
 	place(2)
-	o.Settle(first, BatchTaken)
+	o.Settle(first, message.BatchTaken)
 	summary()
 	for b, ok := o.Batch(); ok; b, ok = o.Batch() {
 		for i, m := range b.Messages {
@@ -81,7 +86,7 @@
 				return
 			}
 		}
-		o.Settle(b, BatchTaken)
+		o.Settle(b, message.BatchTaken)
 	}
 	t.Fatal("the second placement has a number that the peer has already taken")
 }
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 
@@ -16,11 +17,11 @@
 // ownerState is what a controller keeps of the jobs it owns.
 type ownerState struct {
 	jobs    map[protocol.JobID]*ownedJob
-	sorted  []*ownedJob                 // in order of placement; nil: to be sorted again
-	dirty   bool                        // something may have become placeable
-	pending map[protocol.MachineID]bool // machines whose inventory of this term is awaited
-	leaving map[TaskRef]leavingTask     // attempts of limited teams' jobs that are over, not proven gone
-	unsure  map[protocol.Team]bool      // limited teams just taken over, whose use is not known yet
+	sorted  []*ownedJob                     // in order of placement; nil: to be sorted again
+	dirty   bool                            // something may have become placeable
+	pending map[protocol.MachineID]bool     // machines whose inventory of this term is awaited
+	leaving map[message.TaskRef]leavingTask // attempts of limited teams' jobs that are over, not proven gone
+	unsure  map[protocol.Team]bool          // limited teams just taken over, whose use is not known yet
 	attempt uint64
 	order   uint64
 	retryAt Time
@@ -30,7 +31,7 @@
 func newOwnerState() ownerState {
 	return ownerState{
 		jobs: map[protocol.JobID]*ownedJob{}, pending: map[protocol.MachineID]bool{},
-		leaving: map[TaskRef]leavingTask{}, unsure: map[protocol.Team]bool{},
+		leaving: map[message.TaskRef]leavingTask{}, unsure: map[protocol.Team]bool{},
 	}
 }
 
@@ -153,7 +154,7 @@
 				if t.uncertain {
 					left.number = 0
 				}
-				c.owner.leaving[TaskRef{t.task, t.attempt, t.machine}] = left
+				c.owner.leaving[message.TaskRef{Task: t.task, Attempt: t.attempt, Machine: t.machine}] = left
 			}
 			c.askStop(t, true, 0)
 			c.unplace(o, t)
@@ -167,7 +168,7 @@
 		for _, e := range tasksWhere(q.entries, func(t protocol.TaskID, _ *entry) bool { return t.Job == id }) {
 			if !e.sent && !e.present {
 				c.dropWaiting(q, e)
-				c.tell(q, e, WhatReleased)
+				c.tell(q, e, message.WhatReleased)
 			} else {
 				c.wake(q) // killed or reaped now, or by the next answer
 			}
@@ -224,8 +225,8 @@
 		return
 	}
 	t.stopping, t.moving = t.stopping || kill, !kill
-	c.send(c.keeper(t.machine), PeerMessage{Stop: &Stop{
-		TaskRef: TaskRef{Task: t.task, Attempt: t.attempt, Machine: t.machine}, Kill: kill, GraceS: grace,
+	c.send(c.keeper(t.machine), message.PeerMessage{Stop: &message.Stop{
+		TaskRef: message.TaskRef{Task: t.task, Attempt: t.attempt, Machine: t.machine}, Kill: kill, GraceS: grace,
 	}})
 }
 
@@ -265,7 +266,7 @@
 		}
 		if !o.loaded && !o.loading {
 			o.loading = true
-			c.do(LoadBits{Job: id})
+			c.do(message.LoadBits{Job: id})
 		}
 		if o.notBefore > 0 && c.now >= o.notBefore {
 			o.notBefore = 0
--- a/internal/coordination/pen.go
+++ b/internal/coordination/pen.go
@@ -5,21 +5,14 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/blocks"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
-// RecordChange asks the registrar to write a machine's record, or to delete it.
-type RecordChange struct {
-	Term    protocol.Term
-	Machine protocol.MachineID
-	Have    protocol.Version // the epoch of the record that the sender knows; 0: none
-	To      *bookkeeping.Machine
-}
-
 // pen is what the registrar keeps: the one member that writes machines' records
 // in a term. Only one does, so that no machine is ever in two blocks.
 type pen struct {
-	wanted  map[protocol.MachineID]RecordChange
+	wanted  map[protocol.MachineID]message.RecordChange
 	busy    bool            // a transaction is under way
 	writing map[string]Time // blocks written whose change has not been seen yet, and when
 	// bound are the blocks that were to take machines that are in none. Such a
@@ -31,7 +24,7 @@
 }
 
 func newPen() pen {
-	return pen{wanted: map[protocol.MachineID]RecordChange{}, writing: map[string]Time{}, bound: map[protocol.MachineID]string{}}
+	return pen{wanted: map[protocol.MachineID]message.RecordChange{}, writing: map[string]Time{}, bound: map[protocol.MachineID]string{}}
 }
 
 type penTag struct {
@@ -58,7 +51,7 @@
 
 // recordWanted takes note of what a keeper asks for. What was asked for before
 // for the same machine is out of date.
-func (c *Core) recordWanted(r RecordChange) {
+func (c *Core) recordWanted(r message.RecordChange) {
 	if r.Term == c.view.Term && c.inBlocks() && c.registrar() == c.self {
 		c.pen.wanted[r.Machine] = r
 	}
@@ -126,11 +119,11 @@
 		return
 	}
 	p.busy = true
-	c.do(Commit{Tag: tag, Txn: txn})
+	c.do(message.Commit{Tag: tag, Txn: txn})
 }
 
 // blockChange is what a machine's record needs still, if anything.
-func (c *Core) blockChange(id protocol.MachineID, r RecordChange) (ch blocks.Change, due bool) {
+func (c *Core) blockChange(id protocol.MachineID, r message.RecordChange) (ch blocks.Change, due bool) {
 	m := c.machines[id]
 	have := protocol.Version(0)
 	if m != nil {
@@ -154,10 +147,10 @@
 
 // blocksWritten takes the outcome. Only a change that is seen in the records
 // counts; until then a block that may have been written is left alone.
-func (c *Core) blocksWritten(tag penTag, out Outcome) {
+func (c *Core) blocksWritten(tag penTag, out message.Outcome) {
 	p := &c.pen
 	p.busy = false
-	if out == OutcomeDone {
+	if out == message.OutcomeDone {
 		for _, id := range tag.dropped {
 			delete(p.wanted, id)
 		}
@@ -194,7 +187,7 @@
 // which conditions beside those of the record itself, in the latter case.
 func (c *Core) changeRecord(tag any, id protocol.MachineID, have protocol.Version, to *bookkeeping.Machine, only ...protocol.Condition) {
 	if c.inBlocks() {
-		c.send(c.registrar(), PeerMessage{Record: &RecordChange{Term: c.view.Term, Machine: id, Have: have, To: to}})
+		c.send(c.registrar(), message.PeerMessage{Record: &message.RecordChange{Term: c.view.Term, Machine: id, Have: have, To: to}})
 		return
 	}
 	key := bookkeeping.MachineKey(id)
@@ -202,7 +195,7 @@
 	if to != nil {
 		change = protocol.Change{Put: key, Value: *to}
 	}
-	c.do(Commit{Tag: tag, Txn: protocol.Txn{
+	c.do(message.Commit{Tag: tag, Txn: protocol.Txn{
 		If: append(only, protocol.Condition{Key: key, Version: have}), Then: []protocol.Change{change},
 	}})
 }
--- a/internal/coordination/pen_test.go
+++ b/internal/coordination/pen_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
 )
@@ -18,7 +19,7 @@
 	state    *standin.State
 	followed int
 	changes  int
-	outcome  func(Commit) Outcome // of a transaction; nil: executed
+	outcome  func(message.Commit) message.Outcome // of a transaction; nil: executed
 	late     []protocol.Txn
 }
 
@@ -26,8 +27,8 @@
 	r := &recorder{bench: newBench(tb), state: standin.NewState()}
 	r.c.reset()
 	lease := r.state.Lease(0, time.Hour)
-	r.step(Snapshot{Session: lease})
-	r.step(Entitled{Until: Time(time.Hour)})
+	r.step(message.Snapshot{Session: lease})
+	r.step(message.Entitled{Until: Time(time.Hour)})
 	r.state.Txn(protocol.Txn{Then: []protocol.Change{{Put: bookkeeping.NodeKey("node-0"), Value: bookkeeping.Node{Session: lease, Layout: bookkeeping.LayoutBlocks}}}})
 	r.settle(5)
 	if !r.c.member() || !r.c.inBlocks() {
@@ -39,12 +40,12 @@
 // settle plays so many ticks with what they bring.
 func (r *recorder) settle(ticks int) {
 	for range ticks {
-		r.carry(r.step(Tick{}))
+		r.carry(r.step(message.Tick{}))
 		for r.followed < len(r.state.Log) {
 			ev := r.state.Log[r.followed]
 			r.followed++
 			if strings.HasPrefix(ev.Put+ev.Delete, bookkeeping.FollowedPrefix) {
-				r.carry(r.step(Changed{ev}))
+				r.carry(r.step(message.Changed{Event: ev}))
 			}
 		}
 	}
@@ -52,24 +53,24 @@
 
 func (r *recorder) carry(actions []Action) {
 	for _, a := range actions {
-		c, ok := a.(Commit)
+		c, ok := a.(message.Commit)
 		if !ok {
 			continue
 		}
 		if _, pen := c.Tag.(penTag); pen {
 			r.changes += len(c.Txn.Then)
 		}
-		out := OutcomeDone
+		out := message.OutcomeDone
 		if r.outcome != nil {
 			out = r.outcome(c)
 		}
 		switch {
-		case out == OutcomeUnknown:
+		case out == message.OutcomeUnknown:
 			r.late = append(r.late, c.Txn)
-		case out == OutcomeDone && !r.state.Txn(c.Txn):
-			out = OutcomeFailed
+		case out == message.OutcomeDone && !r.state.Txn(c.Txn):
+			out = message.OutcomeFailed
 		}
-		r.carry(r.step(TxnDone{Tag: c.Tag, Outcome: out}))
+		r.carry(r.step(message.TxnDone{Tag: c.Tag, Outcome: out}))
 	}
 }
 
@@ -79,7 +80,7 @@
 	for i := range machines {
 		r.seq++
 		r.now++
-		r.carry(r.c.Step(r.now, Reported{protocol.Report{
+		r.carry(r.c.Step(r.now, message.Reported{Report: protocol.Report{
 			Machine: protocol.MachineID(fmt.Sprintf("vm-%06d", i)), Address: "10.1.0.1:9000", Type: "small", Zone: "a", Session: session, Seq: r.seq,
 		}}))
 	}
@@ -122,12 +123,12 @@
 	r.wave(40, 1)
 	r.settle(10)
 	lost := 2
-	r.outcome = func(c Commit) Outcome {
+	r.outcome = func(c message.Commit) message.Outcome {
 		if _, pen := c.Tag.(penTag); pen && lost > 0 {
 			lost--
-			return OutcomeUnknown
+			return message.OutcomeUnknown
 		}
-		return OutcomeDone
+		return message.OutcomeDone
 	}
 	r.wave(100, 1) // 60 new ones
 	r.settle(3)
@@ -194,12 +195,12 @@
 	b := newBench(t)
 	// node records a controller, and returns the view that is written for it.
 	node := func(name protocol.NodeName, session protocol.LeaseID, l bookkeeping.Layout) (v bookkeeping.View) {
-		for _, a := range append(b.put(bookkeeping.NodeKey(name), bookkeeping.Node{Session: session, Layout: l}), b.step(Tick{})...) {
-			if c, ok := a.(Commit); ok && c.Tag == (viewTag{}) {
+		for _, a := range append(b.put(bookkeeping.NodeKey(name), bookkeeping.Node{Session: session, Layout: l}), b.step(message.Tick{})...) {
+			if c, ok := a.(message.Commit); ok && c.Tag == (viewTag{}) {
 				v = c.Txn.Then[0].Value.(bookkeeping.View)
 			}
 		}
-		b.step(TxnDone{Tag: viewTag{}, Outcome: OutcomeDone})
+		b.step(message.TxnDone{Tag: viewTag{}, Outcome: message.OutcomeDone})
 		return v
 	}
 	node("node-0", 100, bookkeeping.LayoutBlocks)
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -23,7 +24,7 @@
 		return
 	}
 	usage := c.teamUsage()
-	batches := map[protocol.NodeName][]Placement{}
+	batches := map[protocol.NodeName][]message.Placement{}
 	waits := map[protocol.MachineID]*ownWaits{}
 	cl := c.claims()
 	c.setLevels()
@@ -42,7 +43,7 @@
 			c.claimAgain(o, cl)
 			continue
 		}
-		var chosen []Placement
+		var chosen []message.Placement
 		looked := c.looked
 		o.claimed = nil
 		if o.Kind == protocol.KindGang {
@@ -79,7 +80,7 @@
 				o.placed[t.Task].number = p.placed
 			}
 		}
-		c.send(keeper, PeerMessage{Place: &Place{Number: p.placed, Term: c.view.Term, Tasks: tasks}})
+		c.send(keeper, message.PeerMessage{Place: &message.Place{Number: p.placed, Term: c.view.Term, Tasks: tasks}})
 	}
 	c.sendWaits(waits)
 }
@@ -95,8 +96,8 @@
 }
 
 // placeArray places pending tasks one by one.
-func (c *Core) placeArray(o *ownedJob, usage map[protocol.Team]room.Amount, left int, cl *claims) []Placement {
-	var out []Placement
+func (c *Core) placeArray(o *ownedJob, usage map[protocol.Team]room.Amount, left int, cl *claims) []message.Placement {
+	var out []message.Placement
 	zones := o.zones()
 	var from *candidates
 	for i, ok := o.pending.NextSet(0); ok && len(out) < left; i, ok = o.pending.NextSet(i + 1) {
@@ -126,7 +127,7 @@
 
 // putOn places one task on the smallest of its job's candidates, and reckons
 // with that for the next.
-func (c *Core) putOn(from *candidates, i uint32, m *machineEntry, a protocol.Attempt, zones map[protocol.Zone]int) Placement {
+func (c *Core) putOn(from *candidates, i uint32, m *machineEntry, a protocol.Attempt, zones map[protocol.Zone]int) message.Placement {
 	if from.heap[0].rank != rankQueue {
 		from.claims.spend(m, from.need)
 	}
@@ -137,7 +138,7 @@
 }
 
 // put places one task on a machine in the owner's books.
-func (c *Core) put(o *ownedJob, i uint32, m *machineEntry, a protocol.Attempt) Placement {
+func (c *Core) put(o *ownedJob, i uint32, m *machineEntry, a protocol.Attempt) message.Placement {
 	t := &placedTask{
 		task: protocol.TaskID{Job: o.ID, Index: i}, attempt: a, machine: m.id, epoch: m.epoch,
 		zone: m.rec.Zone, estimate: c.estimateOf(o),
@@ -150,7 +151,7 @@
 		// The Place that carries it is the next to the keeper.
 		c.expect(m, comingWait{c.self, p.placed + 1, t.estimate * o.CPUs, o.level, room.Need(&o.Job)})
 	}
-	return Placement{Task: t.task, Attempt: a, Machine: m.id, Epoch: m.epoch, EstimateS: t.estimate, CPUs: o.CPUs, GPUs: o.GPUs, GB: o.MemoryGB, Level: int(o.level), Together: o.together()}
+	return message.Placement{Task: t.task, Attempt: a, Machine: m.id, Epoch: m.epoch, EstimateS: t.estimate, CPUs: o.CPUs, GPUs: o.GPUs, GB: o.MemoryGB, Level: int(o.level), Together: o.together()}
 }
 
 // boundTo is the zone that a job's attempts hold it to, if they do.
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/renting"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -59,11 +60,11 @@
 	}
 	p := renting.New(c.types, c.slots(), underWay)
 	defer c.rentWanted(p)
-	var demand, rest []Demand
+	var demand, rest []message.Demand
 	for _, p := range c.peers {
 		demand = append(demand, p.demand...)
 	}
-	slices.SortFunc(demand, func(a, b Demand) int {
+	slices.SortFunc(demand, func(a, b message.Demand) int {
 		return cmp.Or(cmp.Compare(b.OldestS, a.OldestS), cmp.Compare(a.Job, b.Job))
 	})
 	// Classes with room kept for them come first, then the room itself: the
@@ -86,7 +87,7 @@
 	}
 	// What is left works off the rest, the most pressing first. Each job finds
 	// what those before it leave of the time until it has to be done.
-	slices.SortStableFunc(rest, func(a, b Demand) int {
+	slices.SortStableFunc(rest, func(a, b message.Demand) int {
 		ja, jb := c.live[a.Job], c.live[b.Job]
 		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(c.timeLeft(ja, a), c.timeLeft(jb, b)))
 	})
@@ -114,7 +115,7 @@
 }
 
 // wants is the job of a demand, with the zone that is left to it.
-func (c *Core) wants(d Demand) *liveJob {
+func (c *Core) wants(d message.Demand) *liveJob {
 	j := c.live[d.Job]
 	if j == nil || d.Zone == "" {
 		return j
@@ -148,7 +149,7 @@
 // timeLeft is how long a job's tasks may still wait, in seconds, and be done
 // when it is due. Owners' estimates are often wrong by half. What nobody sets
 // a time for waits no longer than a machine takes to come.
-func (c *Core) timeLeft(j *liveJob, d Demand) float64 {
+func (c *Core) timeLeft(j *liveJob, d message.Demand) float64 {
 	if len(c.dueTimes(&j.Job)) == 0 {
 		return 0
 	}
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/renting"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -12,7 +13,7 @@
 // rentsOf is how many machines are asked for.
 func rentsOf(actions []Action) (n int) {
 	for _, a := range actions {
-		if r, ok := a.(Rent); ok {
+		if r, ok := a.(message.Rent); ok {
 			n += r.Request.Count
 		}
 	}
@@ -54,7 +55,7 @@
 	for round := range 3 {
 		var answer []Action
 		for _, a := range actions {
-			r, ok := a.(Rent)
+			r, ok := a.(message.Rent)
 			if !ok {
 				continue
 			}
@@ -62,7 +63,7 @@
 				t.Fatalf("%d in one request", r.Request.Count)
 			}
 			asked[r.Request.Zone] += r.Request.Count
-			got := Rented{Request: r.Request, Outcome: OutcomeDone}
+			got := message.Rented{Request: r.Request, Outcome: message.OutcomeDone}
 			if r.Request.Zone == "a" {
 				for i := range r.Request.Count {
 					got.Machines = append(got.Machines, protocol.MachineID(fmt.Sprint("vm-", round, "-", i)))
@@ -88,7 +89,7 @@
 	b.c.live["job-1"] = o.liveJob
 	var zones []protocol.Zone
 	for _, a := range append(b.relay(), b.relay()...) {
-		if r, ok := a.(Rent); ok {
+		if r, ok := a.(message.Rent); ok {
 			zones = append(zones, r.Request.Zone)
 			if r.Request.Count != 2 {
 				t.Errorf("%d machines asked for, want 2", r.Request.Count)
@@ -116,7 +117,7 @@
 	b.c.put(o, 0, b.c.machines["vm-bfalse0"], 1)
 	rented := 0
 	for _, a := range append(b.relay(), b.relay()...) {
-		if r, ok := a.(Rent); ok {
+		if r, ok := a.(message.Rent); ok {
 			rented += r.Request.Count
 			if r.Request.Zone != "b" {
 				t.Errorf("%d machines asked for in zone %s", r.Request.Count, r.Request.Zone)
--- a/internal/coordination/promises_test.go
+++ b/internal/coordination/promises_test.go
@@ -6,6 +6,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/operators"
 	"damsonkeel/internal/protocol"
@@ -17,8 +18,8 @@
 // promising is a core that knows the time of day and rents from a catalogue.
 func promising(t *testing.T) *bench {
 	b := planner(t)
-	b.step(CatalogueRead{[]protocol.TypeInfo{{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}}}})
-	b.step(Tick{WallMS: wall})
+	b.step(message.CatalogueRead{Types: []protocol.TypeInfo{{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}}}})
+	b.step(message.Tick{WallMS: wall})
 	return b
 }
 
@@ -141,9 +142,9 @@
 	}
 	b.report("vm-1", 1, 1, protocol.TaskReport{Task: task, Attempt: e.attempt, State: protocol.TaskRunning})
 	b.now += Time(time.Second)
-	b.step(Tick{})
+	b.step(message.Tick{})
 	b.job("job-2", "free", 1)
-	b.step(Tick{})
+	b.step(message.Tick{})
 	if q.entries[protocol.TaskID{Job: "job-2"}] != nil {
 		t.Error("placed where it would run into the window")
 	}
@@ -152,14 +153,14 @@
 		t.Errorf("overruns: %+v", reply.Windows)
 	}
 	b.now += Time(time.Minute)
-	b.step(Tick{})
+	b.step(message.Tick{})
 	if os := b.report("vm-1", 1, 1, protocol.TaskReport{Task: task, Attempt: e.attempt, State: protocol.TaskRunning}).Reply.Orders; len(os) != 0 || e.kill {
 		t.Errorf("told %+v while the window is open", os)
 	}
 	b.now += Time(10 * time.Minute)
 	b.report("vm-1", 1, 1, protocol.TaskReport{Task: task, Attempt: e.attempt, State: protocol.TaskRunning})
 	b.relay()
-	b.step(Tick{})
+	b.step(message.Tick{})
 	if q.entries[protocol.TaskID{Job: "job-2"}] == nil {
 		t.Error("not placed after the window")
 	}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -5,6 +5,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -23,9 +24,9 @@
 	sorted  bool
 
 	lastAnswer  Time
-	silence     silence
-	told        bool         // said is up to date
-	said        MachineState // what others are told
+	silence     message.Silence
+	told        bool                 // said is up to date
+	said        message.MachineState // what others are told
 	runs        []calendar.Run
 	contested   bool // something here might be stopped for something that waits; as said
 	inventoried bool // owners have an inventory of this term
@@ -110,7 +111,7 @@
 		}
 		return same
 	}
-	released := map[protocol.NodeName][]TaskRef{}
+	released := map[protocol.NodeName][]message.TaskRef{}
 	lost := func(e *entry) bool {
 		j := c.live[e.task.Job]
 		return !keeps || j == nil || !owned(j)
@@ -136,14 +137,14 @@
 			delete(q.entries, e.task)
 			if owner := c.entryOwner(e); owner != "" && (keeps || owner != c.self) {
 				// To itself only if it kept its jobs: else it knows no attempt.
-				released[owner] = append(released[owner], TaskRef{Task: e.task, Attempt: e.attempt, Machine: q.id})
+				released[owner] = append(released[owner], message.TaskRef{Task: e.task, Attempt: e.attempt, Machine: q.id})
 			}
 			return true
 		})
 	}
 	for owner, refs := range inOrder(released) {
 		for part := range slices.Chunk(refs, releasedMost) {
-			c.send(owner, PeerMessage{Released: part})
+			c.send(owner, message.PeerMessage{Released: part})
 		}
 	}
 	for id, m := range c.machines {
@@ -203,17 +204,17 @@
 }
 
 // tell passes an event to the present owner of an attempt's job.
-func (c *Core) tell(q *queue, e *entry, what What) {
+func (c *Core) tell(q *queue, e *entry, what message.What) {
 	c.touch(q)
 	owner := c.entryOwner(e)
 	if owner == "" {
 		return
 	}
-	ev := &TaskEvent{TaskRef: TaskRef{Task: e.task, Attempt: e.attempt, Machine: q.id}, What: what, Cause: e.cause, Saved: e.saved}
-	if what == WhatNotice && q.notice != nil {
+	ev := &message.TaskEvent{TaskRef: message.TaskRef{Task: e.task, Attempt: e.attempt, Machine: q.id}, What: what, Cause: e.cause, Saved: e.saved}
+	if what == message.WhatNotice && q.notice != nil {
 		ev.LeftS = *q.notice
 	}
-	c.send(owner, PeerMessage{Event: ev})
+	c.send(owner, message.PeerMessage{Event: ev})
 }
 
 // putBack queues an attempt again whose start was not executed. Where nothing
@@ -224,7 +225,7 @@
 	c.enqueue(q, e)
 	if q.draining || q.suspect || q.notice != nil {
 		c.dropWaiting(q, e)
-		c.tell(q, e, WhatReleased)
+		c.tell(q, e, message.WhatReleased)
 	}
 }
 
@@ -242,7 +243,7 @@
 }
 
 // place queues placements. One that can't be queued is released at once.
-func (c *Core) place(from protocol.NodeName, p *Place) {
+func (c *Core) place(from protocol.NodeName, p *message.Place) {
 	if peer := c.peers[from]; peer != nil {
 		peer.handled = p.Number
 	}
@@ -253,8 +254,8 @@
 			if q != nil {
 				c.touch(q) // the word that the owner waits for
 			}
-			c.send(from, PeerMessage{Event: &TaskEvent{
-				TaskRef: TaskRef{Task: t.Task, Attempt: t.Attempt, Machine: t.Machine}, What: WhatReleased,
+			c.send(from, message.PeerMessage{Event: &message.TaskEvent{
+				TaskRef: message.TaskRef{Task: t.Task, Attempt: t.Attempt, Machine: t.Machine}, What: message.WhatReleased,
 			}})
 		}
 		// The term and the machine's record must be those the owner placed
@@ -288,7 +289,7 @@
 }
 
 // stop releases an attempt never sent, or has it killed.
-func (c *Core) stop(from protocol.NodeName, s Stop) {
+func (c *Core) stop(from protocol.NodeName, s message.Stop) {
 	q := c.queues[s.Machine]
 	if q == nil {
 		return
@@ -299,7 +300,7 @@
 	}
 	if !e.sent && !e.present {
 		c.dropWaiting(q, e)
-		c.tell(q, e, WhatReleased)
+		c.tell(q, e, message.WhatReleased)
 		return
 	}
 	if s.Kill && !e.ended() {
@@ -310,7 +311,7 @@
 }
 
 // forget lets the worker drop an ended attempt that its owner has dealt with.
-func (c *Core) forget(r TaskRef) {
+func (c *Core) forget(r message.TaskRef) {
 	if q := c.queues[r.Machine]; q != nil {
 		if e := q.entries[r.Task]; e != nil && e.attempt == r.Attempt && e.ended() {
 			e.reap = true
@@ -329,6 +330,6 @@
 func (c *Core) releaseWaiting(q *queue) {
 	for _, e := range slices.Clone(q.waiting) {
 		c.dropWaiting(q, e)
-		c.tell(q, e, WhatReleased)
+		c.tell(q, e, message.WhatReleased)
 	}
 }
--- a/internal/coordination/registration.go
+++ b/internal/coordination/registration.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -36,7 +37,7 @@
 	return protocol.Condition{Key: bookkeeping.ViewKey, Version: c.viewVersion}
 }
 
-func (c *Core) registrationDone(tag registerTag, _ Outcome) {
+func (c *Core) registrationDone(tag registerTag, _ message.Outcome) {
 	if q := c.queues[tag.machine]; q != nil {
 		q.registering = false // the followed record says whether it is there
 	}
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -6,6 +6,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/lending"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -34,11 +35,11 @@
 	// include yet.
 	waits map[*machineEntry]bool
 	// early are states of machines whose records have not arrived here.
-	early map[protocol.MachineID]MachineState
+	early map[protocol.MachineID]message.MachineState
 }
 
 func newHearsay() hearsay {
-	return hearsay{handled: map[protocol.NodeName]uint64{}, waits: map[*machineEntry]bool{}, early: map[protocol.MachineID]MachineState{}}
+	return hearsay{handled: map[protocol.NodeName]uint64{}, waits: map[*machineEntry]bool{}, early: map[protocol.MachineID]message.MachineState{}}
 }
 
 // statesMost bounds the machines that one message tells of: a full copy, as each
@@ -119,20 +120,20 @@
 		loans = c.rates.Lend(c.now)
 		c.setShare() // before anybody can use what is lent
 	}
-	var same *Relay // as sent to the one before
+	var same *message.Relay // as sent to the one before
 	for name, p := range inOrder(c.peers) {
 		t := &p.told
 		if !regular && !t.short {
 			continue
 		}
-		r := &Relay{Term: c.view.Term, Acting: c.acting(), HaveMachines: t.machinesFrom.Have(), HaveJobs: t.jobsFrom.Have()}
+		r := &message.Relay{Term: c.view.Term, Acting: c.acting(), HaveMachines: t.machinesFrom.Have(), HaveJobs: t.jobsFrom.Have()}
 		r.Ask = c.rates.Asks(c.now)
 		if l, ok := loans[p.session]; ok {
 			r.Loan = &l
 		}
 		r.HaveHolds = t.holdsFrom
 		if c.promised.number != 0 && c.promised.number>>32 == uint64(c.view.Term) && t.holdsTo != c.promised.number && name != c.self {
-			r.Holds = &Holds{c.promised.number, c.promised.list}
+			r.Holds = &message.Holds{Number: c.promised.number, List: c.promised.list}
 		}
 		if same == nil {
 			r.Demand = c.demand()
@@ -142,14 +143,14 @@
 		c.fillMachines(r, &t.machinesTo, same)
 		t.short = r.Handled == nil
 		c.fillJobs(r, &t.jobsTo)
-		c.send(name, PeerMessage{Relay: r})
+		c.send(name, message.PeerMessage{Relay: r})
 		same = r
 	}
 }
 
 // fillMachines adds what changed of machines. Most peers lack the same: what was
 // put together for one serves the next.
-func (c *Core) fillMachines(r *Relay, to *relay.Cursor, same *Relay) {
+func (c *Core) fillMachines(r *message.Relay, to *relay.Cursor, same *message.Relay) {
 	if same != nil && same.Machines.From == to.Next() {
 		r.Machines, r.States, r.Handled = same.Machines, same.States, same.Handled
 		to.Sent(r.Machines.Upto)
@@ -158,7 +159,7 @@
 	ids, upto := c.relays.machines.Since(to.Next(), statesMost)
 	r.Machines = relay.Piece{Stream: uint64(c.view.Term), From: to.Next(), Upto: upto}
 	to.Sent(upto)
-	r.States = make([]MachineState, 0, len(ids))
+	r.States = make([]message.MachineState, 0, len(ids))
 	for _, id := range ids {
 		if q := c.queues[id]; q != nil {
 			r.States = append(r.States, c.stateOf(q))
@@ -173,7 +174,7 @@
 	}
 }
 
-func (c *Core) fillJobs(r *Relay, to *relay.Cursor) {
+func (c *Core) fillJobs(r *message.Relay, to *relay.Cursor) {
 	ids, upto := c.relays.jobs.Since(to.Next(), statesMost)
 	r.Jobs = relay.Piece{Stream: uint64(c.view.Term), From: to.Next(), Upto: upto}
 	to.Sent(upto)
@@ -185,7 +186,7 @@
 }
 
 // relayed takes a peer's regular message.
-func (c *Core) relayed(from protocol.NodeName, r *Relay) {
+func (c *Core) relayed(from protocol.NodeName, r *message.Relay) {
 	p := c.peers[from]
 	if p == nil {
 		return
@@ -238,7 +239,7 @@
 const earlyMost = 4096
 
 // takeState takes a keeper's word on one of its machines.
-func (c *Core) takeState(from protocol.NodeName, p *peer, st MachineState) {
+func (c *Core) takeState(from protocol.NodeName, p *peer, st message.MachineState) {
 	m := c.machines[st.Machine]
 	switch {
 	case st.Epoch == 0:
@@ -259,7 +260,7 @@
 		}
 		m.told, m.by, m.at, m.copied, m.refused = st, p, c.now, 0, false
 		m.held = room.Uses{}
-		addUses(&m.held, st.Uses)
+		message.AddUses(&m.held, st.Uses)
 	}
 }
 
@@ -310,7 +311,7 @@
 // setShare has what may be used now set, if that has changed.
 func (c *Core) setShare() {
 	now := c.now
-	s := SetShare{Own: c.rates.Own(now), All: c.rates.Share(now)}
+	s := message.SetShare{Own: c.rates.Own(now), All: c.rates.Share(now)}
 	if until, ok := c.rates.Until(now); ok {
 		s.Until = Time(until)
 	}
@@ -321,7 +322,7 @@
 }
 
 // mergeRelays is one message that says what two in a row do.
-func mergeRelays(before, after *Relay) *Relay {
+func mergeRelays(before, after *message.Relay) *message.Relay {
 	if before.Term != after.Term {
 		return after // another stream
 	}
@@ -331,11 +332,11 @@
 	}
 	if merged.Machines.Follows(before.Machines) {
 		merged.Machines.From = before.Machines.From
-		merged.States = latest(before.States, after.States, func(s MachineState) protocol.MachineID { return s.Machine })
+		merged.States = latest(before.States, after.States, func(s message.MachineState) protocol.MachineID { return s.Machine })
 	}
 	if merged.Jobs.Follows(before.Jobs) {
 		merged.Jobs.From = before.Jobs.From
-		merged.Progress = latest(before.Progress, after.Progress, func(g Progress) protocol.JobID { return g.Job })
+		merged.Progress = latest(before.Progress, after.Progress, func(g message.Progress) protocol.JobID { return g.Job })
 	}
 	return &merged
 }
--- a/internal/coordination/relays_test.go
+++ b/internal/coordination/relays_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -14,9 +15,9 @@
 )
 
 // relaysTo lists the regular messages to a peer.
-func relaysTo(actions []Action, to protocol.NodeName) (rs []*Relay) {
+func relaysTo(actions []Action, to protocol.NodeName) (rs []*message.Relay) {
 	for _, a := range actions {
-		if s, ok := a.(Send); ok && s.To == to && s.Message.Relay != nil {
+		if s, ok := a.(message.Send); ok && s.To == to && s.Message.Relay != nil {
 			rs = append(rs, s.Message.Relay)
 		}
 	}
@@ -47,8 +48,8 @@
 	have := f.c.relays.machines.Version()
 	hear(20)
 	for range 4 { // the first lost the last message, the second has everything
-		f.c.relayed("node-1", &Relay{Term: 2, HaveMachines: have})
-		f.c.relayed("node-2", &Relay{Term: 2, HaveMachines: f.c.relays.machines.Version()})
+		f.c.relayed("node-1", &message.Relay{Term: 2, HaveMachines: have})
+		f.c.relayed("node-2", &message.Relay{Term: 2, HaveMachines: f.c.relays.machines.Version()})
 	}
 	if a, b := told(); a != 20 || b != 0 {
 		t.Errorf("%d and %d machines told of, want 20 and 0", a, b)
@@ -66,7 +67,7 @@
 	complete := 0
 	for i := range 12 {
 		f.now += Time(tickEvery)
-		for _, r := range relaysTo(f.play(Tick{}), "node-1") {
+		for _, r := range relaysTo(f.play(message.Tick{}), "node-1") {
 			if len(r.States) > 0 {
 				sizes = append(sizes, len(r.States))
 			}
@@ -94,7 +95,7 @@
 	for actions := f.put(bookkeeping.ViewKey, v); given < machines && steps < 9; steps++ {
 		n := 0
 		for _, a := range actions {
-			if s, ok := a.(Send); ok && s.To == "node-1" && s.Message.Inventory != nil {
+			if s, ok := a.(message.Send); ok && s.To == "node-1" && s.Message.Inventory != nil {
 				n++
 			}
 		}
@@ -103,7 +104,7 @@
 		}
 		given += n
 		f.now += Time(tickEvery)
-		actions = f.play(Tick{})
+		actions = f.play(message.Tick{})
 	}
 	if given != machines {
 		t.Errorf("%d of %d inventories after %d steps", given, machines, steps)
@@ -140,7 +141,7 @@
 			open         = map[uint64]placement{} // announced here, not included in the word held here
 			toKeeper     []placement
 			announced    []placement
-			word         []*Relay
+			word         []*message.Relay
 			lastIncluded uint64
 		)
 		announce := func() {
@@ -149,8 +150,8 @@
 			if p.number > lastIncluded {
 				open[p.number] = p
 			}
-			c.addWaits("node-1", &Added{Term: 1, Numbers: map[protocol.NodeName]uint64{"node-2": p.number},
-				Waits: []Wait{{Machine: p.id, Add: p.add, Taken: []Use{{CPUs: 1}}}}})
+			c.addWaits("node-1", &message.Added{Term: 1, Numbers: map[protocol.NodeName]uint64{"node-2": p.number},
+				Waits: []message.Wait{{Machine: p.id, Add: p.add, Taken: []message.Use{{CPUs: 1}}}}})
 		}
 		handle := func() {
 			p := toKeeper[0]
@@ -163,10 +164,10 @@
 		}
 		say := func() {
 			ids, upto := log.Since(to.Next(), 2)
-			r := &Relay{Term: 1, Machines: relay.Piece{Stream: 1, From: to.Next(), Upto: upto}}
+			r := &message.Relay{Term: 1, Machines: relay.Piece{Stream: 1, From: to.Next(), Upto: upto}}
 			to.Sent(upto)
 			for _, id := range ids {
-				r.States = append(r.States, MachineState{Machine: id, Epoch: c.machines[id].epoch, Wait: waits[id]})
+				r.States = append(r.States, message.MachineState{Machine: id, Epoch: c.machines[id].epoch, Wait: waits[id]})
 			}
 			if upto == log.Version() {
 				r.Handled = map[protocol.NodeName]uint64{"node-1": handled}
@@ -257,7 +258,7 @@
 func TestWordBeforeRecord(t *testing.T) {
 	b := newBench(t, "node-1")
 	id := b.keptBy("node-1")
-	b.c.relayed("node-1", &Relay{Term: 1, Machines: relay.Piece{Stream: 1, Upto: 1}, States: []MachineState{
+	b.c.relayed("node-1", &message.Relay{Term: 1, Machines: relay.Piece{Stream: 1, Upto: 1}, States: []message.MachineState{
 		{Machine: id, Epoch: b.version + 1, FreeCPUs: 3, FreeGB: 3, Heard: true},
 	}})
 	b.machine(id, 1)
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -10,21 +11,21 @@
 // report answers a worker.
 func (c *Core) report(r protocol.Report) {
 	if r.Term > c.view.Term {
-		c.do(ReplyReport{Status: 503}) // somebody has raised the term: stop until it is read
+		c.do(message.ReplyReport{Status: 503}) // somebody has raised the term: stop until it is read
 		return
 	}
 	if !c.acting() {
-		c.do(ReplyReport{Status: 503})
+		c.do(message.ReplyReport{Status: 503})
 		return
 	}
 	if keeper := c.keeper(r.Machine); keeper != c.self {
 		c.noteStray(r.Machine)
-		c.do(ReplyReport{Status: 421, ReportTo: keeper})
+		c.do(message.ReplyReport{Status: 421, ReportTo: keeper})
 		return
 	}
 	info, known := c.types[r.Type]
 	if !known {
-		c.do(ReplyReport{Status: 503})
+		c.do(message.ReplyReport{Status: 503})
 		return
 	}
 	q := c.queues[r.Machine]
@@ -36,7 +37,7 @@
 	}
 	reply := protocol.ReportReply{Term: c.view.Term, Orders: []protocol.Order{}}
 	if r.Session < q.session || r.Session == q.session && r.Seq <= q.seq {
-		c.do(ReplyReport{Status: 200, Reply: reply}) // held back by the network: says nothing
+		c.do(message.ReplyReport{Status: 200, Reply: reply}) // held back by the network: says nothing
 		return
 	}
 	q.info, q.addr = info, r.Address
@@ -44,8 +45,8 @@
 		c.newSession(q, r.Session)
 	}
 	q.seq, q.lastAnswer, q.everSeen = r.Seq, c.now, true
-	if q.silence != silenceNone {
-		q.silence = silenceNone
+	if q.silence != message.SilenceNone {
+		q.silence = message.SilenceNone
 		c.touch(q)
 	}
 	if m := c.machines[q.id]; m == nil || m.rec.Session != r.Session {
@@ -57,7 +58,7 @@
 	q.push = false
 	reply.Orders = c.orders(q, r.Term)
 	c.reckonState(q) // now that all of it was just looked at
-	c.do(ReplyReport{Status: 200, Reply: reply})
+	c.do(message.ReplyReport{Status: 200, Reply: reply})
 }
 
 // newSession: the worker's lease expired, and with it all it ran.
@@ -112,7 +113,7 @@
 			c.touch(q)
 			if !e.ended() {
 				e.state, e.cause = protocol.TaskEnded, protocol.EndError
-				c.tell(q, e, WhatEnded)
+				c.tell(q, e, message.WhatEnded)
 			}
 		case !own:
 		case e.direct != 0 && r.Term <= e.direct:
@@ -123,7 +124,7 @@
 		case e.kill || c.isOver(id.Job):
 			// Settled as below, and not wanted any more.
 			delete(q.entries, id)
-			c.tell(q, e, WhatReleased)
+			c.tell(q, e, message.WhatReleased)
 		default:
 			// The answer with the start was lost or dropped: settled by this
 			// report. The same attempt goes back to be sent again.
@@ -142,7 +143,7 @@
 	c.log.Error("machine lists another attempt of a queued task", "machine", q.id, "task", t.Task, "attempt", t.Attempt)
 	e := q.entries[t.Task]
 	c.dropWaiting(q, e)
-	c.tell(q, e, WhatReleased)
+	c.tell(q, e, message.WhatReleased)
 	stray := &entry{task: t.Task, attempt: t.Attempt, present: true, state: t.State, cause: t.Cause, kill: t.State != protocol.TaskEnded, reap: true}
 	q.entries[t.Task] = stray
 }
@@ -162,12 +163,12 @@
 	case e.ended() && before != protocol.TaskEnded:
 		c.noteResult(q, e)
 		c.noteError(e)
-		c.tell(q, e, WhatEnded)
+		c.tell(q, e, message.WhatEnded)
 	case e.state == protocol.TaskRunning && before != protocol.TaskRunning:
 		e.runs = c.now
-		c.tellPresent(q, e, WhatRunning)
+		c.tellPresent(q, e, message.WhatRunning)
 	case first:
-		c.tellPresent(q, e, WhatPresent)
+		c.tellPresent(q, e, message.WhatPresent)
 	}
 }
 
@@ -175,7 +176,7 @@
 // known to be of this term: until then it may be one that the network held back
 // for minutes, of attempts long gone, which their owners would have killed. The
 // inventory says all of it.
-func (c *Core) tellPresent(q *queue, e *entry, what What) {
+func (c *Core) tellPresent(q *queue, e *entry, what message.What) {
 	if q.known {
 		c.tell(q, e, what)
 	}
@@ -197,7 +198,7 @@
 		for _, w := range slices.Clone(q.waiting) {
 			if w.task.Job == e.task.Job {
 				c.dropWaiting(q, w) // its owner places it elsewhere
-				c.tell(q, w, WhatReleased)
+				c.tell(q, w, message.WhatReleased)
 			}
 		}
 		if !q.suspect && len(q.failed) >= 2 {
@@ -227,7 +228,7 @@
 	for _, e := range tasksInOrder(q.entries) {
 		if e.present && !e.ended() && !e.noticed {
 			e.noticed = true
-			c.tell(q, e, WhatNotice)
+			c.tell(q, e, message.WhatNotice)
 		}
 	}
 }
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damsonkeel/internal/coordination/desk"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
 )
@@ -70,10 +71,10 @@
 	if !ok {
 		return envelope{}, false
 	}
-	return envelope{msg: Reported{w.Report.report}, reply: func(actions []Action) {
+	return envelope{msg: message.Reported{Report: w.Report.report}, reply: func(actions []Action) {
 		answer := failure(503, "not entitled")
 		for _, a := range actions {
-			if rr, ok := a.(ReplyReport); ok {
+			if rr, ok := a.(message.ReplyReport); ok {
 				answer = reportAnswer(rr)
 				if rr.Status == 200 {
 					r.answered(now(), w.Machine)
--- a/internal/coordination/reports_test.go
+++ b/internal/coordination/reports_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
 )
@@ -28,8 +29,8 @@
 		if !ok {
 			t.Fatal("none waits")
 		}
-		e.reply([]Action{ReplyReport{Status: code}})
-		return string(e.msg.(Reported).Report.Machine)
+		e.reply([]Action{message.ReplyReport{Status: code}})
+		return string(e.msg.(message.Reported).Report.Machine)
 	}
 	add(now, "vm-answered")
 	add(now, "vm-sent-on")
--- a/internal/coordination/runtimes_test.go
+++ b/internal/coordination/runtimes_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -16,10 +17,10 @@
 	start := func(i uint32) {
 		p := &placedTask{task: protocol.TaskID{Job: "job-1", Index: i}, attempt: 1, machine: "vm-1"}
 		o.placed[p.task] = p
-		b.c.event(TaskEvent{TaskRef: TaskRef{Task: p.task, Attempt: 1, Machine: "vm-1"}, What: WhatRunning})
+		b.c.event(message.TaskEvent{TaskRef: message.TaskRef{Task: p.task, Attempt: 1, Machine: "vm-1"}, What: message.WhatRunning})
 	}
 	end := func(i uint32, cause protocol.EndCause) {
-		b.c.event(TaskEvent{TaskRef: TaskRef{Task: protocol.TaskID{Job: "job-1", Index: i}, Attempt: 1, Machine: "vm-1"}, What: WhatEnded, Cause: cause})
+		b.c.event(message.TaskEvent{TaskRef: message.TaskRef{Task: protocol.TaskID{Job: "job-1", Index: i}, Attempt: 1, Machine: "vm-1"}, What: message.WhatEnded, Cause: cause})
 	}
 	for i := range uint32(20) {
 		start(i)
@@ -51,15 +52,15 @@
 	b.machine("vm-1", 1)
 	b.job("job-1", "free", 20)
 	b.view(3, "node-0") // a view was missed
-	b.step(JobLoaded{Job: "job-1", OK: true})
-	var held []Held
+	b.step(message.JobLoaded{Job: "job-1", OK: true})
+	var held []message.Held
 	for i := range uint32(12) {
-		held = append(held, Held{Task: protocol.TaskID{Job: "job-1", Index: i}, Attempt: 1, State: protocol.TaskRunning})
+		held = append(held, message.Held{Task: protocol.TaskID{Job: "job-1", Index: i}, Attempt: 1, State: protocol.TaskRunning})
 	}
 	b.inventory("vm-1", held...)
 	o := b.c.owner.jobs["job-1"]
 	for _, h := range held {
-		b.c.event(TaskEvent{TaskRef: TaskRef{Task: h.Task, Attempt: 1, Machine: "vm-1"}, What: WhatEnded, Cause: protocol.EndDone})
+		b.c.event(message.TaskEvent{TaskRef: message.TaskRef{Task: h.Task, Attempt: 1, Machine: "vm-1"}, What: message.WhatEnded, Cause: protocol.EndDone})
 	}
 	if o.nDone != 12 {
 		t.Fatalf("%d of 12 done", o.nDone)
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -18,7 +19,7 @@
 		if err := n.session(ctx); err != nil {
 			n.log.Info("session", "err", err)
 		}
-		n.post(SessionOver{})
+		n.post(message.SessionOver{})
 		sleep(ctx, 250*time.Millisecond)
 	}
 }
@@ -55,11 +56,11 @@
 		return fmt.Errorf("enter: %w", err)
 	}
 	n.log.Info("session begun", "session", lease)
-	n.post(Snapshot{Session: lease, Items: items, WallMS: time.Now().UnixMilli()})
+	n.post(message.Snapshot{Session: lease, Items: items, WallMS: time.Now().UnixMilli()})
 	l := &leaseClock{ttl: ttl}
 	l.extended.Store(int64(sent))
 	l.followed.Store(int64(n.now()))
-	n.post(Entitled{Until: l.until()})
+	n.post(message.Entitled{Until: l.until()})
 	followEnd := make(chan error, 1)
 	go func() { followEnd <- n.follow(ctx, rev, l) }()
 	return n.extend(ctx, lease, l, followEnd)
@@ -112,7 +113,7 @@
 			}
 			refused, every = false, l.ttl/5
 			l.extended.Store(int64(sent))
-			n.post(Entitled{Until: l.until()})
+			n.post(message.Entitled{Until: l.until()})
 		case errors.Is(err, bookkeeping.ErrNotFound):
 			return fmt.Errorf("session %d: lease lost", lease)
 		default:
@@ -140,7 +141,7 @@
 			continue
 		}
 		for _, e := range ev.Events {
-			n.post(Changed{e})
+			n.post(message.Changed{Event: e})
 		}
 		from = max(from, ev.Revision)
 		l.followed.Store(int64(n.now()))
--- a/internal/coordination/slow.go
+++ b/internal/coordination/slow.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"time"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -79,7 +80,7 @@
 		}
 		usual, ok := o.usual()
 		switch late := t.runs + tooLong(usual); {
-		case !ok || c.owner.pending[m.id] || !c.recent(m, 3*c.op.RelayEvery) || m.told.Silence != silenceNone:
+		case !ok || c.owner.pending[m.id] || !c.recent(m, 3*c.op.RelayEvery) || m.told.Silence != message.SilenceNone:
 			heap.Push(h, overdue{c.after(5 * time.Second), t}) // nothing can be said yet
 		case late > c.now:
 			heap.Push(h, overdue{late, t})
@@ -114,7 +115,7 @@
 	}
 	m.told.Draining = true // at once, though its keeper has not said so yet
 	c.log.Info("machine runs its tasks slowly: giving it up", "machine", m.id)
-	c.send(c.keeper(m.id), PeerMessage{Drain: &m.id})
+	c.send(c.keeper(m.id), message.PeerMessage{Drain: &m.id})
 	for _, t := range tasksInOrder(m.mine) {
 		if o := c.owner.jobs[t.task.Job]; o != nil && o.Kind == protocol.KindArray && o.CheckpointS > 0 {
 			c.askStop(t, true, graceS(&o.Job)) // goes on elsewhere from what it saves
--- a/internal/coordination/slow_test.go
+++ b/internal/coordination/slow_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -35,21 +36,21 @@
 			ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 20, CPUs: 1, EstimateS: 10, CheckpointS: 5, SaveS: 1,
 		}})
 		o.loaded = true
-		ref := func(i int) TaskRef {
+		ref := func(i int) message.TaskRef {
 			m := b.c.machinesInOrder()[max(0, i-tc.slow+1)] // the slow ones share the first
 			if i < tc.slow {
 				m = b.c.machinesInOrder()[0]
 			}
-			return TaskRef{Task: protocol.TaskID{Job: "job-1", Index: uint32(i)}, Attempt: 1, Machine: m.id}
+			return message.TaskRef{Task: protocol.TaskID{Job: "job-1", Index: uint32(i)}, Attempt: 1, Machine: m.id}
 		}
 		for i := range 12 {
 			r := ref(i)
 			p := b.c.put(o, uint32(i), b.c.machines[r.Machine], 1)
-			b.c.event(TaskEvent{TaskRef: TaskRef{p.Task, p.Attempt, p.Machine}, What: WhatRunning})
+			b.c.event(message.TaskEvent{TaskRef: message.TaskRef{Task: p.Task, Attempt: p.Attempt, Machine: p.Machine}, What: message.WhatRunning})
 		}
 		b.c.now += Time(tc.elsewhere)
 		for i := tc.slow; i < 12; i++ {
-			b.c.event(TaskEvent{TaskRef: ref(i), What: WhatEnded, Cause: protocol.EndDone})
+			b.c.event(message.TaskEvent{TaskRef: ref(i), What: message.WhatEnded, Cause: protocol.EndDone})
 		}
 		b.c.out, b.c.local = nil, nil
 		for range 2 {
@@ -67,7 +68,7 @@
 			drained = drained || m.Drain != nil
 		}
 		for _, a := range b.c.out {
-			s, ok := a.(Send)
+			s, ok := a.(message.Send)
 			drained = drained || ok && s.Message.Drain != nil
 		}
 		if drained != tc.drained {
--- a/internal/coordination/spot.go
+++ b/internal/coordination/spot.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -12,7 +13,7 @@
 
 // noteLoss counts a machine whose record went as taken, if it looks so.
 func (c *Core) noteLoss(m *machineEntry) {
-	if m.rec.Spot && !m.told.Draining && (m.told.Noticed || m.told.Silence == silenceLong) {
+	if m.rec.Spot && !m.told.Draining && (m.told.Noticed || m.told.Silence == message.SilenceLong) {
 		c.spots.Lost()
 	}
 }
--- a/internal/coordination/stock.go
+++ b/internal/coordination/stock.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -49,20 +50,20 @@
 	}
 	q.inventoried, q.known = true, true
 	c.touch(q)
-	byOwner := map[protocol.NodeName][]Held{}
+	byOwner := map[protocol.NodeName][]message.Held{}
 	for _, e := range tasksInOrder(q.entries) {
 		owner := c.entryOwner(e)
 		if owner == "" {
 			continue
 		}
-		h := Held{Task: e.task, Attempt: e.attempt, Cause: e.cause, Saved: e.saved}
+		h := message.Held{Task: e.task, Attempt: e.attempt, Cause: e.cause, Saved: e.saved}
 		if e.present {
 			h.State = e.state
 		}
 		byOwner[owner] = append(byOwner[owner], h)
 	}
 	for name, p := range inOrder(c.peers) {
-		c.send(name, PeerMessage{Inventory: &Inventory{
+		c.send(name, message.PeerMessage{Inventory: &message.Inventory{
 			Term: c.view.Term, Machine: q.id, Epoch: q.epoch, Upto: p.handled, Held: byOwner[name],
 		}})
 	}
--- /dev/null
+++ b/internal/coordination/table.go
@@ -0,0 +1,45 @@
+package coordination
+
+import (
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/protocol"
+)
+
+// Time is this process's steady clock.
+type Time = clock.Time
+
+// liveJob is an accepted job as the records have it.
+type liveJob struct {
+	protocol.Job
+	version   protocol.Version
+	since     Time              // when it was submitted
+	due       Time              // when it should be done, as last reckoned
+	owner     protocol.NodeName // by the view of ownerTerm
+	ownerTerm protocol.Term
+}
+
+// machineEntry is a registered machine as the records have it, and what the
+// wait table holds of it.
+type machineEntry struct {
+	id    protocol.MachineID
+	rec   bookkeeping.Machine
+	epoch protocol.Version
+	info  protocol.TypeInfo
+
+	told     message.MachineState // by its keeper
+	by       *peer                // the keeper's session that told it in this term, if any
+	at       Time                 // when that was
+	coming   []comingWait         // placements that its keeper's word does not include yet
+	extra    float64              // their waits
+	taken    room.Uses            // what they take
+	reserved room.Amount          // of what it has free: held for reservations now
+	copied   float64              // its wait by a peer's table, until its keeper is heard
+	held     room.Uses            // what it was told to hold
+	refused  bool                 // its keeper refused something and has not said since why
+	late     int                  // tasks of this owner that ran too long there lately
+	lateAt   Time                 // the last of them
+	mine     map[protocol.TaskID]*placedTask
+}
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -49,7 +50,7 @@
 			o = c.own(l)
 			o.unknown = true
 			o.loading = true
-			c.do(LoadBits{Job: id})
+			c.do(message.LoadBits{Job: id})
 			continue
 		}
 		c.owner.jobs[id] = o
@@ -76,7 +77,7 @@
 	return machineKeeper(old, id) != keeper || !sameSession(old, c.view, keeper)
 }
 
-func (c *Core) jobLoaded(m JobLoaded) {
+func (c *Core) jobLoaded(m message.JobLoaded) {
 	o := c.owner.jobs[m.Job]
 	if o == nil || o.loaded {
 		return
@@ -131,7 +132,7 @@
 }
 
 // inventory takes a keeper's proof of all that is on a machine.
-func (c *Core) inventory(from protocol.NodeName, inv *Inventory) {
+func (c *Core) inventory(from protocol.NodeName, inv *message.Inventory) {
 	m := c.machines[inv.Machine]
 	if inv.Term != c.view.Term || m == nil || m.epoch != inv.Epoch || c.keeper(inv.Machine) != from {
 		return
@@ -158,8 +159,8 @@
 }
 
 // takeHeld takes one attempt of an inventory.
-func (c *Core) takeHeld(o *ownedJob, m *machineEntry, h Held) {
-	ref := TaskRef{Task: h.Task, Attempt: h.Attempt, Machine: m.id}
+func (c *Core) takeHeld(o *ownedJob, m *machineEntry, h message.Held) {
+	ref := message.TaskRef{Task: h.Task, Attempt: h.Attempt, Machine: m.id}
 	t := o.placed[h.Task]
 	if t == nil && o.unknown {
 		t = &placedTask{
@@ -182,10 +183,10 @@
 	switch h.State {
 	case "":
 	case protocol.TaskEnded:
-		c.event(TaskEvent{TaskRef: ref, What: WhatEnded, Cause: h.Cause, Saved: h.Saved})
+		c.event(message.TaskEvent{TaskRef: ref, What: message.WhatEnded, Cause: h.Cause, Saved: h.Saved})
 	case protocol.TaskRunning:
-		c.event(TaskEvent{TaskRef: ref, What: WhatRunning})
+		c.event(message.TaskEvent{TaskRef: ref, What: message.WhatRunning})
 	default:
-		c.event(TaskEvent{TaskRef: ref, What: WhatPresent})
+		c.event(message.TaskEvent{TaskRef: ref, What: message.WhatPresent})
 	}
 }
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -7,12 +7,13 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
 // inventory plays the proof of all that is on a machine.
-func (b *bench) inventory(id protocol.MachineID, held ...Held) {
-	b.c.inventory(machineKeeper(b.c.view, id), &Inventory{
+func (b *bench) inventory(id protocol.MachineID, held ...message.Held) {
+	b.c.inventory(machineKeeper(b.c.view, id), &message.Inventory{
 		Term: b.c.view.Term, Machine: id, Epoch: b.c.machines[id].epoch, Upto: 1 << 40, Held: held,
 	})
 }
@@ -31,12 +32,12 @@
 	if !o.unknown || o.pending.Any() || len(o.placed) > 0 {
 		t.Fatalf("after a missed view: %+v", o)
 	}
-	b.step(JobLoaded{Job: "job-1", OK: true})
-	b.inventory("vm-1", Held{Task: task, Attempt: 1, State: protocol.TaskEnded, Cause: protocol.EndError})
+	b.step(message.JobLoaded{Job: "job-1", OK: true})
+	b.inventory("vm-1", message.Held{Task: task, Attempt: 1, State: protocol.TaskEnded, Cause: protocol.EndError})
 	if o.pending.Any() {
 		t.Fatal("placeable while vm-2 may run a later attempt")
 	}
-	b.inventory("vm-2", Held{Task: task, Attempt: 2, State: protocol.TaskRunning})
+	b.inventory("vm-2", message.Held{Task: task, Attempt: 2, State: protocol.TaskRunning})
 	if o.pending.Any() || o.placed[task] == nil || o.placed[task].attempt != 2 {
 		t.Fatal("the attempt that runs was not kept")
 	}
@@ -79,7 +80,7 @@
 		t.Fatalf("not started by the report's answer: %+v", r)
 	}
 	b.seq++
-	b.step(Commanded{Machine: "vm-1", Term: 1, Session: 1, Answered: true, Executed: true,
+	b.step(message.Commanded{Machine: "vm-1", Term: 1, Session: 1, Answered: true, Executed: true,
 		Report: protocol.Report{Machine: "vm-1", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Term: 1}})
 	if e := b.c.queues["vm-1"].entries[protocol.TaskID{Job: "job-1"}]; e == nil || !e.sent {
 		t.Fatalf("a start under way is taken for not executed: %+v", e)
@@ -109,7 +110,7 @@
 func TestQueuedBeforeItsRecord(t *testing.T) {
 	b := newBench(t)
 	b.ready("vm-1")
-	b.c.place("node-0", &Place{Number: 5, Term: 1, Tasks: []Placement{{
+	b.c.place("node-0", &message.Place{Number: 5, Term: 1, Tasks: []message.Placement{{
 		Task: protocol.TaskID{Job: "job-7"}, Attempt: 1, Machine: "vm-1", Epoch: b.c.machines["vm-1"].epoch,
 	}}})
 	b.c.local = nil
@@ -127,10 +128,10 @@
 	b := newBench(t)
 	b.ready("vm-1")
 	b.job("job-1", "free", 1)
-	b.step(Changed{protocol.Event{Delete: bookkeeping.LiveKey("job-1"), Version: 50}})
+	b.step(message.Changed{Event: protocol.Event{Delete: bookkeeping.LiveKey("job-1"), Version: 50}})
 	b.c.queues["vm-1"].entries = map[protocol.TaskID]*entry{}
 	b.c.queues["vm-1"].waiting = nil
-	b.c.place("node-0", &Place{Number: 6, Term: 1, Tasks: []Placement{{
+	b.c.place("node-0", &message.Place{Number: 6, Term: 1, Tasks: []message.Placement{{
 		Task: protocol.TaskID{Job: "job-1"}, Attempt: 9, Machine: "vm-1", Epoch: b.c.machines["vm-1"].epoch,
 	}}})
 	if n := len(b.c.queues["vm-1"].waiting); n != 0 {
@@ -173,8 +174,8 @@
 	id := b.keptBy("node-0")
 	b.machine(id, 1)
 	removed := func() bool {
-		for _, a := range b.step(Tick{}) {
-			if c, ok := a.(Commit); ok && c.Tag == (removeTag{id}) {
+		for _, a := range b.step(message.Tick{}) {
+			if c, ok := a.(message.Commit); ok && c.Tag == (removeTag{id}) {
 				return true
 			}
 		}
@@ -191,7 +192,7 @@
 	if pass(3 * lease) {
 		t.Fatal("taken for dead while node-1 may answer by an earlier term")
 	}
-	b.step(Received{Batch{From: "node-1", FromSession: 101, ToSession: 100, Term: 1}})
+	b.step(message.Received{Batch: message.Batch{From: "node-1", FromSession: 101, ToSession: 100, Term: 1}})
 	if pass(lease) {
 		t.Fatal("taken for dead before its lease is over")
 	}
@@ -208,7 +209,7 @@
 	b.report("vm-1", 2, 1) // the registration is never answered
 	for range 60 {
 		b.now += Time(time.Second)
-		if dropped(b.step(Tick{}), "vm-1") {
+		if dropped(b.step(message.Tick{}), "vm-1") {
 			return
 		}
 	}
@@ -261,12 +262,14 @@
 			job := protocol.JobID("job-" + string(rune('1'+i)))
 			b.job(job, team, 4)
 			if i == 0 {
-				b.step(Changed{protocol.Event{Delete: bookkeeping.LiveKey(job), Version: 90}})
+				b.step(message.Changed{Event: protocol.Event{Delete: bookkeeping.LiveKey(job), Version: 90}})
 				clear(b.c.owner.leaving)
-				b.step(Tick{})
+				b.step(message.Tick{})
 			}
 		}
-		end := func() { b.step(Changed{protocol.Event{Delete: bookkeeping.LiveKey("job-2"), Version: 91}}) }
+		end := func() {
+			b.step(message.Changed{Event: protocol.Event{Delete: bookkeeping.LiveKey("job-2"), Version: 91}})
+		}
 		if over == "before the view" {
 			end()
 		}
@@ -278,7 +281,7 @@
 		if len(b.c.owner.leaving) != 4 {
 			t.Fatalf("over %s: %d attempts count", over, len(b.c.owner.leaving))
 		}
-		b.c.inventory("node-1", &Inventory{Term: 2, Machine: id, Epoch: b.c.machines[id].epoch})
+		b.c.inventory("node-1", &message.Inventory{Term: 2, Machine: id, Epoch: b.c.machines[id].epoch})
 		if n := len(b.c.owner.leaving); n > 0 {
 			t.Errorf("over %s: %d attempts count for ever", over, n)
 		}
--- a/internal/coordination/told.go
+++ b/internal/coordination/told.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -49,9 +50,9 @@
 }
 
 // stateOf is what others are told of a machine, reckoned once after each change.
-func (c *Core) stateOf(q *queue) MachineState {
+func (c *Core) stateOf(q *queue) message.MachineState {
 	if m := c.machines[q.id]; m == nil || q.epoch != m.epoch {
-		return MachineState{Machine: q.id}
+		return message.MachineState{Machine: q.id}
 	}
 	c.reckonState(q)
 	s := q.said
@@ -68,11 +69,11 @@
 	if q.told {
 		return
 	}
-	s := MachineState{
+	s := message.MachineState{
 		Machine: q.id, Epoch: q.epoch, Images: slices.Clone(q.images),
 		Heard: q.known, Held: len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
 		Silence: q.silence, Noticed: q.notice != nil,
-		Closed: q.draining || q.suspect || q.notice != nil || q.silence == silenceLong,
+		Closed: q.draining || q.suspect || q.notice != nil || q.silence == message.SilenceLong,
 	}
 	free, held := room.Capacity(q.info), room.Uses{}
 	least, most := room.Ranks, -1 // ranks of what may be stopped, and of what waits
@@ -106,33 +107,24 @@
 			borrows = borrows || !e.level.Guaranteed()
 		}
 	}
-	s.FreeCPUs, s.FreeGPUs, s.FreeGB, s.Uses = free.CPUs, free.GPUs, free.GB, usesIn(&held)
+	s.FreeCPUs, s.FreeGPUs, s.FreeGB, s.Uses = free.CPUs, free.GPUs, free.GB, message.UsesIn(&held)
 	q.runs = c.runsOf(q)
 	q.said, q.told = s, true
 	q.contested = least < most || guaranteed && borrows
 }
 
-// silence is how a worker's quiet looks.
-type silence uint8
-
-const (
-	silenceNone silence = iota // no longer than a healthy worker's
-	silenceSome                // longer
-	silenceLong                // at least twice as long: nothing is placed there
-)
-
 // healthySilence is the longest a healthy worker stays quiet.
 func healthySilence(reportS float64) time.Duration {
 	return time.Duration(1.25*reportS*float64(time.Second)) + time.Second
 }
 
 // silenceAfter is how a quiet of so long looks.
-func (c *Core) silenceAfter(d time.Duration) silence {
+func (c *Core) silenceAfter(d time.Duration) message.Silence {
 	switch most := healthySilence(c.settings.Site.Workers.ReportS); {
 	case d > 2*most:
-		return silenceLong
+		return message.SilenceLong
 	case d > most:
-		return silenceSome
+		return message.SilenceSome
 	}
-	return silenceNone
+	return message.SilenceNone
 }
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
@@ -112,7 +113,7 @@
 	}
 	c.writingView = true
 	next := bookkeeping.View{Term: c.view.Term + 1, Members: want, Deaf: deaf, Layout: layout}
-	c.do(Commit{Tag: viewTag{}, Txn: protocol.Txn{
+	c.do(message.Commit{Tag: viewTag{}, Txn: protocol.Txn{
 		If: []protocol.Condition{
 			{Key: bookkeeping.ViewKey, Version: c.viewVersion},
 		},
@@ -196,7 +197,7 @@
 	}
 	for name, session := range v.Members {
 		if c.peers[name] == nil {
-			c.peers[name] = &peer{session: session, progress: map[protocol.JobID]Progress{}, told: newHearsay()}
+			c.peers[name] = &peer{session: session, progress: map[protocol.JobID]message.Progress{}, told: newHearsay()}
 		}
 	}
 	if p := c.peers[c.self]; p != nil {
@@ -212,27 +213,27 @@
 
 // received handles a peer's batch. Batches of ended sessions are dropped: the
 // network may hold them back for minutes.
-func (c *Core) received(b Batch) {
+func (c *Core) received(b message.Batch) {
 	if b.ToSession != c.session || !c.member() || c.view.Members[b.From] != b.FromSession {
 		if b.ToSession == c.session && b.Term > c.view.Term {
-			c.do(ReplyBatch{BatchBehind})
+			c.do(message.ReplyBatch{Reply: message.BatchBehind})
 			return
 		}
 		if b.ToSession == c.session && c.acting() {
-			c.do(ReplyBatch{BatchPassed})
+			c.do(message.ReplyBatch{Reply: message.BatchPassed})
 			return
 		}
-		c.do(ReplyBatch{BatchStale})
+		c.do(message.ReplyBatch{Reply: message.BatchStale})
 		return
 	}
 	if b.Term > c.view.Term {
-		c.do(ReplyBatch{BatchBehind})
+		c.do(message.ReplyBatch{Reply: message.BatchBehind})
 		return
 	}
 	p := c.peers[b.From]
 	p.term = max(p.term, b.Term)
 	if b.First > p.next {
-		c.do(ReplyBatch{BatchStale}) // a gap: this can't be the same stream
+		c.do(message.ReplyBatch{Reply: message.BatchStale}) // a gap: this can't be the same stream
 		return
 	}
 	for i, m := range b.Messages {
@@ -241,11 +242,11 @@
 			c.message(b.From, m)
 		}
 	}
-	c.do(ReplyBatch{BatchTaken})
+	c.do(message.ReplyBatch{Reply: message.BatchTaken})
 }
 
 // message handles one message of a peer, or of itself.
-func (c *Core) message(from protocol.NodeName, m PeerMessage) {
+func (c *Core) message(from protocol.NodeName, m message.PeerMessage) {
 	switch {
 	case m.Place != nil:
 		c.place(from, m.Place)
@@ -255,7 +256,7 @@
 		c.event(*m.Event)
 	case m.Released != nil:
 		for _, ref := range m.Released {
-			c.event(TaskEvent{TaskRef: ref, What: WhatReleased})
+			c.event(message.TaskEvent{TaskRef: ref, What: message.WhatReleased})
 		}
 	case m.Forget != nil:
 		c.forget(*m.Forget)
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -46,7 +47,7 @@
 
 // addWaits takes another controller's placements into the table, unless it
 // holds their keeper's word on them already: messages of two peers may cross.
-func (c *Core) addWaits(from protocol.NodeName, a *Added) {
+func (c *Core) addWaits(from protocol.NodeName, a *message.Added) {
 	if a.Term != c.view.Term {
 		return // its keeper refuses them, or has told of them in this term
 	}
@@ -81,9 +82,9 @@
 	if len(added) == 0 {
 		return
 	}
-	a := &Added{Term: c.view.Term, Numbers: map[protocol.NodeName]uint64{}}
+	a := &message.Added{Term: c.view.Term, Numbers: map[protocol.NodeName]uint64{}}
 	for id, w := range inOrder(added) {
-		a.Waits = append(a.Waits, Wait{id, w.add, usesIn(&w.taken)})
+		a.Waits = append(a.Waits, message.Wait{Machine: id, Add: w.add, Taken: message.UsesIn(&w.taken)})
 		keeper := c.keeper(id)
 		if p := c.peers[keeper]; p != nil {
 			a.Numbers[keeper] = p.placed
@@ -91,7 +92,7 @@
 	}
 	for name := range inOrder(c.peers) {
 		if name != c.self {
-			c.send(name, PeerMessage{Added: a})
+			c.send(name, message.PeerMessage{Added: a})
 		}
 	}
 }
@@ -101,9 +102,9 @@
 
 // demand lists the work of owned jobs that has not started and may start now.
 // What a team's limit holds back is none.
-func (c *Core) demand() []Demand {
+func (c *Core) demand() []message.Demand {
 	usage := c.teamUsage()
-	var ds []Demand
+	var ds []message.Demand
 	for _, o := range c.jobsInOrder() {
 		if !o.loaded || o.unknown || o.notBefore > c.now {
 			continue
@@ -112,7 +113,7 @@
 		c.use(o, usage, n)
 		n += o.waits
 		if n > 0 {
-			ds = append(ds, Demand{Job: o.ID, Zone: o.boundTo(), Unstarted: n, Level: int(o.level), EstimateS: c.estimateOf(o), OldestS: c.since(o.since).Seconds()})
+			ds = append(ds, message.Demand{Job: o.ID, Zone: o.boundTo(), Unstarted: n, Level: int(o.level), EstimateS: c.estimateOf(o), OldestS: c.since(o.since).Seconds()})
 		}
 	}
 	return ds
@@ -162,27 +163,27 @@
 	}
 	n := min(2, len(c.copy.left))
 	for _, name := range c.copy.left[:n] {
-		c.send(name, PeerMessage{AskTable: true})
+		c.send(name, message.PeerMessage{AskTable: true})
 	}
 	c.copy.left, c.copy.asked = c.copy.left[n:], c.now
 }
 
 // sendTable answers a restarted controller, if this table is filled.
 func (c *Core) sendTable(to protocol.NodeName) {
-	var ws []Wait
+	var ws []message.Wait
 	for id, m := range inOrder(c.machines) {
 		if m.told.Epoch == m.epoch {
-			ws = append(ws, Wait{Machine: id, Add: m.wait()})
+			ws = append(ws, message.Wait{Machine: id, Add: m.wait()})
 		}
 	}
 	if len(ws) > 0 {
-		c.send(to, PeerMessage{Table: ws})
+		c.send(to, message.PeerMessage{Table: ws})
 	}
 }
 
 // fillTable takes the first table that comes; what keepers say of their
 // machines replaces it.
-func (c *Core) fillTable(ws []Wait) {
+func (c *Core) fillTable(ws []message.Wait) {
 	if c.copy.got {
 		return
 	}
@@ -195,8 +196,8 @@
 }
 
 // progressOf is how far an owned job is.
-func (c *Core) progressOf(o *ownedJob) Progress {
-	g := Progress{Job: o.ID, Done: o.nDone, Running: o.running}
+func (c *Core) progressOf(o *ownedJob) message.Progress {
+	g := message.Progress{Job: o.ID, Done: o.nDone, Running: o.running}
 	if c.promised.any {
 		g.Level = int(o.level) + 1
 	}
@@ -204,7 +205,7 @@
 }
 
 // JobProgress is how far a live job is, as far as this controller knows.
-func (c *Core) JobProgress(id protocol.JobID) (Progress, bool) {
+func (c *Core) JobProgress(id protocol.JobID) (message.Progress, bool) {
 	if o := c.owner.jobs[id]; o != nil {
 		return c.progressOf(o), true
 	}
@@ -214,5 +215,5 @@
 			return g, ok
 		}
 	}
-	return Progress{}, false
+	return message.Progress{}, false
 }
--- a/internal/emulator/machines.go
+++ b/internal/emulator/machines.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"damsonkeel/internal/coordination"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
 )
@@ -96,8 +96,8 @@
 			}
 			return
 		}
-		for _, a := range w.stepNode(n, coordination.Reported{Report: r}) {
-			rr, ok := a.(coordination.ReplyReport)
+		for _, a := range w.stepNode(n, message.Reported{Report: r}) {
+			rr, ok := a.(message.ReplyReport)
 			if !ok {
 				continue
 			}
--- a/internal/emulator/nodes.go
+++ b/internal/emulator/nodes.go
@@ -14,6 +14,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination"
+	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
 )
@@ -63,7 +64,7 @@
 		name := protocol.NodeName(fmt.Sprint("node-", i))
 		n.outboxes[name] = &simOutbox{Outbox: coordination.NewOutbox(n.name, nil, log)}
 	}
-	w.stepNode(n, coordination.CatalogueRead{Types: w.types})
+	w.stepNode(n, message.CatalogueRead{Types: w.types})
 	w.after(w.delay(), func() { w.openSession(n, life) })
 }
 
@@ -100,7 +101,7 @@
 		Then: []protocol.Change{{Put: key, Value: bookkeeping.Node{Session: lease, Layout: n.layout}, Lease: &lease}},
 	})
 	n.session, n.followed, n.extendAt = lease, at, w.now
-	w.stepNode(n, coordination.Snapshot{Session: lease, Items: items, WallMS: w.wallMS()})
+	w.stepNode(n, message.Snapshot{Session: lease, Items: items, WallMS: w.wallMS()})
 }
 
 func (w *world) clock(n *simNode) coordination.Time { return coordination.Time(w.now-n.born) + 1 }
@@ -141,18 +142,18 @@
 func (w *world) carryOut(n *simNode, actions []coordination.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
-		case coordination.Send:
+		case message.Send:
 			n.outboxes[a.To].Add(a)
-		case coordination.Commit:
+		case message.Commit:
 			w.commit(n, a)
-		case coordination.LoadBits:
+		case message.LoadBits:
 			ok := w.stateReachable(n)
-			w.later(n, coordination.JobLoaded{Job: a.Job, Chunks: w.state.List(bookkeeping.BitsPrefix(a.Job)), OK: ok})
-		case coordination.Command:
+			w.later(n, message.JobLoaded{Job: a.Job, Chunks: w.state.List(bookkeeping.BitsPrefix(a.Job)), OK: ok})
+		case message.Command:
 			w.command(n, a)
-		case coordination.Rent:
+		case message.Rent:
 			if w.silent > w.now {
-				w.later(n, coordination.Rented{Request: a.Request, Outcome: coordination.OutcomeUnknown})
+				w.later(n, message.Rented{Request: a.Request, Outcome: message.OutcomeUnknown})
 				continue
 			}
 			all, fresh := w.cloud.Rent(a.Request)
@@ -164,24 +165,24 @@
 					}
 				})
 			}
-			out := coordination.OutcomeDone
+			out := message.OutcomeDone
 			if len(all) == 0 {
-				out = coordination.OutcomeFailed
+				out = message.OutcomeFailed
 			}
-			w.later(n, coordination.Rented{Request: a.Request, Machines: all, Outcome: out})
-		case coordination.Delete:
+			w.later(n, message.Rented{Request: a.Request, Machines: all, Outcome: out})
+		case message.Delete:
 			if w.silent > w.now {
-				w.later(n, coordination.Deleted{Machines: a.Machines})
+				w.later(n, message.Deleted{Machines: a.Machines})
 				continue
 			}
 			for _, id := range a.Machines {
 				w.kill(id)
 				delete(w.cloud.Machines, id)
 			}
-			w.later(n, coordination.Deleted{Machines: a.Machines, OK: true})
-		case coordination.ListMachines:
+			w.later(n, message.Deleted{Machines: a.Machines, OK: true})
+		case message.ListMachines:
 			if w.silent > w.now {
-				w.later(n, coordination.Listed{})
+				w.later(n, message.Listed{})
 				continue
 			}
 			var list []protocol.ListedMachine
@@ -193,14 +194,14 @@
 				}
 				list = append(list, protocol.ListedMachine{ID: id, Type: r.Type, Zone: r.Zone, Spot: r.Spot, State: st, AgeS: w.heldS(id)})
 			}
-			w.later(n, coordination.Listed{Machines: list, OK: true})
+			w.later(n, message.Listed{Machines: list, OK: true})
 		}
 	}
 }
 
 // commit applies a transaction; behind a cut it may be applied late, with no
 // answer.
-func (w *world) commit(n *simNode, a coordination.Commit) {
+func (w *world) commit(n *simNode, a message.Commit) {
 	w.checkSize(a)
 	if !w.stateReachable(n) {
 		c := w.cuts[string(n.name)+">state"]
@@ -209,12 +210,12 @@
 			life := n.life
 			w.after(1500*time.Millisecond, func() {
 				if n.life == life {
-					w.stepNode(n, coordination.TxnDone{Tag: a.Tag, Outcome: coordination.OutcomeUnknown})
+					w.stepNode(n, message.TxnDone{Tag: a.Tag, Outcome: message.OutcomeUnknown})
 				}
 			})
 			return
 		}
-		w.later(n, coordination.TxnDone{Tag: a.Tag, Outcome: coordination.OutcomeRefused})
+		w.later(n, message.TxnDone{Tag: a.Tag, Outcome: message.OutcomeRefused})
 		return
 	}
 	if w.slow > 0 {
@@ -224,24 +225,24 @@
 	w.execute(n, a)
 }
 
-func (w *world) execute(n *simNode, a coordination.Commit) {
-	out := coordination.OutcomeFailed
+func (w *world) execute(n *simNode, a message.Commit) {
+	out := message.OutcomeFailed
 	if w.state.Txn(a.Txn) {
-		out = coordination.OutcomeDone
+		out = message.OutcomeDone
 	}
 	if w.rng.IntN(20) == 0 {
-		out = coordination.OutcomeUnknown // the answer is lost
+		out = message.OutcomeUnknown // the answer is lost
 	}
 	life := n.life
 	w.after(w.slow/2, func() {
 		if n.life == life {
-			w.later(n, coordination.TxnDone{Tag: a.Tag, Outcome: out})
+			w.later(n, message.TxnDone{Tag: a.Tag, Outcome: out})
 		}
 	})
 }
 
 // checkSize holds a transaction against the limits of the state service.
-func (w *world) checkSize(a coordination.Commit) {
+func (w *world) checkSize(a message.Commit) {
 	s := w.settings.Site.State
 	if ops := len(a.Txn.Then); ops > s.TxnOps || len(a.Txn.If) > 4*s.TxnOps {
 		w.fail("%v transaction %T of %d conditions and %d changes", w.now, a.Tag, len(a.Txn.If), ops)
@@ -258,10 +259,10 @@
 	}
 }
 
-func (w *world) command(n *simNode, a coordination.Command) {
+func (w *world) command(n *simNode, a message.Command) {
 	life := n.life
 	answered := false
-	done := coordination.Commanded{Machine: a.Machine, Term: a.Commands.Term, Session: a.Commands.Session, Orders: a.Commands.Orders}
+	done := message.Commanded{Machine: a.Machine, Term: a.Commands.Term, Session: a.Commands.Session, Orders: a.Commands.Orders}
 	sw := w.workers[a.Machine]
 	if sw == nil {
 		sw = &simWorker{Worker: &standin.Worker{Dead: true}}
@@ -321,14 +322,14 @@
 			ev := w.state.Change(n.followed)
 			n.followed++
 			if strings.HasPrefix(ev.Put+ev.Delete, bookkeeping.FollowedPrefix) {
-				w.stepNode(n, coordination.Changed{Event: ev})
+				w.stepNode(n, message.Changed{Event: ev})
 			}
 		}
 		if w.now >= n.extendAt {
 			n.extendAt = w.now + time.Second
 			if !w.state.Extend(w.now, n.session) {
 				n.session = 0
-				w.stepNode(n, coordination.SessionOver{})
+				w.stepNode(n, message.SessionOver{})
 				for _, o := range n.outboxes {
 					o.busyUntil = 0
 				}
@@ -336,11 +337,11 @@
 				w.after(300*time.Millisecond, func() { w.openSession(n, life) })
 				return
 			}
-			w.stepNode(n, coordination.Entitled{Until: w.clock(n) + coordination.Time(7700*time.Millisecond)})
+			w.stepNode(n, message.Entitled{Until: w.clock(n) + coordination.Time(7700*time.Millisecond)})
 		}
 	}
 	if w.exact || w.now%(2*w.step) == 0 {
-		w.stepNode(n, coordination.Tick{WallMS: w.tickMS()})
+		w.stepNode(n, message.Tick{WallMS: w.tickMS()})
 	}
 	for _, to := range slices.Sorted(maps.Keys(n.outboxes)) {
 		w.flush(n, to, n.outboxes[to])
@@ -364,8 +365,8 @@
 		}
 	}
 	w.carry(string(n.name), string(to), func() {
-		for _, a := range w.stepNode(peer, coordination.Received{Batch: b}) {
-			if rb, ok := a.(coordination.ReplyBatch); ok {
+		for _, a := range w.stepNode(peer, message.Received{Batch: b}) {
+			if rb, ok := a.(message.ReplyBatch); ok {
 				w.carry(string(to), string(n.name), func() {
 					if n.life == life {
 						o.Settle(b, rb.Reply)
