What all parts of the core know is one value

The records that all controllers follow, the view, the time and what is promised, in one struct that membership, keeping and owning can read without one another. A machine's record is apart from what the wait table holds of it.

--- a/internal/coordination/candidates_test.go
+++ b/internal/coordination/candidates_test.go
@@ -57,8 +57,11 @@
 			info = protocol.TypeInfo{Name: "large", CPUs: 16, MemoryGB: 64, FetchGBPS: 1}
 		}
 		m := &machineEntry{
-			id: id, epoch: 1, info: info, mine: map[protocol.TaskID]*placedTask{},
-			rec: bookkeeping.Machine{Zone: rapid.SampledFrom([]protocol.Zone{"a", "b"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "spot")},
+			mine: map[protocol.TaskID]*placedTask{},
+			machine: &machine{
+				id: id, epoch: 1, info: info,
+				rec: bookkeeping.Machine{Zone: rapid.SampledFrom([]protocol.Zone{"a", "b"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "spot")},
+			},
 		}
 		busy := float64(rapid.IntRange(0, int(info.CPUs)).Draw(t, "busy"))
 		m.told = message.MachineState{
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -21,35 +21,20 @@
 // Core is one controller's whole state between messages. It is not safe for
 // concurrent use: one actor owns it.
 type Core struct {
-	self     protocol.NodeName
-	settings *config.Settings
-	op       config.Operator
-	log      *slog.Logger
-	rng      *rand.Rand
-	now      Time
-	wallMS   int64 // the time of day when now was 0, as last told
-	out      []Action
-	local    []message.PeerMessage // to itself, handled before the step ends
+	*known
+	rng   *rand.Rand
+	out   []Action
+	local []message.PeerMessage // to itself, handled before the step ends
 
-	types map[protocol.MachineType]protocol.TypeInfo
-	dear  map[kind]float64 // see dearness: by the prices last read
-
-	session     protocol.LeaseID
-	until       Time // acts only before
-	view        bookkeeping.View
-	viewVersion protocol.Version
+	dear        map[kind]float64                       // see dearness: by the prices last read
 	nodes       map[protocol.NodeName]bookkeeping.Node // present in the records
 	writingView bool
 	viewRetry   Time
-	raise       bool                                     // the term is to be raised though the members are the same
-	keepers     map[protocol.MachineID]protocol.NodeName // by the view, as far as asked for
+	raise       bool // the term is to be raised though the members are the same
 
 	hearing  hearing
 	copy     tableCopy
 	classes  map[string]*class
-	begun    Time // when this session began to watch them
-	live     map[protocol.JobID]*liveJob
-	over     map[protocol.JobID]Time // seen to end, and when
 	machines map[protocol.MachineID]*machineEntry
 	sorted   []*machineEntry // the machines in order of their names
 	spotsUp  int             // of these, spot machines
@@ -105,32 +90,29 @@
 
 // NewCore makes a controller's state before its first session.
 func NewCore(s *config.Settings, op config.Operator, rng *rand.Rand, log *slog.Logger) *Core {
-	c := &Core{self: s.Name, settings: s, op: op, rng: rng, log: log, types: map[protocol.MachineType]protocol.TypeInfo{}}
+	c := &Core{known: newKnown(s, op, log), rng: rng}
 	c.reset()
 	return c
 }
 
 // reset forgets everything a session knew. What matters is in the records.
 func (c *Core) reset() {
-	c.session, c.until = 0, 0
-	c.view, c.viewVersion = bookkeeping.View{}, 0
+	c.known.reset()
 	c.nodes = map[protocol.NodeName]bookkeeping.Node{}
 	c.writingView, c.raise = false, false
 	c.hearing = newHearing()
 	c.classes = map[string]*class{}
 	c.sessionFloor = map[protocol.MachineID]protocol.Session{}
-	c.live, c.over = map[protocol.JobID]*liveJob{}, map[protocol.JobID]Time{}
 	c.machines, c.sorted, c.spotsUp = map[protocol.MachineID]*machineEntry{}, nil, 0
 	c.stockDue = nil
 	c.queues, c.kept, c.pushing = map[protocol.MachineID]*queue{}, nil, nil
 	c.relays, c.allSince = relays{}, 0
 	c.shelf, c.pen = blocks.NewShelf(), newPen()
-	c.keepers = map[protocol.MachineID]protocol.NodeName{}
 	c.nextPlaced = 0
 	c.peers = map[protocol.NodeName]*peer{}
 	c.owner = newOwnerState()
 	c.fleet = newFleetState()
-	c.promised = c.promised.anew()
+	c.promised = newPromises(c.pledged)
 }
 
 // Step handles one message at a time of the steady clock.
@@ -215,20 +197,6 @@
 
 func (c *Core) do(a Action) { c.out = append(c.out, a) }
 
-// acting reports whether this controller may command workers and settle jobs:
-// its lease has not run out by its own clock, and the view has its session.
-func (c *Core) acting() bool {
-	return c.now < c.until && c.member()
-}
-
-func (c *Core) member() bool {
-	return c.session != 0 && c.view.Members[c.self] == c.session
-}
-
-func (c *Core) after(d time.Duration) Time { return c.now + Time(d) }
-
-func (c *Core) since(t Time) time.Duration { return time.Duration(c.now - t) }
-
 // send passes a message to a member of the view, itself included.
 func (c *Core) send(to protocol.NodeName, m message.PeerMessage) {
 	if to == c.self {
@@ -240,27 +208,6 @@
 	}
 }
 
-// noteOver remembers that a job is over, for messages about it that are still
-// under way.
-func (c *Core) noteOver(id protocol.JobID) {
-	c.over[id] = c.now
-	if len(c.over) <= 4096 {
-		return
-	}
-	for old, at := range c.over {
-		if c.since(at) > 10*time.Minute {
-			delete(c.over, old)
-		}
-	}
-}
-
-// isOver reports whether a job is known to have ended, rather than not to have
-// arrived here yet.
-func (c *Core) isOver(id protocol.JobID) bool {
-	_, over := c.over[id]
-	return over && c.live[id] == nil
-}
-
 // catalogue takes over the machine types.
 func (c *Core) catalogue(types []protocol.TypeInfo) {
 	for _, t := range types {
@@ -401,3 +348,21 @@
 		}
 	}
 }
+
+// refreshDue reckons anew when jobs are due; queues and jobs are sorted again
+// where that has changed.
+func (c *Core) refreshDue() {
+	changed := false
+	for _, l := range c.live {
+		if due := c.due(l); due != l.due {
+			l.due, changed = due, true
+		}
+	}
+	if !changed {
+		return
+	}
+	c.owner.sorted = nil
+	for _, q := range c.queues {
+		q.sorted = false
+	}
+}
--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -17,8 +17,11 @@
 	for i := range n {
 		id := protocol.MachineID(fmt.Sprintf("vm-%s%v%d", z, spot, i))
 		m := &machineEntry{
-			id: id, epoch: 1, info: protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16}, held: held,
-			rec: bookkeeping.Machine{Zone: z, Spot: spot}, mine: map[protocol.TaskID]*placedTask{},
+			machine: &machine{
+				id: id, epoch: 1, info: protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16},
+				rec: bookkeeping.Machine{Zone: z, Spot: spot},
+			},
+			held: held, mine: map[protocol.TaskID]*placedTask{},
 		}
 		free := room.Capacity(m.info).Minus(held.Firm(0))
 		m.told = message.MachineState{Machine: id, Epoch: 1, FreeCPUs: free.CPUs, FreeGB: free.GB}
@@ -135,7 +138,7 @@
 		t.Fatal("avoided before any was taken")
 	}
 	for range 40 {
-		m := &machineEntry{rec: bookkeeping.Machine{Spot: true}, told: message.MachineState{Noticed: true}}
+		m := &machineEntry{machine: &machine{rec: bookkeeping.Machine{Spot: true}}, told: message.MachineState{Noticed: true}}
 		b.c.noteLoss(m)
 		m.told = message.MachineState{Draining: true, Noticed: true}
 		b.c.noteLoss(m) // returned by ourselves
--- a/internal/coordination/heldroom.go
+++ b/internal/coordination/heldroom.go
@@ -7,21 +7,8 @@
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/room"
-	"damsonkeel/internal/protocol"
 )
 
-// inWindow reports whether a window that covers a machine is open at some time
-// from a moment until before another.
-func (c *Core) inWindow(id protocol.MachineID, t protocol.MachineType, z protocol.Zone, from, to calendar.Moment) bool {
-	for i := range c.promised.windows {
-		w := &c.promised.windows[i]
-		if w.end > from && w.start < to && calendar.Covers(w.spec, id, t, z) {
-			return true
-		}
-	}
-	return false
-}
-
 // bars tells on which machines a job's tasks may not be placed for what is
 // promised there; nil: nothing is.
 func (c *Core) bars(o *ownedJob) func(m *machineEntry) bool {
@@ -50,15 +37,6 @@
 	}
 }
 
-// promisedEnd is when a task is reckoned to be over by what is promised: no later
-// than its own room is held, which no window cuts short.
-func promisedEnd(holds []calendar.Hold, t *calendar.Task) calendar.Moment {
-	if until := calendar.OwnUntil(holds, t.Of); until != 0 {
-		return min(t.Ends, until)
-	}
-	return t.Ends
-}
-
 // holdsFor reports whether room is held on a machine for a job.
 func (c *Core) holdsFor(o *ownedJob, m *machineEntry) bool {
 	return calendar.OwnUntil(c.promised.holds[m.id], c.of(&o.Job)) != 0
--- a/internal/coordination/holding.go
+++ b/internal/coordination/holding.go
@@ -26,9 +26,6 @@
 	// keepAhead is how much longer than a boot a machine with held room is not
 	// returned: the cloud may have none when it is needed.
 	keepAhead = 10 * time.Minute
-	// leadSlack is what a hold is clear before its time beyond two boots: one more
-	// if a machine does not come up.
-	leadSlack = 20 * time.Second
 	// cloudQuiet is for how long the cloud may give no list before that is a risk.
 	cloudQuiet = 30 * time.Second
 )
@@ -41,18 +38,6 @@
 	heldTag        struct{}
 )
 
-// lead is how long before its time a reservation's room is clear: as long as
-// another machine takes to come, and one more in its place.
-func (c *Core) lead(s *bookkeeping.ReservationSpec) time.Duration {
-	boot := 0.0
-	for _, t := range c.types { // those the cloud has none of at present, too: this must not change from moment to moment
-		if calendar.Fits(s, t, s.Zone) {
-			boot = max(boot, c.promised.boots.Likely(t.BootS))
-		}
-	}
-	return config.Seconds(2*boot) + leadSlack
-}
-
 // jobOf is a job as a reservation describes it, on ordinary machines.
 func jobOf(s *bookkeeping.ReservationSpec) *liveJob {
 	return &liveJob{Job: protocol.Job{
@@ -149,10 +134,6 @@
 	c.advancePromised()
 }
 
-// settleHolds is how long, after all have ended, it takes at the most until
-// room is held anew: machines have to be heard first.
-const settleHolds = 20 * time.Second
-
 // mostHeard reports whether nearly all machines are told of.
 func (c *Core) mostHeard() bool {
 	heard := 0
@@ -164,20 +145,6 @@
 	return 10*heard >= 9*len(c.machines)
 }
 
-// unsettled reports whether what ends at a moment might be in the way of something
-// that room was held for before all controllers ended: until it is held anew,
-// that waits.
-func (c *Core) unsettled(j *protocol.Job, ends calendar.Moment) bool {
-	pr := &c.promised
-	if pr.listed || c.since(c.begun) > settleHolds+10*time.Second {
-		return false
-	}
-	of, now := c.of(j), c.moment()
-	return slices.ContainsFunc(pr.book.Due(now, max(ends, now+1)), func(e *calendar.Entry) bool {
-		return e.Promised() && !of(e.Name()) && ends > calendar.After(e.StartMS, -c.lead(&e.Reservation.Spec))
-	})
-}
-
 // heldRecord is what is held, as it is written for who starts anew.
 type heldRecord struct {
 	Holds []calendar.Hold `cbor:"holds"`
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -100,14 +100,6 @@
 	}
 )
 
-// estimate is a task's expected run time; the default stands in for none.
-func (c *Core) estimate(j *protocol.Job) float64 {
-	if j.EstimateS > 0 {
-		return j.EstimateS
-	}
-	return c.op.DefaultEstimate.Seconds()
-}
-
 // jobLive takes over the record of an accepted job.
 func (c *Core) jobLive(j protocol.Job, version protocol.Version, snapshot bool) {
 	if c.live[j.ID] != nil {
@@ -216,9 +208,6 @@
 	}
 }
 
-// graceS is how long a task of a job is given to save, in seconds.
-func graceS(j *protocol.Job) float64 { return 2*j.SaveS + 1 }
-
 // askStop asks the machine's keeper to end an attempt.
 func (c *Core) askStop(t *placedTask, kill bool, grace float64) {
 	if t.stopping && kill && grace > 0 {
--- a/internal/coordination/pen.go
+++ b/internal/coordination/pen.go
@@ -43,12 +43,6 @@
 	penPause   = 300 * time.Millisecond
 )
 
-// registrar is the member that writes machines' records.
-func (c *Core) registrar() protocol.NodeName { return rendezvous(c.view, "machine records") }
-
-// inBlocks reports whether machines are recorded in blocks in this term.
-func (c *Core) inBlocks() bool { return c.view.Layout >= bookkeeping.LayoutBlocks }
-
 // recordWanted takes note of what a keeper asks for. What was asked for before
 // for the same machine is out of date.
 func (c *Core) recordWanted(r message.RecordChange) {
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -180,7 +180,7 @@
 // there is one.
 func (c *Core) addMachine(m *machineEntry) {
 	c.removeMachine(m.id)
-	c.machines[m.id] = m
+	c.machines[m.id], c.records[m.id] = m, m.machine
 	i, _ := c.findMachine(m.id)
 	c.sorted = slices.Insert(c.sorted, i, m)
 	if m.rec.Spot {
@@ -194,6 +194,7 @@
 		return
 	}
 	delete(c.machines, id)
+	delete(c.records, id)
 	if i, ok := c.findMachine(id); ok {
 		c.sorted = slices.Delete(c.sorted, i, i+1)
 	}
@@ -283,15 +284,6 @@
 	return fetchS(m.info, j)
 }
 
-// fetchS is how long a machine of a type takes to get a job's image, in
-// seconds.
-func fetchS(t protocol.TypeInfo, j *protocol.Job) float64 {
-	if t.FetchGBPS <= 0 {
-		return 0
-	}
-	return j.ImageGB / t.FetchGBPS
-}
-
 // usable reports whether tasks may be placed on a machine at all.
 func (c *Core) usable(m *machineEntry) bool {
 	return m.open() && !m.refused
@@ -320,14 +312,6 @@
 	return !o.Spread || zones[m.rec.Zone] < int(o.Tasks+1)/2
 }
 
-// allowsKind is the part that depends on the job alone.
-func (j *liveJob) allowsKind(t protocol.TypeInfo, z protocol.Zone, spot bool) bool {
-	if len(j.Types) > 0 && !slices.Contains(j.Types, t.Name) {
-		return false
-	}
-	return (j.Zone == "" || j.Zone == z) && (j.Spot || !spot) && room.Capacity(t).Covers(room.Need(&j.Job))
-}
-
 // teamUsage sums what limited teams' attempts may take that are not proven
 // gone. Of a team just taken over, attempts that are not listed, of jobs that
 // are over too, can be only on machines that were not heard since: they take no
@@ -364,11 +348,6 @@
 	return room.Capacity(m.info)
 }
 
-func (c *Core) limited(name protocol.Team) bool {
-	t, ok := c.settings.Team(name)
-	return ok && t.Limited()
-}
-
 func (c *Core) use(o *ownedJob, usage map[protocol.Team]room.Amount, n int) {
 	u := usage[o.Team]
 	u.CPUs += o.CPUs * float64(n)
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -40,12 +40,6 @@
 	o.level = l
 }
 
-// guarantees reports whether a team is guaranteed anything.
-func (c *Core) guarantees(name protocol.Team) bool {
-	t, ok := c.settings.Team(name)
-	return ok && (t.CPUs > 0 || t.GPUs > 0)
-}
-
 // startBy is the time by which an attempt should start: the first that can
 // still be kept of what its class and its team's guarantee ask for, else when
 // it has to start to be done in time.
--- a/internal/coordination/promises.go
+++ b/internal/coordination/promises.go
@@ -6,28 +6,18 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
-	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
-// promises is what a controller keeps of the calendar: the records that all
-// follow, what is held for them at present, and what is open.
+// promises is what a controller reckons of the calendar as an owner, and as the
+// one that chooses where room is held.
 type promises struct {
-	book    *calendar.Book
-	version protocol.Version // of the calendar's own record
-	changes uint64           // that it counts
-	// any: there is something in the book. While it is empty nothing of this
-	// costs anything, on the wire either.
-	any bool
+	*pledges
 
-	holds   map[protocol.MachineID][]calendar.Hold
-	list    []calendar.Hold // all of them
-	written Time            // when the list was last written
-	stale   bool            // it has changed since
-	listed  bool            // the list is known since this session began
-	number  uint64          // of the list, by the controller that chose it
-	windows []openWindow    // open, or soon
+	written Time   // when the list was last written
+	stale   bool   // it has changed since
+	number  uint64 // of the list, by the controller that chose it
 	teams   map[protocol.Team][]teamClaim
 
 	// byClass are the live jobs of the classes that something is due for within
@@ -41,14 +31,6 @@
 	risk    map[calendar.Name]string        // of the present occurrences
 	swept   Time                            // when all reservations were last looked at
 	write   map[calendar.Name]bool          // transactions under way
-	errors  map[string]*forecast.Errors     // of estimates, by class
-	boots   forecast.Boots
-}
-
-// openWindow is a window that is open, or will be.
-type openWindow struct {
-	spec       *bookkeeping.WindowSpec
-	start, end calendar.Moment // with what clocks may be off by
 }
 
 // teamClaim is what of a team's limit is promised from a time on.
@@ -64,33 +46,10 @@
 	tasks int
 }
 
-func newPromises() promises {
+func newPromises(p *pledges) promises {
 	return promises{
-		book: calendar.NewBook(), holds: map[protocol.MachineID][]calendar.Hold{},
-		seen: map[calendar.Name]*seenJob{}, short: map[calendar.Name]int{}, zones: map[calendar.Name]protocol.Zone{},
-		risk: map[calendar.Name]string{}, write: map[calendar.Name]bool{}, errors: map[string]*forecast.Errors{},
-	}
-}
-
-// anew forgets what a session knew; what is learned of estimates and boots stays.
-func (pr promises) anew() promises {
-	fresh := newPromises()
-	fresh.boots = pr.boots
-	if pr.errors != nil {
-		fresh.errors = pr.errors
-	}
-	return fresh
-}
-
-// moment is the time of day.
-func (c *Core) moment() calendar.Moment {
-	return calendar.Moment(c.wallMS + int64(c.now/Time(time.Millisecond)))
-}
-
-// tellTime takes over the time of day; steady clocks drift apart.
-func (c *Core) tellTime(wallMS int64) {
-	if wallMS != 0 {
-		c.wallMS = wallMS - int64(c.now/Time(time.Millisecond))
+		pledges: p, seen: map[calendar.Name]*seenJob{}, short: map[calendar.Name]int{}, zones: map[calendar.Name]protocol.Zone{},
+		risk: map[calendar.Name]string{}, write: map[calendar.Name]bool{},
 	}
 }
 
@@ -197,16 +156,6 @@
 	}
 }
 
-// reservedBy is what of a machine's room counts as taken now by what is held.
-func reservedBy(hs []calendar.Hold, now calendar.Moment) (sum room.Amount) {
-	for _, h := range hs {
-		if now >= h.Clear && now < h.Until {
-			sum = sum.Plus(h.Need)
-		}
-	}
-	return sum
-}
-
 // claimLimit notes what of its team's limit a reservation claims, as far as it
 // has not been used.
 func (c *Core) claimLimit(e *calendar.Entry) {
@@ -269,11 +218,3 @@
 		s.tasks += int(l.Tasks)
 	}
 }
-
-// of tells which reservations a job is one of.
-func (c *Core) of(j *protocol.Job) func(calendar.Name) bool {
-	return func(n calendar.Name) bool {
-		e := c.promised.book.Reservation(n)
-		return e != nil && calendar.Matches(e.Reservation, j)
-	}
-}
--- a/internal/coordination/registration.go
+++ b/internal/coordination/registration.go
@@ -32,11 +32,6 @@
 	return asked && !(c.inBlocks() && c.since(q.asked) > askAgain)
 }
 
-// inThisView is the condition that the view is unchanged.
-func (c *Core) inThisView() protocol.Condition {
-	return protocol.Condition{Key: bookkeeping.ViewKey, Version: c.viewVersion}
-}
-
 func (c *Core) registrationDone(tag registerTag, _ message.Outcome) {
 	if q := c.queues[tag.machine]; q != nil {
 		q.registering = false // the followed record says whether it is there
@@ -54,7 +49,7 @@
 		c.loseMachine(m)
 	}
 	c.noteBoot(id, rec)
-	m = &machineEntry{id: id, rec: rec, epoch: version, info: c.types[rec.Type], mine: map[protocol.TaskID]*placedTask{}}
+	m = &machineEntry{machine: &machine{id: id, rec: rec, epoch: version, info: c.types[rec.Type]}, mine: map[protocol.TaskID]*placedTask{}}
 	m.reserved = reservedBy(c.promised.holds[id], c.moment())
 	c.addMachine(m)
 	c.owner.dirty = true
--- a/internal/coordination/runs.go
+++ b/internal/coordination/runs.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/forecast"
@@ -9,11 +8,6 @@
 	"damsonkeel/internal/protocol"
 )
 
-// likelyS is how long a task is very likely to run at the most, in seconds.
-func (c *Core) likelyS(j *protocol.Job, estimateS float64) float64 {
-	return estimateS * c.promised.errors[j.Class].Factor()
-}
-
 // noteError learns how far estimates are off from a task that was started here
 // and ran to its end. One that was found on its machine may have run for long:
 // counted from then, estimates would seem good, and room clear that is not.
@@ -105,13 +99,3 @@
 
 // forever is how long a service runs, in seconds.
 const forever = 1e8
-
-// noReservation stands for one that is not there: it matches no job.
-var noReservation = &bookkeeping.Reservation{Spec: bookkeeping.ReservationSpec{Job: "none"}}
-
-func (c *Core) reservationOf(n calendar.Name) *bookkeeping.Reservation {
-	if e := c.promised.book.Reservation(n); e != nil {
-		return e.Reservation
-	}
-	return noReservation
-}
--- a/internal/coordination/table.go
+++ b/internal/coordination/table.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
@@ -11,24 +10,10 @@
 // Time is this process's steady clock.
 type Time = clock.Time
 
-// liveJob is an accepted job as the records have it.
-type liveJob struct {
-	protocol.Job
-	version   protocol.Version
-	since     Time              // when it was submitted
-	due       Time              // when it should be done, as last reckoned
-	owner     protocol.NodeName // by the view of ownerTerm
-	ownerTerm protocol.Term
-}
-
 // machineEntry is a registered machine as the records have it, and what the
 // wait table holds of it.
 type machineEntry struct {
-	id    protocol.MachineID
-	rec   bookkeeping.Machine
-	epoch protocol.Version
-	info  protocol.TypeInfo
-
+	*machine
 	told     message.MachineState // by its keeper
 	by       *peer                // the keeper's session that told it in this term, if any
 	at       Time                 // when that was
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/message"
@@ -11,91 +10,6 @@
 
 type viewTag struct{}
 
-// rendezvous picks one of the view's members for a key. Every controller with
-// the same view picks the same one.
-func rendezvous(v bookkeeping.View, key string) protocol.NodeName { return rendezvousBut(v, nil, key) }
-
-// rendezvousBut is rendezvous without some of the members.
-func rendezvousBut(v bookkeeping.View, but []protocol.NodeName, key string) protocol.NodeName {
-	var best protocol.NodeName
-	var bestScore uint64
-	for name := range v.Members {
-		if slices.Contains(but, name) {
-			continue
-		}
-		score := mix(fnv1a(fnv1a(fnv1a(fnvStart, string(name)), "\x00"), key))
-		if best == "" || score > bestScore || score == bestScore && name < best {
-			best, bestScore = name, score
-		}
-	}
-	return best
-}
-
-// fnvStart is what FNV-1a (64 bits) begins with.
-const fnvStart = 14695981039346656037
-
-// fnv1a goes on hashing with a text. hash/fnv takes bytes, which costs a copy of
-// each text: more than the hash, where thousands of machines change keepers.
-func fnv1a(h uint64, text string) uint64 {
-	for i := range len(text) {
-		h = (h ^ uint64(text[i])) * 1099511628211
-	}
-	return h
-}
-
-// mix spreads similar keys, which fnv alone leaves close together.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
-// machineKeeper is the controller that a machine reports to: one that workers
-// can reach, unless there is none.
-func machineKeeper(v bookkeeping.View, m protocol.MachineID) protocol.NodeName {
-	key := "machine " + string(m)
-	if len(v.Deaf) >= len(v.Members) {
-		return rendezvous(v, key)
-	}
-	return rendezvousBut(v, v.Deaf, key)
-}
-
-// keeper is machineKeeper by the present view, reckoned once for each machine.
-func (c *Core) keeper(m protocol.MachineID) protocol.NodeName {
-	n, ok := c.keepers[m]
-	if !ok {
-		n = machineKeeper(c.view, m)
-		if len(c.keepers) > keepersKept {
-			clear(c.keepers)
-		}
-		c.keepers[m] = n
-	}
-	return n
-}
-
-// keepersKept bounds the keepers remembered: far more machines than there are
-// at a time.
-const keepersKept = 1 << 14
-
-// ownerOf is jobOwner by the present view, reckoned once for each job.
-func (c *Core) ownerOf(l *liveJob) protocol.NodeName {
-	if l.ownerTerm != c.view.Term {
-		l.owner, l.ownerTerm = c.jobOwner(c.view, &l.Job), c.view.Term
-	}
-	return l.owner
-}
-
-// jobOwner is the one controller that owns a job. All jobs of a limited team
-// have the same owner, so that the limit is checked in one place.
-func (c *Core) jobOwner(v bookkeeping.View, j *protocol.Job) protocol.NodeName {
-	if c.limited(j.Team) {
-		return rendezvous(v, "team "+string(j.Team))
-	}
-	return rendezvous(v, "job "+string(j.ID))
-}
-
 // checkView raises the term when the view does not name exactly the
 // controllers that are present in the records. A controller whose connection
 // is refused stays; only a lapsed lease removes it.
@@ -205,12 +119,6 @@
 	}
 }
 
-// sameSession reports whether a node is in both views with the same session.
-func sameSession(a, b bookkeeping.View, n protocol.NodeName) bool {
-	s, ok := a.Members[n]
-	return ok && b.Members[n] == s
-}
-
 // received handles a peer's batch. Batches of ended sessions are dropped: the
 // network may hold them back for minutes.
 func (c *Core) received(b message.Batch) {
@@ -287,11 +195,3 @@
 	}
 	return true
 }
-
-// leaseOver is how long after the last possible answer a worker has surely
-// killed its tasks: its lease by a clock that may run slow, and a margin for
-// answers on their way.
-func (c *Core) leaseOver() time.Duration {
-	lease := c.settings.Site.Workers.LeaseS
-	return time.Duration(lease*1.002*float64(time.Second)) + 5*time.Second
-}
