--- /dev/null
+++ b/internal/coordination/clearing.go
@@ -0,0 +1,118 @@
+package coordination
+
+import (
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/room"
+	"slices"
+	"time"
+)
+
+// startLater is why something that waits in a machine's queue does not start.
+type startLater uint8
+
+const (
+	startNow  startLater = iota
+	startSoon            // once others there are over
+	startElsewhere
+)
+
+// mayStartOn decides whether something that fits may start on a machine, for what
+// is promised there.
+func (k *keeper) mayStartOn(q *queue, e *entry, j *liveJob, free room.Amount) (startLater, bool) {
+	pr := k.pledged
+	holds := pr.holds[q.id]
+	if len(pr.windows) == 0 && len(holds) == 0 && (pr.listed || !pr.any) {
+		return startNow, false
+	}
+	now := k.moment()
+	t := calendar.Task{Of: k.of(&j.Job), Need: e.need, Level: e.level, Saves: j.CheckpointS > 0}
+	run := k.likelyS(&j.Job, e.estimate) + q.fetchS(j)
+	t.Ends = calendar.After(now, config.Seconds(run))
+	owns := calendar.OwnUntil(holds, t.Of) != 0
+	if m := k.records[q.id]; m != nil && k.inWindow(q.id, m.rec.Type, m.rec.Zone, now, promisedEnd(holds, &t)) {
+		return startElsewhere, owns
+	}
+	switch {
+	case k.unsettled(&j.Job, t.Ends):
+		return startSoon, owns
+	case calendar.Leaves(holds, &t, free, now):
+		return startNow, owns
+	case calendar.Leaves(holds, &t, room.Capacity(q.info), now):
+		return startSoon, owns
+	}
+	return startElsewhere, owns
+}
+
+// ownsRoom reports whether room that is held for an attempt's job is free.
+func (k *keeper) ownsRoom(q *queue, e *entry) bool {
+	j := k.live[e.task.Job]
+	return j != nil && q.free().Covers(e.need) && calendar.OwnUntil(k.pledged.holds[q.id], k.of(&j.Job)) != 0
+}
+
+// fetchS is how long the machine takes to get a job's image, in seconds.
+func (q *queue) fetchS(j *liveJob) float64 {
+	if slices.Contains(q.images, j.Image) {
+		return 0
+	}
+	return fetchS(q.info, &j.Job)
+}
+
+// clearHeld stops what is in the way of room held on a machine, in the last
+// moment that leaves time to save: only what is less urgent than the reserved
+// work and beyond its team's guarantee.
+func (k *keeper) clearHeld(q *queue) {
+	holds := k.pledged.holds[q.id]
+	if len(holds) == 0 {
+		return
+	}
+	now := k.moment()
+	for i := range holds {
+		h := &holds[i]
+		if !h.Stop(savesAtMost, now) {
+			continue // long before it
+		}
+		victims := k.stoppable(q, h.Level, h.For)
+		save := 0.0
+		for _, e := range victims {
+			save = min(max(save, k.saveS(e)), savesAtMost.Seconds())
+		}
+		if !h.Stop(config.Seconds(save), now) {
+			continue
+		}
+		free := q.freeSoon()
+		for _, e := range victims {
+			if free.Covers(h.Need) {
+				break
+			}
+			free = free.Plus(e.need)
+			k.stopFor(q, e)
+			k.log.Info("stopped for a reservation", "machine", q.id, "task", e.task, "reservation", h.For)
+		}
+	}
+}
+
+// savesAtMost is longer than a task takes to save.
+const savesAtMost = 10 * time.Minute
+
+// saveS is how long an attempt may take to be gone once it is stopped.
+func (k *keeper) saveS(e *entry) float64 {
+	if j := k.live[e.task.Job]; j != nil {
+		return graceS(&j.Job)
+	}
+	return 1
+}
+
+// stoppable lists what may be stopped on a machine for reserved work of a level:
+// what can save first, then what ran least.
+func (k *keeper) stoppable(q *queue, l room.Level, n calendar.Name) []*entry {
+	var victims []*entry
+	for _, e := range tasksInOrder(q.entries) {
+		j := k.live[e.task.Job]
+		if e.present && !e.ended() && !e.kill && j != nil && e.level < l && !calendar.Matches(k.reservationOf(n), &j.Job) {
+			victims = append(victims, e)
+		}
+	}
+	k.sortVictims(victims)
+	return victims
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -15,22 +15,22 @@
 	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/relay"
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
 // Core is one controller's whole state between messages. It is not safe for
 // concurrent use: one actor owns it.
 type Core struct {
-	*known
-	rng   *rand.Rand
-	out   []Action
-	local []message.PeerMessage // to itself, handled before the step ends
+	part
+	keeping *keeper
+	rng     *rand.Rand
 
 	dear        map[kind]float64                       // see dearness: by the prices last read
 	nodes       map[protocol.NodeName]bookkeeping.Node // present in the records
 	writingView bool
 	viewRetry   Time
-	raise       bool // the term is to be raised though the members are the same
 
 	hearing  hearing
 	copy     tableCopy
@@ -39,19 +39,10 @@
 	sorted   []*machineEntry // the machines in order of their names
 	spotsUp  int             // of these, spot machines
 
-	owner  ownerState
-	queues map[protocol.MachineID]*queue
-	// stockDue are queues kept without a break whose inventories of this term
-	// may be given at once.
-	stockDue []*queue
-	kept     []*queue // the queues in order of their machines' names; nil: to be sorted again
-	relays   relays
-	// allSince is since when this controller has acted and known that all act
-	// by this term; 0: not now. See expireSilent.
-	allSince Time
-	// sessionFloor is the first session of a machine that may be alive: a
-	// report of an earlier one was held back by the network.
-	sessionFloor map[protocol.MachineID]protocol.Session
+	owner ownerState
+	// ownedChanged are the owned jobs, as their state changes: a stream for all
+	// members in one term.
+	ownedChanged relay.Log[protocol.JobID]
 	// rates outlives sessions: what was lent in the last one is still lent.
 	rates *lending.Book[protocol.LeaseID]
 	share message.SetShare // as last set
@@ -68,20 +59,15 @@
 	// movedUpTo is the machine at which the last rebalance left the rest to the
 	// next tick; empty: nothing is left.
 	movedUpTo protocol.MachineID
-	looked    int      // machines looked at for placements, ever
-	pushing   []*queue // with commands that may go out at once
+	looked    int // machines looked at for placements, ever
 }
 
-// Action is something the core wants done.
-type Action any
-
 // peer is what is known of another controller's present session.
 type peer struct {
 	session  protocol.LeaseID
 	term     protocol.Term // highest it is known to have adopted
 	next     uint64        // number of the next message expected
 	placed   uint64        // number of the last Place sent to it
-	handled  uint64        // number of the last Place handled from it
 	actingAt Time          // when it last said that it may act
 	told     hearsay       // its word on the machines it keeps
 	demand   []message.Demand
@@ -90,7 +76,8 @@
 
 // NewCore makes a controller's state before its first session.
 func NewCore(s *config.Settings, op config.Operator, rng *rand.Rand, log *slog.Logger) *Core {
-	c := &Core{known: newKnown(s, op, log), rng: rng}
+	p := part{newKnown(s, op, log), &output{}}
+	c := &Core{part: p, keeping: newKeeper(p), rng: rng}
 	c.reset()
 	return c
 }
@@ -99,14 +86,12 @@
 func (c *Core) reset() {
 	c.known.reset()
 	c.nodes = map[protocol.NodeName]bookkeeping.Node{}
-	c.writingView, c.raise = false, false
+	c.writingView = false
 	c.hearing = newHearing()
 	c.classes = map[string]*class{}
-	c.sessionFloor = map[protocol.MachineID]protocol.Session{}
 	c.machines, c.sorted, c.spotsUp = map[protocol.MachineID]*machineEntry{}, nil, 0
-	c.stockDue = nil
-	c.queues, c.kept, c.pushing = map[protocol.MachineID]*queue{}, nil, nil
-	c.relays, c.allSince = relays{}, 0
+	c.keeping.reset()
+	c.ownedChanged = relay.Log[protocol.JobID]{}
 	c.shelf, c.pen = blocks.NewShelf(), newPen()
 	c.nextPlaced = 0
 	c.peers = map[protocol.NodeName]*peer{}
@@ -118,7 +103,7 @@
 // Step handles one message at a time of the steady clock.
 func (c *Core) Step(now Time, msg any) []Action {
 	c.now = now
-	c.out = nil
+	c.actions = nil
 	if c.rates == nil {
 		c.rates = lending.NewBook[protocol.LeaseID](c.equalShare(), now)
 	}
@@ -158,7 +143,7 @@
 	case message.JobLoaded:
 		c.jobLoaded(m)
 	case message.Commanded:
-		c.commanded(m)
+		c.keeping.commanded(m)
 	case message.PeerActs:
 		if p := c.peers[m.Peer]; p != nil {
 			p.actingAt = c.now
@@ -171,8 +156,8 @@
 		c.listed(m)
 	}
 	c.settle()
-	c.push()
-	return c.out
+	c.keeping.push()
+	return c.actions
 }
 
 // placeEvery is how often pending tasks are placed at the most: what becomes
@@ -195,19 +180,6 @@
 	}
 }
 
-func (c *Core) do(a Action) { c.out = append(c.out, a) }
-
-// send passes a message to a member of the view, itself included.
-func (c *Core) send(to protocol.NodeName, m message.PeerMessage) {
-	if to == c.self {
-		c.local = append(c.local, m)
-		return
-	}
-	if session, ok := c.view.Members[to]; ok {
-		c.do(message.Send{To: to, From: c.session, Session: session, Term: c.view.Term, Message: m})
-	}
-}
-
 // catalogue takes over the machine types.
 func (c *Core) catalogue(types []protocol.TypeInfo) {
 	for _, t := range types {
@@ -304,12 +276,9 @@
 		c.refreshPromises()
 		c.watchSpots()
 		c.watchSlow()
-		c.expireSilent()
+		c.keeping.expireSilent(c.allAdopted())
 		c.rebalance("")
-		for _, q := range c.queuesInOrder() {
-			c.preempt(q)
-			c.clearHeld(q)
-		}
+		c.keeping.regular(c.levelTold)
 		c.flushBits()
 		c.sendRelays(true)
 		c.fleetStep()
@@ -318,7 +287,7 @@
 			c.rebalance(c.movedUpTo)
 		}
 		c.sendRelays(false)
-		c.takeStocks() // not in the step of the regular work: together they are long
+		c.keeping.takeStocks() // not in the step of the regular work: together they are long
 	}
 	c.writeBlocks()
 	c.askMoreTables()
@@ -335,7 +304,7 @@
 	case reservationTag:
 		delete(c.promised.write, tag.name)
 	case registerTag:
-		c.registrationDone(tag, m.Outcome)
+		c.keeping.registrationDone(tag, m.Outcome)
 	case finishTag:
 		c.finishDone(tag, m.Outcome)
 	case bitsTag:
@@ -343,9 +312,7 @@
 	case penTag:
 		c.blocksWritten(tag, m.Outcome)
 	case removeTag:
-		if q := c.queues[tag.machine]; q != nil {
-			q.removing = false
-		}
+		c.keeping.removalDone(tag.machine)
 	}
 }
 
@@ -362,7 +329,25 @@
 		return
 	}
 	c.owner.sorted = nil
-	for _, q := range c.queues {
-		q.sorted = false
+	c.keeping.resort()
+}
+
+// levelTold is the level of a job, by its owner's word.
+func (c *Core) levelTold(id protocol.JobID) (room.Level, bool) {
+	g, ok := c.JobProgress(id)
+	return room.Level(g.Level - 1), ok && g.Level > 0
+}
+
+// report answers a worker, or points it to the controller that keeps it.
+func (c *Core) report(r protocol.Report) {
+	if r.Term > c.view.Term || !c.acting() {
+		c.do(message.ReplyReport{Status: 503}) // where somebody has raised the term: until it is read
+		return
+	}
+	if keeper := c.keeper(r.Machine); keeper != c.self {
+		c.noteStray(r.Machine)
+		c.do(message.ReplyReport{Status: 421, ReportTo: keeper})
+		return
 	}
+	c.keeping.report(r)
 }
--- a/internal/coordination/cost_test.go
+++ b/internal/coordination/cost_test.go
@@ -306,7 +306,7 @@
 	w.c.jobOver("job-huge")
 	w.step(message.Tick{})
 	queued := 0
-	for _, q := range w.c.queues {
+	for _, q := range w.c.keeping.queues {
 		for _, e := range q.waiting {
 			if e.task.Job == "job-huge" {
 				queued++
@@ -333,7 +333,7 @@
 			}
 			f.c.peers["node-0"].demand = demand
 			for b.Loop() {
-				f.c.out = nil
+				f.c.actions = nil
 				f.c.plan()
 			}
 		})
@@ -348,7 +348,7 @@
 			for b.Loop() {
 				for range 10 {
 					f.now += Time(placeEvery)
-					f.c.now, f.c.out = f.now, nil
+					f.c.now, f.c.actions = f.now, nil
 					f.c.schedule()
 				}
 			}
@@ -391,10 +391,10 @@
 		t.Errorf("%d machines looked at in 2 s for %d gangs, want %d at the most", f.c.looked, gangs, most)
 	}
 	for _, id := range f.ids[:8] {
-		q := f.c.queues[id]
+		q := f.c.keeping.queues[id]
 		clear(q.entries)
 		q.waiting = nil
-		f.c.touch(q)
+		f.c.keeping.touch(q)
 		f.runs[id] = nil
 	}
 	f.hear(0)
--- a/internal/coordination/direct.go
+++ b/internal/coordination/direct.go
@@ -12,10 +12,10 @@
 const DirectTimeout = 4 * time.Second
 
 // wake has a queue's commands sent at once, at the end of the step.
-func (c *Core) wake(q *queue) {
+func (k *keeper) wake(q *queue) {
 	if !q.push {
 		q.push = true
-		c.pushing = append(c.pushing, q)
+		k.pushing = append(k.pushing, q)
 	}
 }
 
@@ -23,14 +23,14 @@
 // instead of waiting for their next report, one message at a time. A new term
 // does not interrupt that: what is on the machine is known here as long as its
 // queue is, and the commands themselves bring the term.
-func (c *Core) push() {
-	if !c.acting() {
+func (k *keeper) push() {
+	if !k.acting() {
 		return
 	}
-	woken := c.pushing
-	c.pushing = nil
+	woken := k.pushing
+	k.pushing = nil
 	for _, q := range woken {
-		if !q.push || q.commanding || c.queues[q.id] != q {
+		if !q.push || q.commanding || k.queues[q.id] != q {
 			continue // one with a command under way is woken by its answer
 		}
 		q.push = false
@@ -41,32 +41,32 @@
 		for _, e := range q.entries {
 			before[e] = e.sent
 		}
-		orders := c.orders(q, 0)
+		orders := k.orders(q, 0)
 		if len(orders) == 0 {
 			continue
 		}
 		for _, e := range q.entries {
 			if e.sent && !before[e] {
-				e.direct = c.view.Term
+				e.direct = k.view.Term
 			}
 		}
 		q.commanding = true
-		c.do(message.Command{Machine: q.id, Address: q.addr, Commands: protocol.Commands{
-			Term: c.view.Term, Session: q.session, Orders: orders,
+		k.do(message.Command{Machine: q.id, Address: q.addr, Commands: protocol.Commands{
+			Term: k.view.Term, Session: q.session, Orders: orders,
 		}})
 	}
 }
 
 // commanded takes the answer to direct commands, or that there was none.
-func (c *Core) commanded(m message.Commanded) {
-	q := c.queues[m.Machine]
+func (k *keeper) commanded(m message.Commanded) {
+	q := k.queues[m.Machine]
 	if q == nil {
 		return
 	}
 	q.commanding = false
 	if q.push {
 		q.push = false
-		c.wake(q)
+		k.wake(q)
 	}
 	if q.session != m.Session {
 		return
@@ -78,25 +78,25 @@
 		if e := q.entries[o.Task]; e != nil && e.attempt == o.Attempt && e.direct == m.Term {
 			e.direct = 0 // executed or refused, not under way any more
 			if !m.Executed && !e.present {
-				c.putBack(q, e)
+				k.putBack(q, e)
 			}
 		}
 	}
 	r := m.Report
-	if !c.acting() || r.Machine != q.id || r.Session != q.session || r.Seq <= q.seq || r.Term > c.view.Term {
+	if !k.acting() || r.Machine != q.id || r.Session != q.session || r.Seq <= q.seq || r.Term > k.view.Term {
 		return
 	}
 	q.seq = r.Seq
-	c.takeReport(q, &r, false)
+	k.takeReport(q, &r, false)
 }
 
 // settleDirect has the term raised for a direct start that had no answer and
 // is not in its worker's report: a term that the worker has seen makes sure
 // that it is not executed from then on. While the worker is silent no term
 // settles anything, and most that stay silent are gone.
-func (c *Core) settleDirect(q *queue, e *entry) {
-	if !q.commanding && e.direct == c.view.Term {
-		c.log.Info("a direct start had no answer: raising the term", "machine", q.id, "task", e.task)
-		c.raise = true
+func (k *keeper) settleDirect(q *queue, e *entry) {
+	if !q.commanding && e.direct == k.view.Term {
+		k.log.Info("a direct start had no answer: raising the term", "machine", q.id, "task", e.task)
+		k.needsTerm = true
 	}
 }
--- a/internal/coordination/due_test.go
+++ b/internal/coordination/due_test.go
@@ -43,17 +43,17 @@
 		b.c.jobLive(protocol.Job{ID: id, Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, EstimateS: 10, DeadlineS: deadline}, 1, false)
 		return &entry{task: protocol.TaskID{Job: id}, level: 1}
 	}
-	q := b.c.keep("vm-1")
+	q := b.c.keeping.keep("vm-1")
 	late, soon := job("job-1", 20), job("job-2", 60)
-	b.c.enqueue(q, soon)
-	b.c.enqueue(q, late)
-	b.c.sortWaiting(q)
+	b.c.keeping.enqueue(q, soon)
+	b.c.keeping.enqueue(q, late)
+	b.c.keeping.sortWaiting(q)
 	if q.waiting[0] != late || b.c.jobsInOrder()[0].ID != "job-1" {
 		t.Fatal("what is due first does not go first")
 	}
 	b.c.now += Time(35 * time.Second)
 	b.c.refreshDue()
-	b.c.sortWaiting(q)
+	b.c.keeping.sortWaiting(q)
 	if q.waiting[0] != soon || b.c.jobsInOrder()[0].ID != "job-2" {
 		t.Error("what is late anyway goes before what is not")
 	}
--- a/internal/coordination/events.go
+++ b/internal/coordination/events.go
@@ -63,7 +63,7 @@
 	if running && !t.running {
 		t.running, t.runs = true, c.now
 		o.running++
-		c.relays.jobs.Touch(o.ID)
+		c.ownedChanged.Touch(o.ID)
 		c.watchRun(o, t)
 	}
 }
--- a/internal/coordination/finish.go
+++ b/internal/coordination/finish.go
@@ -13,7 +13,7 @@
 	}
 	o.done.Set(uint(i))
 	o.nDone++
-	c.relays.jobs.Touch(o.ID)
+	c.ownedChanged.Touch(o.ID)
 	o.dirty[int(i)/bookkeeping.ChunkTasks] = true
 	if o.backoff > 0 {
 		o.backoff, o.notBefore = 0, 0
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -90,17 +90,17 @@
 func TestFailingJobLeavesMachine(t *testing.T) {
 	b := newBench(t)
 	b.ready("vm-1")
-	q := b.c.queues["vm-1"]
+	q := b.c.keeping.queues["vm-1"]
 	for i := range uint32(3) {
 		e := &entry{task: protocol.TaskID{Job: "job-1", Index: i}, attempt: 1}
 		q.entries[e.task] = e
 		q.waiting = append(q.waiting, e)
 	}
-	b.c.noteResult(q, &entry{task: protocol.TaskID{Job: "job-2"}, cause: protocol.EndDone})
+	b.c.keeping.noteResult(q, &entry{task: protocol.TaskID{Job: "job-2"}, cause: protocol.EndDone})
 	if len(q.waiting) != 3 {
 		t.Fatal("released for another job's success")
 	}
-	b.c.noteResult(q, &entry{task: protocol.TaskID{Job: "job-1", Index: 7}, cause: protocol.EndError})
+	b.c.keeping.noteResult(q, &entry{task: protocol.TaskID{Job: "job-1", Index: 7}, cause: protocol.EndError})
 	if len(q.waiting) != 0 {
 		t.Errorf("%d still wait", len(q.waiting))
 	}
@@ -113,7 +113,7 @@
 			ids = append(ids, d.Machines...)
 		}
 	}
-	for id, q := range b.c.queues {
+	for id, q := range b.c.keeping.queues {
 		if q.draining {
 			ids = append(ids, id)
 		}
--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -112,7 +112,7 @@
 	}{{"high", true}, {"standard", false}} {
 		b := newBench(t)
 		b.ready("vm-1")
-		q := b.c.queues["vm-1"]
+		q := b.c.keeping.queues["vm-1"]
 		b.c.live["job-1"] = &liveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: tc.runs, CPUs: 2, Tasks: 1}}
 		b.c.live["job-2"] = &liveJob{Job: protocol.Job{ID: "job-2", Team: "free", Kind: protocol.KindGang, Priority: "high", CPUs: 4, Tasks: 2}}
 		runs := &entry{
@@ -120,7 +120,7 @@
 			sent: true, present: true, state: protocol.TaskRunning,
 		}
 		q.entries[runs.task] = runs
-		b.c.place("node-0", &message.Place{Number: 1, Term: b.c.view.Term, Tasks: []message.Placement{{
+		b.c.keeping.place("node-0", &message.Place{Number: 1, Term: b.c.view.Term, Tasks: []message.Placement{{
 			Task: protocol.TaskID{Job: "job-2"}, Attempt: 1, Machine: "vm-1", Epoch: q.epoch, CPUs: 4, Level: int(room.LevelOf("high", false)), Together: true,
 		}}})
 		if refused := len(q.waiting) == 0; refused != tc.refused || runs.kill == tc.refused {
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -161,7 +161,7 @@
 	if !raised() {
 		t.Error("the term is not raised")
 	}
-	q := b.c.queues["vm-1"]
+	q := b.c.keeping.queues["vm-1"]
 	if e := q.entries[task]; e == nil || !e.sent {
 		t.Fatalf("taken for never started: %+v", e)
 	}
@@ -271,15 +271,15 @@
 	b.ready("vm-1")
 	epoch := b.c.machines["vm-1"].epoch
 	place := func(term protocol.Term, epoch protocol.Version) {
-		b.c.place("node-0", &message.Place{Term: term, Tasks: []message.Placement{{Task: protocol.TaskID{Job: "job-9"}, Attempt: 1, Machine: "vm-1", Epoch: epoch}}})
+		b.c.keeping.place("node-0", &message.Place{Term: term, Tasks: []message.Placement{{Task: protocol.TaskID{Job: "job-9"}, Attempt: 1, Machine: "vm-1", Epoch: epoch}}})
 	}
 	place(0, epoch)
 	place(1, epoch-1)
-	if n := len(b.c.queues["vm-1"].entries); n != 0 {
+	if n := len(b.c.keeping.queues["vm-1"].entries); n != 0 {
 		t.Fatalf("%d queued", n)
 	}
 	place(1, epoch)
-	if n := len(b.c.queues["vm-1"].entries); n != 1 {
+	if n := len(b.c.keeping.queues["vm-1"].entries); n != 1 {
 		t.Fatalf("%d queued, want the valid one", n)
 	}
 }
@@ -333,7 +333,7 @@
 		task := protocol.TaskID{Job: "job-1", Index: i}
 		b.step(message.Tick{})
 		b.c.event(message.TaskEvent{TaskRef: message.TaskRef{Task: task, Machine: "vm-1"}, What: message.WhatEnded, Cause: protocol.EndDone})
-		for _, a := range b.c.out {
+		for _, a := range b.c.actions {
 			if c, ok := a.(message.Commit); ok && c.Tag == (finishTag{"job-1"}) {
 				if i == 0 {
 					t.Fatal("finished with a task left")
@@ -364,8 +364,8 @@
 		ref := message.TaskRef{Task: protocol.TaskID{Job: "job-1"}, Attempt: 1, Machine: id}
 		o().placed[ref.Task] = &placedTask{task: ref.Task, attempt: 1, machine: id}
 		b.c.event(message.TaskEvent{TaskRef: ref, What: message.WhatEnded, Cause: protocol.EndError})
-		q := b.c.queues[id]
-		b.c.noteResult(q, &entry{task: ref.Task, cause: protocol.EndError})
+		q := b.c.keeping.queues[id]
+		b.c.keeping.noteResult(q, &entry{task: ref.Task, cause: protocol.EndError})
 		if q.suspect {
 			t.Errorf("%s set aside for one job's failures", id)
 		}
@@ -373,8 +373,8 @@
 	if o().notBefore <= b.now {
 		t.Error("it is tried again at once")
 	}
-	q := b.c.queues["vm-0"]
-	b.c.noteResult(q, &entry{task: protocol.TaskID{Job: "job-2"}, cause: protocol.EndError})
+	q := b.c.keeping.queues["vm-0"]
+	b.c.keeping.noteResult(q, &entry{task: protocol.TaskID{Job: "job-2"}, cause: protocol.EndError})
 	if !q.suspect {
 		t.Error("a machine that fails two jobs is not set aside")
 	}
@@ -404,12 +404,12 @@
 	for _, drained := range []bool{false, true} {
 		b := newBench(t)
 		b.ready("vm-1")
-		q := b.c.queues["vm-1"]
+		q := b.c.keeping.queues["vm-1"]
 		e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 1, sent: true}
 		q.entries[e.task] = e
 		b.c.live["job-1"] = &liveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: "standard"}}
 		if drained {
-			b.c.drain("vm-1")
+			b.c.keeping.drain("vm-1")
 		}
 		b.report("vm-1", 1, b.c.view.Term) // without it
 		if left := q.entries[e.task] != nil; left == drained {
@@ -428,7 +428,7 @@
 	b.machine("vm-1", 1)
 	running := protocol.TaskReport{Task: protocol.TaskID{Job: "job-1"}, Attempt: 77, State: protocol.TaskRunning}
 	b.report("vm-1", 1, 0, running)
-	e := b.c.queues["vm-1"].entries[running.Task]
+	e := b.c.keeping.queues["vm-1"].entries[running.Task]
 	if e == nil || e.attempt != 77 {
 		t.Fatalf("not taken: %+v", e)
 	}
@@ -451,7 +451,7 @@
 	for _, p := range o.placed {
 		b.c.event(message.TaskEvent{TaskRef: message.TaskRef{Task: p.task, Attempt: p.attempt, Machine: p.machine}, What: message.WhatEnded, Cause: protocol.EndError})
 	}
-	q := b.c.queues["vm-1"]
+	q := b.c.keeping.queues["vm-1"]
 	q.entries, q.waiting = map[protocol.TaskID]*entry{}, nil
 	b.step(message.Tick{})
 	if len(o.placed) > 0 {
--- a/internal/coordination/holding_test.go
+++ b/internal/coordination/holding_test.go
@@ -35,7 +35,7 @@
 	b.c.live["job-1"] = &liveJob{Job: protocol.Job{ID: "job-1", Class: "array"}}
 	end := func(order uint64, n int) {
 		for range n {
-			b.c.noteError(&entry{task: protocol.TaskID{Job: "job-1"}, order: order, runs: b.c.now - Time(10*time.Second), estimate: 10, cause: protocol.EndDone})
+			b.c.keeping.noteError(&entry{task: protocol.TaskID{Job: "job-1"}, order: order, runs: b.c.now - Time(10*time.Second), estimate: 10, cause: protocol.EndDone})
 		}
 	}
 	usual := b.c.likelyS(&protocol.Job{Class: "array"}, 10)
@@ -55,7 +55,7 @@
 	b := promising(t)
 	b.ready("vm-1")
 	b.c.promised.any = true
-	m, q := b.c.machines["vm-1"], b.c.queues["vm-1"]
+	m, q := b.c.machines["vm-1"], b.c.keeping.queues["vm-1"]
 	task := protocol.TaskID{Job: "job-1"}
 	soon := calendar.After(b.c.moment(), time.Minute)
 	m.told.Runs = []calendar.Run{{Task: task, Attempt: 3, Ends: soon, Level: 0}}
@@ -69,7 +69,7 @@
 	q.entries[task] = e
 	b.job("job-1", "free", 1)
 	b.c.owner.jobs["job-1"].level = 0
-	if b.c.learnLevels(q); e.level != 0 || e.guessed {
+	if b.c.keeping.learnLevels(q, b.c.levelTold); e.level != 0 || e.guessed {
 		t.Errorf("at level %d", e.level)
 	}
 }
--- a/internal/coordination/insight.go
+++ b/internal/coordination/insight.go
@@ -21,12 +21,7 @@
 
 // Look tells what can be seen of it.
 func (c *Core) Look() Insight {
-	in := Insight{Term: c.view.Term, Queues: len(c.queues), Holds: c.promised.list}
-	for _, q := range c.queues {
-		if q.known && q.epoch != 0 {
-			in.Heard++
-		}
-	}
+	in := Insight{Term: c.view.Term, Queues: len(c.keeping.queues), Heard: c.keeping.heard(), Holds: c.promised.list}
 	for _, m := range c.machinesInOrder() {
 		if len(m.coming) > 0 || m.wait() != 0 {
 			in.Waits = append(in.Waits, m.id)
@@ -48,12 +43,6 @@
 			fmt.Fprintf(&b, "  %s in %s, spot %v, kept by %s: usable %v, room %+v, told %+v\n", m.id, m.rec.Zone, m.rec.Spot, c.keeper(m.id), c.usable(m), m.free(), m.told)
 		}
 	}
-	for _, q := range c.queuesInOrder() {
-		for _, e := range q.entries {
-			if e.task.Job == id {
-				fmt.Fprintf(&b, "  %s has on %s: %+v\n", c.self, q.id, *e)
-			}
-		}
-	}
+	b.WriteString(c.keeping.whereabouts(id))
 	return b.String()
 }
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -11,13 +11,13 @@
 
 // orders fills an answer: reaps first, so that room and task ids are free,
 // then kills, then starts in order of service while they fit.
-func (c *Core) orders(q *queue, term protocol.Term) []protocol.Order {
+func (k *keeper) orders(q *queue, term protocol.Term) []protocol.Order {
 	orders := []protocol.Order{}
 	told := func(_ protocol.TaskID, e *entry) bool {
-		return e.present && (e.ended() || e.kill || c.live[e.task.Job] == nil) || e.direct != 0
+		return e.present && (e.ended() || e.kill || k.live[e.task.Job] == nil) || e.direct != 0
 	}
 	for _, e := range tasksWhere(q.entries, told) {
-		live := c.live[e.task.Job] != nil
+		live := k.live[e.task.Job] != nil
 		switch {
 		case !e.present:
 			if e.sent && e.direct != 0 && live && !e.kill {
@@ -40,33 +40,33 @@
 	slices.SortStableFunc(orders, func(a, b protocol.Order) int {
 		return cmp.Compare(orderRank(a.Op), orderRank(b.Op))
 	})
-	for _, e := range c.startable(q) {
+	for _, e := range k.startable(q) {
 		e.sent = true
 		orders = append(orders, protocol.Order{Op: protocol.OpStart, Task: e.task, Attempt: e.attempt})
-		c.log.Debug("start", "machine", q.id, "task", e.task, "attempt", e.attempt)
+		k.log.Debug("start", "machine", q.id, "task", e.task, "attempt", e.attempt)
 	}
 	return orders
 }
 
 // startable takes from the queue what fits the free room.
-func (c *Core) startable(q *queue) []*entry {
+func (k *keeper) startable(q *queue) []*entry {
 	if q.epoch == 0 || q.draining || q.notice != nil || q.suspect || len(q.waiting) == 0 {
 		return nil
 	}
 	var out []*entry
 	free := q.free()
-	c.sortWaiting(q)
+	k.sortWaiting(q)
 	held := false // the first that does not fit has been passed
 	for i := 0; i < len(q.waiting); {
 		e := q.waiting[i]
-		j := c.live[e.task.Job]
+		j := k.live[e.task.Job]
 		if j == nil {
 			break // its record has not arrived yet
 		}
 		e.need = room.Need(&j.Job)
-		later, reserved := c.mayStartOn(q, e, j, free)
+		later, reserved := k.mayStartOn(q, e, j, free)
 		if !free.Covers(e.need) || later == startSoon || held && !reserved {
-			if len(c.promised.holds[q.id]) == 0 && later != startSoon {
+			if len(k.pledged.holds[q.id]) == 0 && later != startSoon {
 				break // first come, first served: what is behind waits too
 			}
 			held = true // but for what room is held here for
@@ -74,8 +74,8 @@
 			continue
 		}
 		if later == startElsewhere {
-			c.dropWaiting(q, e)
-			c.tell(q, e, message.WhatReleased)
+			k.dropWaiting(q, e)
+			k.tell(q, e, message.WhatReleased)
 			continue
 		}
 		free = free.Minus(e.need)
@@ -84,8 +84,8 @@
 		} else {
 			q.waiting = slices.Delete(q.waiting, i, i+1)
 		}
-		q.idleSince = c.now
-		c.touch(q)
+		q.idleSince = k.now
+		k.touch(q)
 		out = append(out, e)
 	}
 	return out
@@ -100,13 +100,13 @@
 
 // sortWaiting keeps the higher level first, then what is due first, then the
 // order of arrival.
-func (c *Core) sortWaiting(q *queue) {
+func (k *keeper) sortWaiting(q *queue) {
 	if q.sorted {
 		return
 	}
 	q.sorted = true
 	for _, e := range q.waiting {
-		if l := c.live[e.task.Job]; l != nil {
+		if l := k.live[e.task.Job]; l != nil {
 			e.due = l.due
 		} else {
 			q.sorted = false // its record has not arrived yet
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -23,7 +23,6 @@
 	leaving map[message.TaskRef]leavingTask // attempts of limited teams' jobs that are over, not proven gone
 	unsure  map[protocol.Team]bool          // limited teams just taken over, whose use is not known yet
 	attempt uint64
-	order   uint64
 	retryAt Time
 	overdue overdues
 }
@@ -125,7 +124,7 @@
 		again: bitset.New(uint(l.Tasks)), placed: map[protocol.TaskID]*placedTask{}, dirty: map[int]bool{}, failedOn: map[protocol.MachineID]bool{}, since: l.since,
 	}
 	c.owner.jobs[l.ID] = o
-	c.relays.jobs.Touch(l.ID)
+	c.ownedChanged.Touch(l.ID)
 	c.owner.sorted = nil
 	c.owner.dirty = true
 	return o
@@ -152,20 +151,11 @@
 			c.unplace(o, t)
 		}
 		delete(c.owner.jobs, id)
-		c.relays.jobs.Drop(id)
+		c.ownedChanged.Drop(id)
 		c.owner.sorted = nil
 		c.owner.dirty = true
 	}
-	for _, q := range inOrder(c.queues) {
-		for _, e := range tasksWhere(q.entries, func(t protocol.TaskID, _ *entry) bool { return t.Job == id }) {
-			if !e.sent && !e.present {
-				c.dropWaiting(q, e)
-				c.tell(q, e, message.WhatReleased)
-			} else {
-				c.wake(q) // killed or reaped now, or by the next answer
-			}
-		}
-	}
+	c.keeping.jobOver(id)
 }
 
 // unplace forgets an attempt that is proven gone, or not this job's concern.
@@ -180,7 +170,7 @@
 		o.running--
 		t.running = false
 	}
-	c.relays.jobs.Touch(o.ID)
+	c.ownedChanged.Touch(o.ID)
 	if m := c.machines[t.machine]; m != nil && m.mine[t.task] == t {
 		delete(m.mine, t.task)
 	}
--- a/internal/coordination/pen.go
+++ b/internal/coordination/pen.go
@@ -175,21 +175,3 @@
 		c.machineGone(id)
 	}
 }
-
-// changeRecord has a machine's record written or deleted, by the registrar or,
-// where machines have records of their own, by this controller. only says on
-// which conditions beside those of the record itself, in the latter case.
-func (c *Core) changeRecord(tag any, id protocol.MachineID, have protocol.Version, to *bookkeeping.Machine, only ...protocol.Condition) {
-	if c.inBlocks() {
-		c.send(c.registrar(), message.PeerMessage{Record: &message.RecordChange{Term: c.view.Term, Machine: id, Have: have, To: to}})
-		return
-	}
-	key := bookkeeping.MachineKey(id)
-	change := protocol.Change{Delete: key}
-	if to != nil {
-		change = protocol.Change{Put: key, Value: *to}
-	}
-	c.do(message.Commit{Tag: tag, Txn: protocol.Txn{
-		If: append(only, protocol.Condition{Key: key, Version: have}), Then: []protocol.Change{change},
-	}})
-}
--- a/internal/coordination/preempt_test.go
+++ b/internal/coordination/preempt_test.go
@@ -30,7 +30,7 @@
 	for _, tc := range cases {
 		b := newBench(t)
 		b.ready("vm-1")
-		q := b.c.queues["vm-1"]
+		q := b.c.keeping.queues["vm-1"]
 		entry := func(id protocol.JobID, k task, cpus float64) *entry {
 			b.c.live[id] = &liveJob{Job: protocol.Job{ID: id, Team: k.team, Priority: k.priority, CPUs: cpus, Tasks: 1}}
 			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: 900, need: room.Amount{CPUs: cpus}, level: room.LevelOf(k.priority, k.guaranteed)}
@@ -42,13 +42,13 @@
 		head := entry("job-2", tc.head, 3)
 		head.since = b.now
 		q.waiting = append(q.waiting, head)
-		b.c.touch(q)
-		b.c.preempt(q)
+		b.c.keeping.touch(q)
+		b.c.keeping.preempt(q)
 		if victim.kill {
 			t.Errorf("%s: stopped before the head has waited", tc.name)
 		}
 		b.c.now += Time(preemptAfter)
-		b.c.preempt(q)
+		b.c.keeping.preempt(q)
 		if victim.kill != tc.stopped {
 			t.Errorf("%s: stopped %v, want %v", tc.name, victim.kill, tc.stopped)
 		}
@@ -88,7 +88,7 @@
 	} {
 		b := newBench(t)
 		b.ready("vm-1")
-		q := b.c.queues["vm-1"]
+		q := b.c.keeping.queues["vm-1"]
 		entry := func(id protocol.JobID, p protocol.Priority, class string, s float64) *entry {
 			l := &liveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Priority: p, CPUs: 3, Tasks: 1, EstimateS: s}, since: b.now}
 			l.due = b.c.due(l)
@@ -100,9 +100,9 @@
 		runs := entry("job-1", "standard", "other", tc.runs)
 		runs.sent, runs.present, runs.state, runs.runs = true, true, protocol.TaskRunning, b.now
 		q.waiting = append(q.waiting, entry("job-2", "high", tc.class, 10))
-		b.c.touch(q)
+		b.c.keeping.touch(q)
 		b.c.now += Time(preemptAfter)
-		b.c.preempt(q)
+		b.c.keeping.preempt(q)
 		if runs.kill != tc.stopped {
 			t.Errorf("one of %v s, for a job of class %s: stopped %v, want %v", tc.runs, tc.class, runs.kill, tc.stopped)
 		}
--- a/internal/coordination/promises.go
+++ b/internal/coordination/promises.go
@@ -107,9 +107,7 @@
 		return
 	}
 	c.promised.any = is
-	for _, q := range c.queuesInOrder() {
-		c.touch(q)
-	}
+	c.keeping.touchAll()
 }
 
 // windowsAhead is for how long ahead windows are looked at when something is
--- a/internal/coordination/promises_test.go
+++ b/internal/coordination/promises_test.go
@@ -99,17 +99,17 @@
 	hold := calendar.Hold{For: "one", Machine: "vm-1", Tasks: 2, Need: room.Amount{CPUs: 4, GB: 2}, Level: 1, Clear: calendar.After(now, 18*time.Minute), From: calendar.After(now, 20*time.Minute), Until: calendar.After(now, 40*time.Minute)}
 	b.c.promised.listed = true
 	b.c.setHolds([]calendar.Hold{hold})
-	q := b.c.queues["vm-1"]
+	q := b.c.keeping.queues["vm-1"]
 	wait := func(id protocol.JobID, class string, estimate float64) *entry {
 		b.c.live[id] = &liveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Kind: protocol.KindArray, Priority: "standard", CPUs: 2, MemoryGB: 1, Tasks: 1, EstimateS: estimate, SubmittedMS: int64(b.c.moment())}}
 		e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: estimate, need: room.Amount{CPUs: 2, GB: 1}, level: 1, from: "node-0"}
 		q.entries[e.task] = e
-		b.c.enqueue(q, e)
+		b.c.keeping.enqueue(q, e)
 		return e
 	}
 	wait("job-long", "array", 1200)
 	short := wait("job-short", "array", 100)
-	if out := b.c.startable(q); len(out) != 1 || out[0] != short {
+	if out := b.c.keeping.startable(q); len(out) != 1 || out[0] != short {
 		t.Fatalf("%d started", len(out))
 	}
 	if q.entries[protocol.TaskID{Job: "job-long"}] != nil {
@@ -118,7 +118,7 @@
 	b.c.now += Time(19 * time.Minute)
 	wait("job-late", "array", 10)
 	mine := wait("job-mine", "one", 600)
-	if out := b.c.startable(q); len(out) != 1 || out[0] != mine {
+	if out := b.c.keeping.startable(q); len(out) != 1 || out[0] != mine {
 		t.Errorf("%d started in room that has to be clear, want the reserved job's", len(out))
 	}
 	b.do(operators.Request{Op: operators.OpCancel, Name: "one"})
@@ -134,7 +134,7 @@
 	b.ready("vm-1")
 	b.job("job-1", "free", 1) // of 10 s
 	b.do(operators.Request{Op: operators.OpAdd, Window: true, ID: "w", Spec: &bookkeeping.WindowSpec{Name: "w", When: b.in(20 * time.Second), LengthS: 600, Zone: "a"}})
-	q := b.c.queues["vm-1"]
+	q := b.c.keeping.queues["vm-1"]
 	task := protocol.TaskID{Job: "job-1"}
 	e := q.entries[task]
 	if e == nil {
@@ -174,7 +174,7 @@
 	b.do(operators.Request{Op: operators.OpAdd, ID: "1", Reservation: reserve("one", b.in(10*time.Minute), 2)})
 	now := b.c.moment()
 	b.c.setHolds([]calendar.Hold{{For: "one", Machine: "vm-1", Tasks: 2, Need: room.Amount{CPUs: 4, GB: 2}, Level: 1, Clear: calendar.After(now, 8*time.Minute), From: calendar.After(now, 10*time.Minute), Until: calendar.After(now, 40*time.Minute)}})
-	q := b.c.queues["vm-1"]
+	q := b.c.keeping.queues["vm-1"]
 	run := func(id protocol.JobID, p protocol.Priority) *entry {
 		b.c.live[id] = &liveJob{Job: protocol.Job{ID: id, Priority: p, Team: "free", CPUs: 2, Tasks: 1, CheckpointS: 10, SaveS: 10}}
 		e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: 3600, need: room.Amount{CPUs: 2}, level: room.LevelOf(p, false), sent: true, present: true, state: protocol.TaskRunning}
@@ -183,11 +183,11 @@
 	}
 	low, same := run("job-low", "best_effort"), run("job-same", "standard")
 	b.c.now += Time(9 * time.Minute)
-	if b.c.clearHeld(q); low.kill {
+	if b.c.keeping.clearHeld(q); low.kill {
 		t.Error("stopped a minute before")
 	}
 	b.c.now += Time(25 * time.Second) // 35 s before: it takes 21 s to save
-	if b.c.clearHeld(q); !low.kill || low.graceS < 20 || same.kill {
+	if b.c.keeping.clearHeld(q); !low.kill || low.graceS < 20 || same.kill {
 		t.Errorf("less urgent stopped %v with %v s, same priority stopped %v", low.kill, low.graceS, same.kill)
 	}
 }
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -98,30 +98,30 @@
 
 func (e *entry) ended() bool { return e.state == protocol.TaskEnded }
 
-// adoptQueues goes over to a new view. Queues that stay here keep what they
+// adopt goes over to a new view. Queues that stay here keep what they
 // know; the rest is dropped, for its new keeper's inventory to tell.
-func (c *Core) adoptQueues(old bookkeeping.View, keeps bool) {
+func (k *keeper) adopt(old bookkeeping.View, keeps bool) {
 	kept := map[protocol.JobID]bool{} // jobs whose owner is the same, and its session
 	owned := func(j *liveJob) bool {
 		same, known := kept[j.ID]
 		if !known {
-			owner := c.ownerOf(j)
-			same = c.jobOwner(old, &j.Job) == owner && sameSession(old, c.view, owner)
+			owner := k.ownerOf(j)
+			same = k.jobOwner(old, &j.Job) == owner && sameSession(old, k.view, owner)
 			kept[j.ID] = same
 		}
 		return same
 	}
 	released := map[protocol.NodeName][]message.TaskRef{}
 	lost := func(e *entry) bool {
-		j := c.live[e.task.Job]
+		j := k.live[e.task.Job]
 		return !keeps || j == nil || !owned(j)
 	}
-	for _, q := range c.queuesInOrder() {
-		if c.keeper(q.id) != c.self {
-			c.dropQueue(q.id)
+	for _, q := range k.queuesInOrder() {
+		if k.keeper(q.id) != k.self {
+			k.dropQueue(q.id)
 			continue
 		}
-		q.lastAnswer = c.answered(q)
+		q.lastAnswer = k.answered(q)
 		q.inventoried, q.registering, q.removing = false, false, false
 		if !keeps {
 			q.known, q.sole = false, false
@@ -129,13 +129,13 @@
 		if !slices.ContainsFunc(q.waiting, lost) {
 			continue
 		}
-		c.touch(q)
+		k.touch(q)
 		q.waiting = slices.DeleteFunc(q.waiting, func(e *entry) bool {
 			if !lost(e) {
 				return false
 			}
 			delete(q.entries, e.task)
-			if owner := c.entryOwner(e); owner != "" && (keeps || owner != c.self) {
+			if owner := k.entryOwner(e); owner != "" && (keeps || owner != k.self) {
 				// To itself only if it kept its jobs: else it knows no attempt.
 				released[owner] = append(released[owner], message.TaskRef{Task: e.task, Attempt: e.attempt, Machine: q.id})
 			}
@@ -144,50 +144,50 @@
 	}
 	for owner, refs := range inOrder(released) {
 		for part := range slices.Chunk(refs, releasedMost) {
-			c.send(owner, message.PeerMessage{Released: part})
+			k.send(owner, message.PeerMessage{Released: part})
 		}
 	}
-	for id, m := range c.machines {
-		if c.keeper(id) == c.self && c.queues[id] == nil {
-			c.keep(id).registered(m)
+	for id, m := range k.records {
+		if k.keeper(id) == k.self && k.queues[id] == nil {
+			k.keep(id).registered(m)
 		}
 	}
-	c.allSince = 0
+	k.allSince = 0
 }
 
 // releasedMost bounds the attempts that one message says were released.
 const releasedMost = 500
 
 // keep begins to keep a machine's queue.
-func (c *Core) keep(id protocol.MachineID) *queue {
+func (k *keeper) keep(id protocol.MachineID) *queue {
 	q := &queue{
-		id: id, session: c.sessionFloor[id], entries: map[protocol.TaskID]*entry{},
-		lastAnswer: c.now, idleSince: c.now, failed: map[protocol.JobID]bool{},
+		id: id, session: k.sessionFloor[id], entries: map[protocol.TaskID]*entry{},
+		lastAnswer: k.now, idleSince: k.now, failed: map[protocol.JobID]bool{},
 	}
-	c.queues[id], c.kept = q, nil
-	c.touch(q)
+	k.queues[id], k.kept = q, nil
+	k.touch(q)
 	return q
 }
 
 // dropQueue ends that.
-func (c *Core) dropQueue(id protocol.MachineID) {
-	delete(c.queues, id)
-	c.kept = nil
-	c.relays.machines.Drop(id)
+func (k *keeper) dropQueue(id protocol.MachineID) {
+	delete(k.queues, id)
+	k.kept = nil
+	k.changed.Drop(id)
 }
 
 // queuesInOrder lists the queues by their machines' names. It is kept until one
 // comes or goes.
-func (c *Core) queuesInOrder() []*queue {
-	if c.kept == nil {
-		for _, q := range inOrder(c.queues) {
-			c.kept = append(c.kept, q)
+func (k *keeper) queuesInOrder() []*queue {
+	if k.kept == nil {
+		for _, q := range inOrder(k.queues) {
+			k.kept = append(k.kept, q)
 		}
 	}
-	return c.kept
+	return k.kept
 }
 
-func (q *queue) registered(m *machineEntry) {
+func (q *queue) registered(m *machine) {
 	q.epoch, q.info, q.addr = m.epoch, m.info, m.rec.Address
 	q.session = max(q.session, m.rec.Session)
 }
@@ -196,17 +196,17 @@
 // has arrived here, the controller that placed it. Without the latter, a keeper
 // whose watch lags would leave queued attempts out of an inventory, and their
 // owner would take them for gone.
-func (c *Core) entryOwner(e *entry) protocol.NodeName {
-	if j := c.live[e.task.Job]; j != nil {
-		e.from = c.ownerOf(j)
+func (k *keeper) entryOwner(e *entry) protocol.NodeName {
+	if j := k.live[e.task.Job]; j != nil {
+		e.from = k.ownerOf(j)
 	}
 	return e.from
 }
 
 // tell passes an event to the present owner of an attempt's job.
-func (c *Core) tell(q *queue, e *entry, what message.What) {
-	c.touch(q)
-	owner := c.entryOwner(e)
+func (k *keeper) tell(q *queue, e *entry, what message.What) {
+	k.touch(q)
+	owner := k.entryOwner(e)
 	if owner == "" {
 		return
 	}
@@ -214,54 +214,54 @@
 	if what == message.WhatNotice && q.notice != nil {
 		ev.LeftS = *q.notice
 	}
-	c.send(owner, message.PeerMessage{Event: ev})
+	k.send(owner, message.PeerMessage{Event: ev})
 }
 
 // putBack queues an attempt again whose start was not executed. Where nothing
 // is started any more it is released instead: it would wait there for ever, and
 // keep the machine from being empty and returned.
-func (c *Core) putBack(q *queue, e *entry) {
+func (k *keeper) putBack(q *queue, e *entry) {
 	e.sent = false
-	c.enqueue(q, e)
+	k.enqueue(q, e)
 	if q.draining || q.suspect || q.notice != nil {
-		c.dropWaiting(q, e)
-		c.tell(q, e, message.WhatReleased)
+		k.dropWaiting(q, e)
+		k.tell(q, e, message.WhatReleased)
 	}
 }
 
-func (c *Core) enqueue(q *queue, e *entry) {
+func (k *keeper) enqueue(q *queue, e *entry) {
 	q.waiting, q.sorted = append(q.waiting, e), false
-	c.touch(q)
+	k.touch(q)
 }
 
-func (c *Core) dropWaiting(q *queue, e *entry) {
+func (k *keeper) dropWaiting(q *queue, e *entry) {
 	if i := slices.Index(q.waiting, e); i >= 0 {
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 	}
 	delete(q.entries, e.task)
-	c.touch(q)
+	k.touch(q)
 }
 
 // place queues placements. One that can't be queued is released at once.
-func (c *Core) place(from protocol.NodeName, p *message.Place) {
-	if peer := c.peers[from]; peer != nil {
-		peer.handled = p.Number
+func (k *keeper) place(from protocol.NodeName, p *message.Place) {
+	if _, member := k.view.Members[from]; member {
+		k.handled[from] = p.Number
 	}
 	for _, t := range p.Tasks {
-		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), level: room.Level(t.Level), together: t.Together, from: from, since: c.now}
-		q := c.queues[t.Machine]
+		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), level: room.Level(t.Level), together: t.Together, from: from, since: k.now}
+		q := k.queues[t.Machine]
 		refuse := func() {
 			if q != nil {
-				c.touch(q) // the word that the owner waits for
+				k.touch(q) // the word that the owner waits for
 			}
-			c.send(from, message.PeerMessage{Event: &message.TaskEvent{
+			k.send(from, message.PeerMessage{Event: &message.TaskEvent{
 				TaskRef: message.TaskRef{Task: t.Task, Attempt: t.Attempt, Machine: t.Machine}, What: message.WhatReleased,
 			}})
 		}
 		// The term and the machine's record must be those the owner placed
 		// by: a placement held back by the network while the machine or the
 		// job went elsewhere and came back must not start anything.
-		if q == nil || c.isOver(t.Task.Job) || p.Term != c.view.Term || q.epoch == 0 || q.epoch != t.Epoch || q.draining || q.notice != nil || q.suspect {
+		if q == nil || k.isOver(t.Task.Job) || p.Term != k.view.Term || q.epoch == 0 || q.epoch != t.Epoch || q.draining || q.notice != nil || q.suspect {
 			refuse()
 			continue
 		}
@@ -271,26 +271,26 @@
 			}
 			continue
 		}
-		if e.together && !q.firmRoom(e.level).Covers(e.need) && !c.ownsRoom(q, e) {
+		if e.together && !q.firmRoom(e.level).Covers(e.need) && !k.ownsRoom(q, e) {
 			// Its owner did not know yet of what is in the way. Waiting here
 			// would keep the machines of the whole gang idle.
 			refuse()
 			continue
 		}
-		c.owner.order++
-		e.order = c.owner.order
+		k.order++
+		e.order = k.order
 		q.entries[t.Task] = e
-		c.enqueue(q, e)
-		c.wake(q)
+		k.enqueue(q, e)
+		k.wake(q)
 		if e.together {
-			c.preempt(q)
+			k.preempt(q)
 		}
 	}
 }
 
 // stop releases an attempt never sent, or has it killed.
-func (c *Core) stop(from protocol.NodeName, s message.Stop) {
-	q := c.queues[s.Machine]
+func (k *keeper) stop(s message.Stop) {
+	q := k.queues[s.Machine]
 	if q == nil {
 		return
 	}
@@ -299,37 +299,37 @@
 		return
 	}
 	if !e.sent && !e.present {
-		c.dropWaiting(q, e)
-		c.tell(q, e, message.WhatReleased)
+		k.dropWaiting(q, e)
+		k.tell(q, e, message.WhatReleased)
 		return
 	}
 	if s.Kill && !e.ended() {
 		e.kill, e.graceS = true, s.GraceS
-		c.touch(q)
-		c.wake(q)
+		k.touch(q)
+		k.wake(q)
 	}
 }
 
 // forget lets the worker drop an ended attempt that its owner has dealt with.
-func (c *Core) forget(r message.TaskRef) {
-	if q := c.queues[r.Machine]; q != nil {
+func (k *keeper) forget(r message.TaskRef) {
+	if q := k.queues[r.Machine]; q != nil {
 		if e := q.entries[r.Task]; e != nil && e.attempt == r.Attempt && e.ended() {
 			e.reap = true
 		}
 	}
 }
 
-func (c *Core) drain(id protocol.MachineID) {
-	if q := c.queues[id]; q != nil && !q.draining {
+func (k *keeper) drain(id protocol.MachineID) {
+	if q := k.queues[id]; q != nil && !q.draining {
 		q.draining = true
-		c.touch(q)
-		c.releaseWaiting(q)
+		k.touch(q)
+		k.releaseWaiting(q)
 	}
 }
 
-func (c *Core) releaseWaiting(q *queue) {
+func (k *keeper) releaseWaiting(q *queue) {
 	for _, e := range slices.Clone(q.waiting) {
-		c.dropWaiting(q, e)
-		c.tell(q, e, message.WhatReleased)
+		k.dropWaiting(q, e)
+		k.tell(q, e, message.WhatReleased)
 	}
 }
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/relay"
@@ -12,13 +13,6 @@
 	"damsonkeel/internal/protocol"
 )
 
-// relays are the streams of changes that this controller passes to all members
-// in one term.
-type relays struct {
-	machines relay.Log[protocol.MachineID] // whose queues are kept here
-	jobs     relay.Log[protocol.JobID]     // owned here
-}
-
 // hearsay is what is held of one peer's streams, and how far the peer holds
 // this controller's.
 type hearsay struct {
@@ -46,24 +40,14 @@
 // term begins with, goes out in pieces, one a tick.
 const statesMost = 1000
 
-// touch notes that what others are told of a machine has changed. What makes
-// a keeper tell an owner anything of an attempt does so, too: the owner may
-// have held something against the machine until its keeper's next word.
-func (c *Core) touch(q *queue) {
-	q.told = false
-	c.relays.machines.Touch(q.id)
-}
-
 // beginRelays begins the streams of a new term, with all there is as changed:
 // what was told in the last one may have been told to, or by, a controller that
 // others have taken the machine or the job from since.
 func (c *Core) beginRelays() {
-	c.relays = relays{}
-	for _, q := range c.queuesInOrder() {
-		c.relays.machines.Touch(q.id)
-	}
+	c.keeping.begin()
+	c.ownedChanged = relay.Log[protocol.JobID]{}
 	for id := range inOrder(c.owner.jobs) {
-		c.relays.jobs.Touch(id)
+		c.ownedChanged.Touch(id)
 	}
 	for _, m := range c.machines {
 		m.by = nil
@@ -156,26 +140,26 @@
 		to.Sent(r.Machines.Upto)
 		return
 	}
-	ids, upto := c.relays.machines.Since(to.Next(), statesMost)
+	ids, upto := c.keeping.changed.Since(to.Next(), statesMost)
 	r.Machines = relay.Piece{Stream: uint64(c.view.Term), From: to.Next(), Upto: upto}
 	to.Sent(upto)
 	r.States = make([]message.MachineState, 0, len(ids))
 	for _, id := range ids {
-		if q := c.queues[id]; q != nil {
-			r.States = append(r.States, c.stateOf(q))
+		if st, kept := c.keeping.stateOfMachine(id); kept {
+			r.States = append(r.States, st)
 		}
 	}
-	if upto != c.relays.machines.Version() {
+	if upto != c.keeping.changed.Version() {
 		return // the rest goes with the next
 	}
 	r.Handled = map[protocol.NodeName]uint64{}
-	for name, p := range c.peers {
-		r.Handled[name] = p.handled
+	for name := range c.peers {
+		r.Handled[name] = c.keeping.handled[name]
 	}
 }
 
 func (c *Core) fillJobs(r *message.Relay, to *relay.Cursor) {
-	ids, upto := c.relays.jobs.Since(to.Next(), statesMost)
+	ids, upto := c.ownedChanged.Since(to.Next(), statesMost)
 	r.Jobs = relay.Piece{Stream: uint64(c.view.Term), From: to.Next(), Upto: upto}
 	to.Sent(upto)
 	for _, id := range ids {
@@ -355,3 +339,18 @@
 	}
 	return append(all, after...)
 }
+
+// knewMore corrects what a keeper tells of what it found on a machine by what the
+// one before told: since when it has run, its worker does not say. Without that
+// all room held on the machines of a controller that ended would seem lost.
+func knewMore(before, now []calendar.Run) []calendar.Run {
+	for i := range now {
+		for _, r := range before {
+			if r.Task == now[i].Task && r.Attempt == now[i].Attempt {
+				now[i].Ends = min(now[i].Ends, r.Ends)
+				break
+			}
+		}
+	}
+	return now
+}
--- a/internal/coordination/relays_test.go
+++ b/internal/coordination/relays_test.go
@@ -45,11 +45,11 @@
 	if a, b := hear(30); a != 30 || b != 30 {
 		t.Errorf("%d and %d machines told of, 30 changed", a, b)
 	}
-	have := f.c.relays.machines.Version()
+	have := f.c.keeping.changed.Version()
 	hear(20)
 	for range 4 { // the first lost the last message, the second has everything
 		f.c.relayed("node-1", &message.Relay{Term: 2, HaveMachines: have})
-		f.c.relayed("node-2", &message.Relay{Term: 2, HaveMachines: f.c.relays.machines.Version()})
+		f.c.relayed("node-2", &message.Relay{Term: 2, HaveMachines: f.c.keeping.changed.Version()})
 	}
 	if a, b := told(); a != 20 || b != 0 {
 		t.Errorf("%d and %d machines told of, want 20 and 0", a, b)
--- /dev/null
+++ b/internal/coordination/silent.go
@@ -0,0 +1,82 @@
+package coordination
+
+import (
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/protocol"
+	"time"
+)
+
+// register records that the machine's session may hold tasks. Nothing is
+// started on it before that is durable, so that whoever takes work over knows
+// every machine that has to be asked. It holds only in the present view:
+// who reads the records after a new view misses none.
+func (k *keeper) register(q *queue, r protocol.Report) {
+	if k.awaits(q, q.registering) {
+		return
+	}
+	q.registering, q.asked = true, k.now
+	var have protocol.Version
+	if m := k.records[q.id]; m != nil {
+		have = m.epoch
+	}
+	rec := bookkeeping.Machine{Session: r.Session, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}
+	k.changeRecord(registerTag{q.id, r.Session}, q.id, have, &rec, k.inThisView())
+}
+
+// awaits reports whether what was asked for is still to be waited for. A
+// transaction of this controller's own is answered; what the registrar was
+// asked for shows in the records, or is asked for again.
+func (k *keeper) awaits(q *queue, asked bool) bool {
+	return asked && !(k.inBlocks() && k.since(q.asked) > askAgain)
+}
+
+func (k *keeper) registrationDone(tag registerTag, _ message.Outcome) {
+	if q := k.queues[tag.machine]; q != nil {
+		q.registering = false // the followed record says whether it is there
+	}
+}
+
+// expireSilent notices which machines fall silent, and removes the records of
+// those whose lease is surely over: nobody entitled has answered them for longer
+// than it lasts. That holds for a worker that came back with a new session and
+// fell silent before it could be registered, too: its old record would be waited
+// for without end.
+func (k *keeper) expireSilent(allAdopted bool) {
+	if !k.acting() || !allAdopted {
+		k.allSince = 0 // the count starts when all act by this term
+	} else if k.allSince == 0 {
+		k.allSince = k.now
+	}
+	lease := k.leaseOver()
+	for _, q := range k.queuesInOrder() {
+		quiet := k.since(k.answered(q))
+		if s := k.silenceAfter(quiet); s != q.silence {
+			q.silence = s
+			k.touch(q)
+		}
+		if k.allSince == 0 || quiet <= lease || k.awaits(q, q.removing) {
+			continue
+		}
+		m := k.records[q.id]
+		if m == nil {
+			continue
+		}
+		q.removing, q.asked = true, k.now
+		k.log.Info("machine silent for longer than its lease: its tasks are gone", "machine", q.id, "silent", quiet.Round(time.Second))
+		k.changeRecord(removeTag{q.id}, q.id, m.epoch, nil, k.inThisView())
+	}
+}
+
+// answered is since when nobody entitled can have answered a machine: since it
+// was answered here, or, before its inventory of this term, since all act by
+// this term. Until then an earlier keeper may answer it.
+func (k *keeper) answered(q *queue) Time {
+	switch {
+	case q.inventoried:
+		return q.lastAnswer
+	case k.allSince == 0:
+		return k.now
+	}
+	return max(q.lastAnswer, k.allSince)
+}
--- a/internal/coordination/slow_test.go
+++ b/internal/coordination/slow_test.go
@@ -52,7 +52,7 @@
 		for i := tc.slow; i < 12; i++ {
 			b.c.event(message.TaskEvent{TaskRef: ref(i), What: message.WhatEnded, Cause: protocol.EndDone})
 		}
-		b.c.out, b.c.local = nil, nil
+		b.c.actions, b.c.local = nil, nil
 		for range 2 {
 			b.c.now += Time(tc.goesOn / 2)
 			for i, m := range b.c.machinesInOrder() {
@@ -67,7 +67,7 @@
 		for _, m := range b.c.local {
 			drained = drained || m.Drain != nil
 		}
-		for _, a := range b.c.out {
+		for _, a := range b.c.actions {
 			s, ok := a.(message.Send)
 			drained = drained || ok && s.Message.Drain != nil
 		}
--- a/internal/coordination/stock.go
+++ b/internal/coordination/stock.go
@@ -3,14 +3,15 @@
 import (
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
+	"slices"
 )
 
 // holdsOver reports whether attempts of jobs that are over may still run here.
 // The inventory waits for their end: it tells the owners of limited teams that
 // nothing but what it lists takes part of a limit.
-func (c *Core) holdsOver(q *queue) bool {
+func (k *keeper) holdsOver(q *queue) bool {
 	for id, e := range q.entries {
-		if e.sent && !e.ended() && c.live[id.Job] == nil {
+		if e.sent && !e.ended() && k.live[id.Job] == nil {
 			return true
 		}
 	}
@@ -21,38 +22,47 @@
 // or at once if this controller has kept the queue without a break since the
 // worker saw an earlier one. Else each restart of one controller would have
 // the owners wait for all machines, and one that is cut off hold up all.
-func (c *Core) takeStock(q *queue) {
-	if q.epoch != 0 && q.sole && !q.inventoried && !c.holdsOver(q) {
-		c.sendInventory(q)
+func (k *keeper) takeStock(q *queue) {
+	if q.epoch != 0 && q.sole && !q.inventoried && !k.holdsOver(q) {
+		k.sendInventory(q)
 	}
 }
 
 // stocksMost bounds the inventories given in one step.
 const stocksMost = 500
 
+// beginStocks gives the inventories of queues kept without a break through a new
+// view: at once if there are few, else with the next ticks, since that step is
+// long enough.
+func (k *keeper) beginStocks() {
+	if k.stockDue = slices.Clone(k.queuesInOrder()); len(k.stockDue) <= stocksMost {
+		k.takeStocks()
+	}
+}
+
 // takeStocks goes on with the inventories of queues kept without a break.
-func (c *Core) takeStocks() {
-	n := min(len(c.stockDue), stocksMost)
-	for _, q := range c.stockDue[:n] {
-		if c.queues[q.id] == q {
-			c.takeStock(q)
+func (k *keeper) takeStocks() {
+	n := min(len(k.stockDue), stocksMost)
+	for _, q := range k.stockDue[:n] {
+		if k.queues[q.id] == q {
+			k.takeStock(q)
 		}
 	}
-	if c.stockDue = c.stockDue[n:]; len(c.stockDue) == 0 {
-		c.stockDue = nil
+	if k.stockDue = k.stockDue[n:]; len(k.stockDue) == 0 {
+		k.stockDue = nil
 	}
 }
 
 // sendInventory tells every owner what of its jobs is here.
-func (c *Core) sendInventory(q *queue) {
+func (k *keeper) sendInventory(q *queue) {
 	if !q.known {
-		q.idleSince = c.now
+		q.idleSince = k.now
 	}
 	q.inventoried, q.known = true, true
-	c.touch(q)
+	k.touch(q)
 	byOwner := map[protocol.NodeName][]message.Held{}
 	for _, e := range tasksInOrder(q.entries) {
-		owner := c.entryOwner(e)
+		owner := k.entryOwner(e)
 		if owner == "" {
 			continue
 		}
@@ -62,9 +72,9 @@
 		}
 		byOwner[owner] = append(byOwner[owner], h)
 	}
-	for name, p := range inOrder(c.peers) {
-		c.send(name, message.PeerMessage{Inventory: &message.Inventory{
-			Term: c.view.Term, Machine: q.id, Epoch: q.epoch, Upto: p.handled, Held: byOwner[name],
+	for name := range inOrder(k.view.Members) {
+		k.send(name, message.PeerMessage{Inventory: &message.Inventory{
+			Term: k.view.Term, Machine: q.id, Epoch: q.epoch, Upto: k.handled[name], Held: byOwner[name],
 		}})
 	}
 }
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -98,7 +98,7 @@
 	}
 	o.loaded = true
 	o.nDone = uint32(o.done.Count())
-	c.relays.jobs.Touch(o.ID)
+	c.ownedChanged.Touch(o.ID)
 	for id, t := range tasksInOrder(o.placed) {
 		if o.done.Test(uint(id.Index)) {
 			c.askStop(t, true, 0)
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -74,7 +74,7 @@
 func TestCrossingAnswers(t *testing.T) {
 	b := newBench(t)
 	b.ready("vm-1")
-	b.c.queues["vm-1"].commanding = true // a direct command is under way
+	b.c.keeping.queues["vm-1"].commanding = true // a direct command is under way
 	b.job("job-1", "free", 1)
 	if r := b.report("vm-1", 1, 1); starts(r.Reply.Orders) != 1 {
 		t.Fatalf("not started by the report's answer: %+v", r)
@@ -82,7 +82,7 @@
 	b.seq++
 	b.step(message.Commanded{Machine: "vm-1", Term: 1, Session: 1, Answered: true, Executed: true,
 		Report: protocol.Report{Machine: "vm-1", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Term: 1}})
-	if e := b.c.queues["vm-1"].entries[protocol.TaskID{Job: "job-1"}]; e == nil || !e.sent {
+	if e := b.c.keeping.queues["vm-1"].entries[protocol.TaskID{Job: "job-1"}]; e == nil || !e.sent {
 		t.Fatalf("a start under way is taken for not executed: %+v", e)
 	}
 	b.report("vm-1", 1, 1) // the worker's next report does settle it: sent again
@@ -93,7 +93,7 @@
 	b := newBench(t)
 	b.report("vm-1", 1, 0)
 	b.job("job-1", "free", 1)
-	q := b.c.queues["vm-1"]
+	q := b.c.keeping.queues["vm-1"]
 	e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 1}
 	q.entries[e.task], q.waiting = e, []*entry{e}
 	if r := b.report("vm-1", 1, 1); starts(r.Reply.Orders) != 0 {
@@ -110,11 +110,11 @@
 func TestQueuedBeforeItsRecord(t *testing.T) {
 	b := newBench(t)
 	b.ready("vm-1")
-	b.c.place("node-0", &message.Place{Number: 5, Term: 1, Tasks: []message.Placement{{
+	b.c.keeping.place("node-0", &message.Place{Number: 5, Term: 1, Tasks: []message.Placement{{
 		Task: protocol.TaskID{Job: "job-7"}, Attempt: 1, Machine: "vm-1", Epoch: b.c.machines["vm-1"].epoch,
 	}}})
 	b.c.local = nil
-	b.c.sendInventory(b.c.queues["vm-1"])
+	b.c.keeping.sendInventory(b.c.keeping.queues["vm-1"])
 	for _, m := range b.c.local {
 		if m.Inventory != nil && len(m.Inventory.Held) == 1 && m.Inventory.Held[0].Attempt == 1 {
 			return
@@ -129,12 +129,12 @@
 	b.ready("vm-1")
 	b.job("job-1", "free", 1)
 	b.step(message.Changed{Event: protocol.Event{Delete: bookkeeping.LiveKey("job-1"), Version: 50}})
-	b.c.queues["vm-1"].entries = map[protocol.TaskID]*entry{}
-	b.c.queues["vm-1"].waiting = nil
-	b.c.place("node-0", &message.Place{Number: 6, Term: 1, Tasks: []message.Placement{{
+	b.c.keeping.queues["vm-1"].entries = map[protocol.TaskID]*entry{}
+	b.c.keeping.queues["vm-1"].waiting = nil
+	b.c.keeping.place("node-0", &message.Place{Number: 6, Term: 1, Tasks: []message.Placement{{
 		Task: protocol.TaskID{Job: "job-1"}, Attempt: 9, Machine: "vm-1", Epoch: b.c.machines["vm-1"].epoch,
 	}}})
-	if n := len(b.c.queues["vm-1"].waiting); n != 0 {
+	if n := len(b.c.keeping.queues["vm-1"].waiting); n != 0 {
 		t.Fatalf("%d waiting: it would stand at the head for ever", n)
 	}
 }
@@ -238,7 +238,7 @@
 	b.report(id, 1, 4)
 	awaited(false, "after a report")
 	b.report(id, 2, 4)
-	b.c.queues[id].sole = false // as the report of a worker that has not seen the term leaves it
+	b.c.keeping.queues[id].sole = false // as the report of a worker that has not seen the term leaves it
 	b.machine(id, 2)
 	b.view(5, "node-0")
 	awaited(true, "in a new session")
--- a/internal/coordination/told.go
+++ b/internal/coordination/told.go
@@ -50,22 +50,22 @@
 }
 
 // stateOf is what others are told of a machine, reckoned once after each change.
-func (c *Core) stateOf(q *queue) message.MachineState {
-	if m := c.machines[q.id]; m == nil || q.epoch != m.epoch {
+func (k *keeper) stateOf(q *queue) message.MachineState {
+	if m := k.records[q.id]; m == nil || q.epoch != m.epoch {
 		return message.MachineState{Machine: q.id}
 	}
-	c.reckonState(q)
+	k.reckonState(q)
 	s := q.said
 	s.Runs = q.runs
 	if q.known && len(q.entries) == 0 {
-		s.IdleS = c.since(q.idleSince).Seconds()
+		s.IdleS = k.since(q.idleSince).Seconds()
 	}
 	return s
 }
 
 // reckonState goes through a queue once after each change, for what others are
 // told of it and for whether anything there might be stopped for something else.
-func (c *Core) reckonState(q *queue) {
+func (k *keeper) reckonState(q *queue) {
 	if q.told {
 		return
 	}
@@ -108,7 +108,7 @@
 		}
 	}
 	s.FreeCPUs, s.FreeGPUs, s.FreeGB, s.Uses = free.CPUs, free.GPUs, free.GB, message.UsesIn(&held)
-	q.runs = c.runsOf(q)
+	q.runs = k.runsOf(q)
 	q.said, q.told = s, true
 	q.contested = least < most || guaranteed && borrows
 }
@@ -119,8 +119,8 @@
 }
 
 // silenceAfter is how a quiet of so long looks.
-func (c *Core) silenceAfter(d time.Duration) message.Silence {
-	switch most := healthySilence(c.settings.Site.Workers.ReportS); {
+func (k *keeper) silenceAfter(d time.Duration) message.Silence {
+	switch most := healthySilence(k.settings.Site.Workers.ReportS); {
 	case d > 2*most:
 		return message.SilenceLong
 	case d > most:
@@ -128,3 +128,11 @@
 	}
 	return message.SilenceNone
 }
+
+// touch notes that what others are told of a machine has changed. What makes
+// a keeper tell an owner anything of an attempt does so, too: the owner may
+// have held something against the machine until its keeper's next word.
+func (k *keeper) touch(q *queue) {
+	q.told = false
+	k.changed.Touch(q.id)
+}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -22,7 +22,7 @@
 		return // not present itself: it has no say
 	}
 	deaf := c.deafNodes(want)
-	if sameMembers(want, c.view.Members) && layout == c.view.Layout && slices.Equal(deaf, c.view.Deaf) && !c.raise {
+	if sameMembers(want, c.view.Members) && layout == c.view.Layout && slices.Equal(deaf, c.view.Deaf) && !c.keeping.needsTerm {
 		return
 	}
 	c.writingView = true
@@ -75,23 +75,22 @@
 	c.view, c.viewVersion = v, version
 	clear(c.keepers)
 	c.pen = newPen()
-	c.viewRetry, c.raise = 0, false
+	c.viewRetry, c.keeping.needsTerm = 0, false
 	c.adoptPeers(v)
+	c.keeping.forgetOwners(old)
 	c.hearing.adopted(v, c.self, c.now)
 	if !c.member() {
 		c.owner = newOwnerState()
-		c.queues, c.kept, c.pushing = map[protocol.MachineID]*queue{}, nil, nil
+		c.keeping.drop()
 		c.log.Info("not in the view", "term", v.Term)
 		return
 	}
 	c.log.Info("new term", "term", v.Term, "members", len(v.Members))
 	keeps := consecutive && wasMember
-	c.adoptQueues(old, keeps)
+	c.keeping.adopt(old, keeps)
 	c.adoptJobs(old, keeps)
 	c.beginRelays()
-	if c.stockDue = slices.Clone(c.queuesInOrder()); len(c.stockDue) <= stocksMost {
-		c.takeStocks() // else with the next ticks: this step is long enough
-	}
+	c.keeping.beginStocks()
 	if !wasMember {
 		c.askTables()
 	}
@@ -157,9 +156,9 @@
 func (c *Core) message(from protocol.NodeName, m message.PeerMessage) {
 	switch {
 	case m.Place != nil:
-		c.place(from, m.Place)
+		c.keeping.place(from, m.Place)
 	case m.Stop != nil:
-		c.stop(from, *m.Stop)
+		c.keeping.stop(*m.Stop)
 	case m.Event != nil:
 		c.event(*m.Event)
 	case m.Released != nil:
@@ -167,7 +166,7 @@
 			c.event(message.TaskEvent{TaskRef: ref, What: message.WhatReleased})
 		}
 	case m.Forget != nil:
-		c.forget(*m.Forget)
+		c.keeping.forget(*m.Forget)
 	case m.Inventory != nil:
 		c.inventory(from, m.Inventory)
 	case m.Added != nil:
@@ -175,7 +174,7 @@
 	case m.Relay != nil:
 		c.relayed(from, m.Relay)
 	case m.Drain != nil:
-		c.drain(*m.Drain)
+		c.keeping.drain(*m.Drain)
 	case m.Record != nil:
 		c.recordWanted(*m.Record)
 	case m.AskTable:
