--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -66,7 +66,7 @@
 
 // candidatesFor looks for the machines that may run a job's tasks.
 func (c *Core) candidatesFor(o *ownedJob, zones map[protocol.Zone]int, cl *claims) *candidates {
-	s := &candidates{job: o, need: room.Need(&o.Job), bars: c.bars(o), claims: cl, risk: c.spotStretch(&o.Job) * c.estimate(&o.Job), shun: c.risky(&o.Job), dear: c.dear}
+	s := &candidates{job: o, need: room.Need(&o.Job), bars: c.bars(o), claims: cl, risk: c.spotStretch(&o.Job) * c.Estimate(&o.Job), shun: c.risky(&o.Job), dear: c.dear}
 	if s.bars != nil {
 		s.own = func(m *machineEntry) bool { return c.holdsFor(o, m) }
 	}
@@ -89,7 +89,7 @@
 func (c *Core) dearness() map[kind]float64 {
 	dear := map[kind]float64{}
 	least := math.Inf(1)
-	for _, t := range c.types {
+	for _, t := range c.Types {
 		for _, z := range t.AllowZones {
 			for _, spot := range []bool{true, false} {
 				k := kind{Type: t.Name, Zone: z, Spot: spot}
@@ -109,7 +109,7 @@
 
 // mayTake reports whether a job may have a task on a machine at present.
 func (c *Core) mayTake(o *ownedJob, m *machineEntry, zones map[protocol.Zone]int) bool {
-	return c.usable(m) && (!o.failedOn[m.id] || c.failsEverywhere(o)) && o.allows(m, zones)
+	return c.usable(m) && (!o.failedOn[m.ID] || c.failsEverywhere(o)) && o.allows(m, zones)
 }
 
 // failsEverywhere reports whether a job failed on several machines, or on all
@@ -121,7 +121,7 @@
 		return true
 	}
 	for _, m := range c.machinesInOrder() {
-		if !o.failedOn[m.id] && c.usable(m) && o.allowsKind(m.info, m.rec.Zone, m.rec.Spot) {
+		if !o.failedOn[m.ID] && c.usable(m) && o.AllowsKind(m.Info, m.Record.Zone, m.Record.Spot) {
 			return false
 		}
 	}
@@ -146,16 +146,16 @@
 		if !firm.Covers(s.need) {
 			return candidate{}, false
 		}
-		w = m.fetch(&s.job.Job) + (firm.CPUs-math.Max(0, m.free().CPUs))/math.Max(m.info.CPUs, 1)
+		w = m.fetch(&s.job.Job) + (firm.CPUs-math.Max(0, m.free().CPUs))/math.Max(m.Info.CPUs, 1)
 	}
-	if m.rec.Spot {
+	if m.Record.Spot {
 		w += s.risk
 	}
 	if room {
 		w += s.dear[m.kind()]
 	}
 	k := candidate{m: m, rank: rankQueue, wait: int64(math.Round(w * 1e6)), tie: tie}
-	if room && !(s.shun && m.rec.Spot) {
+	if room && !(s.shun && m.Record.Spot) {
 		k.rank = rankFree
 		if s.claims.wanted(s.job, m) {
 			k.rank = rankWanted
--- a/internal/coordination/candidates_test.go
+++ b/internal/coordination/candidates_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -58,9 +59,9 @@
 		}
 		m := &machineEntry{
 			mine: map[protocol.TaskID]*placedTask{},
-			machine: &machine{
-				id: id, epoch: 1, info: info,
-				rec: bookkeeping.Machine{Zone: rapid.SampledFrom([]protocol.Zone{"a", "b"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "spot")},
+			Machine: &known.Machine{
+				ID: id, Epoch: 1, Info: info,
+				Record: bookkeeping.Machine{Zone: rapid.SampledFrom([]protocol.Zone{"a", "b"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "spot")},
 			},
 		}
 		busy := float64(rapid.IntRange(0, int(info.CPUs)).Draw(t, "busy"))
@@ -90,8 +91,8 @@
 			CPUs: float64(rapid.IntRange(1, 4).Draw(t, "cpus")), MemoryGB: 1, ImageGB: 2, EstimateS: 7, Spot: rapid.Bool().Draw(t, "mayspot"),
 			OneZone: rapid.Bool().Draw(t, "onezone"), Spread: rapid.Bool().Draw(t, "spread"),
 		}
-		o := c.own(&liveJob{Job: j})
-		reserved := &liveJob{Job: protocol.Job{Class: "gang", Priority: "high", CPUs: 4, MemoryGB: 8, Spot: true}}
+		o := c.own(&known.LiveJob{Job: j})
+		reserved := &known.LiveJob{Job: protocol.Job{Class: "gang", Priority: "high", CPUs: 4, MemoryGB: 8, Spot: true}}
 		cl := &claims{classes: []kept{{job: reserved, need: room.Need(&reserved.Job), spare: rapid.IntRange(-2, 5).Draw(t, "spare")}}}
 		zones := map[protocol.Zone]int{}
 		from := c.candidatesFor(o, zones, cl)
@@ -123,14 +124,14 @@
 		id := protocol.MachineID(fmt.Sprint("vm-", i))
 		b.ready(id)
 		m := b.c.machines[id]
-		m.rec.Spot, m.told.Queued = spot, 0
+		m.Record.Spot, m.told.Queued = spot, 0
 	}
 	j := protocol.Job{ID: "job-1", Class: "sheet", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 6, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}
 	b.put(bookkeeping.LiveKey(j.ID), j)
 	b.step(message.Tick{})
 	on := map[bool]int{}
 	for _, p := range b.c.owner.jobs["job-1"].placed {
-		on[b.c.machines[p.machine].rec.Spot]++
+		on[b.c.machines[p.machine].Record.Spot]++
 	}
 	if on[true] != 6 {
 		t.Errorf("%d of 6 tasks on the cheap machines", on[true])
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/room"
 )
 
@@ -61,7 +63,7 @@
 
 // give takes a whole machine out of it, if that can be spared.
 func (cl *claims) give(m *machineEntry) bool {
-	all := room.Capacity(m.info)
+	all := room.Capacity(m.Info)
 	for i := range cl.classes {
 		if k := &cl.classes[i]; k.suits(m) && k.spare < k.costs(m, all) {
 			return false
@@ -80,7 +82,7 @@
 
 // kept is room reserved for one class, wherever it is.
 type kept struct {
-	job   *liveJob
+	job   *known.LiveJob
 	risky bool // spot machines are no room for it
 	need  room.Amount
 	spare int // how many more tasks fit than are reserved
@@ -90,12 +92,12 @@
 // classes, and how much more there is. Gangs add theirs as they are tried.
 func (c *Core) claims() *claims {
 	cl := &claims{gangs: map[*machineEntry]room.Level{}}
-	for _, k := range inOrder(c.classes) {
+	for _, k := range inorder.Of(c.classes) {
 		r := c.reserve(k)
 		if r == 0 {
 			continue
 		}
-		l := &liveJob{Job: k.job}
+		l := &known.LiveJob{Job: k.job}
 		kp := kept{job: l, risky: c.risky(&l.Job), need: room.Need(&l.Job), spare: -r}
 		for _, m := range c.machines {
 			if c.usable(m) && kp.suits(m) {
@@ -116,7 +118,7 @@
 
 // suits reports whether a machine could ever take a task of the class.
 func (k *kept) suits(m *machineEntry) bool {
-	return !(k.risky && m.rec.Spot) && k.job.allowsKind(m.info, m.rec.Zone, m.rec.Spot)
+	return !(k.risky && m.Record.Spot) && k.job.AllowsKind(m.Info, m.Record.Zone, m.Record.Spot)
 }
 
 // applies reports whether room kept for the class is kept from a job.
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -20,7 +21,7 @@
 // noteArrival learns what jobs of a class look like and how often they come.
 func (c *Core) noteArrival(j *protocol.Job) {
 	share, awaited := 0.0, false
-	for _, o := range c.settings.Site.Objectives {
+	for _, o := range c.Settings.Site.Objectives {
 		switch {
 		case o.Class != j.Class:
 		case o.Kind == "wait" || o.Kind == "deadline" || o.Kind == "finished":
@@ -37,19 +38,19 @@
 		c.classes[j.Class] = k
 	}
 	k.job, k.share, k.awaited = *j, share, awaited
-	work := float64(j.Tasks) * j.CPUs * c.estimate(j)
-	k.arrivals.Note(forecast.Arrival{At: c.now, Tasks: float64(j.Tasks), Work: work})
+	work := float64(j.Tasks) * j.CPUs * c.Estimate(j)
+	k.arrivals.Note(forecast.Arrival{At: c.Now, Tasks: float64(j.Tasks), Work: work})
 }
 
 // upS is how long the soonest machine that a job may use takes to be ready
 // for it, its image included, in seconds; infinite if there is none.
 func (c *Core) upS(j *protocol.Job) float64 {
 	up := math.Inf(1)
-	for _, t := range c.types {
-		l := liveJob{Job: *j}
+	for _, t := range c.Types {
+		l := known.LiveJob{Job: *j}
 		l.Zone = ""
-		if l.allowsKind(t, "", false) {
-			up = math.Min(up, t.BootS+fetchS(t, j))
+		if l.AllowsKind(t, "", false) {
+			up = math.Min(up, t.BootS+known.FetchS(t, j))
 		}
 	}
 	return up
@@ -57,7 +58,7 @@
 
 // coming tells from what was seen how jobs of a class come.
 func (c *Core) coming(k *class, size func(forecast.Arrival) float64) forecast.Arriving {
-	return k.arrivals.Coming(c.now, c.upS(&k.job), k.share, size)
+	return k.arrivals.Coming(c.Now, c.upS(&k.job), k.share, size)
 }
 
 // comingWork is the work, in processor seconds, of a class that need not start
@@ -86,9 +87,9 @@
 	if j.Kind != protocol.KindArray {
 		return 0
 	}
-	l, sum := liveJob{Job: *j}, 0.0
+	l, sum := known.LiveJob{Job: *j}, 0.0
 	for _, m := range c.machinesInOrder() {
-		if c.usable(m) && l.allowsKind(m.info, m.rec.Zone, m.rec.Spot) {
+		if c.usable(m) && l.AllowsKind(m.Info, m.Record.Zone, m.Record.Spot) {
 			sum += room.Amount{CPUs: m.told.Ending.CPUs, GPUs: m.told.Ending.GPUs, GB: m.told.Ending.GB}.Places(room.Need(j))
 		}
 	}
--- a/internal/coordination/classes_test.go
+++ b/internal/coordination/classes_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -16,7 +17,7 @@
 	b := newBench(t)
 	gang := func(id protocol.JobID) {
 		j := &protocol.Job{ID: id, Class: "gang", Team: "free", Kind: protocol.KindGang, Priority: "high", Tasks: 1, CPUs: 4, MemoryGB: 1}
-		b.c.now = b.now
+		b.c.Now = b.now
 		b.c.noteArrival(j)
 	}
 	for range 9 {
@@ -35,15 +36,15 @@
 	b.ready("vm-1")
 	m := b.c.machines["vm-1"]
 	cl := b.c.claims()
-	small := &ownedJob{liveJob: &liveJob{Job: protocol.Job{Class: "array", Priority: "standard", CPUs: 1, MemoryGB: 1}}}
+	small := &ownedJob{LiveJob: &known.LiveJob{Job: protocol.Job{Class: "array", Priority: "standard", CPUs: 1, MemoryGB: 1}}}
 	if ok := cl.spared(small, m, room.Need(&small.Job)); ok {
 		t.Error("a small task may take the last room kept")
 	}
-	big := &ownedJob{liveJob: &liveJob{Job: protocol.Job{Class: "gang", Priority: "high", CPUs: 4, MemoryGB: 1}}}
+	big := &ownedJob{LiveJob: &known.LiveJob{Job: protocol.Job{Class: "gang", Priority: "high", CPUs: 4, MemoryGB: 1}}}
 	if ok := cl.spared(big, m, room.Need(&big.Job)); !ok {
 		t.Error("the class itself may not use it")
 	}
-	b.c.now += Time(10 * time.Minute)
+	b.c.Now += Time(10 * time.Minute)
 	if n := b.c.reserve(b.c.classes["gang"]); n != 0 {
 		t.Errorf("room for %d is kept long after the last came", n)
 	}
@@ -61,7 +62,7 @@
 		t.Error("not alone though a peer acts")
 	}
 	b.now += Time(time.Minute)
-	b.c.now = b.now
+	b.c.Now = b.now
 	if b.c.alone() {
 		t.Error("alone by what a peer said a minute ago")
 	}
@@ -76,7 +77,7 @@
 	b.ready("vm-2")
 	k := &class{job: protocol.Job{Class: "cert", Kind: protocol.KindArray, CPUs: 1, MemoryGB: 1}, share: 0.8, awaited: true}
 	for i := range 10 {
-		k.arrivals = append(k.arrivals, forecast.Arrival{At: b.c.now - Time(time.Duration(9-i)*4*time.Second), Tasks: float64(10 + i)})
+		k.arrivals = append(k.arrivals, forecast.Arrival{At: b.c.Now - Time(time.Duration(9-i)*4*time.Second), Tasks: float64(10 + i)})
 	}
 	none := b.c.reserve(k)
 	b.c.machines["vm-1"].told.Ending = message.Use{CPUs: 2, GB: 8}
--- a/internal/coordination/clearing.go
+++ b/internal/coordination/clearing.go
@@ -3,6 +3,8 @@
 import (
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/room"
 	"slices"
 	"time"
@@ -19,22 +21,22 @@
 
 // mayStartOn decides whether something that fits may start on a machine, for what
 // is promised there.
-func (k *keeper) mayStartOn(q *queue, e *entry, j *liveJob, free room.Amount) (startLater, bool) {
-	pr := k.pledged
-	holds := pr.holds[q.id]
-	if len(pr.windows) == 0 && len(holds) == 0 && (pr.listed || !pr.any) {
+func (k *keeper) mayStartOn(q *queue, e *entry, j *known.LiveJob, free room.Amount) (startLater, bool) {
+	pr := k.Pledged
+	holds := pr.Holds[q.id]
+	if len(pr.Windows) == 0 && len(holds) == 0 && (pr.Listed || !pr.Any) {
 		return startNow, false
 	}
-	now := k.moment()
-	t := calendar.Task{Of: k.of(&j.Job), Need: e.need, Level: e.level, Saves: j.CheckpointS > 0}
-	run := k.likelyS(&j.Job, e.estimate) + q.fetchS(j)
+	now := k.Moment()
+	t := calendar.Task{Of: k.Of(&j.Job), Need: e.need, Level: e.level, Saves: j.CheckpointS > 0}
+	run := k.LikelyS(&j.Job, e.estimate) + q.fetchS(j)
 	t.Ends = calendar.After(now, config.Seconds(run))
 	owns := calendar.OwnUntil(holds, t.Of) != 0
-	if m := k.records[q.id]; m != nil && k.inWindow(q.id, m.rec.Type, m.rec.Zone, now, promisedEnd(holds, &t)) {
+	if m := k.Records[q.id]; m != nil && k.InWindow(q.id, m.Record.Type, m.Record.Zone, now, known.PromisedEnd(holds, &t)) {
 		return startElsewhere, owns
 	}
 	switch {
-	case k.unsettled(&j.Job, t.Ends):
+	case k.Unsettled(&j.Job, t.Ends):
 		return startSoon, owns
 	case calendar.Leaves(holds, &t, free, now):
 		return startNow, owns
@@ -46,27 +48,27 @@
 
 // ownsRoom reports whether room that is held for an attempt's job is free.
 func (k *keeper) ownsRoom(q *queue, e *entry) bool {
-	j := k.live[e.task.Job]
-	return j != nil && q.free().Covers(e.need) && calendar.OwnUntil(k.pledged.holds[q.id], k.of(&j.Job)) != 0
+	j := k.Live[e.task.Job]
+	return j != nil && q.free().Covers(e.need) && calendar.OwnUntil(k.Pledged.Holds[q.id], k.Of(&j.Job)) != 0
 }
 
 // fetchS is how long the machine takes to get a job's image, in seconds.
-func (q *queue) fetchS(j *liveJob) float64 {
+func (q *queue) fetchS(j *known.LiveJob) float64 {
 	if slices.Contains(q.images, j.Image) {
 		return 0
 	}
-	return fetchS(q.info, &j.Job)
+	return known.FetchS(q.info, &j.Job)
 }
 
 // clearHeld stops what is in the way of room held on a machine, in the last
 // moment that leaves time to save: only what is less urgent than the reserved
 // work and beyond its team's guarantee.
 func (k *keeper) clearHeld(q *queue) {
-	holds := k.pledged.holds[q.id]
+	holds := k.Pledged.Holds[q.id]
 	if len(holds) == 0 {
 		return
 	}
-	now := k.moment()
+	now := k.Moment()
 	for i := range holds {
 		h := &holds[i]
 		if !h.Stop(savesAtMost, now) {
@@ -87,7 +89,7 @@
 			}
 			free = free.Plus(e.need)
 			k.stopFor(q, e)
-			k.log.Info("stopped for a reservation", "machine", q.id, "task", e.task, "reservation", h.For)
+			k.Log.Info("stopped for a reservation", "machine", q.id, "task", e.task, "reservation", h.For)
 		}
 	}
 }
@@ -97,8 +99,8 @@
 
 // saveS is how long an attempt may take to be gone once it is stopped.
 func (k *keeper) saveS(e *entry) float64 {
-	if j := k.live[e.task.Job]; j != nil {
-		return graceS(&j.Job)
+	if j := k.Live[e.task.Job]; j != nil {
+		return known.GraceS(&j.Job)
 	}
 	return 1
 }
@@ -107,9 +109,9 @@
 // what can save first, then what ran least.
 func (k *keeper) stoppable(q *queue, l room.Level, n calendar.Name) []*entry {
 	var victims []*entry
-	for _, e := range tasksInOrder(q.entries) {
-		j := k.live[e.task.Job]
-		if e.present && !e.ended() && !e.kill && j != nil && e.level < l && !calendar.Matches(k.reservationOf(n), &j.Job) {
+	for _, e := range inorder.Tasks(q.entries) {
+		j := k.Live[e.task.Job]
+		if e.present && !e.ended() && !e.kill && j != nil && e.level < l && !calendar.Matches(k.ReservationOf(n), &j.Job) {
 			victims = append(victims, e)
 		}
 	}
--- a/internal/coordination/copy_test.go
+++ b/internal/coordination/copy_test.go
@@ -11,7 +11,7 @@
 // the first table that comes and no other.
 func TestTableCopy(t *testing.T) {
 	b := newBench(t, "node-1", "node-2", "node-3", "node-4")
-	asked := func(actions []Action) (names []protocol.NodeName) {
+	asked := func(actions []message.Action) (names []protocol.NodeName) {
 		for _, a := range actions {
 			if s, ok := a.(message.Send); ok && s.Message.AskTable {
 				names = append(names, s.To)
@@ -25,7 +25,7 @@
 	if got := asked(b.step(message.Tick{})); len(got) != 0 {
 		t.Fatalf("asked %v before the wait was over", got)
 	}
-	b.now += Time(b.c.op.CopyWait)
+	b.now += Time(b.c.Op.CopyWait)
 	if got := asked(b.step(message.Tick{})); len(got) != 2 {
 		t.Fatalf("asked %v after the wait", got)
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -13,6 +13,7 @@
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/blocks"
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/relay"
@@ -23,7 +24,7 @@
 // Core is one controller's whole state between messages. It is not safe for
 // concurrent use: one actor owns it.
 type Core struct {
-	part
+	known.Part
 	keeping *keeper
 	rng     *rand.Rand
 
@@ -76,15 +77,15 @@
 
 // NewCore makes a controller's state before its first session.
 func NewCore(s *config.Settings, op config.Operator, rng *rand.Rand, log *slog.Logger) *Core {
-	p := part{newKnown(s, op, log), &output{}}
-	c := &Core{part: p, keeping: newKeeper(p), rng: rng}
+	p := known.Part{Known: known.NewKnown(s, op, log), Output: &known.Output{}}
+	c := &Core{Part: p, keeping: newKeeper(p), rng: rng}
 	c.reset()
 	return c
 }
 
 // reset forgets everything a session knew. What matters is in the records.
 func (c *Core) reset() {
-	c.known.reset()
+	c.Known.Reset()
 	c.nodes = map[protocol.NodeName]bookkeeping.Node{}
 	c.writingView = false
 	c.hearing = newHearing()
@@ -97,25 +98,25 @@
 	c.peers = map[protocol.NodeName]*peer{}
 	c.owner = newOwnerState()
 	c.fleet = newFleetState()
-	c.promised = newPromises(c.pledged)
+	c.promised = newPromises(c.Pledged)
 }
 
 // Step handles one message at a time of the steady clock.
-func (c *Core) Step(now Time, msg any) []Action {
-	c.now = now
-	c.actions = nil
+func (c *Core) Step(now Time, msg any) []message.Action {
+	c.Now = now
+	c.Actions = nil
 	if c.rates == nil {
 		c.rates = lending.NewBook[protocol.LeaseID](c.equalShare(), now)
 	}
 	switch m := msg.(type) {
 	case message.Snapshot:
 		c.reset()
-		c.session, c.begun = m.Session, c.now
-		c.tellTime(m.WallMS)
+		c.Session, c.Begun = m.Session, c.Now
+		c.TellTime(m.WallMS)
 		for _, it := range m.Items {
 			c.record(it.Key, it.Value, it.Version, true)
 		}
-		if _, was := c.nodes[c.self]; !was && c.op.NodeLease >= lending.LoanMost {
+		if _, was := c.nodes[c.Self]; !was && c.Op.NodeLease >= lending.LoanMost {
 			// An earlier process of this controller was gone for its whole
 			// lease: what it lent is over.
 			c.rates.NothingLent()
@@ -123,7 +124,7 @@
 	case message.Changed:
 		c.changed(m.Event)
 	case message.Entitled:
-		c.until = m.Until
+		c.Until = m.Until
 	case message.SessionOver:
 		c.reset()
 	case message.CatalogueRead:
@@ -133,7 +134,7 @@
 	case message.Received:
 		c.received(m.Batch)
 	case message.Tick:
-		c.tellTime(m.WallMS)
+		c.TellTime(m.WallMS)
 		c.setShare()
 		c.tick()
 	case message.StateAsked:
@@ -146,7 +147,7 @@
 		c.keeping.commanded(m)
 	case message.PeerActs:
 		if p := c.peers[m.Peer]; p != nil {
-			p.actingAt = c.now
+			p.actingAt = c.Now
 		}
 	case message.Rented:
 		c.rented(m)
@@ -157,7 +158,7 @@
 	}
 	c.settle()
 	c.keeping.push()
-	return c.actions
+	return c.Actions
 }
 
 // placeEvery is how often pending tasks are placed at the most: what becomes
@@ -167,15 +168,15 @@
 // settle handles messages to itself and places what became pending.
 func (c *Core) settle() {
 	for range 8 {
-		for len(c.local) > 0 {
-			m := c.local[0]
-			c.local = c.local[1:]
-			c.message(c.self, m)
+		for len(c.Local) > 0 {
+			m := c.Local[0]
+			c.Local = c.Local[1:]
+			c.message(c.Self, m)
 		}
-		if !c.owner.dirty || !c.acting() || c.now < c.nextPlaced {
+		if !c.owner.dirty || !c.Acting() || c.Now < c.nextPlaced {
 			return
 		}
-		c.nextPlaced = c.after(placeEvery)
+		c.nextPlaced = c.After(placeEvery)
 		c.schedule()
 	}
 }
@@ -183,11 +184,11 @@
 // catalogue takes over the machine types.
 func (c *Core) catalogue(types []protocol.TypeInfo) {
 	for _, t := range types {
-		c.types[t.Name] = t
+		c.Types[t.Name] = t
 	}
 	c.dear = c.dearness()
 	for _, m := range c.machines {
-		m.info = c.types[m.rec.Type]
+		m.Info = c.Types[m.Record.Type]
 	}
 	c.owner.dirty = true
 }
@@ -228,7 +229,7 @@
 	switch {
 	case f.View:
 		var v bookkeeping.View
-		if err = protocol.Decode(value, &v); err == nil && version > c.viewVersion {
+		if err = protocol.Decode(value, &v); err == nil && version > c.ViewVersion {
 			c.adopt(v, version)
 		}
 	case f.Node != "":
@@ -260,18 +261,18 @@
 		err = c.calendarRecord(f, value, version)
 	}
 	if err != nil {
-		c.log.Error("record can't be read", "key", key, "err", err)
+		c.Log.Error("record can't be read", "key", key, "err", err)
 	}
 }
 
 // tick lets time pass: the regular message to peers, and whatever waits.
 func (c *Core) tick() {
 	c.checkView()
-	if !c.member() {
+	if !c.Member() {
 		return
 	}
-	if c.since(c.lastRelay) >= c.op.RelayEvery {
-		c.lastRelay = c.now
+	if c.Since(c.lastRelay) >= c.Op.RelayEvery {
+		c.lastRelay = c.Now
 		c.refreshDue()
 		c.refreshPromises()
 		c.watchSpots()
@@ -299,7 +300,7 @@
 	case viewTag:
 		c.writingView = false
 		if m.Outcome != message.OutcomeDone {
-			c.viewRetry = c.after(300 * time.Millisecond)
+			c.viewRetry = c.After(300 * time.Millisecond)
 		}
 	case reservationTag:
 		delete(c.promised.write, tag.name)
@@ -320,9 +321,9 @@
 // where that has changed.
 func (c *Core) refreshDue() {
 	changed := false
-	for _, l := range c.live {
-		if due := c.due(l); due != l.due {
-			l.due, changed = due, true
+	for _, l := range c.Live {
+		if due := c.Due(l); due != l.Due {
+			l.Due, changed = due, true
 		}
 	}
 	if !changed {
@@ -340,13 +341,13 @@
 
 // report answers a worker, or points it to the controller that keeps it.
 func (c *Core) report(r protocol.Report) {
-	if r.Term > c.view.Term || !c.acting() {
-		c.do(message.ReplyReport{Status: 503}) // where somebody has raised the term: until it is read
+	if r.Term > c.View.Term || !c.Acting() {
+		c.Do(message.ReplyReport{Status: 503}) // where somebody has raised the term: until it is read
 		return
 	}
-	if keeper := c.keeper(r.Machine); keeper != c.self {
+	if keeper := c.Keeper(r.Machine); keeper != c.Self {
 		c.noteStray(r.Machine)
-		c.do(message.ReplyReport{Status: 421, ReportTo: keeper})
+		c.Do(message.ReplyReport{Status: 421, ReportTo: keeper})
 		return
 	}
 	c.keeping.report(r)
--- a/internal/coordination/cost_test.go
+++ b/internal/coordination/cost_test.go
@@ -8,6 +8,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
@@ -43,7 +44,7 @@
 
 func newBusyFleet(tb testing.TB, machines, tasks int) *busyFleet {
 	f := &busyFleet{bench: newBench(tb, "node-1", "node-2"), runs: map[protocol.MachineID][]protocol.TaskReport{}}
-	v := f.c.view
+	v := f.c.View
 	f.put(bookkeeping.ViewKey, bookkeeping.View{Term: 2, Members: v.Members, Deaf: []protocol.NodeName{"node-1", "node-2"}})
 	for i := range machines {
 		id := protocol.MachineID(fmt.Sprintf("vm-%05d", i))
@@ -53,7 +54,7 @@
 	f.hear(0)
 	for i := 0; len(f.c.owner.jobs) < 10; i++ {
 		id := protocol.JobID(fmt.Sprint("job-", i))
-		if rendezvous(f.c.view, "job "+string(id)) == "node-0" {
+		if known.Rendezvous(f.c.View, "job "+string(id)) == "node-0" {
 			f.obey(nil, f.put(bookkeeping.LiveKey(id), protocol.Job{
 				ID: id, Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: uint32(tasks / 10), CPUs: 1, MemoryGB: 1, EstimateS: 10, Image: "i",
 			}))
@@ -74,14 +75,14 @@
 }
 
 // play handles a message, and carries out what it asks workers to do.
-func (f *busyFleet) play(msg any) []Action {
+func (f *busyFleet) play(msg any) []message.Action {
 	actions := f.c.Step(f.now, msg)
 	f.obey(msg, actions)
 	return actions
 }
 
 // obey has workers start what they are told to.
-func (f *busyFleet) obey(msg any, actions []Action) {
+func (f *busyFleet) obey(msg any, actions []message.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case message.ReplyReport:
@@ -105,7 +106,7 @@
 
 func (f *busyFleet) says(id protocol.MachineID) protocol.Report {
 	f.seq++
-	return protocol.Report{Machine: id, Address: "x", Type: "small", Zone: "a", Session: 1, Seq: f.seq, Term: f.c.view.Term, Tasks: f.runs[id]}
+	return protocol.Report{Machine: id, Address: "x", Type: "small", Zone: "a", Session: 1, Seq: f.seq, Term: f.c.View.Term, Tasks: f.runs[id]}
 }
 
 // hear has every worker report. Of so many machines, others each time, one task
@@ -128,7 +129,7 @@
 }
 
 // second lets a second pass.
-func (f *busyFleet) second() []Action {
+func (f *busyFleet) second() []message.Action {
 	f.now += Time(time.Second)
 	return f.play(message.Tick{})
 }
@@ -178,7 +179,7 @@
 	for _, s := range []struct{ machines, tasks int }{{900, 10000}, {5000, 50000}, {15000, 150000}} {
 		b.Run(fmt.Sprintf("%d machines, %d tasks", s.machines, s.tasks), func(b *testing.B) {
 			f := newBusyFleet(b, s.machines, s.tasks)
-			v := f.c.view
+			v := f.c.View
 			adopts, ticks := time.Duration(0), time.Duration(0)
 			timed := func(longest *time.Duration, msg any) {
 				at := time.Now()
@@ -294,7 +295,7 @@
 	if n := len(huge.placed); n == 0 || n > most {
 		t.Errorf("%d tasks placed, want up to %d", n, most)
 	}
-	w.c.live["job-huge"].due += Time(time.Hour) // it can't be done by its time
+	w.c.Live["job-huge"].Due += Time(time.Hour) // it can't be done by its time
 	w.c.owner.sorted = nil
 	w.put(bookkeeping.LiveKey("job-urgent"), protocol.Job{
 		ID: "job-urgent", Team: "free", Kind: protocol.KindArray, Priority: "high", Tasks: 5, CPUs: 1, MemoryGB: 1, EstimateS: 10, Image: "i",
@@ -324,16 +325,16 @@
 		b.Run(fmt.Sprintf("%d machines, 300 jobs", s.machines), func(b *testing.B) {
 			f := newBusyFleet(b, s.machines, s.tasks)
 			f.c.fleet.haveList = true
-			f.c.settings.Site.Objectives = append(f.c.settings.Site.Objectives, config.Objective{Kind: "wait", Class: "soon", WithinS: 10, Share: 0.9})
+			f.c.Settings.Site.Objectives = append(f.c.Settings.Site.Objectives, config.Objective{Kind: "wait", Class: "soon", WithinS: 10, Share: 0.9})
 			var demand []message.Demand
 			for i := range 300 {
 				id := protocol.JobID(fmt.Sprint("job-waits-", i))
-				f.c.live[id] = &liveJob{Job: protocol.Job{ID: id, Class: "soon", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 20, CPUs: 1, MemoryGB: 1, EstimateS: 10}}
+				f.c.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Class: "soon", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 20, CPUs: 1, MemoryGB: 1, EstimateS: 10}}
 				demand = append(demand, message.Demand{Job: id, Unstarted: 20, EstimateS: 10})
 			}
 			f.c.peers["node-0"].demand = demand
 			for b.Loop() {
-				f.c.actions = nil
+				f.c.Actions = nil
 				f.c.plan()
 			}
 		})
@@ -348,7 +349,7 @@
 			for b.Loop() {
 				for range 10 {
 					f.now += Time(placeEvery)
-					f.c.now, f.c.actions = f.now, nil
+					f.c.Now, f.c.Actions = f.now, nil
 					f.c.schedule()
 				}
 			}
@@ -362,7 +363,7 @@
 	f := newBusyFleet(tb, machines, tasks)
 	for i, n := 0, 0; n < gangs; i++ {
 		id := protocol.JobID(fmt.Sprint("job-gang-", i))
-		if rendezvous(f.c.view, "job "+string(id)) != "node-0" {
+		if known.Rendezvous(f.c.View, "job "+string(id)) != "node-0" {
 			continue
 		}
 		n++
--- a/internal/coordination/direct.go
+++ b/internal/coordination/direct.go
@@ -24,7 +24,7 @@
 // does not interrupt that: what is on the machine is known here as long as its
 // queue is, and the commands themselves bring the term.
 func (k *keeper) push() {
-	if !k.acting() {
+	if !k.Acting() {
 		return
 	}
 	woken := k.pushing
@@ -47,12 +47,12 @@
 		}
 		for _, e := range q.entries {
 			if e.sent && !before[e] {
-				e.direct = k.view.Term
+				e.direct = k.View.Term
 			}
 		}
 		q.commanding = true
-		k.do(message.Command{Machine: q.id, Address: q.addr, Commands: protocol.Commands{
-			Term: k.view.Term, Session: q.session, Orders: orders,
+		k.Do(message.Command{Machine: q.id, Address: q.addr, Commands: protocol.Commands{
+			Term: k.View.Term, Session: q.session, Orders: orders,
 		}})
 	}
 }
@@ -83,7 +83,7 @@
 		}
 	}
 	r := m.Report
-	if !k.acting() || r.Machine != q.id || r.Session != q.session || r.Seq <= q.seq || r.Term > k.view.Term {
+	if !k.Acting() || r.Machine != q.id || r.Session != q.session || r.Seq <= q.seq || r.Term > k.View.Term {
 		return
 	}
 	q.seq = r.Seq
@@ -95,8 +95,8 @@
 // that it is not executed from then on. While the worker is silent no term
 // settles anything, and most that stay silent are gone.
 func (k *keeper) settleDirect(q *queue, e *entry) {
-	if !q.commanding && e.direct == k.view.Term {
-		k.log.Info("a direct start had no answer: raising the term", "machine", q.id, "task", e.task)
+	if !q.commanding && e.direct == k.View.Term {
+		k.Log.Info("a direct start had no answer: raising the term", "machine", q.id, "task", e.task)
 		k.needsTerm = true
 	}
 }
--- a/internal/coordination/due_test.go
+++ b/internal/coordination/due_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/protocol"
 
 	"pgregory.net/rapid"
@@ -16,21 +17,21 @@
 	tt := t
 	rapid.Check(t, func(t *rapid.T) {
 		b := newBench(tt)
-		b.c.settings.Site.Objectives = append(b.c.settings.Site.Objectives, config.Objective{Kind: "deadline", Class: "array", Times: 1.5})
-		l := &liveJob{Job: protocol.Job{
+		b.c.Settings.Site.Objectives = append(b.c.Settings.Site.Objectives, config.Objective{Kind: "deadline", Class: "array", Times: 1.5})
+		l := &known.LiveJob{Job: protocol.Job{
 			Class: "array", EstimateS: float64(rapid.IntRange(1, 300).Draw(t, "estimate")), DeadlineS: float64(rapid.IntRange(0, 300).Draw(t, "deadline")),
-		}, since: b.c.now}
+		}, Since: b.c.Now}
 		before := Time(0)
 		for range 30 {
-			due := b.c.due(l)
+			due := b.c.Due(l)
 			if due < before {
 				t.Fatalf("due at %v after %v", due, before)
 			}
-			if left := time.Duration(due - b.c.now).Seconds(); left < l.EstimateS-0.001 {
+			if left := time.Duration(due - b.c.Now).Seconds(); left < l.EstimateS-0.001 {
 				t.Fatalf("due in %v s, takes %v s", left, l.EstimateS)
 			}
 			before = due
-			b.c.now += Time(time.Duration(rapid.IntRange(1, 100).Draw(t, "wait")) * time.Second)
+			b.c.Now += Time(time.Duration(rapid.IntRange(1, 100).Draw(t, "wait")) * time.Second)
 		}
 	})
 }
@@ -51,7 +52,7 @@
 	if q.waiting[0] != late || b.c.jobsInOrder()[0].ID != "job-1" {
 		t.Fatal("what is due first does not go first")
 	}
-	b.c.now += Time(35 * time.Second)
+	b.c.Now += Time(35 * time.Second)
 	b.c.refreshDue()
 	b.c.keeping.sortWaiting(q)
 	if q.waiting[0] != soon || b.c.jobsInOrder()[0].ID != "job-2" {
@@ -63,12 +64,12 @@
 // is none; doubling it would never reach any.
 func TestDueWithoutTime(t *testing.T) {
 	b := newBench(t)
-	b.c.settings.Site.Objectives = append(b.c.settings.Site.Objectives, config.Objective{Kind: "finished", Class: "array"})
-	l := &liveJob{Job: protocol.Job{Class: "array", EstimateS: 10}, since: b.c.now}
-	if n := len(b.c.dueTimes(&l.Job)); n != 0 {
+	b.c.Settings.Site.Objectives = append(b.c.Settings.Site.Objectives, config.Objective{Kind: "finished", Class: "array"})
+	l := &known.LiveJob{Job: protocol.Job{Class: "array", EstimateS: 10}, Since: b.c.Now}
+	if n := len(b.c.DueTimes(&l.Job)); n != 0 {
 		t.Fatalf("%d times of an objective without one", n)
 	}
-	if due := b.c.due(l); due <= b.c.now {
+	if due := b.c.Due(l); due <= b.c.Now {
 		t.Errorf("due at %v", due)
 	}
 }
--- a/internal/coordination/events.go
+++ b/internal/coordination/events.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
@@ -44,14 +46,14 @@
 		}
 	case message.WhatEnded:
 		c.taskEnded(o, t, mine, e)
-		c.send(c.keeper(e.Machine), message.PeerMessage{Forget: &message.TaskRef{Task: e.Task, Attempt: e.Attempt, Machine: e.Machine}})
+		c.Send(c.Keeper(e.Machine), message.PeerMessage{Forget: &message.TaskRef{Task: e.Task, Attempt: e.Attempt, Machine: e.Machine}})
 	}
 }
 
 // refuseStray has an attempt killed that this owner never placed or has
 // already taken for gone.
 func (c *Core) refuseStray(e message.TaskEvent) {
-	c.log.Error("an attempt runs that is not the present one", "task", e.Task, "attempt", e.Attempt, "machine", e.Machine)
+	c.Log.Error("an attempt runs that is not the present one", "task", e.Task, "attempt", e.Attempt, "machine", e.Machine)
 	c.askStop(&placedTask{task: e.Task, attempt: e.Attempt, machine: e.Machine}, true, 0)
 }
 
@@ -61,7 +63,7 @@
 	}
 	t.started, t.moving = true, false
 	if running && !t.running {
-		t.running, t.runs = true, c.now
+		t.running, t.runs = true, c.Now
 		o.running++
 		c.ownedChanged.Touch(o.ID)
 		c.watchRun(o, t)
@@ -73,18 +75,18 @@
 // time lost for its next attempt.
 func (c *Core) noticed(o *ownedJob, t *placedTask, leftS float64) {
 	if o.Kind == protocol.KindGang {
-		for _, other := range tasksInOrder(o.placed) {
-			c.askStop(other, true, graceS(&o.Job))
+		for _, other := range inorder.Tasks(o.placed) {
+			c.askStop(other, true, known.GraceS(&o.Job))
 		}
 		return
 	}
 	if o.CheckpointS > 0 || o.Kind == protocol.KindService {
-		c.askStop(t, true, graceS(&o.Job))
+		c.askStop(t, true, known.GraceS(&o.Job))
 		return
 	}
 	ran := 0.0
 	if t.running {
-		ran = c.since(t.runs).Seconds()
+		ran = c.Since(t.runs).Seconds()
 	}
 	if t.estimate-ran > leftS {
 		c.askStop(t, true, 0)
@@ -118,16 +120,16 @@
 		o.failedOn[e.Machine] = true
 		if c.failsEverywhere(o) {
 			o.backoff = min(max(2*o.backoff, 5*time.Second), 5*time.Minute)
-			o.notBefore = c.after(o.backoff)
-			c.log.Info("job fails wherever it runs: it waits", "job", o.ID, "machines", len(o.failedOn), "wait", o.backoff)
+			o.notBefore = c.After(o.backoff)
+			c.Log.Info("job fails wherever it runs: it waits", "job", o.ID, "machines", len(o.failedOn), "wait", o.backoff)
 		}
 	case protocol.EndUnknown:
-		o.notBefore = c.after(2 * time.Second)
+		o.notBefore = c.After(2 * time.Second)
 	case protocol.EndFull, protocol.EndInUse:
 		if m := c.machines[e.Machine]; m != nil {
 			m.refused = true
 		}
 	}
-	c.log.Debug("attempt ended", "task", e.Task, "cause", e.Cause, "saved", e.Saved, "machine", e.Machine)
+	c.Log.Debug("attempt ended", "task", e.Task, "cause", e.Cause, "saved", e.Saved, "machine", e.Machine)
 	c.gone(o, t)
 }
--- a/internal/coordination/finish.go
+++ b/internal/coordination/finish.go
@@ -2,6 +2,7 @@
 
 import (
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
@@ -32,12 +33,12 @@
 }
 
 func (c *Core) writeFinish(o *ownedJob) {
-	if o.ending || !c.acting() {
+	if o.ending || !c.Acting() {
 		return
 	}
 	o.ending = true
 	txn := protocol.Txn{
-		If: []protocol.Condition{{Key: bookkeeping.LiveKey(o.ID), Version: o.version}, {Key: bookkeeping.JobKey(o.ID), Version: o.version}},
+		If: []protocol.Condition{{Key: bookkeeping.LiveKey(o.ID), Version: o.Version}, {Key: bookkeeping.JobKey(o.ID), Version: o.Version}},
 		Then: []protocol.Change{
 			{Put: bookkeeping.JobKey(o.ID), Value: bookkeeping.JobRecord{State: bookkeeping.RecordDone, Tasks: o.Tasks}},
 			{Delete: bookkeeping.LiveKey(o.ID)},
@@ -46,7 +47,7 @@
 	for chunk := 0; chunk*bookkeeping.ChunkTasks < int(o.Tasks); chunk++ {
 		txn.Then = append(txn.Then, protocol.Change{Delete: bookkeeping.BitsKey(o.ID, chunk)})
 	}
-	c.do(message.Commit{Tag: finishTag{o.ID}, Txn: txn})
+	c.Do(message.Commit{Tag: finishTag{o.ID}, Txn: txn})
 }
 
 func (c *Core) finishDone(tag finishTag, out message.Outcome) {
@@ -59,29 +60,29 @@
 
 // flushBits writes the bitmaps that changed, a few at a time.
 func (c *Core) flushBits() {
-	if !c.acting() {
+	if !c.Acting() {
 		return
 	}
 	n := 0
-	for _, o := range inOrder(c.owner.jobs) {
+	for _, o := range inorder.Of(c.owner.jobs) {
 		if len(o.dirty) == 0 || o.writing || o.finish || !o.loaded {
 			continue
 		}
-		if n++; n > c.settings.Site.State.TxnOps {
+		if n++; n > c.Settings.Site.State.TxnOps {
 			return
 		}
 		tag := bitsTag{job: o.ID}
 		txn := protocol.Txn{If: []protocol.Condition{
-			{Key: bookkeeping.ViewKey, Version: c.viewVersion}, // a former owner writes nothing late
-			{Key: bookkeeping.LiveKey(o.ID), Version: o.version},
+			{Key: bookkeeping.ViewKey, Version: c.ViewVersion}, // a former owner writes nothing late
+			{Key: bookkeeping.LiveKey(o.ID), Version: o.Version},
 		}}
-		for chunk := range inOrder(o.dirty) {
+		for chunk := range inorder.Of(o.dirty) {
 			tag.chunks = append(tag.chunks, chunk)
 			txn.Then = append(txn.Then, protocol.Change{Put: bookkeeping.BitsKey(o.ID, chunk), Value: bookkeeping.EncodeChunk(o.done, chunk)})
 		}
 		clear(o.dirty)
 		o.writing = true
-		c.do(message.Commit{Tag: tag, Txn: txn})
+		c.Do(message.Commit{Tag: tag, Txn: txn})
 	}
 }
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -9,6 +9,8 @@
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
@@ -33,7 +35,9 @@
 }
 
 // kind is the kind of a machine that is up.
-func (m *machineEntry) kind() kind { return kind{Type: m.rec.Type, Zone: m.rec.Zone, Spot: m.rec.Spot} }
+func (m *machineEntry) kind() kind {
+	return kind{Type: m.Record.Type, Zone: m.Record.Zone, Spot: m.Record.Spot}
+}
 
 // coming is a machine rented that has not reported yet.
 type coming struct {
@@ -81,16 +85,16 @@
 // fleetStep rents and returns machines, if that is this controller's role.
 func (c *Core) fleetStep() {
 	f := &c.fleet
-	if !c.acting() || len(c.types) == 0 || rendezvous(c.view, "fleet") != c.self {
+	if !c.Acting() || len(c.Types) == 0 || known.Rendezvous(c.View, "fleet") != c.Self {
 		return
 	}
-	if !f.listing && (!f.haveList || c.since(f.listedAt) > listEvery) {
+	if !f.listing && (!f.haveList || c.Since(f.listedAt) > listEvery) {
 		f.listing = true
-		c.do(message.ListMachines{})
+		c.Do(message.ListMachines{})
 	}
-	for name, r := range inOrder(f.rents) {
+	for name, r := range inorder.Of(f.rents) {
 		switch {
-		case r.busy || c.since(r.at) < 2*time.Second:
+		case r.busy || c.Since(r.at) < 2*time.Second:
 		case r.tries > 5:
 			delete(f.rents, name)
 		default:
@@ -99,10 +103,10 @@
 			c.rent(r)
 		}
 	}
-	if !c.planning() || c.since(f.lastPlan) < planEvery {
+	if !c.planning() || c.Since(f.lastPlan) < planEvery {
 		return
 	}
-	f.lastPlan = c.now
+	f.lastPlan = c.Now
 	c.noteComing()
 	c.choosePromised()
 	c.plan()
@@ -114,12 +118,12 @@
 	f := &c.fleet
 	for id, l := range f.listed {
 		if _, ok := f.coming[id]; !ok && c.machines[id] == nil && l.State == "booting" && f.returned[id] == 0 {
-			f.coming[id] = coming{kind{Type: l.Type, Zone: l.Zone, Spot: l.Spot}, c.now - Time(l.AgeS*float64(time.Second))}
+			f.coming[id] = coming{kind{Type: l.Type, Zone: l.Zone, Spot: l.Spot}, c.Now - Time(l.AgeS*float64(time.Second))}
 		}
 	}
 	for id, m := range f.coming {
 		late := Time(c.bootLimit(m.Type))
-		if c.machines[id] != nil || c.now-m.at > late || f.returned[id] != 0 {
+		if c.machines[id] != nil || c.Now-m.at > late || f.returned[id] != 0 {
 			delete(f.coming, id)
 		}
 	}
@@ -127,14 +131,14 @@
 
 // bootLimit is how long a machine may take to come up before it is given up.
 func (c *Core) bootLimit(t protocol.MachineType) time.Duration {
-	return time.Duration(4*c.types[t].BootS*float64(time.Second)) + 30*time.Second
+	return time.Duration(4*c.Types[t].BootS*float64(time.Second)) + 30*time.Second
 }
 
 func (c *Core) rent(r *rentCall) {
-	r.busy, r.at = true, c.now
+	r.busy, r.at = true, c.Now
 	r.tries++
-	c.log.Debug("renting", "type", r.req.Type, "zone", r.req.Zone, "spot", r.req.Spot, "count", r.req.Count, "request", r.req.Name)
-	c.do(message.Rent{Request: r.req})
+	c.Log.Debug("renting", "type", r.req.Type, "zone", r.req.Zone, "spot", r.req.Spot, "count", r.req.Count, "request", r.req.Name)
+	c.Do(message.Rent{Request: r.req})
 }
 
 func (c *Core) rented(m message.Rented) {
@@ -149,10 +153,10 @@
 	case message.OutcomeDone:
 		delete(f.rents, m.Request.Name)
 		for _, id := range m.Machines {
-			f.coming[id] = coming{k, c.now}
+			f.coming[id] = coming{k, c.Now}
 		}
 		c.choosePromised() // before anybody else uses them
-		c.log.Info("rented", "machines", m.Machines, "request", m.Request.Name)
+		c.Log.Info("rented", "machines", m.Machines, "request", m.Request.Name)
 		delete(f.refused, k)
 		if len(m.Machines) == m.Request.Count {
 			if c.planning() {
@@ -162,12 +166,12 @@
 		}
 	case message.OutcomeFailed, message.OutcomeRefused:
 		delete(f.rents, m.Request.Name)
-		c.log.Debug("not rented", "type", k.Type, "zone", k.Zone, "spot", k.Spot)
+		c.Log.Debug("not rented", "type", k.Type, "zone", k.Zone, "spot", k.Spot)
 	default:
 		return // asked again by the same name
 	}
 	pause := min(max(2*f.refused[k].pause, refusedPause), refusedAtMost)
-	f.refused[k] = refusal{c.after(pause), pause}
+	f.refused[k] = refusal{c.After(pause), pause}
 	if c.planning() {
 		c.plan() // the next best kind, at once
 	}
@@ -175,7 +179,7 @@
 
 // planning reports whether this controller rents and returns machines.
 func (c *Core) planning() bool {
-	return c.acting() && len(c.types) > 0 && rendezvous(c.view, "fleet") == c.self && c.fleet.haveList && c.since(c.fleet.since) >= settleTime
+	return c.Acting() && len(c.Types) > 0 && known.Rendezvous(c.View, "fleet") == c.Self && c.fleet.haveList && c.Since(c.fleet.since) >= settleTime
 }
 
 // keepIdle is how long a machine is kept idle, in seconds: as long as the boot
@@ -183,8 +187,8 @@
 // and there is room for that without the machine, it is not waited for. A
 // controller that has just begun knows that of no class.
 func (c *Core) keepIdle(t protocol.TypeInfo, spare float64) float64 {
-	keep := math.Min(t.BootS, c.op.IdleReturn.Seconds())
-	if !math.IsInf(spare, 1) && c.since(c.begun).Seconds() > forecast.KnownBoots*t.BootS {
+	keep := math.Min(t.BootS, c.Op.IdleReturn.Seconds())
+	if !math.IsInf(spare, 1) && c.Since(c.Begun).Seconds() > forecast.KnownBoots*t.BootS {
 		keep = math.Min(keep, idleKnown.Seconds())
 	}
 	return keep
@@ -208,7 +212,7 @@
 	waits := 0.0
 	for _, p := range c.peers {
 		for _, d := range p.demand {
-			if j := c.live[d.Job]; j != nil && j.Priority.Rank() <= top { // the rest is held by queues
+			if j := c.Live[d.Job]; j != nil && j.Priority.Rank() <= top { // the rest is held by queues
 				waits += float64(d.Unstarted) * j.CPUs
 			}
 		}
@@ -236,35 +240,35 @@
 		return cmp.Compare(c.price(b.kind()), c.price(a.kind()))
 	})
 	for _, m := range machines {
-		id := m.id
+		id := m.ID
 		if f.returned[id] != 0 {
 			// The cloud's word is there, only its record could not be written
 			// then: owners would wait out the lease of what is long gone.
 			c.dropRecord(m)
 			continue
 		}
-		if m.told.Epoch != m.epoch || !c.recent(m, 5*time.Second) {
+		if m.told.Epoch != m.Epoch || !c.recent(m, 5*time.Second) {
 			continue // nothing recent is known of it
 		}
 		l, listed := f.listed[id]
 		f.seen[id] = f.seen[id] || listed && l.State == "running"
-		silent, idleS := m.told.Silence == message.SilenceLong, m.told.IdleS+c.since(m.at).Seconds()
+		silent, idleS := m.told.Silence == message.SilenceLong, m.told.IdleS+c.Since(m.at).Seconds()
 		switch empty := m.told.Heard && m.told.Held == 0 && m.extra == 0; {
 		case silent && (m.told.Noticed || f.seen[id] && !listed):
 			// Taken, by all signs. The cloud's answer to its deletion proves
 			// it, long before the worker's lease would.
-			c.log.Info("deleting a silent machine that seems taken", "machine", id)
+			c.Log.Info("deleting a silent machine that seems taken", "machine", id)
 			gone = append(gone, id)
 		case empty && (m.told.Draining || m.told.Suspect):
 			gone = append(gone, id)
 		case c.keepPromised(m):
-		case empty && !m.told.Draining && idleS > c.keepIdle(m.info, spare) && spare >= m.info.CPUs && cl.give(m):
-			spare -= m.info.CPUs
-			c.log.Info("returning an idle machine", "machine", id, "idle_s", int(idleS))
-			c.send(c.keeper(id), message.PeerMessage{Drain: &id})
+		case empty && !m.told.Draining && idleS > c.keepIdle(m.Info, spare) && spare >= m.Info.CPUs && cl.give(m):
+			spare -= m.Info.CPUs
+			c.Log.Info("returning an idle machine", "machine", id, "idle_s", int(idleS))
+			c.Send(c.Keeper(id), message.PeerMessage{Drain: &id})
 		}
 	}
-	for id, l := range inOrder(f.listed) {
+	for id, l := range inorder.Of(f.listed) {
 		if c.machines[id] != nil || f.returned[id] != 0 {
 			delete(f.orphan, id)
 			if c.machines[id] != nil && l.State == "failed" && f.returned[id] == 0 {
@@ -273,16 +277,16 @@
 			continue
 		}
 		if f.orphan[id] == 0 || l.State == "booting" {
-			f.orphan[id] = c.now // not up yet: its worker can't report
+			f.orphan[id] = c.Now // not up yet: its worker can't report
 		}
 		age := time.Duration(l.AgeS * float64(time.Second))
 		switch {
 		case l.State == "failed",
 			l.State == "booting" && age > c.bootLimit(l.Type),
-			c.since(f.orphan[id]) > c.leaseOver()+config.Seconds(c.types[l.Type].BootS):
+			c.Since(f.orphan[id]) > c.LeaseOver()+config.Seconds(c.Types[l.Type].BootS):
 			// Another takes as long to boot, and where a whole zone is cut
 			// off it could not report either.
-			c.log.Info("returning a machine that does not report", "machine", id, "state", l.State)
+			c.Log.Info("returning a machine that does not report", "machine", id, "state", l.State)
 			gone = append(gone, id)
 		}
 	}
@@ -292,16 +296,16 @@
 		}
 	}
 	gone = slices.DeleteFunc(gone, func(id protocol.MachineID) bool {
-		return f.deleting[id] != 0 && c.since(f.deleting[id]) < 8*time.Second
+		return f.deleting[id] != 0 && c.Since(f.deleting[id]) < 8*time.Second
 	})
 	if len(gone) > 100 {
 		gone = gone[:100]
 	}
 	if len(gone) > 0 {
 		for _, id := range gone {
-			f.deleting[id] = c.now
+			f.deleting[id] = c.Now
 		}
-		c.do(message.Delete{Machines: gone})
+		c.Do(message.Delete{Machines: gone})
 	}
 }
 
@@ -314,9 +318,9 @@
 		if !m.OK {
 			continue
 		}
-		f.returned[id] = c.now
+		f.returned[id] = c.Now
 		delete(f.coming, id)
-		c.log.Info("machine returned", "machine", id)
+		c.Log.Info("machine returned", "machine", id)
 		if have := c.machines[id]; have != nil {
 			c.dropRecord(have)
 		}
@@ -325,23 +329,23 @@
 
 // dropRecord deletes the record of a machine that the cloud says is gone.
 func (c *Core) dropRecord(m *machineEntry) {
-	c.changeRecord(removeTag{m.id}, m.id, m.epoch, nil)
+	c.ChangeRecord(removeTag{m.ID}, m.ID, m.Epoch, nil)
 }
 
 func (c *Core) listed(m message.Listed) {
 	f := &c.fleet
 	f.listing = false
-	f.listedAt = c.now
+	f.listedAt = c.Now
 	if !m.OK {
 		return
 	}
-	f.haveList, f.heardAt = true, c.now
+	f.haveList, f.heardAt = true, c.Now
 	clear(f.listed)
 	for _, l := range m.Machines {
 		f.listed[l.ID] = l
 	}
 	for id, at := range f.returned {
-		if _, ok := f.listed[id]; !ok && c.since(at) > 5*time.Minute {
+		if _, ok := f.listed[id]; !ok && c.Since(at) > 5*time.Minute {
 			delete(f.returned, id)
 			delete(f.seen, id)
 		}
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -7,6 +7,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
@@ -20,12 +21,12 @@
 }
 
 // relay lets a second pass and plays one tick.
-func (b *bench) relay() []Action {
+func (b *bench) relay() []message.Action {
 	b.now += Time(planEvery)
 	return b.step(message.Tick{})
 }
 
-func dropped(actions []Action, id protocol.MachineID) bool {
+func dropped(actions []message.Action, id protocol.MachineID) bool {
 	for _, a := range actions {
 		if c, ok := a.(message.Commit); ok && len(c.Txn.Then) == 1 && c.Txn.Then[0].Delete == bookkeeping.MachineKey(id) {
 			return true
@@ -56,10 +57,10 @@
 // same name, and no name is used twice otherwise.
 func TestUnansweredRental(t *testing.T) {
 	b := planner(t)
-	b.c.types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a"}, Price: 1, SpotPrice: 1}
+	b.c.Types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a"}, Price: 1, SpotPrice: 1}
 	b.job("job-1", "free", 9)
 	var names []string
-	rents := func(actions []Action) {
+	rents := func(actions []message.Action) {
 		for _, a := range actions {
 			if r, ok := a.(message.Rent); ok {
 				names = append(names, r.Request.Name)
@@ -107,7 +108,7 @@
 }
 
 // returns lists the machines that actions return, or have drained for that.
-func (b *bench) returns(actions []Action) (ids []protocol.MachineID) {
+func (b *bench) returns(actions []message.Action) (ids []protocol.MachineID) {
 	for _, a := range actions {
 		if d, ok := a.(message.Delete); ok {
 			ids = append(ids, d.Machines...)
@@ -136,7 +137,7 @@
 	if b.c.machines["vm-1"].told.Heard || b.c.machines["vm-1"].told.IdleS > 0 {
 		t.Errorf("told %+v", b.c.machines["vm-1"].told)
 	}
-	b.report("vm-1", 1, b.c.view.Term)
+	b.report("vm-1", 1, b.c.View.Term)
 	b.relay()
 	if !b.c.machines["vm-1"].told.Heard {
 		t.Error("not heard after a report")
@@ -152,7 +153,7 @@
 		l := protocol.ListedMachine{ID: "vm-7", Type: "small", Zone: "a", State: state, AgeS: 10}
 		return b.returns(append(b.step(message.Listed{Machines: []protocol.ListedMachine{l}, OK: true}), b.relay()...))
 	}
-	wait := b.c.leaseOver() + 8*time.Second // the type boots in 8 s
+	wait := b.c.LeaseOver() + 8*time.Second // the type boots in 8 s
 	for range 20 {
 		if ids := list("booting"); len(ids) > 0 {
 			t.Fatalf("returned %v while it boots", ids)
@@ -180,7 +181,7 @@
 	if s := b.c.keepIdle(info, 100); s != info.BootS {
 		t.Errorf("kept %v s at first", s)
 	}
-	b.c.now += Time(time.Duration(forecast.KnownBoots*info.BootS+1) * time.Second)
+	b.c.Now += Time(time.Duration(forecast.KnownBoots*info.BootS+1) * time.Second)
 	if s := b.c.keepIdle(info, 100); s != idleKnown.Seconds() {
 		t.Errorf("kept %v s once arrivals are known", s)
 	}
@@ -188,7 +189,7 @@
 		t.Errorf("kept %v s where nothing comes", s)
 	}
 	b.ready("vm-1")
-	b.c.live["job-1"] = &liveJob{Job: protocol.Job{ID: "job-1", Priority: "best_effort", CPUs: 2}}
+	b.c.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Priority: "best_effort", CPUs: 2}}
 	b.c.peers["node-0"].demand = []message.Demand{{Job: "job-1", Unstarted: 9}}
 	if spare := b.c.spareCPUs(); spare != 4-18 {
 		t.Errorf("%v processors to spare of 4 while 18 are waited for", spare)
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -28,7 +29,7 @@
 			return out
 		}
 	}
-	if o.together() && c.since(o.since) < c.claimFor(o) {
+	if o.together() && c.Since(o.since) < c.claimFor(o) {
 		c.claim(o, cl)
 	}
 	return nil
@@ -42,7 +43,7 @@
 	from := c.candidatesFor(o, zones, cl)
 	if zone != "" || len(cl.gangs) > 0 {
 		from.only(func(m *machineEntry) bool {
-			return (zone == "" || m.rec.Zone == zone) && !cl.against(o, m)
+			return (zone == "" || m.Record.Zone == zone) && !cl.against(o, m)
 		})
 	}
 	var out []message.Placement
@@ -74,7 +75,7 @@
 	var zones []protocol.Zone
 	now, firm := c.zoneRoom(o, cl, c.risky(&o.Job))
 	for range 2 {
-		for z := range inOrder(firm) {
+		for z := range inorder.Of(firm) {
 			if firm[z] >= n {
 				zones = append(zones, z)
 			}
@@ -95,14 +96,14 @@
 	size, none := room.Need(&o.Job), map[protocol.Zone]int{}
 	c.looked += len(c.sorted)
 	for _, m := range c.machinesInOrder() {
-		if c.mayTake(o, m, none) && !cl.against(o, m) && !(shun && m.rec.Spot) {
+		if c.mayTake(o, m, none) && !cl.against(o, m) && !(shun && m.Record.Spot) {
 			free, most := m.free(), m.firmRoom(o.level)
 			if c.holdsFor(o, m) {
 				free = m.idle() // it does not wait behind the rest
 				most = free
 			}
-			now[m.rec.Zone] += free.Fit(size)
-			firm[m.rec.Zone] += most.Fit(size)
+			now[m.Record.Zone] += free.Fit(size)
+			firm[m.Record.Zone] += most.Fit(size)
 		}
 	}
 	return now, firm
@@ -115,7 +116,7 @@
 	var best protocol.Zone
 	if o.OneZone {
 		_, firm := c.zoneRoom(o, cl, false)
-		for z, n := range inOrder(firm) {
+		for z, n := range inorder.Of(firm) {
 			if best == "" || n > firm[best] {
 				best = z
 			}
@@ -127,7 +128,7 @@
 		if left <= 0 {
 			return
 		}
-		if best != "" && m.rec.Zone != best || cl.against(o, m) || !c.mayTake(o, m, none) {
+		if best != "" && m.Record.Zone != best || cl.against(o, m) || !c.mayTake(o, m, none) {
 			continue
 		}
 		if n := m.firmRoom(o.level).Fit(size); n > 0 {
@@ -142,7 +143,7 @@
 // tried again.
 func (c *Core) claimAgain(o *ownedJob, cl *claims) {
 	for _, m := range o.claimed {
-		if c.machines[m.id] == m && !cl.against(o, m) {
+		if c.machines[m.ID] == m && !cl.against(o, m) {
 			cl.gangs[m] = o.level
 		}
 	}
@@ -152,8 +153,8 @@
 // time that several boots take may never come.
 func (c *Core) claimFor(o *ownedJob) time.Duration {
 	boot := 0.0
-	for _, t := range c.types {
-		if o.allowsKind(t, o.Zone, false) {
+	for _, t := range c.Types {
+		if o.AllowsKind(t, o.Zone, false) {
 			boot = math.Max(boot, t.BootS)
 		}
 	}
--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -7,6 +7,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -17,23 +18,23 @@
 	for i := range n {
 		id := protocol.MachineID(fmt.Sprintf("vm-%s%v%d", z, spot, i))
 		m := &machineEntry{
-			machine: &machine{
-				id: id, epoch: 1, info: protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16},
-				rec: bookkeeping.Machine{Zone: z, Spot: spot},
+			Machine: &known.Machine{
+				ID: id, Epoch: 1, Info: protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16},
+				Record: bookkeeping.Machine{Zone: z, Spot: spot},
 			},
 			held: held, mine: map[protocol.TaskID]*placedTask{},
 		}
-		free := room.Capacity(m.info).Minus(held.Firm(0))
+		free := room.Capacity(m.Info).Minus(held.Firm(0))
 		m.told = message.MachineState{Machine: id, Epoch: 1, FreeCPUs: free.CPUs, FreeGB: free.GB}
 		b.c.addMachine(m)
 	}
 }
 
 func (b *bench) gang(id protocol.JobID, tasks uint32) *ownedJob {
-	o := b.c.own(&liveJob{Job: protocol.Job{
+	o := b.c.own(&known.LiveJob{Job: protocol.Job{
 		ID: id, Class: "gang", Team: "free", Kind: protocol.KindGang, Priority: "high", Tasks: tasks, CPUs: 4, MemoryGB: 1,
 		EstimateS: 100, CheckpointS: 10, OneZone: true, Spot: true,
-	}, since: b.c.now})
+	}, Since: b.c.Now})
 	o.loaded = true
 	o.pending.FlipRange(0, uint(tasks))
 	o.level = room.LevelOf(o.Priority, false)
@@ -91,13 +92,13 @@
 	}
 	urgent := b.gang("job-3", 2)
 	urgent.level = room.LevelOf("production", false)
-	array := &ownedJob{liveJob: &liveJob{}, level: room.LevelOf("standard", false)}
+	array := &ownedJob{LiveJob: &known.LiveJob{}, level: room.LevelOf("standard", false)}
 	for m := range l.gangs {
 		if !l.against(urgent, m) || l.against(array, m) {
 			t.Error("claims hold against what could be stopped, or not against the rest")
 		}
 	}
-	b.c.now += Time(4 * 8 * time.Second)
+	b.c.Now += Time(4 * 8 * time.Second)
 	if b.placeGang(large, noClaims()); b.placeGang(small, &claims{gangs: map[*machineEntry]room.Level{}}) == nil {
 		t.Error("a claim without end")
 	}
@@ -113,14 +114,14 @@
 		b := newBench(t)
 		b.ready("vm-1")
 		q := b.c.keeping.queues["vm-1"]
-		b.c.live["job-1"] = &liveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: tc.runs, CPUs: 2, Tasks: 1}}
-		b.c.live["job-2"] = &liveJob{Job: protocol.Job{ID: "job-2", Team: "free", Kind: protocol.KindGang, Priority: "high", CPUs: 4, Tasks: 2}}
+		b.c.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: tc.runs, CPUs: 2, Tasks: 1}}
+		b.c.Live["job-2"] = &known.LiveJob{Job: protocol.Job{ID: "job-2", Team: "free", Kind: protocol.KindGang, Priority: "high", CPUs: 4, Tasks: 2}}
 		runs := &entry{
 			task: protocol.TaskID{Job: "job-1"}, attempt: 1, need: room.Amount{CPUs: 2}, level: room.LevelOf(tc.runs, false),
 			sent: true, present: true, state: protocol.TaskRunning,
 		}
 		q.entries[runs.task] = runs
-		b.c.keeping.place("node-0", &message.Place{Number: 1, Term: b.c.view.Term, Tasks: []message.Placement{{
+		b.c.keeping.place("node-0", &message.Place{Number: 1, Term: b.c.View.Term, Tasks: []message.Placement{{
 			Task: protocol.TaskID{Job: "job-2"}, Attempt: 1, Machine: "vm-1", Epoch: q.epoch, CPUs: 4, Level: int(room.LevelOf("high", false)), Together: true,
 		}}})
 		if refused := len(q.waiting) == 0; refused != tc.refused || runs.kill == tc.refused {
@@ -138,7 +139,7 @@
 		t.Fatal("avoided before any was taken")
 	}
 	for range 40 {
-		m := &machineEntry{machine: &machine{rec: bookkeeping.Machine{Spot: true}}, told: message.MachineState{Noticed: true}}
+		m := &machineEntry{Machine: &known.Machine{Record: bookkeeping.Machine{Spot: true}}, told: message.MachineState{Noticed: true}}
 		b.c.noteLoss(m)
 		m.told = message.MachineState{Draining: true, Noticed: true}
 		b.c.noteLoss(m) // returned by ourselves
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -9,6 +9,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
@@ -34,12 +35,12 @@
 	return b
 }
 
-func (b *bench) step(msg any) []Action {
+func (b *bench) step(msg any) []message.Action {
 	b.now += Time(placeEvery)
 	return b.c.Step(b.now, msg)
 }
 
-func (b *bench) put(key string, v any) []Action {
+func (b *bench) put(key string, v any) []message.Action {
 	raw, err := protocol.Encode(v)
 	if err != nil {
 		b.t.Fatal(err)
@@ -48,7 +49,7 @@
 	return b.step(message.Changed{Event: protocol.Event{Put: key, Value: raw, Version: b.version}})
 }
 
-func (b *bench) view(term protocol.Term, names ...protocol.NodeName) []Action {
+func (b *bench) view(term protocol.Term, names ...protocol.NodeName) []message.Action {
 	v := bookkeeping.View{Term: term, Members: map[protocol.NodeName]protocol.LeaseID{}}
 	for i, n := range names {
 		v.Members[n] = protocol.LeaseID(100 + i)
@@ -86,7 +87,7 @@
 	return message.ReplyReport{}
 }
 
-func commands(actions []Action) []protocol.Order {
+func commands(actions []message.Action) []protocol.Order {
 	var os []protocol.Order
 	for _, a := range actions {
 		if c, ok := a.(message.Command); ok {
@@ -109,7 +110,7 @@
 // keptBy is a machine that one of the members keeps.
 func (b *bench) keptBy(n protocol.NodeName) protocol.MachineID {
 	id := protocol.MachineID("vm-0")
-	for i := 0; machineKeeper(b.c.view, id) != n; i++ {
+	for i := 0; known.MachineKeeper(b.c.View, id) != n; i++ {
 		id = protocol.MachineID("vm-" + string(rune('a'+i)))
 	}
 	return id
@@ -119,7 +120,7 @@
 func (b *bench) ready(id protocol.MachineID) {
 	b.report(id, 1, 0)
 	b.machine(id, 1)
-	b.report(id, 1, b.c.view.Term)
+	b.report(id, 1, b.c.View.Term)
 	b.now += Time(1100 * time.Millisecond)
 	b.step(message.Tick{})
 }
@@ -212,7 +213,7 @@
 	var theirs []protocol.MachineID
 	for i := 0; len(theirs) < 4; i++ {
 		id := protocol.MachineID(fmt.Sprint("vm-", i))
-		if machineKeeper(b.c.view, id) == "node-1" {
+		if known.MachineKeeper(b.c.View, id) == "node-1" {
 			theirs = append(theirs, id)
 			b.machine(id, 1)
 		}
@@ -269,7 +270,7 @@
 func TestHeldPlacement(t *testing.T) {
 	b := newBench(t)
 	b.ready("vm-1")
-	epoch := b.c.machines["vm-1"].epoch
+	epoch := b.c.machines["vm-1"].Epoch
 	place := func(term protocol.Term, epoch protocol.Version) {
 		b.c.keeping.place("node-0", &message.Place{Term: term, Tasks: []message.Placement{{Task: protocol.TaskID{Job: "job-9"}, Attempt: 1, Machine: "vm-1", Epoch: epoch}}})
 	}
@@ -297,7 +298,7 @@
 		return 0
 	}
 	good := message.Batch{From: "node-1", FromSession: 101, ToSession: 100, Term: 1, Messages: []message.PeerMessage{{Added: &message.Added{
-		Term: 1, Numbers: map[protocol.NodeName]uint64{machineKeeper(b.c.view, "vm-1"): 1},
+		Term: 1, Numbers: map[protocol.NodeName]uint64{known.MachineKeeper(b.c.View, "vm-1"): 1},
 		Waits: []message.Wait{{Machine: "vm-1", Add: 5, Taken: []message.Use{{CPUs: 1}}}},
 	}}}}
 	b.machine("vm-1", 1)
@@ -333,7 +334,7 @@
 		task := protocol.TaskID{Job: "job-1", Index: i}
 		b.step(message.Tick{})
 		b.c.event(message.TaskEvent{TaskRef: message.TaskRef{Task: task, Machine: "vm-1"}, What: message.WhatEnded, Cause: protocol.EndDone})
-		for _, a := range b.c.actions {
+		for _, a := range b.c.Actions {
 			if c, ok := a.(message.Commit); ok && c.Tag == (finishTag{"job-1"}) {
 				if i == 0 {
 					t.Fatal("finished with a task left")
@@ -407,11 +408,11 @@
 		q := b.c.keeping.queues["vm-1"]
 		e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 1, sent: true}
 		q.entries[e.task] = e
-		b.c.live["job-1"] = &liveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: "standard"}}
+		b.c.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: "standard"}}
 		if drained {
 			b.c.keeping.drain("vm-1")
 		}
-		b.report("vm-1", 1, b.c.view.Term) // without it
+		b.report("vm-1", 1, b.c.View.Term) // without it
 		if left := q.entries[e.task] != nil; left == drained {
 			t.Errorf("drained %v: still there %v", drained, left)
 		}
@@ -435,7 +436,7 @@
 	if e.kill {
 		t.Error("to be killed on the word of an old report")
 	}
-	b.report("vm-1", 1, b.c.view.Term, running)
+	b.report("vm-1", 1, b.c.View.Term, running)
 	if !e.kill {
 		t.Error("an attempt that its owner never placed goes on")
 	}
--- a/internal/coordination/hearing.go
+++ b/internal/coordination/hearing.go
@@ -49,40 +49,40 @@
 // noteStray counts a report that belongs to another controller.
 func (c *Core) noteStray(m protocol.MachineID) {
 	s := c.hearing.astray[m]
-	if s.times > 0 && c.since(s.last) > straySpan {
+	if s.times > 0 && c.Since(s.last) > straySpan {
 		s.times = 0
 	}
-	if s.times > 0 && c.since(s.last) < time.Second {
+	if s.times > 0 && c.Since(s.last) < time.Second {
 		return // the same try
 	}
-	c.hearing.astray[m] = stray{c.now, s.times + 1}
+	c.hearing.astray[m] = stray{c.Now, s.times + 1}
 }
 
 // deafNodes is what the next view should say of who can't be reached.
 func (c *Core) deafNodes(members map[protocol.NodeName]protocol.LeaseID) []protocol.NodeName {
 	var deaf []protocol.NodeName
-	for _, n := range c.view.Deaf {
-		ended := n == c.self && c.since(c.hearing.since) > c.hearing.pause
-		if members[n] != 0 && members[n] == c.view.Members[n] && !ended {
+	for _, n := range c.View.Deaf {
+		ended := n == c.Self && c.Since(c.hearing.since) > c.hearing.pause
+		if members[n] != 0 && members[n] == c.View.Members[n] && !ended {
 			deaf = append(deaf, n)
 		}
 	}
 	astray, kept := map[protocol.NodeName]int{}, map[protocol.NodeName]int{}
 	for m, s := range c.hearing.astray {
-		if s.times >= 2 && c.since(s.last) <= straySpan {
-			astray[c.keeper(m)]++
+		if s.times >= 2 && c.Since(s.last) <= straySpan {
+			astray[c.Keeper(m)]++
 		}
 	}
 	if len(astray) > 0 {
 		for m := range c.machines {
-			kept[c.keeper(m)]++
+			kept[c.Keeper(m)]++
 		}
 	}
 	for n, k := range astray {
 		// Several controllers share the stray workers: a fifth of a
 		// controller's machines, and more than one, speak for the rest.
-		if n != c.self && members[n] != 0 && k >= 2 && 5*k >= kept[n] && !slices.Contains(deaf, n) {
-			c.log.Info("workers can't reach a controller: others keep its machines", "controller", n, "astray", k, "kept", kept[n])
+		if n != c.Self && members[n] != 0 && k >= 2 && 5*k >= kept[n] && !slices.Contains(deaf, n) {
+			c.Log.Info("workers can't reach a controller: others keep its machines", "controller", n, "astray", k, "kept", kept[n])
 			deaf = append(deaf, n)
 		}
 	}
--- a/internal/coordination/holding.go
+++ b/internal/coordination/holding.go
@@ -8,6 +8,8 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/renting"
 	"damsonkeel/internal/coordination/room"
@@ -39,8 +41,8 @@
 )
 
 // jobOf is a job as a reservation describes it, on ordinary machines.
-func jobOf(s *bookkeeping.ReservationSpec) *liveJob {
-	return &liveJob{Job: protocol.Job{
+func jobOf(s *bookkeeping.ReservationSpec) *known.LiveJob {
+	return &known.LiveJob{Job: protocol.Job{
 		Class: s.Class, Team: s.Team, Kind: protocol.KindArray, Priority: s.Priority, Tasks: uint32(s.Tasks),
 		CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, Zone: s.Zone, OneZone: s.OneZone, EstimateS: s.LengthS,
 	}}
@@ -48,15 +50,15 @@
 
 // dues lists the occurrences that room is held for now.
 func (c *Core) dues() []calendar.Due {
-	now := c.moment()
+	now := c.Moment()
 	var dues []calendar.Due
-	for _, e := range c.promised.book.Due(now, calendar.After(now, holdAhead)) {
+	for _, e := range c.promised.Book.Due(now, calendar.After(now, holdAhead)) {
 		if !e.Promised() {
 			continue
 		}
 		_, wanted, started := c.jobsOf(e)
 		if left := wanted - started; left > 0 {
-			dues = append(dues, calendar.Due{Reservation: e.Reservation, Left: left, Clear: calendar.After(e.StartMS, -c.lead(&e.Reservation.Spec))})
+			dues = append(dues, calendar.Due{Reservation: e.Reservation, Left: left, Clear: calendar.After(e.StartMS, -c.Lead(&e.Reservation.Spec))})
 		}
 	}
 	return dues
@@ -68,13 +70,13 @@
 // holders lists the machines that room can be held on: those up, and those
 // rented that are still to come.
 func (c *Core) holders() []calendar.Machine {
-	now := c.moment()
+	now := c.Moment()
 	var ms []calendar.Machine
 	for _, m := range c.machinesInOrder() {
 		if !m.open() {
 			continue
 		}
-		if !c.recent(m, 3*c.op.RelayEvery) && len(c.promised.holds[m.id]) == 0 || m.told.Epoch != m.epoch {
+		if !c.recent(m, 3*c.Op.RelayEvery) && len(c.promised.Holds[m.ID]) == 0 || m.told.Epoch != m.Epoch {
 			// Nobody tells of it at present. Where room is held already it stays
 			// so: while a controller is away its machines would lose their holds
 			// to others, and be filled.
@@ -83,7 +85,7 @@
 		runs := slices.Clone(m.told.Runs)
 		for i := range runs {
 			r := &runs[i]
-			for _, h := range c.promised.holds[m.id] {
+			for _, h := range c.promised.Holds[m.ID] {
 				if !r.Sure && r.For != h.For && h.Ends != 0 {
 					r.Ends = min(r.Ends, h.Ends) // as was known of it before
 				}
@@ -92,11 +94,11 @@
 				r.Ends = calendar.After(now, overrunning)
 			}
 		}
-		ms = append(ms, calendar.Machine{ID: m.id, Info: m.info, Zone: m.rec.Zone, Spot: m.rec.Spot, Runs: runs})
+		ms = append(ms, calendar.Machine{ID: m.ID, Info: m.Info, Zone: m.Record.Zone, Spot: m.Record.Spot, Runs: runs})
 	}
-	for id, m := range inOrder(c.fleet.coming) {
-		info := c.types[m.Type]
-		up := config.Seconds(c.promised.boots.Likely(info.BootS)) - c.since(m.at)
+	for id, m := range inorder.Of(c.fleet.coming) {
+		info := c.Types[m.Type]
+		up := config.Seconds(c.promised.Boots.Likely(info.BootS)) - c.Since(m.at)
 		if up < 0 || c.machines[id] != nil {
 			continue // late, and may never come
 		}
@@ -109,25 +111,25 @@
 // promised.
 func (c *Core) choosePromised() {
 	pr := &c.promised
-	if !pr.any && len(pr.list) == 0 || !c.planning() {
+	if !pr.Any && len(pr.List) == 0 || !c.planning() {
 		return
 	}
-	if !pr.listed && c.since(c.fleet.since) < settleHolds && !c.mostHeard() {
+	if !pr.Listed && c.Since(c.fleet.since) < known.SettleHolds && !c.mostHeard() {
 		return
 	}
-	pr.listed = true
-	now := c.moment()
+	pr.Listed = true
+	now := c.Moment()
 	pr.dues = c.dues()
 	usable := func(m *calendar.Machine, d *calendar.Due) bool {
 		latest := max(d.StartMS, calendar.After(now, time.Minute)) // what comes later is better than nothing
-		return m.Up <= latest && !c.inWindow(m.ID, m.Info.Name, m.Zone, d.StartMS, calendar.After(d.StartMS, calendar.Busy(&d.Spec)))
+		return m.Up <= latest && !c.InWindow(m.ID, m.Info.Name, m.Zone, d.StartMS, calendar.After(d.StartMS, calendar.Busy(&d.Spec)))
 	}
-	plan := calendar.Choose(pr.dues, c.holders(), pr.list, usable, now)
+	plan := calendar.Choose(pr.dues, c.holders(), pr.List, usable, now)
 	pr.short, pr.missing, pr.zones = plan.Short, plan.Missing, plan.Zones
-	if !slices.Equal(plan.Holds, pr.list) || pr.number>>32 != uint64(c.view.Term) {
+	if !slices.Equal(plan.Holds, pr.List) || pr.number>>32 != uint64(c.View.Term) {
 		c.setHolds(plan.Holds)
 		pr.stale = true
-		pr.number = max(pr.number+1, uint64(c.view.Term)<<32|1)
+		pr.number = max(pr.number+1, uint64(c.View.Term)<<32|1)
 	}
 	c.writeHeld()
 	c.noteRisks()
@@ -138,7 +140,7 @@
 func (c *Core) mostHeard() bool {
 	heard := 0
 	for _, m := range c.machines {
-		if c.recent(m, 3*c.op.RelayEvery) && m.told.Heard {
+		if c.recent(m, 3*c.Op.RelayEvery) && m.told.Heard {
 			heard++
 		}
 	}
@@ -163,13 +165,13 @@
 // them knows what was held.
 func (c *Core) writeHeld() {
 	pr := &c.promised
-	if !pr.stale || c.since(pr.written) < writeHeldEvery {
+	if !pr.stale || c.Since(pr.written) < writeHeldEvery {
 		return
 	}
-	pr.stale, pr.written = false, c.now
-	list := pr.list[:min(len(pr.list), int(1024*c.settings.Site.State.ValueKB/heldBytes))]
-	c.do(message.Commit{Tag: heldTag{}, Txn: protocol.Txn{
-		If:   []protocol.Condition{c.inThisView()},
+	pr.stale, pr.written = false, c.Now
+	list := pr.List[:min(len(pr.List), int(1024*c.Settings.Site.State.ValueKB/heldBytes))]
+	c.Do(message.Commit{Tag: heldTag{}, Txn: protocol.Txn{
+		If:   []protocol.Condition{c.InThisView()},
 		Then: []protocol.Change{{Put: bookkeeping.HeldKey, Value: heldRecord{list}}},
 	}})
 }
@@ -178,10 +180,10 @@
 // is newer.
 func (c *Core) heldBefore(value protocol.RawValue) error {
 	var r heldRecord
-	if err := protocol.Decode(value, &r); err != nil || c.promised.listed {
+	if err := protocol.Decode(value, &r); err != nil || c.promised.Listed {
 		return err
 	}
-	c.promised.listed = true
+	c.promised.Listed = true
 	c.setHolds(r.Holds)
 	return nil
 }
@@ -189,10 +191,10 @@
 // setHolds takes over what is held.
 func (c *Core) setHolds(list []calendar.Hold) {
 	pr := &c.promised
-	pr.list = list
-	pr.holds = map[protocol.MachineID][]calendar.Hold{}
+	pr.List = list
+	pr.Holds = map[protocol.MachineID][]calendar.Hold{}
 	for _, h := range list {
-		pr.holds[h.Machine] = append(pr.holds[h.Machine], h)
+		pr.Holds[h.Machine] = append(pr.Holds[h.Machine], h)
 	}
 	c.reckonReserved()
 	c.owner.dirty = true
@@ -201,12 +203,12 @@
 // rentPromised asks for machines for what no room could be held for, a boot
 // ahead.
 func (c *Core) rentPromised(p *renting.Plan) {
-	now := c.moment()
+	now := c.Moment()
 	for _, d := range c.promised.dues {
 		short := c.promised.short[d.Spec.Name]
 		for _, r := range c.fleet.rents {
 			if r.of == d.Spec.Name {
-				short -= r.req.Count * room.Capacity(c.types[r.req.Type]).Fit(calendar.Size(&d.Spec))
+				short -= r.req.Count * room.Capacity(c.Types[r.req.Type]).Fit(calendar.Size(&d.Spec))
 			}
 		}
 		if short <= 0 || now < d.Clear {
@@ -223,24 +225,24 @@
 // keepPromised reports whether a machine is kept for what is held on it, though
 // it is idle.
 func (c *Core) keepPromised(m *machineEntry) bool {
-	now := c.moment()
-	for _, h := range c.promised.holds[m.id] {
+	now := c.Moment()
+	for _, h := range c.promised.Holds[m.ID] {
 		if now >= calendar.After(h.Clear, -keepAhead) && now < h.Until {
 			return true
 		}
 	}
-	return len(c.promised.windows) > 0 && c.inWindow(m.id, m.rec.Type, m.rec.Zone, now, now)
+	return len(c.promised.Windows) > 0 && c.InWindow(m.ID, m.Record.Type, m.Record.Zone, now, now)
 }
 
 // noteRisks tells why what is due may not be kept.
 func (c *Core) noteRisks() {
 	pr := &c.promised
-	now := c.moment()
+	now := c.Moment()
 	clear(pr.risk)
 	for _, d := range pr.dues {
 		short, missing := pr.short[d.Spec.Name], pr.missing[d.Spec.Name]
 		switch {
-		case short > 0 && c.since(c.fleet.heardAt) > cloudQuiet && calendar.Between(now, d.Clear) < keepAhead:
+		case short > 0 && c.Since(c.fleet.heardAt) > cloudQuiet && calendar.Between(now, d.Clear) < keepAhead:
 			pr.risk[d.Spec.Name] = fmt.Sprintf("no sure room for %d of %d tasks, and the cloud does not answer", short, d.Left)
 		case missing > 0 && now >= d.Clear:
 			pr.risk[d.Spec.Name] = fmt.Sprintf("no room for %d of %d tasks", missing, d.Left)
@@ -252,17 +254,17 @@
 // transaction on its record.
 func (c *Core) advancePromised() {
 	pr := &c.promised
-	now := c.moment()
-	if c.since(pr.swept) > sweepEvery {
+	now := c.Moment()
+	if c.Since(pr.swept) > sweepEvery {
 		// What was due while nobody could act is long over.
-		pr.swept = c.now
-		for _, e := range pr.book.Reservations() {
+		pr.swept = c.Now
+		for _, e := range pr.Book.Reservations() {
 			if e.StartMS < now {
 				c.advance(e, now)
 			}
 		}
 	}
-	for _, e := range pr.book.Due(now, calendar.After(now, holdAhead)) {
+	for _, e := range pr.Book.Due(now, calendar.After(now, holdAhead)) {
 		c.advance(e, now)
 	}
 }
@@ -275,16 +277,16 @@
 	}
 	came, wanted, started := c.jobsOf(e)
 	next, changed := calendar.Advance(*e.Reservation, e.When, calendar.Seen{
-		Now: now, ClockError: c.settings.Site.ClockError(), Lead: c.lead(&e.Reservation.Spec),
+		Now: now, ClockError: c.Settings.Site.ClockError(), Lead: c.Lead(&e.Reservation.Spec),
 		Came: came, Wanted: wanted, Started: started, Risk: pr.risk[name],
 	})
 	if !changed {
 		return
 	}
 	pr.write[name] = true
-	c.log.Info("reservation", "name", name, "state", next.State, "start", next.StartMS, "risk", next.Risk)
-	c.do(message.Commit{Tag: reservationTag{name}, Txn: protocol.Txn{
-		If:   []protocol.Condition{{Key: bookkeeping.ReservationKey(name), Version: e.Version}, c.inThisView()},
+	c.Log.Info("reservation", "name", name, "state", next.State, "start", next.StartMS, "risk", next.Risk)
+	c.Do(message.Commit{Tag: reservationTag{name}, Txn: protocol.Txn{
+		If:   []protocol.Condition{{Key: bookkeeping.ReservationKey(name), Version: e.Version}, c.InThisView()},
 		Then: []protocol.Change{{Put: bookkeeping.ReservationKey(name), Value: next}},
 	}})
 }
@@ -292,7 +294,7 @@
 // noteBoot learns how long a machine took to come up.
 func (c *Core) noteBoot(id protocol.MachineID, rec bookkeeping.Machine) {
 	if m, awaited := c.fleet.coming[id]; awaited && rec.Session == 1 {
-		c.promised.boots.Note(c.since(m.at), c.types[m.Type].BootS)
+		c.promised.Boots.Note(c.Since(m.at), c.Types[m.Type].BootS)
 	}
 }
 
@@ -303,8 +305,8 @@
 	if len(claims) == 0 {
 		return sum
 	}
-	ends := calendar.After(c.moment(), config.Seconds(c.likelyS(&o.Job, c.estimateOf(o))))
-	of := c.of(&o.Job)
+	ends := calendar.After(c.Moment(), config.Seconds(c.LikelyS(&o.Job, c.estimateOf(o))))
+	of := c.Of(&o.Job)
 	for _, t := range claims {
 		if ends > t.from && !of(t.of) {
 			sum = sum.Plus(t.need)
--- a/internal/coordination/holding_test.go
+++ b/internal/coordination/holding_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -15,13 +16,13 @@
 // thought clear that was not, and let go a moment later.
 func TestLeadIsSteady(t *testing.T) {
 	b := promising(t)
-	before := b.c.lead(reserve("one", "daily at 04:00", 2))
+	before := b.c.Lead(reserve("one", "daily at 04:00", 2))
 	for _, z := range []protocol.Zone{"a", "b"} {
 		for _, spot := range []bool{true, false} {
-			b.c.fleet.refused[kind{Type: "small", Zone: z, Spot: spot}] = refusal{until: b.c.after(time.Minute)}
+			b.c.fleet.refused[kind{Type: "small", Zone: z, Spot: spot}] = refusal{until: b.c.After(time.Minute)}
 		}
 	}
-	if after := b.c.lead(reserve("one", "daily at 04:00", 2)); after != before || before <= leadSlack {
+	if after := b.c.Lead(reserve("one", "daily at 04:00", 2)); after != before || before <= known.LeadSlack {
 		t.Errorf("%v before, %v after", before, after)
 	}
 }
@@ -31,18 +32,18 @@
 // truth, and reserved room was full at its time.
 func TestFoundTasksTeachNothing(t *testing.T) {
 	b := promising(t)
-	b.c.promised.any = true
-	b.c.live["job-1"] = &liveJob{Job: protocol.Job{ID: "job-1", Class: "array"}}
+	b.c.promised.Any = true
+	b.c.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Class: "array"}}
 	end := func(order uint64, n int) {
 		for range n {
-			b.c.keeping.noteError(&entry{task: protocol.TaskID{Job: "job-1"}, order: order, runs: b.c.now - Time(10*time.Second), estimate: 10, cause: protocol.EndDone})
+			b.c.keeping.noteError(&entry{task: protocol.TaskID{Job: "job-1"}, order: order, runs: b.c.Now - Time(10*time.Second), estimate: 10, cause: protocol.EndDone})
 		}
 	}
-	usual := b.c.likelyS(&protocol.Job{Class: "array"}, 10)
-	if end(0, 100); b.c.likelyS(&protocol.Job{Class: "array"}, 10) != usual {
+	usual := b.c.LikelyS(&protocol.Job{Class: "array"}, 10)
+	if end(0, 100); b.c.LikelyS(&protocol.Job{Class: "array"}, 10) != usual {
 		t.Error("learned from tasks that were found")
 	}
-	if end(7, 100); b.c.likelyS(&protocol.Job{Class: "array"}, 10) >= usual {
+	if end(7, 100); b.c.LikelyS(&protocol.Job{Class: "array"}, 10) >= usual {
 		t.Error("not learned from tasks that were started here")
 	}
 }
@@ -54,13 +55,13 @@
 func TestTakenOverRoom(t *testing.T) {
 	b := promising(t)
 	b.ready("vm-1")
-	b.c.promised.any = true
+	b.c.promised.Any = true
 	m, q := b.c.machines["vm-1"], b.c.keeping.queues["vm-1"]
 	task := protocol.TaskID{Job: "job-1"}
-	soon := calendar.After(b.c.moment(), time.Minute)
+	soon := calendar.After(b.c.Moment(), time.Minute)
 	m.told.Runs = []calendar.Run{{Task: task, Attempt: 3, Ends: soon, Level: 0}}
-	told := message.MachineState{Machine: "vm-1", Epoch: m.epoch, Heard: true, Runs: []calendar.Run{{Task: task, Attempt: 3, Ends: soon + 1e6, Level: 4}}}
-	b.c.takeState("node-0", b.c.peers["node-0"], message.MachineState{Machine: "vm-1", Epoch: m.epoch}) // not heard yet
+	told := message.MachineState{Machine: "vm-1", Epoch: m.Epoch, Heard: true, Runs: []calendar.Run{{Task: task, Attempt: 3, Ends: soon + 1e6, Level: 4}}}
+	b.c.takeState("node-0", b.c.peers["node-0"], message.MachineState{Machine: "vm-1", Epoch: m.Epoch}) // not heard yet
 	b.c.takeState("node-0", b.c.peers["node-0"], told)
 	if r := m.told.Runs[0]; r.Ends != soon {
 		t.Errorf("ends %d, want %d", r.Ends, soon)
--- a/internal/coordination/order.go
+++ b/internal/coordination/inorder/order.go
@@ -1,4 +1,6 @@
-package coordination
+// Package inorder goes through maps in the order of their keys, so that a step
+// does the same things in the same order each time it is played.
+package inorder
 
 import (
 	"cmp"
@@ -9,20 +11,20 @@
 	"damsonkeel/internal/protocol"
 )
 
-// inOrder goes through a map by its keys, so that a step does the same things
+// Of goes through a map by its keys, so that a step does the same things
 // in the same order each time it is played.
-func inOrder[K cmp.Ordered, V any](m map[K]V) iter.Seq2[K, V] {
+func Of[K cmp.Ordered, V any](m map[K]V) iter.Seq2[K, V] {
 	return each(m, slices.Sorted(maps.Keys(m)))
 }
 
-// tasksInOrder is inOrder for maps by task.
-func tasksInOrder[V any](m map[protocol.TaskID]V) iter.Seq2[protocol.TaskID, V] {
+// Tasks is Of for maps by task.
+func Tasks[V any](m map[protocol.TaskID]V) iter.Seq2[protocol.TaskID, V] {
 	return each(m, slices.SortedFunc(maps.Keys(m), byTask))
 }
 
-// tasksWhere is tasksInOrder for those that a condition picks: no more than
+// TasksWhere is Tasks for those that a condition picks: no more than
 // these are sorted.
-func tasksWhere[V any](m map[protocol.TaskID]V, pick func(protocol.TaskID, V) bool) iter.Seq2[protocol.TaskID, V] {
+func TasksWhere[V any](m map[protocol.TaskID]V, pick func(protocol.TaskID, V) bool) iter.Seq2[protocol.TaskID, V] {
 	var keys []protocol.TaskID
 	for k, v := range m {
 		if pick(k, v) {
--- a/internal/coordination/insight.go
+++ b/internal/coordination/insight.go
@@ -21,10 +21,10 @@
 
 // Look tells what can be seen of it.
 func (c *Core) Look() Insight {
-	in := Insight{Term: c.view.Term, Queues: len(c.keeping.queues), Heard: c.keeping.heard(), Holds: c.promised.list}
+	in := Insight{Term: c.View.Term, Queues: len(c.keeping.queues), Heard: c.keeping.heard(), Holds: c.promised.List}
 	for _, m := range c.machinesInOrder() {
 		if len(m.coming) > 0 || m.wait() != 0 {
-			in.Waits = append(in.Waits, m.id)
+			in.Waits = append(in.Waits, m.ID)
 		}
 	}
 	return in
@@ -35,12 +35,12 @@
 	var b strings.Builder
 	if o := c.owner.jobs[id]; o != nil {
 		fmt.Fprintf(&b, "owner %s: unknown %v, pending %d, not before %v, its team uses %+v, awaited %d, leaving %v, failed on %v\n",
-			c.self, o.unknown, o.pending.Count(), c.since(o.notBefore), c.teamUsage()[o.Team], len(c.owner.pending), c.owner.leaving, o.failedOn)
+			c.Self, o.unknown, o.pending.Count(), c.Since(o.notBefore), c.teamUsage()[o.Team], len(c.owner.pending), c.owner.leaving, o.failedOn)
 		for _, t := range o.placed {
 			fmt.Fprintf(&b, "  placed %+v\n", *t)
 		}
 		for _, m := range c.machinesInOrder() {
-			fmt.Fprintf(&b, "  %s in %s, spot %v, kept by %s: usable %v, room %+v, told %+v\n", m.id, m.rec.Zone, m.rec.Spot, c.keeper(m.id), c.usable(m), m.free(), m.told)
+			fmt.Fprintf(&b, "  %s in %s, spot %v, kept by %s: usable %v, room %+v, told %+v\n", m.ID, m.Record.Zone, m.Record.Spot, c.Keeper(m.ID), c.usable(m), m.free(), m.told)
 		}
 	}
 	b.WriteString(c.keeping.whereabouts(id))
--- a/internal/coordination/intake.go
+++ b/internal/coordination/intake.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/operators"
@@ -311,11 +312,11 @@
 	if !ok {
 		return "unknown team"
 	}
-	l := liveJob{Job: *j}
+	l := known.LiveJob{Job: *j}
 	l.Zone = "" // the zone may offer the type another day
 	fits := false
 	for _, t := range types {
-		fits = fits || l.allowsKind(t, "", false)
+		fits = fits || l.AllowsKind(t, "", false)
 	}
 	if !fits {
 		return "a task fits no allowed machine type"
--- a/internal/coordination/keeper.go
+++ b/internal/coordination/keeper.go
@@ -2,6 +2,8 @@
 
 import (
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
@@ -12,7 +14,7 @@
 
 // keeper keeps the queues of the machines that report to this controller.
 type keeper struct {
-	part
+	known.Part
 	queues map[protocol.MachineID]*queue
 	kept   []*queue // the queues in order of their machines' names; nil: to be sorted again
 	// stockDue are queues kept without a break whose inventories of this term
@@ -31,15 +33,15 @@
 	needsTerm    bool // a start can only be settled by a later term
 }
 
-func newKeeper(p part) *keeper {
-	k := &keeper{part: p}
+func newKeeper(p known.Part) *keeper {
+	k := &keeper{Part: p}
 	k.reset()
 	return k
 }
 
 // reset forgets everything a session knew.
 func (k *keeper) reset() {
-	*k = keeper{part: k.part}
+	*k = keeper{Part: k.Part}
 	k.queues, k.sessionFloor = map[protocol.MachineID]*queue{}, map[protocol.MachineID]protocol.Session{}
 	k.handled = map[protocol.NodeName]uint64{}
 }
@@ -56,7 +58,7 @@
 // the present view than in an earlier one.
 func (k *keeper) forgetOwners(old bookkeeping.View) {
 	for name := range k.handled {
-		if !sameSession(old, k.view, name) {
+		if !known.SameSession(old, k.View, name) {
 			delete(k.handled, name)
 		}
 	}
@@ -103,20 +105,20 @@
 }
 
 // recorded takes over a machine's record.
-func (k *keeper) recorded(m *machine) {
-	if q := k.queues[m.id]; q != nil && q.session == m.rec.Session {
-		q.epoch, q.registering = m.epoch, false
+func (k *keeper) recorded(m *known.Machine) {
+	if q := k.queues[m.ID]; q != nil && q.session == m.Record.Session {
+		q.epoch, q.registering = m.Epoch, false
 		k.touch(q)
-	} else if q == nil && k.member() && k.keeper(m.id) == k.self {
-		k.keep(m.id).registered(m)
+	} else if q == nil && k.Member() && k.Keeper(m.ID) == k.Self {
+		k.keep(m.ID).registered(m)
 	}
 }
 
 // recordGone: a machine's record was deleted, on proof that nothing is left.
-func (k *keeper) recordGone(m *machine) {
-	k.sessionFloor[m.id] = max(k.sessionFloor[m.id], m.rec.Session+1)
-	if q := k.queues[m.id]; q != nil && q.session <= m.rec.Session {
-		k.dropQueue(m.id)
+func (k *keeper) recordGone(m *known.Machine) {
+	k.sessionFloor[m.ID] = max(k.sessionFloor[m.ID], m.Record.Session+1)
+	if q := k.queues[m.ID]; q != nil && q.session <= m.Record.Session {
+		k.dropQueue(m.ID)
 	}
 }
 
@@ -130,8 +132,8 @@
 
 // jobOver: nothing of a job that is over may start or go on.
 func (k *keeper) jobOver(id protocol.JobID) {
-	for _, q := range inOrder(k.queues) {
-		for _, e := range tasksWhere(q.entries, func(t protocol.TaskID, _ *entry) bool { return t.Job == id }) {
+	for _, q := range inorder.Of(k.queues) {
+		for _, e := range inorder.TasksWhere(q.entries, func(t protocol.TaskID, _ *entry) bool { return t.Job == id }) {
 			if !e.sent && !e.present {
 				k.dropWaiting(q, e)
 				k.tell(q, e, message.WhatReleased)
@@ -159,7 +161,7 @@
 	for _, q := range k.queuesInOrder() {
 		for _, e := range q.entries {
 			if e.task.Job == id {
-				fmt.Fprintf(&b, "  %s has on %s: %+v\n", k.self, q.id, *e)
+				fmt.Fprintf(&b, "  %s has on %s: %+v\n", k.Self, q.id, *e)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/coordination/known/known.go
@@ -0,0 +1,152 @@
+// Package known holds what a controller knows that all parts of its core read:
+// the records that all controllers follow, the view, the time and its settings;
+// who keeps a machine and who owns a job by that; and what is promised. It
+// decides nothing.
+package known
+
+import (
+	"log/slog"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/protocol"
+)
+
+// Known is what a controller knows that all parts of its core read: its
+// settings, the time, its session, the view, and the records that all follow.
+type Known struct {
+	Self     protocol.NodeName
+	Settings *config.Settings
+	Op       config.Operator
+	Log      *slog.Logger
+	Now      clock.Time
+	WallMS   int64 // the time of day when now was 0, as last told
+
+	Types map[protocol.MachineType]protocol.TypeInfo
+
+	Session     protocol.LeaseID
+	Begun       clock.Time // when this session began
+	Until       clock.Time // acts only before
+	View        bookkeeping.View
+	ViewVersion protocol.Version
+	Keepers     map[protocol.MachineID]protocol.NodeName // by the view, as far as asked for
+
+	Live    map[protocol.JobID]*LiveJob
+	over    map[protocol.JobID]clock.Time // seen to end, and when
+	Records map[protocol.MachineID]*Machine
+	Pledged *Pledges
+}
+
+// NewKnown knows nothing but its settings.
+func NewKnown(s *config.Settings, op config.Operator, log *slog.Logger) *Known {
+	k := &Known{Self: s.Name, Settings: s, Op: op, Log: log, Types: map[protocol.MachineType]protocol.TypeInfo{}}
+	k.Reset()
+	return k
+}
+
+// Reset forgets what a session knew. What matters is in the records.
+func (k *Known) Reset() {
+	k.Session, k.Until = 0, 0
+	k.View, k.ViewVersion = bookkeeping.View{}, 0
+	k.Keepers = map[protocol.MachineID]protocol.NodeName{}
+	k.Live, k.over = map[protocol.JobID]*LiveJob{}, map[protocol.JobID]clock.Time{}
+	k.Records = map[protocol.MachineID]*Machine{}
+	k.Pledged = k.Pledged.anew()
+}
+
+// Machine is a registered machine as the records have it.
+type Machine struct {
+	ID     protocol.MachineID
+	Record bookkeeping.Machine
+	Epoch  protocol.Version
+	Info   protocol.TypeInfo
+}
+
+// Acting reports whether this controller may command workers and settle jobs:
+// its lease has not run out by its own clock, and the view has its session.
+func (k *Known) Acting() bool {
+	return k.Now < k.Until && k.Member()
+}
+
+// Member reports whether the view has this session.
+func (k *Known) Member() bool {
+	return k.Session != 0 && k.View.Members[k.Self] == k.Session
+}
+
+// After is the time so long from now.
+func (k *Known) After(d time.Duration) clock.Time { return k.Now + clock.Time(d) }
+
+// Since is how long ago a time was.
+func (k *Known) Since(t clock.Time) time.Duration { return time.Duration(k.Now - t) }
+
+// NoteOver remembers that a job is over, for messages about it that are still
+// under way.
+func (k *Known) NoteOver(id protocol.JobID) {
+	k.over[id] = k.Now
+	if len(k.over) <= 4096 {
+		return
+	}
+	for old, at := range k.over {
+		if k.Since(at) > 10*time.Minute {
+			delete(k.over, old)
+		}
+	}
+}
+
+// IsOver reports whether a job is known to have ended, rather than not to have
+// arrived here yet.
+func (k *Known) IsOver(id protocol.JobID) bool {
+	_, over := k.over[id]
+	return over && k.Live[id] == nil
+}
+
+// Limited reports whether anything bounds a team's use.
+func (k *Known) Limited(name protocol.Team) bool {
+	t, ok := k.Settings.Team(name)
+	return ok && t.Limited()
+}
+
+// Guarantees reports whether a team is guaranteed anything.
+func (k *Known) Guarantees(name protocol.Team) bool {
+	t, ok := k.Settings.Team(name)
+	return ok && (t.CPUs > 0 || t.GPUs > 0)
+}
+
+// Estimate is a task's expected run time; the default stands in for none.
+func (k *Known) Estimate(j *protocol.Job) float64 {
+	if j.EstimateS > 0 {
+		return j.EstimateS
+	}
+	return k.Op.DefaultEstimate.Seconds()
+}
+
+// LeaseOver is how long after the last possible answer a worker has surely
+// killed its tasks: its lease by a clock that may run slow, and a margin for
+// answers on their way.
+func (k *Known) LeaseOver() time.Duration {
+	lease := k.Settings.Site.Workers.LeaseS
+	return time.Duration(lease*1.002*float64(time.Second)) + 5*time.Second
+}
+
+// InThisView is the condition that the view is unchanged.
+func (k *Known) InThisView() protocol.Condition {
+	return protocol.Condition{Key: bookkeeping.ViewKey, Version: k.ViewVersion}
+}
+
+// InBlocks reports whether machines are recorded in blocks in this term.
+func (k *Known) InBlocks() bool { return k.View.Layout >= bookkeeping.LayoutBlocks }
+
+// Moment is the time of day.
+func (k *Known) Moment() calendar.Moment {
+	return calendar.Moment(k.WallMS + int64(k.Now/clock.Time(time.Millisecond)))
+}
+
+// TellTime takes over the time of day; steady clocks drift apart.
+func (k *Known) TellTime(wallMS int64) {
+	if wallMS != 0 {
+		k.WallMS = wallMS - int64(k.Now/clock.Time(time.Millisecond))
+	}
+}
--- /dev/null
+++ b/internal/coordination/known/part.go
@@ -0,0 +1,52 @@
+package known
+
+import (
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/protocol"
+)
+
+// Part is what each part of a core has: what is known, and what its step asks
+// for.
+type Part struct {
+	*Known
+	*Output
+}
+
+// Output is what a step asks for.
+type Output struct {
+	Actions []message.Action
+	Local   []message.PeerMessage // to itself, handled before the step ends
+}
+
+// Do asks for an action.
+func (p Part) Do(a message.Action) { p.Actions = append(p.Actions, a) }
+
+// Send passes a message to a member of the view, itself included.
+func (p Part) Send(to protocol.NodeName, m message.PeerMessage) {
+	if to == p.Self {
+		p.Local = append(p.Local, m)
+		return
+	}
+	if session, ok := p.View.Members[to]; ok {
+		p.Do(message.Send{To: to, From: p.Session, Session: session, Term: p.View.Term, Message: m})
+	}
+}
+
+// ChangeRecord has a machine's record written or deleted, by the registrar or,
+// where machines have records of their own, by this controller. only says on
+// which conditions beside those of the record itself, in the latter case.
+func (p Part) ChangeRecord(tag any, id protocol.MachineID, have protocol.Version, to *bookkeeping.Machine, only ...protocol.Condition) {
+	if p.InBlocks() {
+		p.Send(p.Registrar(), message.PeerMessage{Record: &message.RecordChange{Term: p.View.Term, Machine: id, Have: have, To: to}})
+		return
+	}
+	key := bookkeeping.MachineKey(id)
+	change := protocol.Change{Delete: key}
+	if to != nil {
+		change = protocol.Change{Put: key, Value: *to}
+	}
+	p.Do(message.Commit{Tag: tag, Txn: protocol.Txn{
+		If: append(only, protocol.Condition{Key: key, Version: have}), Then: []protocol.Change{change},
+	}})
+}
--- /dev/null
+++ b/internal/coordination/known/pledges.go
@@ -0,0 +1,136 @@
+package known
+
+import (
+	"slices"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/protocol"
+)
+
+// Pledges is what all parts know of the calendar: the records that all follow,
+// what is held for them at present, and what is open.
+type Pledges struct {
+	Book    *calendar.Book
+	Version protocol.Version // of the calendar's own record
+	Changes uint64           // that it counts
+	// any: there is something in the book. While it is empty nothing of this
+	// costs anything, on the wire either.
+	Any bool
+
+	Holds   map[protocol.MachineID][]calendar.Hold
+	List    []calendar.Hold // all of them
+	Listed  bool            // the list is known since this session began
+	Windows []OpenWindow    // open, or soon
+
+	Errors map[string]*forecast.Errors // of estimates, by class
+	Boots  forecast.Boots
+}
+
+// anew forgets what a session knew; what is learned of estimates and boots stays.
+func (p *Pledges) anew() *Pledges {
+	fresh := &Pledges{Book: calendar.NewBook(), Holds: map[protocol.MachineID][]calendar.Hold{}, Errors: map[string]*forecast.Errors{}}
+	if p != nil {
+		fresh.Boots, fresh.Errors = p.Boots, p.Errors
+	}
+	return fresh
+}
+
+// OpenWindow is a window that is open, or will be.
+type OpenWindow struct {
+	Spec       *bookkeeping.WindowSpec
+	Start, End calendar.Moment // with what clocks may be off by
+}
+
+// Of tells which reservations a job is one of.
+func (k *Known) Of(j *protocol.Job) func(calendar.Name) bool {
+	return func(n calendar.Name) bool {
+		e := k.Pledged.Book.Reservation(n)
+		return e != nil && calendar.Matches(e.Reservation, j)
+	}
+}
+
+// InWindow reports whether a window that covers a machine is open at some time
+// from a moment until before another.
+func (k *Known) InWindow(id protocol.MachineID, t protocol.MachineType, z protocol.Zone, from, to calendar.Moment) bool {
+	for i := range k.Pledged.Windows {
+		w := &k.Pledged.Windows[i]
+		if w.End > from && w.Start < to && calendar.Covers(w.Spec, id, t, z) {
+			return true
+		}
+	}
+	return false
+}
+
+// Lead is how long before its time a reservation's room is clear: as long as
+// another machine takes to come, and one more in its place.
+func (k *Known) Lead(s *bookkeeping.ReservationSpec) time.Duration {
+	boot := 0.0
+	for _, t := range k.Types { // those the cloud has none of at present, too: this must not change from moment to moment
+		if calendar.Fits(s, t, s.Zone) {
+			boot = max(boot, k.Pledged.Boots.Likely(t.BootS))
+		}
+	}
+	return config.Seconds(2*boot) + LeadSlack
+}
+
+// Unsettled reports whether what ends at a moment might be in the way of something
+// that room was held for before all controllers ended: until it is held anew,
+// that waits.
+func (k *Known) Unsettled(j *protocol.Job, ends calendar.Moment) bool {
+	pr := k.Pledged
+	if pr.Listed || k.Since(k.Begun) > SettleHolds+10*time.Second {
+		return false
+	}
+	of, now := k.Of(j), k.Moment()
+	return slices.ContainsFunc(pr.Book.Due(now, max(ends, now+1)), func(e *calendar.Entry) bool {
+		return e.Promised() && !of(e.Name()) && ends > calendar.After(e.StartMS, -k.Lead(&e.Reservation.Spec))
+	})
+}
+
+// LikelyS is how long a task is very likely to run at the most, in seconds.
+func (k *Known) LikelyS(j *protocol.Job, estimateS float64) float64 {
+	return estimateS * k.Pledged.Errors[j.Class].Factor()
+}
+
+// ReservationOf is the reservation of a name, or one that matches no job.
+func (k *Known) ReservationOf(n calendar.Name) *bookkeeping.Reservation {
+	if e := k.Pledged.Book.Reservation(n); e != nil {
+		return e.Reservation
+	}
+	return noReservation
+}
+
+// PromisedEnd is when a task is reckoned to be over by what is promised: no later
+// than its own room is held, which no window cuts short.
+func PromisedEnd(holds []calendar.Hold, t *calendar.Task) calendar.Moment {
+	if until := calendar.OwnUntil(holds, t.Of); until != 0 {
+		return min(t.Ends, until)
+	}
+	return t.Ends
+}
+
+// ReservedBy is what of a machine's room counts as taken now by what is held.
+func ReservedBy(hs []calendar.Hold, now calendar.Moment) (sum room.Amount) {
+	for _, h := range hs {
+		if now >= h.Clear && now < h.Until {
+			sum = sum.Plus(h.Need)
+		}
+	}
+	return sum
+}
+
+// noReservation stands for one that is not there: it matches no job.
+var noReservation = &bookkeeping.Reservation{Spec: bookkeeping.ReservationSpec{Job: "none"}}
+
+// LeadSlack is what a hold is clear before its time beyond two boots: one more
+// if a machine does not come up.
+const LeadSlack = 20 * time.Second
+
+// SettleHolds is how long, after all have ended, it takes at the most until
+// room is held anew: machines have to be heard first.
+const SettleHolds = 20 * time.Second
--- a/internal/coordination/roles.go
+++ b/internal/coordination/known/roles.go
@@ -1,17 +1,18 @@
-package coordination
+package known
 
 import (
+	"slices"
+
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/protocol"
-	"slices"
 )
 
-// rendezvous picks one of the view's members for a key. Every controller with
+// Rendezvous picks one of the view's members for a key. Every controller with
 // the same view picks the same one.
-func rendezvous(v bookkeeping.View, key string) protocol.NodeName { return rendezvousBut(v, nil, key) }
+func Rendezvous(v bookkeeping.View, key string) protocol.NodeName { return RendezvousBut(v, nil, key) }
 
-// rendezvousBut is rendezvous without some of the members.
-func rendezvousBut(v bookkeeping.View, but []protocol.NodeName, key string) protocol.NodeName {
+// RendezvousBut is rendezvous without some of the members.
+func RendezvousBut(v bookkeeping.View, but []protocol.NodeName, key string) protocol.NodeName {
 	var best protocol.NodeName
 	var bestScore uint64
 	for name := range v.Members {
@@ -47,25 +48,25 @@
 	return x ^ x>>33
 }
 
-// machineKeeper is the controller that a machine reports to: one that workers
+// MachineKeeper is the controller that a machine reports to: one that workers
 // can reach, unless there is none.
-func machineKeeper(v bookkeeping.View, m protocol.MachineID) protocol.NodeName {
+func MachineKeeper(v bookkeeping.View, m protocol.MachineID) protocol.NodeName {
 	key := "machine " + string(m)
 	if len(v.Deaf) >= len(v.Members) {
-		return rendezvous(v, key)
+		return Rendezvous(v, key)
 	}
-	return rendezvousBut(v, v.Deaf, key)
+	return RendezvousBut(v, v.Deaf, key)
 }
 
-// keeper is machineKeeper by the present view, reckoned once for each machine.
-func (k *known) keeper(m protocol.MachineID) protocol.NodeName {
-	n, ok := k.keepers[m]
+// Keeper is machineKeeper by the present view, reckoned once for each machine.
+func (k *Known) Keeper(m protocol.MachineID) protocol.NodeName {
+	n, ok := k.Keepers[m]
 	if !ok {
-		n = machineKeeper(k.view, m)
-		if len(k.keepers) > keepersKept {
-			clear(k.keepers)
+		n = MachineKeeper(k.View, m)
+		if len(k.Keepers) > keepersKept {
+			clear(k.Keepers)
 		}
-		k.keepers[m] = n
+		k.Keepers[m] = n
 	}
 	return n
 }
@@ -74,28 +75,28 @@
 // at a time.
 const keepersKept = 1 << 14
 
-// ownerOf is jobOwner by the present view, reckoned once for each job.
-func (k *known) ownerOf(l *liveJob) protocol.NodeName {
-	if l.ownerTerm != k.view.Term {
-		l.owner, l.ownerTerm = k.jobOwner(k.view, &l.Job), k.view.Term
+// OwnerOf is jobOwner by the present view, reckoned once for each job.
+func (k *Known) OwnerOf(l *LiveJob) protocol.NodeName {
+	if l.ownerTerm != k.View.Term {
+		l.owner, l.ownerTerm = k.JobOwner(k.View, &l.Job), k.View.Term
 	}
 	return l.owner
 }
 
-// jobOwner is the one controller that owns a job. All jobs of a limited team
+// JobOwner is the one controller that owns a job. All jobs of a limited team
 // have the same owner, so that the limit is checked in one place.
-func (k *known) jobOwner(v bookkeeping.View, j *protocol.Job) protocol.NodeName {
-	if k.limited(j.Team) {
-		return rendezvous(v, "team "+string(j.Team))
+func (k *Known) JobOwner(v bookkeeping.View, j *protocol.Job) protocol.NodeName {
+	if k.Limited(j.Team) {
+		return Rendezvous(v, "team "+string(j.Team))
 	}
-	return rendezvous(v, "job "+string(j.ID))
+	return Rendezvous(v, "job "+string(j.ID))
 }
 
-// registrar is the member that writes machines' records.
-func (k *known) registrar() protocol.NodeName { return rendezvous(k.view, "machine records") }
+// Registrar is the member that writes machines' records.
+func (k *Known) Registrar() protocol.NodeName { return Rendezvous(k.View, "machine records") }
 
-// sameSession reports whether a node is in both views with the same session.
-func sameSession(a, b bookkeeping.View, n protocol.NodeName) bool {
+// SameSession reports whether a node is in both views with the same session.
+func SameSession(a, b bookkeeping.View, n protocol.NodeName) bool {
 	s, ok := a.Members[n]
 	return ok && b.Members[n] == s
 }
--- a/internal/coordination/levels.go
+++ b/internal/coordination/levels.go
@@ -14,8 +14,8 @@
 	jobs := slices.Clone(c.jobsInOrder())
 	slices.SortStableFunc(jobs, func(a, b *ownedJob) int { return cmp.Compare(a.SubmittedMS, b.SubmittedMS) })
 	for _, o := range jobs {
-		t, ok := c.settings.Team(o.Team)
-		if !ok || !c.guarantees(o.Team) {
+		t, ok := c.Settings.Team(o.Team)
+		if !ok || !c.Guarantees(o.Team) {
 			c.setLevel(o, room.LevelOf(o.Priority, false))
 			continue
 		}
@@ -28,7 +28,7 @@
 
 // setLevel sets a job's level, and has it told if anybody reckons with it.
 func (c *Core) setLevel(o *ownedJob, l room.Level) {
-	if o.level != l && c.promised.any {
+	if o.level != l && c.promised.Any {
 		c.ownedChanged.Touch(o.ID)
 	}
 	o.level = l
--- a/internal/coordination/message/between.go
+++ b/internal/coordination/message/between.go
@@ -113,7 +113,7 @@
 	CPUs, GPUs, GB float64
 }
 
-// usesIn is the form in which uses are sent.
+// UsesIn is the form in which uses are sent.
 func UsesIn(u *room.Uses) []Use {
 	var us []Use
 	for l, r := range u {
@@ -124,7 +124,7 @@
 	return us
 }
 
-// addUses takes uses as they were sent.
+// AddUses takes uses as they were sent.
 func AddUses(u *room.Uses, us []Use) {
 	for _, n := range us {
 		u.Add(room.Level(n.Level), room.Amount{CPUs: n.CPUs, GPUs: n.GPUs, GB: n.GB})
@@ -259,7 +259,7 @@
 	To      *bookkeeping.Machine
 }
 
-// silence is how a worker's quiet looks.
+// Silence is how a worker's quiet looks.
 type Silence uint8
 
 const (
--- a/internal/coordination/message/step.go
+++ b/internal/coordination/message/step.go
@@ -85,7 +85,10 @@
 	OutcomeUnknown         // may have been executed, or still be
 )
 
-// Actions of the core's step function.
+// Action is something a step function asks for.
+type Action any
+
+// The actions.
 type (
 	// ReplyReport answers the report just handled.
 	ReplyReport struct {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -10,6 +10,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
@@ -29,6 +30,9 @@
 	followSlack = 2 * time.Second
 )
 
+// Time is this process's steady clock.
+type Time = clock.Time
+
 // Node is the actor around a Core, with the actors that carry its messages.
 type Node struct {
 	settings *config.Settings
@@ -54,7 +58,7 @@
 // envelope is a message to the core, or a question about it.
 type envelope struct {
 	msg   any
-	reply func([]Action) // gets the step's ReplyReport or ReplyBatch
+	reply func([]message.Action) // gets the step's ReplyReport or ReplyBatch
 	ask   func(*Core)
 }
 
@@ -126,8 +130,8 @@
 		}
 		actions := n.core.Step(n.now(), e.msg)
 		until := Time(0)
-		if n.core.member() {
-			until = n.core.until
+		if n.core.Member() {
+			until = n.core.Until
 		}
 		n.actingUntil.Store(int64(until))
 		n.waitsOut.Store(until != 0 && !n.core.alone())
@@ -206,7 +210,7 @@
 }
 
 // carryOut executes actions; none of them waits here.
-func (n *Node) carryOut(ctx context.Context, actions []Action) {
+func (n *Node) carryOut(ctx context.Context, actions []message.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case message.Send:
--- a/internal/coordination/operate.go
+++ b/internal/coordination/operate.go
@@ -28,14 +28,14 @@
 // facts is what decisions on the calendar know of the site.
 func (c *Core) facts() *calendar.Facts {
 	return &calendar.Facts{
-		Types: c.types, Most: c.op.Machines,
-		Team: func(t protocol.Team) (config.Team, bool) { return c.settings.Team(t) },
+		Types: c.Types, Most: c.Op.Machines,
+		Team: func(t protocol.Team) (config.Team, bool) { return c.Settings.Team(t) },
 		Machine: func(id protocol.MachineID) (protocol.MachineType, protocol.Zone, bool) {
 			m := c.machines[id]
 			if m == nil {
 				return "", "", false
 			}
-			return m.rec.Type, m.rec.Zone, true
+			return m.Record.Type, m.Record.Zone, true
 		},
 	}
 }
@@ -48,7 +48,7 @@
 }
 
 func (c *Core) decide(by string, r *operators.Request) decision {
-	if c.session == 0 || len(c.types) == 0 || c.wallMS == 0 {
+	if c.Session == 0 || len(c.Types) == 0 || c.WallMS == 0 {
 		return no(operators.Later, "not ready")
 	}
 	switch {
@@ -69,23 +69,23 @@
 	if err := calendar.CheckReservation(&s); err != nil {
 		return no(operators.Refused, err.Error())
 	}
-	have := pr.book.Reservation(s.Name)
+	have := pr.Book.Reservation(s.Name)
 	if have != nil && r.ID != "" && have.Reservation.Request == r.ID {
 		return decision{reply: operators.Reply{Code: operators.Done, Reason: "was accepted already", Reservations: []operators.Reservation{c.reservationView(have)}}}
 	}
 	if have != nil && !r.Replace && have.State != bookkeeping.Cancelled && have.State != bookkeeping.Used && have.State != bookkeeping.Expired {
 		return no(operators.Refused, "there is a reservation of this name")
 	}
-	if !pr.book.Complete() {
+	if !pr.Book.Complete() {
 		return no(operators.Later, "the calendar is still being read, or is full")
 	}
-	a := pr.book.Reserve(&s, c.facts(), c.moment())
+	a := pr.Book.Reserve(&s, c.facts(), c.Moment())
 	d := answered(a)
 	if !a.OK {
 		return d
 	}
 	rec := bookkeeping.Reservation{
-		Spec: s, Request: r.ID, By: by, MadeMS: c.moment(), Order: pr.changes + 1, State: bookkeeping.Accepted, StartMS: a.First[0],
+		Spec: s, Request: r.ID, By: by, MadeMS: c.Moment(), Order: pr.Changes + 1, State: bookkeeping.Accepted, StartMS: a.First[0],
 	}
 	if r.DryRun {
 		rec.State = bookkeeping.Proposed
@@ -101,22 +101,22 @@
 	if err := calendar.CheckWindow(&s); err != nil {
 		return no(operators.Refused, err.Error())
 	}
-	have := pr.book.Window(s.Name)
+	have := pr.Book.Window(s.Name)
 	if have != nil && r.ID != "" && have.Window.Request == r.ID {
 		return decision{reply: operators.Reply{Code: operators.Done, Reason: "was accepted already", Windows: []operators.Window{c.windowView(have)}}}
 	}
 	if have != nil && !r.Replace && !have.Cancelled {
 		return no(operators.Refused, "there is a window of this name")
 	}
-	if !pr.book.Complete() {
+	if !pr.Book.Complete() {
 		return no(operators.Later, "the calendar is still being read, or is full")
 	}
-	a := pr.book.Close(&s, c.facts(), c.moment())
+	a := pr.Book.Close(&s, c.facts(), c.Moment())
 	d := answered(a)
 	if !a.OK {
 		return d
 	}
-	rec := bookkeeping.Window{Spec: s, Request: r.ID, By: by, MadeMS: c.moment()}
+	rec := bookkeeping.Window{Spec: s, Request: r.ID, By: by, MadeMS: c.Moment()}
 	if !r.DryRun {
 		d.txn = c.changeCalendar(bookkeeping.WindowKey(s.Name), versionOf(have), rec)
 	}
@@ -143,10 +143,10 @@
 // since this was decided.
 func (c *Core) changeCalendar(key string, version protocol.Version, value any) *protocol.Txn {
 	return &protocol.Txn{
-		If: []protocol.Condition{{Key: bookkeeping.CalendarKey, Version: c.promised.version}, {Key: key, Version: version}},
+		If: []protocol.Condition{{Key: bookkeeping.CalendarKey, Version: c.promised.Version}, {Key: key, Version: version}},
 		Then: []protocol.Change{
 			{Put: key, Value: value},
-			{Put: bookkeeping.CalendarKey, Value: bookkeeping.Calendar{Changes: c.promised.changes + 1}},
+			{Put: bookkeeping.CalendarKey, Value: bookkeeping.Calendar{Changes: c.promised.Changes + 1}},
 		},
 	}
 }
@@ -154,9 +154,9 @@
 func (c *Core) cancelPromised(r *operators.Request) decision {
 	pr := &c.promised
 	done := operators.Reply{Code: operators.Done, Reason: "cancelled"}
-	e, what := pr.book.Reservation(r.Name), "reservation"
+	e, what := pr.Book.Reservation(r.Name), "reservation"
 	if r.Window {
-		e, what = pr.book.Window(r.Name), "window"
+		e, what = pr.Book.Window(r.Name), "window"
 	}
 	switch {
 	case e == nil:
@@ -182,9 +182,9 @@
 	pr := &c.promised
 	reply := operators.Reply{Code: operators.Done}
 	if r.Op == operators.OpShow {
-		e := pr.book.Reservation(r.Name)
+		e := pr.Book.Reservation(r.Name)
 		if r.Window {
-			e = pr.book.Window(r.Name)
+			e = pr.Book.Window(r.Name)
 		}
 		switch {
 		case e == nil:
@@ -196,9 +196,9 @@
 		}
 		return decision{reply: reply}
 	}
-	es := pr.book.Reservations()
+	es := pr.Book.Reservations()
 	if r.Window {
-		es = pr.book.Windows()
+		es = pr.Book.Windows()
 	}
 	for _, e := range es {
 		if e.Name() <= r.Name {
@@ -223,7 +223,7 @@
 
 func (c *Core) reservationView(e *calendar.Entry) operators.Reservation {
 	v := operators.Reservation{Reservation: *e.Reservation}
-	for _, h := range c.promised.list {
+	for _, h := range c.promised.List {
 		if h.For == e.Name() {
 			v.Held += h.Tasks
 			v.On = append(v.On, h.Machine)
@@ -237,7 +237,7 @@
 }
 
 func (c *Core) windowView(e *calendar.Entry) operators.Window {
-	now := c.moment()
+	now := c.Moment()
 	v := operators.Window{Window: *e.Window}
 	if e.Cancelled {
 		return v
@@ -256,7 +256,7 @@
 	const most = 50
 	var out []operators.Overrun
 	for _, m := range c.machinesInOrder() {
-		if !calendar.Covers(s, m.id, m.rec.Type, m.rec.Zone) {
+		if !calendar.Covers(s, m.ID, m.Record.Type, m.Record.Zone) {
 			continue
 		}
 		last := calendar.Moment(0)
@@ -264,7 +264,7 @@
 			last = max(last, r.Ends)
 		}
 		if last > opens {
-			out = append(out, operators.Overrun{Machine: m.id, ByS: calendar.Between(opens, last).Seconds()})
+			out = append(out, operators.Overrun{Machine: m.ID, ByS: calendar.Between(opens, last).Seconds()})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b operators.Overrun) int { return int(b.ByS - a.ByS) })
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -14,10 +15,10 @@
 func (k *keeper) orders(q *queue, term protocol.Term) []protocol.Order {
 	orders := []protocol.Order{}
 	told := func(_ protocol.TaskID, e *entry) bool {
-		return e.present && (e.ended() || e.kill || k.live[e.task.Job] == nil) || e.direct != 0
+		return e.present && (e.ended() || e.kill || k.Live[e.task.Job] == nil) || e.direct != 0
 	}
-	for _, e := range tasksWhere(q.entries, told) {
-		live := k.live[e.task.Job] != nil
+	for _, e := range inorder.TasksWhere(q.entries, told) {
+		live := k.Live[e.task.Job] != nil
 		switch {
 		case !e.present:
 			if e.sent && e.direct != 0 && live && !e.kill {
@@ -43,7 +44,7 @@
 	for _, e := range k.startable(q) {
 		e.sent = true
 		orders = append(orders, protocol.Order{Op: protocol.OpStart, Task: e.task, Attempt: e.attempt})
-		k.log.Debug("start", "machine", q.id, "task", e.task, "attempt", e.attempt)
+		k.Log.Debug("start", "machine", q.id, "task", e.task, "attempt", e.attempt)
 	}
 	return orders
 }
@@ -59,14 +60,14 @@
 	held := false // the first that does not fit has been passed
 	for i := 0; i < len(q.waiting); {
 		e := q.waiting[i]
-		j := k.live[e.task.Job]
+		j := k.Live[e.task.Job]
 		if j == nil {
 			break // its record has not arrived yet
 		}
 		e.need = room.Need(&j.Job)
 		later, reserved := k.mayStartOn(q, e, j, free)
 		if !free.Covers(e.need) || later == startSoon || held && !reserved {
-			if len(k.pledged.holds[q.id]) == 0 && later != startSoon {
+			if len(k.Pledged.Holds[q.id]) == 0 && later != startSoon {
 				break // first come, first served: what is behind waits too
 			}
 			held = true // but for what room is held here for
@@ -84,7 +85,7 @@
 		} else {
 			q.waiting = slices.Delete(q.waiting, i, i+1)
 		}
-		q.idleSince = k.now
+		q.idleSince = k.Now
 		k.touch(q)
 		out = append(out, e)
 	}
@@ -106,8 +107,8 @@
 	}
 	q.sorted = true
 	for _, e := range q.waiting {
-		if l := k.live[e.task.Job]; l != nil {
-			e.due = l.due
+		if l := k.Live[e.task.Job]; l != nil {
+			e.due = l.Due
 		} else {
 			q.sorted = false // its record has not arrived yet
 		}
--- a/internal/coordination/outbox.go
+++ b/internal/coordination/outbox.go
@@ -129,7 +129,7 @@
 // Deliver takes a batch of messages.
 func (s *peerService) Deliver(b message.Batch, reply *message.BatchReply) error {
 	done := make(chan message.BatchReply, 1)
-	s.node.mailbox <- envelope{msg: message.Received{Batch: b}, reply: func(actions []Action) {
+	s.node.mailbox <- envelope{msg: message.Received{Batch: b}, reply: func(actions []message.Action) {
 		r := message.BatchStale
 		for _, a := range actions {
 			if rb, ok := a.(message.ReplyBatch); ok {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -44,7 +46,7 @@
 
 // ownedJob is a job this controller owns.
 type ownedJob struct {
-	*liveJob
+	*known.LiveJob
 	loaded  bool // the bitmap of finished tasks has been read
 	loading bool
 	unknown bool // taken over: tasks not listed may be anywhere until all inventories are in
@@ -101,27 +103,27 @@
 
 // jobLive takes over the record of an accepted job.
 func (c *Core) jobLive(j protocol.Job, version protocol.Version, snapshot bool) {
-	if c.live[j.ID] != nil {
+	if c.Live[j.ID] != nil {
 		return
 	}
-	l := &liveJob{Job: j, version: version, since: c.submitted(&j)}
-	l.due = c.due(l)
-	c.live[j.ID] = l
+	l := &known.LiveJob{Job: j, Version: version, Since: c.Submitted(&j)}
+	l.Due = c.Due(l)
+	c.Live[j.ID] = l
 	c.noteArrival(&l.Job)
-	if snapshot || !c.member() || c.ownerOf(l) != c.self {
+	if snapshot || !c.Member() || c.OwnerOf(l) != c.Self {
 		return
 	}
 	// Its record is new, so no attempt of it can exist and no bitmap either.
 	o := c.own(l)
 	o.loaded = true
 	o.pending.FlipRange(0, uint(j.Tasks))
-	c.log.Debug("job", "id", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks)
+	c.Log.Debug("job", "id", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks)
 }
 
-func (c *Core) own(l *liveJob) *ownedJob {
+func (c *Core) own(l *known.LiveJob) *ownedJob {
 	o := &ownedJob{
-		liveJob: l, done: bitset.New(uint(l.Tasks)), pending: bitset.New(uint(l.Tasks)),
-		again: bitset.New(uint(l.Tasks)), placed: map[protocol.TaskID]*placedTask{}, dirty: map[int]bool{}, failedOn: map[protocol.MachineID]bool{}, since: l.since,
+		LiveJob: l, done: bitset.New(uint(l.Tasks)), pending: bitset.New(uint(l.Tasks)),
+		again: bitset.New(uint(l.Tasks)), placed: map[protocol.TaskID]*placedTask{}, dirty: map[int]bool{}, failedOn: map[protocol.MachineID]bool{}, since: l.Since,
 	}
 	c.owner.jobs[l.ID] = o
 	c.ownedChanged.Touch(l.ID)
@@ -132,15 +134,15 @@
 
 // jobOver: the job's record says done or cancelled.
 func (c *Core) jobOver(id protocol.JobID) {
-	c.reservedJobOver(c.live[id])
-	delete(c.live, id)
-	c.noteOver(id)
+	c.reservedJobOver(c.Live[id])
+	delete(c.Live, id)
+	c.NoteOver(id)
 	for _, p := range c.peers {
 		delete(p.progress, id)
 	}
 	if o := c.owner.jobs[id]; o != nil {
-		for _, t := range tasksInOrder(o.placed) {
-			if c.limited(o.Team) {
+		for _, t := range inorder.Tasks(o.placed) {
+			if c.Limited(o.Team) {
 				left := leavingTask{o.Team, room.Need(&o.Job), t.number}
 				if t.uncertain {
 					left.number = 0
@@ -192,8 +194,8 @@
 	if o.Kind == protocol.KindGang {
 		// The rest of the attempt can't go on: its next one starts when all
 		// of this one are gone.
-		for _, other := range tasksInOrder(o.placed) {
-			c.askStop(other, true, graceS(&o.Job))
+		for _, other := range inorder.Tasks(o.placed) {
+			c.askStop(other, true, known.GraceS(&o.Job))
 		}
 	}
 }
@@ -204,16 +206,16 @@
 		return
 	}
 	t.stopping, t.moving = t.stopping || kill, !kill
-	c.send(c.keeper(t.machine), message.PeerMessage{Stop: &message.Stop{
+	c.Send(c.Keeper(t.machine), message.PeerMessage{Stop: &message.Stop{
 		TaskRef: message.TaskRef{Task: t.task, Attempt: t.attempt, Machine: t.machine}, Kill: kill, GraceS: grace,
 	}})
 }
 
 // loseMachine: everything placed by the machine's present record is gone.
 func (c *Core) loseMachine(m *machineEntry) {
-	delete(c.owner.pending, m.id)
-	c.left(m.id, math.MaxUint64)
-	for _, t := range tasksInOrder(m.mine) {
+	delete(c.owner.pending, m.ID)
+	c.left(m.ID, math.MaxUint64)
+	for _, t := range inorder.Tasks(m.mine) {
 		if o := c.owner.jobs[t.task.Job]; o != nil && o.placed[t.task] == t {
 			c.gone(o, t)
 		}
@@ -235,19 +237,19 @@
 
 // retryJobs repeats what the state service did not do.
 func (c *Core) retryJobs() {
-	if c.now < c.owner.retryAt || !c.acting() {
+	if c.Now < c.owner.retryAt || !c.Acting() {
 		return
 	}
-	c.owner.retryAt = c.after(time.Second)
-	for id, o := range inOrder(c.owner.jobs) {
+	c.owner.retryAt = c.After(time.Second)
+	for id, o := range inorder.Of(c.owner.jobs) {
 		if o.finish {
 			c.writeFinish(o)
 		}
 		if !o.loaded && !o.loading {
 			o.loading = true
-			c.do(message.LoadBits{Job: id})
+			c.Do(message.LoadBits{Job: id})
 		}
-		if o.notBefore > 0 && c.now >= o.notBefore {
+		if o.notBefore > 0 && c.Now >= o.notBefore {
 			o.notBefore = 0
 			c.owner.dirty = true
 		}
@@ -262,7 +264,7 @@
 			c.owner.sorted = append(c.owner.sorted, o)
 		}
 		slices.SortFunc(c.owner.sorted, func(a, b *ownedJob) int {
-			return cmp.Or(cmp.Compare(b.Priority.Rank(), a.Priority.Rank()), cmp.Compare(a.due, b.due), cmp.Compare(a.SubmittedMS, b.SubmittedMS), cmp.Compare(a.ID, b.ID))
+			return cmp.Or(cmp.Compare(b.Priority.Rank(), a.Priority.Rank()), cmp.Compare(a.Due, b.Due), cmp.Compare(a.SubmittedMS, b.SubmittedMS), cmp.Compare(a.ID, b.ID))
 		})
 	}
 	return c.owner.sorted
--- a/internal/coordination/pen.go
+++ b/internal/coordination/pen.go
@@ -5,6 +5,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/blocks"
+	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
@@ -46,7 +47,7 @@
 // recordWanted takes note of what a keeper asks for. What was asked for before
 // for the same machine is out of date.
 func (c *Core) recordWanted(r message.RecordChange) {
-	if r.Term == c.view.Term && c.inBlocks() && c.registrar() == c.self {
+	if r.Term == c.View.Term && c.InBlocks() && c.Registrar() == c.Self {
 		c.pen.wanted[r.Machine] = r
 	}
 }
@@ -57,11 +58,11 @@
 // that others have replaced writes nothing.
 func (c *Core) writeBlocks() {
 	p := &c.pen
-	if len(p.wanted) == 0 || p.busy || c.now < p.retryAt || !c.acting() {
+	if len(p.wanted) == 0 || p.busy || c.Now < p.retryAt || !c.Acting() {
 		return
 	}
-	limits := blocks.LimitsOf(c.settings.Site.State.ValueKB, c.settings.Site.State.TxnOps)
-	txn := protocol.Txn{If: []protocol.Condition{c.inThisView()}}
+	limits := blocks.LimitsOf(c.Settings.Site.State.ValueKB, c.Settings.Site.State.TxnOps)
+	txn := protocol.Txn{If: []protocol.Condition{c.InThisView()}}
 	dropSingle := func(id protocol.MachineID, version protocol.Version) {
 		key := bookkeeping.MachineKey(id)
 		txn.If = append(txn.If, protocol.Condition{Key: key, Version: version})
@@ -69,7 +70,7 @@
 	}
 	var tag penTag
 	var changes []blocks.Change
-	for id, r := range inOrder(p.wanted) {
+	for id, r := range inorder.Of(p.wanted) {
 		ch, due := c.blockChange(id, r)
 		switch {
 		case !due:
@@ -87,7 +88,7 @@
 	}
 	busy := func(name string) bool {
 		at, ok := p.writing[name]
-		return ok && c.since(at) < seenWithin
+		return ok && c.Since(at) < seenWithin
 	}
 	limits.Ops -= len(txn.Then)
 	tag.writes = c.shelf.Pack(changes, busy, limits)
@@ -99,7 +100,7 @@
 		} else {
 			txn.Then = append(txn.Then, protocol.Change{Put: key, Value: bookkeeping.Block{Machines: w.Entries}})
 		}
-		p.writing[w.Block] = c.now
+		p.writing[w.Block] = c.Now
 		for _, ch := range w.Changes {
 			if ch.Single != 0 {
 				dropSingle(ch.Machine, ch.Single)
@@ -113,7 +114,7 @@
 		return
 	}
 	p.busy = true
-	c.do(message.Commit{Tag: tag, Txn: txn})
+	c.Do(message.Commit{Tag: tag, Txn: txn})
 }
 
 // blockChange is what a machine's record needs still, if anything.
@@ -121,20 +122,20 @@
 	m := c.machines[id]
 	have := protocol.Version(0)
 	if m != nil {
-		have = m.epoch
+		have = m.Epoch
 	}
 	if have != r.Have {
 		return ch, false // it has changed since: asked again if that is not enough
 	}
 	ch = blocks.Change{Machine: id, Bound: c.pen.bound[id]}
 	if _, in := c.shelf.Where(id); m != nil && !in {
-		ch.Single = m.epoch
+		ch.Single = m.Epoch
 	}
 	if r.To != nil {
 		// Each stamp is above all before, and above the versions of records of
 		// the other layout: terms are above 0, revisions far below 2^32.
 		c.pen.stamps++
-		ch.Entry = &bookkeeping.BlockEntry{ID: id, Epoch: protocol.Version(uint64(c.view.Term)<<32 | c.pen.stamps), Machine: *r.To}
+		ch.Entry = &bookkeeping.BlockEntry{ID: id, Epoch: protocol.Version(uint64(c.View.Term)<<32 | c.pen.stamps), Machine: *r.To}
 	}
 	return ch, m != nil || r.To != nil
 }
@@ -150,7 +151,7 @@
 		}
 		return
 	}
-	p.retryAt = c.after(penPause)
+	p.retryAt = c.After(penPause)
 	for _, w := range tag.writes {
 		delete(p.writing, w.Block)
 	}
--- a/internal/coordination/pen_test.go
+++ b/internal/coordination/pen_test.go
@@ -31,8 +31,8 @@
 	r.step(message.Entitled{Until: Time(time.Hour)})
 	r.state.Txn(protocol.Txn{Then: []protocol.Change{{Put: bookkeeping.NodeKey("node-0"), Value: bookkeeping.Node{Session: lease, Layout: bookkeeping.LayoutBlocks}}}})
 	r.settle(5)
-	if !r.c.member() || !r.c.inBlocks() {
-		tb.Fatalf("view %+v", r.c.view)
+	if !r.c.Member() || !r.c.InBlocks() {
+		tb.Fatalf("view %+v", r.c.View)
 	}
 	return r
 }
@@ -51,7 +51,7 @@
 	}
 }
 
-func (r *recorder) carry(actions []Action) {
+func (r *recorder) carry(actions []message.Action) {
 	for _, a := range actions {
 		c, ok := a.(message.Commit)
 		if !ok {
@@ -89,7 +89,7 @@
 func (r *recorder) registered(session protocol.Session) int {
 	n := 0
 	for _, m := range r.c.machines {
-		if m.rec.Session == session {
+		if m.Record.Session == session {
 			n++
 		}
 	}
@@ -171,17 +171,17 @@
 	r.state.Txn(protocol.Txn{Then: []protocol.Change{{Put: bookkeeping.MachineKey("vm-old"), Value: rec}}})
 	r.state.Txn(protocol.Txn{Then: []protocol.Change{{Put: bookkeeping.MachineKey("vm-000000"), Value: rec}}})
 	r.settle(2)
-	epoch := r.c.machines["vm-000000"].epoch
+	epoch := r.c.machines["vm-000000"].Epoch
 	r.wave(1, 2) // comes back with a later session: moves into a block
 	r.settle(5)
 	_, inBlock := r.c.shelf.Where("vm-000000")
-	if m := r.c.machines["vm-000000"]; m == nil || !inBlock || m.epoch <= epoch {
+	if m := r.c.machines["vm-000000"]; m == nil || !inBlock || m.Epoch <= epoch {
 		t.Fatalf("not moved into a block: %+v", m)
 	}
 	if _, there := r.state.Get(bookkeeping.MachineKey("vm-000000")); there {
 		t.Error("its own record is still there")
 	}
-	r.now += Time(r.c.leaseOver())
+	r.now += Time(r.c.LeaseOver())
 	r.settle(60)
 	if len(r.c.machines) != 0 || r.c.shelf.Len() != 0 || len(r.state.List(bookkeeping.FollowedPrefix)) != 2 {
 		t.Errorf("%d machines, %d blocks, records %v", len(r.c.machines), r.c.shelf.Len(), r.state.List(bookkeeping.FollowedPrefix))
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -7,6 +7,8 @@
 	"sort"
 	"time"
 
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -20,7 +22,7 @@
 // smallest expected wait per processor among those that can run it.
 func (c *Core) schedule() {
 	c.owner.dirty = false
-	if len(c.types) == 0 {
+	if len(c.Types) == 0 {
 		return
 	}
 	usage := c.teamUsage()
@@ -36,10 +38,10 @@
 		}
 	}
 	for _, o := range c.jobsInOrder() {
-		if !o.loaded || o.finish || o.notBefore > c.now || o.pending.None() {
+		if !o.loaded || o.finish || o.notBefore > c.Now || o.pending.None() {
 			continue
 		}
-		if o.stuck && c.since(o.tried) < c.retryEvery(stuck) {
+		if o.stuck && c.Since(o.tried) < c.retryEvery(stuck) {
 			c.claimAgain(o, cl)
 			continue
 		}
@@ -52,9 +54,9 @@
 			chosen = c.placeArray(o, usage, left, cl)
 		}
 		left -= len(chosen)
-		o.stuck, o.tried = len(chosen) == 0 && c.looked > looked, c.now
+		o.stuck, o.tried = len(chosen) == 0 && c.looked > looked, c.Now
 		for _, p := range chosen {
-			keeper := c.keeper(p.Machine)
+			keeper := c.Keeper(p.Machine)
 			batches[keeper] = append(batches[keeper], p)
 			w := waits[p.Machine]
 			if w == nil {
@@ -69,7 +71,7 @@
 			break
 		}
 	}
-	for keeper, tasks := range inOrder(batches) {
+	for keeper, tasks := range inorder.Of(batches) {
 		p := c.peers[keeper]
 		if p == nil {
 			continue
@@ -80,7 +82,7 @@
 				o.placed[t.Task].number = p.placed
 			}
 		}
-		c.send(keeper, message.PeerMessage{Place: &message.Place{Number: p.placed, Term: c.view.Term, Tasks: tasks}})
+		c.Send(keeper, message.PeerMessage{Place: &message.Place{Number: p.placed, Term: c.View.Term, Tasks: tasks}})
 	}
 	c.sendWaits(waits)
 }
@@ -122,7 +124,7 @@
 
 func (c *Core) nextAttempt() protocol.Attempt {
 	c.owner.attempt++
-	return protocol.Attempt(uint64(c.view.Term)<<32 | c.owner.attempt)
+	return protocol.Attempt(uint64(c.View.Term)<<32 | c.owner.attempt)
 }
 
 // putOn places one task on the smallest of its job's candidates, and reckons
@@ -133,25 +135,25 @@
 	}
 	p := c.put(from.job, i, m, a)
 	c.took(from)
-	zones[m.rec.Zone]++
+	zones[m.Record.Zone]++
 	return p
 }
 
 // put places one task on a machine in the owner's books.
 func (c *Core) put(o *ownedJob, i uint32, m *machineEntry, a protocol.Attempt) message.Placement {
 	t := &placedTask{
-		task: protocol.TaskID{Job: o.ID, Index: i}, attempt: a, machine: m.id, epoch: m.epoch,
-		zone: m.rec.Zone, estimate: c.estimateOf(o),
+		task: protocol.TaskID{Job: o.ID, Index: i}, attempt: a, machine: m.ID, epoch: m.Epoch,
+		zone: m.Record.Zone, estimate: c.estimateOf(o),
 	}
 	o.placed[t.task] = t
 	o.pending.Clear(uint(i))
 	m.mine[t.task] = t
 	o.waits++
-	if p := c.peers[c.keeper(m.id)]; p != nil {
+	if p := c.peers[c.Keeper(m.ID)]; p != nil {
 		// The Place that carries it is the next to the keeper.
-		c.expect(m, comingWait{c.self, p.placed + 1, t.estimate * o.CPUs, o.level, room.Need(&o.Job)})
+		c.expect(m, comingWait{c.Self, p.placed + 1, t.estimate * o.CPUs, o.level, room.Need(&o.Job)})
 	}
-	return message.Placement{Task: t.task, Attempt: a, Machine: m.id, Epoch: m.epoch, EstimateS: t.estimate, CPUs: o.CPUs, GPUs: o.GPUs, GB: o.MemoryGB, Level: int(o.level), Together: o.together()}
+	return message.Placement{Task: t.task, Attempt: a, Machine: m.ID, Epoch: m.Epoch, EstimateS: t.estimate, CPUs: o.CPUs, GPUs: o.GPUs, GB: o.MemoryGB, Level: int(o.level), Together: o.together()}
 }
 
 // boundTo is the zone that a job's attempts hold it to, if they do.
@@ -179,11 +181,11 @@
 // addMachine puts a machine in its place, instead of another of its name if
 // there is one.
 func (c *Core) addMachine(m *machineEntry) {
-	c.removeMachine(m.id)
-	c.machines[m.id], c.records[m.id] = m, m.machine
-	i, _ := c.findMachine(m.id)
+	c.removeMachine(m.ID)
+	c.machines[m.ID], c.Records[m.ID] = m, m.Machine
+	i, _ := c.findMachine(m.ID)
 	c.sorted = slices.Insert(c.sorted, i, m)
-	if m.rec.Spot {
+	if m.Record.Spot {
 		c.spotsUp++
 	}
 }
@@ -194,17 +196,17 @@
 		return
 	}
 	delete(c.machines, id)
-	delete(c.records, id)
+	delete(c.Records, id)
 	if i, ok := c.findMachine(id); ok {
 		c.sorted = slices.Delete(c.sorted, i, i+1)
 	}
-	if m.rec.Spot {
+	if m.Record.Spot {
 		c.spotsUp--
 	}
 }
 
 func (c *Core) findMachine(id protocol.MachineID) (int, bool) {
-	return slices.BinarySearchFunc(c.sorted, id, func(m *machineEntry, id protocol.MachineID) int { return cmp.Compare(m.id, id) })
+	return slices.BinarySearchFunc(c.sorted, id, func(m *machineEntry, id protocol.MachineID) int { return cmp.Compare(m.ID, id) })
 }
 
 // wait is the machine's expected wait, in processor seconds, as far as this
@@ -226,8 +228,8 @@
 // room is what a machine has free now, as far as this controller knows. One
 // with a queue has none: what waits there comes first.
 func (m *machineEntry) free() room.Amount {
-	if m.told.Epoch != m.epoch {
-		return room.Capacity(m.info).Minus(m.taken.Firm(0)) // nothing told yet: as it came up
+	if m.told.Epoch != m.Epoch {
+		return room.Capacity(m.Info).Minus(m.taken.Firm(0)) // nothing told yet: as it came up
 	}
 	if m.told.Queued > 0 {
 		return room.Amount{}
@@ -238,7 +240,7 @@
 // idle is what nothing runs in on a machine, whatever waits there: what room is
 // held for does not wait behind the rest.
 func (m *machineEntry) idle() room.Amount {
-	if m.told.Epoch != m.epoch {
+	if m.told.Epoch != m.Epoch {
 		return m.free()
 	}
 	return room.Amount{CPUs: m.told.FreeCPUs, GPUs: m.told.FreeGPUs, GB: m.told.FreeGB}.Minus(m.taken.Firm(0))
@@ -250,8 +252,8 @@
 // firmRoom is what a machine has for a task of a level once everything that may
 // be stopped for it is gone.
 func (m *machineEntry) firmRoom(l room.Level) room.Amount {
-	room := room.Capacity(m.info).Minus(m.taken.Firm(l))
-	if m.told.Epoch == m.epoch {
+	room := room.Capacity(m.Info).Minus(m.taken.Firm(l))
+	if m.told.Epoch == m.Epoch {
 		room = room.Minus(m.held.Firm(l))
 	}
 	return room
@@ -260,7 +262,7 @@
 // roomBelow is what a machine has for work of a rank or below, beside what is
 // more urgent.
 func (m *machineEntry) roomBelow(rank int) room.Amount {
-	return room.Capacity(m.info).Minus(m.held.Above(rank)).Minus(m.taken.Above(rank))
+	return room.Capacity(m.Info).Minus(m.held.Above(rank)).Minus(m.taken.Above(rank))
 }
 
 // waitFor is the wait per processor that a task has to expect before it runs,
@@ -271,9 +273,9 @@
 	n := room.Need(j)
 	fetch := m.fetch(j)
 	if free := m.free(); free.Covers(n) {
-		return fetch + (free.CPUs-n.CPUs)/math.Max(m.info.CPUs, 1), true
+		return fetch + (free.CPUs-n.CPUs)/math.Max(m.Info.CPUs, 1), true
 	}
-	return m.waitBefore(l)/math.Max(m.info.CPUs, 1) + fetch, false
+	return m.waitBefore(l)/math.Max(m.Info.CPUs, 1) + fetch, false
 }
 
 // fetch is how long the machine takes to get a job's image, in seconds.
@@ -281,7 +283,7 @@
 	if slices.Contains(m.told.Images, j.Image) {
 		return 0
 	}
-	return fetchS(m.info, j)
+	return known.FetchS(m.Info, j)
 }
 
 // usable reports whether tasks may be placed on a machine at all.
@@ -291,25 +293,25 @@
 
 // open reports whether its keeper lets tasks be placed on a machine.
 func (m *machineEntry) open() bool {
-	return m.info.Name != "" && !m.told.Closed && !m.told.Draining && !m.told.Suspect
+	return m.Info.Name != "" && !m.told.Closed && !m.told.Draining && !m.told.Suspect
 }
 
 // allows reports whether a job may have a task on a machine: type, zone, kind
 // and size, and the zones of its other tasks that are not proven gone.
 func (o *ownedJob) allows(m *machineEntry, zones map[protocol.Zone]int) bool {
-	return o.allowsKind(m.info, m.rec.Zone, m.rec.Spot) && o.allowsZone(m, zones)
+	return o.AllowsKind(m.Info, m.Record.Zone, m.Record.Spot) && o.allowsZone(m, zones)
 }
 
 // allowsZone is the part that depends on where its other tasks are.
 func (o *ownedJob) allowsZone(m *machineEntry, zones map[protocol.Zone]int) bool {
 	if o.OneZone {
 		for z, n := range zones {
-			if n > 0 && z != m.rec.Zone {
+			if n > 0 && z != m.Record.Zone {
 				return false
 			}
 		}
 	}
-	return !o.Spread || zones[m.rec.Zone] < int(o.Tasks+1)/2
+	return !o.Spread || zones[m.Record.Zone] < int(o.Tasks+1)/2
 }
 
 // teamUsage sums what limited teams' attempts may take that are not proven
@@ -319,7 +321,7 @@
 func (c *Core) teamUsage() map[protocol.Team]room.Amount {
 	usage := map[protocol.Team]room.Amount{}
 	for _, o := range c.owner.jobs {
-		if c.limited(o.Team) {
+		if c.Limited(o.Team) {
 			c.use(o, usage, len(o.placed))
 		}
 	}
@@ -342,10 +344,10 @@
 
 // mostOn is the most that attempts on a machine may take.
 func mostOn(m *machineEntry) room.Amount {
-	if m.info.Name == "" {
+	if m.Info.Name == "" {
 		return room.Amount{CPUs: math.Inf(1), GPUs: math.Inf(1), GB: math.Inf(1)} // of a type that the cloud does not list
 	}
-	return room.Capacity(m.info)
+	return room.Capacity(m.Info)
 }
 
 func (c *Core) use(o *ownedJob, usage map[protocol.Team]room.Amount, n int) {
@@ -357,7 +359,7 @@
 
 // withinLimit reports whether n more tasks keep the team within its limit.
 func (c *Core) withinLimit(o *ownedJob, usage map[protocol.Team]room.Amount, n int) bool {
-	t, ok := c.settings.Team(o.Team)
+	t, ok := c.Settings.Team(o.Team)
 	if !ok {
 		return false
 	}
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/renting"
 	"damsonkeel/internal/coordination/room"
@@ -21,34 +23,34 @@
 	f := &c.fleet
 	var up renting.Slots
 	for _, m := range c.machinesInOrder() {
-		if !c.usable(m) || len(c.promised.windows) > 0 && c.inWindow(m.id, m.rec.Type, m.rec.Zone, c.moment(), c.moment()) {
+		if !c.usable(m) || len(c.promised.Windows) > 0 && c.InWindow(m.ID, m.Record.Type, m.Record.Zone, c.Moment(), c.Moment()) {
 			continue
 		}
 		a := renting.Alike{Kind: m.kind(), Free: m.unreserved(), Held: m.held}
 		for r := range a.Held {
 			a.Held[r] = a.Held[r].Plus(m.taken[r])
 		}
-		up.Add(a, m.info)
+		up.Add(a, m.Info)
 	}
 	slots := up.List
-	for id, m := range inOrder(f.coming) {
-		s := renting.Fresh(c.types[m.Type], m.kind, 1)
-		s.InS = math.Max(s.Info.BootS-c.since(m.at).Seconds(), 1)
-		s.Free = s.Free.Minus(reservedBy(c.promised.holds[id], c.moment()))
+	for id, m := range inorder.Of(f.coming) {
+		s := renting.Fresh(c.Types[m.Type], m.kind, 1)
+		s.InS = math.Max(s.Info.BootS-c.Since(m.at).Seconds(), 1)
+		s.Free = s.Free.Minus(known.ReservedBy(c.promised.Holds[id], c.Moment()))
 		slots = append(slots, s)
 	}
-	for _, r := range inOrder(f.rents) {
-		slots = append(slots, renting.Fresh(c.types[r.req.Type], r.kind(), r.req.Count))
+	for _, r := range inorder.Of(f.rents) {
+		slots = append(slots, renting.Fresh(c.Types[r.req.Type], r.kind(), r.req.Count))
 	}
 	return slots
 }
 
 // work is tasks of a job as a plan reckons with them.
-func (c *Core) work(j *liveJob, l room.Level, estimateS float64) renting.Work {
+func (c *Core) work(j *known.LiveJob, l room.Level, estimateS float64) renting.Work {
 	return renting.Work{
 		Need: room.Need(&j.Job), Level: l, OneZone: j.OneZone && j.Zone == "", Shun: c.risky(&j.Job),
-		EstimateS: estimateS, FetchS: func(t protocol.TypeInfo) float64 { return fetchS(t, &j.Job) },
-		Allows: j.allowsKind, Offers: c.offers(j),
+		EstimateS: estimateS, FetchS: func(t protocol.TypeInfo) float64 { return known.FetchS(t, &j.Job) },
+		Allows: j.AllowsKind, Offers: c.offers(j),
 	}
 }
 
@@ -58,7 +60,7 @@
 	for _, r := range c.fleet.rents {
 		underWay[r.kind()] += r.req.Count
 	}
-	p := renting.New(c.types, c.slots(), underWay)
+	p := renting.New(c.Types, c.slots(), underWay)
 	defer c.rentWanted(p)
 	var demand, rest []message.Demand
 	for _, p := range c.peers {
@@ -72,14 +74,14 @@
 	for _, d := range demand {
 		switch j := c.wants(d); {
 		case j == nil:
-		case c.awaited(&j.Job):
+		case c.Awaited(&j.Job):
 			p.House(c.work(j, room.Level(d.Level), d.EstimateS), d.Unstarted)
 		default:
 			rest = append(rest, d)
 		}
 	}
-	for _, k := range inOrder(c.classes) {
-		j := &liveJob{Job: k.job}
+	for _, k := range inorder.Of(c.classes) {
+		j := &known.LiveJob{Job: k.job}
 		j.OneZone = false // it is kept for several jobs
 		if n := c.reserve(k); n > 0 {
 			p.House(c.work(j, room.LevelOf(j.Priority, false), 0), n)
@@ -88,12 +90,12 @@
 	// What is left works off the rest, the most pressing first. Each job finds
 	// what those before it leave of the time until it has to be done.
 	slices.SortStableFunc(rest, func(a, b message.Demand) int {
-		ja, jb := c.live[a.Job], c.live[b.Job]
+		ja, jb := c.Live[a.Job], c.Live[b.Job]
 		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(c.timeLeft(ja, a), c.timeLeft(jb, b)))
 	})
 	top, runS, weight := 0, 0.0, 0.0
 	for _, d := range rest {
-		top = max(top, c.live[d.Job].Priority.Rank())
+		top = max(top, c.Live[d.Job].Priority.Rank())
 		runS += d.EstimateS * float64(d.Unstarted)
 		weight += float64(d.Unstarted)
 	}
@@ -105,18 +107,18 @@
 	}
 	// What is likely to come until another machine is up has to be begun by
 	// then: else each burst would wait for the boots that the last one needed.
-	for _, k := range inOrder(c.classes) {
+	for _, k := range inorder.Of(c.classes) {
 		if work := c.comingWork(k); work > 0 {
-			estimateS := c.estimate(&k.job)
+			estimateS := c.Estimate(&k.job)
 			n := int(work / (estimateS * math.Max(k.job.CPUs, room.Slack)))
-			p.WorkOff(c.work(&liveJob{Job: k.job}, 0, estimateS), n, c.upS(&k.job))
+			p.WorkOff(c.work(&known.LiveJob{Job: k.job}, 0, estimateS), n, c.upS(&k.job))
 		}
 	}
 }
 
 // wants is the job of a demand, with the zone that is left to it.
-func (c *Core) wants(d message.Demand) *liveJob {
-	j := c.live[d.Job]
+func (c *Core) wants(d message.Demand) *known.LiveJob {
+	j := c.Live[d.Job]
 	if j == nil || d.Zone == "" {
 		return j
 	}
@@ -129,12 +131,12 @@
 // in a second; the next plan asks for the rest.
 func (c *Core) rentWanted(p *renting.Plan) {
 	for _, o := range p.Orders() {
-		if float64(len(c.fleet.rents)) >= math.Max(1, c.settings.Site.Cloud.RPS) {
+		if float64(len(c.fleet.rents)) >= math.Max(1, c.Settings.Site.Cloud.RPS) {
 			return
 		}
 		c.fleet.requests++
 		req := protocol.RentRequest{
-			Name: fmt.Sprintf("%s-%d-%d-%d", c.self, c.session, c.view.Term, c.fleet.requests),
+			Name: fmt.Sprintf("%s-%d-%d-%d", c.Self, c.Session, c.View.Term, c.fleet.requests),
 			Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: o.Count,
 		}
 		r := &rentCall{req: req, of: calendar.Name(o.For)}
@@ -144,27 +146,27 @@
 }
 
 // price of a kind, for a processor and an hour.
-func (c *Core) price(k kind) float64 { return renting.Price(c.types[k.Type], k.Spot) }
+func (c *Core) price(k kind) float64 { return renting.Price(c.Types[k.Type], k.Spot) }
 
 // timeLeft is how long a job's tasks may still wait, in seconds, and be done
 // when it is due. Owners' estimates are often wrong by half. What nobody sets
 // a time for waits no longer than a machine takes to come.
-func (c *Core) timeLeft(j *liveJob, d message.Demand) float64 {
-	if len(c.dueTimes(&j.Job)) == 0 {
+func (c *Core) timeLeft(j *known.LiveJob, d message.Demand) float64 {
+	if len(c.DueTimes(&j.Job)) == 0 {
 		return 0
 	}
-	return math.Max(0, time.Duration(j.due-c.now).Seconds()-1.5*d.EstimateS)
+	return math.Max(0, time.Duration(j.Due-c.Now).Seconds()-1.5*d.EstimateS)
 }
 
 // offers lists what may be rented for a job, the cheapest per task first.
-func (c *Core) offers(j *liveJob) []kind {
+func (c *Core) offers(j *known.LiveJob) []kind {
 	type offer struct {
 		kind
 		price float64
 	}
 	var offers []offer
 	stretch, shun := c.spotStretch(&j.Job)*float64(j.Tasks), c.risky(&j.Job)
-	for _, t := range c.types {
+	for _, t := range c.Types {
 		per := room.Capacity(t).Fit(room.Need(&j.Job))
 		if per == 0 {
 			continue
@@ -172,7 +174,7 @@
 		for _, z := range t.AllowZones {
 			for _, spot := range []bool{true, false} {
 				k := kind{Type: t.Name, Zone: z, Spot: spot}
-				if !j.allowsKind(t, z, spot) || spot && shun || c.fleet.refused[k].until > c.now {
+				if !j.AllowsKind(t, z, spot) || spot && shun || c.fleet.refused[k].until > c.Now {
 					continue
 				}
 				price := t.Price
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/renting"
 	"damsonkeel/internal/coordination/room"
@@ -11,7 +12,7 @@
 )
 
 // rentsOf is how many machines are asked for.
-func rentsOf(actions []Action) (n int) {
+func rentsOf(actions []message.Action) (n int) {
 	for _, a := range actions {
 		if r, ok := a.(message.Rent); ok {
 			n += r.Request.Count
@@ -29,7 +30,7 @@
 		rent bool
 	}{{1, false}, {12, true}} {
 		b := planner(t)
-		b.c.types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 30, AllowZones: []protocol.Zone{"a"}, Price: 1, SpotPrice: 1}
+		b.c.Types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 30, AllowZones: []protocol.Zone{"a"}, Price: 1, SpotPrice: 1}
 		for i := range 4 {
 			b.ready(protocol.MachineID(fmt.Sprint("vm-", i)))
 		}
@@ -47,13 +48,13 @@
 // a kind at a time; its answer brings the next, or the next best kind.
 func TestPlanAsksAgainAtOnce(t *testing.T) {
 	b := planner(t)
-	b.c.settings.Site.Cloud.RPS = 4
-	b.c.types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}, Price: 1, SpotPrice: 1}
+	b.c.Settings.Site.Cloud.RPS = 4
+	b.c.Types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}, Price: 1, SpotPrice: 1}
 	b.job("job-1", "free", 2000)
 	actions := append(b.relay(), b.relay()...)
 	asked := map[protocol.Zone]int{}
 	for round := range 3 {
-		var answer []Action
+		var answer []message.Action
 		for _, a := range actions {
 			r, ok := a.(message.Rent)
 			if !ok {
@@ -81,12 +82,12 @@
 // TestGangZoneIsRented: what a gang bound to one zone lacks is rented there.
 func TestGangZoneIsRented(t *testing.T) {
 	b := planner(t)
-	b.c.types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}, Price: 1, SpotPrice: 1}
+	b.c.Types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}, Price: 1, SpotPrice: 1}
 	b.zoned("a", 2, false, room.Uses{})
 	b.zoned("b", 3, false, room.Uses{})
 	o := b.gang("job-1", 5)
 	o.Spot = false
-	b.c.live["job-1"] = o.liveJob
+	b.c.Live["job-1"] = o.LiveJob
 	var zones []protocol.Zone
 	for _, a := range append(b.relay(), b.relay()...) {
 		if r, ok := a.(message.Rent); ok {
@@ -105,15 +106,15 @@
 // for where they are; machines elsewhere, however many, are of no use to it.
 func TestBoundJobIsRentedFor(t *testing.T) {
 	b := planner(t)
-	b.c.types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}, Price: 1, SpotPrice: 1}
+	b.c.Types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}, Price: 1, SpotPrice: 1}
 	b.zoned("a", 20, false, room.Uses{})
 	b.zoned("b", 1, false, room.Uses{})
-	o := b.c.own(&liveJob{Job: protocol.Job{
+	o := b.c.own(&known.LiveJob{Job: protocol.Job{
 		ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 60, CPUs: 1, MemoryGB: 1, EstimateS: 60, OneZone: true,
-	}, since: b.c.now})
+	}, Since: b.c.Now})
 	o.loaded = true
 	o.pending.FlipRange(0, 60)
-	b.c.live["job-1"] = o.liveJob
+	b.c.Live["job-1"] = o.LiveJob
 	b.c.put(o, 0, b.c.machines["vm-bfalse0"], 1)
 	rented := 0
 	for _, a := range append(b.relay(), b.relay()...) {
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -16,11 +18,11 @@
 // startBy is the time by which an attempt should start: the first that can
 // still be kept of what its class and its team's guarantee ask for, else when
 // it has to start to be done in time.
-func (k *keeper) startBy(e *entry, l *liveJob) Time {
-	first := k.doneBy(l) - Time(1.5*e.estimate*float64(time.Second)) // owners' estimates are often wrong by half
-	for _, o := range k.settings.Site.Objectives {
+func (k *keeper) startBy(e *entry, l *known.LiveJob) Time {
+	first := k.DoneBy(l) - Time(1.5*e.estimate*float64(time.Second)) // owners' estimates are often wrong by half
+	for _, o := range k.Settings.Site.Objectives {
 		asked := o.Kind == "wait" && o.Class == l.Class || o.Kind == "guarantee" && e.level.Guaranteed()
-		if by := l.since + Time(o.WithinS*float64(time.Second)); asked && by >= k.now {
+		if by := l.Since + Time(o.WithinS*float64(time.Second)); asked && by >= k.Now {
 			first = min(first, by)
 		}
 	}
@@ -33,7 +35,7 @@
 	estimate := time.Duration(e.estimate * float64(time.Second))
 	left := estimate
 	if e.state == protocol.TaskRunning {
-		left -= k.since(e.runs)
+		left -= k.Since(e.runs)
 	}
 	return max(left, estimate/4)
 }
@@ -79,14 +81,14 @@
 	k.sortWaiting(q)
 	free := q.freeSoon()
 	for _, head := range q.waiting {
-		j := k.live[head.task.Job]
+		j := k.Live[head.task.Job]
 		if j == nil {
 			return
 		}
 		if later, _ := k.mayStartOn(q, head, j, room.Capacity(q.info)); later != startNow {
 			return // it would not start there
 		}
-		if !head.together && (k.since(head.since) < preemptAfter || k.after(k.roomIn(q, free, head.need)) <= k.startBy(head, j)) {
+		if !head.together && (k.Since(head.since) < preemptAfter || k.After(k.roomIn(q, free, head.need)) <= k.startBy(head, j)) {
 			return
 		}
 		var ok bool
@@ -106,10 +108,10 @@
 	if free.Covers(head.need) {
 		return free, true
 	}
-	j := k.live[head.task.Job]
+	j := k.Live[head.task.Job]
 	var victims []*entry
-	for _, e := range tasksInOrder(q.entries) {
-		other := k.live[e.task.Job]
+	for _, e := range inorder.Tasks(q.entries) {
+		other := k.Live[e.task.Job]
 		switch {
 		case !e.present || e.ended() || other == nil || e.kill:
 		case other.Priority.Rank() < j.Priority.Rank() && (head.level > e.level || other.Team == j.Team),
@@ -131,7 +133,7 @@
 	}
 	for _, e := range chosen {
 		k.stopFor(q, e)
-		k.log.Debug("stopped for a more urgent task", "machine", q.id, "task", e.task, "for", head.task)
+		k.Log.Debug("stopped for a more urgent task", "machine", q.id, "task", e.task, "for", head.task)
 	}
 	return free, true
 }
@@ -139,7 +141,7 @@
 // sortVictims puts those that can save first, then those that ran least.
 func (k *keeper) sortVictims(victims []*entry) {
 	saves := func(e *entry) int {
-		if k.live[e.task.Job].CheckpointS > 0 {
+		if k.Live[e.task.Job].CheckpointS > 0 {
 			return 0
 		}
 		return 1
--- a/internal/coordination/preempt_test.go
+++ b/internal/coordination/preempt_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -32,7 +33,7 @@
 		b.ready("vm-1")
 		q := b.c.keeping.queues["vm-1"]
 		entry := func(id protocol.JobID, k task, cpus float64) *entry {
-			b.c.live[id] = &liveJob{Job: protocol.Job{ID: id, Team: k.team, Priority: k.priority, CPUs: cpus, Tasks: 1}}
+			b.c.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Team: k.team, Priority: k.priority, CPUs: cpus, Tasks: 1}}
 			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: 900, need: room.Amount{CPUs: cpus}, level: room.LevelOf(k.priority, k.guaranteed)}
 			q.entries[e.task] = e
 			return e
@@ -47,7 +48,7 @@
 		if victim.kill {
 			t.Errorf("%s: stopped before the head has waited", tc.name)
 		}
-		b.c.now += Time(preemptAfter)
+		b.c.Now += Time(preemptAfter)
 		b.c.keeping.preempt(q)
 		if victim.kill != tc.stopped {
 			t.Errorf("%s: stopped %v, want %v", tc.name, victim.kill, tc.stopped)
@@ -90,9 +91,9 @@
 		b.ready("vm-1")
 		q := b.c.keeping.queues["vm-1"]
 		entry := func(id protocol.JobID, p protocol.Priority, class string, s float64) *entry {
-			l := &liveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Priority: p, CPUs: 3, Tasks: 1, EstimateS: s}, since: b.now}
-			l.due = b.c.due(l)
-			b.c.live[id] = l
+			l := &known.LiveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Priority: p, CPUs: 3, Tasks: 1, EstimateS: s}, Since: b.now}
+			l.Due = b.c.Due(l)
+			b.c.Live[id] = l
 			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: s, since: b.now, need: room.Amount{CPUs: 3}, level: room.LevelOf(p, false)}
 			q.entries[e.task] = e
 			return e
@@ -101,7 +102,7 @@
 		runs.sent, runs.present, runs.state, runs.runs = true, true, protocol.TaskRunning, b.now
 		q.waiting = append(q.waiting, entry("job-2", "high", tc.class, 10))
 		b.c.keeping.touch(q)
-		b.c.now += Time(preemptAfter)
+		b.c.Now += Time(preemptAfter)
 		b.c.keeping.preempt(q)
 		if runs.kill != tc.stopped {
 			t.Errorf("one of %v s, for a job of class %s: stopped %v, want %v", tc.runs, tc.class, runs.kill, tc.stopped)
--- a/internal/coordination/promises.go
+++ b/internal/coordination/promises.go
@@ -6,6 +6,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -13,7 +14,7 @@
 // promises is what a controller reckons of the calendar as an owner, and as the
 // one that chooses where room is held.
 type promises struct {
-	*pledges
+	*known.Pledges
 
 	written Time   // when the list was last written
 	stale   bool   // it has changed since
@@ -22,7 +23,7 @@
 
 	// byClass are the live jobs of the classes that something is due for within
 	// windowsAhead, as of the last relay period.
-	byClass map[string][]*liveJob
+	byClass map[string][]*known.LiveJob
 	seen    map[calendar.Name]*seenJob
 	dues    []calendar.Due                  // as last chosen for
 	short   map[calendar.Name]int           // tasks that no sure room is held for, as last chosen
@@ -46,9 +47,9 @@
 	tasks int
 }
 
-func newPromises(p *pledges) promises {
+func newPromises(p *known.Pledges) promises {
 	return promises{
-		pledges: p, seen: map[calendar.Name]*seenJob{}, short: map[calendar.Name]int{}, zones: map[calendar.Name]protocol.Zone{},
+		Pledges: p, seen: map[calendar.Name]*seenJob{}, short: map[calendar.Name]int{}, zones: map[calendar.Name]protocol.Zone{},
 		risk: map[calendar.Name]string{}, write: map[calendar.Name]bool{},
 	}
 }
@@ -60,11 +61,11 @@
 	case f.Calendar:
 		var r bookkeeping.Calendar
 		err = protocol.Decode(value, &r)
-		pr.version, pr.changes = version, r.Changes
+		pr.Version, pr.Changes = version, r.Changes
 	case f.Reservation != "":
 		var r bookkeeping.Reservation
 		if err = protocol.Decode(value, &r); err == nil {
-			err = pr.book.PutReservation(r, version, c.moment())
+			err = pr.Book.PutReservation(r, version, c.Moment())
 			if r.State != bookkeeping.Accepted && r.State != bookkeeping.Holding {
 				c.unhold(r.Spec.Name)
 			}
@@ -72,7 +73,7 @@
 	case f.Window != "":
 		var w bookkeeping.Window
 		if err = protocol.Decode(value, &w); err == nil {
-			err = pr.book.PutWindow(w, version, c.moment())
+			err = pr.Book.PutWindow(w, version, c.Moment())
 		}
 	}
 	c.somethingPromised()
@@ -82,10 +83,10 @@
 // calendarGone takes over that a record was deleted.
 func (c *Core) calendarGone(f bookkeeping.Followed) {
 	if f.Reservation != "" {
-		c.promised.book.Drop(false, f.Reservation)
+		c.promised.Book.Drop(false, f.Reservation)
 		c.unhold(f.Reservation)
 	} else {
-		c.promised.book.Drop(true, f.Window)
+		c.promised.Book.Drop(true, f.Window)
 	}
 	c.somethingPromised()
 }
@@ -94,19 +95,19 @@
 // that hears of that before the next list does not wait for it.
 func (c *Core) unhold(n calendar.Name) {
 	held := func(h calendar.Hold) bool { return h.For == n }
-	if slices.ContainsFunc(c.promised.list, held) {
-		c.setHolds(slices.DeleteFunc(slices.Clone(c.promised.list), held))
+	if slices.ContainsFunc(c.promised.List, held) {
+		c.setHolds(slices.DeleteFunc(slices.Clone(c.promised.List), held))
 	}
 }
 
 // somethingPromised notes whether there is anything in the book. What machines
 // run is told from then on.
 func (c *Core) somethingPromised() {
-	is := !c.promised.book.Empty()
-	if is == c.promised.any {
+	is := !c.promised.Book.Empty()
+	if is == c.promised.Any {
 		return
 	}
-	c.promised.any = is
+	c.promised.Any = is
 	c.keeping.touchAll()
 }
 
@@ -117,30 +118,30 @@
 // refreshPromises reckons once a relay period what is open, held and claimed now.
 func (c *Core) refreshPromises() {
 	pr := &c.promised
-	if !pr.any && len(pr.list) == 0 {
+	if !pr.Any && len(pr.List) == 0 {
 		return
 	}
-	now, off := c.moment(), c.settings.Site.ClockError()
-	pr.book.Extend(now)
-	pr.windows, pr.teams = nil, map[protocol.Team][]teamClaim{}
-	soon := pr.book.Overlapping(calendar.After(now, -2*off), calendar.After(now, windowsAhead))
-	pr.byClass = map[string][]*liveJob{}
+	now, off := c.Moment(), c.Settings.Site.ClockError()
+	pr.Book.Extend(now)
+	pr.Windows, pr.teams = nil, map[protocol.Team][]teamClaim{}
+	soon := pr.Book.Overlapping(calendar.After(now, -2*off), calendar.After(now, windowsAhead))
+	pr.byClass = map[string][]*known.LiveJob{}
 	for _, o := range soon {
 		if !o.Window {
-			pr.byClass[pr.book.Reservation(o.Name).Reservation.Spec.Class] = nil
+			pr.byClass[pr.Book.Reservation(o.Name).Reservation.Spec.Class] = nil
 		}
 	}
-	for _, l := range c.live {
+	for _, l := range c.Live {
 		if _, asked := pr.byClass[l.Class]; asked {
 			pr.byClass[l.Class] = append(pr.byClass[l.Class], l)
 		}
 	}
 	for _, o := range soon {
 		if o.Window {
-			pr.windows = append(pr.windows, openWindow{&pr.book.Window(o.Name).Window.Spec, calendar.After(o.Start, -off), calendar.After(o.End, off)})
+			pr.Windows = append(pr.Windows, known.OpenWindow{Spec: &pr.Book.Window(o.Name).Window.Spec, Start: calendar.After(o.Start, -off), End: calendar.After(o.End, off)})
 		}
 	}
-	for _, e := range pr.book.Due(calendar.After(now, -2*off), calendar.After(now, windowsAhead)) {
+	for _, e := range pr.Book.Due(calendar.After(now, -2*off), calendar.After(now, windowsAhead)) {
 		c.claimLimit(e)
 	}
 	c.reckonReserved()
@@ -148,9 +149,9 @@
 
 // reckonReserved reckons what of each machine's room is held now.
 func (c *Core) reckonReserved() {
-	now := c.moment()
+	now := c.Moment()
 	for _, m := range c.machines {
-		m.reserved = reservedBy(c.promised.holds[m.id], now)
+		m.reserved = known.ReservedBy(c.promised.Holds[m.ID], now)
 	}
 }
 
@@ -158,7 +159,7 @@
 // has not been used.
 func (c *Core) claimLimit(e *calendar.Entry) {
 	s := &e.Reservation.Spec
-	if !e.Promised() || !c.limited(s.Team) {
+	if !e.Promised() || !c.Limited(s.Team) {
 		return
 	}
 	_, wanted, started := c.jobsOf(e)
@@ -175,19 +176,19 @@
 	if s := c.promised.seen[e.Reservation.Spec.Name]; s != nil && s.start == e.StartMS {
 		came, tasks, started = true, s.tasks, s.tasks
 	}
-	each := func(l *liveJob) {
+	each := func(l *known.LiveJob) {
 		if calendar.Matches(e.Reservation, &l.Job) {
 			g, _ := c.JobProgress(l.ID)
 			came, tasks, started = true, tasks+int(l.Tasks), started+int(g.Done+g.Running)
 		}
 	}
 	if id := e.Reservation.Spec.Job; id != "" {
-		if l := c.live[id]; l != nil {
+		if l := c.Live[id]; l != nil {
 			each(l)
 		}
 	} else {
 		for _, l := range c.promised.byClass[e.Reservation.Spec.Class] {
-			if c.live[l.ID] == l {
+			if c.Live[l.ID] == l {
 				each(l)
 			}
 		}
@@ -199,12 +200,12 @@
 }
 
 // reservedJobOver remembers a job of a reservation that is over.
-func (c *Core) reservedJobOver(l *liveJob) {
-	if !c.promised.any || l == nil {
+func (c *Core) reservedJobOver(l *known.LiveJob) {
+	if !c.promised.Any || l == nil {
 		return
 	}
-	now := c.moment()
-	for _, e := range c.promised.book.Due(calendar.After(now, -time.Minute), calendar.After(now, time.Hour)) {
+	now := c.Moment()
+	for _, e := range c.promised.Book.Due(calendar.After(now, -time.Minute), calendar.After(now, time.Hour)) {
 		if !calendar.Matches(e.Reservation, &l.Job) {
 			continue
 		}
--- a/internal/coordination/promises_test.go
+++ b/internal/coordination/promises_test.go
@@ -6,6 +6,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/operators"
@@ -25,7 +26,7 @@
 
 // in is the text of a moment so much later.
 func (b *bench) in(d time.Duration) string {
-	return time.UnixMilli(int64(b.c.moment())).Add(d).UTC().Format("2006-01-02 at 15:04:05")
+	return time.UnixMilli(int64(b.c.Moment())).Add(d).UTC().Format("2006-01-02 at 15:04:05")
 }
 
 func (b *bench) operate(r operators.Request) (operators.Reply, *protocol.Txn) {
@@ -64,7 +65,7 @@
 	if reply := b.do(add); reply.Code != operators.Done {
 		t.Fatalf("%+v", reply)
 	}
-	if stale.If[0].Key != bookkeeping.CalendarKey || stale.If[0].Version == b.c.promised.version {
+	if stale.If[0].Key != bookkeeping.CalendarKey || stale.If[0].Version == b.c.promised.Version {
 		t.Error("decided before the first was accepted, and not conditional on that")
 	}
 	if reply, txn := b.operate(add); reply.Code != operators.Done || txn != nil || len(reply.Reservations) != 1 {
@@ -74,7 +75,7 @@
 	if reply, _ := b.operate(add); reply.Code != operators.Refused {
 		t.Errorf("its name is taken: %+v", reply)
 	}
-	made := b.c.promised.book.Reservation("one").Reservation.MadeMS
+	made := b.c.promised.Book.Reservation("one").Reservation.MadeMS
 	if reply := b.do(operators.Request{Op: operators.OpCancel, Name: "one", Made: made - 1}); reply.Code != operators.Refused {
 		t.Errorf("another one is cancelled: %+v", reply)
 	}
@@ -83,7 +84,7 @@
 			t.Errorf("cancel: %+v", reply)
 		}
 	}
-	if b.c.promised.book.Reservation("one").State != bookkeeping.Cancelled || len(b.c.promised.book.Overlapping(0, 1<<41)) != 0 {
+	if b.c.promised.Book.Reservation("one").State != bookkeeping.Cancelled || len(b.c.promised.Book.Overlapping(0, 1<<41)) != 0 {
 		t.Error("not cancelled")
 	}
 }
@@ -95,13 +96,13 @@
 	b := promising(t)
 	b.ready("vm-1") // of 4 processors
 	b.do(operators.Request{Op: operators.OpAdd, ID: "1", Reservation: reserve("one", b.in(20*time.Minute), 2)})
-	now := b.c.moment()
+	now := b.c.Moment()
 	hold := calendar.Hold{For: "one", Machine: "vm-1", Tasks: 2, Need: room.Amount{CPUs: 4, GB: 2}, Level: 1, Clear: calendar.After(now, 18*time.Minute), From: calendar.After(now, 20*time.Minute), Until: calendar.After(now, 40*time.Minute)}
-	b.c.promised.listed = true
+	b.c.promised.Listed = true
 	b.c.setHolds([]calendar.Hold{hold})
 	q := b.c.keeping.queues["vm-1"]
 	wait := func(id protocol.JobID, class string, estimate float64) *entry {
-		b.c.live[id] = &liveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Kind: protocol.KindArray, Priority: "standard", CPUs: 2, MemoryGB: 1, Tasks: 1, EstimateS: estimate, SubmittedMS: int64(b.c.moment())}}
+		b.c.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Kind: protocol.KindArray, Priority: "standard", CPUs: 2, MemoryGB: 1, Tasks: 1, EstimateS: estimate, SubmittedMS: int64(b.c.Moment())}}
 		e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: estimate, need: room.Amount{CPUs: 2, GB: 1}, level: 1, from: "node-0"}
 		q.entries[e.task] = e
 		b.c.keeping.enqueue(q, e)
@@ -115,14 +116,14 @@
 	if q.entries[protocol.TaskID{Job: "job-long"}] != nil {
 		t.Error("what would overrun was not given back to its owner")
 	}
-	b.c.now += Time(19 * time.Minute)
+	b.c.Now += Time(19 * time.Minute)
 	wait("job-late", "array", 10)
 	mine := wait("job-mine", "one", 600)
 	if out := b.c.keeping.startable(q); len(out) != 1 || out[0] != mine {
 		t.Errorf("%d started in room that has to be clear, want the reserved job's", len(out))
 	}
 	b.do(operators.Request{Op: operators.OpCancel, Name: "one"})
-	if len(b.c.promised.holds["vm-1"]) != 0 {
+	if len(b.c.promised.Holds["vm-1"]) != 0 {
 		t.Error("held after it was cancelled")
 	}
 }
@@ -172,21 +173,21 @@
 	b := promising(t)
 	b.ready("vm-1")
 	b.do(operators.Request{Op: operators.OpAdd, ID: "1", Reservation: reserve("one", b.in(10*time.Minute), 2)})
-	now := b.c.moment()
+	now := b.c.Moment()
 	b.c.setHolds([]calendar.Hold{{For: "one", Machine: "vm-1", Tasks: 2, Need: room.Amount{CPUs: 4, GB: 2}, Level: 1, Clear: calendar.After(now, 8*time.Minute), From: calendar.After(now, 10*time.Minute), Until: calendar.After(now, 40*time.Minute)}})
 	q := b.c.keeping.queues["vm-1"]
 	run := func(id protocol.JobID, p protocol.Priority) *entry {
-		b.c.live[id] = &liveJob{Job: protocol.Job{ID: id, Priority: p, Team: "free", CPUs: 2, Tasks: 1, CheckpointS: 10, SaveS: 10}}
+		b.c.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Priority: p, Team: "free", CPUs: 2, Tasks: 1, CheckpointS: 10, SaveS: 10}}
 		e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: 3600, need: room.Amount{CPUs: 2}, level: room.LevelOf(p, false), sent: true, present: true, state: protocol.TaskRunning}
 		q.entries[e.task] = e
 		return e
 	}
 	low, same := run("job-low", "best_effort"), run("job-same", "standard")
-	b.c.now += Time(9 * time.Minute)
+	b.c.Now += Time(9 * time.Minute)
 	if b.c.keeping.clearHeld(q); low.kill {
 		t.Error("stopped a minute before")
 	}
-	b.c.now += Time(25 * time.Second) // 35 s before: it takes 21 s to save
+	b.c.Now += Time(25 * time.Second) // 35 s before: it takes 21 s to save
 	if b.c.keeping.clearHeld(q); !low.kill || low.graceS < 20 || same.kill {
 		t.Errorf("less urgent stopped %v with %v s, same priority stopped %v", low.kill, low.graceS, same.kill)
 	}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -5,6 +5,8 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -102,22 +104,22 @@
 // know; the rest is dropped, for its new keeper's inventory to tell.
 func (k *keeper) adopt(old bookkeeping.View, keeps bool) {
 	kept := map[protocol.JobID]bool{} // jobs whose owner is the same, and its session
-	owned := func(j *liveJob) bool {
-		same, known := kept[j.ID]
-		if !known {
-			owner := k.ownerOf(j)
-			same = k.jobOwner(old, &j.Job) == owner && sameSession(old, k.view, owner)
+	owned := func(j *known.LiveJob) bool {
+		same, seen := kept[j.ID]
+		if !seen {
+			owner := k.OwnerOf(j)
+			same = k.JobOwner(old, &j.Job) == owner && known.SameSession(old, k.View, owner)
 			kept[j.ID] = same
 		}
 		return same
 	}
 	released := map[protocol.NodeName][]message.TaskRef{}
 	lost := func(e *entry) bool {
-		j := k.live[e.task.Job]
+		j := k.Live[e.task.Job]
 		return !keeps || j == nil || !owned(j)
 	}
 	for _, q := range k.queuesInOrder() {
-		if k.keeper(q.id) != k.self {
+		if k.Keeper(q.id) != k.Self {
 			k.dropQueue(q.id)
 			continue
 		}
@@ -135,20 +137,20 @@
 				return false
 			}
 			delete(q.entries, e.task)
-			if owner := k.entryOwner(e); owner != "" && (keeps || owner != k.self) {
+			if owner := k.entryOwner(e); owner != "" && (keeps || owner != k.Self) {
 				// To itself only if it kept its jobs: else it knows no attempt.
 				released[owner] = append(released[owner], message.TaskRef{Task: e.task, Attempt: e.attempt, Machine: q.id})
 			}
 			return true
 		})
 	}
-	for owner, refs := range inOrder(released) {
+	for owner, refs := range inorder.Of(released) {
 		for part := range slices.Chunk(refs, releasedMost) {
-			k.send(owner, message.PeerMessage{Released: part})
+			k.Send(owner, message.PeerMessage{Released: part})
 		}
 	}
-	for id, m := range k.records {
-		if k.keeper(id) == k.self && k.queues[id] == nil {
+	for id, m := range k.Records {
+		if k.Keeper(id) == k.Self && k.queues[id] == nil {
 			k.keep(id).registered(m)
 		}
 	}
@@ -162,7 +164,7 @@
 func (k *keeper) keep(id protocol.MachineID) *queue {
 	q := &queue{
 		id: id, session: k.sessionFloor[id], entries: map[protocol.TaskID]*entry{},
-		lastAnswer: k.now, idleSince: k.now, failed: map[protocol.JobID]bool{},
+		lastAnswer: k.Now, idleSince: k.Now, failed: map[protocol.JobID]bool{},
 	}
 	k.queues[id], k.kept = q, nil
 	k.touch(q)
@@ -180,16 +182,16 @@
 // comes or goes.
 func (k *keeper) queuesInOrder() []*queue {
 	if k.kept == nil {
-		for _, q := range inOrder(k.queues) {
+		for _, q := range inorder.Of(k.queues) {
 			k.kept = append(k.kept, q)
 		}
 	}
 	return k.kept
 }
 
-func (q *queue) registered(m *machine) {
-	q.epoch, q.info, q.addr = m.epoch, m.info, m.rec.Address
-	q.session = max(q.session, m.rec.Session)
+func (q *queue) registered(m *known.Machine) {
+	q.epoch, q.info, q.addr = m.Epoch, m.Info, m.Record.Address
+	q.session = max(q.session, m.Record.Session)
 }
 
 // entryOwner is the owner of an attempt's job: by its record, or, before that
@@ -197,8 +199,8 @@
 // whose watch lags would leave queued attempts out of an inventory, and their
 // owner would take them for gone.
 func (k *keeper) entryOwner(e *entry) protocol.NodeName {
-	if j := k.live[e.task.Job]; j != nil {
-		e.from = k.ownerOf(j)
+	if j := k.Live[e.task.Job]; j != nil {
+		e.from = k.OwnerOf(j)
 	}
 	return e.from
 }
@@ -214,7 +216,7 @@
 	if what == message.WhatNotice && q.notice != nil {
 		ev.LeftS = *q.notice
 	}
-	k.send(owner, message.PeerMessage{Event: ev})
+	k.Send(owner, message.PeerMessage{Event: ev})
 }
 
 // putBack queues an attempt again whose start was not executed. Where nothing
@@ -244,24 +246,24 @@
 
 // place queues placements. One that can't be queued is released at once.
 func (k *keeper) place(from protocol.NodeName, p *message.Place) {
-	if _, member := k.view.Members[from]; member {
+	if _, member := k.View.Members[from]; member {
 		k.handled[from] = p.Number
 	}
 	for _, t := range p.Tasks {
-		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), level: room.Level(t.Level), together: t.Together, from: from, since: k.now}
+		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), level: room.Level(t.Level), together: t.Together, from: from, since: k.Now}
 		q := k.queues[t.Machine]
 		refuse := func() {
 			if q != nil {
 				k.touch(q) // the word that the owner waits for
 			}
-			k.send(from, message.PeerMessage{Event: &message.TaskEvent{
+			k.Send(from, message.PeerMessage{Event: &message.TaskEvent{
 				TaskRef: message.TaskRef{Task: t.Task, Attempt: t.Attempt, Machine: t.Machine}, What: message.WhatReleased,
 			}})
 		}
 		// The term and the machine's record must be those the owner placed
 		// by: a placement held back by the network while the machine or the
 		// job went elsewhere and came back must not start anything.
-		if q == nil || k.isOver(t.Task.Job) || p.Term != k.view.Term || q.epoch == 0 || q.epoch != t.Epoch || q.draining || q.notice != nil || q.suspect {
+		if q == nil || k.IsOver(t.Task.Job) || p.Term != k.View.Term || q.epoch == 0 || q.epoch != t.Epoch || q.draining || q.notice != nil || q.suspect {
 			refuse()
 			continue
 		}
--- a/internal/coordination/rebalance.go
+++ b/internal/coordination/rebalance.go
@@ -38,12 +38,12 @@
 // their tasks on the way, which the table does not show yet.
 func (c *Core) rebalance(after protocol.MachineID) {
 	c.movedUpTo = ""
-	if !c.acting() {
+	if !c.Acting() {
 		return
 	}
 	var roomy []*machineEntry
 	for _, m := range c.machinesInOrder() {
-		if m.id > after && c.usable(m) && m.told.Epoch == m.epoch && (m.told.Queued == 0 && m.free().CPUs > room.Slack || len(c.promised.holds[m.id]) > 0 && m.idle().CPUs > room.Slack) {
+		if m.ID > after && c.usable(m) && m.told.Epoch == m.Epoch && (m.told.Queued == 0 && m.free().CPUs > room.Slack || len(c.promised.Holds[m.ID]) > 0 && m.idle().CPUs > room.Slack) {
 			roomy = append(roomy, m)
 		}
 	}
@@ -64,7 +64,7 @@
 			left -= c.takeFor(m, movable, cl, left)
 		}
 		if left <= 0 {
-			c.movedUpTo = m.id
+			c.movedUpTo = m.ID
 			return
 		}
 	}
@@ -80,7 +80,7 @@
 			queued = append(queued, m)
 		}
 	}
-	perCPU := func(m *machineEntry) float64 { return m.wait() / m.info.CPUs }
+	perCPU := func(m *machineEntry) float64 { return m.wait() / m.Info.CPUs }
 	slices.SortStableFunc(queued, func(a, b *machineEntry) int { return cmp.Compare(perCPU(b), perCPU(a)) })
 	n := 0
 	for _, m := range queued {
@@ -129,7 +129,7 @@
 		best.tasks = best.tasks[1:]
 		free = free.Minus(best.need)
 		c.askStop(t.placedTask, false, 0)
-		c.log.Debug("moving a waiting task", "task", t.task, "from", t.machine, "to", m.id)
+		c.Log.Debug("moving a waiting task", "task", t.task, "from", t.machine, "to", m.ID)
 	}
 	return taken
 }
@@ -144,7 +144,7 @@
 // mayMove reports whether a machine may take the next of a job's movable tasks.
 func (c *Core) mayMove(g *movableTasks, m *machineEntry, cl *claims) bool {
 	o, t := g.job, g.tasks[0]
-	if t.machine == m.id || o.failedOn[m.id] {
+	if t.machine == m.ID || o.failedOn[m.ID] {
 		return false
 	}
 	var zones map[protocol.Zone]int
--- a/internal/coordination/registration.go
+++ b/internal/coordination/registration.go
@@ -2,6 +2,7 @@
 
 import (
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/protocol"
 )
 
@@ -9,18 +10,18 @@
 // that everything placed by the one before is gone.
 func (c *Core) machineRegistered(id protocol.MachineID, rec bookkeeping.Machine, version protocol.Version) {
 	m := c.machines[id]
-	if m != nil && m.epoch >= version {
+	if m != nil && m.Epoch >= version {
 		return
 	}
 	if m != nil {
 		c.loseMachine(m)
 	}
 	c.noteBoot(id, rec)
-	m = &machineEntry{machine: &machine{id: id, rec: rec, epoch: version, info: c.types[rec.Type]}, mine: map[protocol.TaskID]*placedTask{}}
-	m.reserved = reservedBy(c.promised.holds[id], c.moment())
+	m = &machineEntry{Machine: &known.Machine{ID: id, Record: rec, Epoch: version, Info: c.Types[rec.Type]}, mine: map[protocol.TaskID]*placedTask{}}
+	m.reserved = known.ReservedBy(c.promised.Holds[id], c.Moment())
 	c.addMachine(m)
 	c.owner.dirty = true
-	c.keeping.recorded(m.machine)
+	c.keeping.recorded(m.Machine)
 	c.takeEarly(m)
 }
 
@@ -33,5 +34,5 @@
 	c.noteLoss(m)
 	c.removeMachine(id)
 	c.loseMachine(m)
-	c.keeping.recordGone(m.machine)
+	c.keeping.recordGone(m.Machine)
 }
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -6,6 +6,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/relay"
@@ -46,7 +47,7 @@
 func (c *Core) beginRelays() {
 	c.keeping.begin()
 	c.ownedChanged = relay.Log[protocol.JobID]{}
-	for id := range inOrder(c.owner.jobs) {
+	for id := range inorder.Of(c.owner.jobs) {
 		c.ownedChanged.Touch(id)
 	}
 	for _, m := range c.machines {
@@ -55,8 +56,8 @@
 	for _, p := range c.peers {
 		t := &p.told
 		t.machinesTo, t.jobsTo = relay.Cursor{}, relay.Cursor{}
-		t.machinesFrom.Begin(uint64(c.view.Term))
-		t.jobsFrom.Begin(uint64(c.view.Term))
+		t.machinesFrom.Begin(uint64(c.View.Term))
+		t.jobsFrom.Begin(uint64(c.View.Term))
 		t.at, t.short = 0, false
 		t.holdsTo, t.holdsFrom = 0, 0
 		clear(t.early)
@@ -68,7 +69,7 @@
 // that have another session now. None of them will be counted.
 func (c *Core) dropComing(name protocol.NodeName, p *peer, replaced map[protocol.NodeName]bool) {
 	for m := range p.told.waits {
-		if replaced[name] || c.keeper(m.id) != name {
+		if replaced[name] || c.Keeper(m.ID) != name {
 			m.coming = nil
 		} else {
 			m.coming = without(m.coming, func(w comingWait) bool { return replaced[w.owner] })
@@ -101,23 +102,23 @@
 func (c *Core) sendRelays(regular bool) {
 	var loans map[protocol.LeaseID]lending.Loan
 	if regular {
-		loans = c.rates.Lend(c.now)
+		loans = c.rates.Lend(c.Now)
 		c.setShare() // before anybody can use what is lent
 	}
 	var same *message.Relay // as sent to the one before
-	for name, p := range inOrder(c.peers) {
+	for name, p := range inorder.Of(c.peers) {
 		t := &p.told
 		if !regular && !t.short {
 			continue
 		}
-		r := &message.Relay{Term: c.view.Term, Acting: c.acting(), HaveMachines: t.machinesFrom.Have(), HaveJobs: t.jobsFrom.Have()}
-		r.Ask = c.rates.Asks(c.now)
+		r := &message.Relay{Term: c.View.Term, Acting: c.Acting(), HaveMachines: t.machinesFrom.Have(), HaveJobs: t.jobsFrom.Have()}
+		r.Ask = c.rates.Asks(c.Now)
 		if l, ok := loans[p.session]; ok {
 			r.Loan = &l
 		}
 		r.HaveHolds = t.holdsFrom
-		if c.promised.number != 0 && c.promised.number>>32 == uint64(c.view.Term) && t.holdsTo != c.promised.number && name != c.self {
-			r.Holds = &message.Holds{Number: c.promised.number, List: c.promised.list}
+		if c.promised.number != 0 && c.promised.number>>32 == uint64(c.View.Term) && t.holdsTo != c.promised.number && name != c.Self {
+			r.Holds = &message.Holds{Number: c.promised.number, List: c.promised.List}
 		}
 		if same == nil {
 			r.Demand = c.demand()
@@ -127,7 +128,7 @@
 		c.fillMachines(r, &t.machinesTo, same)
 		t.short = r.Handled == nil
 		c.fillJobs(r, &t.jobsTo)
-		c.send(name, message.PeerMessage{Relay: r})
+		c.Send(name, message.PeerMessage{Relay: r})
 		same = r
 	}
 }
@@ -141,7 +142,7 @@
 		return
 	}
 	ids, upto := c.keeping.changed.Since(to.Next(), statesMost)
-	r.Machines = relay.Piece{Stream: uint64(c.view.Term), From: to.Next(), Upto: upto}
+	r.Machines = relay.Piece{Stream: uint64(c.View.Term), From: to.Next(), Upto: upto}
 	to.Sent(upto)
 	r.States = make([]message.MachineState, 0, len(ids))
 	for _, id := range ids {
@@ -160,7 +161,7 @@
 
 func (c *Core) fillJobs(r *message.Relay, to *relay.Cursor) {
 	ids, upto := c.ownedChanged.Since(to.Next(), statesMost)
-	r.Jobs = relay.Piece{Stream: uint64(c.view.Term), From: to.Next(), Upto: upto}
+	r.Jobs = relay.Piece{Stream: uint64(c.View.Term), From: to.Next(), Upto: upto}
 	to.Sent(upto)
 	for _, id := range ids {
 		if o := c.owner.jobs[id]; o != nil {
@@ -176,27 +177,27 @@
 		return
 	}
 	if r.Acting {
-		p.actingAt = c.now
+		p.actingAt = c.Now
 	}
 	p.demand = r.Demand
-	if from != c.self {
-		c.rates.Heard(p.session, r.Ask, c.now)
+	if from != c.Self {
+		c.rates.Heard(p.session, r.Ask, c.Now)
 		if r.Loan != nil {
 			c.rates.Borrowed(p.session, *r.Loan)
 		}
 	}
-	if r.Term == c.view.Term {
+	if r.Term == c.View.Term {
 		t := &p.told
 		t.machinesTo.Heard(r.HaveMachines)
 		t.jobsTo.Heard(r.HaveJobs)
 		t.holdsTo = r.HaveHolds
-		if r.Holds != nil && from != c.self {
+		if r.Holds != nil && from != c.Self {
 			t.holdsFrom = r.Holds.Number
-			c.promised.listed = true
+			c.promised.Listed = true
 			c.setHolds(r.Holds.List)
 		}
 		if t.machinesFrom.Accept(r.Machines) {
-			t.at = c.now
+			t.at = c.Now
 			for _, st := range r.States {
 				c.takeState(from, p, st)
 			}
@@ -211,7 +212,7 @@
 		}
 	}
 	for _, o := range c.owner.jobs {
-		if o.notBefore <= c.now && o.pending.Any() {
+		if o.notBefore <= c.Now && o.pending.Any() {
 			c.owner.dirty = true
 			break
 		}
@@ -227,22 +228,22 @@
 	m := c.machines[st.Machine]
 	switch {
 	case st.Epoch == 0:
-		if m != nil && c.keeper(m.id) == from {
+		if m != nil && c.Keeper(m.ID) == from {
 			m.by = nil
 		}
-	case m == nil || st.Epoch > m.epoch:
+	case m == nil || st.Epoch > m.Epoch:
 		// Its record is still to come. The keeper does not tell it again.
 		if len(p.told.early) < earlyMost {
 			p.told.early[st.Machine] = st
 		}
-	case st.Epoch == m.epoch && c.keeper(m.id) == from:
+	case st.Epoch == m.Epoch && c.Keeper(m.ID) == from:
 		if (m.told.Closed || m.refused) && !st.Closed || m.told.Epoch == 0 {
 			c.owner.dirty = true
 		}
-		if st.Runs = knewMore(m.told.Runs, st.Runs); !st.Heard && m.told.Epoch == m.epoch {
+		if st.Runs = knewMore(m.told.Runs, st.Runs); !st.Heard && m.told.Epoch == m.Epoch {
 			st.Runs = m.told.Runs // it has not heard the machine yet
 		}
-		m.told, m.by, m.at, m.copied, m.refused = st, p, c.now, 0, false
+		m.told, m.by, m.at, m.copied, m.refused = st, p, c.Now, 0, false
 		m.held = room.Uses{}
 		message.AddUses(&m.held, st.Uses)
 	}
@@ -251,13 +252,13 @@
 // takeEarly takes what the keeper of a machine said of it before its record
 // arrived here.
 func (c *Core) takeEarly(m *machineEntry) {
-	keeper := c.keeper(m.id)
+	keeper := c.Keeper(m.ID)
 	p := c.peers[keeper]
 	if p == nil {
 		return
 	}
-	if st, ok := p.told.early[m.id]; ok && st.Epoch <= m.epoch {
-		delete(p.told.early, m.id)
+	if st, ok := p.told.early[m.ID]; ok && st.Epoch <= m.Epoch {
+		delete(p.told.early, m.ID)
 		c.takeState(keeper, p, st)
 	}
 }
@@ -282,26 +283,26 @@
 // recent reports whether what is known of a machine is its keeper's word in this
 // term, and that word is no older than so long.
 func (c *Core) recent(m *machineEntry, d time.Duration) bool {
-	return m.by != nil && m.by == c.peers[c.keeper(m.id)] && c.since(m.by.told.at) <= d
+	return m.by != nil && m.by == c.peers[c.Keeper(m.ID)] && c.Since(m.by.told.at) <= d
 }
 
 // equalShare is this controller's part of the state service's rates before
 // anything is lent.
 func (c *Core) equalShare() lending.Amount {
-	site := &c.settings.Site
+	site := &c.Settings.Site
 	return lending.Amount(bookkeeping.EqualShare(site.State.RPS, site.State.WriteRPS, site.Count))
 }
 
 // setShare has what may be used now set, if that has changed.
 func (c *Core) setShare() {
-	now := c.now
+	now := c.Now
 	s := message.SetShare{Own: c.rates.Own(now), All: c.rates.Share(now)}
 	if until, ok := c.rates.Until(now); ok {
 		s.Until = Time(until)
 	}
 	if s != c.share {
 		c.share = s
-		c.do(s)
+		c.Do(s)
 	}
 }
 
--- a/internal/coordination/relays_test.go
+++ b/internal/coordination/relays_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
@@ -15,7 +16,7 @@
 )
 
 // relaysTo lists the regular messages to a peer.
-func relaysTo(actions []Action, to protocol.NodeName) (rs []*message.Relay) {
+func relaysTo(actions []message.Action, to protocol.NodeName) (rs []*message.Relay) {
 	for _, a := range actions {
 		if s, ok := a.(message.Send); ok && s.To == to && s.Message.Relay != nil {
 			rs = append(rs, s.Message.Relay)
@@ -60,7 +61,7 @@
 // bounded size; only the last says which placements are included.
 func TestFullCopyInPieces(t *testing.T) {
 	f := newBusyFleet(t, 2*statesMost+300, 100)
-	v := f.c.view
+	v := f.c.View
 	v.Term++
 	f.put(bookkeeping.ViewKey, v)
 	var sizes []int
@@ -89,7 +90,7 @@
 func TestInventoriesInPieces(t *testing.T) {
 	const machines = 2*stocksMost + 100
 	f := newBusyFleet(t, machines, 100)
-	v := f.c.view
+	v := f.c.View
 	v.Term++
 	given, steps := 0, 0
 	for actions := f.put(bookkeeping.ViewKey, v); given < machines && steps < 9; steps++ {
@@ -122,7 +123,7 @@
 		c := b.c
 		var ids []protocol.MachineID
 		for i := 0; len(ids) < 3; i++ {
-			if id := protocol.MachineID(fmt.Sprint("vm-", i)); machineKeeper(c.view, id) == "node-2" {
+			if id := protocol.MachineID(fmt.Sprint("vm-", i)); known.MachineKeeper(c.View, id) == "node-2" {
 				ids = append(ids, id)
 				b.machine(id, 1)
 			}
@@ -167,7 +168,7 @@
 			r := &message.Relay{Term: 1, Machines: relay.Piece{Stream: 1, From: to.Next(), Upto: upto}}
 			to.Sent(upto)
 			for _, id := range ids {
-				r.States = append(r.States, message.MachineState{Machine: id, Epoch: c.machines[id].epoch, Wait: waits[id]})
+				r.States = append(r.States, message.MachineState{Machine: id, Epoch: c.machines[id].Epoch, Wait: waits[id]})
 			}
 			if upto == log.Version() {
 				r.Handled = map[protocol.NodeName]uint64{"node-1": handled}
@@ -279,11 +280,11 @@
 	b := newBench(t, "node-1")
 	b.zoned("a", 300, false, room.Uses{})
 	b.zoned("b", 300, false, room.Uses{})
-	o := b.c.own(&liveJob{Job: protocol.Job{ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 4000, CPUs: 1, EstimateS: 10}})
+	o := b.c.own(&known.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 4000, CPUs: 1, EstimateS: 10}})
 	o.loaded = true
 	i := uint32(0)
 	for _, m := range b.c.machinesInOrder() {
-		if m.rec.Zone == "b" { // full, and more waits there
+		if m.Record.Zone == "b" { // full, and more waits there
 			m.told.FreeCPUs, m.told.Queued = 0, 12
 			for range 12 {
 				b.c.put(o, i, m, 1)
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -10,48 +11,48 @@
 
 // report answers a worker.
 func (k *keeper) report(r protocol.Report) {
-	info, known := k.types[r.Type]
+	info, known := k.Types[r.Type]
 	if !known {
-		k.do(message.ReplyReport{Status: 503})
+		k.Do(message.ReplyReport{Status: 503})
 		return
 	}
 	q := k.queues[r.Machine]
 	if q == nil {
 		q = k.keep(r.Machine)
-		if m := k.records[r.Machine]; m != nil {
+		if m := k.Records[r.Machine]; m != nil {
 			q.registered(m)
 		}
 	}
-	reply := protocol.ReportReply{Term: k.view.Term, Orders: []protocol.Order{}}
+	reply := protocol.ReportReply{Term: k.View.Term, Orders: []protocol.Order{}}
 	if r.Session < q.session || r.Session == q.session && r.Seq <= q.seq {
-		k.do(message.ReplyReport{Status: 200, Reply: reply}) // held back by the network: says nothing
+		k.Do(message.ReplyReport{Status: 200, Reply: reply}) // held back by the network: says nothing
 		return
 	}
 	q.info, q.addr = info, r.Address
 	if r.Session > q.session {
 		k.newSession(q, r.Session)
 	}
-	q.seq, q.lastAnswer, q.everSeen = r.Seq, k.now, true
+	q.seq, q.lastAnswer, q.everSeen = r.Seq, k.Now, true
 	if q.silence != message.SilenceNone {
 		q.silence = message.SilenceNone
 		k.touch(q)
 	}
-	if m := k.records[q.id]; m == nil || m.rec.Session != r.Session {
+	if m := k.Records[q.id]; m == nil || m.Record.Session != r.Session {
 		k.register(q, r)
 	}
 	k.takeReport(q, &r, true)
-	q.sole = q.sole || r.Term == k.view.Term
+	q.sole = q.sole || r.Term == k.View.Term
 	k.takeStock(q)
 	q.push = false
 	reply.Orders = k.orders(q, r.Term)
 	k.reckonState(q) // now that all of it was just looked at
-	k.do(message.ReplyReport{Status: 200, Reply: reply})
+	k.Do(message.ReplyReport{Status: 200, Reply: reply})
 }
 
 // newSession: the worker's lease expired, and with it all it ran.
 func (k *keeper) newSession(q *queue, s protocol.Session) {
 	if q.session != 0 {
-		k.log.Info("worker began a new session", "machine", q.id, "session", s)
+		k.Log.Info("worker began a new session", "machine", q.id, "session", s)
 	}
 	// The old record stands until the new one is written; owners learn from
 	// the record that everything of the old session is gone.
@@ -80,10 +81,10 @@
 				q.strays(k, t)
 				continue
 			}
-			e = &entry{task: t.Task, attempt: t.Attempt, since: k.now, level: room.Levels - 1}
-			if j := k.live[t.Task.Job]; j != nil {
-				e.estimate, e.need = k.estimate(&j.Job), room.Need(&j.Job)
-				e.level = room.LevelOf(j.Priority, k.guarantees(j.Team)) // perhaps: its owner would know
+			e = &entry{task: t.Task, attempt: t.Attempt, since: k.Now, level: room.Levels - 1}
+			if j := k.Live[t.Task.Job]; j != nil {
+				e.estimate, e.need = k.Estimate(&j.Job), room.Need(&j.Job)
+				e.level = room.LevelOf(j.Priority, k.Guarantees(j.Team)) // perhaps: its owner would know
 				e.guessed = true
 			}
 			q.entries[t.Task] = e
@@ -91,7 +92,7 @@
 		k.takeTask(q, e, t)
 	}
 	missing := func(id protocol.TaskID, e *entry) bool { return !listed[id] && (e.sent || e.present) }
-	for id, e := range tasksWhere(q.entries, missing) {
+	for id, e := range inorder.TasksWhere(q.entries, missing) {
 		switch {
 		case e.present:
 			// The worker lets go of an attempt only when told to, so this is
@@ -108,7 +109,7 @@
 			// not being listed proves nothing until the worker has seen a
 			// later term.
 			k.settleDirect(q, e)
-		case e.kill || k.isOver(id.Job):
+		case e.kill || k.IsOver(id.Job):
 			// Settled as below, and not wanted any more.
 			delete(q.entries, id)
 			k.tell(q, e, message.WhatReleased)
@@ -121,13 +122,13 @@
 	}
 	k.takeNotice(q, r)
 	if len(q.entries) > 0 {
-		q.idleSince = k.now
+		q.idleSince = k.Now
 	}
 }
 
 // strays reports an attempt the queue does not know as ended or to be killed.
 func (q *queue) strays(k *keeper, t protocol.TaskReport) {
-	k.log.Error("machine lists another attempt of a queued task", "machine", q.id, "task", t.Task, "attempt", t.Attempt)
+	k.Log.Error("machine lists another attempt of a queued task", "machine", q.id, "task", t.Task, "attempt", t.Attempt)
 	e := q.entries[t.Task]
 	k.dropWaiting(q, e)
 	k.tell(q, e, message.WhatReleased)
@@ -143,7 +144,7 @@
 	if first || before != e.state {
 		k.touch(q)
 	}
-	if j := k.live[e.task.Job]; j != nil && before != e.state && (e.state == protocol.TaskRunning || e.state == protocol.TaskWaiting) {
+	if j := k.Live[e.task.Job]; j != nil && before != e.state && (e.state == protocol.TaskRunning || e.state == protocol.TaskWaiting) {
 		q.hasImage(j.Image)
 	}
 	switch {
@@ -152,7 +153,7 @@
 		k.noteError(e)
 		k.tell(q, e, message.WhatEnded)
 	case e.state == protocol.TaskRunning && before != protocol.TaskRunning:
-		e.runs = k.now
+		e.runs = k.Now
 		k.tellPresent(q, e, message.WhatRunning)
 	case first:
 		k.tellPresent(q, e, message.WhatPresent)
@@ -178,7 +179,7 @@
 		if q.suspect {
 			q.suspect = false
 			k.touch(q)
-			k.log.Info("machine works again", "machine", q.id)
+			k.Log.Info("machine works again", "machine", q.id)
 		}
 	case protocol.EndError:
 		q.failed[e.task.Job] = true
@@ -191,7 +192,7 @@
 		if !q.suspect && len(q.failed) >= 2 {
 			q.suspect = true
 			k.touch(q)
-			k.log.Info("machine set aside: it fails its tasks", "machine", q.id, "jobs", len(q.failed))
+			k.Log.Info("machine set aside: it fails its tasks", "machine", q.id, "jobs", len(q.failed))
 			k.releaseWaiting(q)
 		}
 	}
@@ -208,11 +209,11 @@
 	}
 	if q.notice == nil {
 		k.touch(q)
-		k.log.Info("machine will be taken", "machine", q.id, "in_s", *r.NoticeS)
+		k.Log.Info("machine will be taken", "machine", q.id, "in_s", *r.NoticeS)
 		k.releaseWaiting(q)
 	}
 	q.notice = r.NoticeS
-	for _, e := range tasksInOrder(q.entries) {
+	for _, e := range inorder.Tasks(q.entries) {
 		if e.present && !e.ended() && !e.noticed {
 			e.noticed = true
 			k.tell(q, e, message.WhatNotice)
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -71,7 +71,7 @@
 	if !ok {
 		return envelope{}, false
 	}
-	return envelope{msg: message.Reported{Report: w.Report.report}, reply: func(actions []Action) {
+	return envelope{msg: message.Reported{Report: w.Report.report}, reply: func(actions []message.Action) {
 		answer := failure(503, "not entitled")
 		for _, a := range actions {
 			if rr, ok := a.(message.ReplyReport); ok {
--- a/internal/coordination/reports_test.go
+++ b/internal/coordination/reports_test.go
@@ -29,7 +29,7 @@
 		if !ok {
 			t.Fatal("none waits")
 		}
-		e.reply([]Action{message.ReplyReport{Status: code}})
+		e.reply([]message.Action{message.ReplyReport{Status: code}})
 		return string(e.msg.(message.Reported).Report.Machine)
 	}
 	add(now, "vm-answered")
--- a/internal/coordination/runs.go
+++ b/internal/coordination/runs.go
@@ -4,6 +4,7 @@
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/protocol"
 )
 
@@ -11,37 +12,37 @@
 // and ran to its end. One that was found on its machine may have run for long:
 // counted from then, estimates would seem good, and room clear that is not.
 func (k *keeper) noteError(e *entry) {
-	j := k.live[e.task.Job]
-	if !k.pledged.any || j == nil || e.order == 0 || e.runs == 0 || e.cause != protocol.EndDone {
+	j := k.Live[e.task.Job]
+	if !k.Pledged.Any || j == nil || e.order == 0 || e.runs == 0 || e.cause != protocol.EndDone {
 		return
 	}
-	f := k.pledged.errors[j.Class]
+	f := k.Pledged.Errors[j.Class]
 	if f == nil {
 		f = &forecast.Errors{}
-		k.pledged.errors[j.Class] = f
+		k.Pledged.Errors[j.Class] = f
 	}
-	f.Note(k.since(e.runs), e.estimate)
+	f.Note(k.Since(e.runs), e.estimate)
 }
 
 // runsOf lists what a machine runs, for the controller that chooses where room
 // is held.
 func (k *keeper) runsOf(q *queue) []calendar.Run {
-	if !k.pledged.any {
+	if !k.Pledged.Any {
 		return nil
 	}
-	now := k.moment()
+	now := k.Moment()
 	var runs []calendar.Run
-	for _, e := range tasksInOrder(q.entries) {
-		j := k.live[e.task.Job]
+	for _, e := range inorder.Tasks(q.entries) {
+		j := k.Live[e.task.Job]
 		if !e.sent || e.ended() {
 			continue
 		}
 		r := calendar.Run{Task: e.task, Attempt: e.attempt, Need: e.need, Level: e.level, Sure: e.order != 0}
 		left := 0.0
 		if j != nil {
-			left = k.likelyS(&j.Job, e.estimate)
-			for _, o := range k.pledged.list {
-				if calendar.Matches(k.reservationOf(o.For), &j.Job) {
+			left = k.LikelyS(&j.Job, e.estimate)
+			for _, o := range k.Pledged.List {
+				if calendar.Matches(k.ReservationOf(o.For), &j.Job) {
 					r.For = o.For
 					break
 				}
@@ -51,7 +52,7 @@
 			}
 		}
 		if e.state == protocol.TaskRunning {
-			left -= k.since(e.runs).Seconds()
+			left -= k.Since(e.runs).Seconds()
 		} else if j != nil {
 			left += q.fetchS(j)
 		}
@@ -64,7 +65,7 @@
 // learnLevels takes over, for attempts found on machines, how urgent their owners
 // say they are. What is guessed may be too high: nothing of it would be stopped.
 func (k *keeper) learnLevels(q *queue, level levelOf) {
-	if !k.pledged.any {
+	if !k.Pledged.Any {
 		return
 	}
 	for _, e := range q.entries {
--- a/internal/coordination/runtimes.go
+++ b/internal/coordination/runtimes.go
@@ -8,7 +8,7 @@
 	if !t.running || t.midway || o.again.Test(uint(t.task.Index)) {
 		return
 	}
-	o.ran.Note(c.since(t.runs).Seconds(), c.rng)
+	o.ran.Note(c.Since(t.runs).Seconds(), c.rng)
 }
 
 // usual is how long half of a job's tasks run at the most, once that is known.
@@ -20,5 +20,5 @@
 	if s, ok := o.usual(); ok {
 		return s
 	}
-	return c.estimate(&o.Job)
+	return c.Estimate(&o.Job)
 }
--- a/internal/coordination/runtimes_test.go
+++ b/internal/coordination/runtimes_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
@@ -13,7 +14,7 @@
 // from saved progress.
 func TestUsualRunTime(t *testing.T) {
 	b := newBench(t, "node-1")
-	o := b.c.own(&liveJob{Job: protocol.Job{ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 20, CPUs: 1, EstimateS: 100}})
+	o := b.c.own(&known.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 20, CPUs: 1, EstimateS: 100}})
 	start := func(i uint32) {
 		p := &placedTask{task: protocol.TaskID{Job: "job-1", Index: i}, attempt: 1, machine: "vm-1"}
 		o.placed[p.task] = p
@@ -26,7 +27,7 @@
 		start(i)
 	}
 	for i := range uint32(20) {
-		b.c.now += Time(time.Second)
+		b.c.Now += Time(time.Second)
 		if i == 9 && b.c.estimateOf(o) != 100 {
 			t.Fatal("learned from the shortest tasks alone")
 		}
--- a/internal/coordination/silent.go
+++ b/internal/coordination/silent.go
@@ -15,20 +15,20 @@
 	if k.awaits(q, q.registering) {
 		return
 	}
-	q.registering, q.asked = true, k.now
+	q.registering, q.asked = true, k.Now
 	var have protocol.Version
-	if m := k.records[q.id]; m != nil {
-		have = m.epoch
+	if m := k.Records[q.id]; m != nil {
+		have = m.Epoch
 	}
 	rec := bookkeeping.Machine{Session: r.Session, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}
-	k.changeRecord(registerTag{q.id, r.Session}, q.id, have, &rec, k.inThisView())
+	k.ChangeRecord(registerTag{q.id, r.Session}, q.id, have, &rec, k.InThisView())
 }
 
 // awaits reports whether what was asked for is still to be waited for. A
 // transaction of this controller's own is answered; what the registrar was
 // asked for shows in the records, or is asked for again.
 func (k *keeper) awaits(q *queue, asked bool) bool {
-	return asked && !(k.inBlocks() && k.since(q.asked) > askAgain)
+	return asked && !(k.InBlocks() && k.Since(q.asked) > askAgain)
 }
 
 func (k *keeper) registrationDone(tag registerTag, _ message.Outcome) {
@@ -43,14 +43,14 @@
 // fell silent before it could be registered, too: its old record would be waited
 // for without end.
 func (k *keeper) expireSilent(allAdopted bool) {
-	if !k.acting() || !allAdopted {
+	if !k.Acting() || !allAdopted {
 		k.allSince = 0 // the count starts when all act by this term
 	} else if k.allSince == 0 {
-		k.allSince = k.now
+		k.allSince = k.Now
 	}
-	lease := k.leaseOver()
+	lease := k.LeaseOver()
 	for _, q := range k.queuesInOrder() {
-		quiet := k.since(k.answered(q))
+		quiet := k.Since(k.answered(q))
 		if s := k.silenceAfter(quiet); s != q.silence {
 			q.silence = s
 			k.touch(q)
@@ -58,13 +58,13 @@
 		if k.allSince == 0 || quiet <= lease || k.awaits(q, q.removing) {
 			continue
 		}
-		m := k.records[q.id]
+		m := k.Records[q.id]
 		if m == nil {
 			continue
 		}
-		q.removing, q.asked = true, k.now
-		k.log.Info("machine silent for longer than its lease: its tasks are gone", "machine", q.id, "silent", quiet.Round(time.Second))
-		k.changeRecord(removeTag{q.id}, q.id, m.epoch, nil, k.inThisView())
+		q.removing, q.asked = true, k.Now
+		k.Log.Info("machine silent for longer than its lease: its tasks are gone", "machine", q.id, "silent", quiet.Round(time.Second))
+		k.ChangeRecord(removeTag{q.id}, q.id, m.Epoch, nil, k.InThisView())
 	}
 }
 
@@ -76,7 +76,7 @@
 	case q.inventoried:
 		return q.lastAnswer
 	case k.allSince == 0:
-		return k.now
+		return k.Now
 	}
 	return max(q.lastAnswer, k.allSince)
 }
--- a/internal/coordination/slow.go
+++ b/internal/coordination/slow.go
@@ -5,6 +5,8 @@
 	"container/heap"
 	"time"
 
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
@@ -69,25 +71,25 @@
 func (c *Core) watchSlow() {
 	h := &c.owner.overdue
 	for range slowChecks {
-		if len(*h) == 0 || (*h)[0].at > c.now {
+		if len(*h) == 0 || (*h)[0].at > c.Now {
 			return
 		}
 		t := heap.Pop(h).(overdue).t
 		o := c.owner.jobs[t.task.Job]
 		m := c.machines[t.machine]
-		if o == nil || o.placed[t.task] != t || !t.running || t.stopping || m == nil || m.epoch != t.epoch {
+		if o == nil || o.placed[t.task] != t || !t.running || t.stopping || m == nil || m.Epoch != t.epoch {
 			continue
 		}
 		usual, ok := o.usual()
 		switch late := t.runs + tooLong(usual); {
-		case !ok || c.owner.pending[m.id] || !c.recent(m, 3*c.op.RelayEvery) || m.told.Silence != message.SilenceNone:
-			heap.Push(h, overdue{c.after(5 * time.Second), t}) // nothing can be said yet
-		case late > c.now:
+		case !ok || c.owner.pending[m.ID] || !c.recent(m, 3*c.Op.RelayEvery) || m.told.Silence != message.SilenceNone:
+			heap.Push(h, overdue{c.After(5 * time.Second), t}) // nothing can be said yet
+		case late > c.Now:
 			heap.Push(h, overdue{late, t})
 		default:
 			// One that goes on for far too long speaks for itself: it counts
 			// once more then.
-			if again := t.runs + tooLong(slowFactor*usual); again > c.now {
+			if again := t.runs + tooLong(slowFactor*usual); again > c.Now {
 				heap.Push(h, overdue{again, t})
 			}
 			c.runsLate(m)
@@ -97,10 +99,10 @@
 
 // runsLate counts a task that runs too long against its machine.
 func (c *Core) runsLate(m *machineEntry) {
-	if c.since(m.lateAt) > slowMemory {
+	if c.Since(m.lateAt) > slowMemory {
 		m.late = 0
 	}
-	m.late, m.lateAt = m.late+1, c.now
+	m.late, m.lateAt = m.late+1, c.Now
 	if m.late < slowTasks || m.told.Draining {
 		return
 	}
@@ -114,11 +116,11 @@
 		return
 	}
 	m.told.Draining = true // at once, though its keeper has not said so yet
-	c.log.Info("machine runs its tasks slowly: giving it up", "machine", m.id)
-	c.send(c.keeper(m.id), message.PeerMessage{Drain: &m.id})
-	for _, t := range tasksInOrder(m.mine) {
+	c.Log.Info("machine runs its tasks slowly: giving it up", "machine", m.ID)
+	c.Send(c.Keeper(m.ID), message.PeerMessage{Drain: &m.ID})
+	for _, t := range inorder.Tasks(m.mine) {
 		if o := c.owner.jobs[t.task.Job]; o != nil && o.Kind == protocol.KindArray && o.CheckpointS > 0 {
-			c.askStop(t, true, graceS(&o.Job)) // goes on elsewhere from what it saves
+			c.askStop(t, true, known.GraceS(&o.Job)) // goes on elsewhere from what it saves
 		}
 	}
 }
@@ -126,7 +128,7 @@
 // runsWell takes back what was held against a machine.
 func (c *Core) runsWell(o *ownedJob, t *placedTask) {
 	if m := c.machines[t.machine]; m != nil && t.running {
-		if usual, ok := o.usual(); ok && !t.midway && c.since(t.runs).Seconds() < usual {
+		if usual, ok := o.usual(); ok && !t.midway && c.Since(t.runs).Seconds() < usual {
 			m.late = 0
 		}
 	}
