--- a/internal/coordination/slow_test.go
+++ b/internal/coordination/slow_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -32,7 +33,7 @@
 	} {
 		b := newBench(t, "node-1")
 		b.zoned("a", 20, false, room.Uses{})
-		o := b.c.own(&liveJob{Job: protocol.Job{
+		o := b.c.own(&known.LiveJob{Job: protocol.Job{
 			ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 20, CPUs: 1, EstimateS: 10, CheckpointS: 5, SaveS: 1,
 		}})
 		o.loaded = true
@@ -41,33 +42,33 @@
 			if i < tc.slow {
 				m = b.c.machinesInOrder()[0]
 			}
-			return message.TaskRef{Task: protocol.TaskID{Job: "job-1", Index: uint32(i)}, Attempt: 1, Machine: m.id}
+			return message.TaskRef{Task: protocol.TaskID{Job: "job-1", Index: uint32(i)}, Attempt: 1, Machine: m.ID}
 		}
 		for i := range 12 {
 			r := ref(i)
 			p := b.c.put(o, uint32(i), b.c.machines[r.Machine], 1)
 			b.c.event(message.TaskEvent{TaskRef: message.TaskRef{Task: p.Task, Attempt: p.Attempt, Machine: p.Machine}, What: message.WhatRunning})
 		}
-		b.c.now += Time(tc.elsewhere)
+		b.c.Now += Time(tc.elsewhere)
 		for i := tc.slow; i < 12; i++ {
 			b.c.event(message.TaskEvent{TaskRef: ref(i), What: message.WhatEnded, Cause: protocol.EndDone})
 		}
-		b.c.actions, b.c.local = nil, nil
+		b.c.Actions, b.c.Local = nil, nil
 		for range 2 {
-			b.c.now += Time(tc.goesOn / 2)
+			b.c.Now += Time(tc.goesOn / 2)
 			for i, m := range b.c.machinesInOrder() {
-				if m.by = b.c.peers[b.c.keeper(m.id)]; tc.heard {
-					m.by.told.at = b.c.now
+				if m.by = b.c.peers[b.c.Keeper(m.ID)]; tc.heard {
+					m.by.told.at = b.c.Now
 				}
 				m.told.Draining = i > 0 && i <= tc.draining
 			}
 			b.c.watchSlow()
 		}
 		drained := false
-		for _, m := range b.c.local {
+		for _, m := range b.c.Local {
 			drained = drained || m.Drain != nil
 		}
-		for _, a := range b.c.actions {
+		for _, a := range b.c.Actions {
 			s, ok := a.(message.Send)
 			drained = drained || ok && s.Message.Drain != nil
 		}
--- a/internal/coordination/spot.go
+++ b/internal/coordination/spot.go
@@ -13,14 +13,14 @@
 
 // noteLoss counts a machine whose record went as taken, if it looks so.
 func (c *Core) noteLoss(m *machineEntry) {
-	if m.rec.Spot && !m.told.Draining && (m.told.Noticed || m.told.Silence == message.SilenceLong) {
+	if m.Record.Spot && !m.told.Draining && (m.told.Noticed || m.told.Silence == message.SilenceLong) {
 		c.spots.Lost()
 	}
 }
 
 // watchSpots counts the spot machines once a relay.
 func (c *Core) watchSpots() {
-	c.spots.Watch(c.spotsUp, c.op.RelayEvery)
+	c.spots.Watch(c.spotsUp, c.Op.RelayEvery)
 }
 
 // spotStretch is by which part one spot machine lengthens a gang that runs on
@@ -30,7 +30,7 @@
 	if j.Kind != protocol.KindGang || j.Tasks < 2 {
 		return 0
 	}
-	lost := c.estimate(j) / 2
+	lost := c.Estimate(j) / 2
 	if j.CheckpointS > 0 {
 		lost = math.Min(lost, j.CheckpointS/2)
 	}
--- a/internal/coordination/stock.go
+++ b/internal/coordination/stock.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"slices"
@@ -11,7 +12,7 @@
 // nothing but what it lists takes part of a limit.
 func (k *keeper) holdsOver(q *queue) bool {
 	for id, e := range q.entries {
-		if e.sent && !e.ended() && k.live[id.Job] == nil {
+		if e.sent && !e.ended() && k.Live[id.Job] == nil {
 			return true
 		}
 	}
@@ -56,12 +57,12 @@
 // sendInventory tells every owner what of its jobs is here.
 func (k *keeper) sendInventory(q *queue) {
 	if !q.known {
-		q.idleSince = k.now
+		q.idleSince = k.Now
 	}
 	q.inventoried, q.known = true, true
 	k.touch(q)
 	byOwner := map[protocol.NodeName][]message.Held{}
-	for _, e := range tasksInOrder(q.entries) {
+	for _, e := range inorder.Tasks(q.entries) {
 		owner := k.entryOwner(e)
 		if owner == "" {
 			continue
@@ -72,9 +73,9 @@
 		}
 		byOwner[owner] = append(byOwner[owner], h)
 	}
-	for name := range inOrder(k.view.Members) {
-		k.send(name, message.PeerMessage{Inventory: &message.Inventory{
-			Term: k.view.Term, Machine: q.id, Epoch: q.epoch, Upto: k.handled[name], Held: byOwner[name],
+	for name := range inorder.Of(k.View.Members) {
+		k.Send(name, message.PeerMessage{Inventory: &message.Inventory{
+			Term: k.View.Term, Machine: q.id, Epoch: q.epoch, Upto: k.handled[name], Held: byOwner[name],
 		}})
 	}
 }
--- a/internal/coordination/table.go
+++ b/internal/coordination/table.go
@@ -1,19 +1,16 @@
 package coordination
 
 import (
-	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
-// Time is this process's steady clock.
-type Time = clock.Time
-
 // machineEntry is a registered machine as the records have it, and what the
 // wait table holds of it.
 type machineEntry struct {
-	*machine
+	*known.Machine
 	told     message.MachineState // by its keeper
 	by       *peer                // the keeper's session that told it in this term, if any
 	at       Time                 // when that was
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -2,6 +2,8 @@
 
 import (
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
@@ -25,8 +27,8 @@
 			c.owner.leaving[ref] = t
 		}
 	}
-	for _, t := range c.settings.Site.Teams {
-		if j := (&protocol.Job{Team: t.Name}); t.Limited() && c.jobOwner(c.view, j) == c.self && (!keeps || c.jobOwner(old, j) != c.self) {
+	for _, t := range c.Settings.Site.Teams {
+		if j := (&protocol.Job{Team: t.Name}); t.Limited() && c.JobOwner(c.View, j) == c.Self && (!keeps || c.JobOwner(old, j) != c.Self) {
 			c.owner.unsure[t.Name] = true
 		}
 	}
@@ -40,9 +42,9 @@
 			}
 		}
 	}
-	for id, l := range inOrder(c.live) {
+	for id, l := range inorder.Of(c.Live) {
 		o := before[id]
-		if c.ownerOf(l) != c.self {
+		if c.OwnerOf(l) != c.Self {
 			c.letGo(o)
 			continue
 		}
@@ -50,7 +52,7 @@
 			o = c.own(l)
 			o.unknown = true
 			o.loading = true
-			c.do(message.LoadBits{Job: id})
+			c.Do(message.LoadBits{Job: id})
 			continue
 		}
 		c.owner.jobs[id] = o
@@ -73,8 +75,8 @@
 // changedKeeper reports whether a machine is kept by another controller, or
 // another session of the same, than by an earlier view.
 func (c *Core) changedKeeper(old bookkeeping.View, id protocol.MachineID) bool {
-	keeper := c.keeper(id)
-	return machineKeeper(old, id) != keeper || !sameSession(old, c.view, keeper)
+	keeper := c.Keeper(id)
+	return known.MachineKeeper(old, id) != keeper || !known.SameSession(old, c.View, keeper)
 }
 
 func (c *Core) jobLoaded(m message.JobLoaded) {
@@ -93,13 +95,13 @@
 			err = bookkeeping.DecodeChunk(it.Key, b, o.done, o.Tasks)
 		}
 		if err != nil {
-			c.log.Error("bitmap can't be read", "job", m.Job, "err", err)
+			c.Log.Error("bitmap can't be read", "job", m.Job, "err", err)
 		}
 	}
 	o.loaded = true
 	o.nDone = uint32(o.done.Count())
 	c.ownedChanged.Touch(o.ID)
-	for id, t := range tasksInOrder(o.placed) {
+	for id, t := range inorder.Tasks(o.placed) {
 		if o.done.Test(uint(id.Index)) {
 			c.askStop(t, true, 0)
 		}
@@ -127,14 +129,14 @@
 			}
 		}
 		c.owner.dirty = true
-		c.log.Debug("job taken over", "id", o.ID, "done", o.nDone, "placed", len(o.placed))
+		c.Log.Debug("job taken over", "id", o.ID, "done", o.nDone, "placed", len(o.placed))
 	}
 }
 
 // inventory takes a keeper's proof of all that is on a machine.
 func (c *Core) inventory(from protocol.NodeName, inv *message.Inventory) {
 	m := c.machines[inv.Machine]
-	if inv.Term != c.view.Term || m == nil || m.epoch != inv.Epoch || c.keeper(inv.Machine) != from {
+	if inv.Term != c.View.Term || m == nil || m.Epoch != inv.Epoch || c.Keeper(inv.Machine) != from {
 		return
 	}
 	listed := map[protocol.TaskID]bool{}
@@ -146,7 +148,7 @@
 		listed[h.Task] = true
 		c.takeHeld(o, m, h)
 	}
-	for _, t := range tasksInOrder(m.mine) {
+	for _, t := range inorder.Tasks(m.mine) {
 		o := c.owner.jobs[t.task.Job]
 		if o == nil || listed[t.task] || (!t.uncertain && t.number > inv.Upto) {
 			continue
@@ -160,12 +162,12 @@
 
 // takeHeld takes one attempt of an inventory.
 func (c *Core) takeHeld(o *ownedJob, m *machineEntry, h message.Held) {
-	ref := message.TaskRef{Task: h.Task, Attempt: h.Attempt, Machine: m.id}
+	ref := message.TaskRef{Task: h.Task, Attempt: h.Attempt, Machine: m.ID}
 	t := o.placed[h.Task]
 	if t == nil && o.unknown {
 		t = &placedTask{
-			task: h.Task, attempt: h.Attempt, machine: m.id, epoch: m.epoch, zone: m.rec.Zone,
-			estimate: c.estimate(&o.Job), midway: true,
+			task: h.Task, attempt: h.Attempt, machine: m.ID, epoch: m.Epoch, zone: m.Record.Zone,
+			estimate: c.Estimate(&o.Job), midway: true,
 		}
 		o.placed[h.Task] = t
 		o.waits++
@@ -174,7 +176,7 @@
 			c.askStop(t, true, 0)
 		}
 	}
-	if t != nil && t.attempt == h.Attempt && t.machine == m.id {
+	if t != nil && t.attempt == h.Attempt && t.machine == m.ID {
 		t.midway = t.midway || t.uncertain && !t.running
 		if t.uncertain {
 			t.number, t.uncertain = 0, false // counted by a session that is over
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -7,14 +7,15 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
 // inventory plays the proof of all that is on a machine.
 func (b *bench) inventory(id protocol.MachineID, held ...message.Held) {
-	b.c.inventory(machineKeeper(b.c.view, id), &message.Inventory{
-		Term: b.c.view.Term, Machine: id, Epoch: b.c.machines[id].epoch, Upto: 1 << 40, Held: held,
+	b.c.inventory(known.MachineKeeper(b.c.View, id), &message.Inventory{
+		Term: b.c.View.Term, Machine: id, Epoch: b.c.machines[id].Epoch, Upto: 1 << 40, Held: held,
 	})
 }
 
@@ -50,7 +51,7 @@
 	id := b.keptBy("node-1")
 	b.machine(id, 1)
 	job := protocol.JobID("job-1")
-	for i := 0; b.c.jobOwner(b.c.view, &protocol.Job{ID: job, Team: "free"}) != "node-0"; i++ {
+	for i := 0; b.c.JobOwner(b.c.View, &protocol.Job{ID: job, Team: "free"}) != "node-0"; i++ {
 		job = protocol.JobID("job-" + string(rune('a'+i)))
 	}
 	b.job(job, "free", 1)
@@ -111,16 +112,16 @@
 	b := newBench(t)
 	b.ready("vm-1")
 	b.c.keeping.place("node-0", &message.Place{Number: 5, Term: 1, Tasks: []message.Placement{{
-		Task: protocol.TaskID{Job: "job-7"}, Attempt: 1, Machine: "vm-1", Epoch: b.c.machines["vm-1"].epoch,
+		Task: protocol.TaskID{Job: "job-7"}, Attempt: 1, Machine: "vm-1", Epoch: b.c.machines["vm-1"].Epoch,
 	}}})
-	b.c.local = nil
+	b.c.Local = nil
 	b.c.keeping.sendInventory(b.c.keeping.queues["vm-1"])
-	for _, m := range b.c.local {
+	for _, m := range b.c.Local {
 		if m.Inventory != nil && len(m.Inventory.Held) == 1 && m.Inventory.Held[0].Attempt == 1 {
 			return
 		}
 	}
-	t.Fatalf("not listed: %+v", b.c.local)
+	t.Fatalf("not listed: %+v", b.c.Local)
 }
 
 // TestOverBeforePlaced: an attempt of a job that is over is not queued.
@@ -132,7 +133,7 @@
 	b.c.keeping.queues["vm-1"].entries = map[protocol.TaskID]*entry{}
 	b.c.keeping.queues["vm-1"].waiting = nil
 	b.c.keeping.place("node-0", &message.Place{Number: 6, Term: 1, Tasks: []message.Placement{{
-		Task: protocol.TaskID{Job: "job-1"}, Attempt: 9, Machine: "vm-1", Epoch: b.c.machines["vm-1"].epoch,
+		Task: protocol.TaskID{Job: "job-1"}, Attempt: 9, Machine: "vm-1", Epoch: b.c.machines["vm-1"].Epoch,
 	}}})
 	if n := len(b.c.keeping.queues["vm-1"].waiting); n != 0 {
 		t.Fatalf("%d waiting: it would stand at the head for ever", n)
@@ -161,7 +162,7 @@
 	b.report("vm-1", 1, 3, running)
 	placed(12, "when all is known")
 	b.view(5, "node-0")
-	b.c.machines["vm-1"].info = protocol.TypeInfo{}
+	b.c.machines["vm-1"].Info = protocol.TypeInfo{}
 	if usage := b.c.teamUsage()["bound"]; !math.IsInf(usage.CPUs, 1) {
 		t.Fatalf("a machine of unknown size takes %v", usage.CPUs)
 	}
@@ -188,7 +189,7 @@
 		}
 		return gone
 	}
-	lease := time.Duration(b.c.settings.Site.Workers.LeaseS) * time.Second
+	lease := time.Duration(b.c.Settings.Site.Workers.LeaseS) * time.Second
 	if pass(3 * lease) {
 		t.Fatal("taken for dead while node-1 may answer by an earlier term")
 	}
@@ -252,11 +253,11 @@
 		b := newBench(t, "node-1")
 		id := b.keptBy("node-1")
 		team := protocol.Team("bound")
-		b.c.settings.Site.Teams = nil
-		for i := 0; rendezvous(b.c.view, "team "+string(team)) != "node-0" || rendezvousBut(b.c.view, []protocol.NodeName{"node-1"}, "team "+string(team)) != "node-0"; i++ {
+		b.c.Settings.Site.Teams = nil
+		for i := 0; known.Rendezvous(b.c.View, "team "+string(team)) != "node-0" || known.RendezvousBut(b.c.View, []protocol.NodeName{"node-1"}, "team "+string(team)) != "node-0"; i++ {
 			team = protocol.Team("bound" + string(rune('a'+i)))
 		}
-		b.c.settings.Site.Teams = []config.Team{{Name: team, MaxCPUs: 4}}
+		b.c.Settings.Site.Teams = []config.Team{{Name: team, MaxCPUs: 4}}
 		b.machine(id, 1)
 		for i := range 2 { // the first is over before the second is placed
 			job := protocol.JobID("job-" + string(rune('1'+i)))
@@ -273,7 +274,7 @@
 		if over == "before the view" {
 			end()
 		}
-		b.c.view.Members["node-1"] = 77 // its process before this one
+		b.c.View.Members["node-1"] = 77 // its process before this one
 		b.view(2, "node-0", "node-1")
 		if over == "after it" {
 			end()
@@ -281,7 +282,7 @@
 		if len(b.c.owner.leaving) != 4 {
 			t.Fatalf("over %s: %d attempts count", over, len(b.c.owner.leaving))
 		}
-		b.c.inventory("node-1", &message.Inventory{Term: 2, Machine: id, Epoch: b.c.machines[id].epoch})
+		b.c.inventory("node-1", &message.Inventory{Term: 2, Machine: id, Epoch: b.c.machines[id].Epoch})
 		if n := len(b.c.owner.leaving); n > 0 {
 			t.Errorf("over %s: %d attempts count for ever", over, n)
 		}
--- a/internal/coordination/told.go
+++ b/internal/coordination/told.go
@@ -51,14 +51,14 @@
 
 // stateOf is what others are told of a machine, reckoned once after each change.
 func (k *keeper) stateOf(q *queue) message.MachineState {
-	if m := k.records[q.id]; m == nil || q.epoch != m.epoch {
+	if m := k.Records[q.id]; m == nil || q.epoch != m.Epoch {
 		return message.MachineState{Machine: q.id}
 	}
 	k.reckonState(q)
 	s := q.said
 	s.Runs = q.runs
 	if q.known && len(q.entries) == 0 {
-		s.IdleS = k.since(q.idleSince).Seconds()
+		s.IdleS = k.Since(q.idleSince).Seconds()
 	}
 	return s
 }
@@ -120,7 +120,7 @@
 
 // silenceAfter is how a quiet of so long looks.
 func (k *keeper) silenceAfter(d time.Duration) message.Silence {
-	switch most := healthySilence(k.settings.Site.Workers.ReportS); {
+	switch most := healthySilence(k.Settings.Site.Workers.ReportS); {
 	case d > 2*most:
 		return message.SilenceLong
 	case d > most:
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -14,22 +14,22 @@
 // controllers that are present in the records. A controller whose connection
 // is refused stays; only a lapsed lease removes it.
 func (c *Core) checkView() {
-	if c.session == 0 || c.now >= c.until || c.writingView || c.now < c.viewRetry {
+	if c.Session == 0 || c.Now >= c.Until || c.writingView || c.Now < c.viewRetry {
 		return
 	}
 	want, layout := c.wantMembers()
-	if want[c.self] != c.session {
+	if want[c.Self] != c.Session {
 		return // not present itself: it has no say
 	}
 	deaf := c.deafNodes(want)
-	if sameMembers(want, c.view.Members) && layout == c.view.Layout && slices.Equal(deaf, c.view.Deaf) && !c.keeping.needsTerm {
+	if sameMembers(want, c.View.Members) && layout == c.View.Layout && slices.Equal(deaf, c.View.Deaf) && !c.keeping.needsTerm {
 		return
 	}
 	c.writingView = true
-	next := bookkeeping.View{Term: c.view.Term + 1, Members: want, Deaf: deaf, Layout: layout}
-	c.do(message.Commit{Tag: viewTag{}, Txn: protocol.Txn{
+	next := bookkeeping.View{Term: c.View.Term + 1, Members: want, Deaf: deaf, Layout: layout}
+	c.Do(message.Commit{Tag: viewTag{}, Txn: protocol.Txn{
 		If: []protocol.Condition{
-			{Key: bookkeeping.ViewKey, Version: c.viewVersion},
+			{Key: bookkeeping.ViewKey, Version: c.ViewVersion},
 		},
 		Then: []protocol.Change{{Put: bookkeeping.ViewKey, Value: next}},
 	}})
@@ -43,13 +43,13 @@
 	least := bookkeeping.LayoutBlocks
 	for name, n := range c.nodes {
 		l := max(n.Layout, bookkeeping.LayoutSingle)
-		if l < c.view.Layout {
+		if l < c.View.Layout {
 			continue
 		}
 		want[name] = n.Session
 		least = min(least, l)
 	}
-	return want, max(least, c.view.Layout)
+	return want, max(least, c.View.Layout)
 }
 
 func sameMembers(a, b map[protocol.NodeName]protocol.LeaseID) bool {
@@ -69,23 +69,23 @@
 // controller that missed a view in between trusts nothing it knew before,
 // since others may have acted on the one it missed.
 func (c *Core) adopt(v bookkeeping.View, version protocol.Version) {
-	old := c.view
+	old := c.View
 	consecutive := old.Term != 0 && v.Term == old.Term+1
-	wasMember := c.member()
-	c.view, c.viewVersion = v, version
-	clear(c.keepers)
+	wasMember := c.Member()
+	c.View, c.ViewVersion = v, version
+	clear(c.Keepers)
 	c.pen = newPen()
 	c.viewRetry, c.keeping.needsTerm = 0, false
 	c.adoptPeers(v)
 	c.keeping.forgetOwners(old)
-	c.hearing.adopted(v, c.self, c.now)
-	if !c.member() {
+	c.hearing.adopted(v, c.Self, c.Now)
+	if !c.Member() {
 		c.owner = newOwnerState()
 		c.keeping.drop()
-		c.log.Info("not in the view", "term", v.Term)
+		c.Log.Info("not in the view", "term", v.Term)
 		return
 	}
-	c.log.Info("new term", "term", v.Term, "members", len(v.Members))
+	c.Log.Info("new term", "term", v.Term, "members", len(v.Members))
 	keeps := consecutive && wasMember
 	c.keeping.adopt(old, keeps)
 	c.adoptJobs(old, keeps)
@@ -94,7 +94,7 @@
 	if !wasMember {
 		c.askTables()
 	}
-	c.fleet.adopted(c.now)
+	c.fleet.adopted(c.Now)
 }
 
 func (c *Core) adoptPeers(v bookkeeping.View) {
@@ -113,7 +113,7 @@
 			c.peers[name] = &peer{session: session, progress: map[protocol.JobID]message.Progress{}, told: newHearsay()}
 		}
 	}
-	if p := c.peers[c.self]; p != nil {
+	if p := c.peers[c.Self]; p != nil {
 		p.term = v.Term
 	}
 }
@@ -121,26 +121,26 @@
 // received handles a peer's batch. Batches of ended sessions are dropped: the
 // network may hold them back for minutes.
 func (c *Core) received(b message.Batch) {
-	if b.ToSession != c.session || !c.member() || c.view.Members[b.From] != b.FromSession {
-		if b.ToSession == c.session && b.Term > c.view.Term {
-			c.do(message.ReplyBatch{Reply: message.BatchBehind})
+	if b.ToSession != c.Session || !c.Member() || c.View.Members[b.From] != b.FromSession {
+		if b.ToSession == c.Session && b.Term > c.View.Term {
+			c.Do(message.ReplyBatch{Reply: message.BatchBehind})
 			return
 		}
-		if b.ToSession == c.session && c.acting() {
-			c.do(message.ReplyBatch{Reply: message.BatchPassed})
+		if b.ToSession == c.Session && c.Acting() {
+			c.Do(message.ReplyBatch{Reply: message.BatchPassed})
 			return
 		}
-		c.do(message.ReplyBatch{Reply: message.BatchStale})
+		c.Do(message.ReplyBatch{Reply: message.BatchStale})
 		return
 	}
-	if b.Term > c.view.Term {
-		c.do(message.ReplyBatch{Reply: message.BatchBehind})
+	if b.Term > c.View.Term {
+		c.Do(message.ReplyBatch{Reply: message.BatchBehind})
 		return
 	}
 	p := c.peers[b.From]
 	p.term = max(p.term, b.Term)
 	if b.First > p.next {
-		c.do(message.ReplyBatch{Reply: message.BatchStale}) // a gap: this can't be the same stream
+		c.Do(message.ReplyBatch{Reply: message.BatchStale}) // a gap: this can't be the same stream
 		return
 	}
 	for i, m := range b.Messages {
@@ -149,7 +149,7 @@
 			c.message(b.From, m)
 		}
 	}
-	c.do(message.ReplyBatch{Reply: message.BatchTaken})
+	c.Do(message.ReplyBatch{Reply: message.BatchTaken})
 }
 
 // message handles one message of a peer, or of itself.
@@ -188,7 +188,7 @@
 // that nobody answers workers by an older one any more.
 func (c *Core) allAdopted() bool {
 	for _, p := range c.peers {
-		if p.term < c.view.Term {
+		if p.term < c.View.Term {
 			return false
 		}
 	}
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -18,7 +19,7 @@
 
 // expect counts an announced placement until its keeper's word includes it.
 func (c *Core) expect(m *machineEntry, w comingWait) {
-	p := c.peers[c.keeper(m.id)]
+	p := c.peers[c.Keeper(m.ID)]
 	if p == nil {
 		return
 	}
@@ -48,7 +49,7 @@
 // addWaits takes another controller's placements into the table, unless it
 // holds their keeper's word on them already: messages of two peers may cross.
 func (c *Core) addWaits(from protocol.NodeName, a *message.Added) {
-	if a.Term != c.view.Term {
+	if a.Term != c.View.Term {
 		return // its keeper refuses them, or has told of them in this term
 	}
 	for _, w := range a.Waits {
@@ -56,7 +57,7 @@
 		if m == nil {
 			continue
 		}
-		keeper := c.keeper(m.id)
+		keeper := c.Keeper(m.ID)
 		n := a.Numbers[keeper]
 		if p := c.peers[keeper]; p == nil || n <= p.told.handled[from] {
 			continue
@@ -82,17 +83,17 @@
 	if len(added) == 0 {
 		return
 	}
-	a := &message.Added{Term: c.view.Term, Numbers: map[protocol.NodeName]uint64{}}
-	for id, w := range inOrder(added) {
+	a := &message.Added{Term: c.View.Term, Numbers: map[protocol.NodeName]uint64{}}
+	for id, w := range inorder.Of(added) {
 		a.Waits = append(a.Waits, message.Wait{Machine: id, Add: w.add, Taken: message.UsesIn(&w.taken)})
-		keeper := c.keeper(id)
+		keeper := c.Keeper(id)
 		if p := c.peers[keeper]; p != nil {
 			a.Numbers[keeper] = p.placed
 		}
 	}
-	for name := range inOrder(c.peers) {
-		if name != c.self {
-			c.send(name, message.PeerMessage{Added: a})
+	for name := range inorder.Of(c.peers) {
+		if name != c.Self {
+			c.Send(name, message.PeerMessage{Added: a})
 		}
 	}
 }
@@ -106,14 +107,14 @@
 	usage := c.teamUsage()
 	var ds []message.Demand
 	for _, o := range c.jobsInOrder() {
-		if !o.loaded || o.unknown || o.notBefore > c.now {
+		if !o.loaded || o.unknown || o.notBefore > c.Now {
 			continue
 		}
 		n := c.mayStart(o, usage, min(int(o.pending.Count()), demandMost))
 		c.use(o, usage, n)
 		n += o.waits
 		if n > 0 {
-			ds = append(ds, message.Demand{Job: o.ID, Zone: o.boundTo(), Unstarted: n, Level: int(o.level), EstimateS: c.estimateOf(o), OldestS: c.since(o.since).Seconds()})
+			ds = append(ds, message.Demand{Job: o.ID, Zone: o.boundTo(), Unstarted: n, Level: int(o.level), EstimateS: c.estimateOf(o), OldestS: c.Since(o.since).Seconds()})
 		}
 	}
 	return ds
@@ -128,8 +129,8 @@
 // themselves; to one that they have left out of the view, in their answers.
 func (c *Core) actingPeers() []protocol.NodeName {
 	var names []protocol.NodeName
-	for name, p := range inOrder(c.peers) {
-		if name != c.self && p.actingAt != 0 && c.since(p.actingAt) < 3*c.op.RelayEvery {
+	for name, p := range inorder.Of(c.peers) {
+		if name != c.Self && p.actingAt != 0 && c.Since(p.actingAt) < 3*c.Op.RelayEvery {
 			names = append(names, name)
 		}
 	}
@@ -147,8 +148,8 @@
 // random, and two more after each wait in vain.
 func (c *Core) askTables() {
 	c.copy = tableCopy{}
-	for name := range inOrder(c.peers) {
-		if name != c.self {
+	for name := range inorder.Of(c.peers) {
+		if name != c.Self {
 			c.copy.left = append(c.copy.left, name)
 		}
 	}
@@ -158,26 +159,26 @@
 }
 
 func (c *Core) askMoreTables() {
-	if c.copy.got || len(c.copy.left) == 0 || c.copy.asked != 0 && c.since(c.copy.asked) < c.op.CopyWait {
+	if c.copy.got || len(c.copy.left) == 0 || c.copy.asked != 0 && c.Since(c.copy.asked) < c.Op.CopyWait {
 		return
 	}
 	n := min(2, len(c.copy.left))
 	for _, name := range c.copy.left[:n] {
-		c.send(name, message.PeerMessage{AskTable: true})
+		c.Send(name, message.PeerMessage{AskTable: true})
 	}
-	c.copy.left, c.copy.asked = c.copy.left[n:], c.now
+	c.copy.left, c.copy.asked = c.copy.left[n:], c.Now
 }
 
 // sendTable answers a restarted controller, if this table is filled.
 func (c *Core) sendTable(to protocol.NodeName) {
 	var ws []message.Wait
-	for id, m := range inOrder(c.machines) {
-		if m.told.Epoch == m.epoch {
+	for id, m := range inorder.Of(c.machines) {
+		if m.told.Epoch == m.Epoch {
 			ws = append(ws, message.Wait{Machine: id, Add: m.wait()})
 		}
 	}
 	if len(ws) > 0 {
-		c.send(to, message.PeerMessage{Table: ws})
+		c.Send(to, message.PeerMessage{Table: ws})
 	}
 }
 
@@ -198,7 +199,7 @@
 // progressOf is how far an owned job is.
 func (c *Core) progressOf(o *ownedJob) message.Progress {
 	g := message.Progress{Job: o.ID, Done: o.nDone, Running: o.running}
-	if c.promised.any {
+	if c.promised.Any {
 		g.Level = int(o.level) + 1
 	}
 	return g
@@ -209,8 +210,8 @@
 	if o := c.owner.jobs[id]; o != nil {
 		return c.progressOf(o), true
 	}
-	if l := c.live[id]; l != nil {
-		if p := c.peers[c.ownerOf(l)]; p != nil {
+	if l := c.Live[id]; l != nil {
+		if p := c.peers[c.OwnerOf(l)]; p != nil {
 			g, ok := p.progress[id]
 			return g, ok
 		}
--- a/internal/emulator/nodes.go
+++ b/internal/emulator/nodes.go
@@ -106,7 +106,7 @@
 
 func (w *world) clock(n *simNode) coordination.Time { return coordination.Time(w.now-n.born) + 1 }
 
-func (w *world) stepNode(n *simNode, msg any) []coordination.Action {
+func (w *world) stepNode(n *simNode, msg any) []message.Action {
 	if n.core == nil {
 		return nil
 	}
@@ -139,7 +139,7 @@
 	})
 }
 
-func (w *world) carryOut(n *simNode, actions []coordination.Action) {
+func (w *world) carryOut(n *simNode, actions []message.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case message.Send:
