--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -13,6 +13,7 @@
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/blocks"
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/message"
@@ -25,7 +26,7 @@
 // concurrent use: one actor owns it.
 type Core struct {
 	known.Part
-	keeping *keeper
+	keeping *keeping.Keeper
 	rng     *rand.Rand
 
 	dear        map[kind]float64                       // see dearness: by the prices last read
@@ -78,7 +79,7 @@
 // NewCore makes a controller's state before its first session.
 func NewCore(s *config.Settings, op config.Operator, rng *rand.Rand, log *slog.Logger) *Core {
 	p := known.Part{Known: known.NewKnown(s, op, log), Output: &known.Output{}}
-	c := &Core{Part: p, keeping: newKeeper(p), rng: rng}
+	c := &Core{Part: p, keeping: keeping.New(p), rng: rng}
 	c.reset()
 	return c
 }
@@ -91,7 +92,7 @@
 	c.hearing = newHearing()
 	c.classes = map[string]*class{}
 	c.machines, c.sorted, c.spotsUp = map[protocol.MachineID]*machineEntry{}, nil, 0
-	c.keeping.reset()
+	c.keeping.Reset()
 	c.ownedChanged = relay.Log[protocol.JobID]{}
 	c.shelf, c.pen = blocks.NewShelf(), newPen()
 	c.nextPlaced = 0
@@ -144,7 +145,7 @@
 	case message.JobLoaded:
 		c.jobLoaded(m)
 	case message.Commanded:
-		c.keeping.commanded(m)
+		c.keeping.Commanded(m)
 	case message.PeerActs:
 		if p := c.peers[m.Peer]; p != nil {
 			p.actingAt = c.Now
@@ -157,7 +158,7 @@
 		c.listed(m)
 	}
 	c.settle()
-	c.keeping.push()
+	c.keeping.Push()
 	return c.Actions
 }
 
@@ -277,9 +278,9 @@
 		c.refreshPromises()
 		c.watchSpots()
 		c.watchSlow()
-		c.keeping.expireSilent(c.allAdopted())
+		c.keeping.ExpireSilent(c.allAdopted())
 		c.rebalance("")
-		c.keeping.regular(c.levelTold)
+		c.keeping.Regular(c.levelTold)
 		c.flushBits()
 		c.sendRelays(true)
 		c.fleetStep()
@@ -288,7 +289,7 @@
 			c.rebalance(c.movedUpTo)
 		}
 		c.sendRelays(false)
-		c.keeping.takeStocks() // not in the step of the regular work: together they are long
+		c.keeping.TakeStocks() // not in the step of the regular work: together they are long
 	}
 	c.writeBlocks()
 	c.askMoreTables()
@@ -304,16 +305,16 @@
 		}
 	case reservationTag:
 		delete(c.promised.write, tag.name)
-	case registerTag:
-		c.keeping.registrationDone(tag, m.Outcome)
+	case keeping.RegisterTag:
+		c.keeping.RegistrationDone(tag, m.Outcome)
 	case finishTag:
 		c.finishDone(tag, m.Outcome)
 	case bitsTag:
 		c.bitsDone(tag, m.Outcome)
 	case penTag:
 		c.blocksWritten(tag, m.Outcome)
-	case removeTag:
-		c.keeping.removalDone(tag.machine)
+	case keeping.RemoveTag:
+		c.keeping.RemovalDone(tag.Machine)
 	}
 }
 
@@ -330,7 +331,7 @@
 		return
 	}
 	c.owner.sorted = nil
-	c.keeping.resort()
+	c.keeping.Resort()
 }
 
 // levelTold is the level of a job, by its owner's word.
@@ -350,5 +351,5 @@
 		c.Do(message.ReplyReport{Status: 421, ReportTo: keeper})
 		return
 	}
-	c.keeping.report(r)
+	c.keeping.Report(r)
 }
--- a/internal/coordination/cost_test.go
+++ b/internal/coordination/cost_test.go
@@ -307,9 +307,9 @@
 	w.c.jobOver("job-huge")
 	w.step(message.Tick{})
 	queued := 0
-	for _, q := range w.c.keeping.queues {
-		for _, e := range q.waiting {
-			if e.task.Job == "job-huge" {
+	for _, id := range w.c.keeping.Machines() {
+		for _, a := range w.c.keeping.Attempts(id) {
+			if a.Task.Job == "job-huge" && !a.Sent {
 				queued++
 			}
 		}
@@ -391,12 +391,10 @@
 	if most := 2 * 20 * 2 * lookedAtOnce; f.c.looked > most || f.c.looked < gangs*machines {
 		t.Errorf("%d machines looked at in 2 s for %d gangs, want %d at the most", f.c.looked, gangs, most)
 	}
-	for _, id := range f.ids[:8] {
-		q := f.c.keeping.queues[id]
-		clear(q.entries)
-		q.waiting = nil
-		f.c.keeping.touch(q)
-		f.runs[id] = nil
+	for i := range 8 { // machines come
+		id := protocol.MachineID(fmt.Sprintf("vm-new-%d", i))
+		f.ids = append(f.ids, id)
+		f.machine(id, 1)
 	}
 	f.hear(0)
 	for range 20 {
--- a/internal/coordination/due_test.go
+++ b/internal/coordination/due_test.go
@@ -36,30 +36,6 @@
 	})
 }
 
-// TestDueOrder: what can still be done in time goes before what is late, in
-// the order of jobs and in a machine's queue.
-func TestDueOrder(t *testing.T) {
-	b := newBench(t)
-	job := func(id protocol.JobID, deadline float64) *entry {
-		b.c.jobLive(protocol.Job{ID: id, Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, EstimateS: 10, DeadlineS: deadline}, 1, false)
-		return &entry{task: protocol.TaskID{Job: id}, level: 1}
-	}
-	q := b.c.keeping.keep("vm-1")
-	late, soon := job("job-1", 20), job("job-2", 60)
-	b.c.keeping.enqueue(q, soon)
-	b.c.keeping.enqueue(q, late)
-	b.c.keeping.sortWaiting(q)
-	if q.waiting[0] != late || b.c.jobsInOrder()[0].ID != "job-1" {
-		t.Fatal("what is due first does not go first")
-	}
-	b.c.Now += Time(35 * time.Second)
-	b.c.refreshDue()
-	b.c.keeping.sortWaiting(q)
-	if q.waiting[0] != soon || b.c.jobsInOrder()[0].ID != "job-2" {
-		t.Error("what is late anyway goes before what is not")
-	}
-}
-
 // TestDueWithoutTime: an objective that names no time, as a settings file may,
 // is none; doubling it would never reach any.
 func TestDueWithoutTime(t *testing.T) {
@@ -73,3 +49,19 @@
 		t.Errorf("due at %v", due)
 	}
 }
+
+// TestDueOrder: what can still be done in time goes before what is late.
+func TestDueOrder(t *testing.T) {
+	b := newBench(t)
+	for id, deadline := range map[protocol.JobID]float64{"job-1": 20, "job-2": 60} {
+		b.c.jobLive(protocol.Job{ID: id, Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, EstimateS: 10, DeadlineS: deadline}, 1, false)
+	}
+	if b.c.jobsInOrder()[0].ID != "job-1" {
+		t.Fatal("what is due first does not go first")
+	}
+	b.c.Now += Time(35 * time.Second)
+	b.c.refreshDue()
+	if b.c.jobsInOrder()[0].ID != "job-2" {
+		t.Error("what is late anyway goes before what is not")
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -10,6 +10,7 @@
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
@@ -329,7 +330,7 @@
 
 // dropRecord deletes the record of a machine that the cloud says is gone.
 func (c *Core) dropRecord(m *machineEntry) {
-	c.ChangeRecord(removeTag{m.ID}, m.ID, m.Epoch, nil)
+	c.ChangeRecord(keeping.RemoveTag{Machine: m.ID}, m.ID, m.Epoch, nil)
 }
 
 func (c *Core) listed(m message.Listed) {
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -7,6 +7,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
@@ -43,7 +44,7 @@
 	if !dropped(b.step(message.Deleted{Machines: []protocol.MachineID{"vm-1"}, OK: true}), "vm-1") {
 		t.Fatal("not dropped")
 	}
-	b.step(message.TxnDone{Tag: removeTag{"vm-1"}, Outcome: message.OutcomeRefused})
+	b.step(message.TxnDone{Tag: keeping.RemoveTag{Machine: "vm-1"}, Outcome: message.OutcomeRefused})
 	if !dropped(b.relay(), "vm-1") {
 		t.Error("not dropped again after the state service refused")
 	}
@@ -86,27 +87,6 @@
 	}
 }
 
-// TestFailingJobLeavesMachine: when a job's task fails, what waits there of the
-// same job goes back to its owner.
-func TestFailingJobLeavesMachine(t *testing.T) {
-	b := newBench(t)
-	b.ready("vm-1")
-	q := b.c.keeping.queues["vm-1"]
-	for i := range uint32(3) {
-		e := &entry{task: protocol.TaskID{Job: "job-1", Index: i}, attempt: 1}
-		q.entries[e.task] = e
-		q.waiting = append(q.waiting, e)
-	}
-	b.c.keeping.noteResult(q, &entry{task: protocol.TaskID{Job: "job-2"}, cause: protocol.EndDone})
-	if len(q.waiting) != 3 {
-		t.Fatal("released for another job's success")
-	}
-	b.c.keeping.noteResult(q, &entry{task: protocol.TaskID{Job: "job-1", Index: 7}, cause: protocol.EndError})
-	if len(q.waiting) != 0 {
-		t.Errorf("%d still wait", len(q.waiting))
-	}
-}
-
 // returns lists the machines that actions return, or have drained for that.
 func (b *bench) returns(actions []message.Action) (ids []protocol.MachineID) {
 	for _, a := range actions {
@@ -114,8 +94,8 @@
 			ids = append(ids, d.Machines...)
 		}
 	}
-	for id, q := range b.c.keeping.queues {
-		if q.draining {
+	for _, id := range b.c.keeping.Machines() {
+		if st, _ := b.c.keeping.StateOf(id); st.Draining {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -104,32 +104,6 @@
 	}
 }
 
-// TestKeeperRefusesBlockedGang: a task whose gang waits for it is not queued
-// behind what can't be stopped for it; behind what can, that is stopped.
-func TestKeeperRefusesBlockedGang(t *testing.T) {
-	for _, tc := range []struct {
-		runs    protocol.Priority
-		refused bool
-	}{{"high", true}, {"standard", false}} {
-		b := newBench(t)
-		b.ready("vm-1")
-		q := b.c.keeping.queues["vm-1"]
-		b.c.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: tc.runs, CPUs: 2, Tasks: 1}}
-		b.c.Live["job-2"] = &known.LiveJob{Job: protocol.Job{ID: "job-2", Team: "free", Kind: protocol.KindGang, Priority: "high", CPUs: 4, Tasks: 2}}
-		runs := &entry{
-			task: protocol.TaskID{Job: "job-1"}, attempt: 1, need: room.Amount{CPUs: 2}, level: room.LevelOf(tc.runs, false),
-			sent: true, present: true, state: protocol.TaskRunning,
-		}
-		q.entries[runs.task] = runs
-		b.c.keeping.place("node-0", &message.Place{Number: 1, Term: b.c.View.Term, Tasks: []message.Placement{{
-			Task: protocol.TaskID{Job: "job-2"}, Attempt: 1, Machine: "vm-1", Epoch: q.epoch, CPUs: 4, Level: int(room.LevelOf("high", false)), Together: true,
-		}}})
-		if refused := len(q.waiting) == 0; refused != tc.refused || runs.kill == tc.refused {
-			t.Errorf("behind %s: refused %v, other stopped %v", tc.runs, refused, runs.kill)
-		}
-	}
-}
-
 // TestSpotRisk: gangs leave spot machines alone once these are seen to be taken
 // so often that they would not get on, and arrays use them all the same.
 func TestSpotRisk(t *testing.T) {
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -9,6 +9,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
@@ -116,6 +117,16 @@
 	return id
 }
 
+// kept is the attempt of a task that the core keeps on a machine.
+func (b *bench) kept(id protocol.MachineID, task protocol.TaskID) (found keeping.Attempt) {
+	for _, a := range b.c.keeping.Attempts(id) {
+		if a.Task == task {
+			found = a
+		}
+	}
+	return found
+}
+
 // ready brings one machine into service, term and inventory settled.
 func (b *bench) ready(id protocol.MachineID) {
 	b.report(id, 1, 0)
@@ -162,8 +173,7 @@
 	if !raised() {
 		t.Error("the term is not raised")
 	}
-	q := b.c.keeping.queues["vm-1"]
-	if e := q.entries[task]; e == nil || !e.sent {
+	if e := b.kept("vm-1", task); !e.Sent {
 		t.Fatalf("taken for never started: %+v", e)
 	}
 	ended := protocol.TaskReport{Task: task, Attempt: attempt, State: protocol.TaskEnded, Cause: protocol.EndStopped}
@@ -265,26 +275,6 @@
 	}
 }
 
-// TestHeldPlacement: a placement of an earlier term or of a machine's earlier
-// record starts nothing.
-func TestHeldPlacement(t *testing.T) {
-	b := newBench(t)
-	b.ready("vm-1")
-	epoch := b.c.machines["vm-1"].Epoch
-	place := func(term protocol.Term, epoch protocol.Version) {
-		b.c.keeping.place("node-0", &message.Place{Term: term, Tasks: []message.Placement{{Task: protocol.TaskID{Job: "job-9"}, Attempt: 1, Machine: "vm-1", Epoch: epoch}}})
-	}
-	place(0, epoch)
-	place(1, epoch-1)
-	if n := len(b.c.keeping.queues["vm-1"].entries); n != 0 {
-		t.Fatalf("%d queued", n)
-	}
-	place(1, epoch)
-	if n := len(b.c.keeping.queues["vm-1"].entries); n != 1 {
-		t.Fatalf("%d queued, want the valid one", n)
-	}
-}
-
 // TestStaleBatch: a batch between other sessions is dropped, one of a term not
 // read yet has to wait, a repeated one is taken once.
 func TestStaleBatch(t *testing.T) {
@@ -353,9 +343,8 @@
 	}
 }
 
-// TestBadJobBlocksNobody: a job that fails on every machine waits ever longer
-// and does not have machines set aside.
-func TestBadJobBlocksNobody(t *testing.T) {
+// TestBadJobWaits: a job that fails on every machine waits ever longer.
+func TestBadJobWaits(t *testing.T) {
 	b := newBench(t)
 	o := func() *ownedJob { return b.c.owner.jobs["job-1"] }
 	b.job("job-1", "free", 1)
@@ -365,20 +354,10 @@
 		ref := message.TaskRef{Task: protocol.TaskID{Job: "job-1"}, Attempt: 1, Machine: id}
 		o().placed[ref.Task] = &placedTask{task: ref.Task, attempt: 1, machine: id}
 		b.c.event(message.TaskEvent{TaskRef: ref, What: message.WhatEnded, Cause: protocol.EndError})
-		q := b.c.keeping.queues[id]
-		b.c.keeping.noteResult(q, &entry{task: ref.Task, cause: protocol.EndError})
-		if q.suspect {
-			t.Errorf("%s set aside for one job's failures", id)
-		}
 	}
 	if o().notBefore <= b.now {
 		t.Error("it is tried again at once")
 	}
-	q := b.c.keeping.queues["vm-0"]
-	b.c.keeping.noteResult(q, &entry{task: protocol.TaskID{Job: "job-2"}, cause: protocol.EndError})
-	if !q.suspect {
-		t.Error("a machine that fails two jobs is not set aside")
-	}
 }
 
 // TestNewTermKeepsStarting: a new term does not stop direct starts where the
@@ -399,26 +378,6 @@
 	}
 }
 
-// TestPutBackWhileDraining: a start that was not executed goes back to the
-// queue, but on a machine that is drained meanwhile to its owner.
-func TestPutBackWhileDraining(t *testing.T) {
-	for _, drained := range []bool{false, true} {
-		b := newBench(t)
-		b.ready("vm-1")
-		q := b.c.keeping.queues["vm-1"]
-		e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 1, sent: true}
-		q.entries[e.task] = e
-		b.c.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: "standard"}}
-		if drained {
-			b.c.keeping.drain("vm-1")
-		}
-		b.report("vm-1", 1, b.c.View.Term) // without it
-		if left := q.entries[e.task] != nil; left == drained {
-			t.Errorf("drained %v: still there %v", drained, left)
-		}
-	}
-}
-
 // TestHeldBackReport: what a report of an earlier term lists is told to nobody
 // before the machine's inventory. The network may have held it back, and an
 // attempt it lists may be long gone: its owner would have it killed.
@@ -429,15 +388,15 @@
 	b.machine("vm-1", 1)
 	running := protocol.TaskReport{Task: protocol.TaskID{Job: "job-1"}, Attempt: 77, State: protocol.TaskRunning}
 	b.report("vm-1", 1, 0, running)
-	e := b.c.keeping.queues["vm-1"].entries[running.Task]
-	if e == nil || e.attempt != 77 {
+	e := b.kept("vm-1", running.Task)
+	if e.Attempt != 77 {
 		t.Fatalf("not taken: %+v", e)
 	}
-	if e.kill {
+	if e.Kill {
 		t.Error("to be killed on the word of an old report")
 	}
 	b.report("vm-1", 1, b.c.View.Term, running)
-	if !e.kill {
+	if !b.kept("vm-1", running.Task).Kill {
 		t.Error("an attempt that its owner never placed goes on")
 	}
 }
@@ -450,10 +409,9 @@
 	b.job("job-1", "free", 1)
 	o := b.c.owner.jobs["job-1"]
 	for _, p := range o.placed {
-		b.c.event(message.TaskEvent{TaskRef: message.TaskRef{Task: p.task, Attempt: p.attempt, Machine: p.machine}, What: message.WhatEnded, Cause: protocol.EndError})
+		b.report("vm-1", 1, 1, protocol.TaskReport{Task: p.task, Attempt: p.attempt, State: protocol.TaskEnded, Cause: protocol.EndError})
 	}
-	q := b.c.keeping.queues["vm-1"]
-	q.entries, q.waiting = map[protocol.TaskID]*entry{}, nil
+	b.report("vm-1", 1, 1) // forgotten there
 	b.step(message.Tick{})
 	if len(o.placed) > 0 {
 		t.Error("tried again at once")
--- a/internal/coordination/holding_test.go
+++ b/internal/coordination/holding_test.go
@@ -7,7 +7,6 @@
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
-	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -27,27 +26,6 @@
 	}
 }
 
-// TestFoundTasksTeachNothing: a task that was found on its machine may have run
-// for long before. Counted from then, estimates seemed good that were half of the
-// truth, and reserved room was full at its time.
-func TestFoundTasksTeachNothing(t *testing.T) {
-	b := promising(t)
-	b.c.promised.Any = true
-	b.c.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Class: "array"}}
-	end := func(order uint64, n int) {
-		for range n {
-			b.c.keeping.noteError(&entry{task: protocol.TaskID{Job: "job-1"}, order: order, runs: b.c.Now - Time(10*time.Second), estimate: 10, cause: protocol.EndDone})
-		}
-	}
-	usual := b.c.LikelyS(&protocol.Job{Class: "array"}, 10)
-	if end(0, 100); b.c.LikelyS(&protocol.Job{Class: "array"}, 10) != usual {
-		t.Error("learned from tasks that were found")
-	}
-	if end(7, 100); b.c.LikelyS(&protocol.Job{Class: "array"}, 10) >= usual {
-		t.Error("not learned from tasks that were started here")
-	}
-}
-
 // TestTakenOverRoom: what the next keeper of a machine finds there it can't judge
 // by itself: how far it is the table still knows from the keeper before, and how
 // urgent it is its owner says. Without either, each controller that ended lost all
@@ -56,7 +34,7 @@
 	b := promising(t)
 	b.ready("vm-1")
 	b.c.promised.Any = true
-	m, q := b.c.machines["vm-1"], b.c.keeping.queues["vm-1"]
+	m := b.c.machines["vm-1"]
 	task := protocol.TaskID{Job: "job-1"}
 	soon := calendar.After(b.c.Moment(), time.Minute)
 	m.told.Runs = []calendar.Run{{Task: task, Attempt: 3, Ends: soon, Level: 0}}
@@ -66,12 +44,10 @@
 	if r := m.told.Runs[0]; r.Ends != soon {
 		t.Errorf("ends %d, want %d", r.Ends, soon)
 	}
-	e := &entry{task: task, attempt: 3, level: room.LevelOf("best_effort", true), guessed: true, present: true, sent: true}
-	q.entries[task] = e
 	b.job("job-1", "free", 1)
-	b.c.owner.jobs["job-1"].level = 0
-	if b.c.keeping.learnLevels(q, b.c.levelTold); e.level != 0 || e.guessed {
-		t.Errorf("at level %d", e.level)
+	b.c.owner.jobs["job-1"].level = 2
+	if l, ok := b.c.levelTold("job-1"); !ok || l != 2 {
+		t.Errorf("told at level %d, %v", l, ok)
 	}
 }
 
--- a/internal/coordination/insight.go
+++ b/internal/coordination/insight.go
@@ -21,7 +21,7 @@
 
 // Look tells what can be seen of it.
 func (c *Core) Look() Insight {
-	in := Insight{Term: c.View.Term, Queues: len(c.keeping.queues), Heard: c.keeping.heard(), Holds: c.promised.List}
+	in := Insight{Term: c.View.Term, Queues: len(c.keeping.Machines()), Heard: c.keeping.Heard(), Holds: c.promised.List}
 	for _, m := range c.machinesInOrder() {
 		if len(m.coming) > 0 || m.wait() != 0 {
 			in.Waits = append(in.Waits, m.ID)
@@ -43,6 +43,12 @@
 			fmt.Fprintf(&b, "  %s in %s, spot %v, kept by %s: usable %v, room %+v, told %+v\n", m.ID, m.Record.Zone, m.Record.Spot, c.Keeper(m.ID), c.usable(m), m.free(), m.told)
 		}
 	}
-	b.WriteString(c.keeping.whereabouts(id))
+	for _, m := range c.keeping.Machines() {
+		for _, a := range c.keeping.Attempts(m) {
+			if a.Task.Job == id {
+				fmt.Fprintf(&b, "  %s has %+v\n", c.Self, a)
+			}
+		}
+	}
 	return b.String()
 }
--- a/internal/coordination/clearing.go
+++ b/internal/coordination/keeping/clearing.go
@@ -1,13 +1,14 @@
-package coordination
+package keeping
 
 import (
+	"slices"
+	"time"
+
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/room"
-	"slices"
-	"time"
 )
 
 // startLater is why something that waits in a machine's queue does not start.
@@ -21,7 +22,7 @@
 
 // mayStartOn decides whether something that fits may start on a machine, for what
 // is promised there.
-func (k *keeper) mayStartOn(q *queue, e *entry, j *known.LiveJob, free room.Amount) (startLater, bool) {
+func (k *Keeper) mayStartOn(q *queue, e *entry, j *known.LiveJob, free room.Amount) (startLater, bool) {
 	pr := k.Pledged
 	holds := pr.Holds[q.id]
 	if len(pr.Windows) == 0 && len(holds) == 0 && (pr.Listed || !pr.Any) {
@@ -47,7 +48,7 @@
 }
 
 // ownsRoom reports whether room that is held for an attempt's job is free.
-func (k *keeper) ownsRoom(q *queue, e *entry) bool {
+func (k *Keeper) ownsRoom(q *queue, e *entry) bool {
 	j := k.Live[e.task.Job]
 	return j != nil && q.free().Covers(e.need) && calendar.OwnUntil(k.Pledged.Holds[q.id], k.Of(&j.Job)) != 0
 }
@@ -63,7 +64,7 @@
 // clearHeld stops what is in the way of room held on a machine, in the last
 // moment that leaves time to save: only what is less urgent than the reserved
 // work and beyond its team's guarantee.
-func (k *keeper) clearHeld(q *queue) {
+func (k *Keeper) clearHeld(q *queue) {
 	holds := k.Pledged.Holds[q.id]
 	if len(holds) == 0 {
 		return
@@ -98,7 +99,7 @@
 const savesAtMost = 10 * time.Minute
 
 // saveS is how long an attempt may take to be gone once it is stopped.
-func (k *keeper) saveS(e *entry) float64 {
+func (k *Keeper) saveS(e *entry) float64 {
 	if j := k.Live[e.task.Job]; j != nil {
 		return known.GraceS(&j.Job)
 	}
@@ -107,7 +108,7 @@
 
 // stoppable lists what may be stopped on a machine for reserved work of a level:
 // what can save first, then what ran least.
-func (k *keeper) stoppable(q *queue, l room.Level, n calendar.Name) []*entry {
+func (k *Keeper) stoppable(q *queue, l room.Level, n calendar.Name) []*entry {
 	var victims []*entry
 	for _, e := range inorder.Tasks(q.entries) {
 		j := k.Live[e.task.Job]
--- a/internal/coordination/direct.go
+++ b/internal/coordination/keeping/direct.go
@@ -1,4 +1,4 @@
-package coordination
+package keeping
 
 import (
 	"time"
@@ -12,18 +12,18 @@
 const DirectTimeout = 4 * time.Second
 
 // wake has a queue's commands sent at once, at the end of the step.
-func (k *keeper) wake(q *queue) {
+func (k *Keeper) wake(q *queue) {
 	if !q.push {
 		q.push = true
 		k.pushing = append(k.pushing, q)
 	}
 }
 
-// push sends commands straight to workers whose queue or room has changed,
+// Push sends commands straight to workers whose queue or room has changed,
 // instead of waiting for their next report, one message at a time. A new term
 // does not interrupt that: what is on the machine is known here as long as its
 // queue is, and the commands themselves bring the term.
-func (k *keeper) push() {
+func (k *Keeper) Push() {
 	if !k.Acting() {
 		return
 	}
@@ -57,8 +57,8 @@
 	}
 }
 
-// commanded takes the answer to direct commands, or that there was none.
-func (k *keeper) commanded(m message.Commanded) {
+// Commanded takes the answer to direct commands, or that there was none.
+func (k *Keeper) Commanded(m message.Commanded) {
 	q := k.queues[m.Machine]
 	if q == nil {
 		return
@@ -94,7 +94,7 @@
 // is not in its worker's report: a term that the worker has seen makes sure
 // that it is not executed from then on. While the worker is silent no term
 // settles anything, and most that stay silent are gone.
-func (k *keeper) settleDirect(q *queue, e *entry) {
+func (k *Keeper) settleDirect(q *queue, e *entry) {
 	if !q.commanding && e.direct == k.View.Term {
 		k.Log.Info("a direct start had no answer: raising the term", "machine", q.id, "task", e.task)
 		k.needsTerm = true
--- /dev/null
+++ b/internal/coordination/keeping/keeping_test.go
@@ -0,0 +1,491 @@
+package keeping
+
+import (
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/known"
+	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/fixedseed"
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/standin"
+)
+
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m)) }
+
+// bench is one keeper, in a view of its own controller alone.
+type bench struct {
+	t   *testing.T
+	k   *Keeper
+	seq protocol.Seq
+}
+
+func newBench(t *testing.T) *bench {
+	s := standin.Settings()
+	s.Name = "node-0"
+	p := known.Part{Known: known.NewKnown(s, config.DefaultOperator(), slog.New(slog.DiscardHandler)), Output: &known.Output{}}
+	p.Types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}}
+	p.Session, p.Begun, p.Now, p.Until = 100, 1, 1, clock.Time(time.Hour)
+	p.View = bookkeeping.View{Term: 1, Members: map[protocol.NodeName]protocol.LeaseID{"node-0": 100}}
+	p.Pledged.Listed = true
+	return &bench{t: t, k: New(p)}
+}
+
+// machine registers a machine's first session.
+func (b *bench) machine(id protocol.MachineID) {
+	rec := bookkeeping.Machine{Session: 1, Address: "x", Type: "small", Zone: "a"}
+	m := &known.Machine{ID: id, Record: rec, Epoch: 7, Info: b.k.Types["small"]}
+	b.k.Records[id] = m
+	b.k.Recorded(m)
+}
+
+// job accepts a job of one task.
+func (b *bench) job(id protocol.JobID) {
+	b.k.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, MemoryGB: 1, EstimateS: 10, Image: "i"}}
+}
+
+// place queues a job's only task.
+func (b *bench) place(id protocol.JobID) {
+	b.k.Place("node-0", &message.Place{Term: 1, Tasks: []message.Placement{{Task: protocol.TaskID{Job: id}, Attempt: 1, Machine: "vm-1", Epoch: 7, CPUs: 1, GB: 1}}})
+}
+
+// report sends a worker's report and returns the answer.
+func (b *bench) report(id protocol.MachineID, session protocol.Session, term protocol.Term, tasks ...protocol.TaskReport) message.ReplyReport {
+	b.seq++
+	b.k.Actions = nil
+	b.k.Report(protocol.Report{Machine: id, Address: "x", Type: "small", Zone: "a", Session: session, Seq: b.seq, Term: term, Tasks: tasks})
+	for _, a := range b.k.Actions {
+		if r, ok := a.(message.ReplyReport); ok {
+			return r
+		}
+	}
+	b.t.Fatal("a report was not answered")
+	return message.ReplyReport{}
+}
+
+// ready brings one machine into service, its inventory given.
+func (b *bench) ready(id protocol.MachineID) {
+	b.machine(id)
+	b.report(id, 1, b.k.View.Term)
+}
+
+// reserve promises room at a time from now.
+func (b *bench) reserve(name calendar.Name, in time.Duration) {
+	at := calendar.After(b.k.Moment(), in)
+	err := b.k.Pledged.Book.PutReservation(bookkeeping.Reservation{
+		Spec: bookkeeping.ReservationSpec{
+			Name: name, Class: string(name), When: time.UnixMilli(int64(at)).UTC().Format("2006-01-02 at 15:04:05"), HoldS: 600, LengthS: 600, Tasks: 2, CPUs: 2, MemoryGB: 1, Priority: "standard",
+		},
+		State: bookkeeping.Accepted, StartMS: at,
+	}, 1, b.k.Moment())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.k.Pledged.Any = true
+}
+
+// hold holds room on a machine.
+func (b *bench) hold(h calendar.Hold) {
+	b.k.Pledged.List = []calendar.Hold{h}
+	b.k.Pledged.Holds[h.Machine] = b.k.Pledged.List
+}
+
+func starts(os []protocol.Order) int {
+	n := 0
+	for _, o := range os {
+		if o.Op == protocol.OpStart {
+			n++
+		}
+	}
+	return n
+}
+
+// TestPreemption: who may be stopped for whom.
+func TestPreemption(t *testing.T) {
+	type task struct {
+		team       protocol.Team
+		priority   protocol.Priority
+		guaranteed bool
+	}
+	cases := []struct {
+		name       string
+		head, runs task
+		stopped    bool
+	}{
+		{"higher priority", task{"free", "high", false}, task{"free", "standard", false}, true},
+		{"same priority", task{"free", "standard", false}, task{"free", "standard", false}, false},
+		{"lower priority", task{"free", "standard", false}, task{"free", "high", false}, false},
+		{"guaranteed against borrowed, whatever its priority", task{"bound", "standard", true}, task{"free", "production", false}, true},
+		{"guaranteed against guaranteed", task{"bound", "standard", true}, task{"free", "standard", true}, false},
+		{"borrowed against another team's guarantee", task{"bound", "high", false}, task{"free", "standard", true}, false},
+		{"higher priority of the same team", task{"free", "high", false}, task{"free", "standard", true}, true},
+	}
+	for _, tc := range cases {
+		b := newBench(t)
+		b.ready("vm-1")
+		q := b.k.queues["vm-1"]
+		entry := func(id protocol.JobID, k task, cpus float64) *entry {
+			b.k.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Team: k.team, Priority: k.priority, CPUs: cpus, Tasks: 1}}
+			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: 900, need: room.Amount{CPUs: cpus}, level: room.LevelOf(k.priority, k.guaranteed)}
+			q.entries[e.task] = e
+			return e
+		}
+		victim := entry("job-1", tc.runs, 2)
+		victim.sent, victim.present, victim.state = true, true, protocol.TaskRunning
+		head := entry("job-2", tc.head, 3)
+		head.since = b.k.Now
+		q.waiting = append(q.waiting, head)
+		b.k.touch(q)
+		b.k.preempt(q)
+		if victim.kill {
+			t.Errorf("%s: stopped before the head has waited", tc.name)
+		}
+		b.k.Now += clock.Time(preemptAfter)
+		b.k.preempt(q)
+		if victim.kill != tc.stopped {
+			t.Errorf("%s: stopped %v, want %v", tc.name, victim.kill, tc.stopped)
+		}
+	}
+}
+
+// TestNothingStoppedForRoomThatComes: what runs is not stopped for a task that
+// room comes for in time anyway. Stopping it made steady days of arrays repeat
+// a fifth of all they had begun.
+func TestNothingStoppedForRoomThatComes(t *testing.T) {
+	for _, tc := range []struct {
+		runs    float64 // seconds, by estimate
+		class   string  // of the one that waits
+		stopped bool
+	}{
+		{8, "gang", false}, // to be started within 10 s
+		{30, "gang", true},
+		{30, "other", false}, // to be done within 600 s
+		{900, "other", true},
+	} {
+		b := newBench(t)
+		b.ready("vm-1")
+		q := b.k.queues["vm-1"]
+		entry := func(id protocol.JobID, p protocol.Priority, class string, s float64) *entry {
+			l := &known.LiveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Priority: p, CPUs: 3, Tasks: 1, EstimateS: s}, Since: b.k.Now}
+			l.Due = b.k.Due(l)
+			b.k.Live[id] = l
+			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: s, since: b.k.Now, need: room.Amount{CPUs: 3}, level: room.LevelOf(p, false)}
+			q.entries[e.task] = e
+			return e
+		}
+		runs := entry("job-1", "standard", "other", tc.runs)
+		runs.sent, runs.present, runs.state, runs.runs = true, true, protocol.TaskRunning, b.k.Now
+		q.waiting = append(q.waiting, entry("job-2", "high", tc.class, 10))
+		b.k.touch(q)
+		b.k.Now += clock.Time(preemptAfter)
+		b.k.preempt(q)
+		if runs.kill != tc.stopped {
+			t.Errorf("one of %v s, for a job of class %s: stopped %v, want %v", tc.runs, tc.class, runs.kill, tc.stopped)
+		}
+	}
+}
+
+// TestFoundTasksTeachNothing: a task that was found on its machine may have run
+// for long before. Counted from then, estimates seemed good that were half of the
+// truth, and reserved room was full at its time.
+func TestFoundTasksTeachNothing(t *testing.T) {
+	b := newBench(t)
+	b.k.Pledged.Any = true
+	b.k.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Class: "array"}}
+	end := func(order uint64, n int) {
+		for range n {
+			b.k.noteError(&entry{task: protocol.TaskID{Job: "job-1"}, order: order, runs: b.k.Now - clock.Time(10*time.Second), estimate: 10, cause: protocol.EndDone})
+		}
+	}
+	usual := b.k.LikelyS(&protocol.Job{Class: "array"}, 10)
+	if end(0, 100); b.k.LikelyS(&protocol.Job{Class: "array"}, 10) != usual {
+		t.Error("learned from tasks that were found")
+	}
+	if end(7, 100); b.k.LikelyS(&protocol.Job{Class: "array"}, 10) >= usual {
+		t.Error("not learned from tasks that were started here")
+	}
+}
+
+// TestHeldRoomIsKept: what would overrun does not start in held room, by the
+// keeper's own decision, however it came into its queue; short work does, and the
+// reserved job passes what waits.
+func TestHeldRoomIsKept(t *testing.T) {
+	b := newBench(t)
+	b.k.WallMS = 1_770_000_000_000
+	b.ready("vm-1") // of 4 processors
+	b.reserve("one", 20*time.Minute)
+	now := b.k.Moment()
+	hold := calendar.Hold{For: "one", Machine: "vm-1", Tasks: 2, Need: room.Amount{CPUs: 4, GB: 2}, Level: 1, Clear: calendar.After(now, 18*time.Minute), From: calendar.After(now, 20*time.Minute), Until: calendar.After(now, 40*time.Minute)}
+	b.hold(hold)
+	q := b.k.queues["vm-1"]
+	wait := func(id protocol.JobID, class string, estimate float64) *entry {
+		b.k.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Kind: protocol.KindArray, Priority: "standard", CPUs: 2, MemoryGB: 1, Tasks: 1, EstimateS: estimate, SubmittedMS: int64(b.k.Moment())}}
+		e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: estimate, need: room.Amount{CPUs: 2, GB: 1}, level: 1, from: "node-0"}
+		q.entries[e.task] = e
+		b.k.enqueue(q, e)
+		return e
+	}
+	wait("job-long", "array", 1200)
+	short := wait("job-short", "array", 100)
+	if out := b.k.startable(q); len(out) != 1 || out[0] != short {
+		t.Fatalf("%d started", len(out))
+	}
+	if q.entries[protocol.TaskID{Job: "job-long"}] != nil {
+		t.Error("what would overrun was not given back to its owner")
+	}
+	b.k.Now += clock.Time(19 * time.Minute)
+	wait("job-late", "array", 10)
+	mine := wait("job-mine", "one", 600)
+	if out := b.k.startable(q); len(out) != 1 || out[0] != mine {
+		t.Errorf("%d started in room that has to be clear, want the reserved job's", len(out))
+	}
+}
+
+// TestStoppedInTime: what may be stopped for a reservation uses its room until
+// the last moment that lets it save; what may not is left alone.
+func TestStoppedInTime(t *testing.T) {
+	b := newBench(t)
+	b.k.WallMS = 1_770_000_000_000
+	b.ready("vm-1")
+	b.reserve("one", 10*time.Minute)
+	now := b.k.Moment()
+	b.hold(calendar.Hold{For: "one", Machine: "vm-1", Tasks: 2, Need: room.Amount{CPUs: 4, GB: 2}, Level: 1, Clear: calendar.After(now, 8*time.Minute), From: calendar.After(now, 10*time.Minute), Until: calendar.After(now, 40*time.Minute)})
+	q := b.k.queues["vm-1"]
+	run := func(id protocol.JobID, p protocol.Priority) *entry {
+		b.k.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Priority: p, Team: "free", CPUs: 2, Tasks: 1, CheckpointS: 10, SaveS: 10}}
+		e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: 3600, need: room.Amount{CPUs: 2}, level: room.LevelOf(p, false), sent: true, present: true, state: protocol.TaskRunning}
+		q.entries[e.task] = e
+		return e
+	}
+	low, same := run("job-low", "best_effort"), run("job-same", "standard")
+	b.k.Now += clock.Time(9 * time.Minute)
+	if b.k.clearHeld(q); low.kill {
+		t.Error("stopped a minute before")
+	}
+	b.k.Now += clock.Time(25 * time.Second) // 35 s before: it takes 21 s to save
+	if b.k.clearHeld(q); !low.kill || low.graceS < 20 || same.kill {
+		t.Errorf("less urgent stopped %v with %v s, same priority stopped %v", low.kill, low.graceS, same.kill)
+	}
+}
+
+// TestFailingJobLeavesMachine: when a job's task fails, what waits there of the
+// same job goes back to its owner.
+func TestFailingJobLeavesMachine(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	q := b.k.queues["vm-1"]
+	for i := range uint32(3) {
+		e := &entry{task: protocol.TaskID{Job: "job-1", Index: i}, attempt: 1}
+		q.entries[e.task] = e
+		q.waiting = append(q.waiting, e)
+	}
+	b.k.noteResult(q, &entry{task: protocol.TaskID{Job: "job-2"}, cause: protocol.EndDone})
+	if len(q.waiting) != 3 {
+		t.Fatal("released for another job's success")
+	}
+	b.k.noteResult(q, &entry{task: protocol.TaskID{Job: "job-1", Index: 7}, cause: protocol.EndError})
+	if len(q.waiting) != 0 {
+		t.Errorf("%d still wait", len(q.waiting))
+	}
+}
+
+// TestPutBackWhileDraining: a start that was not executed goes back to the
+// queue, but on a machine that is drained meanwhile to its owner.
+func TestPutBackWhileDraining(t *testing.T) {
+	for _, drained := range []bool{false, true} {
+		b := newBench(t)
+		b.ready("vm-1")
+		q := b.k.queues["vm-1"]
+		e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 1, sent: true}
+		q.entries[e.task] = e
+		b.k.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: "standard"}}
+		if drained {
+			b.k.Drain("vm-1")
+		}
+		b.report("vm-1", 1, b.k.View.Term) // without it
+		if left := q.entries[e.task] != nil; left == drained {
+			t.Errorf("drained %v: still there %v", drained, left)
+		}
+	}
+}
+
+// TestKeeperRefusesBlockedGang: a task whose gang waits for it is not queued
+// behind what can't be stopped for it; behind what can, that is stopped.
+func TestKeeperRefusesBlockedGang(t *testing.T) {
+	for _, tc := range []struct {
+		runs    protocol.Priority
+		refused bool
+	}{{"high", true}, {"standard", false}} {
+		b := newBench(t)
+		b.ready("vm-1")
+		q := b.k.queues["vm-1"]
+		b.k.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: tc.runs, CPUs: 2, Tasks: 1}}
+		b.k.Live["job-2"] = &known.LiveJob{Job: protocol.Job{ID: "job-2", Team: "free", Kind: protocol.KindGang, Priority: "high", CPUs: 4, Tasks: 2}}
+		runs := &entry{
+			task: protocol.TaskID{Job: "job-1"}, attempt: 1, need: room.Amount{CPUs: 2}, level: room.LevelOf(tc.runs, false),
+			sent: true, present: true, state: protocol.TaskRunning,
+		}
+		q.entries[runs.task] = runs
+		b.k.Place("node-0", &message.Place{Number: 1, Term: b.k.View.Term, Tasks: []message.Placement{{
+			Task: protocol.TaskID{Job: "job-2"}, Attempt: 1, Machine: "vm-1", Epoch: q.epoch, CPUs: 4, Level: int(room.LevelOf("high", false)), Together: true,
+		}}})
+		if refused := len(q.waiting) == 0; refused != tc.refused || runs.kill == tc.refused {
+			t.Errorf("behind %s: refused %v, other stopped %v", tc.runs, refused, runs.kill)
+		}
+	}
+}
+
+// TestHeldPlacement: a placement of an earlier term or of a machine's earlier
+// record starts nothing.
+func TestHeldPlacement(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	epoch := b.k.Records["vm-1"].Epoch
+	place := func(term protocol.Term, epoch protocol.Version) {
+		b.k.Place("node-0", &message.Place{Term: term, Tasks: []message.Placement{{Task: protocol.TaskID{Job: "job-9"}, Attempt: 1, Machine: "vm-1", Epoch: epoch}}})
+	}
+	place(0, epoch)
+	place(1, epoch-1)
+	if n := len(b.k.queues["vm-1"].entries); n != 0 {
+		t.Fatalf("%d queued", n)
+	}
+	place(1, epoch)
+	if n := len(b.k.queues["vm-1"].entries); n != 1 {
+		t.Fatalf("%d queued, want the valid one", n)
+	}
+}
+
+// TestNothingStartsUnregistered: no start before the machine's record is durable.
+func TestNothingStartsUnregistered(t *testing.T) {
+	b := newBench(t)
+	b.report("vm-1", 1, 0)
+	b.job("job-1")
+	q := b.k.queues["vm-1"]
+	e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 1}
+	q.entries[e.task], q.waiting = e, []*entry{e}
+	if r := b.report("vm-1", 1, 1); starts(r.Reply.Orders) != 0 {
+		t.Fatal("started on a machine without a record")
+	}
+	b.machine("vm-1")
+	if r := b.report("vm-1", 1, 1); starts(r.Reply.Orders) != 1 {
+		t.Fatal("not started once registered")
+	}
+}
+
+// TestQueuedBeforeItsRecord: an inventory lists a queued attempt whose job's
+// record has not arrived here yet, to the controller that placed it.
+func TestQueuedBeforeItsRecord(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.k.Place("node-0", &message.Place{Number: 5, Term: 1, Tasks: []message.Placement{{
+		Task: protocol.TaskID{Job: "job-7"}, Attempt: 1, Machine: "vm-1", Epoch: b.k.Records["vm-1"].Epoch,
+	}}})
+	b.k.Local = nil
+	b.k.sendInventory(b.k.queues["vm-1"])
+	for _, m := range b.k.Local {
+		if m.Inventory != nil && len(m.Inventory.Held) == 1 && m.Inventory.Held[0].Attempt == 1 {
+			return
+		}
+	}
+	t.Fatalf("not listed: %+v", b.k.Local)
+}
+
+// TestOverBeforePlaced: an attempt of a job that is over is not queued.
+func TestOverBeforePlaced(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.job("job-1")
+	delete(b.k.Live, "job-1")
+	b.k.NoteOver("job-1")
+	b.k.JobOver("job-1")
+	b.k.Place("node-0", &message.Place{Number: 6, Term: 1, Tasks: []message.Placement{{
+		Task: protocol.TaskID{Job: "job-1"}, Attempt: 9, Machine: "vm-1", Epoch: b.k.Records["vm-1"].Epoch,
+	}}})
+	if n := len(b.k.queues["vm-1"].waiting); n != 0 {
+		t.Fatalf("%d waiting: it would stand at the head for ever", n)
+	}
+}
+
+// TestCrossingAnswers: the answer to direct commands may cross the answer to a
+// report; it does not settle the starts in that one.
+func TestCrossingAnswers(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.k.queues["vm-1"].commanding = true // a direct command is under way
+	b.job("job-1")
+	b.place("job-1")
+	if r := b.report("vm-1", 1, 1); starts(r.Reply.Orders) != 1 {
+		t.Fatalf("not started by the report's answer: %+v", r)
+	}
+	b.seq++
+	b.k.Commanded(message.Commanded{Machine: "vm-1", Term: 1, Session: 1, Answered: true, Executed: true,
+		Report: protocol.Report{Machine: "vm-1", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Term: 1}})
+	if e := b.k.queues["vm-1"].entries[protocol.TaskID{Job: "job-1"}]; e == nil || !e.sent {
+		t.Fatalf("a start under way is taken for not executed: %+v", e)
+	}
+	b.report("vm-1", 1, 1) // the worker's next report does settle it: sent again
+}
+
+// TestFailingMachine: one job's failures do not set a machine aside, those of two
+// do.
+func TestFailingMachine(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	q := b.k.queues["vm-1"]
+	b.k.noteResult(q, &entry{task: protocol.TaskID{Job: "job-1"}, cause: protocol.EndError})
+	if q.suspect {
+		t.Error("set aside for one job's failures")
+	}
+	b.k.noteResult(q, &entry{task: protocol.TaskID{Job: "job-2"}, cause: protocol.EndError})
+	if !q.suspect {
+		t.Error("a machine that fails two jobs is not set aside")
+	}
+}
+
+// TestDueOrder: in a queue, what can still be done in time goes before what is
+// late.
+func TestDueOrder(t *testing.T) {
+	b := newBench(t)
+	job := func(id protocol.JobID, deadline float64) *entry {
+		l := &known.LiveJob{Job: protocol.Job{ID: id, Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, EstimateS: 10, DeadlineS: deadline}, Since: b.k.Now}
+		l.Due = b.k.Due(l)
+		b.k.Live[id] = l
+		return &entry{task: protocol.TaskID{Job: id}, level: 1}
+	}
+	q := b.k.keep("vm-1")
+	late, soon := job("job-1", 20), job("job-2", 60)
+	b.k.enqueue(q, soon)
+	b.k.enqueue(q, late)
+	if b.k.sortWaiting(q); q.waiting[0] != late {
+		t.Fatal("what is due first does not go first")
+	}
+	b.k.Now += clock.Time(35 * time.Second)
+	for _, l := range b.k.Live {
+		l.Due = b.k.Due(l)
+	}
+	b.k.Resort()
+	if b.k.sortWaiting(q); q.waiting[0] != soon {
+		t.Error("what is late anyway goes before what is not")
+	}
+}
+
+// TestLevelIsLearned: how urgent something found on a machine is, its owner says.
+func TestLevelIsLearned(t *testing.T) {
+	b := newBench(t)
+	b.k.Pledged.Any = true
+	b.ready("vm-1")
+	e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 3, level: room.LevelOf("best_effort", true), guessed: true, present: true, sent: true}
+	q := b.k.queues["vm-1"]
+	q.entries[e.task] = e
+	b.k.learnLevels(q, func(protocol.JobID) (room.Level, bool) { return 0, true })
+	if e.level != 0 || e.guessed {
+		t.Errorf("at level %d", e.level)
+	}
+}
--- a/internal/coordination/orders.go
+++ b/internal/coordination/keeping/orders.go
@@ -1,4 +1,4 @@
-package coordination
+package keeping
 
 import (
 	"cmp"
@@ -12,7 +12,7 @@
 
 // orders fills an answer: reaps first, so that room and task ids are free,
 // then kills, then starts in order of service while they fit.
-func (k *keeper) orders(q *queue, term protocol.Term) []protocol.Order {
+func (k *Keeper) orders(q *queue, term protocol.Term) []protocol.Order {
 	orders := []protocol.Order{}
 	told := func(_ protocol.TaskID, e *entry) bool {
 		return e.present && (e.ended() || e.kill || k.Live[e.task.Job] == nil) || e.direct != 0
@@ -50,7 +50,7 @@
 }
 
 // startable takes from the queue what fits the free room.
-func (k *keeper) startable(q *queue) []*entry {
+func (k *Keeper) startable(q *queue) []*entry {
 	if q.epoch == 0 || q.draining || q.notice != nil || q.suspect || len(q.waiting) == 0 {
 		return nil
 	}
@@ -101,7 +101,7 @@
 
 // sortWaiting keeps the higher level first, then what is due first, then the
 // order of arrival.
-func (k *keeper) sortWaiting(q *queue) {
+func (k *Keeper) sortWaiting(q *queue) {
 	if q.sorted {
 		return
 	}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/keeping/preempt.go
@@ -1,10 +1,11 @@
-package coordination
+package keeping
 
 import (
 	"cmp"
 	"slices"
 	"time"
 
+	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/room"
@@ -18,11 +19,11 @@
 // startBy is the time by which an attempt should start: the first that can
 // still be kept of what its class and its team's guarantee ask for, else when
 // it has to start to be done in time.
-func (k *keeper) startBy(e *entry, l *known.LiveJob) Time {
-	first := k.DoneBy(l) - Time(1.5*e.estimate*float64(time.Second)) // owners' estimates are often wrong by half
+func (k *Keeper) startBy(e *entry, l *known.LiveJob) clock.Time {
+	first := k.DoneBy(l) - clock.Time(1.5*e.estimate*float64(time.Second)) // owners' estimates are often wrong by half
 	for _, o := range k.Settings.Site.Objectives {
 		asked := o.Kind == "wait" && o.Class == l.Class || o.Kind == "guarantee" && e.level.Guaranteed()
-		if by := l.Since + Time(o.WithinS*float64(time.Second)); asked && by >= k.Now {
+		if by := l.Since + clock.Time(o.WithinS*float64(time.Second)); asked && by >= k.Now {
 			first = min(first, by)
 		}
 	}
@@ -31,7 +32,7 @@
 
 // endsIn is how long a running attempt is likely to go on. What it overruns
 // says that its estimate is too low, not that it ends now.
-func (k *keeper) endsIn(e *entry) time.Duration {
+func (k *Keeper) endsIn(e *entry) time.Duration {
 	estimate := time.Duration(e.estimate * float64(time.Second))
 	left := estimate
 	if e.state == protocol.TaskRunning {
@@ -42,7 +43,7 @@
 
 // roomIn is how long it is likely to take until what runs on a machine ends by
 // itself and leaves room for a task.
-func (k *keeper) roomIn(q *queue, free, n room.Amount) time.Duration {
+func (k *Keeper) roomIn(q *queue, free, n room.Amount) time.Duration {
 	type ending struct {
 		in   time.Duration
 		need room.Amount
@@ -71,7 +72,7 @@
 // stopped where room comes by itself in time: what is stopped has to be done
 // again, and where many wait that makes all of them later. A task of a gang
 // does not wait: all others of it would.
-func (k *keeper) preempt(q *queue) {
+func (k *Keeper) preempt(q *queue) {
 	if len(q.waiting) == 0 || q.epoch == 0 || q.draining || q.notice != nil || q.suspect {
 		return
 	}
@@ -104,7 +105,7 @@
 
 // preemptFor stops what has to be stopped for one attempt, given what is free,
 // and returns what is free then.
-func (k *keeper) preemptFor(q *queue, head *entry, free room.Amount) (room.Amount, bool) {
+func (k *Keeper) preemptFor(q *queue, head *entry, free room.Amount) (room.Amount, bool) {
 	if free.Covers(head.need) {
 		return free, true
 	}
@@ -139,7 +140,7 @@
 }
 
 // sortVictims puts those that can save first, then those that ran least.
-func (k *keeper) sortVictims(victims []*entry) {
+func (k *Keeper) sortVictims(victims []*entry) {
 	saves := func(e *entry) int {
 		if k.Live[e.task.Job].CheckpointS > 0 {
 			return 0
@@ -152,7 +153,7 @@
 }
 
 // stopFor has an attempt stopped for others, with time to save.
-func (k *keeper) stopFor(q *queue, e *entry) {
+func (k *Keeper) stopFor(q *queue, e *entry) {
 	e.kill, e.graceS = true, k.saveS(e)
 	k.touch(q)
 	k.wake(q)
--- a/internal/coordination/queue.go
+++ b/internal/coordination/keeping/queue.go
@@ -1,10 +1,11 @@
-package coordination
+package keeping
 
 import (
 	"slices"
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
@@ -25,7 +26,7 @@
 	waiting []*entry // never sent, in order of service once sorted
 	sorted  bool
 
-	lastAnswer  Time
+	lastAnswer  clock.Time
 	silence     message.Silence
 	told        bool                 // said is up to date
 	said        message.MachineState // what others are told
@@ -36,12 +37,12 @@
 	sole        bool // kept here without a break since the worker saw a term of that: nobody else can have started anything
 	registering bool
 	removing    bool
-	asked       Time // when the registrar was last asked for either
-	commanding  bool // a direct command has no answer yet
-	push        bool // something may be started at once
+	asked       clock.Time // when the registrar was last asked for either
+	commanding  bool       // a direct command has no answer yet
+	push        bool       // something may be started at once
 	notice      *float64
 	draining    bool
-	idleSince   Time
+	idleSince   clock.Time
 	everSeen    bool
 
 	failed  map[protocol.JobID]bool // jobs that failed here since something last succeeded
@@ -71,11 +72,11 @@
 	estimate float64
 	need     room.Amount
 	order    uint64
-	since    Time // queued here, or first seen here
-	runs     Time // since when, as far as seen here
+	since    clock.Time // queued here, or first seen here
+	runs     clock.Time // since when, as far as seen here
 	level    room.Level
 	guessed  bool              // its level is guessed
-	due      Time              // of its job, when the queue was last sorted
+	due      clock.Time        // of its job, when the queue was last sorted
 	together bool              // others of its gang wait for it
 	from     protocol.NodeName // that placed it here, if any
 	sent     bool
@@ -91,18 +92,18 @@
 }
 
 type (
-	registerTag struct {
+	RegisterTag struct {
 		machine protocol.MachineID
 		session protocol.Session
 	}
-	removeTag struct{ machine protocol.MachineID }
+	RemoveTag struct{ Machine protocol.MachineID }
 )
 
 func (e *entry) ended() bool { return e.state == protocol.TaskEnded }
 
-// adopt goes over to a new view. Queues that stay here keep what they
+// Adopt goes over to a new view. Queues that stay here keep what they
 // know; the rest is dropped, for its new keeper's inventory to tell.
-func (k *keeper) adopt(old bookkeeping.View, keeps bool) {
+func (k *Keeper) Adopt(old bookkeeping.View, keeps bool) {
 	kept := map[protocol.JobID]bool{} // jobs whose owner is the same, and its session
 	owned := func(j *known.LiveJob) bool {
 		same, seen := kept[j.ID]
@@ -161,7 +162,7 @@
 const releasedMost = 500
 
 // keep begins to keep a machine's queue.
-func (k *keeper) keep(id protocol.MachineID) *queue {
+func (k *Keeper) keep(id protocol.MachineID) *queue {
 	q := &queue{
 		id: id, session: k.sessionFloor[id], entries: map[protocol.TaskID]*entry{},
 		lastAnswer: k.Now, idleSince: k.Now, failed: map[protocol.JobID]bool{},
@@ -172,7 +173,7 @@
 }
 
 // dropQueue ends that.
-func (k *keeper) dropQueue(id protocol.MachineID) {
+func (k *Keeper) dropQueue(id protocol.MachineID) {
 	delete(k.queues, id)
 	k.kept = nil
 	k.changed.Drop(id)
@@ -180,7 +181,7 @@
 
 // queuesInOrder lists the queues by their machines' names. It is kept until one
 // comes or goes.
-func (k *keeper) queuesInOrder() []*queue {
+func (k *Keeper) queuesInOrder() []*queue {
 	if k.kept == nil {
 		for _, q := range inorder.Of(k.queues) {
 			k.kept = append(k.kept, q)
@@ -198,7 +199,7 @@
 // has arrived here, the controller that placed it. Without the latter, a keeper
 // whose watch lags would leave queued attempts out of an inventory, and their
 // owner would take them for gone.
-func (k *keeper) entryOwner(e *entry) protocol.NodeName {
+func (k *Keeper) entryOwner(e *entry) protocol.NodeName {
 	if j := k.Live[e.task.Job]; j != nil {
 		e.from = k.OwnerOf(j)
 	}
@@ -206,7 +207,7 @@
 }
 
 // tell passes an event to the present owner of an attempt's job.
-func (k *keeper) tell(q *queue, e *entry, what message.What) {
+func (k *Keeper) tell(q *queue, e *entry, what message.What) {
 	k.touch(q)
 	owner := k.entryOwner(e)
 	if owner == "" {
@@ -222,7 +223,7 @@
 // putBack queues an attempt again whose start was not executed. Where nothing
 // is started any more it is released instead: it would wait there for ever, and
 // keep the machine from being empty and returned.
-func (k *keeper) putBack(q *queue, e *entry) {
+func (k *Keeper) putBack(q *queue, e *entry) {
 	e.sent = false
 	k.enqueue(q, e)
 	if q.draining || q.suspect || q.notice != nil {
@@ -231,12 +232,12 @@
 	}
 }
 
-func (k *keeper) enqueue(q *queue, e *entry) {
+func (k *Keeper) enqueue(q *queue, e *entry) {
 	q.waiting, q.sorted = append(q.waiting, e), false
 	k.touch(q)
 }
 
-func (k *keeper) dropWaiting(q *queue, e *entry) {
+func (k *Keeper) dropWaiting(q *queue, e *entry) {
 	if i := slices.Index(q.waiting, e); i >= 0 {
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 	}
@@ -244,8 +245,8 @@
 	k.touch(q)
 }
 
-// place queues placements. One that can't be queued is released at once.
-func (k *keeper) place(from protocol.NodeName, p *message.Place) {
+// Place queues placements. One that can't be queued is released at once.
+func (k *Keeper) Place(from protocol.NodeName, p *message.Place) {
 	if _, member := k.View.Members[from]; member {
 		k.handled[from] = p.Number
 	}
@@ -290,8 +291,8 @@
 	}
 }
 
-// stop releases an attempt never sent, or has it killed.
-func (k *keeper) stop(s message.Stop) {
+// Stop releases an attempt never sent, or has it killed.
+func (k *Keeper) Stop(s message.Stop) {
 	q := k.queues[s.Machine]
 	if q == nil {
 		return
@@ -312,8 +313,8 @@
 	}
 }
 
-// forget lets the worker drop an ended attempt that its owner has dealt with.
-func (k *keeper) forget(r message.TaskRef) {
+// Forget lets the worker drop an ended attempt that its owner has dealt with.
+func (k *Keeper) Forget(r message.TaskRef) {
 	if q := k.queues[r.Machine]; q != nil {
 		if e := q.entries[r.Task]; e != nil && e.attempt == r.Attempt && e.ended() {
 			e.reap = true
@@ -321,7 +322,9 @@
 	}
 }
 
-func (k *keeper) drain(id protocol.MachineID) {
+// Drain gives a machine up: nothing more is started there, and what waits goes
+// back to its owners.
+func (k *Keeper) Drain(id protocol.MachineID) {
 	if q := k.queues[id]; q != nil && !q.draining {
 		q.draining = true
 		k.touch(q)
@@ -329,7 +332,7 @@
 	}
 }
 
-func (k *keeper) releaseWaiting(q *queue) {
+func (k *Keeper) releaseWaiting(q *queue) {
 	for _, e := range slices.Clone(q.waiting) {
 		k.dropWaiting(q, e)
 		k.tell(q, e, message.WhatReleased)
--- a/internal/coordination/silent.go
+++ b/internal/coordination/keeping/records.go
@@ -1,17 +1,19 @@
-package coordination
+package keeping
 
 import (
+	"time"
+
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
-	"time"
 )
 
 // register records that the machine's session may hold tasks. Nothing is
 // started on it before that is durable, so that whoever takes work over knows
 // every machine that has to be asked. It holds only in the present view:
 // who reads the records after a new view misses none.
-func (k *keeper) register(q *queue, r protocol.Report) {
+func (k *Keeper) register(q *queue, r protocol.Report) {
 	if k.awaits(q, q.registering) {
 		return
 	}
@@ -21,28 +23,29 @@
 		have = m.Epoch
 	}
 	rec := bookkeeping.Machine{Session: r.Session, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}
-	k.ChangeRecord(registerTag{q.id, r.Session}, q.id, have, &rec, k.InThisView())
+	k.ChangeRecord(RegisterTag{q.id, r.Session}, q.id, have, &rec, k.InThisView())
 }
 
 // awaits reports whether what was asked for is still to be waited for. A
 // transaction of this controller's own is answered; what the registrar was
 // asked for shows in the records, or is asked for again.
-func (k *keeper) awaits(q *queue, asked bool) bool {
+func (k *Keeper) awaits(q *queue, asked bool) bool {
 	return asked && !(k.InBlocks() && k.Since(q.asked) > askAgain)
 }
 
-func (k *keeper) registrationDone(tag registerTag, _ message.Outcome) {
+// RegistrationDone takes the outcome of a registration.
+func (k *Keeper) RegistrationDone(tag RegisterTag, _ message.Outcome) {
 	if q := k.queues[tag.machine]; q != nil {
 		q.registering = false // the followed record says whether it is there
 	}
 }
 
-// expireSilent notices which machines fall silent, and removes the records of
+// ExpireSilent notices which machines fall silent, and removes the records of
 // those whose lease is surely over: nobody entitled has answered them for longer
 // than it lasts. That holds for a worker that came back with a new session and
 // fell silent before it could be registered, too: its old record would be waited
 // for without end.
-func (k *keeper) expireSilent(allAdopted bool) {
+func (k *Keeper) ExpireSilent(allAdopted bool) {
 	if !k.Acting() || !allAdopted {
 		k.allSince = 0 // the count starts when all act by this term
 	} else if k.allSince == 0 {
@@ -64,14 +67,14 @@
 		}
 		q.removing, q.asked = true, k.Now
 		k.Log.Info("machine silent for longer than its lease: its tasks are gone", "machine", q.id, "silent", quiet.Round(time.Second))
-		k.ChangeRecord(removeTag{q.id}, q.id, m.Epoch, nil, k.InThisView())
+		k.ChangeRecord(RemoveTag{q.id}, q.id, m.Epoch, nil, k.InThisView())
 	}
 }
 
 // answered is since when nobody entitled can have answered a machine: since it
 // was answered here, or, before its inventory of this term, since all act by
 // this term. Until then an earlier keeper may answer it.
-func (k *keeper) answered(q *queue) Time {
+func (k *Keeper) answered(q *queue) clock.Time {
 	switch {
 	case q.inventoried:
 		return q.lastAnswer
@@ -80,3 +83,7 @@
 	}
 	return max(q.lastAnswer, k.allSince)
 }
+
+// askAgain is after how long without a change of the record the registrar is
+// asked once more.
+const askAgain = 2 * time.Second
--- a/internal/coordination/report.go
+++ b/internal/coordination/keeping/report.go
@@ -1,4 +1,4 @@
-package coordination
+package keeping
 
 import (
 	"slices"
@@ -9,8 +9,8 @@
 	"damsonkeel/internal/protocol"
 )
 
-// report answers a worker.
-func (k *keeper) report(r protocol.Report) {
+// Report answers a worker.
+func (k *Keeper) Report(r protocol.Report) {
 	info, known := k.Types[r.Type]
 	if !known {
 		k.Do(message.ReplyReport{Status: 503})
@@ -50,7 +50,7 @@
 }
 
 // newSession: the worker's lease expired, and with it all it ran.
-func (k *keeper) newSession(q *queue, s protocol.Session) {
+func (k *Keeper) newSession(q *queue, s protocol.Session) {
 	if q.session != 0 {
 		k.Log.Info("worker began a new session", "machine", q.id, "session", s)
 	}
@@ -69,7 +69,7 @@
 // commands, decides what it settles: the worker sends its next report only
 // after the answer to the one before has come or was given up, so that report
 // settles starts in that answer. A direct answer may cross it.
-func (k *keeper) takeReport(q *queue, r *protocol.Report, own bool) {
+func (k *Keeper) takeReport(q *queue, r *protocol.Report, own bool) {
 	listed := make(map[protocol.TaskID]bool, len(r.Tasks))
 	for _, t := range r.Tasks {
 		listed[t.Task] = true
@@ -127,7 +127,7 @@
 }
 
 // strays reports an attempt the queue does not know as ended or to be killed.
-func (q *queue) strays(k *keeper, t protocol.TaskReport) {
+func (q *queue) strays(k *Keeper, t protocol.TaskReport) {
 	k.Log.Error("machine lists another attempt of a queued task", "machine", q.id, "task", t.Task, "attempt", t.Attempt)
 	e := q.entries[t.Task]
 	k.dropWaiting(q, e)
@@ -136,7 +136,7 @@
 	q.entries[t.Task] = stray
 }
 
-func (k *keeper) takeTask(q *queue, e *entry, t protocol.TaskReport) {
+func (k *Keeper) takeTask(q *queue, e *entry, t protocol.TaskReport) {
 	first := !e.present
 	before := e.state
 	e.sent, e.present = true, true
@@ -164,7 +164,7 @@
 // known to be of this term: until then it may be one that the network held back
 // for minutes, of attempts long gone, which their owners would have killed. The
 // inventory says all of it.
-func (k *keeper) tellPresent(q *queue, e *entry, what message.What) {
+func (k *Keeper) tellPresent(q *queue, e *entry, what message.What) {
 	if q.known {
 		k.tell(q, e, what)
 	}
@@ -172,7 +172,7 @@
 
 // noteResult watches for machines that fail what they start. Failures of
 // several jobs in a row speak against the machine, of one job against the job.
-func (k *keeper) noteResult(q *queue, e *entry) {
+func (k *Keeper) noteResult(q *queue, e *entry) {
 	switch e.cause {
 	case protocol.EndDone:
 		clear(q.failed)
@@ -199,7 +199,7 @@
 }
 
 // takeNotice has a machine's work moved when the cloud is about to take it.
-func (k *keeper) takeNotice(q *queue, r *protocol.Report) {
+func (k *Keeper) takeNotice(q *queue, r *protocol.Report) {
 	if r.NoticeS == nil {
 		if q.notice != nil {
 			q.notice = nil
--- a/internal/coordination/runs.go
+++ b/internal/coordination/keeping/runs.go
@@ -1,4 +1,4 @@
-package coordination
+package keeping
 
 import (
 	"damsonkeel/internal/config"
@@ -11,7 +11,7 @@
 // noteError learns how far estimates are off from a task that was started here
 // and ran to its end. One that was found on its machine may have run for long:
 // counted from then, estimates would seem good, and room clear that is not.
-func (k *keeper) noteError(e *entry) {
+func (k *Keeper) noteError(e *entry) {
 	j := k.Live[e.task.Job]
 	if !k.Pledged.Any || j == nil || e.order == 0 || e.runs == 0 || e.cause != protocol.EndDone {
 		return
@@ -26,7 +26,7 @@
 
 // runsOf lists what a machine runs, for the controller that chooses where room
 // is held.
-func (k *keeper) runsOf(q *queue) []calendar.Run {
+func (k *Keeper) runsOf(q *queue) []calendar.Run {
 	if !k.Pledged.Any {
 		return nil
 	}
@@ -64,7 +64,7 @@
 
 // learnLevels takes over, for attempts found on machines, how urgent their owners
 // say they are. What is guessed may be too high: nothing of it would be stopped.
-func (k *keeper) learnLevels(q *queue, level levelOf) {
+func (k *Keeper) learnLevels(q *queue, level levelOf) {
 	if !k.Pledged.Any {
 		return
 	}
--- a/internal/coordination/stock.go
+++ b/internal/coordination/keeping/stock.go
@@ -1,16 +1,17 @@
-package coordination
+package keeping
 
 import (
+	"slices"
+
 	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
-	"slices"
 )
 
 // holdsOver reports whether attempts of jobs that are over may still run here.
 // The inventory waits for their end: it tells the owners of limited teams that
 // nothing but what it lists takes part of a limit.
-func (k *keeper) holdsOver(q *queue) bool {
+func (k *Keeper) holdsOver(q *queue) bool {
 	for id, e := range q.entries {
 		if e.sent && !e.ended() && k.Live[id.Job] == nil {
 			return true
@@ -23,27 +24,27 @@
 // or at once if this controller has kept the queue without a break since the
 // worker saw an earlier one. Else each restart of one controller would have
 // the owners wait for all machines, and one that is cut off hold up all.
-func (k *keeper) takeStock(q *queue) {
+func (k *Keeper) takeStock(q *queue) {
 	if q.epoch != 0 && q.sole && !q.inventoried && !k.holdsOver(q) {
 		k.sendInventory(q)
 	}
 }
 
-// stocksMost bounds the inventories given in one step.
-const stocksMost = 500
+// StocksMost bounds the inventories given in one step.
+const StocksMost = 500
 
-// beginStocks gives the inventories of queues kept without a break through a new
+// BeginStocks gives the inventories of queues kept without a break through a new
 // view: at once if there are few, else with the next ticks, since that step is
 // long enough.
-func (k *keeper) beginStocks() {
-	if k.stockDue = slices.Clone(k.queuesInOrder()); len(k.stockDue) <= stocksMost {
-		k.takeStocks()
+func (k *Keeper) BeginStocks() {
+	if k.stockDue = slices.Clone(k.queuesInOrder()); len(k.stockDue) <= StocksMost {
+		k.TakeStocks()
 	}
 }
 
-// takeStocks goes on with the inventories of queues kept without a break.
-func (k *keeper) takeStocks() {
-	n := min(len(k.stockDue), stocksMost)
+// TakeStocks goes on with the inventories of queues kept without a break.
+func (k *Keeper) TakeStocks() {
+	n := min(len(k.stockDue), StocksMost)
 	for _, q := range k.stockDue[:n] {
 		if k.queues[q.id] == q {
 			k.takeStock(q)
@@ -55,7 +56,7 @@
 }
 
 // sendInventory tells every owner what of its jobs is here.
-func (k *keeper) sendInventory(q *queue) {
+func (k *Keeper) sendInventory(q *queue) {
 	if !q.known {
 		q.idleSince = k.Now
 	}
--- a/internal/coordination/told.go
+++ b/internal/coordination/keeping/told.go
@@ -1,4 +1,4 @@
-package coordination
+package keeping
 
 import (
 	"slices"
@@ -50,7 +50,7 @@
 }
 
 // stateOf is what others are told of a machine, reckoned once after each change.
-func (k *keeper) stateOf(q *queue) message.MachineState {
+func (k *Keeper) stateOfQueue(q *queue) message.MachineState {
 	if m := k.Records[q.id]; m == nil || q.epoch != m.Epoch {
 		return message.MachineState{Machine: q.id}
 	}
@@ -65,7 +65,7 @@
 
 // reckonState goes through a queue once after each change, for what others are
 // told of it and for whether anything there might be stopped for something else.
-func (k *keeper) reckonState(q *queue) {
+func (k *Keeper) reckonState(q *queue) {
 	if q.told {
 		return
 	}
@@ -119,7 +119,7 @@
 }
 
 // silenceAfter is how a quiet of so long looks.
-func (k *keeper) silenceAfter(d time.Duration) message.Silence {
+func (k *Keeper) silenceAfter(d time.Duration) message.Silence {
 	switch most := healthySilence(k.Settings.Site.Workers.ReportS); {
 	case d > 2*most:
 		return message.SilenceLong
@@ -132,7 +132,7 @@
 // touch notes that what others are told of a machine has changed. What makes
 // a keeper tell an owner anything of an attempt does so, too: the owner may
 // have held something against the machine until its keeper's next word.
-func (k *keeper) touch(q *queue) {
+func (k *Keeper) touch(q *queue) {
 	q.told = false
 	k.changed.Touch(q.id)
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -11,6 +11,7 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
@@ -255,7 +256,7 @@
 	switch tag.(type) {
 	case bitsTag:
 		return bookkeeping.Spare
-	case registerTag, removeTag, penTag:
+	case keeping.RegisterTag, keeping.RemoveTag, penTag:
 		return bookkeeping.Later
 	}
 	return bookkeeping.First
@@ -281,7 +282,7 @@
 		n.log.Error("commands", "err", err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, DirectTimeout)
+	ctx, cancel := context.WithTimeout(ctx, keeping.DirectTimeout)
 	defer cancel()
 	m, err := n.workers.get(a.Address).Do(ctx, "POST", "/do", body)
 	if err != nil {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -157,7 +157,7 @@
 		c.owner.sorted = nil
 		c.owner.dirty = true
 	}
-	c.keeping.jobOver(id)
+	c.keeping.JobOver(id)
 }
 
 // unplace forgets an attempt that is proven gone, or not this job's concern.
--- a/internal/coordination/pen.go
+++ b/internal/coordination/pen.go
@@ -35,9 +35,6 @@
 
 // Timings of the registrar.
 const (
-	// askAgain is after how long without a change of the record the registrar
-	// is asked once more.
-	askAgain = 2 * time.Second
 	// seenWithin is how long a block just written is left alone: its change
 	// arrives by the watch, and writing it before would fail.
 	seenWithin = 3 * time.Second
--- a/internal/coordination/promises.go
+++ b/internal/coordination/promises.go
@@ -108,7 +108,7 @@
 		return
 	}
 	c.promised.Any = is
-	c.keeping.touchAll()
+	c.keeping.TouchAll()
 }
 
 // windowsAhead is for how long ahead windows are looked at when something is
--- a/internal/coordination/promises_test.go
+++ b/internal/coordination/promises_test.go
@@ -6,9 +6,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
-	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/operators"
 	"damsonkeel/internal/protocol"
 )
@@ -89,45 +87,6 @@
 	}
 }
 
-// TestHeldRoomIsKept: what would overrun does not start in held room, by the
-// keeper's own decision, however it came into its queue; short work does, and the
-// reserved job passes what waits.
-func TestHeldRoomIsKept(t *testing.T) {
-	b := promising(t)
-	b.ready("vm-1") // of 4 processors
-	b.do(operators.Request{Op: operators.OpAdd, ID: "1", Reservation: reserve("one", b.in(20*time.Minute), 2)})
-	now := b.c.Moment()
-	hold := calendar.Hold{For: "one", Machine: "vm-1", Tasks: 2, Need: room.Amount{CPUs: 4, GB: 2}, Level: 1, Clear: calendar.After(now, 18*time.Minute), From: calendar.After(now, 20*time.Minute), Until: calendar.After(now, 40*time.Minute)}
-	b.c.promised.Listed = true
-	b.c.setHolds([]calendar.Hold{hold})
-	q := b.c.keeping.queues["vm-1"]
-	wait := func(id protocol.JobID, class string, estimate float64) *entry {
-		b.c.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Kind: protocol.KindArray, Priority: "standard", CPUs: 2, MemoryGB: 1, Tasks: 1, EstimateS: estimate, SubmittedMS: int64(b.c.Moment())}}
-		e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: estimate, need: room.Amount{CPUs: 2, GB: 1}, level: 1, from: "node-0"}
-		q.entries[e.task] = e
-		b.c.keeping.enqueue(q, e)
-		return e
-	}
-	wait("job-long", "array", 1200)
-	short := wait("job-short", "array", 100)
-	if out := b.c.keeping.startable(q); len(out) != 1 || out[0] != short {
-		t.Fatalf("%d started", len(out))
-	}
-	if q.entries[protocol.TaskID{Job: "job-long"}] != nil {
-		t.Error("what would overrun was not given back to its owner")
-	}
-	b.c.Now += Time(19 * time.Minute)
-	wait("job-late", "array", 10)
-	mine := wait("job-mine", "one", 600)
-	if out := b.c.keeping.startable(q); len(out) != 1 || out[0] != mine {
-		t.Errorf("%d started in room that has to be clear, want the reserved job's", len(out))
-	}
-	b.do(operators.Request{Op: operators.OpCancel, Name: "one"})
-	if len(b.c.promised.Holds["vm-1"]) != 0 {
-		t.Error("held after it was cancelled")
-	}
-}
-
 // TestWindowLetsRun: while a window is open nothing new starts on what it
 // covers, nor what would run into it; what runs is let run, and its overrun told.
 func TestWindowLetsRun(t *testing.T) {
@@ -135,18 +94,17 @@
 	b.ready("vm-1")
 	b.job("job-1", "free", 1) // of 10 s
 	b.do(operators.Request{Op: operators.OpAdd, Window: true, ID: "w", Spec: &bookkeeping.WindowSpec{Name: "w", When: b.in(20 * time.Second), LengthS: 600, Zone: "a"}})
-	q := b.c.keeping.queues["vm-1"]
 	task := protocol.TaskID{Job: "job-1"}
-	e := q.entries[task]
-	if e == nil {
+	e := b.kept("vm-1", task)
+	if e.Attempt == 0 {
 		t.Fatal("not placed")
 	}
-	b.report("vm-1", 1, 1, protocol.TaskReport{Task: task, Attempt: e.attempt, State: protocol.TaskRunning})
+	b.report("vm-1", 1, 1, protocol.TaskReport{Task: task, Attempt: e.Attempt, State: protocol.TaskRunning})
 	b.now += Time(time.Second)
 	b.step(message.Tick{})
 	b.job("job-2", "free", 1)
 	b.step(message.Tick{})
-	if q.entries[protocol.TaskID{Job: "job-2"}] != nil {
+	if b.kept("vm-1", protocol.TaskID{Job: "job-2"}).Attempt != 0 {
 		t.Error("placed where it would run into the window")
 	}
 	reply, _ := b.operate(operators.Request{Op: operators.OpShow, Window: true, Name: "w"})
@@ -155,40 +113,14 @@
 	}
 	b.now += Time(time.Minute)
 	b.step(message.Tick{})
-	if os := b.report("vm-1", 1, 1, protocol.TaskReport{Task: task, Attempt: e.attempt, State: protocol.TaskRunning}).Reply.Orders; len(os) != 0 || e.kill {
+	if os := b.report("vm-1", 1, 1, protocol.TaskReport{Task: task, Attempt: e.Attempt, State: protocol.TaskRunning}).Reply.Orders; len(os) != 0 || b.kept("vm-1", task).Kill {
 		t.Errorf("told %+v while the window is open", os)
 	}
 	b.now += Time(10 * time.Minute)
-	b.report("vm-1", 1, 1, protocol.TaskReport{Task: task, Attempt: e.attempt, State: protocol.TaskRunning})
+	b.report("vm-1", 1, 1, protocol.TaskReport{Task: task, Attempt: e.Attempt, State: protocol.TaskRunning})
 	b.relay()
 	b.step(message.Tick{})
-	if q.entries[protocol.TaskID{Job: "job-2"}] == nil {
+	if b.kept("vm-1", protocol.TaskID{Job: "job-2"}).Attempt == 0 {
 		t.Error("not placed after the window")
 	}
 }
-
-// TestStoppedInTime: what may be stopped for a reservation uses its room until
-// the last moment that lets it save; what may not is left alone.
-func TestStoppedInTime(t *testing.T) {
-	b := promising(t)
-	b.ready("vm-1")
-	b.do(operators.Request{Op: operators.OpAdd, ID: "1", Reservation: reserve("one", b.in(10*time.Minute), 2)})
-	now := b.c.Moment()
-	b.c.setHolds([]calendar.Hold{{For: "one", Machine: "vm-1", Tasks: 2, Need: room.Amount{CPUs: 4, GB: 2}, Level: 1, Clear: calendar.After(now, 8*time.Minute), From: calendar.After(now, 10*time.Minute), Until: calendar.After(now, 40*time.Minute)}})
-	q := b.c.keeping.queues["vm-1"]
-	run := func(id protocol.JobID, p protocol.Priority) *entry {
-		b.c.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Priority: p, Team: "free", CPUs: 2, Tasks: 1, CheckpointS: 10, SaveS: 10}}
-		e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: 3600, need: room.Amount{CPUs: 2}, level: room.LevelOf(p, false), sent: true, present: true, state: protocol.TaskRunning}
-		q.entries[e.task] = e
-		return e
-	}
-	low, same := run("job-low", "best_effort"), run("job-same", "standard")
-	b.c.Now += Time(9 * time.Minute)
-	if b.c.keeping.clearHeld(q); low.kill {
-		t.Error("stopped a minute before")
-	}
-	b.c.Now += Time(25 * time.Second) // 35 s before: it takes 21 s to save
-	if b.c.keeping.clearHeld(q); !low.kill || low.graceS < 20 || same.kill {
-		t.Errorf("less urgent stopped %v with %v s, same priority stopped %v", low.kill, low.graceS, same.kill)
-	}
-}
--- a/internal/coordination/registration.go
+++ b/internal/coordination/registration.go
@@ -21,7 +21,7 @@
 	m.reserved = known.ReservedBy(c.promised.Holds[id], c.Moment())
 	c.addMachine(m)
 	c.owner.dirty = true
-	c.keeping.recorded(m.Machine)
+	c.keeping.Recorded(m.Machine)
 	c.takeEarly(m)
 }
 
@@ -34,5 +34,5 @@
 	c.noteLoss(m)
 	c.removeMachine(id)
 	c.loseMachine(m)
-	c.keeping.recordGone(m.Machine)
+	c.keeping.RecordGone(m.Machine)
 }
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -45,7 +45,7 @@
 // what was told in the last one may have been told to, or by, a controller that
 // others have taken the machine or the job from since.
 func (c *Core) beginRelays() {
-	c.keeping.begin()
+	c.keeping.Begin()
 	c.ownedChanged = relay.Log[protocol.JobID]{}
 	for id := range inorder.Of(c.owner.jobs) {
 		c.ownedChanged.Touch(id)
@@ -141,21 +141,21 @@
 		to.Sent(r.Machines.Upto)
 		return
 	}
-	ids, upto := c.keeping.changed.Since(to.Next(), statesMost)
+	ids, upto := c.keeping.ChangedSince(to.Next(), statesMost)
 	r.Machines = relay.Piece{Stream: uint64(c.View.Term), From: to.Next(), Upto: upto}
 	to.Sent(upto)
 	r.States = make([]message.MachineState, 0, len(ids))
 	for _, id := range ids {
-		if st, kept := c.keeping.stateOfMachine(id); kept {
+		if st, kept := c.keeping.StateOf(id); kept {
 			r.States = append(r.States, st)
 		}
 	}
-	if upto != c.keeping.changed.Version() {
+	if upto != c.keeping.Changes() {
 		return // the rest goes with the next
 	}
 	r.Handled = map[protocol.NodeName]uint64{}
 	for name := range c.peers {
-		r.Handled[name] = c.keeping.handled[name]
+		r.Handled[name] = c.keeping.HandledOf(name)
 	}
 }
 
--- a/internal/coordination/relays_test.go
+++ b/internal/coordination/relays_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/relay"
@@ -46,11 +47,11 @@
 	if a, b := hear(30); a != 30 || b != 30 {
 		t.Errorf("%d and %d machines told of, 30 changed", a, b)
 	}
-	have := f.c.keeping.changed.Version()
+	have := f.c.keeping.Changes()
 	hear(20)
 	for range 4 { // the first lost the last message, the second has everything
 		f.c.relayed("node-1", &message.Relay{Term: 2, HaveMachines: have})
-		f.c.relayed("node-2", &message.Relay{Term: 2, HaveMachines: f.c.keeping.changed.Version()})
+		f.c.relayed("node-2", &message.Relay{Term: 2, HaveMachines: f.c.keeping.Changes()})
 	}
 	if a, b := told(); a != 20 || b != 0 {
 		t.Errorf("%d and %d machines told of, want 20 and 0", a, b)
@@ -88,7 +89,7 @@
 // TestInventoriesInPieces: after a view that changes nothing for a controller's
 // queues, it gives their inventories in bounded steps, and all of them soon.
 func TestInventoriesInPieces(t *testing.T) {
-	const machines = 2*stocksMost + 100
+	const machines = 2*keeping.StocksMost + 100
 	f := newBusyFleet(t, machines, 100)
 	v := f.c.View
 	v.Term++
@@ -100,7 +101,7 @@
 				n++
 			}
 		}
-		if n > stocksMost {
+		if n > keeping.StocksMost {
 			t.Fatalf("%d inventories in one step", n)
 		}
 		given += n
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -7,6 +7,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
@@ -70,76 +71,6 @@
 	}
 }
 
-// TestCrossingAnswers: the answer to direct commands may cross the answer to a
-// report; it does not settle the starts in that one.
-func TestCrossingAnswers(t *testing.T) {
-	b := newBench(t)
-	b.ready("vm-1")
-	b.c.keeping.queues["vm-1"].commanding = true // a direct command is under way
-	b.job("job-1", "free", 1)
-	if r := b.report("vm-1", 1, 1); starts(r.Reply.Orders) != 1 {
-		t.Fatalf("not started by the report's answer: %+v", r)
-	}
-	b.seq++
-	b.step(message.Commanded{Machine: "vm-1", Term: 1, Session: 1, Answered: true, Executed: true,
-		Report: protocol.Report{Machine: "vm-1", Type: "small", Zone: "a", Session: 1, Seq: b.seq, Term: 1}})
-	if e := b.c.keeping.queues["vm-1"].entries[protocol.TaskID{Job: "job-1"}]; e == nil || !e.sent {
-		t.Fatalf("a start under way is taken for not executed: %+v", e)
-	}
-	b.report("vm-1", 1, 1) // the worker's next report does settle it: sent again
-}
-
-// TestNothingStartsUnregistered: no start before the machine's record is durable.
-func TestNothingStartsUnregistered(t *testing.T) {
-	b := newBench(t)
-	b.report("vm-1", 1, 0)
-	b.job("job-1", "free", 1)
-	q := b.c.keeping.queues["vm-1"]
-	e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 1}
-	q.entries[e.task], q.waiting = e, []*entry{e}
-	if r := b.report("vm-1", 1, 1); starts(r.Reply.Orders) != 0 {
-		t.Fatal("started on a machine without a record")
-	}
-	b.machine("vm-1", 1)
-	if r := b.report("vm-1", 1, 1); starts(r.Reply.Orders) != 1 {
-		t.Fatal("not started once registered")
-	}
-}
-
-// TestQueuedBeforeItsRecord: an inventory lists a queued attempt whose job's
-// record has not arrived here yet, to the controller that placed it.
-func TestQueuedBeforeItsRecord(t *testing.T) {
-	b := newBench(t)
-	b.ready("vm-1")
-	b.c.keeping.place("node-0", &message.Place{Number: 5, Term: 1, Tasks: []message.Placement{{
-		Task: protocol.TaskID{Job: "job-7"}, Attempt: 1, Machine: "vm-1", Epoch: b.c.machines["vm-1"].Epoch,
-	}}})
-	b.c.Local = nil
-	b.c.keeping.sendInventory(b.c.keeping.queues["vm-1"])
-	for _, m := range b.c.Local {
-		if m.Inventory != nil && len(m.Inventory.Held) == 1 && m.Inventory.Held[0].Attempt == 1 {
-			return
-		}
-	}
-	t.Fatalf("not listed: %+v", b.c.Local)
-}
-
-// TestOverBeforePlaced: an attempt of a job that is over is not queued.
-func TestOverBeforePlaced(t *testing.T) {
-	b := newBench(t)
-	b.ready("vm-1")
-	b.job("job-1", "free", 1)
-	b.step(message.Changed{Event: protocol.Event{Delete: bookkeeping.LiveKey("job-1"), Version: 50}})
-	b.c.keeping.queues["vm-1"].entries = map[protocol.TaskID]*entry{}
-	b.c.keeping.queues["vm-1"].waiting = nil
-	b.c.keeping.place("node-0", &message.Place{Number: 6, Term: 1, Tasks: []message.Placement{{
-		Task: protocol.TaskID{Job: "job-1"}, Attempt: 9, Machine: "vm-1", Epoch: b.c.machines["vm-1"].Epoch,
-	}}})
-	if n := len(b.c.keeping.queues["vm-1"].waiting); n != 0 {
-		t.Fatalf("%d waiting: it would stand at the head for ever", n)
-	}
-}
-
 // TestLimitAfterTakeover: of a limited team just taken over, machines that were
 // not heard yet may be full of attempts, and may keep those of jobs that are
 // over; nothing beyond that is held back.
@@ -176,7 +107,7 @@
 	b.machine(id, 1)
 	removed := func() bool {
 		for _, a := range b.step(message.Tick{}) {
-			if c, ok := a.(message.Commit); ok && c.Tag == (removeTag{id}) {
+			if c, ok := a.(message.Commit); ok && c.Tag == (keeping.RemoveTag{Machine: id}) {
 				return true
 			}
 		}
@@ -238,8 +169,7 @@
 	awaited(true, "after a missed term")
 	b.report(id, 1, 4)
 	awaited(false, "after a report")
-	b.report(id, 2, 4)
-	b.c.keeping.queues[id].sole = false // as the report of a worker that has not seen the term leaves it
+	b.report(id, 2, 3) // of a worker that has not seen the term
 	b.machine(id, 2)
 	b.view(5, "node-0")
 	awaited(true, "in a new session")
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -22,7 +22,7 @@
 		return // not present itself: it has no say
 	}
 	deaf := c.deafNodes(want)
-	if sameMembers(want, c.View.Members) && layout == c.View.Layout && slices.Equal(deaf, c.View.Deaf) && !c.keeping.needsTerm {
+	if sameMembers(want, c.View.Members) && layout == c.View.Layout && slices.Equal(deaf, c.View.Deaf) && !c.keeping.WantsTerm() {
 		return
 	}
 	c.writingView = true
@@ -75,22 +75,23 @@
 	c.View, c.ViewVersion = v, version
 	clear(c.Keepers)
 	c.pen = newPen()
-	c.viewRetry, c.keeping.needsTerm = 0, false
+	c.viewRetry = 0
+	c.keeping.Settled()
 	c.adoptPeers(v)
-	c.keeping.forgetOwners(old)
+	c.keeping.ForgetOwners(old)
 	c.hearing.adopted(v, c.Self, c.Now)
 	if !c.Member() {
 		c.owner = newOwnerState()
-		c.keeping.drop()
+		c.keeping.Drop()
 		c.Log.Info("not in the view", "term", v.Term)
 		return
 	}
 	c.Log.Info("new term", "term", v.Term, "members", len(v.Members))
 	keeps := consecutive && wasMember
-	c.keeping.adopt(old, keeps)
+	c.keeping.Adopt(old, keeps)
 	c.adoptJobs(old, keeps)
 	c.beginRelays()
-	c.keeping.beginStocks()
+	c.keeping.BeginStocks()
 	if !wasMember {
 		c.askTables()
 	}
@@ -156,9 +157,9 @@
 func (c *Core) message(from protocol.NodeName, m message.PeerMessage) {
 	switch {
 	case m.Place != nil:
-		c.keeping.place(from, m.Place)
+		c.keeping.Place(from, m.Place)
 	case m.Stop != nil:
-		c.keeping.stop(*m.Stop)
+		c.keeping.Stop(*m.Stop)
 	case m.Event != nil:
 		c.event(*m.Event)
 	case m.Released != nil:
@@ -166,7 +167,7 @@
 			c.event(message.TaskEvent{TaskRef: ref, What: message.WhatReleased})
 		}
 	case m.Forget != nil:
-		c.keeping.forget(*m.Forget)
+		c.keeping.Forget(*m.Forget)
 	case m.Inventory != nil:
 		c.inventory(from, m.Inventory)
 	case m.Added != nil:
@@ -174,7 +175,7 @@
 	case m.Relay != nil:
 		c.relayed(from, m.Relay)
 	case m.Drain != nil:
-		c.keeping.drain(*m.Drain)
+		c.keeping.Drain(*m.Drain)
 	case m.Record != nil:
 		c.recordWanted(*m.Record)
 	case m.AskTable:
--- a/internal/emulator/nodes.go
+++ b/internal/emulator/nodes.go
@@ -14,6 +14,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination"
+	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
@@ -287,7 +288,7 @@
 			}
 		})
 	})
-	w.after(coordination.DirectTimeout, func() {
+	w.after(keeping.DirectTimeout, func() {
 		if !answered && n.life == life {
 			answered = true
 			done.Answered = false
