Membership and the registrar of machines' records are parts of their own

Who takes part, the view and the peers' sessions in one, the blocks of machines' records and who writes them in the other; they read what is known, and keeping and owning are unknown to them.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -11,7 +11,6 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
-	"damsonkeel/internal/coordination/blocks"
 	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/known"
@@ -26,15 +25,12 @@
 // concurrent use: one actor owns it.
 type Core struct {
 	known.Part
-	keeping *keeping.Keeper
-	rng     *rand.Rand
+	members   *members
+	registrar *registrar
+	keeping   *keeping.Keeper
+	rng       *rand.Rand
 
-	dear        map[kind]float64                       // see dearness: by the prices last read
-	nodes       map[protocol.NodeName]bookkeeping.Node // present in the records
-	writingView bool
-	viewRetry   Time
-
-	hearing  hearing
+	dear     map[kind]float64 // see dearness: by the prices last read
 	copy     tableCopy
 	classes  map[string]*class
 	machines map[protocol.MachineID]*machineEntry
@@ -48,8 +44,6 @@
 	// rates outlives sessions: what was lent in the last one is still lent.
 	rates *lending.Book[protocol.LeaseID]
 	share message.SetShare // as last set
-	shelf *blocks.Shelf    // blocks of machines' records
-	pen   pen
 	peers map[protocol.NodeName]*peer
 	spots forecast.Spot
 	fleet fleetState
@@ -67,11 +61,8 @@
 // peer is what is known of another controller's present session.
 type peer struct {
 	session  protocol.LeaseID
-	term     protocol.Term // highest it is known to have adopted
-	next     uint64        // number of the next message expected
-	placed   uint64        // number of the last Place sent to it
-	actingAt Time          // when it last said that it may act
-	told     hearsay       // its word on the machines it keeps
+	placed   uint64  // number of the last Place sent to it
+	told     hearsay // its word on the machines it keeps
 	demand   []message.Demand
 	progress map[protocol.JobID]message.Progress
 }
@@ -79,7 +70,7 @@
 // NewCore makes a controller's state before its first session.
 func NewCore(s *config.Settings, op config.Operator, rng *rand.Rand, log *slog.Logger) *Core {
 	p := known.Part{Known: known.NewKnown(s, op, log), Output: &known.Output{}}
-	c := &Core{Part: p, keeping: keeping.New(p), rng: rng}
+	c := &Core{Part: p, members: newMembers(p), registrar: newRegistrar(p), keeping: keeping.New(p), rng: rng}
 	c.reset()
 	return c
 }
@@ -87,14 +78,12 @@
 // reset forgets everything a session knew. What matters is in the records.
 func (c *Core) reset() {
 	c.Known.Reset()
-	c.nodes = map[protocol.NodeName]bookkeeping.Node{}
-	c.writingView = false
-	c.hearing = newHearing()
+	c.members.reset()
+	c.registrar.reset()
 	c.classes = map[string]*class{}
 	c.machines, c.sorted, c.spotsUp = map[protocol.MachineID]*machineEntry{}, nil, 0
 	c.keeping.Reset()
 	c.ownedChanged = relay.Log[protocol.JobID]{}
-	c.shelf, c.pen = blocks.NewShelf(), newPen()
 	c.nextPlaced = 0
 	c.peers = map[protocol.NodeName]*peer{}
 	c.owner = newOwnerState()
@@ -117,7 +106,7 @@
 		for _, it := range m.Items {
 			c.record(it.Key, it.Value, it.Version, true)
 		}
-		if _, was := c.nodes[c.Self]; !was && c.Op.NodeLease >= lending.LoanMost {
+		if !c.members.isPresent(c.Self) && c.Op.NodeLease >= lending.LoanMost {
 			// An earlier process of this controller was gone for its whole
 			// lease: what it lent is over.
 			c.rates.NothingLent()
@@ -133,7 +122,9 @@
 	case message.Reported:
 		c.report(m.Report)
 	case message.Received:
-		c.received(m.Batch)
+		for _, fresh := range c.members.received(m.Batch) {
+			c.message(m.Batch.From, fresh)
+		}
 	case message.Tick:
 		c.TellTime(m.WallMS)
 		c.setShare()
@@ -147,9 +138,7 @@
 	case message.Commanded:
 		c.keeping.Commanded(m)
 	case message.PeerActs:
-		if p := c.peers[m.Peer]; p != nil {
-			p.actingAt = c.Now
-		}
+		c.members.acts(m.Peer)
 	case message.Rented:
 		c.rented(m)
 	case message.Deleted:
@@ -205,16 +194,18 @@
 	}
 	switch {
 	case f.Node != "":
-		delete(c.nodes, f.Node)
+		c.members.absent(f.Node)
 		c.checkView()
 	case f.Job != "":
 		c.jobOver(f.Job)
 	case f.Machine != "":
-		if _, in := c.shelf.Where(f.Machine); !in { // else it has moved into a block
+		if !c.registrar.inBlock(f.Machine) { // else it has moved into a block
 			c.machineGone(f.Machine)
 		}
 	case f.Block != "":
-		c.blockGone(f.Block)
+		for _, id := range c.registrar.blockGone(f.Block) {
+			c.machineGone(id)
+		}
 	case f.Reservation != "" || f.Window != "":
 		c.calendarGone(f)
 	}
@@ -236,7 +227,7 @@
 	case f.Node != "":
 		var n bookkeeping.Node
 		if err = protocol.Decode(value, &n); err == nil {
-			c.nodes[f.Node] = n
+			c.members.present(f.Node, n)
 			if !snapshot {
 				c.checkView()
 			}
@@ -254,7 +245,13 @@
 	case f.Block != "":
 		var b bookkeeping.Block
 		if err = protocol.Decode(value, &b); err == nil {
-			c.blockSeen(f.Block, b, version)
+			changed, gone := c.registrar.blockSeen(f.Block, b, version)
+			for _, id := range gone {
+				c.machineGone(id)
+			}
+			for _, e := range changed {
+				c.machineRegistered(e.ID, e.Machine, e.Epoch)
+			}
 		}
 	case f.Held:
 		err = c.heldBefore(value)
@@ -278,7 +275,7 @@
 		c.refreshPromises()
 		c.watchSpots()
 		c.watchSlow()
-		c.keeping.ExpireSilent(c.allAdopted())
+		c.keeping.ExpireSilent(c.members.allAdopted())
 		c.rebalance("")
 		c.keeping.Regular(c.levelTold)
 		c.flushBits()
@@ -291,7 +288,7 @@
 		c.sendRelays(false)
 		c.keeping.TakeStocks() // not in the step of the regular work: together they are long
 	}
-	c.writeBlocks()
+	c.registrar.write()
 	c.askMoreTables()
 	c.retryJobs()
 }
@@ -299,10 +296,7 @@
 func (c *Core) txnDone(m message.TxnDone) {
 	switch tag := m.Tag.(type) {
 	case viewTag:
-		c.writingView = false
-		if m.Outcome != message.OutcomeDone {
-			c.viewRetry = c.After(300 * time.Millisecond)
-		}
+		c.members.viewWritten(m.Outcome)
 	case reservationTag:
 		delete(c.promised.write, tag.name)
 	case keeping.RegisterTag:
@@ -312,7 +306,7 @@
 	case bitsTag:
 		c.bitsDone(tag, m.Outcome)
 	case penTag:
-		c.blocksWritten(tag, m.Outcome)
+		c.registrar.written(tag, m.Outcome)
 	case keeping.RemoveTag:
 		c.keeping.RemovalDone(tag.Machine)
 	}
@@ -347,9 +341,15 @@
 		return
 	}
 	if keeper := c.Keeper(r.Machine); keeper != c.Self {
-		c.noteStray(r.Machine)
+		c.members.noteStray(r.Machine)
 		c.Do(message.ReplyReport{Status: 421, ReportTo: keeper})
 		return
 	}
 	c.keeping.Report(r)
 }
+
+// checkView has the view changed if it should be.
+func (c *Core) checkView() { c.members.checkView(c.keeping.WantsTerm()) }
+
+// actingPeers lists the other controllers known to act now.
+func (c *Core) actingPeers() []protocol.NodeName { return c.members.actingPeers() }
--- a/internal/coordination/forward_test.go
+++ b/internal/coordination/forward_test.go
@@ -81,7 +81,7 @@
 	}
 	out := newBench(t, "node-1")
 	out.step(message.PeerActs{Peer: "node-1"})
-	if !out.c.alone() {
+	if !out.c.members.othersAct() {
 		t.Error("not refused alone, though a peer acts")
 	}
 }
--- a/internal/coordination/hearing.go
+++ b/internal/coordination/hearing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/protocol"
 )
 
@@ -13,13 +14,13 @@
 // would lose their leases if nobody else kept them.
 type hearing struct {
 	astray map[protocol.MachineID]stray
-	deaf   bool // this controller, by the view
-	since  Time // when it became so
+	deaf   bool       // this controller, by the view
+	since  clock.Time // when it became so
 	pause  time.Duration
 }
 
 type stray struct {
-	last  Time
+	last  clock.Time
 	times int
 }
 
@@ -36,7 +37,7 @@
 func newHearing() hearing { return hearing{astray: map[protocol.MachineID]stray{}} }
 
 // adopted starts counting anew: a new view sends workers to others.
-func (h *hearing) adopted(v bookkeeping.View, self protocol.NodeName, now Time) {
+func (h *hearing) adopted(v bookkeeping.View, self protocol.NodeName, now clock.Time) {
 	clear(h.astray)
 	deaf := slices.Contains(v.Deaf, self)
 	if deaf && !h.deaf {
@@ -47,42 +48,42 @@
 }
 
 // noteStray counts a report that belongs to another controller.
-func (c *Core) noteStray(m protocol.MachineID) {
-	s := c.hearing.astray[m]
-	if s.times > 0 && c.Since(s.last) > straySpan {
+func (ms *members) noteStray(m protocol.MachineID) {
+	s := ms.hearing.astray[m]
+	if s.times > 0 && ms.Since(s.last) > straySpan {
 		s.times = 0
 	}
-	if s.times > 0 && c.Since(s.last) < time.Second {
+	if s.times > 0 && ms.Since(s.last) < time.Second {
 		return // the same try
 	}
-	c.hearing.astray[m] = stray{c.Now, s.times + 1}
+	ms.hearing.astray[m] = stray{ms.Now, s.times + 1}
 }
 
 // deafNodes is what the next view should say of who can't be reached.
-func (c *Core) deafNodes(members map[protocol.NodeName]protocol.LeaseID) []protocol.NodeName {
+func (ms *members) deafNodes(members map[protocol.NodeName]protocol.LeaseID) []protocol.NodeName {
 	var deaf []protocol.NodeName
-	for _, n := range c.View.Deaf {
-		ended := n == c.Self && c.Since(c.hearing.since) > c.hearing.pause
-		if members[n] != 0 && members[n] == c.View.Members[n] && !ended {
+	for _, n := range ms.View.Deaf {
+		ended := n == ms.Self && ms.Since(ms.hearing.since) > ms.hearing.pause
+		if members[n] != 0 && members[n] == ms.View.Members[n] && !ended {
 			deaf = append(deaf, n)
 		}
 	}
 	astray, kept := map[protocol.NodeName]int{}, map[protocol.NodeName]int{}
-	for m, s := range c.hearing.astray {
-		if s.times >= 2 && c.Since(s.last) <= straySpan {
-			astray[c.Keeper(m)]++
+	for m, s := range ms.hearing.astray {
+		if s.times >= 2 && ms.Since(s.last) <= straySpan {
+			astray[ms.Keeper(m)]++
 		}
 	}
 	if len(astray) > 0 {
-		for m := range c.machines {
-			kept[c.Keeper(m)]++
+		for m := range ms.Records {
+			kept[ms.Keeper(m)]++
 		}
 	}
 	for n, k := range astray {
 		// Several controllers share the stray workers: a fifth of a
 		// controller's machines, and more than one, speak for the rest.
-		if n != c.Self && members[n] != 0 && k >= 2 && 5*k >= kept[n] && !slices.Contains(deaf, n) {
-			c.Log.Info("workers can't reach a controller: others keep its machines", "controller", n, "astray", k, "kept", kept[n])
+		if n != ms.Self && members[n] != 0 && k >= 2 && 5*k >= kept[n] && !slices.Contains(deaf, n) {
+			ms.Log.Info("workers can't reach a controller: others keep its machines", "controller", n, "astray", k, "kept", kept[n])
 			deaf = append(deaf, n)
 		}
 	}
--- /dev/null
+++ b/internal/coordination/members.go
@@ -0,0 +1,207 @@
+package coordination
+
+import (
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
+	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/protocol"
+	"slices"
+	"time"
+)
+
+// members is who takes part: this controller's and the others' presence in the
+// records, the view and when it is to change, and the peers' sessions.
+type members struct {
+	known.Part
+	nodes   map[protocol.NodeName]bookkeeping.Node // present in the records
+	writing bool                                   // a view
+	retry   clock.Time                             // no view is written before
+	hearing hearing
+	peers   map[protocol.NodeName]*link
+}
+
+// link is what is known of another controller's present session.
+type link struct {
+	session  protocol.LeaseID
+	term     protocol.Term // highest it is known to have adopted
+	next     uint64        // number of the next message expected
+	actingAt clock.Time    // when it last said that it may act
+}
+
+// viewTag marks the transaction that writes a view.
+type viewTag struct{}
+
+func newMembers(p known.Part) *members {
+	ms := &members{Part: p}
+	ms.reset()
+	return ms
+}
+
+// reset forgets everything a session knew.
+func (ms *members) reset() {
+	*ms = members{Part: ms.Part, nodes: map[protocol.NodeName]bookkeeping.Node{}, hearing: newHearing(), peers: map[protocol.NodeName]*link{}}
+}
+
+// present takes over that a controller is in the records.
+func (ms *members) present(name protocol.NodeName, n bookkeeping.Node) { ms.nodes[name] = n }
+
+// absent takes over that a controller's record has gone with its lease.
+func (ms *members) absent(name protocol.NodeName) { delete(ms.nodes, name) }
+
+// isPresent reports whether a controller is in the records.
+func (ms *members) isPresent(name protocol.NodeName) bool {
+	_, is := ms.nodes[name]
+	return is
+}
+
+// viewWritten takes the outcome of writing a view.
+func (ms *members) viewWritten(out message.Outcome) {
+	ms.writing = false
+	if out != message.OutcomeDone {
+		ms.retry = ms.After(300 * time.Millisecond)
+	}
+}
+
+// acts notes that a peer says it may act.
+func (ms *members) acts(name protocol.NodeName) {
+	if p := ms.peers[name]; p != nil {
+		p.actingAt = ms.Now
+	}
+}
+
+// adopt takes over a new view.
+func (ms *members) adopt(v bookkeeping.View, version protocol.Version) {
+	ms.View, ms.ViewVersion = v, version
+	clear(ms.Keepers)
+	ms.retry = 0
+	for name, p := range ms.peers {
+		if v.Members[name] != p.session {
+			delete(ms.peers, name)
+		}
+	}
+	for name, session := range v.Members {
+		if ms.peers[name] == nil {
+			ms.peers[name] = &link{session: session}
+		}
+	}
+	if p := ms.peers[ms.Self]; p != nil {
+		p.term = v.Term
+	}
+	ms.hearing.adopted(v, ms.Self, ms.Now)
+}
+
+// checkView raises the term when the view does not name exactly the
+// controllers that are present in the records, or when it is asked for. A
+// controller whose connection is refused stays; only a lapsed lease removes it.
+func (ms *members) checkView(raise bool) {
+	if ms.Session == 0 || ms.Now >= ms.Until || ms.writing || ms.Now < ms.retry {
+		return
+	}
+	want, layout := ms.wantMembers()
+	if want[ms.Self] != ms.Session {
+		return // not present itself: it has no say
+	}
+	deaf := ms.deafNodes(want)
+	if sameMembers(want, ms.View.Members) && layout == ms.View.Layout && slices.Equal(deaf, ms.View.Deaf) && !raise {
+		return
+	}
+	ms.writing = true
+	next := bookkeeping.View{Term: ms.View.Term + 1, Members: want, Deaf: deaf, Layout: layout}
+	ms.Do(message.Commit{Tag: viewTag{}, Txn: protocol.Txn{
+		If: []protocol.Condition{
+			{Key: bookkeeping.ViewKey, Version: ms.ViewVersion},
+		},
+		Then: []protocol.Change{{Put: bookkeeping.ViewKey, Value: next}},
+	}})
+}
+
+// wantMembers is who should be in the view, and how machines are recorded then:
+// in the latest way that all of them know. Once it is in use, who does not know
+// it stays out: it would miss machines that may hold tasks.
+func (ms *members) wantMembers() (map[protocol.NodeName]protocol.LeaseID, bookkeeping.Layout) {
+	want := map[protocol.NodeName]protocol.LeaseID{}
+	least := bookkeeping.LayoutBlocks
+	for name, n := range ms.nodes {
+		l := max(n.Layout, bookkeeping.LayoutSingle)
+		if l < ms.View.Layout {
+			continue
+		}
+		want[name] = n.Session
+		least = min(least, l)
+	}
+	return want, max(least, ms.View.Layout)
+}
+
+func sameMembers(a, b map[protocol.NodeName]protocol.LeaseID) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for n, s := range a {
+		if b[n] != s {
+			return false
+		}
+	}
+	return true
+}
+
+// received takes a peer's batch, and returns what is new in it. Batches of ended
+// sessions are dropped: the network may hold them back for minutes.
+func (ms *members) received(b message.Batch) (fresh []message.PeerMessage) {
+	reply := ms.standing(&b)
+	if reply == message.BatchTaken {
+		p := ms.peers[b.From]
+		p.term = max(p.term, b.Term)
+		if b.First > p.next {
+			reply = message.BatchStale // a gap: this can't be the same stream
+		} else if have := p.next - b.First; have < uint64(len(b.Messages)) {
+			fresh = b.Messages[have:]
+			p.next += uint64(len(fresh))
+		}
+	}
+	ms.Do(message.ReplyBatch{Reply: reply})
+	return fresh
+}
+
+// standing is what becomes of a batch by its sessions and its term.
+func (ms *members) standing(b *message.Batch) message.BatchReply {
+	ours := b.ToSession == ms.Session
+	switch between := ours && ms.Member() && ms.View.Members[b.From] == b.FromSession; {
+	case ours && b.Term > ms.View.Term:
+		return message.BatchBehind
+	case between:
+		return message.BatchTaken
+	case ours && ms.Acting():
+		return message.BatchPassed
+	}
+	return message.BatchStale
+}
+
+// allAdopted reports whether every member is known to act on this term, so
+// that nobody answers workers by an older one any more.
+func (ms *members) allAdopted() bool {
+	for _, p := range ms.peers {
+		if p.term < ms.View.Term {
+			return false
+		}
+	}
+	return true
+}
+
+// othersAct reports whether another controller is known to act now. One that may
+// not act itself is then refused by the state service alone; otherwise the
+// service is out for all, or nobody can be heard.
+func (ms *members) othersAct() bool { return len(ms.actingPeers()) > 0 }
+
+// actingPeers lists the other controllers known to act now. They say so
+// themselves; to one that they have left out of the view, in their answers.
+func (ms *members) actingPeers() []protocol.NodeName {
+	var names []protocol.NodeName
+	for name, p := range inorder.Of(ms.peers) {
+		if name != ms.Self && p.actingAt != 0 && ms.Since(p.actingAt) < 3*ms.Op.RelayEvery {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -135,7 +135,7 @@
 			until = n.core.Until
 		}
 		n.actingUntil.Store(int64(until))
-		n.waitsOut.Store(until != 0 && !n.core.alone())
+		n.waitsOut.Store(until != 0 && !n.core.members.othersAct())
 		n.carryOut(ctx, actions)
 		if e.reply != nil {
 			e.reply(actions)
--- a/internal/coordination/pen.go
+++ b/internal/coordination/pen.go
@@ -5,27 +5,55 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/blocks"
+	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
 
-// pen is what the registrar keeps: the one member that writes machines' records
-// in a term. Only one does, so that no machine is ever in two blocks.
+// registrar keeps the records of machines: the blocks as they are, and, where this
+// controller is the one member that writes them in a term, what it has to write.
+// Only one does, so that no machine is ever in two blocks.
+type registrar struct {
+	known.Part
+	shelf *blocks.Shelf
+	pen
+}
+
+func newRegistrar(p known.Part) *registrar {
+	g := &registrar{Part: p}
+	g.reset()
+	return g
+}
+
+// reset forgets everything a session knew.
+func (g *registrar) reset() { g.shelf, g.pen = blocks.NewShelf(), newPen() }
+
+// adopted forgets what was to be written in the term before.
+func (g *registrar) adopted() { g.pen = newPen() }
+
+// inBlock reports whether a machine's record is in a block.
+func (g *registrar) inBlock(id protocol.MachineID) bool {
+	_, in := g.shelf.Where(id)
+	return in
+}
+
+// pen is what is to be written in a term.
 type pen struct {
-	wanted  map[protocol.MachineID]message.RecordChange
-	busy    bool            // a transaction is under way
-	writing map[string]Time // blocks written whose change has not been seen yet, and when
+	asked   map[protocol.MachineID]message.RecordChange
+	busy    bool                  // a transaction is under way
+	writing map[string]clock.Time // blocks written whose change has not been seen yet, and when
 	// bound are the blocks that were to take machines that are in none. Such a
 	// write may be without an answer and executed late, so they go nowhere else:
 	// of two writes of the same block, on the same version, one at most happens.
 	bound   map[protocol.MachineID]string
 	stamps  uint64
-	retryAt Time
+	retryAt clock.Time
 }
 
 func newPen() pen {
-	return pen{wanted: map[protocol.MachineID]message.RecordChange{}, writing: map[string]Time{}, bound: map[protocol.MachineID]string{}}
+	return pen{asked: map[protocol.MachineID]message.RecordChange{}, writing: map[string]clock.Time{}, bound: map[protocol.MachineID]string{}}
 }
 
 type penTag struct {
@@ -41,25 +69,25 @@
 	penPause   = 300 * time.Millisecond
 )
 
-// recordWanted takes note of what a keeper asks for. What was asked for before
+// wanted takes note of what a keeper asks for. What was asked for before
 // for the same machine is out of date.
-func (c *Core) recordWanted(r message.RecordChange) {
-	if r.Term == c.View.Term && c.InBlocks() && c.Registrar() == c.Self {
-		c.pen.wanted[r.Machine] = r
+func (g *registrar) wanted(r message.RecordChange) {
+	if r.Term == g.View.Term && g.InBlocks() && g.Registrar() == g.Self {
+		g.pen.asked[r.Machine] = r
 	}
 }
 
-// writeBlocks writes the records that are asked for, as many at a time as one
+// write writes the records that are asked for, as many at a time as one
 // transaction holds. It holds only in the present view, like every record of a
 // machine: who reads the records after a new view misses none, and a registrar
 // that others have replaced writes nothing.
-func (c *Core) writeBlocks() {
-	p := &c.pen
-	if len(p.wanted) == 0 || p.busy || c.Now < p.retryAt || !c.Acting() {
+func (g *registrar) write() {
+	p := &g.pen
+	if len(p.asked) == 0 || p.busy || g.Now < p.retryAt || !g.Acting() {
 		return
 	}
-	limits := blocks.LimitsOf(c.Settings.Site.State.ValueKB, c.Settings.Site.State.TxnOps)
-	txn := protocol.Txn{If: []protocol.Condition{c.InThisView()}}
+	limits := blocks.LimitsOf(g.Settings.Site.State.ValueKB, g.Settings.Site.State.TxnOps)
+	txn := protocol.Txn{If: []protocol.Condition{g.InThisView()}}
 	dropSingle := func(id protocol.MachineID, version protocol.Version) {
 		key := bookkeeping.MachineKey(id)
 		txn.If = append(txn.If, protocol.Condition{Key: key, Version: version})
@@ -67,11 +95,11 @@
 	}
 	var tag penTag
 	var changes []blocks.Change
-	for id, r := range inorder.Of(p.wanted) {
-		ch, due := c.blockChange(id, r)
+	for id, r := range inorder.Of(p.asked) {
+		ch, due := g.blockChange(id, r)
 		switch {
 		case !due:
-			delete(p.wanted, id)
+			delete(p.asked, id)
 			delete(p.bound, id)
 		case ch.Entry == nil && ch.Single != 0:
 			// In no block, and not to be: its own record goes, that is all.
@@ -85,10 +113,10 @@
 	}
 	busy := func(name string) bool {
 		at, ok := p.writing[name]
-		return ok && c.Since(at) < seenWithin
+		return ok && g.Since(at) < seenWithin
 	}
 	limits.Ops -= len(txn.Then)
-	tag.writes = c.shelf.Pack(changes, busy, limits)
+	tag.writes = g.shelf.Pack(changes, busy, limits)
 	for _, w := range tag.writes {
 		key := bookkeeping.BlockKey(w.Block)
 		txn.If = append(txn.If, protocol.Condition{Key: key, Version: w.Version})
@@ -97,12 +125,12 @@
 		} else {
 			txn.Then = append(txn.Then, protocol.Change{Put: key, Value: bookkeeping.Block{Machines: w.Entries}})
 		}
-		p.writing[w.Block] = c.Now
+		p.writing[w.Block] = g.Now
 		for _, ch := range w.Changes {
 			if ch.Single != 0 {
 				dropSingle(ch.Machine, ch.Single)
 			}
-			if _, ok := c.shelf.Where(ch.Machine); !ok {
+			if _, ok := g.shelf.Where(ch.Machine); !ok {
 				p.bound[ch.Machine] = w.Block
 			}
 		}
@@ -111,12 +139,12 @@
 		return
 	}
 	p.busy = true
-	c.Do(message.Commit{Tag: tag, Txn: txn})
+	g.Do(message.Commit{Tag: tag, Txn: txn})
 }
 
 // blockChange is what a machine's record needs still, if anything.
-func (c *Core) blockChange(id protocol.MachineID, r message.RecordChange) (ch blocks.Change, due bool) {
-	m := c.machines[id]
+func (g *registrar) blockChange(id protocol.MachineID, r message.RecordChange) (ch blocks.Change, due bool) {
+	m := g.Records[id]
 	have := protocol.Version(0)
 	if m != nil {
 		have = m.Epoch
@@ -124,52 +152,45 @@
 	if have != r.Have {
 		return ch, false // it has changed since: asked again if that is not enough
 	}
-	ch = blocks.Change{Machine: id, Bound: c.pen.bound[id]}
-	if _, in := c.shelf.Where(id); m != nil && !in {
+	ch = blocks.Change{Machine: id, Bound: g.pen.bound[id]}
+	if _, in := g.shelf.Where(id); m != nil && !in {
 		ch.Single = m.Epoch
 	}
 	if r.To != nil {
 		// Each stamp is above all before, and above the versions of records of
 		// the other layout: terms are above 0, revisions far below 2^32.
-		c.pen.stamps++
-		ch.Entry = &bookkeeping.BlockEntry{ID: id, Epoch: protocol.Version(uint64(c.View.Term)<<32 | c.pen.stamps), Machine: *r.To}
+		g.pen.stamps++
+		ch.Entry = &bookkeeping.BlockEntry{ID: id, Epoch: protocol.Version(uint64(g.View.Term)<<32 | g.pen.stamps), Machine: *r.To}
 	}
 	return ch, m != nil || r.To != nil
 }
 
-// blocksWritten takes the outcome. Only a change that is seen in the records
+// written takes the outcome. Only a change that is seen in the records
 // counts; until then a block that may have been written is left alone.
-func (c *Core) blocksWritten(tag penTag, out message.Outcome) {
-	p := &c.pen
+func (g *registrar) written(tag penTag, out message.Outcome) {
+	p := &g.pen
 	p.busy = false
 	if out == message.OutcomeDone {
 		for _, id := range tag.dropped {
-			delete(p.wanted, id)
+			delete(p.asked, id)
 		}
 		return
 	}
-	p.retryAt = c.After(penPause)
+	p.retryAt = g.After(penPause)
 	for _, w := range tag.writes {
 		delete(p.writing, w.Block)
 	}
 }
 
-// blockSeen takes over a block's record.
-func (c *Core) blockSeen(name string, b bookkeeping.Block, version protocol.Version) {
-	delete(c.pen.writing, name)
-	changed, gone := c.shelf.Set(name, version, b.Machines)
-	for _, id := range gone {
-		c.machineGone(id)
-	}
-	for _, e := range changed {
-		c.machineRegistered(e.ID, e.Machine, e.Epoch)
-	}
+// blockSeen takes over a block's record, and returns the machines whose records
+// have changed by that, and those whose records have gone.
+func (g *registrar) blockSeen(name string, b bookkeeping.Block, version protocol.Version) (changed []bookkeeping.BlockEntry, gone []protocol.MachineID) {
+	delete(g.pen.writing, name)
+	return g.shelf.Set(name, version, b.Machines)
 }
 
-// blockGone: a block's record was deleted.
-func (c *Core) blockGone(name string) {
-	delete(c.pen.writing, name)
-	for _, id := range c.shelf.Drop(name) {
-		c.machineGone(id)
-	}
+// blockGone: a block's record was deleted, and those of the machines returned.
+func (g *registrar) blockGone(name string) []protocol.MachineID {
+	delete(g.pen.writing, name)
+	return g.shelf.Drop(name)
 }
--- a/internal/coordination/pen_test.go
+++ b/internal/coordination/pen_test.go
@@ -174,7 +174,7 @@
 	epoch := r.c.machines["vm-000000"].Epoch
 	r.wave(1, 2) // comes back with a later session: moves into a block
 	r.settle(5)
-	_, inBlock := r.c.shelf.Where("vm-000000")
+	_, inBlock := r.c.registrar.shelf.Where("vm-000000")
 	if m := r.c.machines["vm-000000"]; m == nil || !inBlock || m.Epoch <= epoch {
 		t.Fatalf("not moved into a block: %+v", m)
 	}
@@ -183,8 +183,8 @@
 	}
 	r.now += Time(r.c.LeaseOver())
 	r.settle(60)
-	if len(r.c.machines) != 0 || r.c.shelf.Len() != 0 || len(r.state.List(bookkeeping.FollowedPrefix)) != 2 {
-		t.Errorf("%d machines, %d blocks, records %v", len(r.c.machines), r.c.shelf.Len(), r.state.List(bookkeeping.FollowedPrefix))
+	if len(r.c.machines) != 0 || r.c.registrar.shelf.Len() != 0 || len(r.state.List(bookkeeping.FollowedPrefix)) != 2 {
+		t.Errorf("%d machines, %d blocks, records %v", len(r.c.machines), r.c.registrar.shelf.Len(), r.state.List(bookkeeping.FollowedPrefix))
 	}
 }
 
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -177,7 +177,7 @@
 		return
 	}
 	if r.Acting {
-		p.actingAt = c.Now
+		c.members.acts(from)
 	}
 	p.demand = r.Demand
 	if from != c.Self {
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -120,23 +120,6 @@
 	return ds
 }
 
-// alone reports whether another controller is known to act now. One that may
-// not act itself is then refused by the state service alone; otherwise the
-// service is out for all, or nobody can be heard.
-func (c *Core) alone() bool { return len(c.actingPeers()) > 0 }
-
-// actingPeers lists the other controllers known to act now. They say so
-// themselves; to one that they have left out of the view, in their answers.
-func (c *Core) actingPeers() []protocol.NodeName {
-	var names []protocol.NodeName
-	for name, p := range inorder.Of(c.peers) {
-		if name != c.Self && p.actingAt != 0 && c.Since(p.actingAt) < 3*c.Op.RelayEvery {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // tableCopy is a restarted controller's search for a first table.
 type tableCopy struct {
 	left  []protocol.NodeName // not asked yet
