--- a/internal/coordination/classes_test.go
+++ b/internal/coordination/classes_test.go
@@ -54,16 +54,16 @@
 // from an outage by whether a peer says that it acts.
 func TestAlone(t *testing.T) {
 	b := newBench(t, "node-1")
-	if b.c.members.othersAct() {
+	if b.c.members.OthersAct() {
 		t.Error("alone though nobody is known to act")
 	}
 	b.c.relayed("node-1", &message.Relay{Acting: true})
-	if !b.c.members.othersAct() {
+	if !b.c.members.OthersAct() {
 		t.Error("not alone though a peer acts")
 	}
 	b.now += Time(time.Minute)
 	b.c.Now = b.now
-	if b.c.members.othersAct() {
+	if b.c.members.OthersAct() {
 		t.Error("alone by what a peer said a minute ago")
 	}
 }
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -15,7 +15,9 @@
 	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/lending"
+	"damsonkeel/internal/coordination/membership"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/registrar"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -25,8 +27,8 @@
 // concurrent use: one actor owns it.
 type Core struct {
 	known.Part
-	members   *members
-	registrar *registrar
+	members   *membership.Members
+	registrar *registrar.Registrar
 	keeping   *keeping.Keeper
 	rng       *rand.Rand
 
@@ -70,7 +72,7 @@
 // NewCore makes a controller's state before its first session.
 func NewCore(s *config.Settings, op config.Operator, rng *rand.Rand, log *slog.Logger) *Core {
 	p := known.Part{Known: known.NewKnown(s, op, log), Output: &known.Output{}}
-	c := &Core{Part: p, members: newMembers(p), registrar: newRegistrar(p), keeping: keeping.New(p), rng: rng}
+	c := &Core{Part: p, members: membership.New(p), registrar: registrar.New(p), keeping: keeping.New(p), rng: rng}
 	c.reset()
 	return c
 }
@@ -78,8 +80,8 @@
 // reset forgets everything a session knew. What matters is in the records.
 func (c *Core) reset() {
 	c.Known.Reset()
-	c.members.reset()
-	c.registrar.reset()
+	c.members.Reset()
+	c.registrar.Reset()
 	c.classes = map[string]*class{}
 	c.machines, c.sorted, c.spotsUp = map[protocol.MachineID]*machineEntry{}, nil, 0
 	c.keeping.Reset()
@@ -106,7 +108,7 @@
 		for _, it := range m.Items {
 			c.record(it.Key, it.Value, it.Version, true)
 		}
-		if !c.members.isPresent(c.Self) && c.Op.NodeLease >= lending.LoanMost {
+		if !c.members.IsPresent(c.Self) && c.Op.NodeLease >= lending.LoanMost {
 			// An earlier process of this controller was gone for its whole
 			// lease: what it lent is over.
 			c.rates.NothingLent()
@@ -122,7 +124,7 @@
 	case message.Reported:
 		c.report(m.Report)
 	case message.Received:
-		for _, fresh := range c.members.received(m.Batch) {
+		for _, fresh := range c.members.Received(m.Batch) {
 			c.message(m.Batch.From, fresh)
 		}
 	case message.Tick:
@@ -138,7 +140,7 @@
 	case message.Commanded:
 		c.keeping.Commanded(m)
 	case message.PeerActs:
-		c.members.acts(m.Peer)
+		c.members.Acts(m.Peer)
 	case message.Rented:
 		c.rented(m)
 	case message.Deleted:
@@ -194,16 +196,16 @@
 	}
 	switch {
 	case f.Node != "":
-		c.members.absent(f.Node)
+		c.members.Absent(f.Node)
 		c.checkView()
 	case f.Job != "":
 		c.jobOver(f.Job)
 	case f.Machine != "":
-		if !c.registrar.inBlock(f.Machine) { // else it has moved into a block
+		if !c.registrar.InBlock(f.Machine) { // else it has moved into a block
 			c.machineGone(f.Machine)
 		}
 	case f.Block != "":
-		for _, id := range c.registrar.blockGone(f.Block) {
+		for _, id := range c.registrar.BlockGone(f.Block) {
 			c.machineGone(id)
 		}
 	case f.Reservation != "" || f.Window != "":
@@ -227,7 +229,7 @@
 	case f.Node != "":
 		var n bookkeeping.Node
 		if err = protocol.Decode(value, &n); err == nil {
-			c.members.present(f.Node, n)
+			c.members.Present(f.Node, n)
 			if !snapshot {
 				c.checkView()
 			}
@@ -245,7 +247,7 @@
 	case f.Block != "":
 		var b bookkeeping.Block
 		if err = protocol.Decode(value, &b); err == nil {
-			changed, gone := c.registrar.blockSeen(f.Block, b, version)
+			changed, gone := c.registrar.BlockSeen(f.Block, b, version)
 			for _, id := range gone {
 				c.machineGone(id)
 			}
@@ -275,7 +277,7 @@
 		c.refreshPromises()
 		c.watchSpots()
 		c.watchSlow()
-		c.keeping.ExpireSilent(c.members.allAdopted())
+		c.keeping.ExpireSilent(c.members.AllAdopted())
 		c.rebalance("")
 		c.keeping.Regular(c.levelTold)
 		c.flushBits()
@@ -288,15 +290,15 @@
 		c.sendRelays(false)
 		c.keeping.TakeStocks() // not in the step of the regular work: together they are long
 	}
-	c.registrar.write()
+	c.registrar.Write()
 	c.askMoreTables()
 	c.retryJobs()
 }
 
 func (c *Core) txnDone(m message.TxnDone) {
 	switch tag := m.Tag.(type) {
-	case viewTag:
-		c.members.viewWritten(m.Outcome)
+	case membership.ViewTag:
+		c.members.ViewWritten(m.Outcome)
 	case reservationTag:
 		delete(c.promised.write, tag.name)
 	case keeping.RegisterTag:
@@ -305,8 +307,8 @@
 		c.finishDone(tag, m.Outcome)
 	case bitsTag:
 		c.bitsDone(tag, m.Outcome)
-	case penTag:
-		c.registrar.written(tag, m.Outcome)
+	case registrar.Tag:
+		c.registrar.Written(tag, m.Outcome)
 	case keeping.RemoveTag:
 		c.keeping.RemovalDone(tag.Machine)
 	}
@@ -341,7 +343,7 @@
 		return
 	}
 	if keeper := c.Keeper(r.Machine); keeper != c.Self {
-		c.members.noteStray(r.Machine)
+		c.members.Stray(r.Machine)
 		c.Do(message.ReplyReport{Status: 421, ReportTo: keeper})
 		return
 	}
@@ -349,7 +351,7 @@
 }
 
 // checkView has the view changed if it should be.
-func (c *Core) checkView() { c.members.checkView(c.keeping.WantsTerm()) }
+func (c *Core) checkView() { c.members.Check(c.keeping.WantsTerm()) }
 
 // actingPeers lists the other controllers known to act now.
-func (c *Core) actingPeers() []protocol.NodeName { return c.members.actingPeers() }
+func (c *Core) actingPeers() []protocol.NodeName { return c.members.ActingPeers() }
--- a/internal/coordination/forward_test.go
+++ b/internal/coordination/forward_test.go
@@ -81,7 +81,7 @@
 	}
 	out := newBench(t, "node-1")
 	out.step(message.PeerActs{Peer: "node-1"})
-	if !out.c.members.othersAct() {
+	if !out.c.members.OthersAct() {
 		t.Error("not refused alone, though a peer acts")
 	}
 }
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -11,6 +11,7 @@
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/known"
+	"damsonkeel/internal/coordination/membership"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
@@ -57,7 +58,7 @@
 		b.put(bookkeeping.NodeKey(n), bookkeeping.Node{Session: v.Members[n]})
 	}
 	b.put(bookkeeping.ViewKey, v)
-	return b.step(message.TxnDone{Tag: viewTag{}, Outcome: message.OutcomeDone})
+	return b.step(message.TxnDone{Tag: membership.ViewTag{}, Outcome: message.OutcomeDone})
 }
 
 func (b *bench) machine(id protocol.MachineID, session protocol.Session) {
@@ -157,7 +158,7 @@
 	raised := func() (raised bool) {
 		for _, a := range b.step(message.Tick{}) {
 			c, ok := a.(message.Commit)
-			raised = raised || ok && c.Tag == viewTag{}
+			raised = raised || ok && c.Tag == membership.ViewTag{}
 		}
 		return raised
 	}
@@ -238,7 +239,7 @@
 		}
 	}
 	for _, a := range b.step(message.Tick{}) {
-		if c, ok := a.(message.Commit); ok && c.Tag == (viewTag{}) {
+		if c, ok := a.(message.Commit); ok && c.Tag == (membership.ViewTag{}) {
 			next = c.Txn.Then[0].Value.(bookkeeping.View)
 		}
 	}
--- a/internal/coordination/hearing.go
+++ b/internal/coordination/membership/hearing.go
@@ -1,4 +1,4 @@
-package coordination
+package membership
 
 import (
 	"slices"
@@ -48,7 +48,7 @@
 }
 
 // noteStray counts a report that belongs to another controller.
-func (ms *members) noteStray(m protocol.MachineID) {
+func (ms *Members) Stray(m protocol.MachineID) {
 	s := ms.hearing.astray[m]
 	if s.times > 0 && ms.Since(s.last) > straySpan {
 		s.times = 0
@@ -60,7 +60,7 @@
 }
 
 // deafNodes is what the next view should say of who can't be reached.
-func (ms *members) deafNodes(members map[protocol.NodeName]protocol.LeaseID) []protocol.NodeName {
+func (ms *Members) deafNodes(members map[protocol.NodeName]protocol.LeaseID) []protocol.NodeName {
 	var deaf []protocol.NodeName
 	for _, n := range ms.View.Deaf {
 		ended := n == ms.Self && ms.Since(ms.hearing.since) > ms.hearing.pause
--- a/internal/coordination/members.go
+++ b/internal/coordination/membership/members.go
@@ -1,19 +1,23 @@
-package coordination
+// Package membership decides who takes part: which controllers are present, when
+// the view changes, which of them workers can't reach, and what of a peer's
+// session is new.
+package membership
 
 import (
+	"slices"
+	"time"
+
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
-	"slices"
-	"time"
 )
 
-// members is who takes part: this controller's and the others' presence in the
+// Members is who takes part: this controller's and the others' presence in the
 // records, the view and when it is to change, and the peers' sessions.
-type members struct {
+type Members struct {
 	known.Part
 	nodes   map[protocol.NodeName]bookkeeping.Node // present in the records
 	writing bool                                   // a view
@@ -30,49 +34,50 @@
 	actingAt clock.Time    // when it last said that it may act
 }
 
-// viewTag marks the transaction that writes a view.
-type viewTag struct{}
+// ViewTag marks the transaction that writes a view.
+type ViewTag struct{}
 
-func newMembers(p known.Part) *members {
-	ms := &members{Part: p}
-	ms.reset()
+// New knows nobody yet.
+func New(p known.Part) *Members {
+	ms := &Members{Part: p}
+	ms.Reset()
 	return ms
 }
 
-// reset forgets everything a session knew.
-func (ms *members) reset() {
-	*ms = members{Part: ms.Part, nodes: map[protocol.NodeName]bookkeeping.Node{}, hearing: newHearing(), peers: map[protocol.NodeName]*link{}}
+// Reset forgets everything a session knew.
+func (ms *Members) Reset() {
+	*ms = Members{Part: ms.Part, nodes: map[protocol.NodeName]bookkeeping.Node{}, hearing: newHearing(), peers: map[protocol.NodeName]*link{}}
 }
 
-// present takes over that a controller is in the records.
-func (ms *members) present(name protocol.NodeName, n bookkeeping.Node) { ms.nodes[name] = n }
+// Present takes over that a controller is in the records.
+func (ms *Members) Present(name protocol.NodeName, n bookkeeping.Node) { ms.nodes[name] = n }
 
-// absent takes over that a controller's record has gone with its lease.
-func (ms *members) absent(name protocol.NodeName) { delete(ms.nodes, name) }
+// Absent takes over that a controller's record has gone with its lease.
+func (ms *Members) Absent(name protocol.NodeName) { delete(ms.nodes, name) }
 
-// isPresent reports whether a controller is in the records.
-func (ms *members) isPresent(name protocol.NodeName) bool {
+// IsPresent reports whether a controller is in the records.
+func (ms *Members) IsPresent(name protocol.NodeName) bool {
 	_, is := ms.nodes[name]
 	return is
 }
 
-// viewWritten takes the outcome of writing a view.
-func (ms *members) viewWritten(out message.Outcome) {
+// ViewWritten takes the outcome of writing a view.
+func (ms *Members) ViewWritten(out message.Outcome) {
 	ms.writing = false
 	if out != message.OutcomeDone {
 		ms.retry = ms.After(300 * time.Millisecond)
 	}
 }
 
-// acts notes that a peer says it may act.
-func (ms *members) acts(name protocol.NodeName) {
+// Acts notes that a peer says it may act.
+func (ms *Members) Acts(name protocol.NodeName) {
 	if p := ms.peers[name]; p != nil {
 		p.actingAt = ms.Now
 	}
 }
 
-// adopt takes over a new view.
-func (ms *members) adopt(v bookkeeping.View, version protocol.Version) {
+// Adopt takes over a new view.
+func (ms *Members) Adopt(v bookkeeping.View, version protocol.Version) {
 	ms.View, ms.ViewVersion = v, version
 	clear(ms.Keepers)
 	ms.retry = 0
@@ -95,7 +100,7 @@
 // checkView raises the term when the view does not name exactly the
 // controllers that are present in the records, or when it is asked for. A
 // controller whose connection is refused stays; only a lapsed lease removes it.
-func (ms *members) checkView(raise bool) {
+func (ms *Members) Check(raise bool) {
 	if ms.Session == 0 || ms.Now >= ms.Until || ms.writing || ms.Now < ms.retry {
 		return
 	}
@@ -109,7 +114,7 @@
 	}
 	ms.writing = true
 	next := bookkeeping.View{Term: ms.View.Term + 1, Members: want, Deaf: deaf, Layout: layout}
-	ms.Do(message.Commit{Tag: viewTag{}, Txn: protocol.Txn{
+	ms.Do(message.Commit{Tag: ViewTag{}, Txn: protocol.Txn{
 		If: []protocol.Condition{
 			{Key: bookkeeping.ViewKey, Version: ms.ViewVersion},
 		},
@@ -120,7 +125,7 @@
 // wantMembers is who should be in the view, and how machines are recorded then:
 // in the latest way that all of them know. Once it is in use, who does not know
 // it stays out: it would miss machines that may hold tasks.
-func (ms *members) wantMembers() (map[protocol.NodeName]protocol.LeaseID, bookkeeping.Layout) {
+func (ms *Members) wantMembers() (map[protocol.NodeName]protocol.LeaseID, bookkeeping.Layout) {
 	want := map[protocol.NodeName]protocol.LeaseID{}
 	least := bookkeeping.LayoutBlocks
 	for name, n := range ms.nodes {
@@ -146,9 +151,9 @@
 	return true
 }
 
-// received takes a peer's batch, and returns what is new in it. Batches of ended
+// Received takes a peer's batch, and returns what is new in it. Batches of ended
 // sessions are dropped: the network may hold them back for minutes.
-func (ms *members) received(b message.Batch) (fresh []message.PeerMessage) {
+func (ms *Members) Received(b message.Batch) (fresh []message.PeerMessage) {
 	reply := ms.standing(&b)
 	if reply == message.BatchTaken {
 		p := ms.peers[b.From]
@@ -165,7 +170,7 @@
 }
 
 // standing is what becomes of a batch by its sessions and its term.
-func (ms *members) standing(b *message.Batch) message.BatchReply {
+func (ms *Members) standing(b *message.Batch) message.BatchReply {
 	ours := b.ToSession == ms.Session
 	switch between := ours && ms.Member() && ms.View.Members[b.From] == b.FromSession; {
 	case ours && b.Term > ms.View.Term:
@@ -178,9 +183,9 @@
 	return message.BatchStale
 }
 
-// allAdopted reports whether every member is known to act on this term, so
+// AllAdopted reports whether every member is known to act on this term, so
 // that nobody answers workers by an older one any more.
-func (ms *members) allAdopted() bool {
+func (ms *Members) AllAdopted() bool {
 	for _, p := range ms.peers {
 		if p.term < ms.View.Term {
 			return false
@@ -189,14 +194,14 @@
 	return true
 }
 
-// othersAct reports whether another controller is known to act now. One that may
+// OthersAct reports whether another controller is known to act now. One that may
 // not act itself is then refused by the state service alone; otherwise the
 // service is out for all, or nobody can be heard.
-func (ms *members) othersAct() bool { return len(ms.actingPeers()) > 0 }
+func (ms *Members) OthersAct() bool { return len(ms.ActingPeers()) > 0 }
 
-// actingPeers lists the other controllers known to act now. They say so
+// ActingPeers lists the other controllers known to act now. They say so
 // themselves; to one that they have left out of the view, in their answers.
-func (ms *members) actingPeers() []protocol.NodeName {
+func (ms *Members) ActingPeers() []protocol.NodeName {
 	var names []protocol.NodeName
 	for name, p := range inorder.Of(ms.peers) {
 		if name != ms.Self && p.actingAt != 0 && ms.Since(p.actingAt) < 3*ms.Op.RelayEvery {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -14,6 +14,7 @@
 	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/registrar"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
 )
@@ -135,7 +136,7 @@
 			until = n.core.Until
 		}
 		n.actingUntil.Store(int64(until))
-		n.waitsOut.Store(until != 0 && !n.core.members.othersAct())
+		n.waitsOut.Store(until != 0 && !n.core.members.OthersAct())
 		n.carryOut(ctx, actions)
 		if e.reply != nil {
 			e.reply(actions)
@@ -256,7 +257,7 @@
 	switch tag.(type) {
 	case bitsTag:
 		return bookkeeping.Spare
-	case keeping.RegisterTag, keeping.RemoveTag, penTag:
+	case keeping.RegisterTag, keeping.RemoveTag, registrar.Tag:
 		return bookkeeping.Later
 	}
 	return bookkeeping.First
--- a/internal/coordination/pen_test.go
+++ b/internal/coordination/pen_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/membership"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/registrar"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
 )
@@ -57,7 +59,7 @@
 		if !ok {
 			continue
 		}
-		if _, pen := c.Tag.(penTag); pen {
+		if _, pen := c.Tag.(registrar.Tag); pen {
 			r.changes += len(c.Txn.Then)
 		}
 		out := message.OutcomeDone
@@ -124,7 +126,7 @@
 	r.settle(10)
 	lost := 2
 	r.outcome = func(c message.Commit) message.Outcome {
-		if _, pen := c.Tag.(penTag); pen && lost > 0 {
+		if _, pen := c.Tag.(registrar.Tag); pen && lost > 0 {
 			lost--
 			return message.OutcomeUnknown
 		}
@@ -174,7 +176,7 @@
 	epoch := r.c.machines["vm-000000"].Epoch
 	r.wave(1, 2) // comes back with a later session: moves into a block
 	r.settle(5)
-	_, inBlock := r.c.registrar.shelf.Where("vm-000000")
+	inBlock := r.c.registrar.InBlock("vm-000000")
 	if m := r.c.machines["vm-000000"]; m == nil || !inBlock || m.Epoch <= epoch {
 		t.Fatalf("not moved into a block: %+v", m)
 	}
@@ -183,8 +185,8 @@
 	}
 	r.now += Time(r.c.LeaseOver())
 	r.settle(60)
-	if len(r.c.machines) != 0 || r.c.registrar.shelf.Len() != 0 || len(r.state.List(bookkeeping.FollowedPrefix)) != 2 {
-		t.Errorf("%d machines, %d blocks, records %v", len(r.c.machines), r.c.registrar.shelf.Len(), r.state.List(bookkeeping.FollowedPrefix))
+	if len(r.c.machines) != 0 || r.c.registrar.Blocks() != 0 || len(r.state.List(bookkeeping.FollowedPrefix)) != 2 {
+		t.Errorf("%d machines, %d blocks, records %v", len(r.c.machines), r.c.registrar.Blocks(), r.state.List(bookkeeping.FollowedPrefix))
 	}
 }
 
@@ -196,11 +198,11 @@
 	// node records a controller, and returns the view that is written for it.
 	node := func(name protocol.NodeName, session protocol.LeaseID, l bookkeeping.Layout) (v bookkeeping.View) {
 		for _, a := range append(b.put(bookkeeping.NodeKey(name), bookkeeping.Node{Session: session, Layout: l}), b.step(message.Tick{})...) {
-			if c, ok := a.(message.Commit); ok && c.Tag == (viewTag{}) {
+			if c, ok := a.(message.Commit); ok && c.Tag == (membership.ViewTag{}) {
 				v = c.Txn.Then[0].Value.(bookkeeping.View)
 			}
 		}
-		b.step(message.TxnDone{Tag: viewTag{}, Outcome: message.OutcomeDone})
+		b.step(message.TxnDone{Tag: membership.ViewTag{}, Outcome: message.OutcomeDone})
 		return v
 	}
 	node("node-0", 100, bookkeeping.LayoutBlocks)
--- a/internal/coordination/pen.go
+++ b/internal/coordination/registrar/registrar.go
@@ -1,4 +1,6 @@
-package coordination
+// Package registrar keeps the records of machines: several in one block, written
+// by one member at a time (docs/machine-records.md).
+package registrar
 
 import (
 	"time"
@@ -12,33 +14,37 @@
 	"damsonkeel/internal/protocol"
 )
 
-// registrar keeps the records of machines: the blocks as they are, and, where this
+// Registrar keeps the records of machines: the blocks as they are, and, where this
 // controller is the one member that writes them in a term, what it has to write.
 // Only one does, so that no machine is ever in two blocks.
-type registrar struct {
+type Registrar struct {
 	known.Part
 	shelf *blocks.Shelf
 	pen
 }
 
-func newRegistrar(p known.Part) *registrar {
-	g := &registrar{Part: p}
-	g.reset()
+// New knows no records yet.
+func New(p known.Part) *Registrar {
+	g := &Registrar{Part: p}
+	g.Reset()
 	return g
 }
 
-// reset forgets everything a session knew.
-func (g *registrar) reset() { g.shelf, g.pen = blocks.NewShelf(), newPen() }
+// Reset forgets everything a session knew.
+func (g *Registrar) Reset() { g.shelf, g.pen = blocks.NewShelf(), newPen() }
 
-// adopted forgets what was to be written in the term before.
-func (g *registrar) adopted() { g.pen = newPen() }
+// Adopted forgets what was to be written in the term before.
+func (g *Registrar) Adopted() { g.pen = newPen() }
 
-// inBlock reports whether a machine's record is in a block.
-func (g *registrar) inBlock(id protocol.MachineID) bool {
+// InBlock reports whether a machine's record is in a block.
+func (g *Registrar) InBlock(id protocol.MachineID) bool {
 	_, in := g.shelf.Where(id)
 	return in
 }
 
+// Blocks is how many blocks there are.
+func (g *Registrar) Blocks() int { return g.shelf.Len() }
+
 // pen is what is to be written in a term.
 type pen struct {
 	asked   map[protocol.MachineID]message.RecordChange
@@ -56,7 +62,8 @@
 	return pen{asked: map[protocol.MachineID]message.RecordChange{}, writing: map[string]clock.Time{}, bound: map[protocol.MachineID]string{}}
 }
 
-type penTag struct {
+// Tag marks the transaction that writes blocks.
+type Tag struct {
 	writes  []blocks.Write
 	dropped []protocol.MachineID // whose records of their own go
 }
@@ -69,19 +76,19 @@
 	penPause   = 300 * time.Millisecond
 )
 
-// wanted takes note of what a keeper asks for. What was asked for before
+// Wanted takes note of what a keeper asks for. What was asked for before
 // for the same machine is out of date.
-func (g *registrar) wanted(r message.RecordChange) {
+func (g *Registrar) Wanted(r message.RecordChange) {
 	if r.Term == g.View.Term && g.InBlocks() && g.Registrar() == g.Self {
 		g.pen.asked[r.Machine] = r
 	}
 }
 
-// write writes the records that are asked for, as many at a time as one
+// Write writes the records that are asked for, as many at a time as one
 // transaction holds. It holds only in the present view, like every record of a
 // machine: who reads the records after a new view misses none, and a registrar
 // that others have replaced writes nothing.
-func (g *registrar) write() {
+func (g *Registrar) Write() {
 	p := &g.pen
 	if len(p.asked) == 0 || p.busy || g.Now < p.retryAt || !g.Acting() {
 		return
@@ -93,7 +100,7 @@
 		txn.If = append(txn.If, protocol.Condition{Key: key, Version: version})
 		txn.Then = append(txn.Then, protocol.Change{Delete: key})
 	}
-	var tag penTag
+	var tag Tag
 	var changes []blocks.Change
 	for id, r := range inorder.Of(p.asked) {
 		ch, due := g.blockChange(id, r)
@@ -143,7 +150,7 @@
 }
 
 // blockChange is what a machine's record needs still, if anything.
-func (g *registrar) blockChange(id protocol.MachineID, r message.RecordChange) (ch blocks.Change, due bool) {
+func (g *Registrar) blockChange(id protocol.MachineID, r message.RecordChange) (ch blocks.Change, due bool) {
 	m := g.Records[id]
 	have := protocol.Version(0)
 	if m != nil {
@@ -165,9 +172,9 @@
 	return ch, m != nil || r.To != nil
 }
 
-// written takes the outcome. Only a change that is seen in the records
+// Written takes the outcome. Only a change that is seen in the records
 // counts; until then a block that may have been written is left alone.
-func (g *registrar) written(tag penTag, out message.Outcome) {
+func (g *Registrar) Written(tag Tag, out message.Outcome) {
 	p := &g.pen
 	p.busy = false
 	if out == message.OutcomeDone {
@@ -182,15 +189,15 @@
 	}
 }
 
-// blockSeen takes over a block's record, and returns the machines whose records
+// BlockSeen takes over a block's record, and returns the machines whose records
 // have changed by that, and those whose records have gone.
-func (g *registrar) blockSeen(name string, b bookkeeping.Block, version protocol.Version) (changed []bookkeeping.BlockEntry, gone []protocol.MachineID) {
+func (g *Registrar) BlockSeen(name string, b bookkeeping.Block, version protocol.Version) (changed []bookkeeping.BlockEntry, gone []protocol.MachineID) {
 	delete(g.pen.writing, name)
 	return g.shelf.Set(name, version, b.Machines)
 }
 
-// blockGone: a block's record was deleted, and those of the machines returned.
-func (g *registrar) blockGone(name string) []protocol.MachineID {
+// BlockGone: a block's record was deleted, and those of the machines returned.
+func (g *Registrar) BlockGone(name string) []protocol.MachineID {
 	delete(g.pen.writing, name)
 	return g.shelf.Drop(name)
 }
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -177,7 +177,7 @@
 		return
 	}
 	if r.Acting {
-		c.members.acts(from)
+		c.members.Acts(from)
 	}
 	p.demand = r.Demand
 	if from != c.Self {
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -14,8 +14,8 @@
 	old := c.View
 	consecutive := old.Term != 0 && v.Term == old.Term+1
 	wasMember := c.Member()
-	c.members.adopt(v, version)
-	c.registrar.adopted()
+	c.members.Adopt(v, version)
+	c.registrar.Adopted()
 	c.keeping.Settled()
 	c.adoptPeers(v)
 	c.keeping.ForgetOwners(old)
@@ -79,7 +79,7 @@
 	case m.Drain != nil:
 		c.keeping.Drain(*m.Drain)
 	case m.Record != nil:
-		c.registrar.wanted(*m.Record)
+		c.registrar.Wanted(*m.Record)
 	case m.AskTable:
 		c.sendTable(from)
 	case m.Table != nil:
