--- a/cmd/damsonkeel/calendar.go
+++ b/cmd/damsonkeel/calendar.go
@@ -235,6 +235,9 @@
 	if len(reply.Beside) > 0 {
 		fmt.Println("overlaps, and fits beside:", names(reply.Beside))
 	}
+	if len(reply.Controllers) > 0 {
+		printShares(reply)
+	}
 	if len(reply.Reservations) > 0 {
 		printReservations(reply.Reservations)
 	}
--- a/cmd/damsonkeel/main.go
+++ b/cmd/damsonkeel/main.go
@@ -16,6 +16,7 @@
 	Run     runCommand     `cmd:"" default:"withargs" help:"Run a controller; the command if none is named."`
 	Reserve reserveCommand `cmd:"" help:"Reservations: room for a job at a time."`
 	Window  windowCommand  `cmd:"" help:"Maintenance windows: nothing new starts on what they cover."`
+	Shares  sharesCommand  `cmd:"" help:"Shares of the machines: which controller keeps which."`
 	Key     keyCommand     `cmd:"" help:"Make an operator's key."`
 	Emulate emulateCommand `cmd:"" help:"Play a site in simulated time, with simulated machines."`
 
--- a/cmd/damsonkeel/run.go
+++ b/cmd/damsonkeel/run.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination"
@@ -41,7 +43,19 @@
 	runtime.GOMAXPROCS(1) // a small share of one core: more threads only take turns
 	debug.SetMemoryLimit(int64(settings.Site.Limits.MemoryMB * 0.6 * (1 << 20)))
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-	return coordination.NewNode(settings, op, log).Run(context.Background())
+	node := coordination.NewNode(settings, op, log)
+	go leaveOnSignal(node)
+	return node.Run(context.Background())
+}
+
+// leaveOnSignal has a controller hand over what it keeps when it is told to end by
+// a signal; by a second one it ends at once.
+func leaveOnSignal(node *coordination.Node) {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, os.Interrupt)
+	<-told
+	signal.Reset()
+	node.Leave()
 }
 
 func logLevel(s string) (slog.Level, error) {
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -67,6 +67,7 @@
 	Machine protocol.MachineID
 	Block   string
 
+	Shares      bool
 	Calendar    bool
 	Held        bool
 	Reservation EntryName
@@ -78,6 +79,9 @@
 	if key == ViewKey {
 		return Followed{View: true}, true
 	}
+	if key == SharesKey {
+		return Followed{Shares: true}, true
+	}
 	if n, ok := strings.CutPrefix(key, nodePrefix); ok {
 		return Followed{Node: protocol.NodeName(n)}, true
 	}
@@ -105,7 +109,7 @@
 	return Followed{}, false
 }
 
-// Layout is how machines' sessions are recorded.
+// Layout is how machines' sessions, and who keeps them, are recorded.
 type Layout int
 
 // The layouts. Views and nodes that name none are of versions that know only
@@ -113,6 +117,7 @@
 const (
 	LayoutSingle Layout = 1 // each in a record of its own
 	LayoutBlocks Layout = 2 // several in one record
+	LayoutShares Layout = 3 // the same, and shares of the machines have their holders in a record
 )
 
 // View is who may act in a term: the controllers with their sessions.
--- a/internal/bookkeeping/state.go
+++ b/internal/bookkeeping/state.go
@@ -269,6 +269,11 @@
 	return s.do(ctx, "POST", "/holds/"+strconv.FormatUint(uint64(id), 10)+"/extend", struct{}{}, nil)
 }
 
+// Release ends a lease at once, and with it the keys attached to it.
+func (s *State) Release(ctx context.Context, id protocol.LeaseID) error {
+	return s.do(ctx, "DELETE", fmt.Sprintf("/holds/%d", id), nil, nil)
+}
+
 // Follow waits for changes of keys with a prefix after a revision. Each change
 // ends a watch, and opening the next is a request too: many changes in a row
 // would use up the rate that leases need, so no more than a quarter of this
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -105,6 +105,7 @@
 		t.Errorf("%+v, %v", op, err)
 	}
 	for text, named := range map[string]string{
+		`<damsonkeel><machineShares>some</machineShares></damsonkeel>`:   "some",
 		`<damsonkeel><machineRecords>both</machineRecords></damsonkeel>`: "both",
 		`<damsonkeel><nodeLeese>9s</nodeLeese></damsonkeel>`:             "nodeLeese",
 		`<damsonkeel><nodeLease>soon</nodeLease></damsonkeel>`:           "soon",
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -30,6 +30,8 @@
 	// SingleRecords keeps the record of each machine apart, as versions before
 	// blocks of records did.
 	SingleRecords bool
+	// NoShares has machines kept as versions before shares of them did.
+	NoShares bool
 	// OperatorKeys is the file of the keys that operators' requests are sealed
 	// with; empty: no such request is taken.
 	OperatorKeys string
@@ -94,6 +96,12 @@
 			return nil
 		},
 		"machines": machines(&op),
+		"machineShares": func(text string) error {
+			if op.NoShares = text == "off"; !op.NoShares && text != "on" {
+				return fmt.Errorf("%q is none of its values", text)
+			}
+			return nil
+		},
 		"machineRecords": func(text string) error {
 			if op.SingleRecords = text == "single"; !op.SingleRecords && text != "blocks" {
 				return fmt.Errorf("%q is none of its values", text)
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -52,6 +52,9 @@
 	// promised is the calendar: reservations and windows.
 	promised promises
 
+	leaving    bool    // the process is to end
+	lateMS     float64 // how late ticks come, on average
+	lastTick   Time
 	lastRelay  Time
 	nextPlaced Time // not placed again before
 	// movedUpTo is the machine at which the last rebalance left the rest to the
@@ -127,9 +130,13 @@
 		for _, fresh := range c.members.Received(m.Batch) {
 			c.message(m.Batch.From, fresh)
 		}
+	case message.Leave:
+		c.leaving = true
 	case message.Tick:
+		c.noteTick()
 		c.TellTime(m.WallMS)
 		c.setShare()
+		c.members.MoveAsked()
 		c.tick()
 	case message.StateAsked:
 		c.rates.Used(m.Amount)
@@ -149,6 +156,7 @@
 		c.listed(m)
 	}
 	c.settle()
+	c.members.ChangeShares(c.keeping.WantedShares())
 	c.keeping.Push()
 	return c.Actions
 }
@@ -198,6 +206,8 @@
 	case f.Node != "":
 		c.members.Absent(f.Node)
 		c.checkView()
+	case f.Shares:
+		c.SharesVersion = 0 // lost: written again as it is known here
 	case f.Job != "":
 		c.jobOver(f.Job)
 	case f.Machine != "":
@@ -255,6 +265,11 @@
 				c.machineRegistered(e.ID, e.Machine, e.Epoch)
 			}
 		}
+	case f.Shares:
+		var s bookkeeping.Shares
+		if err = protocol.Decode(value, &s); err == nil && version > c.SharesVersion {
+			c.adoptShares(&s, version)
+		}
 	case f.Held:
 		err = c.heldBefore(value)
 	case f.Calendar || f.Reservation != "" || f.Window != "":
@@ -277,16 +292,20 @@
 		c.refreshPromises()
 		c.watchSpots()
 		c.watchSlow()
-		c.keeping.ExpireSilent(c.members.AllAdopted())
+		c.keeping.ExpireSilent(c.members.AllAdopted(), c.members.SharesFloor())
 		c.rebalance("")
 		c.keeping.Regular(c.levelTold)
 		c.flushBits()
 		c.sendRelays(true)
+		c.members.Balance()
 		c.fleetStep()
 	} else {
 		if c.movedUpTo != "" {
 			c.rebalance(c.movedUpTo)
 		}
+		if c.leaving {
+			c.flushBits()
+		}
 		c.sendRelays(false)
 		c.keeping.TakeStocks() // not in the step of the regular work: together they are long
 	}
@@ -297,6 +316,8 @@
 
 func (c *Core) txnDone(m message.TxnDone) {
 	switch tag := m.Tag.(type) {
+	case membership.SharesTag:
+		c.members.SharesWritten(m.Outcome)
 	case membership.ViewTag:
 		c.members.ViewWritten(m.Outcome)
 	case reservationTag:
@@ -338,12 +359,13 @@
 
 // report answers a worker, or points it to the controller that keeps it.
 func (c *Core) report(r protocol.Report) {
-	if r.Term > c.View.Term || !c.Acting() {
+	c.Highest = max(c.Highest, r.Term)
+	if r.Term > c.Token(r.Machine, r.Zone) || !c.Acting() {
 		c.Do(message.ReplyReport{Status: 503}) // where somebody has raised the term: until it is read
 		return
 	}
-	if keeper := c.Keeper(r.Machine); keeper != c.Self {
-		c.members.Stray(r.Machine)
+	if keeper := c.KeeperIn(r.Machine, r.Zone); keeper != c.Self {
+		c.members.Stray(r.Machine, r.Zone)
 		c.Do(message.ReplyReport{Status: 421, ReportTo: keeper})
 		return
 	}
@@ -355,3 +377,33 @@
 
 // actingPeers lists the other controllers known to act now.
 func (c *Core) actingPeers() []protocol.NodeName { return c.members.ActingPeers() }
+
+// lateMemory is the part of what was known of its lateness that a tick leaves.
+const lateMemory = 0.98
+
+// noteTick learns how late ticks come: by how much the time between two exceeds
+// what it should be.
+func (c *Core) noteTick() {
+	if c.lastTick != 0 {
+		late := max(0, c.Since(c.lastTick)-tickEvery)
+		c.lateMS = lateMemory*c.lateMS + (1-lateMemory)*float64(late)/float64(time.Millisecond)
+	}
+	c.lastTick = c.Now
+}
+
+// HandedOver reports whether a controller that is told to end may: it keeps no
+// machines, and what it knows of its jobs is written.
+func (c *Core) HandedOver() bool {
+	if !c.leaving {
+		return false // not noticed yet
+	}
+	if !c.Member() {
+		return true
+	}
+	for _, o := range c.owner.jobs {
+		if len(o.dirty) > 0 || o.writing || o.ending {
+			return false
+		}
+	}
+	return c.keeping.SharesKept() == 0
+}
--- a/internal/coordination/events.go
+++ b/internal/coordination/events.go
@@ -33,6 +33,12 @@
 				m.refused = true
 			}
 		}
+		if c.refillable(o, t) {
+			c.unplace(o, t)
+			o.pending.Set(uint(t.task.Index))
+			c.owner.dirty = true
+			return
+		}
 		c.gone(o, t)
 	case message.WhatPresent, message.WhatRunning:
 		if mine {
@@ -46,6 +52,9 @@
 		}
 	case message.WhatEnded:
 		c.taskEnded(o, t, mine, e)
+		if c.leaving {
+			return // listed until its next owner has taken it: the bitmap may not be written any more
+		}
 		c.Send(c.Keeper(e.Machine), message.PeerMessage{Forget: &message.TaskRef{Task: e.Task, Attempt: e.Attempt, Machine: e.Machine}})
 	}
 }
--- a/internal/coordination/finish.go
+++ b/internal/coordination/finish.go
@@ -81,7 +81,7 @@
 			txn.Then = append(txn.Then, protocol.Change{Put: bookkeeping.BitsKey(o.ID, chunk), Value: bookkeeping.EncodeChunk(o.done, chunk)})
 		}
 		clear(o.dirty)
-		o.writing = true
+		o.writing, o.underWay = true, tag.chunks
 		c.Do(message.Commit{Tag: tag, Txn: txn})
 	}
 }
@@ -91,7 +91,7 @@
 	if o == nil {
 		return
 	}
-	o.writing = false
+	o.writing, o.underWay = false, nil
 	if out != message.OutcomeDone {
 		for _, chunk := range tag.chunks {
 			o.dirty[chunk] = true
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -330,7 +330,7 @@
 
 // dropRecord deletes the record of a machine that the cloud says is gone.
 func (c *Core) dropRecord(m *machineEntry) {
-	c.ChangeRecord(keeping.RemoveTag{Machine: m.ID}, m.ID, m.Epoch, nil)
+	c.ChangeRecord(keeping.RemoveTag{Machine: m.ID}, message.RecordChange{Machine: m.ID, Have: m.Epoch})
 }
 
 func (c *Core) listed(m message.Listed) {
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -19,6 +20,9 @@
 // of its last attempt is left.
 func (c *Core) placeGang(o *ownedJob, usage map[protocol.Team]room.Amount, cl *claims) []message.Placement {
 	n := int(o.Tasks)
+	if len(o.placed) > 0 && o.together() {
+		return c.refill(o, usage, cl)
+	}
 	if len(o.placed) > 0 || o.unknown || !c.withinLimit(o, usage, n) {
 		return nil
 	}
@@ -37,9 +41,13 @@
 
 // placeGangIn places a gang in a zone, or in any if none is named.
 func (c *Core) placeGangIn(o *ownedJob, zone protocol.Zone, cl *claims) []message.Placement {
+	return c.placeTogether(o, c.nextAttempt(), map[protocol.Zone]int{}, zone, cl)
+}
+
+// placeTogether places all pending tasks of a gang under one attempt, or none, given
+// the zones of the others.
+func (c *Core) placeTogether(o *ownedJob, attempt protocol.Attempt, zones map[protocol.Zone]int, zone protocol.Zone, cl *claims) []message.Placement {
 	undo := cl.tried()
-	zones := map[protocol.Zone]int{}
-	attempt := c.nextAttempt()
 	from := c.candidatesFor(o, zones, cl)
 	if zone != "" || len(cl.gangs) > 0 {
 		from.only(func(m *machineEntry) bool {
@@ -47,7 +55,7 @@
 		})
 	}
 	var out []message.Placement
-	for i := range o.Tasks {
+	for i, ok := o.pending.NextSet(0); ok; i, ok = o.pending.NextSet(i + 1) {
 		m := from.smallest(zones)
 		if m == nil {
 			for _, p := range out { // all or none
@@ -59,11 +67,52 @@
 			undo()
 			return nil
 		}
-		out = append(out, c.putOn(from, i, m, attempt, zones))
+		out = append(out, c.putOn(from, uint32(i), m, attempt, zones))
 	}
 	return out
 }
 
+// refillable reports whether a task of a gang that its keeper has released, never
+// sent, can be placed again under the same attempt: while nothing of the gang is
+// being stopped, as the others only wait for it.
+func (c *Core) refillable(o *ownedJob, t *placedTask) bool {
+	if !o.together() || o.unknown || t.started || t.moving || t.uncertain || len(o.placed) < 2 {
+		return false
+	}
+	for _, other := range o.placed {
+		if other.stopping || other.attempt != t.attempt {
+			return false
+		}
+	}
+	return true
+}
+
+// refill places what of a gang was released, under the attempt of the others; or has
+// these stopped, if there is no place for it.
+func (c *Core) refill(o *ownedJob, usage map[protocol.Team]room.Amount, cl *claims) []message.Placement {
+	n := int(o.pending.Count())
+	if o.unknown || n+len(o.placed) != int(o.Tasks) {
+		return nil
+	}
+	var attempt protocol.Attempt
+	for _, t := range o.placed {
+		if t.stopping {
+			return nil
+		}
+		attempt = t.attempt
+	}
+	if c.withinLimit(o, usage, n) {
+		if out := c.placeTogether(o, attempt, o.zones(), "", cl); out != nil {
+			c.use(o, usage, n)
+			return out
+		}
+	}
+	for _, t := range inorder.Tasks(o.placed) {
+		c.askStop(t, true, known.GraceS(&o.Job))
+	}
+	return nil
+}
+
 // gangZones lists the zones to try for a gang: any, unless its tasks have to
 // be in the same one. Then those that can hold it come in the order of what
 // they have room for now.
--- a/internal/coordination/insight.go
+++ b/internal/coordination/insight.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/protocol"
 )
 
@@ -14,6 +15,9 @@
 	Queues int // machines kept
 	Heard  int // of these, registered and known to have nothing but what is listed
 	Holds  []calendar.Hold
+	Shares int // kept; 0 where there are none
+	// Misplaced are machines kept though their share is not.
+	Misplaced []protocol.MachineID
 	// Waits are the machines whose table entry is not empty: work that is there
 	// or announced.
 	Waits []protocol.MachineID
@@ -21,7 +25,14 @@
 
 // Look tells what can be seen of it.
 func (c *Core) Look() Insight {
-	in := Insight{Term: c.View.Term, Queues: len(c.keeping.Machines()), Heard: c.keeping.Heard(), Holds: c.promised.List}
+	in := Insight{Term: c.View.Term, Queues: len(c.keeping.Machines()), Heard: c.keeping.Heard(), Shares: c.keeping.SharesKept(), Holds: c.promised.List}
+	if c.Sharing() && c.Member() {
+		for _, id := range c.keeping.Machines() {
+			if m := c.Records[id]; m != nil && c.Keeper(id) != c.Self {
+				in.Misplaced = append(in.Misplaced, id)
+			}
+		}
+	}
 	for _, m := range c.machinesInOrder() {
 		if len(m.coming) > 0 || m.wait() != 0 {
 			in.Waits = append(in.Waits, m.ID)
@@ -52,3 +63,6 @@
 	}
 	return b.String()
 }
+
+// MovesEnded returns the moves of shares that ended here since it was asked last.
+func (c *Core) MovesEnded() []keeping.Moved { return c.keeping.MovesEnded() }
--- a/internal/coordination/intake.go
+++ b/internal/coordination/intake.go
@@ -130,7 +130,7 @@
 // 200: requests get their 503 and when to come back at once, and the load
 // balancer need not find every controller healthy anew when it is over.
 func (in *intake) up(reply transport.Reply) {
-	if !in.n.acting() && !in.n.waitsOut.Load() || in.n.types.Load() == nil {
+	if in.n.leaving.Load() || !in.n.acting() && !in.n.waitsOut.Load() || in.n.types.Load() == nil {
 		reply(failure(503, "not ready"))
 		return
 	}
--- a/internal/coordination/keeping/direct.go
+++ b/internal/coordination/keeping/direct.go
@@ -30,7 +30,7 @@
 	woken := k.pushing
 	k.pushing = nil
 	for _, q := range woken {
-		if !q.push || q.commanding || k.queues[q.id] != q {
+		if !q.push || q.commanding || k.queues[q.id] != q || k.frozen(q) {
 			continue // one with a command under way is woken by its answer
 		}
 		q.push = false
@@ -47,12 +47,12 @@
 		}
 		for _, e := range q.entries {
 			if e.sent && !before[e] {
-				e.direct = k.View.Term
+				e.direct = k.token(q)
 			}
 		}
 		q.commanding = true
 		k.Do(message.Command{Machine: q.id, Address: q.addr, Commands: protocol.Commands{
-			Term: k.View.Term, Session: q.session, Orders: orders,
+			Term: k.token(q), Session: q.session, Orders: orders,
 		}})
 	}
 }
@@ -64,6 +64,9 @@
 		return
 	}
 	q.commanding = false
+	if k.frozen(q) {
+		return // the next report tells
+	}
 	if q.push {
 		q.push = false
 		k.wake(q)
@@ -83,20 +86,26 @@
 		}
 	}
 	r := m.Report
-	if !k.Acting() || r.Machine != q.id || r.Session != q.session || r.Seq <= q.seq || r.Term > k.View.Term {
+	if !k.Acting() || r.Machine != q.id || r.Session != q.session || r.Seq <= q.seq || r.Term > k.token(q) {
 		return
 	}
 	q.seq = r.Seq
 	k.takeReport(q, &r, false)
 }
 
-// settleDirect has the term raised for a direct start that had no answer and
+// settleDirect has the token raised, of its share or, where there are none, by a
+// new term, for a direct start that had no answer and
 // is not in its worker's report: a term that the worker has seen makes sure
 // that it is not executed from then on. While the worker is silent no term
 // settles anything, and most that stay silent are gone.
 func (k *Keeper) settleDirect(q *queue, e *entry) {
-	if !q.commanding && e.direct == k.View.Term {
-		k.Log.Info("a direct start had no answer: raising the term", "machine", q.id, "task", e.task)
+	if q.commanding || e.direct != k.token(q) {
+		return
+	}
+	k.Log.Info("a direct start had no answer: raising its token", "machine", q.id, "task", e.task, "token", e.direct)
+	if k.Sharing() {
+		k.shareOf(q).raise = e.direct
+	} else {
 		k.needsTerm = true
 	}
 }
--- a/internal/coordination/keeping/keeper.go
+++ b/internal/coordination/keeping/keeper.go
@@ -12,6 +12,7 @@
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/sharing"
 	"damsonkeel/internal/protocol"
 )
 
@@ -34,6 +35,9 @@
 	handled      map[protocol.NodeName]uint64 // number of the last Place handled, by owner
 	changed      relay.Log[protocol.MachineID]
 	needsTerm    bool // a start can only be settled by a later term
+	shares       map[sharing.ID]*share
+	staged       map[sharing.ID]*staged // handed over, to be taken
+	moved        []Moved                // that ended lately
 }
 
 // New keeps nothing yet.
@@ -48,6 +52,7 @@
 	*k = Keeper{Part: k.Part}
 	k.queues, k.sessionFloor = map[protocol.MachineID]*queue{}, map[protocol.MachineID]protocol.Session{}
 	k.handled = map[protocol.NodeName]uint64{}
+	k.shares, k.staged = map[sharing.ID]*share{}, map[sharing.ID]*staged{}
 }
 
 // levelOf tells the level of a job, if its owner has told it.
@@ -56,6 +61,7 @@
 // Drop forgets all queues: this controller is not in the view.
 func (k *Keeper) Drop() {
 	k.queues, k.kept, k.pushing = map[protocol.MachineID]*queue{}, nil, nil
+	k.shares, k.staged = map[sharing.ID]*share{}, map[sharing.ID]*staged{}
 }
 
 // ForgetOwners forgets what was counted of owners that have another session in
@@ -102,6 +108,9 @@
 // and for what room is held for.
 func (k *Keeper) Regular(level levelOf) {
 	for _, q := range k.queuesInOrder() {
+		if k.frozen(q) {
+			continue
+		}
 		k.preempt(q)
 		k.learnLevels(q, level)
 		k.clearHeld(q)
@@ -110,11 +119,16 @@
 
 // Recorded takes over a machine's record.
 func (k *Keeper) Recorded(m *known.Machine) {
-	if q := k.queues[m.ID]; q != nil && q.session == m.Record.Session {
+	q := k.queues[m.ID]
+	if q != nil && q.session < m.Record.Session {
+		// Registered by the keeper before, whose word of it came too late.
+		k.newSession(q, m.Record.Session)
+	}
+	if q != nil && q.session == m.Record.Session {
 		q.epoch, q.registering = m.Epoch, false
 		k.touch(q)
 	} else if q == nil && k.Member() && k.Keeper(m.ID) == k.Self {
-		k.keep(m.ID).registered(m)
+		k.keep(m.ID, m.Record.Zone).registered(m)
 	}
 }
 
@@ -137,13 +151,22 @@
 // JobOver: nothing of a job that is over may start or go on.
 func (k *Keeper) JobOver(id protocol.JobID) {
 	for _, q := range inorder.Of(k.queues) {
-		for _, e := range inorder.TasksWhere(q.entries, func(t protocol.TaskID, _ *entry) bool { return t.Job == id }) {
-			if !e.sent && !e.present {
-				k.dropWaiting(q, e)
-				k.tell(q, e, message.WhatReleased)
-			} else {
-				k.wake(q) // killed or reaped now, or by the next answer
-			}
+		if k.frozen(q) {
+			continue // when it goes on, or by who takes it
+		}
+		k.overIn(q, id)
+	}
+}
+
+// overIn releases what of a job that is over was never sent; the rest is killed
+// or reaped now, or by the next answer.
+func (k *Keeper) overIn(q *queue, id protocol.JobID) {
+	for _, e := range inorder.TasksWhere(q.entries, func(t protocol.TaskID, _ *entry) bool { return t.Job == id }) {
+		if !e.sent && !e.present {
+			k.dropWaiting(q, e)
+			k.tell(q, e, message.WhatReleased)
+		} else {
+			k.wake(q)
 		}
 	}
 }
--- a/internal/coordination/keeping/queue.go
+++ b/internal/coordination/keeping/queue.go
@@ -21,6 +21,8 @@
 	seq     protocol.Seq
 	info    protocol.TypeInfo
 	addr    string
+	zone    protocol.Zone
+	seen    protocol.Term // the highest token that its worker has said to have seen
 
 	entries map[protocol.TaskID]*entry
 	waiting []*entry // never sent, in order of service once sorted
@@ -31,10 +33,11 @@
 	told        bool                 // said is up to date
 	said        message.MachineState // what others are told
 	runs        []calendar.Run
-	contested   bool // something here might be stopped for something that waits; as said
-	inventoried bool // owners have an inventory of this term
-	known       bool // what is on the machine was reported since it is kept here
-	sole        bool // kept here without a break since the worker saw a term of that: nobody else can have started anything
+	contested   bool       // something here might be stopped for something that waits; as said
+	inventoried bool       // owners have an inventory of this term
+	known       bool       // what is on the machine was reported since it is kept here
+	stockAfter  clock.Time // no inventory is given before
+	sole        bool       // kept here without a break since the worker saw a term of that: nobody else can have started anything
 	registering bool
 	removing    bool
 	asked       clock.Time // when the registrar was last asked for either
@@ -104,23 +107,13 @@
 // Adopt goes over to a new view. Queues that stay here keep what they
 // know; the rest is dropped, for its new keeper's inventory to tell.
 func (k *Keeper) Adopt(old bookkeeping.View, keeps bool) {
-	kept := map[protocol.JobID]bool{} // jobs whose owner is the same, and its session
-	owned := func(j *known.LiveJob) bool {
-		same, seen := kept[j.ID]
-		if !seen {
-			owner := k.OwnerOf(j)
-			same = k.JobOwner(old, &j.Job) == owner && known.SameSession(old, k.View, owner)
-			kept[j.ID] = same
-		}
-		return same
-	}
 	released := map[protocol.NodeName][]message.TaskRef{}
-	lost := func(e *entry) bool {
-		j := k.Live[e.task.Job]
-		return !keeps || j == nil || !owned(j)
-	}
+	// What waits here for a job that has another owner now waits on: the inventory
+	// tells. Releasing it had the new owner place it anew once all machines were
+	// heard, and began gangs again of which the rest had started.
+	lost := func(e *entry) bool { return !keeps || k.Live[e.task.Job] == nil }
 	for _, q := range k.queuesInOrder() {
-		if k.Keeper(q.id) != k.Self {
+		if k.KeeperIn(q.id, q.zone) != k.Self {
 			k.dropQueue(q.id)
 			continue
 		}
@@ -152,19 +145,22 @@
 	}
 	for id, m := range k.Records {
 		if k.Keeper(id) == k.Self && k.queues[id] == nil {
-			k.keep(id).registered(m)
+			k.keep(id, m.Record.Zone).registered(m)
 		}
 	}
 	k.allSince = 0
+	k.adoptedView()
 }
 
 // releasedMost bounds the attempts that one message says were released.
 const releasedMost = 500
 
-// keep begins to keep a machine's queue.
-func (k *Keeper) keep(id protocol.MachineID) *queue {
+// keep begins to keep the queue of a machine of a zone. The zone is set from the
+// first: a queue of another share would never be let go, and its machine be taken
+// for silent.
+func (k *Keeper) keep(id protocol.MachineID, z protocol.Zone) *queue {
 	q := &queue{
-		id: id, session: k.sessionFloor[id], entries: map[protocol.TaskID]*entry{},
+		id: id, zone: z, session: k.sessionFloor[id], entries: map[protocol.TaskID]*entry{},
 		lastAnswer: k.Now, idleSince: k.Now, failed: map[protocol.JobID]bool{},
 	}
 	k.queues[id], k.kept = q, nil
@@ -191,7 +187,7 @@
 }
 
 func (q *queue) registered(m *known.Machine) {
-	q.epoch, q.info, q.addr = m.Epoch, m.Info, m.Record.Address
+	q.epoch, q.info, q.addr, q.zone = m.Epoch, m.Info, m.Record.Address, m.Record.Zone
 	q.session = max(q.session, m.Record.Session)
 }
 
@@ -264,7 +260,7 @@
 		// The term and the machine's record must be those the owner placed
 		// by: a placement held back by the network while the machine or the
 		// job went elsewhere and came back must not start anything.
-		if q == nil || k.IsOver(t.Task.Job) || p.Term != k.View.Term || q.epoch == 0 || q.epoch != t.Epoch || q.draining || q.notice != nil || q.suspect {
+		if q == nil || k.IsOver(t.Task.Job) || p.Term != k.View.Term || t.Tenure != k.Tenure(q.id, q.zone) || q.epoch == 0 || q.epoch != t.Epoch || q.draining || q.notice != nil || q.suspect || k.frozen(q) {
 			refuse()
 			continue
 		}
@@ -293,6 +289,9 @@
 
 // Stop releases an attempt never sent, or has it killed.
 func (k *Keeper) Stop(s message.Stop) {
+	if k.hold(s.Machine, heldMessage{stop: &s}) || k.passOn(s.Machine, message.PeerMessage{Stop: &s}) {
+		return
+	}
 	q := k.queues[s.Machine]
 	if q == nil {
 		return
@@ -315,6 +314,9 @@
 
 // Forget lets the worker drop an ended attempt that its owner has dealt with.
 func (k *Keeper) Forget(r message.TaskRef) {
+	if k.hold(r.Machine, heldMessage{forget: &r}) || k.passOn(r.Machine, message.PeerMessage{Forget: &r}) {
+		return
+	}
 	if q := k.queues[r.Machine]; q != nil {
 		if e := q.entries[r.Task]; e != nil && e.attempt == r.Attempt && e.ended() {
 			e.reap = true
@@ -325,6 +327,9 @@
 // Drain gives a machine up: nothing more is started there, and what waits goes
 // back to its owners.
 func (k *Keeper) Drain(id protocol.MachineID) {
+	if k.hold(id, heldMessage{drain: id}) || k.passOn(id, message.PeerMessage{Drain: &id}) {
+		return
+	}
 	if q := k.queues[id]; q != nil && !q.draining {
 		q.draining = true
 		k.touch(q)
--- a/internal/coordination/keeping/records.go
+++ b/internal/coordination/keeping/records.go
@@ -23,7 +23,7 @@
 		have = m.Epoch
 	}
 	rec := bookkeeping.Machine{Session: r.Session, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}
-	k.ChangeRecord(RegisterTag{q.id, r.Session}, q.id, have, &rec, k.InThisView())
+	k.ChangeRecord(RegisterTag{q.id, r.Session}, message.RecordChange{Machine: q.id, Have: have, To: &rec}, k.InThisView())
 }
 
 // awaits reports whether what was asked for is still to be waited for. A
@@ -45,12 +45,13 @@
 // than it lasts. That holds for a worker that came back with a new session and
 // fell silent before it could be registered, too: its old record would be waited
 // for without end.
-func (k *Keeper) ExpireSilent(allAdopted bool) {
+func (k *Keeper) ExpireSilent(allAdopted bool, sharesFloor protocol.Term) {
 	if !k.Acting() || !allAdopted {
 		k.allSince = 0 // the count starts when all act by this term
 	} else if k.allSince == 0 {
 		k.allSince = k.Now
 	}
+	k.noteAlone(sharesFloor)
 	lease := k.LeaseOver()
 	for _, q := range k.queuesInOrder() {
 		quiet := k.Since(k.answered(q))
@@ -58,7 +59,7 @@
 			q.silence = s
 			k.touch(q)
 		}
-		if k.allSince == 0 || quiet <= lease || k.awaits(q, q.removing) {
+		if !k.Sharing() && k.allSince == 0 || k.Sharing() && (!k.Acting() || k.frozen(q)) || quiet <= lease || k.awaits(q, q.removing) {
 			continue
 		}
 		m := k.Records[q.id]
@@ -67,7 +68,7 @@
 		}
 		q.removing, q.asked = true, k.Now
 		k.Log.Info("machine silent for longer than its lease: its tasks are gone", "machine", q.id, "silent", quiet.Round(time.Second))
-		k.ChangeRecord(RemoveTag{q.id}, q.id, m.Epoch, nil, k.InThisView())
+		k.ChangeRecord(RemoveTag{q.id}, message.RecordChange{Machine: q.id, Have: m.Epoch, Tenure: k.Tenure(q.id, q.zone)}, k.InThisView())
 	}
 }
 
@@ -75,13 +76,20 @@
 // was answered here, or, before its inventory of this term, since all act by
 // this term. Until then an earlier keeper may answer it.
 func (k *Keeper) answered(q *queue) clock.Time {
+	alone, proven := k.allSince, q.inventoried
+	if k.Sharing() {
+		// A worker that has seen a token of this tenure takes no answer of an
+		// earlier keeper.
+		s := k.shareOf(q)
+		alone, proven = s.alone, q.seen >= s.tenure
+	}
 	switch {
-	case q.inventoried:
+	case proven:
 		return q.lastAnswer
-	case k.allSince == 0:
+	case alone == 0:
 		return k.Now
 	}
-	return max(q.lastAnswer, k.allSince)
+	return max(q.lastAnswer, alone)
 }
 
 // askAgain is after how long without a change of the record the registrar is
--- a/internal/coordination/keeping/report.go
+++ b/internal/coordination/keeping/report.go
@@ -16,19 +16,22 @@
 		k.Do(message.ReplyReport{Status: 503})
 		return
 	}
+	if k.answerFrozen(&r) {
+		return
+	}
 	q := k.queues[r.Machine]
 	if q == nil {
-		q = k.keep(r.Machine)
+		q = k.keep(r.Machine, r.Zone)
 		if m := k.Records[r.Machine]; m != nil {
 			q.registered(m)
 		}
 	}
-	reply := protocol.ReportReply{Term: k.View.Term, Orders: []protocol.Order{}}
+	reply := protocol.ReportReply{Term: k.Token(r.Machine, r.Zone), Orders: []protocol.Order{}}
 	if r.Session < q.session || r.Session == q.session && r.Seq <= q.seq {
 		k.Do(message.ReplyReport{Status: 200, Reply: reply}) // held back by the network: says nothing
 		return
 	}
-	q.info, q.addr = info, r.Address
+	q.info, q.addr, q.zone = info, r.Address, r.Zone
 	if r.Session > q.session {
 		k.newSession(q, r.Session)
 	}
@@ -41,7 +44,8 @@
 		k.register(q, r)
 	}
 	k.takeReport(q, &r, true)
-	q.sole = q.sole || r.Term == k.View.Term
+	q.sole = q.sole || r.Term >= k.ownToken(q)
+	q.seen = max(q.seen, r.Term)
 	k.takeStock(q)
 	q.push = false
 	reply.Orders = k.orders(q, r.Term)
--- a/internal/coordination/keeping/stock.go
+++ b/internal/coordination/keeping/stock.go
@@ -25,7 +25,7 @@
 // worker saw an earlier one. Else each restart of one controller would have
 // the owners wait for all machines, and one that is cut off hold up all.
 func (k *Keeper) takeStock(q *queue) {
-	if q.epoch != 0 && q.sole && !q.inventoried && !k.holdsOver(q) {
+	if !k.frozen(q) && k.Now >= q.stockAfter && q.epoch != 0 && q.sole && !q.inventoried && !k.holdsOver(q) {
 		k.sendInventory(q)
 	}
 }
@@ -45,12 +45,18 @@
 // TakeStocks goes on with the inventories of queues kept without a break.
 func (k *Keeper) TakeStocks() {
 	n := min(len(k.stockDue), StocksMost)
-	for _, q := range k.stockDue[:n] {
-		if k.queues[q.id] == q {
+	due := k.stockDue[:n]
+	k.stockDue = k.stockDue[n:]
+	for _, q := range due {
+		switch {
+		case k.queues[q.id] != q:
+		case k.Now < q.stockAfter:
+			k.stockDue = append(k.stockDue, q)
+		default:
 			k.takeStock(q)
 		}
 	}
-	if k.stockDue = k.stockDue[n:]; len(k.stockDue) == 0 {
+	if len(k.stockDue) == 0 {
 		k.stockDue = nil
 	}
 }
@@ -76,7 +82,7 @@
 	}
 	for name := range inorder.Of(k.View.Members) {
 		k.Send(name, message.PeerMessage{Inventory: &message.Inventory{
-			Term: k.View.Term, Machine: q.id, Epoch: q.epoch, Upto: k.handled[name], Held: byOwner[name],
+			Term: k.View.Term, Tenure: k.Tenure(q.id, q.zone), Machine: q.id, Epoch: q.epoch, Upto: k.handled[name], Held: byOwner[name],
 		}})
 	}
 }
--- a/internal/coordination/known/known.go
+++ b/internal/coordination/known/known.go
@@ -33,6 +33,12 @@
 	View        bookkeeping.View
 	ViewVersion protocol.Version
 	Keepers     map[protocol.MachineID]protocol.NodeName // by the view, as far as asked for
+	// Shares is who keeps which share of the machines, as last followed; nil: there
+	// is no such record. It counts where the view's layout says so.
+	Shares        *bookkeeping.Shares
+	SharesVersion protocol.Version
+	// Highest is the highest token that any worker has told since the process began.
+	Highest protocol.Term
 
 	Live    map[protocol.JobID]*LiveJob
 	over    map[protocol.JobID]clock.Time // seen to end, and when
@@ -51,6 +57,7 @@
 func (k *Known) Reset() {
 	k.Session, k.Until = 0, 0
 	k.View, k.ViewVersion = bookkeeping.View{}, 0
+	k.Shares, k.SharesVersion = nil, 0
 	k.Keepers = map[protocol.MachineID]protocol.NodeName{}
 	k.Live, k.over = map[protocol.JobID]*LiveJob{}, map[protocol.JobID]clock.Time{}
 	k.Records = map[protocol.MachineID]*Machine{}
--- a/internal/coordination/known/part.go
+++ b/internal/coordination/known/part.go
@@ -29,24 +29,25 @@
 		return
 	}
 	if session, ok := p.View.Members[to]; ok {
-		p.Do(message.Send{To: to, From: p.Session, Session: session, Term: p.View.Term, Message: m})
+		p.Do(message.Send{To: to, From: p.Session, Session: session, Term: p.View.Term, Shares: p.SharesEpoch(), Message: m})
 	}
 }
 
 // ChangeRecord has a machine's record written or deleted, by the registrar or,
 // where machines have records of their own, by this controller. only says on
 // which conditions beside those of the record itself, in the latter case.
-func (p Part) ChangeRecord(tag any, id protocol.MachineID, have protocol.Version, to *bookkeeping.Machine, only ...protocol.Condition) {
+func (p Part) ChangeRecord(tag any, r message.RecordChange, only ...protocol.Condition) {
 	if p.InBlocks() {
-		p.Send(p.Registrar(), message.PeerMessage{Record: &message.RecordChange{Term: p.View.Term, Machine: id, Have: have, To: to}})
+		r.Term = p.View.Term
+		p.Send(p.Registrar(), message.PeerMessage{Record: &r})
 		return
 	}
-	key := bookkeeping.MachineKey(id)
+	key := bookkeeping.MachineKey(r.Machine)
 	change := protocol.Change{Delete: key}
-	if to != nil {
-		change = protocol.Change{Put: key, Value: *to}
+	if r.To != nil {
+		change = protocol.Change{Put: key, Value: *r.To}
 	}
 	p.Do(message.Commit{Tag: tag, Txn: protocol.Txn{
-		If: append(only, protocol.Condition{Key: key, Version: have}), Then: []protocol.Change{change},
+		If: append(only, protocol.Condition{Key: key, Version: r.Have}), Then: []protocol.Change{change},
 	}})
 }
--- a/internal/coordination/known/roles.go
+++ b/internal/coordination/known/roles.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/sharing"
 	"damsonkeel/internal/protocol"
 )
 
@@ -58,8 +59,76 @@
 	return RendezvousBut(v, v.Deaf, key)
 }
 
-// Keeper is machineKeeper by the present view, reckoned once for each machine.
+// Sharing reports whether machines are kept by shares in this term.
+func (k *Known) Sharing() bool {
+	return k.View.Layout >= bookkeeping.LayoutShares && k.Shares != nil
+}
+
+// Keeper is the controller that a registered machine reports to.
 func (k *Known) Keeper(m protocol.MachineID) protocol.NodeName {
+	var z protocol.Zone
+	if r := k.Records[m]; r != nil {
+		z = r.Record.Zone
+	}
+	return k.KeeperIn(m, z)
+}
+
+// KeeperIn is the controller that a machine of a zone reports to; none while its
+// share is nobody's.
+func (k *Known) KeeperIn(m protocol.MachineID, z protocol.Zone) protocol.NodeName {
+	switch {
+	case k.Sharing():
+		return k.Holder(sharing.Of(k.Shares, m, z))
+	case k.View.Layout >= bookkeeping.LayoutShares:
+		return "" // until the record of the shares is there again
+	}
+	return k.rendezvousKeeper(m)
+}
+
+// Holder is the member that keeps a share; none if its session is over.
+func (k *Known) Holder(id sharing.ID) protocol.NodeName {
+	return NameOf(k.View, k.Shares.List[id].Holder)
+}
+
+// NameOf is the member of a view that has a session.
+func NameOf(v bookkeeping.View, session protocol.LeaseID) protocol.NodeName {
+	for name, s := range v.Members {
+		if s == session && s != 0 {
+			return name
+		}
+	}
+	return ""
+}
+
+// Token is what a machine's keeper has its commands carry: the epoch of its share,
+// or the term where there are no shares.
+func (k *Known) Token(m protocol.MachineID, z protocol.Zone) protocol.Term {
+	if k.Sharing() {
+		return k.Shares.List[sharing.Of(k.Shares, m, z)].Epoch
+	}
+	return k.View.Term
+}
+
+// Tenure is since when, as an epoch, a machine's keeper has kept it; 0 where there
+// are no shares: the term tells then.
+func (k *Known) Tenure(m protocol.MachineID, z protocol.Zone) protocol.Term {
+	if k.Sharing() {
+		return k.Shares.List[sharing.Of(k.Shares, m, z)].Since
+	}
+	return 0
+}
+
+// SharesEpoch is how far the record of the shares is known.
+func (k *Known) SharesEpoch() protocol.Term {
+	if k.Shares == nil {
+		return 0
+	}
+	return k.Shares.Epoch
+}
+
+// rendezvousKeeper is machineKeeper by the present view, reckoned once for each
+// machine.
+func (k *Known) rendezvousKeeper(m protocol.MachineID) protocol.NodeName {
 	n, ok := k.Keepers[m]
 	if !ok {
 		n = MachineKeeper(k.View, m)
--- /dev/null
+++ b/internal/coordination/membership/balance.go
@@ -0,0 +1,95 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
+	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/sharing"
+	"damsonkeel/internal/operators"
+	"damsonkeel/internal/protocol"
+)
+
+// warmAfter is how long a controller takes part before shares move to it, or away
+// from others for it: by then it has its peers' word on all machines.
+const warmAfter = 3 * time.Second
+
+// Says takes what a peer, or this controller, says of itself.
+func (ms *Members) Says(name protocol.NodeName, l message.Load) {
+	if p := ms.peers[name]; p != nil {
+		if p.heardFirst == 0 {
+			p.heardFirst = ms.Now
+		}
+		p.load, p.heardAt = l, ms.Now
+	}
+}
+
+// leaving reports whether a member is to end.
+func (ms *Members) leaving(name protocol.NodeName) bool {
+	p := ms.peers[name]
+	return p != nil && p.load.Leaving
+}
+
+// AskMoves has shares moved that an operator names; they go with the next tick.
+func (ms *Members) AskMoves(moves []sharing.Move) { ms.asked = append(ms.asked, moves...) }
+
+// MoveAsked moves what operators have asked for.
+func (ms *Members) MoveAsked() {
+	moves := ms.asked
+	if ms.asked = nil; len(moves) > 0 && ms.Sharing() && ms.Acting() {
+		ms.ask(moves)
+	}
+}
+
+// Balance has shares moved, if this controller is the one that decides: each move is
+// asked of the share's keeper.
+func (ms *Members) Balance() {
+	if !ms.Sharing() || !ms.Acting() || known.Rendezvous(ms.View, "shares") != ms.Self {
+		ms.balancer = sharing.Balancer{}
+		return
+	}
+	var seen []sharing.Seen
+	for name, p := range inorder.Of(ms.peers) {
+		deaf := len(ms.View.Deaf) < len(ms.View.Members) && slices.Contains(ms.View.Deaf, name)
+		seen = append(seen, sharing.Seen{
+			Member: sharing.Member{Name: name, Session: p.session, Zone: ms.zones()[name]},
+			Late:   time.Duration(p.load.LateMS * float64(time.Millisecond)), Leaving: p.load.Leaving, Away: slices.Contains(ms.Shares.Away, name), Deaf: deaf,
+			Warm: p.term >= ms.View.Term && p.heardFirst != 0 && ms.Since(p.heardFirst) >= warmAfter && ms.Since(p.heardAt) < 3*ms.Op.RelayEvery,
+		})
+	}
+	ms.ask(ms.balancer.Step(ms.Now, ms.Shares, ms.loads(), seen))
+}
+
+// ask asks the keepers of shares to hand them over, those of one keeper for the same
+// target at once.
+func (ms *Members) ask(moves []sharing.Move) {
+	type way struct{ from, to protocol.NodeName }
+	asked := map[way]*message.Move{}
+	var ways []way
+	for _, m := range moves {
+		st := ms.Shares.List[m.ID]
+		w := way{ms.Holder(m.ID), known.NameOf(ms.View, m.To)}
+		if asked[w] == nil {
+			asked[w] = &message.Move{Term: ms.View.Term, To: w.to, Cause: m.Cause}
+			ways = append(ways, w)
+		}
+		asked[w].Shares = append(asked[w].Shares, message.Tenured{Share: int(m.ID), Tenure: st.Since})
+	}
+	for _, w := range ways {
+		ms.Log.Info("moving shares", "from", w.from, "to", w.to, "shares", len(asked[w].Shares), "cause", asked[w].Cause)
+		ms.Send(w.from, message.PeerMessage{Move: asked[w]})
+	}
+}
+
+// Controllers lists the members as operators see them.
+func (ms *Members) Controllers() (list []operators.Controller) {
+	for name, p := range inorder.Of(ms.peers) {
+		list = append(list, operators.Controller{
+			Name: name, Zone: ms.zones()[name], LateMS: p.load.LateMS, Leaving: p.load.Leaving,
+			Deaf: slices.Contains(ms.View.Deaf, name), Away: slices.Contains(ms.Shares.Away, name),
+		})
+	}
+	return list
+}
--- a/internal/coordination/membership/hearing.go
+++ b/internal/coordination/membership/hearing.go
@@ -22,6 +22,9 @@
 type stray struct {
 	last  clock.Time
 	times int
+	zone  protocol.Zone
+	// tenure is that of who keeps it: workers are sent to another when it changes.
+	tenure protocol.Term
 }
 
 const (
@@ -48,15 +51,15 @@
 }
 
 // noteStray counts a report that belongs to another controller.
-func (ms *Members) Stray(m protocol.MachineID) {
-	s := ms.hearing.astray[m]
-	if s.times > 0 && ms.Since(s.last) > straySpan {
+func (ms *Members) Stray(m protocol.MachineID, z protocol.Zone) {
+	s, tenure := ms.hearing.astray[m], ms.Tenure(m, z)
+	if s.times > 0 && (ms.Since(s.last) > straySpan || s.tenure != tenure) {
 		s.times = 0
 	}
 	if s.times > 0 && ms.Since(s.last) < time.Second {
 		return // the same try
 	}
-	ms.hearing.astray[m] = stray{ms.Now, s.times + 1}
+	ms.hearing.astray[m] = stray{ms.Now, s.times + 1, z, tenure}
 }
 
 // deafNodes is what the next view should say of who can't be reached.
@@ -70,8 +73,8 @@
 	}
 	astray, kept := map[protocol.NodeName]int{}, map[protocol.NodeName]int{}
 	for m, s := range ms.hearing.astray {
-		if s.times >= 2 && ms.Since(s.last) <= straySpan {
-			astray[ms.Keeper(m)]++
+		if s.times >= 2 && ms.Since(s.last) <= straySpan && s.tenure == ms.Tenure(m, s.zone) {
+			astray[ms.KeeperIn(m, s.zone)]++
 		}
 	}
 	if len(astray) > 0 {
--- a/internal/coordination/membership/members.go
+++ b/internal/coordination/membership/members.go
@@ -12,6 +12,7 @@
 	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/sharing"
 	"damsonkeel/internal/protocol"
 )
 
@@ -21,17 +22,27 @@
 	known.Part
 	nodes   map[protocol.NodeName]bookkeeping.Node // present in the records
 	writing bool                                   // a view
-	retry   clock.Time                             // no view is written before
-	hearing hearing
-	peers   map[protocol.NodeName]*link
+	retry   clock.Time                             // nothing is written before
+	// wrote is the version of the record of shares that a change was written on, and
+	// when: until it is followed nothing else is.
+	wrote    protocol.Version
+	wroteAt  clock.Time
+	balancer sharing.Balancer
+	asked    []sharing.Move // by operators
+	hearing  hearing
+	peers    map[protocol.NodeName]*link
 }
 
 // link is what is known of another controller's present session.
 type link struct {
 	session  protocol.LeaseID
 	term     protocol.Term // highest it is known to have adopted
+	shares   protocol.Term // epoch of the record of shares that it is known to have followed
 	next     uint64        // number of the next message expected
 	actingAt clock.Time    // when it last said that it may act
+	load     message.Load  // what it says of itself
+	// heardFirst and heardAt are when it first and last did.
+	heardFirst, heardAt clock.Time
 }
 
 // ViewTag marks the transaction that writes a view.
@@ -97,6 +108,11 @@
 	ms.hearing.adopted(v, ms.Self, ms.Now)
 }
 
+// AdoptShares takes over a record of the shares.
+func (ms *Members) AdoptShares(s *bookkeeping.Shares, version protocol.Version) {
+	ms.Shares, ms.SharesVersion = s, version
+}
+
 // checkView raises the term when the view does not name exactly the
 // controllers that are present in the records, or when it is asked for. A
 // controller whose connection is refused stays; only a lapsed lease removes it.
@@ -109,17 +125,22 @@
 		return // not present itself: it has no say
 	}
 	deaf := ms.deafNodes(want)
-	if sameMembers(want, ms.View.Members) && layout == ms.View.Layout && slices.Equal(deaf, ms.View.Deaf) && !raise {
+	if sameMembers(want, ms.View.Members) && layout == ms.View.Layout && slices.Equal(deaf, ms.View.Deaf) && !raise && (layout < bookkeeping.LayoutShares || ms.Shares != nil) {
 		return
 	}
 	ms.writing = true
 	next := bookkeeping.View{Term: ms.View.Term + 1, Members: want, Deaf: deaf, Layout: layout}
-	ms.Do(message.Commit{Tag: ViewTag{}, Txn: protocol.Txn{
-		If: []protocol.Condition{
-			{Key: bookkeeping.ViewKey, Version: ms.ViewVersion},
-		},
-		Then: []protocol.Change{{Put: bookkeeping.ViewKey, Value: next}},
-	}})
+	txn := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.ViewKey, Version: ms.ViewVersion}}}
+	if layout >= bookkeeping.LayoutShares {
+		// In one transaction, so that nobody's share is nobody's. The shares come
+		// first: who follows them knows who keeps what when the view arrives.
+		txn.If = append(txn.If, protocol.Condition{Key: bookkeeping.SharesKey, Version: ms.SharesVersion})
+		if shares := ms.sharesFor(next); shares != nil {
+			txn.Then = append(txn.Then, protocol.Change{Put: bookkeeping.SharesKey, Value: *shares})
+		}
+	}
+	txn.Then = append(txn.Then, protocol.Change{Put: bookkeeping.ViewKey, Value: next})
+	ms.Do(message.Commit{Tag: ViewTag{}, Txn: txn})
 }
 
 // wantMembers is who should be in the view, and how machines are recorded then:
@@ -127,7 +148,7 @@
 // it stays out: it would miss machines that may hold tasks.
 func (ms *Members) wantMembers() (map[protocol.NodeName]protocol.LeaseID, bookkeeping.Layout) {
 	want := map[protocol.NodeName]protocol.LeaseID{}
-	least := bookkeeping.LayoutBlocks
+	least := bookkeeping.LayoutShares
 	for name, n := range ms.nodes {
 		l := max(n.Layout, bookkeeping.LayoutSingle)
 		if l < ms.View.Layout {
@@ -157,7 +178,7 @@
 	reply := ms.standing(&b)
 	if reply == message.BatchTaken {
 		p := ms.peers[b.From]
-		p.term = max(p.term, b.Term)
+		p.term, p.shares = max(p.term, b.Term), max(p.shares, b.Shares)
 		if b.First > p.next {
 			reply = message.BatchStale // a gap: this can't be the same stream
 		} else if have := p.next - b.First; have < uint64(len(b.Messages)) {
@@ -173,7 +194,7 @@
 func (ms *Members) standing(b *message.Batch) message.BatchReply {
 	ours := b.ToSession == ms.Session
 	switch between := ours && ms.Member() && ms.View.Members[b.From] == b.FromSession; {
-	case ours && b.Term > ms.View.Term:
+	case ours && (b.Term > ms.View.Term || b.Shares > ms.SharesEpoch()):
 		return message.BatchBehind
 	case between:
 		return message.BatchTaken
--- a/internal/coordination/message/between.go
+++ b/internal/coordination/message/between.go
@@ -21,6 +21,8 @@
 	CPUs      float64
 	GPUs      float64
 	GB        float64
+	// Tenure is that of the machine's keeper, as the owner knows it.
+	Tenure protocol.Term
 	// Together: others of its gang wait for it.
 	Together bool
 	Level    int // of its job: see level
@@ -85,6 +87,7 @@
 // queue, proven by a report of a worker that has seen the term.
 type Inventory struct {
 	Term    protocol.Term
+	Tenure  protocol.Term // of the keeper that gives it
 	Machine protocol.MachineID
 	Epoch   protocol.Version
 	Upto    uint64 // last Place of the addressee that is taken into account
@@ -197,6 +200,8 @@
 
 	Demand []Demand // all of it, each time
 
+	Load Load // of the sender
+
 	// Ask and Loan share out the state service's rates by need (package lending).
 	Ask  lending.Ask
 	Loan *lending.Loan
@@ -226,9 +231,20 @@
 	Drain     *protocol.MachineID
 	Record    *RecordChange
 	AskTable  bool
+	Done      *DoneTasks
+	Move      *Move
+	Hand      *Hand
 	Table     []Wait
 }
 
+// DoneTasks tells the next owner of a job which of its tasks are done, as far as
+// the owner before could not write it any more. What is done stays done, whoever
+// says so.
+type DoneTasks struct {
+	Job    protocol.JobID
+	Chunks map[int]bookkeeping.Bits
+}
+
 // Batch carries messages in order between two sessions. A repeated batch is
 // recognised by its number.
 type Batch struct {
@@ -236,6 +252,7 @@
 	FromSession protocol.LeaseID
 	ToSession   protocol.LeaseID
 	Term        protocol.Term
+	Shares      protocol.Term // the sender's record of shares, by its epoch
 	First       uint64
 	Messages    []PeerMessage
 }
@@ -255,8 +272,12 @@
 type RecordChange struct {
 	Term    protocol.Term
 	Machine protocol.MachineID
-	Have    protocol.Version // the epoch of the record that the sender knows; 0: none
-	To      *bookkeeping.Machine
+	// Tenure is that of the sender, which a removal depends on: nobody else can have
+	// answered the machine. 0: it depends on none.
+	Tenure protocol.Term
+	From   protocol.NodeName // as the registrar notes it
+	Have   protocol.Version  // the epoch of the record that the sender knows; 0: none
+	To     *bookkeeping.Machine
 }
 
 // Silence is how a worker's quiet looks.
--- a/internal/coordination/message/step.go
+++ b/internal/coordination/message/step.go
@@ -30,6 +30,8 @@
 	Tick struct {
 		WallMS int64 // the time of day; 0: as last told
 	}
+	// Leave says that the process is to end: what it keeps is handed over first.
+	Leave struct{}
 	// StateAsked says what was asked of the state service in the last second,
 	// within this controller's share or not.
 	StateAsked struct{ Amount lending.Amount }
@@ -104,6 +106,7 @@
 		From    protocol.LeaseID // the sender's session
 		Session protocol.LeaseID // the addressee's
 		Term    protocol.Term
+		Shares  protocol.Term // the epoch of the record of shares
 		Message PeerMessage
 	}
 	// Commit executes a transaction.
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -53,6 +53,8 @@
 
 	actingUntil atomic.Int64
 	waitsOut    atomic.Bool // a member that may not act, and nobody else is known to
+	leaving     atomic.Bool // told to end
+	left        chan struct{}
 	types       atomic.Pointer[[]protocol.TypeInfo]
 	intake      *intake
 }
@@ -73,6 +75,7 @@
 		mailbox: make(chan envelope, mailboxSize),
 		outbox:  map[protocol.NodeName]*Outbox{},
 		reports: newReports(),
+		left:    make(chan struct{}),
 	}
 	n.core = NewCore(s, op, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), log)
 	for _, m := range s.Members {
@@ -90,7 +93,7 @@
 // now is the steady clock.
 func (n *Node) now() Time { return Time(time.Since(n.start)) + 1 }
 
-// Run serves until the context ends or listening fails.
+// Run serves until the context ends, the controller has left, or listening fails.
 func (n *Node) Run(ctx context.Context) error {
 	if err := transport.ServePeers(n.settings.PeerBind, "Peer", &peerService{n}, n.log); err != nil {
 		return err
@@ -102,6 +105,17 @@
 	go n.ticks(ctx)
 	go n.readCatalogue(ctx)
 	go n.sessions(ctx)
+	go n.serve(ctx)
+	select {
+	case <-n.left:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// serve answers users and workers until the context ends.
+func (n *Node) serve(ctx context.Context) {
 	conns, _ := sockets(n.settings.Site.Limits.MaxConns)
 	server := transport.NewServer(n.intake.handle, conns, n.log)
 	for ctx.Err() == nil {
@@ -109,7 +123,6 @@
 		n.log.Error("serving ended, starting again", "err", err)
 		time.Sleep(200 * time.Millisecond)
 	}
-	return ctx.Err()
 }
 
 // steps is the core's actor.
--- a/internal/coordination/operate.go
+++ b/internal/coordination/operate.go
@@ -52,6 +52,12 @@
 		return no(operators.Later, "not ready")
 	}
 	switch {
+	case r.Op == operators.OpShares:
+		return c.listShares()
+	case r.Op == operators.OpMove:
+		return c.moveShares(r)
+	case r.Op == operators.OpAway:
+		return c.putAway(r)
 	case r.Op == operators.OpList || r.Op == operators.OpShow:
 		return c.showPromised(r)
 	case r.Op == operators.OpCancel:
@@ -295,7 +301,7 @@
 		_, err := in.n.state.Txn(ctx, *d.txn, bookkeeping.First)
 		switch {
 		case err == nil:
-			in.n.log.Info("calendar changed", "by", by, "op", r.Op, "window", r.Window, "name", r.Name, "id", r.ID)
+			in.n.log.Info("operator's change", "by", by, "op", r.Op, "window", r.Window, "name", r.Name, "controller", r.Controller, "id", r.ID)
 			return operatorAnswer(d.reply)
 		case errors.Is(err, bookkeeping.ErrMalformed):
 			in.n.log.Error("state service refuses a record of the calendar", "err", err)
--- a/internal/coordination/outbox.go
+++ b/internal/coordination/outbox.go
@@ -72,7 +72,7 @@
 	b := message.Batch{From: o.self, FromSession: o.from, ToSession: o.to, First: o.next}
 	for _, s := range o.queue[:n] {
 		b.Messages = append(b.Messages, s.Message)
-		b.Term = max(b.Term, s.Term)
+		b.Term, b.Shares = max(b.Term, s.Term), max(b.Shares, s.Shares)
 	}
 	return b, true
 }
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -59,10 +59,12 @@
 	waits   int          // attempts placed that have not started
 	dirty   map[int]bool // bitmap chunks to be written
 	writing bool
-	finish  bool // all done; to be written
-	ran     forecast.RunTimes
-	again   *bitset.BitSet // tasks that ran before, in part
-	ending  bool           // the write is on its way
+	// underWay are the bitmap chunks that are being written.
+	underWay []int
+	finish   bool // all done; to be written
+	ran      forecast.RunTimes
+	again    *bitset.BitSet // tasks that ran before, in part
+	ending   bool           // the write is on its way
 
 	stuck   bool // when last tried, machines were looked at and none found
 	tried   Time
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -153,7 +153,7 @@
 		// The Place that carries it is the next to the keeper.
 		c.expect(m, comingWait{c.Self, p.placed + 1, t.estimate * o.CPUs, o.level, room.Need(&o.Job)})
 	}
-	return message.Placement{Task: t.task, Attempt: a, Machine: m.ID, Epoch: m.Epoch, EstimateS: t.estimate, CPUs: o.CPUs, GPUs: o.GPUs, GB: o.MemoryGB, Level: int(o.level), Together: o.together()}
+	return message.Placement{Task: t.task, Attempt: a, Machine: m.ID, Epoch: m.Epoch, Tenure: c.Tenure(m.ID, m.Record.Zone), EstimateS: t.estimate, CPUs: o.CPUs, GPUs: o.GPUs, GB: o.MemoryGB, Level: int(o.level), Together: o.together()}
 }
 
 // boundTo is the zone that a job's attempts hold it to, if they do.
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -78,7 +78,8 @@
 
 // Wanted takes note of what a keeper asks for. What was asked for before
 // for the same machine is out of date.
-func (g *Registrar) Wanted(r message.RecordChange) {
+func (g *Registrar) Wanted(from protocol.NodeName, r message.RecordChange) {
+	r.From = from
 	if r.Term == g.View.Term && g.InBlocks() && g.Registrar() == g.Self {
 		g.pen.asked[r.Machine] = r
 	}
@@ -102,8 +103,13 @@
 	}
 	var tag Tag
 	var changes []blocks.Change
+	byTenure := false // something goes on the word of a machine's keeper
 	for id, r := range inorder.Of(p.asked) {
 		ch, due := g.blockChange(id, r)
+		removal := r.To == nil && r.Tenure != 0
+		if byTenure = byTenure || due && removal; removal && !g.keptBy(r) {
+			due = false // another keeps it since, and may have answered it
+		}
 		switch {
 		case !due:
 			delete(p.asked, id)
@@ -145,10 +151,20 @@
 	if len(txn.Then) == 0 {
 		return
 	}
+	if byTenure {
+		txn.If = append(txn.If, protocol.Condition{Key: bookkeeping.SharesKey, Version: g.SharesVersion})
+	}
 	p.busy = true
 	g.Do(message.Commit{Tag: tag, Txn: txn})
 }
 
+// keptBy reports whether a machine is kept still by who asks, and in the tenure that
+// is named.
+func (g *Registrar) keptBy(r message.RecordChange) bool {
+	m := g.Records[r.Machine]
+	return m != nil && g.Tenure(r.Machine, m.Record.Zone) == r.Tenure && g.Keeper(r.Machine) == r.From
+}
+
 // blockChange is what a machine's record needs still, if anything.
 func (g *Registrar) blockChange(id protocol.MachineID, r message.RecordChange) (ch blocks.Change, due bool) {
 	m := g.Records[id]
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -112,6 +112,7 @@
 			continue
 		}
 		r := &message.Relay{Term: c.View.Term, Acting: c.Acting(), HaveMachines: t.machinesFrom.Have(), HaveJobs: t.jobsFrom.Have()}
+		r.Load = message.Load{Machines: len(c.keeping.Machines()), LateMS: c.lateMS, Leaving: c.leaving}
 		r.Ask = c.rates.Asks(c.Now)
 		if l, ok := loans[p.session]; ok {
 			r.Loan = &l
@@ -179,6 +180,7 @@
 	if r.Acting {
 		c.members.Acts(from)
 	}
+	c.members.Says(from, r.Load)
 	p.demand = r.Demand
 	if from != c.Self {
 		c.rates.Heard(p.session, r.Ask, c.Now)
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -15,7 +15,7 @@
 // sessions keeps this controller a member: session after session, each as
 // long as its lease.
 func (n *Node) sessions(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !n.leaving.Load() { // one that leaves does not come back
 		if err := n.session(ctx); err != nil {
 			n.log.Info("session", "err", err)
 		}
@@ -68,10 +68,13 @@
 
 // layout is the latest layout of machines' records that this controller uses.
 func (n *Node) layout() bookkeeping.Layout {
-	if n.op.SingleRecords {
+	switch {
+	case n.op.SingleRecords:
 		return bookkeeping.LayoutSingle
+	case n.op.NoShares:
+		return bookkeeping.LayoutBlocks
 	}
-	return bookkeeping.LayoutBlocks
+	return bookkeeping.LayoutShares
 }
 
 func (n *Node) readRecords(ctx context.Context) ([]protocol.Item, protocol.Revision, error) {
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -5,7 +5,10 @@
 	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/sharing"
 	"damsonkeel/internal/protocol"
+
+	"github.com/bits-and-blooms/bitset"
 )
 
 // adoptJobs goes over to a new view: jobs owned without a break are kept, with
@@ -65,6 +68,7 @@
 	if o == nil {
 		return
 	}
+	c.tellDone(o)
 	for _, t := range o.placed {
 		if m := c.machines[t.machine]; m != nil && m.mine[t.task] == t {
 			delete(m.mine, t.task)
@@ -75,6 +79,9 @@
 // changedKeeper reports whether a machine is kept by another controller, or
 // another session of the same, than by an earlier view.
 func (c *Core) changedKeeper(old bookkeeping.View, id protocol.MachineID) bool {
+	if old.Layout >= bookkeeping.LayoutShares && c.Sharing() {
+		return false // the record of the shares has told: see sharesMoved
+	}
 	keeper := c.Keeper(id)
 	return known.MachineKeeper(old, id) != keeper || !known.SameSession(old, c.View, keeper)
 }
@@ -136,7 +143,7 @@
 // inventory takes a keeper's proof of all that is on a machine.
 func (c *Core) inventory(from protocol.NodeName, inv *message.Inventory) {
 	m := c.machines[inv.Machine]
-	if inv.Term != c.View.Term || m == nil || m.Epoch != inv.Epoch || c.Keeper(inv.Machine) != from {
+	if inv.Term != c.View.Term || m == nil || m.Epoch != inv.Epoch || c.Keeper(inv.Machine) != from || inv.Tenure != c.Tenure(inv.Machine, m.Record.Zone) {
 		return
 	}
 	listed := map[protocol.TaskID]bool{}
@@ -192,3 +199,67 @@
 		c.event(message.TaskEvent{TaskRef: ref, What: message.WhatPresent})
 	}
 }
+
+// sharesMoved: what was placed on the machines of some shares is uncertain until
+// their new keepers' inventories, and what was told of these machines is no longer
+// the word of who keeps them.
+func (c *Core) sharesMoved(moved map[sharing.ID]bool) {
+	for ref, t := range c.owner.leaving {
+		if m := c.machines[ref.Machine]; m != nil && moved[sharing.Of(c.Shares, ref.Machine, m.Record.Zone)] {
+			t.number = 0 // of the keeper before
+			c.owner.leaving[ref] = t
+		}
+	}
+	for id, m := range c.machines {
+		if !moved[sharing.Of(c.Shares, id, m.Record.Zone)] {
+			continue
+		}
+		for _, t := range m.mine {
+			t.uncertain = true
+		}
+		m.by = nil
+		if len(m.coming) > 0 {
+			m.coming = nil
+			m.reckon()
+			for _, p := range c.peers {
+				delete(p.told.waits, m)
+			}
+		}
+	}
+}
+
+// tellDone tells a job's next owner what was done here and is not written yet. Its
+// workers have been told to forget it: else it would be done again.
+func (c *Core) tellDone(o *ownedJob) {
+	d := message.DoneTasks{Job: o.ID, Chunks: map[int]bookkeeping.Bits{}}
+	for chunk := range o.dirty {
+		d.Chunks[chunk] = bookkeeping.EncodeChunk(o.done, chunk)
+	}
+	for _, chunk := range o.underWay {
+		d.Chunks[chunk] = bookkeeping.EncodeChunk(o.done, chunk)
+	}
+	if len(d.Chunks) > 0 {
+		c.Send(c.OwnerOf(o.LiveJob), message.PeerMessage{Done: &d})
+	}
+}
+
+// doneBefore takes what the owner before has seen done.
+func (c *Core) doneBefore(d *message.DoneTasks) {
+	o := c.owner.jobs[d.Job]
+	if o == nil {
+		return
+	}
+	seen := bitset.New(uint(o.Tasks))
+	for chunk, b := range inorder.Of(d.Chunks) {
+		if err := bookkeeping.DecodeChunk(bookkeeping.BitsKey(d.Job, chunk), b, seen, o.Tasks); err != nil {
+			c.Log.Error("bitmap of a peer can't be read", "job", d.Job, "err", err)
+		}
+	}
+	for i, ok := seen.NextSet(0); ok; i, ok = seen.NextSet(i + 1) {
+		c.markDone(o, uint32(i))
+		if t := o.placed[protocol.TaskID{Job: o.ID, Index: uint32(i)}]; t != nil {
+			c.askStop(t, true, 0)
+		}
+	}
+	c.checkDone(o)
+}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -3,6 +3,7 @@
 import (
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/sharing"
 	"damsonkeel/internal/protocol"
 )
 
@@ -79,10 +80,37 @@
 	case m.Drain != nil:
 		c.keeping.Drain(*m.Drain)
 	case m.Record != nil:
-		c.registrar.Wanted(*m.Record)
+		c.registrar.Wanted(from, *m.Record)
+	case m.Done != nil:
+		c.doneBefore(m.Done)
+	case m.Move != nil:
+		c.keeping.Move(m.Move)
+	case m.Hand != nil:
+		c.keeping.Hand(m.Hand)
 	case m.AskTable:
 		c.sendTable(from)
 	case m.Table != nil:
 		c.fillTable(m.Table)
 	}
 }
+
+// adoptShares takes over a new record of the shares. Owners are sure of nothing that
+// was placed through a share's holder before; nobody else notices.
+func (c *Core) adoptShares(s *bookkeeping.Shares, version protocol.Version) {
+	old := c.Shares
+	was := c.Sharing()
+	c.members.AdoptShares(s, version)
+	if !was || !c.Member() {
+		return // with the view that names the shares
+	}
+	changed := map[sharing.ID]bool{}
+	for i, now := range s.List {
+		if i >= len(old.List) || old.List[i].Since != now.Since {
+			changed[sharing.ID(i)] = true
+		}
+	}
+	if len(changed) > 0 {
+		c.sharesMoved(changed)
+	}
+	c.keeping.AdoptShares(old)
+}
--- a/internal/emulator/machines.go
+++ b/internal/emulator/machines.go
@@ -24,14 +24,15 @@
 			info = t
 		}
 	}
-	sw := &simWorker{target: w.rng.IntN(3), Worker: &standin.Worker{
+	sw := &simWorker{target: w.rng.IntN(w.settings.Site.Count), Worker: &standin.Worker{
 		ID: id, Info: info, Zone: r.Zone, Spot: r.Spot, LeaseS: w.settings.Site.Workers.LeaseS, Results: w.results,
 		GangWait: time.Duration(w.settings.Site.Workers.GangWaitS) * time.Second,
 		Jobs:     func(j protocol.JobID) (protocol.Job, bool) { job, ok := w.jobs[j]; return job, ok },
 		RunTime:  w.runTime,
 		Saved:    w.saved,
 		Started:  w.taskStarted,
-		Ended: func(m *standin.Worker, id protocol.TaskID, _ protocol.EndCause) {
+		Ended: func(m *standin.Worker, id protocol.TaskID, why protocol.EndCause) {
+			w.endedTask(m.ID, id, why)
 			if w.onMachine[id] == m {
 				delete(w.onMachine, id)
 			}
@@ -84,14 +85,14 @@
 	}
 	w.after(4*time.Second, func() {
 		if !over {
-			sw.target = (sw.target + 1) % 3
+			sw.target = (sw.target + 1) % len(w.nodes)
 			next(time.Second)
 		}
 	})
 	w.carryToZone(n, sw.Zone, func() {
 		if n.core == nil {
 			if !over {
-				sw.target = (sw.target + 1) % 3
+				sw.target = (sw.target + 1) % len(w.nodes)
 				next(time.Second)
 			}
 			return
@@ -121,7 +122,7 @@
 					sw.target = at
 					next(w.delay())
 				default:
-					sw.target = (sw.target + 1) % 3
+					sw.target = (sw.target + 1) % len(w.nodes)
 					next(time.Second)
 				}
 			})
--- a/internal/emulator/nodes.go
+++ b/internal/emulator/nodes.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination"
 	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/message"
@@ -30,7 +31,10 @@
 	layout   bookkeeping.Layout
 	frozen   time.Duration // until when its process stands still, clocks running on
 	extendAt time.Duration
-	born     time.Duration
+	// slowBy is how many times slower its process ticks until slowUntil.
+	slowBy    int
+	slowUntil time.Duration
+	born      time.Duration
 }
 
 type simOutbox struct {
@@ -47,7 +51,14 @@
 	n.life++
 	life := n.life
 	s := *w.settings
-	s.Name = n.name
+	s.Name, s.Members = n.name, nil
+	for i, o := range w.nodes {
+		if o == n {
+			s.Zone = w.zoneOf(i)
+		} else {
+			s.Members = append(s.Members, config.Member{Name: o.name, Zone: w.zoneOf(i)})
+		}
+	}
 	level := slog.LevelError + 1
 	if os.Getenv("WORLD_LOG") != "" {
 		level = slog.LevelDebug
@@ -58,10 +69,7 @@
 	n.born = w.now
 	n.session = 0
 	n.outboxes = map[protocol.NodeName]*simOutbox{}
-	for _, o := range w.nodes {
-		n.outboxes[o.name] = &simOutbox{Outbox: coordination.NewOutbox(n.name, nil, log)}
-	}
-	for i := range 3 {
+	for i := range w.settings.Site.Count {
 		name := protocol.NodeName(fmt.Sprint("node-", i))
 		n.outboxes[name] = &simOutbox{Outbox: coordination.NewOutbox(n.name, nil, log)}
 	}
@@ -78,7 +86,7 @@
 	life := n.life
 	w.after(d, func() {
 		if n.life == life {
-			n.layout = bookkeeping.LayoutBlocks
+			n.layout = w.layout
 			w.startNode(n)
 		}
 	})
@@ -121,6 +129,7 @@
 		return nil
 	}
 	actions := n.core.Step(w.clock(n), msg)
+	w.noteMoves(n)
 	w.carryOut(n, actions)
 	if w.exact && n.core != nil {
 		for _, to := range slices.Sorted(maps.Keys(n.outboxes)) {
@@ -230,6 +239,7 @@
 	out := message.OutcomeFailed
 	if w.state.Txn(a.Txn) {
 		out = message.OutcomeDone
+		w.followSoon()
 	}
 	if w.rng.IntN(20) == 0 {
 		out = message.OutcomeUnknown // the answer is lost
@@ -314,18 +324,39 @@
 	return w.now - w.loggedAt[i]
 }
 
+// follow brings a controller the changes that it follows.
+func (w *world) follow(n *simNode) {
+	for n.followed < w.state.Changes() && w.age(n.followed) >= w.slow {
+		ev := w.state.Change(n.followed)
+		n.followed++
+		if strings.HasPrefix(ev.Put+ev.Delete, bookkeeping.FollowedPrefix) {
+			w.stepNode(n, message.Changed{Event: ev})
+		}
+	}
+}
+
+// followSoon has all controllers follow what has just changed, where events happen
+// at their own times.
+func (w *world) followSoon() {
+	if !w.exact {
+		return
+	}
+	for _, n := range w.nodes {
+		life := n.life
+		w.after(w.delay(), func() {
+			if n.life == life && n.core != nil && n.session != 0 && w.now >= n.frozen && w.stateReachable(n) {
+				w.follow(n)
+			}
+		})
+	}
+}
+
 func (w *world) tickNode(n *simNode) {
 	if n.core == nil || w.now < n.frozen {
 		return
 	}
 	if n.session != 0 && w.stateReachable(n) {
-		for n.followed < w.state.Changes() && w.age(n.followed) >= w.slow {
-			ev := w.state.Change(n.followed)
-			n.followed++
-			if strings.HasPrefix(ev.Put+ev.Delete, bookkeeping.FollowedPrefix) {
-				w.stepNode(n, message.Changed{Event: ev})
-			}
-		}
+		w.follow(n)
 		if w.now >= n.extendAt {
 			n.extendAt = w.now + time.Second
 			if !w.state.Extend(w.now, n.session) {
@@ -341,6 +372,9 @@
 			w.stepNode(n, message.Entitled{Until: w.clock(n) + coordination.Time(7700*time.Millisecond)})
 		}
 	}
+	if n.slowBy > 1 && w.now < n.slowUntil && int(w.now/w.step)%n.slowBy != 0 {
+		return // it computes so many times slower
+	}
 	if w.exact || w.now%(2*w.step) == 0 {
 		w.stepNode(n, message.Tick{WallMS: w.tickMS()})
 	}
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -24,12 +24,26 @@
 	Starts   int     `json:"starts"`
 	Cost     float64 `json:"cost"`
 
+	Rules  []string     `json:"rules"` // that were broken
+	Shares SharesResult `json:"shares"`
+
 	Classes     map[string]*Class `json:"classes"`
 	Occurrences []*Occurrence     `json:"occurrences"`
 	Refused     []Refusal         `json:"refused,omitempty"`
 	Troubles    []Trouble         `json:"troubles,omitempty"`
 }
 
+// SharesResult is what became of moves of shares. Tasks that had to start again
+// within ten seconds of a move of their machine's share are counted whatever they
+// ended for, so what a move merely coincides with counts as well.
+type SharesResult struct {
+	Moves          int     `json:"moves"`
+	GivenUp        int     `json:"given_up"`
+	PauseP99S      float64 `json:"pause_p99_s"` // of starts on a share that moves
+	StoppedByMoves int     `json:"stopped_by_moves"`
+	LostByMoves    int     `json:"lost_by_moves"` // done, and begun again
+}
+
 // Class is what became of the jobs of a class; times are in seconds.
 type Class struct {
 	Jobs     int     `json:"jobs"`
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/protocol"
@@ -43,6 +44,16 @@
 }
 
 func (w *world) checkRules() {
+	if w.now%time.Second == 0 && len(w.order) <= 1000 { // looking at more takes long
+		for _, n := range w.nodes {
+			if n.core == nil {
+				continue
+			}
+			if m := n.core.Look().Misplaced; len(m) > 0 {
+				w.fail("%v %s keeps %v of shares that it does not hold", w.now, n.name, m)
+			}
+		}
+	}
 	for t := range w.onMachine {
 		if at, ok := w.cancelled[t.Job]; ok && (w.now-at).Seconds() > w.settings.Site.Workers.CancelS {
 			w.fail("%v ran_cancelled: %v is still on a machine", w.now, t)
--- /dev/null
+++ b/internal/emulator/shares_test.go
@@ -0,0 +1,354 @@
+package emulator
+
+import (
+	"testing"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/standin"
+)
+
+// shared is a world of machines that are all up, registered and busy, kept by
+// shares.
+func shared(t *testing.T, seed uint64, controllers, machines int) *world {
+	s := standin.Settings()
+	s.Site.Count = controllers
+	w := newWorld(t.Fatalf, seed, s, machines, machines)
+	w.run(3 * time.Second)
+	for range 8 {
+		w.submit(busyJob(w, machines))
+		w.run(w.now + 500*time.Millisecond)
+	}
+	if n := w.kept(); n < machines*9/10 {
+		t.Fatalf("%d of %d machines kept after %v", n, machines, w.now)
+	}
+	return w
+}
+
+// busyJob is an array that fills a third of the machines, now and then a gang, all
+// of one priority: nothing is stopped for anything else.
+func busyJob(w *world, machines int) protocol.Job {
+	j := protocol.Job{Class: "array", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: uint32(machines/3 + w.rng.IntN(10)), CPUs: 2, EstimateS: 5, Spot: true}
+	if w.rng.IntN(4) == 0 {
+		j.Class, j.Kind, j.Tasks, j.CPUs, j.Priority = "gang", protocol.KindGang, uint32(2+w.rng.IntN(5)), 4, "standard"
+	}
+	return j
+}
+
+// tasks is how many tasks have been accepted.
+func (w *world) tasks() (n int) {
+	for _, j := range w.jobs {
+		n += int(j.Tasks)
+	}
+	return n
+}
+
+// sharers are the controllers that keep any shares by the records, and how many.
+func (w *world) sharers() map[protocol.NodeName]int {
+	by := map[protocol.NodeName]int{}
+	for _, n := range w.nodes {
+		if k := len(w.held(n)); k > 0 {
+			by[n.name] = k
+		}
+	}
+	return by
+}
+
+// work submits a job a second for a while.
+func (w *world) work(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.submit(busyJob(w, len(w.order)))
+		w.run(w.now + time.Second)
+	}
+}
+
+// TestMovesDisturbNothing: a third of a busy fleet's shares, then all of one
+// controller's, then one share back and forth, move while jobs run. Nothing is
+// stopped, started twice or lost by that, no lease runs out, and moves take no
+// longer than stated.
+func TestMovesDisturbNothing(t *testing.T) {
+	t.Parallel()
+	w := shared(t, 11, 3, 300)
+	epoch := w.tokens()
+	for i := range 3 {
+		from, to := w.nodes[i], w.nodes[(i+1)%3]
+		if ids := w.held(from); !w.move(ids[:len(ids)/2], to) {
+			t.Fatal("nobody takes the request")
+		}
+		w.work(4 * time.Second)
+	}
+	one := w.held(w.nodes[0])[:1]
+	for i := range 60 {
+		w.move(one, w.nodes[i%3])
+		w.submit(busyJob(w, 100))
+		w.run(w.now + 700*time.Millisecond)
+	}
+	moved := 0
+	for id, e := range w.tokens() {
+		if e < epoch[id] {
+			t.Errorf("the epoch of share %d fell from %d to %d", id, epoch[id], e)
+		}
+		if e > epoch[id] {
+			moved++
+		}
+	}
+	if moved < 16 {
+		t.Errorf("%d shares moved", moved)
+	}
+	w.allEnd(t, 120*time.Second)
+	if w.lapsed > 0 || w.starts != w.tasks() {
+		t.Errorf("%d leases ran out; %d starts for %d tasks", w.lapsed, w.starts, w.tasks())
+	}
+	w.sameTerm(t, 1)
+	if p := w.pause99(); len(w.pauses) < moved || p > 500*time.Millisecond {
+		t.Errorf("%d moves, which pause starts for %v at the 99th percentile", len(w.pauses), p)
+	}
+}
+
+// tokens are the epochs of the shares.
+func (w *world) tokens() (epochs []protocol.Term) {
+	s, _ := w.shares()
+	for _, st := range s.List {
+		epochs = append(epochs, st.Epoch)
+	}
+	return epochs
+}
+
+// sameTerm reports a term that was raised.
+func (w *world) sameTerm(t *testing.T, term protocol.Term) {
+	t.Helper()
+	for _, n := range w.nodes {
+		if n.core != nil && n.core.Look().Term != term {
+			t.Errorf("%s is in term %d, want %d", n.name, n.core.Look().Term, term)
+		}
+	}
+}
+
+// TestRollBySignal: all controllers are told to end, one after the other. Each hands
+// over everything first; no task is stopped, started again or lost by it.
+func TestRollBySignal(t *testing.T) {
+	t.Parallel()
+	w := shared(t, 12, 3, 300)
+	for _, n := range w.nodes {
+		w.leave(n)
+		w.work(6 * time.Second)
+		if n.core != nil && n.core.Look().Queues > 0 {
+			t.Fatalf("%s keeps %d machines though it was told to end", n.name, n.core.Look().Queues)
+		}
+		w.work(12 * time.Second)
+	}
+	w.run(w.now + 20*time.Second)
+	if by := w.sharers(); len(by) != 3 {
+		t.Errorf("shares are kept by %v", by)
+	}
+	w.allEnd(t, 120*time.Second)
+	if w.lapsed > 0 || w.starts != w.tasks() {
+		t.Errorf("%d leases ran out; %d starts for %d tasks", w.lapsed, w.starts, w.tasks())
+	}
+}
+
+// TestOneEndsOthersGoOn: a controller ends without a word. The shares of the others
+// notice nothing: their holders, tenures and tokens stay.
+func TestOneEndsOthersGoOn(t *testing.T) {
+	t.Parallel()
+	w := shared(t, 13, 3, 300)
+	before, _ := w.shares()
+	gone := w.nodes[1]
+	session := gone.session
+	w.crashFor(gone, 40*time.Second)
+	w.work(20 * time.Second)
+	after, _ := w.shares()
+	moved := 0
+	for i, st := range before.List {
+		switch {
+		case st.Holder == session && after.List[i].Holder == session:
+			t.Errorf("share %d has no keeper", i)
+		case st.Holder == session:
+			moved++
+		case st.Holder != after.List[i].Holder || st.Since != after.List[i].Since:
+			t.Errorf("share %d of one that stayed: %+v, was %+v", i, after.List[i], st)
+		}
+	}
+	if by := w.sharers(); moved == 0 || len(by) != 2 || by["node-0"] > 2*by["node-2"] || by["node-2"] > 2*by["node-0"] {
+		t.Errorf("%d shares taken over, kept by %v", moved, by)
+	}
+	w.work(40 * time.Second)
+	if by := w.sharers(); len(by) != 3 {
+		t.Errorf("shares are kept by %v after it came back", by)
+	}
+	w.allEnd(t, 120*time.Second)
+}
+
+// TestEndsAtEachStep: source, target, both or all controllers end at each step of a
+// move, some milliseconds apart.
+func TestEndsAtEachStep(t *testing.T) {
+	for name, who := range map[string][]int{"source": {0}, "target": {1}, "both": {0, 1}, "all": {0, 1, 2}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for at := 5 * time.Millisecond; at < 320*time.Millisecond; at += 15 * time.Millisecond {
+				w := shared(t, uint64(at), 3, 40)
+				ids := w.held(w.nodes[0])
+				w.move(ids[:min(len(ids), 8)], w.nodes[1])
+				w.after(at, func() {
+					for _, i := range who {
+						w.crash(w.nodes[i])
+					}
+				})
+				w.work(4 * time.Second)
+				w.allEnd(t, 150*time.Second)
+			}
+		})
+	}
+}
+
+// TestMoveInTrouble: a move meets each other failure that it has to stand, at each
+// of some moments; everything goes on and ends.
+func TestMoveInTrouble(t *testing.T) {
+	for name, trouble := range map[string]func(w *world, source, target *simNode){
+		"the target's transaction is lost":          func(w *world, _, b *simNode) { w.cut(string(b.name), "state", 5*time.Second, false) },
+		"the target's transaction is late":          func(w *world, _, b *simNode) { w.cut(string(b.name), "state", 5*time.Second, true) },
+		"the source hears nothing of the records":   func(w *world, a, _ *simNode) { w.cut(string(a.name), "state", 5*time.Second, true) },
+		"the state service is out":                  func(w *world, _, _ *simNode) { w.outage = w.now + 12*time.Second },
+		"source and target can't reach one another": func(w *world, a, b *simNode) { w.cut(string(a.name), string(b.name), 6*time.Second, true) },
+		"the source stands still for 40 s":          func(w *world, a, _ *simNode) { a.frozen = w.now + 40*time.Second },
+		"the target stands still for 40 s":          func(w *world, _, b *simNode) { b.frozen = w.now + 40*time.Second },
+		"workers' reports to the source are held back": func(w *world, a, _ *simNode) {
+			w.cut(string(a.name), "workers", 9*time.Second, true)
+		},
+		"jobs are cancelled": func(w *world, _, _ *simNode) {
+			for _, id := range w.jobOrder {
+				if w.final[id] == "" {
+					w.cancel(id)
+				}
+			}
+		},
+		"machines are lost": func(w *world, _, _ *simNode) {
+			for _, id := range w.order[:5] {
+				w.kill(id)
+			}
+		},
+		"workers begin new sessions": func(w *world, _, _ *simNode) {
+			for _, id := range w.order[5:12] {
+				w.workers[id].Restart(w.now)
+			}
+		},
+		"the record of the shares is lost": func(w *world, _, _ *simNode) {
+			w.state.Txn(protocol.Txn{Then: []protocol.Change{{Delete: bookkeeping.SharesKey}}})
+		},
+		"a third controller ends": func(w *world, _, _ *simNode) { w.crash(w.nodes[2]) },
+		"the move goes back":      func(w *world, a, b *simNode) { w.move(w.held(b), a) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, at := range []time.Duration{1, 40, 75, 110, 160, 230} {
+				w := shared(t, 100+uint64(at), 3, 40)
+				a, b := w.nodes[0], w.nodes[1]
+				w.move(w.held(a), b)
+				w.after(at*time.Millisecond, func() { trouble(w, a, b) })
+				w.work(4 * time.Second)
+				w.run(w.now + 45*time.Second)
+				w.allEnd(t, 150*time.Second)
+			}
+		})
+	}
+}
+
+// TestGangOverMovingShares: a gang whose machines are of several shares of which
+// most move while it waits and runs is neither split nor started again, and a team
+// at its limit stays within it.
+func TestGangOverMovingShares(t *testing.T) {
+	t.Parallel()
+	w := shared(t, 14, 3, 60)
+	w.allEnd(t, 60*time.Second)
+	starts, tasks := w.starts, w.tasks()
+	for range 3 {
+		w.submit(protocol.Job{Class: "gang", Team: "free", Kind: protocol.KindGang, Priority: "high", Tasks: 9, CPUs: 4, EstimateS: 5, Spot: true})
+		w.submit(protocol.Job{Class: "array", Team: "bound", Kind: protocol.KindArray, Priority: "standard", Tasks: 30, CPUs: 2, EstimateS: 5, Spot: true})
+		for i := range 12 {
+			w.run(w.now + 250*time.Millisecond)
+			w.moveSome(12)
+			w.move(w.held(w.nodes[i%3]), w.nodes[(i+1)%3])
+		}
+	}
+	w.allEnd(t, 120*time.Second)
+	if again := w.starts - starts - (w.tasks() - tasks); again != 0 {
+		t.Errorf("%d tasks started again", again)
+	}
+}
+
+// TestFiveAndOne: five controllers share the machines evenly and go on when two end;
+// one alone keeps all.
+func TestFiveAndOne(t *testing.T) {
+	t.Parallel()
+	w := shared(t, 15, 5, 200)
+	w.run(w.now + 20*time.Second)
+	if by := w.sharers(); len(by) != 5 {
+		t.Errorf("shares are kept by %v", by)
+	}
+	w.crashFor(w.nodes[1], 30*time.Second)
+	w.crashFor(w.nodes[3], 30*time.Second)
+	w.work(20 * time.Second)
+	if by := w.sharers(); len(by) != 3 {
+		t.Errorf("shares are kept by %v without two", by)
+	}
+	w.allEnd(t, 150*time.Second)
+
+	w = shared(t, 16, 1, 30)
+	w.leave(w.nodes[0]) // to nobody
+	w.work(3 * time.Second)
+	w.run(w.now + 30*time.Second)
+	w.allEnd(t, 150*time.Second)
+}
+
+// TestRollFromTheVersionBefore: controllers of a version that knows no shares are
+// replaced one after the other; after two of three one goes back, and the roll is
+// done again. Shares begin with the last, and tokens only rise.
+func TestRollFromTheVersionBefore(t *testing.T) {
+	t.Parallel()
+	s := standin.Settings()
+	w := newWorld(t.Fatalf, 17, s, 60, 60)
+	for _, n := range w.nodes {
+		n.layout = bookkeeping.LayoutBlocks
+	}
+	w.run(3 * time.Second)
+	w.work(5 * time.Second)
+	w.layout = bookkeeping.LayoutShares
+	for i, n := range w.nodes[:2] {
+		w.crash(n)
+		w.work(15 * time.Second)
+		if _, there := w.shares(); there {
+			t.Fatalf("shares with %d of 3 controllers that know them", i+1)
+		}
+	}
+	w.layout = bookkeeping.LayoutBlocks // back
+	w.crash(w.nodes[0])
+	w.work(15 * time.Second)
+	w.layout = bookkeeping.LayoutShares
+	for _, n := range w.nodes {
+		w.crash(n)
+		w.work(15 * time.Second)
+	}
+	if by := w.sharers(); len(by) != 3 {
+		t.Errorf("shares are kept by %v", by)
+	}
+	w.allEnd(t, 150*time.Second)
+}
+
+// TestRulesHoldWhileSharesMove plays generated days on which shares move all the
+// time, to and fro, with all the troubles of other days.
+func TestRulesHoldWhileSharesMove(t *testing.T) {
+	trouble := func(w *world) {
+		for range 1 + w.rng.IntN(4) {
+			w.moveSome(32)
+		}
+		w.after(time.Duration(w.rng.IntN(400))*time.Millisecond, func() {
+			if w.rng.IntN(2) == 0 {
+				w.trouble()
+			} else {
+				w.leave(w.nodes[w.rng.IntN(3)])
+			}
+		})
+	}
+	day{machines: 12, job: (*world).randomJob, lasts: 120 * time.Second, trouble: trouble, often: true}.playSeeds(t, 60, 500_000)
+}
--- a/internal/emulator/site.go
+++ b/internal/emulator/site.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
@@ -31,6 +33,7 @@
 	Reservations []Reservation `toml:"reservations"`
 	Windows      []Window      `toml:"windows"`
 	Troubles     Troubles      `toml:"troubles"`
+	StepMS       int           `toml:"step_ms"` // between the ticks of controllers and watches
 }
 
 // Type is a machine type.
@@ -110,6 +113,12 @@
 	CloudSilent float64 `toml:"cloud_silent"` // the cloud is silent for ten minutes
 	SpotWave    float64 `toml:"spot_wave"`    // a third of the spot machines are taken
 	Lost        float64 `toml:"lost"`         // a machine is lost
+	Slow        float64 `toml:"slow"`         // a controller is five times slower for two minutes
+	Frozen      float64 `toml:"frozen"`       // a controller stands still for 40 s, clocks running on
+	Deaf        float64 `toml:"deaf"`         // a controller is cut off from the workers for a minute
+	Leave       float64 `toml:"leave"`        // a controller is told to end by a signal
+	Roll        float64 `toml:"roll"`         // all controllers are, one after the other
+	Move        float64 `toml:"move"`         // up to 16 shares are moved from one controller to another
 }
 
 // LoadSite reads a site's file.
@@ -123,7 +132,7 @@
 
 // ParseSite reads and checks a site; its errors name the field.
 func ParseSite(b []byte) (*Site, error) {
-	s := &Site{ReportS: 10, LeaseS: 45}
+	s := &Site{ReportS: 10, LeaseS: 45, StepMS: 1000}
 	d := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields()
 	if err := d.Decode(s); err != nil {
 		var strict *toml.StrictMissingError
@@ -149,6 +158,9 @@
 	case !(s.ReportS > 0) || !(s.LeaseS > s.ReportS):
 		return errors.New("report_s, lease_s: not above 0, or a lease no longer than a report period")
 	}
+	if s.StepMS < 10 || s.StepMS > 1000 {
+		return fmt.Errorf("step_ms: %d is not from 10 to 1000", s.StepMS)
+	}
 	teams := map[protocol.Team]bool{}
 	for _, t := range s.Teams {
 		teams[t.Name] = true
@@ -178,6 +190,7 @@
 	for _, t := range s.Teams {
 		c.Site.Teams = append(c.Site.Teams, config.Team{Name: t.Name, CPUs: t.CPUs, MaxCPUs: t.MaxCPUs})
 	}
+	c.Site.Zones = slices.Sorted(maps.Keys(s.zones()))
 	c.Site.ClockErrorMS = 100
 	c.Site.Workers = config.Workers{ReportS: s.ReportS, LeaseS: s.LeaseS, GangWaitS: 60, GangPeerS: 10, CancelS: 2 * s.LeaseS}
 	c.Site.State = config.State{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 12}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -13,6 +13,7 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination"
+	"damsonkeel/internal/coordination/sharing"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
 )
@@ -45,9 +46,10 @@
 	onMachine map[protocol.TaskID]*standin.Worker
 	starts    int
 
-	step     time.Duration // between the ticks of the controllers' watches
-	exact    bool          // events happen at their own times, not with the steps
-	startMS  int64         // the time of day at the beginning
+	layout   bookkeeping.Layout // that controllers know
+	step     time.Duration      // between the ticks of the controllers' watches
+	exact    bool               // events happen at their own times, not with the steps
+	startMS  int64              // the time of day at the beginning
 	operator config.Operator
 	runTime  func(protocol.TaskID) time.Duration
 	saved    func(protocol.TaskID, time.Duration) // see standin.Worker
@@ -56,14 +58,20 @@
 	gone     func(protocol.MachineID)
 	heldS    func(protocol.MachineID) float64          // how long a machine has been rented
 	started  func(protocol.MachineID, protocol.TaskID) // a task starts
-	silent   time.Duration                             // until when the cloud answers nothing
-	checked  int                                       // changes of the state service that the rules have been held against
+	// endedTask: a task ends on a machine.
+	endedTask func(protocol.MachineID, protocol.TaskID, protocol.EndCause)
+	silent    time.Duration // until when the cloud answers nothing
+	checked   int           // changes of the state service that the rules have been held against
 
 	slow     time.Duration   // how long the state service takes
 	loggedAt []time.Duration // when its changes happened
 	promised int             // changes of the calendar
 	lapsed   int             // workers' leases that ran out
 
+	pauses  []time.Duration              // of moves of shares
+	givenUp int                          // moves
+	movedAt map[sharing.ID]time.Duration // when a share last moved
+
 	blockWrites int
 	mostOn      int // tasks at a time
 }
@@ -98,7 +106,7 @@
 	simNodeLease = 8 * time.Second
 )
 
-// newWorld has three controllers, and a cloud that has some more machines than
+// newWorld has as many controllers as the settings say, and a cloud that has some more machines than
 // are up at the start.
 func newWorld(fail func(string, ...any), seed uint64, settings *config.Settings, machines, up int) *world {
 	w := &world{
@@ -111,19 +119,21 @@
 			{Name: "large", CPUs: 8, MemoryGB: 32, FetchGBPS: 1, Price: 2, SpotPrice: 0.6, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}},
 		},
 	}
+	w.layout = bookkeeping.LayoutShares
 	w.step, w.startMS, w.operator = usualStep, 1, config.DefaultOperator()
 	w.runTime = func(protocol.TaskID) time.Duration { return time.Duration(1000+w.rng.IntN(9000)) * time.Millisecond }
 	w.bootTime = func(protocol.RentRequest) time.Duration { return time.Duration(3+w.rng.IntN(8)) * time.Second }
 	w.heldS = func(protocol.MachineID) float64 { return 30 }
 	w.started = func(protocol.MachineID, protocol.TaskID) {}
+	w.endedTask, w.movedAt = func(protocol.MachineID, protocol.TaskID, protocol.EndCause) {}, map[sharing.ID]time.Duration{}
 	w.rented, w.gone = func(protocol.MachineID, protocol.RentRequest) {}, func(protocol.MachineID) {}
 	for i := range up {
 		r := protocol.RentRequest{Name: fmt.Sprint("first", i), Type: w.types[i%2].Name, Zone: w.types[0].AllowZones[i/2%2], Spot: i%3 == 0, Count: 1}
 		_, ids := w.cloud.Rent(r)
 		w.boot(ids[0], r)
 	}
-	for i := range 3 {
-		n := &simNode{name: protocol.NodeName(fmt.Sprint("node-", i)), layout: bookkeeping.LayoutBlocks}
+	for i := range settings.Site.Count {
+		n := &simNode{name: protocol.NodeName(fmt.Sprint("node-", i)), layout: bookkeeping.LayoutShares}
 		w.nodes = append(w.nodes, n)
 		w.startNode(n)
 	}
--- a/internal/operators/messages.go
+++ b/internal/operators/messages.go
@@ -20,6 +20,11 @@
 	OpList   Op = "list"
 	OpShow   Op = "show"
 	OpCancel Op = "cancel"
+	// OpShares lists the shares of the machines, OpMove has some moved to a
+	// controller, and OpAway has a controller keep none, or keep some again.
+	OpShares Op = "shares"
+	OpMove   Op = "move"
+	OpAway   Op = "away"
 )
 
 // Request is one request; it is sealed on its way.
@@ -39,6 +44,10 @@
 
 	Reservation *bookkeeping.ReservationSpec `cbor:"reservation,omitempty"`
 	Spec        *bookkeeping.WindowSpec      `cbor:"spec,omitempty"` // of a window
+
+	Shares     []int             `cbor:"shares,omitempty"`     // to be moved
+	Controller protocol.NodeName `cbor:"controller,omitempty"` // to which, or that is to keep none
+	End        bool              `cbor:"end,omitempty"`        // of being away
 }
 
 // Code is how a request ended.
@@ -64,6 +73,9 @@
 	Reservations []Reservation `cbor:"reservations,omitempty" json:"reservations,omitempty"`
 	Windows      []Window      `cbor:"windows,omitempty" json:"windows,omitempty"`
 	More         bool          `cbor:"more,omitempty" json:"more,omitempty"` // list: go on after the last name
+
+	Controllers []Controller `cbor:"controllers,omitempty" json:"controllers,omitempty"`
+	Shares      []Share      `cbor:"shares,omitempty" json:"shares,omitempty"`
 }
 
 // Reservation is a reservation as operators see it.
@@ -88,3 +100,25 @@
 	Machine protocol.MachineID `cbor:"machine" json:"machine"`
 	ByS     float64            `cbor:"by_s" json:"by_s"`
 }
+
+// Controller is a controller as operators see it.
+type Controller struct {
+	Name     protocol.NodeName `cbor:"name" json:"name"`
+	Zone     protocol.Zone     `cbor:"zone,omitempty" json:"zone,omitempty"`
+	Shares   int               `cbor:"shares" json:"shares"`
+	Machines int               `cbor:"machines" json:"machines"`
+	LateMS   float64           `cbor:"late_ms" json:"late_ms"` // how late its ticks come
+	Deaf     bool              `cbor:"deaf,omitempty" json:"deaf,omitempty"`
+	Away     bool              `cbor:"away,omitempty" json:"away,omitempty"`
+	Leaving  bool              `cbor:"leaving,omitempty" json:"leaving,omitempty"`
+}
+
+// Share is a share of the machines as operators see it.
+type Share struct {
+	Number   int               `cbor:"number" json:"number"`
+	Zone     protocol.Zone     `cbor:"zone" json:"zone"`
+	Machines int               `cbor:"machines" json:"machines"`
+	Holder   protocol.NodeName `cbor:"holder" json:"holder"`
+	Since    protocol.Term     `cbor:"since" json:"since"`
+	Epoch    protocol.Term     `cbor:"epoch" json:"epoch"`
+}
--- a/internal/standin/serve/serve.go
+++ b/internal/standin/serve/serve.go
@@ -34,6 +34,7 @@
 	nodes   map[protocol.NodeName]string
 	jobs    map[protocol.JobID]protocol.Job
 	started map[protocol.TaskID]time.Time
+	starts  map[protocol.JobID]int
 	results map[protocol.TaskID]bool
 	servers []*http.Server
 	done    chan struct{}
@@ -45,7 +46,7 @@
 	p := &Platform{
 		begun: time.Now(), state: standin.NewState(), changed: make(chan struct{}), cloud: standin.NewCloud(machines), types: types,
 		workers: map[protocol.MachineID]*worker{}, nodes: nodes, jobs: map[protocol.JobID]protocol.Job{},
-		started: map[protocol.TaskID]time.Time{}, results: map[protocol.TaskID]bool{}, done: make(chan struct{}),
+		started: map[protocol.TaskID]time.Time{}, starts: map[protocol.JobID]int{}, results: map[protocol.TaskID]bool{}, done: make(chan struct{}),
 		boot: func(t protocol.TypeInfo) time.Duration {
 			return time.Duration((0.6 + 0.9*rand.Float64()) * t.BootS * float64(time.Second))
 		},
@@ -56,6 +57,7 @@
 	state.HandleFunc("POST /txn", locked(p, p.txn))
 	state.HandleFunc("POST /holds", locked(p, p.lease))
 	state.HandleFunc("POST /holds/{id}/extend", p.extend)
+	state.HandleFunc("DELETE /holds/{id}", p.release)
 	state.HandleFunc("GET /follow", p.follow)
 	cloud.HandleFunc("GET /catalog", func(w http.ResponseWriter, _ *http.Request) { answer(w, 200, protocol.Catalogue{Types: p.types}) })
 	cloud.HandleFunc("POST /hosts", locked(p, p.rent))
@@ -113,6 +115,14 @@
 	return ts
 }
 
+// Starts is how many times tasks of a job have started, those that started again
+// included.
+func (p *Platform) Starts(id protocol.JobID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starts[id]
+}
+
 // now is the platform's steady clock.
 func (p *Platform) now() time.Duration { return time.Since(p.begun) }
 
@@ -229,6 +239,15 @@
 	answer(w, 200, protocol.LeaseReply{Lease: protocol.LeaseID(id)})
 }
 
+func (p *Platform) release(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.Release(protocol.LeaseID(id))
+	p.wake()
+	answer(w, 200, protocol.LeaseReply{Lease: protocol.LeaseID(id)})
+}
+
 // follow answers with what changed after a revision, or waits for something.
 func (p *Platform) follow(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
--- a/internal/standin/serve/worker.go
+++ b/internal/standin/serve/worker.go
@@ -54,6 +54,7 @@
 			return time.Duration(p.jobs[id.Job].EstimateS * float64(time.Second))
 		},
 		Started: func(_ *standin.Worker, id protocol.TaskID, _ protocol.Attempt) {
+			p.starts[id.Job]++
 			if _, before := p.started[id]; !before {
 				p.started[id] = time.Now()
 			}
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -1,12 +1,15 @@
 package standin
 
-import "damsonkeel/internal/config"
+import (
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/protocol"
+)
 
 // Settings is a small deployment to play: three controllers, one team without
 // and one with a limit.
 func Settings() *config.Settings {
 	s := &config.Settings{}
-	s.Site.Count = 3
+	s.Site.Count, s.Site.Zones = 3, []protocol.Zone{"a", "b"}
 	s.Site.Teams = []config.Team{{Name: "free"}, {Name: "bound", CPUs: 8, MaxCPUs: 12}}
 	s.Site.Objectives = []config.Objective{{Kind: "wait", Class: "gang", WithinS: 10, Share: 0.8}}
 	s.Site.Workers = config.Workers{ReportS: 3, LeaseS: 15, GangWaitS: 20, GangPeerS: 5, CancelS: 35}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -84,15 +84,7 @@
 		return
 	}
 	if (now - w.renewed).Seconds() > w.LeaseS {
-		for id, t := range w.tasks {
-			if t.state != protocol.TaskEnded {
-				w.end(id, t, protocol.EndStopped)
-			}
-		}
-		w.tasks, w.order = map[protocol.TaskID]*workerTask{}, nil
-		w.Session++
-		w.Seq = 0
-		w.renewed = now
+		w.Restart(now)
 		return
 	}
 	for _, id := range w.sorted() {
@@ -100,6 +92,19 @@
 	}
 }
 
+// Restart begins the next session: all tasks are gone.
+func (w *Worker) Restart(now time.Duration) {
+	for id, t := range w.tasks {
+		if t.state != protocol.TaskEnded {
+			w.end(id, t, protocol.EndStopped)
+		}
+	}
+	w.tasks, w.order = map[protocol.TaskID]*workerTask{}, nil
+	w.Session++
+	w.Seq = 0
+	w.renewed = now
+}
+
 // Next is when time next changes something here, if no command does.
 func (w *Worker) Next() time.Duration {
 	next := w.renewed + time.Duration(w.LeaseS*float64(time.Second)) + 1
