--- a/internal/coordination/keeping/direct.go
+++ b/internal/coordination/keeping/direct.go
@@ -104,7 +104,7 @@
 	}
 	k.Log.Info("a direct start had no answer: raising its token", "machine", q.id, "task", e.task, "token", e.direct)
 	if k.Sharing() {
-		k.shareOf(q).raise = e.direct
+		k.shareOf(q).raise, k.asking = e.direct, true
 	} else {
 		k.needsTerm = true
 	}
--- a/internal/coordination/keeping/keeper.go
+++ b/internal/coordination/keeping/keeper.go
@@ -38,6 +38,7 @@
 	shares       map[sharing.ID]*share
 	staged       map[sharing.ID]*staged // handed over, to be taken
 	moved        []Moved                // that ended lately
+	asking       bool                   // there may be a change of the shares to ask for
 }
 
 // New keeps nothing yet.
@@ -88,7 +89,7 @@
 	}
 }
 
-// stateOfMachine is what others are told of a machine, if it is kept here.
+// StateOf is what others are told of a machine, if it is kept here.
 func (k *Keeper) StateOf(id protocol.MachineID) (message.MachineState, bool) {
 	q := k.queues[id]
 	if q == nil {
--- a/internal/coordination/keeping/shares.go
+++ b/internal/coordination/keeping/shares.go
@@ -183,6 +183,7 @@
 	}
 	for id := range inorder.Of(moving) {
 		s := k.shareAt(id)
+		k.asking = true
 		s.frozen = &frozen{to: m.To, at: k.Now, cause: m.Cause}
 		qs := byShare[id]
 		h := message.Hand{Term: k.View.Term, Tenured: message.Tenured{Share: int(id), Tenure: s.tenure}, Epoch: k.Shares.List[id].Epoch, Pieces: max(1, (len(qs)+handPiece-1)/handPiece)}
@@ -246,31 +247,37 @@
 		st.left--
 	}
 	st.pieces[h.Piece], st.at = h, k.Now
+	k.asking = true
 }
 
 // WantedShares lists the changes of the record of shares that this keeper asks for: the
 // shares handed over to it whole, to take, and those whose epoch has to rise: for a
 // start without an answer, or to give up a move.
 func (k *Keeper) WantedShares() (take, raise []sharing.ID) {
-	if !k.Sharing() || !k.Acting() {
+	if !k.asking || !k.Sharing() || !k.Acting() {
 		return nil, nil
 	}
+	k.asking = false
 	for id, st := range inorder.Of(k.staged) {
 		switch {
 		case st.epoch != k.Shares.List[id].Epoch || k.Since(st.at) > stageAtMost:
 			delete(k.staged, id)
+			continue
 		case st.left == 0:
 			take = append(take, id)
 		}
+		k.asking = true // until it is taken, or void
 	}
 	for id, s := range inorder.Of(k.shares) {
 		now := &k.Shares.List[id]
 		if now.Holder != k.Session || s.tenure != now.Since {
 			continue
 		}
-		if s.raise != 0 && s.raise >= now.Epoch || s.frozen != nil && k.Since(s.frozen.at) > handAtMost {
+		settles := s.raise != 0 && s.raise >= now.Epoch
+		if settles || s.frozen != nil && k.Since(s.frozen.at) > handAtMost {
 			raise = append(raise, id)
 		}
+		k.asking = k.asking || settles || s.frozen != nil
 	}
 	return take, raise
 }
--- a/internal/coordination/keeping/told.go
+++ b/internal/coordination/keeping/told.go
@@ -49,7 +49,7 @@
 	return room.Capacity(q.info).Minus(held.Firm(l))
 }
 
-// stateOf is what others are told of a machine, reckoned once after each change.
+// stateOfQueue is what others are told of a machine, reckoned once after each change.
 func (k *Keeper) stateOfQueue(q *queue) message.MachineState {
 	if m := k.Records[q.id]; m == nil || q.epoch != m.Epoch {
 		return message.MachineState{Machine: q.id}
--- a/internal/coordination/membership/hearing.go
+++ b/internal/coordination/membership/hearing.go
@@ -50,7 +50,7 @@
 	h.deaf = deaf
 }
 
-// noteStray counts a report that belongs to another controller.
+// Stray counts a report that belongs to another controller.
 func (ms *Members) Stray(m protocol.MachineID, z protocol.Zone) {
 	s, tenure := ms.hearing.astray[m], ms.Tenure(m, z)
 	if s.times > 0 && (ms.Since(s.last) > straySpan || s.tenure != tenure) {
--- a/internal/coordination/membership/members.go
+++ b/internal/coordination/membership/members.go
@@ -113,7 +113,7 @@
 	ms.Shares, ms.SharesVersion = s, version
 }
 
-// checkView raises the term when the view does not name exactly the
+// Check raises the term when the view does not name exactly the
 // controllers that are present in the records, or when it is asked for. A
 // controller whose connection is refused stays; only a lapsed lease removes it.
 func (ms *Members) Check(raise bool) {
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -225,7 +225,7 @@
 	return math.Max(0, wait)
 }
 
-// room is what a machine has free now, as far as this controller knows. One
+// free is what a machine has free now, as far as this controller knows. One
 // with a queue has none: what waits there comes first.
 func (m *machineEntry) free() room.Amount {
 	if m.told.Epoch != m.Epoch {
--- a/internal/coordination/sharing/assign.go
+++ b/internal/coordination/sharing/assign.go
@@ -180,11 +180,10 @@
 				a.give(id, i)
 				break
 			}
-			back := slices.IndexFunc(a.holder, func(x int) bool { return x == i })
-			for o := back; o >= 0 && o < len(a.holder); o++ {
-				if a.holder[o] == i && !a.home(o, i) && (a.home(o, h) || !a.anyHome(o)) {
+			for other, holder := range a.holder {
+				if holder == i && !a.home(other, i) && (a.home(other, h) || !a.anyHome(other)) {
 					a.give(id, i)
-					a.give(o, h)
+					a.give(other, h)
 					break
 				}
 			}
