--- a/internal/emulator/shares_test.go
+++ b/internal/emulator/shares_test.go
@@ -106,6 +106,41 @@
 	}
 }
 
+// TestThirdOfAFleetMoves: a third of the shares of 1,300 machines full of work moves
+// at once. No task is stopped, started again or lost, no move is given up, and no
+// other share or the term changes.
+func TestThirdOfAFleetMoves(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t.Fatalf, 18, standin.Settings(), 1300, 1300)
+	w.run(3 * time.Second)
+	for range 12 {
+		w.submit(busyJob(w, 2600))
+		w.run(w.now + 500*time.Millisecond)
+	}
+	before, _ := w.shares()
+	asked := map[int]bool{}
+	for i, n := range w.nodes {
+		ids := w.held(n)
+		ids = ids[:(len(ids)+2)/3]
+		for _, id := range ids {
+			asked[id] = true
+		}
+		w.move(ids, w.nodes[(i+1)%3])
+	}
+	w.run(w.now + 4*time.Second)
+	after, _ := w.shares()
+	for i, st := range after.List {
+		if moved := st != before.List[i]; moved != asked[i] {
+			t.Errorf("share %d moved %v, asked for %v", i, moved, asked[i])
+		}
+	}
+	w.allEnd(t, 200*time.Second)
+	if p := w.pause99(); len(asked) < 20 || w.givenUp > 0 || p > 500*time.Millisecond || w.lapsed > 0 || w.starts != w.tasks() {
+		t.Errorf("%d moves, %d given up, pause %v at the 99th percentile; %d starts for %d tasks, %d leases out", len(asked), w.givenUp, p, w.starts, w.tasks(), w.lapsed)
+	}
+	w.sameTerm(t, 1)
+}
+
 // tokens are the epochs of the shares.
 func (w *world) tokens() (epochs []protocol.Term) {
 	s, _ := w.shares()
