What waits for a moving share is kept as the messages it came in; nothing is counted that nobody reads

A last reading of the shares. Stops, drains and what may be forgotten were kept back in a type of their own beside the peers' messages, and passed on by a second check beside the first: one check and the messages themselves serve both. Each regular message listed all machines kept, once for each peer, to tell a number that nobody read: it is gone. The zones of the controllers were put together anew for each of them.

--- a/internal/coordination/keeping/queue.go
+++ b/internal/coordination/keeping/queue.go
@@ -289,7 +289,7 @@
 
 // Stop releases an attempt never sent, or has it killed.
 func (k *Keeper) Stop(s message.Stop) {
-	if k.hold(s.Machine, heldMessage{stop: &s}) || k.passOn(s.Machine, message.PeerMessage{Stop: &s}) {
+	if k.notHere(s.Machine, message.PeerMessage{Stop: &s}) {
 		return
 	}
 	q := k.queues[s.Machine]
@@ -314,7 +314,7 @@
 
 // Forget lets the worker drop an ended attempt that its owner has dealt with.
 func (k *Keeper) Forget(r message.TaskRef) {
-	if k.hold(r.Machine, heldMessage{forget: &r}) || k.passOn(r.Machine, message.PeerMessage{Forget: &r}) {
+	if k.notHere(r.Machine, message.PeerMessage{Forget: &r}) {
 		return
 	}
 	if q := k.queues[r.Machine]; q != nil {
@@ -327,7 +327,7 @@
 // Drain gives a machine up: nothing more is started there, and what waits goes
 // back to its owners.
 func (k *Keeper) Drain(id protocol.MachineID) {
-	if k.hold(id, heldMessage{drain: id}) || k.passOn(id, message.PeerMessage{Drain: &id}) {
+	if k.notHere(id, message.PeerMessage{Drain: &id}) {
 		return
 	}
 	if q := k.queues[id]; q != nil && !q.draining {
--- a/internal/coordination/keeping/shares.go
+++ b/internal/coordination/keeping/shares.go
@@ -33,15 +33,7 @@
 	to    protocol.NodeName
 	at    clock.Time
 	cause string
-	held  []heldMessage
-}
-
-// heldMessage is what somebody said of a share while it was handed over; one field
-// is set.
-type heldMessage struct {
-	stop   *message.Stop
-	forget *message.TaskRef
-	drain  protocol.MachineID
+	held  []message.PeerMessage
 }
 
 // staged is a share that another controller hands over, until the records say
@@ -94,20 +86,19 @@
 // frozen reports whether a queue is being handed over.
 func (k *Keeper) frozen(q *queue) bool { return k.Sharing() && k.shareOf(q).frozen != nil }
 
-// hold keeps a message back whose machine is being handed over.
-func (k *Keeper) hold(id protocol.MachineID, m heldMessage) bool {
-	q := k.queues[id]
-	if q == nil || !k.frozen(q) {
-		return false
+// notHere deals with a message about a machine that is not to be commanded here: one
+// that is being handed over has it kept back, and one that another keeps has it sent
+// on.
+func (k *Keeper) notHere(id protocol.MachineID, m message.PeerMessage) bool {
+	if q := k.queues[id]; q != nil {
+		if !k.frozen(q) {
+			return false
+		}
+		f := k.shareOf(q).frozen
+		f.held = append(f.held, m)
+		return true
 	}
-	f := k.shareOf(q).frozen
-	f.held = append(f.held, m)
-	return true
-}
-
-// passOn sends a message on that has come to an earlier keeper of its machine.
-func (k *Keeper) passOn(id protocol.MachineID, m message.PeerMessage) bool {
-	if !k.Sharing() || k.queues[id] != nil || k.Records[id] == nil {
+	if !k.Sharing() || k.Records[id] == nil {
 		return false
 	}
 	holder := k.Part.Keeper(id)
@@ -414,14 +405,14 @@
 }
 
 // again handles what was held back, here or by its new keeper.
-func (k *Keeper) again(m heldMessage) {
+func (k *Keeper) again(m message.PeerMessage) {
 	switch {
-	case m.stop != nil:
-		k.Stop(*m.stop)
-	case m.forget != nil:
-		k.Forget(*m.forget)
-	default:
-		k.Drain(m.drain)
+	case m.Stop != nil:
+		k.Stop(*m.Stop)
+	case m.Forget != nil:
+		k.Forget(*m.Forget)
+	case m.Drain != nil:
+		k.Drain(*m.Drain)
 	}
 }
 
--- a/internal/coordination/membership/balance.go
+++ b/internal/coordination/membership/balance.go
@@ -51,10 +51,11 @@
 		return
 	}
 	var seen []sharing.Seen
+	zones := ms.zones()
 	for name, p := range inorder.Of(ms.peers) {
 		deaf := len(ms.View.Deaf) < len(ms.View.Members) && slices.Contains(ms.View.Deaf, name)
 		seen = append(seen, sharing.Seen{
-			Member: sharing.Member{Name: name, Session: p.session, Zone: ms.zones()[name]},
+			Member: sharing.Member{Name: name, Session: p.session, Zone: zones[name]},
 			Late:   time.Duration(p.load.LateMS * float64(time.Millisecond)), Leaving: p.load.Leaving, Away: slices.Contains(ms.Shares.Away, name), Deaf: deaf,
 			Warm: p.term >= ms.View.Term && p.heardFirst != 0 && ms.Since(p.heardFirst) >= warmAfter && ms.Since(p.heardAt) < 3*ms.Op.RelayEvery,
 		})
@@ -85,9 +86,10 @@
 
 // Controllers lists the members as operators see them.
 func (ms *Members) Controllers() (list []operators.Controller) {
+	zones := ms.zones()
 	for name, p := range inorder.Of(ms.peers) {
 		list = append(list, operators.Controller{
-			Name: name, Zone: ms.zones()[name], LateMS: p.load.LateMS, Leaving: p.load.Leaving,
+			Name: name, Zone: zones[name], LateMS: p.load.LateMS, Leaving: p.load.Leaving,
 			Deaf: slices.Contains(ms.View.Deaf, name), Away: slices.Contains(ms.Shares.Away, name),
 		})
 	}
--- a/internal/coordination/message/move.go
+++ b/internal/coordination/message/move.go
@@ -80,7 +80,6 @@
 
 // Load is what a controller says of itself, for who balances the shares.
 type Load struct {
-	Machines int     // that it keeps
-	LateMS   float64 // how late its ticks come, on average
-	Leaving  bool    // it is told to end
+	LateMS  float64 // how late its ticks come, on average
+	Leaving bool    // it is told to end
 }
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -112,7 +112,7 @@
 			continue
 		}
 		r := &message.Relay{Term: c.View.Term, Acting: c.Acting(), HaveMachines: t.machinesFrom.Have(), HaveJobs: t.jobsFrom.Have()}
-		r.Load = message.Load{Machines: len(c.keeping.Machines()), LateMS: c.lateMS, Leaving: c.leaving}
+		r.Load = message.Load{LateMS: c.lateMS, Leaving: c.leaving}
 		r.Ask = c.rates.Asks(c.Now)
 		if l, ok := loans[p.session]; ok {
 			r.Loan = &l
