Small jobs that find no place, and polls for live jobs, no longer use up a controller

Change: a search in vain is remembered and what asks for as much is not tried meanwhile; polls of live jobs are answered by transactions that only compare the versions followed here, many in a request; queues count their attempts by job; ends of jobs delete only bitmaps that may be there.

--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -238,10 +238,16 @@
 	return Bits{Bits: base64.RawStdEncoding.EncodeToString(out)}
 }
 
+// ChunkNumber is the number of the chunk that a key of a bitmap is of.
+func ChunkNumber(key string) (chunk int, ok bool) {
+	chunk, err := strconv.Atoi(key[strings.LastIndexByte(key, '/')+1:])
+	return chunk, err == nil && chunk >= 0 && chunk <= protocol.MaxTasks/ChunkTasks
+}
+
 // DecodeChunk adds a chunk, read from key, to done.
 func DecodeChunk(key string, b Bits, done *bitset.BitSet, tasks uint32) error {
-	chunk, err := strconv.Atoi(key[strings.LastIndexByte(key, '/')+1:])
-	if err != nil || chunk < 0 || chunk > protocol.MaxTasks/ChunkTasks {
+	chunk, ok := ChunkNumber(key)
+	if !ok {
 		return fmt.Errorf("bitmap %s: no chunk number", key)
 	}
 	raw, err := base64.RawStdEncoding.DecodeString(b.Bits)
--- a/internal/bookkeeping/state.go
+++ b/internal/bookkeeping/state.go
@@ -168,6 +168,9 @@
 	case 404:
 		return ErrNotFound
 	case 409:
+		if out != nil && protocol.Decode(m.Body, out) != nil {
+			return fmt.Errorf("%w, and its body can't be read", ErrConflict)
+		}
 		return ErrConflict
 	case 410:
 		return ErrCompacted
@@ -254,6 +257,23 @@
 	return reply.Revision, err
 }
 
+// Compare holds versions against those of the records, in one request, and
+// returns the keys of which the service says that they differ, with ErrConflict.
+// One that fails counts as a change there.
+func (s *State) Compare(ctx context.Context, conditions []protocol.Condition) ([]string, error) {
+	if !s.ask(0, First, true) {
+		return nil, ErrRefused
+	}
+	var reply protocol.TxnReply
+	err := s.do(ctx, "POST", "/txn", protocol.Txn{If: conditions, Then: []protocol.Change{}}, &reply)
+	if errors.Is(err, ErrConflict) {
+		s.mu.Lock()
+		s.writes.AllowN(time.Now(), 1)
+		s.mu.Unlock()
+	}
+	return reply.Failed, err
+}
+
 // Lease asks for a lease.
 func (s *State) Lease(ctx context.Context, ttl time.Duration) (protocol.LeaseID, error) {
 	var reply protocol.LeaseReply
--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -72,7 +72,7 @@
 	}
 	for _, m := range c.machinesInOrder() {
 		if c.mayTake(o, m, zones) {
-			if k, ok := s.weigh(m, c.rng.Uint32()); ok {
+			if k, ok := s.weigh(m, c.rng.Uint32()); ok && !s.tooDeep(&k) {
 				s.heap = append(s.heap, k)
 			}
 		}
--- a/internal/coordination/finish.go
+++ b/internal/coordination/finish.go
@@ -44,7 +44,7 @@
 			{Delete: bookkeeping.LiveKey(o.ID)},
 		},
 	}
-	for chunk := 0; chunk*bookkeeping.ChunkTasks < int(o.Tasks); chunk++ {
+	for chunk := range inorder.Of(o.stored) { // a short job has none: what is not there costs a change all the same
 		txn.Then = append(txn.Then, protocol.Change{Delete: bookkeeping.BitsKey(o.ID, chunk)})
 	}
 	c.Do(message.Commit{Tag: finishTag{o.ID}, Txn: txn})
@@ -78,6 +78,7 @@
 		}}
 		for chunk := range inorder.Of(o.dirty) {
 			tag.chunks = append(tag.chunks, chunk)
+			o.stored[chunk] = true
 			txn.Then = append(txn.Then, protocol.Change{Put: bookkeeping.BitsKey(o.ID, chunk), Value: bookkeeping.EncodeChunk(o.done, chunk)})
 		}
 		clear(o.dirty)
--- a/internal/coordination/intake.go
+++ b/internal/coordination/intake.go
@@ -29,13 +29,14 @@
 	n     *Node
 	slots chan struct{}
 	next  forward
+	live  *liveChecks
 
 	mu     sync.Mutex
 	finals map[protocol.JobID]bookkeeping.JobRecord // final states never change
 }
 
 func newIntake(n *Node) *intake {
-	return &intake{n: n, slots: make(chan struct{}, maxRequests), finals: map[protocol.JobID]bookkeeping.JobRecord{}, next: newForward(n)}
+	return &intake{n: n, slots: make(chan struct{}, maxRequests), finals: map[protocol.JobID]bookkeeping.JobRecord{}, next: newForward(n), live: newLiveChecks(n)}
 }
 
 // handle routes a request. It runs on the event loop and never waits.
@@ -207,17 +208,22 @@
 	case bookkeeping.RecordCancelled:
 		s.State = protocol.JobCancelled
 	default:
-		s.State = protocol.JobQueued
 		p, _ := ask(in.n, func(c *Core) message.Progress { p, _ := c.JobProgress(id); return p })
-		done, running = p.Done, p.Running
-		if running > 0 {
-			s.State = protocol.JobRunning
-		}
+		return underWay(id, p)
 	}
 	s.Done, s.Running = &done, &running
 	return s
 }
 
+// underWay is what a user is told of a job that is live.
+func underWay(id protocol.JobID, p message.Progress) protocol.JobStatus {
+	s := protocol.JobStatus{ID: id, State: protocol.JobQueued, Done: &p.Done, Running: &p.Running}
+	if p.Running > 0 {
+		s.State = protocol.JobRunning
+	}
+	return s
+}
+
 // unavailable answers when the state service could not be asked.
 func (in *intake) unavailable(what string, err error) *transport.Message {
 	in.n.log.Debug(what, "err", err)
@@ -225,6 +231,14 @@
 }
 
 func (in *intake) poll(ctx context.Context, id protocol.JobID) *transport.Message {
+	if _, over := in.final(id); !over {
+		switch progress, err := in.live.of(ctx, id); {
+		case err == nil:
+			return success(200, underWay(id, progress))
+		case !errors.Is(err, errNotLive):
+			return in.unavailable("poll", err)
+		}
+	}
 	r, _, err := in.read(ctx, id)
 	switch {
 	case err == nil:
--- a/internal/coordination/keeping/keeper.go
+++ b/internal/coordination/keeping/keeper.go
@@ -151,9 +151,9 @@
 
 // JobOver: nothing of a job that is over may start or go on.
 func (k *Keeper) JobOver(id protocol.JobID) {
-	for _, q := range inorder.Of(k.queues) {
-		if k.frozen(q) {
-			continue // when it goes on, or by who takes it
+	for _, q := range k.queuesInOrder() {
+		if q.ofJob[id] == 0 || k.frozen(q) {
+			continue // if frozen: when it goes on, or by who takes it
 		}
 		k.overIn(q, id)
 	}
--- a/internal/coordination/keeping/keeping_test.go
+++ b/internal/coordination/keeping/keeping_test.go
@@ -135,7 +135,7 @@
 		entry := func(id protocol.JobID, k task, cpus float64) *entry {
 			b.k.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Team: k.team, Priority: k.priority, CPUs: cpus, Tasks: 1}}
 			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: 900, need: room.Amount{CPUs: cpus}, level: room.LevelOf(k.priority, k.guaranteed)}
-			q.entries[e.task] = e
+			q.put(e)
 			return e
 		}
 		victim := entry("job-1", tc.runs, 2)
@@ -178,7 +178,7 @@
 			l.Due = b.k.Due(l)
 			b.k.Live[id] = l
 			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: s, since: b.k.Now, need: room.Amount{CPUs: 3}, level: room.LevelOf(p, false)}
-			q.entries[e.task] = e
+			q.put(e)
 			return e
 		}
 		runs := entry("job-1", "standard", "other", tc.runs)
@@ -229,7 +229,7 @@
 	wait := func(id protocol.JobID, class string, estimate float64) *entry {
 		b.k.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Kind: protocol.KindArray, Priority: "standard", CPUs: 2, MemoryGB: 1, Tasks: 1, EstimateS: estimate, SubmittedMS: int64(b.k.Moment())}}
 		e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: estimate, need: room.Amount{CPUs: 2, GB: 1}, level: 1, from: "node-0"}
-		q.entries[e.task] = e
+		q.put(e)
 		b.k.enqueue(q, e)
 		return e
 	}
@@ -262,7 +262,7 @@
 	run := func(id protocol.JobID, p protocol.Priority) *entry {
 		b.k.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Priority: p, Team: "free", CPUs: 2, Tasks: 1, CheckpointS: 10, SaveS: 10}}
 		e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: 3600, need: room.Amount{CPUs: 2}, level: room.LevelOf(p, false), sent: true, present: true, state: protocol.TaskRunning}
-		q.entries[e.task] = e
+		q.put(e)
 		return e
 	}
 	low, same := run("job-low", "best_effort"), run("job-same", "standard")
@@ -284,7 +284,7 @@
 	q := b.k.queues["vm-1"]
 	for i := range uint32(3) {
 		e := &entry{task: protocol.TaskID{Job: "job-1", Index: i}, attempt: 1}
-		q.entries[e.task] = e
+		q.put(e)
 		q.waiting = append(q.waiting, e)
 	}
 	b.k.noteResult(q, &entry{task: protocol.TaskID{Job: "job-2"}, cause: protocol.EndDone})
@@ -305,7 +305,7 @@
 		b.ready("vm-1")
 		q := b.k.queues["vm-1"]
 		e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 1, sent: true}
-		q.entries[e.task] = e
+		q.put(e)
 		b.k.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: "standard"}}
 		if drained {
 			b.k.Drain("vm-1")
@@ -333,7 +333,7 @@
 			task: protocol.TaskID{Job: "job-1"}, attempt: 1, need: room.Amount{CPUs: 2}, level: room.LevelOf(tc.runs, false),
 			sent: true, present: true, state: protocol.TaskRunning,
 		}
-		q.entries[runs.task] = runs
+		q.put(runs)
 		b.k.Place("node-0", &message.Place{Number: 1, Term: b.k.View.Term, Tasks: []message.Placement{{
 			Task: protocol.TaskID{Job: "job-2"}, Attempt: 1, Machine: "vm-1", Epoch: q.epoch, CPUs: 4, Level: int(room.LevelOf("high", false)), Together: true,
 		}}})
@@ -370,7 +370,8 @@
 	b.job("job-1")
 	q := b.k.queues["vm-1"]
 	e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 1}
-	q.entries[e.task], q.waiting = e, []*entry{e}
+	q.put(e)
+	q.waiting = []*entry{e}
 	if r := b.report("vm-1", 1, 1); starts(r.Reply.Orders) != 0 {
 		t.Fatal("started on a machine without a record")
 	}
@@ -484,7 +485,7 @@
 	b.ready("vm-1")
 	e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 3, level: room.LevelOf("best_effort", true), guessed: true, present: true, sent: true}
 	q := b.k.queues["vm-1"]
-	q.entries[e.task] = e
+	q.put(e)
 	b.k.learnLevels(q, func(protocol.JobID) (room.Level, bool) { return 0, true })
 	if e.level != 0 || e.guessed {
 		t.Errorf("at level %d", e.level)
--- a/internal/coordination/keeping/queue.go
+++ b/internal/coordination/keeping/queue.go
@@ -24,8 +24,9 @@
 	zone    protocol.Zone
 	seen    protocol.Term // the highest token that its worker has said to have seen
 
-	entries map[protocol.TaskID]*entry
-	waiting []*entry // never sent, in order of service once sorted
+	entries map[protocol.TaskID]*entry // added and dropped by put and drop alone
+	ofJob   map[protocol.JobID]int     // how many of these
+	waiting []*entry                   // never sent, in order of service once sorted
 	sorted  bool
 
 	lastAnswer  clock.Time
@@ -130,7 +131,7 @@
 			if !lost(e) {
 				return false
 			}
-			delete(q.entries, e.task)
+			q.drop(e.task)
 			if owner := k.entryOwner(e); owner != "" && (keeps || owner != k.Self) {
 				// To itself only if it kept its jobs: else it knows no attempt.
 				released[owner] = append(released[owner], message.TaskRef{Task: e.task, Attempt: e.attempt, Machine: q.id})
@@ -160,7 +161,7 @@
 // for silent.
 func (k *Keeper) keep(id protocol.MachineID, z protocol.Zone) *queue {
 	q := &queue{
-		id: id, zone: z, session: k.sessionFloor[id], entries: map[protocol.TaskID]*entry{},
+		id: id, zone: z, session: k.sessionFloor[id], entries: map[protocol.TaskID]*entry{}, ofJob: map[protocol.JobID]int{},
 		lastAnswer: k.Now, idleSince: k.Now, failed: map[protocol.JobID]bool{},
 	}
 	k.queues[id], k.kept = q, nil
@@ -237,10 +238,29 @@
 	if i := slices.Index(q.waiting, e); i >= 0 {
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 	}
-	delete(q.entries, e.task)
+	q.drop(e.task)
 	k.touch(q)
 }
 
+// put adds an attempt, instead of another of its task if there is one.
+func (q *queue) put(e *entry) {
+	if q.entries[e.task] == nil {
+		q.ofJob[e.task.Job]++
+	}
+	q.entries[e.task] = e
+}
+
+// drop forgets a task's attempt.
+func (q *queue) drop(id protocol.TaskID) {
+	if q.entries[id] == nil {
+		return
+	}
+	delete(q.entries, id)
+	if q.ofJob[id.Job]--; q.ofJob[id.Job] == 0 {
+		delete(q.ofJob, id.Job)
+	}
+}
+
 // Place queues placements. One that can't be queued is released at once.
 func (k *Keeper) Place(from protocol.NodeName, p *message.Place) {
 	if _, member := k.View.Members[from]; member {
@@ -278,7 +298,7 @@
 		}
 		k.order++
 		e.order = k.order
-		q.entries[t.Task] = e
+		q.put(e)
 		k.enqueue(q, e)
 		k.wake(q)
 		if e.together {
--- a/internal/coordination/keeping/report.go
+++ b/internal/coordination/keeping/report.go
@@ -62,7 +62,7 @@
 	// the record that everything of the old session is gone.
 	q.session, q.seq, q.epoch, q.sole = s, 0, 0, false
 	k.touch(q)
-	q.entries = map[protocol.TaskID]*entry{}
+	q.entries, q.ofJob = map[protocol.TaskID]*entry{}, map[protocol.JobID]int{}
 	q.waiting = nil
 	q.notice = nil
 	q.images = nil
@@ -91,7 +91,7 @@
 				e.level = room.LevelOf(j.Priority, k.Guarantees(j.Team)) // perhaps: its owner would know
 				e.guessed = true
 			}
-			q.entries[t.Task] = e
+			q.put(e)
 		}
 		k.takeTask(q, e, t)
 	}
@@ -101,7 +101,7 @@
 		case e.present:
 			// The worker lets go of an attempt only when told to, so this is
 			// one that was told, or a worker that lost it: gone either way.
-			delete(q.entries, id)
+			q.drop(id)
 			k.touch(q)
 			if !e.ended() {
 				e.state, e.cause = protocol.TaskEnded, protocol.EndError
@@ -115,7 +115,7 @@
 			k.settleDirect(q, e)
 		case e.kill || k.IsOver(id.Job):
 			// Settled as below, and not wanted any more.
-			delete(q.entries, id)
+			q.drop(id)
 			k.tell(q, e, message.WhatReleased)
 		default:
 			// The answer with the start was lost or dropped: settled by this
@@ -137,7 +137,7 @@
 	k.dropWaiting(q, e)
 	k.tell(q, e, message.WhatReleased)
 	stray := &entry{task: t.Task, attempt: t.Attempt, present: true, state: t.State, cause: t.Cause, kill: t.State != protocol.TaskEnded, reap: true}
-	q.entries[t.Task] = stray
+	q.put(stray)
 }
 
 func (k *Keeper) takeTask(q *queue, e *entry, t protocol.TaskReport) {
--- a/internal/coordination/keeping/shares.go
+++ b/internal/coordination/keeping/shares.go
@@ -482,7 +482,7 @@
 			}
 			k.enqueue(q, e)
 		}
-		q.entries[e.task] = e
+		q.put(e)
 	}
 	k.wake(q)
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -105,6 +105,7 @@
 	go n.ticks(ctx)
 	go n.readCatalogue(ctx)
 	go n.sessions(ctx)
+	go n.intake.live.run(ctx)
 	go n.serve(ctx)
 	select {
 	case <-n.left:
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -27,6 +27,7 @@
 	attempt uint64
 	retryAt Time
 	overdue overdues
+	vain    []vainSearch
 }
 
 func newOwnerState() ownerState {
@@ -61,12 +62,14 @@
 	writing bool
 	// underWay are the bitmap chunks that are being written.
 	underWay []int
-	finish   bool // all done; to be written
-	ran      forecast.RunTimes
-	again    *bitset.BitSet // tasks that ran before, in part
-	ending   bool           // the write is on its way
+	// stored are the bitmap chunks that may be in the records.
+	stored map[int]bool
+	finish bool // all done; to be written
+	ran    forecast.RunTimes
+	again  *bitset.BitSet // tasks that ran before, in part
+	ending bool           // the write is on its way
 
-	stuck   bool // when last tried, machines were looked at and none found
+	stuck   bool // a gang: when last tried, machines were looked at and none found
 	tried   Time
 	claimed []*machineEntry // for it then
 
@@ -125,7 +128,7 @@
 func (c *Core) own(l *known.LiveJob) *ownedJob {
 	o := &ownedJob{
 		LiveJob: l, done: bitset.New(uint(l.Tasks)), pending: bitset.New(uint(l.Tasks)),
-		again: bitset.New(uint(l.Tasks)), placed: map[protocol.TaskID]*placedTask{}, dirty: map[int]bool{}, failedOn: map[protocol.MachineID]bool{}, since: l.Since,
+		again: bitset.New(uint(l.Tasks)), placed: map[protocol.TaskID]*placedTask{}, dirty: map[int]bool{}, stored: map[int]bool{}, failedOn: map[protocol.MachineID]bool{}, since: l.Since,
 	}
 	c.owner.jobs[l.ID] = o
 	c.ownedChanged.Touch(l.ID)
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -30,6 +30,7 @@
 	waits := map[protocol.MachineID]*ownWaits{}
 	cl := c.claims()
 	c.setLevels()
+	c.forgetVain()
 	left := maxPerStep
 	stuck := 0
 	for _, o := range c.jobsInOrder() {
@@ -45,6 +46,9 @@
 			c.claimAgain(o, cl)
 			continue
 		}
+		if o.Kind != protocol.KindGang && c.inVain(o) {
+			continue
+		}
 		var chosen []message.Placement
 		looked := c.looked
 		o.claimed = nil
@@ -54,7 +58,7 @@
 			chosen = c.placeArray(o, usage, left, cl)
 		}
 		left -= len(chosen)
-		o.stuck, o.tried = len(chosen) == 0 && c.looked > looked, c.Now
+		o.stuck, o.tried = o.Kind == protocol.KindGang && len(chosen) == 0 && c.looked > looked, c.Now
 		for _, p := range chosen {
 			keeper := c.Keeper(p.Machine)
 			batches[keeper] = append(batches[keeper], p)
@@ -87,11 +91,11 @@
 	c.sendWaits(waits)
 }
 
-// lookedAtOnce is how many machines may be looked at, a step, for jobs that found
-// no place when they were last tried.
+// lookedAtOnce is how many machines may be looked at, a step, for gangs that found
+// no place when they were last tried. See vainSearch for arrays.
 const lookedAtOnce = 30_000
 
-// retryEvery is how often such jobs are tried again, of so many: at each step
+// retryEvery is how often such gangs are tried again, of so many: at each step
 // where that is cheap, less often where many wait on a large fleet.
 func (c *Core) retryEvery(stuck int) time.Duration {
 	return placeEvery * time.Duration(stuck*len(c.sorted)/lookedAtOnce)
@@ -114,6 +118,7 @@
 		}
 		m := from.smallest(zones)
 		if m == nil {
+			c.noteVain(o)
 			break
 		}
 		out = append(out, c.putOn(from, uint32(i), m, c.nextAttempt(), zones))
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -96,6 +96,9 @@
 		return // asked for again at a later tick
 	}
 	for _, it := range m.Chunks {
+		if chunk, ok := bookkeeping.ChunkNumber(it.Key); ok {
+			o.stored[chunk] = true
+		}
 		var b bookkeeping.Bits
 		err := protocol.Decode(it.Value, &b)
 		if err == nil {
--- /dev/null
+++ b/internal/coordination/vain_test.go
@@ -0,0 +1,51 @@
+package coordination
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/protocol"
+)
+
+// TestCrowdOfSmallJobs: hundreds of small jobs for which a full fleet has no
+// place cost no more looks than a few do, and whoever is first in line gets a
+// place as soon as there is one.
+func TestCrowdOfSmallJobs(t *testing.T) {
+	b := newBench(t, "node-1")
+	const machines, jobs, ticks = 600, 300, 20
+	b.zoned("a", machines, false, heldAt(2, 4))
+	for _, m := range b.c.machinesInOrder() {
+		m.told.Wait = 10_000
+	}
+	var first protocol.JobID
+	for i := range 2 * jobs {
+		id := protocol.JobID(fmt.Sprintf("job-%06d", i))
+		b.job(id, "free", 1)
+		if first == "" && b.c.owner.jobs[id] != nil {
+			first = id
+		}
+	}
+	if n := len(b.c.owner.jobs); n < jobs*3/4 {
+		t.Fatalf("%d jobs owned", n)
+	}
+	before := b.c.looked
+	for range ticks {
+		b.c.owner.dirty = true
+		b.step(message.Tick{})
+	}
+	if n := b.c.looked - before; n < machines || n > 2*ticks*vainAtOnce {
+		t.Errorf("%d machines looked at in %d steps", n, ticks)
+	}
+	all := b.c.machinesInOrder()
+	m := all[slices.IndexFunc(all, func(m *machineEntry) bool { return b.c.Keeper(m.ID) == "node-1" })] // here nobody keeps the rest
+	m.told.FreeCPUs, m.told.FreeGB, m.told.Wait = 1, 4, 0
+	for range ticks {
+		b.c.owner.dirty = true
+		b.step(message.Tick{})
+	}
+	if len(m.mine) == 0 || b.c.owner.jobs[first].placed[protocol.TaskID{Job: first}] == nil {
+		t.Errorf("%s is not placed on the machine that has room: %v", first, m.mine)
+	}
+}
