Guests' jobs without an objective take only what classes with one are not likely to need

Change: such jobs are placed only where there is room now, and only as many processors as are up beyond the average use of the classes with objectives and what it takes to work off their bursts in time.

--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -72,7 +72,7 @@
 	}
 	for _, m := range c.machinesInOrder() {
 		if c.mayTake(o, m, zones) {
-			if k, ok := s.weigh(m, c.rng.Uint32()); ok && !s.tooDeep(&k) {
+			if k, ok := s.weigh(m, c.rng.Uint32()); ok && !s.tooDeep(&k) && !(o.yields && k.rank == rankQueue) {
 				s.heap = append(s.heap, k)
 			}
 		}
@@ -190,7 +190,7 @@
 func (s *candidates) smallest(zones map[protocol.Zone]int) *machineEntry {
 	for len(s.heap) > 0 {
 		top := &s.heap[0]
-		if !s.job.allowsZone(top.m, zones) || s.tooDeep(top) || top.rank != rankQueue && top.rank != rankOwn && !s.claims.spared(s.job, top.m, s.need) {
+		if !s.job.allowsZone(top.m, zones) || s.tooDeep(top) || s.job.yields && top.rank == rankQueue || top.rank != rankQueue && top.rank != rankOwn && !s.claims.spared(s.job, top.m, s.need) {
 			heap.Pop(s)
 			continue
 		}
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -19,6 +19,9 @@
 	// stopped for it goes elsewhere. Without that, a large gang would be starved
 	// by steady small ones.
 	gangs map[*machineEntry]room.Level
+	// leftOver is how many processors jobs may take that have only what others
+	// leave: see Core.leftOver.
+	leftOver float64
 }
 
 // against reports whether a gang has to leave a machine to another.
@@ -106,6 +109,7 @@
 		}
 		cl.classes = append(cl.classes, kp)
 	}
+	cl.leftOver = c.leftOver()
 	return cl
 }
 
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -20,15 +20,7 @@
 
 // noteArrival learns what jobs of a class look like and how often they come.
 func (c *Core) noteArrival(j *protocol.Job) {
-	share, awaited := 0.0, false
-	for _, o := range c.Settings.Site.Objectives {
-		switch {
-		case o.Class != j.Class:
-		case o.Kind == "wait" || o.Kind == "deadline" || o.Kind == "finished":
-			share = math.Max(share, o.Share)
-			awaited = awaited || o.Kind == "wait"
-		}
-	}
+	share, awaited := c.aimedAt(j.Class)
 	if share == 0 {
 		return
 	}
--- a/internal/coordination/forecast/arrivals.go
+++ b/internal/coordination/forecast/arrivals.go
@@ -96,6 +96,9 @@
 	return Arriving{rate, sum / n, squares / n, share, sizes[min(len(sizes)-1, int(share*n))]}
 }
 
+// Mean is how much comes a second on average.
+func (a Arriving) Mean() float64 { return a.rate * a.mean }
+
 // alike is by which part sizes may differ and still count as the same.
 const alike = 1e-6
 
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -23,7 +23,7 @@
 	if len(o.placed) > 0 && o.together() {
 		return c.refill(o, usage, cl)
 	}
-	if len(o.placed) > 0 || o.unknown || !c.withinLimit(o, usage, n) {
+	if len(o.placed) > 0 || o.unknown || !c.withinLimit(o, usage, n) || !cl.takeLeftOver(o, n) {
 		return nil
 	}
 	var out []message.Placement
--- /dev/null
+++ b/internal/coordination/leftover.go
@@ -0,0 +1,127 @@
+package coordination
+
+import (
+	"math"
+	"slices"
+
+	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/forecast"
+	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/protocol"
+)
+
+// aimedAt is the largest share of a class's jobs that an objective of the settings
+// names, 0 if none does, and whether they should start within a time.
+func (c *Core) aimedAt(class string) (share float64, awaited bool) {
+	for _, o := range c.Settings.Site.Objectives {
+		switch {
+		case o.Class != class:
+		case o.Kind == "wait" || o.Kind == "deadline" || o.Kind == "finished":
+			share = math.Max(share, o.Share)
+			awaited = awaited || o.Kind == "wait"
+		}
+	}
+	return share, awaited
+}
+
+// unaimed reports whether nobody says when a job should be done, and its team is
+// guaranteed nothing. Such jobs take only room that classes with objectives are
+// not likely to need: what has the same priority can't be stopped for others, so
+// guests' long tasks, once they fill a fleet, would hold all of it until they
+// end.
+func (c *Core) unaimed(j *protocol.Job) bool {
+	share, _ := c.aimedAt(j.Class)
+	return share == 0 && !c.Guarantees(j.Team)
+}
+
+// heldFor reports whether room is held for a job by what is promised.
+func (c *Core) heldFor(o *ownedJob) bool {
+	of := c.Of(&o.Job)
+	return slices.ContainsFunc(c.promised.List, func(h calendar.Hold) bool { return of(h.For) })
+}
+
+// keptForAims is how many processors the classes with objectives are likely to need:
+// what they use on average, and what it takes to work off in time what comes
+// beyond that, the deviations of the classes taken as independent. Until arrivals
+// have been watched for a while that is half of what is up at least.
+func (c *Core) keptForAims(up float64) (cpus float64) {
+	squares, least := 0.0, 0.0
+	for _, k := range c.classes {
+		bootS := c.upS(&k.job)
+		if math.IsInf(bootS, 1) {
+			continue
+		}
+		if c.Since(c.Begun).Seconds() < forecast.KnownBoots*bootS {
+			least = up / 2
+		}
+		work := c.coming(k, func(a forecast.Arrival) float64 { return a.Work })
+		cpus += work.Mean()
+		beyond := float64(c.reserve(k)) * k.job.CPUs
+		if !k.awaited {
+			slack := c.slackS(&k.job, bootS)
+			beyond = math.Max(0, work.Within(slack)/slack-work.Mean())
+		}
+		squares += beyond * beyond
+	}
+	return math.Max(cpus+math.Sqrt(squares), least)
+}
+
+// slackS is how long tasks of a job that comes may wait and be done in time, in
+// seconds; no less than a machine takes to be up.
+func (c *Core) slackS(j *protocol.Job, upS float64) float64 {
+	slack := math.Inf(1)
+	for _, by := range c.DueTimes(j) {
+		slack = math.Min(slack, by-c.Estimate(j))
+	}
+	if math.IsInf(slack, 1) {
+		return upS
+	}
+	return math.Max(slack, upS)
+}
+
+// leftOver is how many processors this owner's jobs without an objective may take
+// now: its part, by what waits, of what the others leave of the machines that are
+// up. Where no class with an objective has been seen it has no bound.
+func (c *Core) leftOver() float64 {
+	if len(c.classes) == 0 {
+		return math.Inf(1)
+	}
+	held, waits, all := 0.0, 0.0, 0.0
+	for id, l := range c.Live {
+		if !c.unaimed(&l.Job) {
+			continue
+		}
+		if o := c.owner.jobs[id]; o != nil {
+			held += float64(len(o.placed)) * l.CPUs
+			waits += float64(o.pending.Count()) * l.CPUs
+			continue
+		}
+		g, _ := c.JobProgress(id)
+		held += float64(g.Running) * l.CPUs
+		all += float64(l.Tasks-min(l.Tasks, g.Done+g.Running)) * l.CPUs
+	}
+	if all += waits; waits == 0 {
+		return 0
+	}
+	up := 0.0
+	for _, m := range c.machinesInOrder() {
+		if c.usable(m) {
+			up += m.Info.CPUs
+		}
+	}
+	return math.Max(0, up-c.keptForAims(up)-held) * waits / all
+}
+
+// takeLeftOver reports whether n tasks of a job may take room in this step, as far
+// as it may have only what others leave, and takes it.
+func (cl *claims) takeLeftOver(o *ownedJob, n int) bool {
+	if !o.yields {
+		return true
+	}
+	cpus := float64(n) * o.CPUs
+	if cpus > cl.leftOver+room.Slack {
+		return false
+	}
+	cl.leftOver -= cpus
+	return true
+}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -39,6 +39,7 @@
 		}
 	}
 	for _, o := range c.jobsInOrder() {
+		o.yields = o.unaimed && !math.IsInf(cl.leftOver, 1) && !c.heldFor(o)
 		if !o.loaded || o.finish || o.notBefore > c.Now || o.pending.None() {
 			continue
 		}
@@ -113,6 +114,9 @@
 		if !c.withinLimit(o, usage, 1) {
 			break
 		}
+		if !cl.takeLeftOver(o, 1) {
+			break
+		}
 		if from == nil {
 			from = c.candidatesFor(o, zones, cl)
 		}
--- a/internal/coordination/vain.go
+++ b/internal/coordination/vain.go
@@ -21,7 +21,9 @@
 	types []protocol.MachineType
 	zone  protocol.Zone
 	spot  bool
-	until Time
+	// yields: it may have only what others leave, and not wait in a queue.
+	yields bool
+	until  Time
 }
 
 const (
@@ -38,7 +40,7 @@
 		return // where it may go depends on more than what is remembered
 	}
 	c.owner.vain = append(c.owner.vain, vainSearch{
-		need: room.Need(&o.Job), level: o.level, rank: o.Priority.Rank(), class: o.Class, types: o.Types, zone: o.Zone, spot: o.Spot,
+		need: room.Need(&o.Job), level: o.level, rank: o.Priority.Rank(), class: o.Class, types: o.Types, zone: o.Zone, spot: o.Spot, yields: o.yields,
 	})
 	every := placeEvery * time.Duration(max(1, len(c.owner.vain)*len(c.sorted)/vainAtOnce))
 	c.owner.vain[len(c.owner.vain)-1].until = c.After(every)
@@ -60,7 +62,7 @@
 		v := &c.owner.vain[i]
 		if need.Covers(v.need) && o.level <= v.level && o.Priority.Rank() <= v.rank && (v.spot || !o.Spot) &&
 			(v.zone == "" || v.zone == o.Zone) && (len(v.types) == 0 || slices.Equal(v.types, o.Types)) &&
-			(v.class == o.Class || !c.Awaited(&o.Job)) {
+			(v.class == o.Class || !c.Awaited(&o.Job)) && (o.yields || !v.yields) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/emulator/guests_test.go
@@ -0,0 +1,76 @@
+package emulator
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/standin"
+)
+
+// guestSettings is a site with a team whose class has a deadline, and a guest team
+// without a guarantee.
+func guestSettings() *config.Settings {
+	s := standin.Settings()
+	s.Site.Teams = []config.Team{{Name: "home"}, {Name: "guest"}}
+	s.Site.Objectives = []config.Objective{{Kind: "deadline", Class: "sheet", Share: 0.85, Times: 1}}
+	return s
+}
+
+// TestGuestsTakeWhatIsLeft: guests' long tasks of the same priority, far more than
+// a fleet holds, come beside a class with a deadline, while controllers end. It
+// starts nearly as soon as without them; they get a good part of what it leaves.
+func TestGuestsTakeWhatIsLeft(t *testing.T) {
+	t.Parallel()
+	play := func(guests bool) (waits []time.Duration, most int) {
+		w := newWorld(t.Fatalf, 21, guestSettings(), 60, 60)
+		came, begun, on := map[protocol.JobID]time.Duration{}, map[protocol.TaskID]bool{}, 0
+		w.runTime = func(id protocol.TaskID) time.Duration {
+			return config.Seconds(w.jobs[id.Job].EstimateS)
+		}
+		w.started = func(_ protocol.MachineID, id protocol.TaskID) {
+			switch j := w.jobs[id.Job]; {
+			case j.Class == "idle":
+				if on++; on > most {
+					most = on
+				}
+			case !begun[id]:
+				begun[id] = true
+				waits = append(waits, w.now-came[id.Job])
+			}
+		}
+		w.endedTask = func(_ protocol.MachineID, id protocol.TaskID, _ protocol.EndCause) {
+			if w.jobs[id.Job].Class == "idle" {
+				on--
+			}
+		}
+		w.run(3 * time.Second)
+		for i := range 80 {
+			if i%2 == 0 {
+				w.submit(protocol.Job{Class: "sheet", Team: "home", Kind: protocol.KindArray, Priority: "low", Tasks: uint32(20 + i%3*20), CPUs: 2, EstimateS: 5, Spot: true, DeadlineS: 20})
+				came[w.jobOrder[len(w.jobOrder)-1]] = w.now
+			}
+			if guests && i%10 == 5 {
+				w.submit(protocol.Job{Class: "idle", Team: "guest", Kind: protocol.KindArray, Priority: "low", Tasks: 150, CPUs: 1, EstimateS: 90, Spot: true})
+			}
+			if i == 45 {
+				w.crash(w.nodes[i%3])
+			}
+			w.run(w.now + time.Second)
+		}
+		slices.Sort(waits)
+		return waits, most
+	}
+	alone, _ := play(false)
+	beside, most := play(true)
+	late := func(waits []time.Duration) time.Duration { return waits[len(waits)*9/10] }
+	if len(beside) < len(alone)*9/10 || late(beside) > late(alone)+3*time.Second {
+		t.Errorf("%d tasks of the class with a deadline wait up to %v at the 90th percentile, %d and %v without guests", len(beside), late(beside), len(alone), late(alone))
+	}
+	if most < 60 {
+		t.Errorf("guests have at most %d of 360 processors, where the others use 100 on average", most)
+	}
+	t.Logf("%v and %v at the 90th percentile, guests up to %d", late(alone), late(beside), most)
+}
