--- a/internal/coordination/leftover.go
+++ b/internal/coordination/leftover.go
@@ -24,14 +24,14 @@
 	return share, awaited
 }
 
-// unaimed reports whether nobody says when a job should be done, and its team is
-// guaranteed nothing. Such jobs take only room that classes with objectives are
-// not likely to need: what has the same priority can't be stopped for others, so
-// guests' long tasks, once they fill a fleet, would hold all of it until they
-// end.
+// unaimed reports whether nobody says when a job should be done, its team is
+// guaranteed nothing, and its tasks run longer than another machine takes to be
+// up. Such jobs take only room that classes with objectives are not likely to
+// need: what has the same priority can't be stopped for others, so guests' long
+// tasks, once they fill a fleet, would hold all of it until they end.
 func (c *Core) unaimed(j *protocol.Job) bool {
 	share, _ := c.aimedAt(j.Class)
-	return share == 0 && !c.Guarantees(j.Team)
+	return share == 0 && !c.Guarantees(j.Team) && c.Estimate(j) > c.upS(j)
 }
 
 // heldFor reports whether room is held for a job by what is promised.
@@ -79,6 +79,10 @@
 	return math.Max(slack, upS)
 }
 
+// leastLeft is the part of what is up that jobs without an objective may take
+// however much is expected: they would starve where that is always too much.
+const leastLeft = 0.1
+
 // leftOver is how many processors this owner's jobs without an objective may take
 // now: its part, by what waits, of what the others leave of the machines that are
 // up. Where no class with an objective has been seen it has no bound.
@@ -86,7 +90,7 @@
 	if len(c.classes) == 0 {
 		return math.Inf(1)
 	}
-	held, waits, all := 0.0, 0.0, 0.0
+	held, waits, all, one := 0.0, 0.0, 0.0, 0.0
 	for id, l := range c.Live {
 		if !c.unaimed(&l.Job) {
 			continue
@@ -94,6 +98,11 @@
 		if o := c.owner.jobs[id]; o != nil {
 			held += float64(len(o.placed)) * l.CPUs
 			waits += float64(o.pending.Count()) * l.CPUs
+			each := l.CPUs
+			if l.Kind == protocol.KindGang {
+				each *= float64(l.Tasks)
+			}
+			one = math.Max(one, each)
 			continue
 		}
 		g, _ := c.JobProgress(id)
@@ -109,7 +118,11 @@
 			up += m.Info.CPUs
 		}
 	}
-	return math.Max(0, up-c.keptForAims(up)-held) * waits / all
+	left := math.Max(up-c.keptForAims(up), leastLeft*up)
+	if held == 0 {
+		left = math.Max(left, all/waits*one) // one task or gang at least, however small the fleet
+	}
+	return math.Max(0, left-held) * waits / all
 }
 
 // takeLeftOver reports whether n tasks of a job may take room in this step, as far
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -74,7 +74,6 @@
 	claimed []*machineEntry // for it then
 
 	level     room.Level // at the last placement
-	unaimed   bool       // see Core.unaimed
 	yields    bool       // at the last placement: has only what others leave
 	failedOn  map[protocol.MachineID]bool
 	backoff   time.Duration
@@ -132,7 +131,6 @@
 		LiveJob: l, done: bitset.New(uint(l.Tasks)), pending: bitset.New(uint(l.Tasks)),
 		again: bitset.New(uint(l.Tasks)), placed: map[protocol.TaskID]*placedTask{}, dirty: map[int]bool{}, stored: map[int]bool{}, failedOn: map[protocol.MachineID]bool{}, since: l.Since,
 	}
-	o.unaimed = c.unaimed(&l.Job)
 	c.owner.jobs[l.ID] = o
 	c.ownedChanged.Touch(l.ID)
 	c.owner.sorted = nil
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -39,7 +39,7 @@
 		}
 	}
 	for _, o := range c.jobsInOrder() {
-		o.yields = o.unaimed && !math.IsInf(cl.leftOver, 1) && !c.heldFor(o)
+		o.yields = !math.IsInf(cl.leftOver, 1) && c.unaimed(&o.Job) && !c.heldFor(o)
 		if !o.loaded || o.finish || o.notBefore > c.Now || o.pending.None() {
 			continue
 		}
