Jobs with a mistake speak against no machine, and are tried with one task at a time

Each failing task doubled the job's pause and was logged.

Change: the owner judges the job and tells all in its regular message; the keeper judges the machine after that, without the failures of such jobs. A job that fails is tried with one task; what waits in queues is taken back.

--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -70,8 +70,9 @@
 	if s.bars != nil {
 		s.own = func(m *machineEntry) bool { return c.holdsFor(o, m) }
 	}
+	mayTake := c.mayTake(o, zones)
 	for _, m := range c.machinesInOrder() {
-		if c.mayTake(o, m, zones) {
+		if mayTake(m) {
 			if k, ok := s.weigh(m, c.rng.Uint32()); ok && !s.tooDeep(&k) && !(o.yields && k.rank == rankQueue) {
 				s.heap = append(s.heap, k)
 			}
@@ -107,25 +108,35 @@
 	return dear
 }
 
-// mayTake reports whether a job may have a task on a machine at present.
-func (c *Core) mayTake(o *ownedJob, m *machineEntry, zones map[protocol.Zone]int) bool {
-	return c.usable(m) && (!o.failedOn[m.ID] || c.failsEverywhere(o)) && o.allows(m, zones)
+// mayTake tells which machines a job may have a task on at present, given the zones
+// of its others. Where it has failed it goes only if there is no other.
+func (c *Core) mayTake(o *ownedJob, zones map[protocol.Zone]int) func(*machineEntry) bool {
+	nowhereElse := c.nowhereElse(o)
+	return func(m *machineEntry) bool {
+		return c.usable(m) && (nowhereElse || !o.failedOn[m.ID]) && o.allows(m, zones)
+	}
 }
 
-// failsEverywhere reports whether a job failed on several machines, or on all
-// that there are for it: then no other is waited for. Where the only machine of
-// a zone had failed it once, it was never tried again, and no other was rented
-// since that one had room.
-func (c *Core) failsEverywhere(o *ownedJob) bool {
-	if len(o.failedOn) >= 3 {
-		return true
+// nowhereElse reports whether a job failed on all machines that there are for it.
+// Where the only machine of a zone had failed it once, it was never tried again, and
+// no other was rented since that one had room.
+func (c *Core) nowhereElse(o *ownedJob) bool {
+	if len(o.failedOn) == 0 {
+		return false
 	}
 	for _, m := range c.machinesInOrder() {
 		if !o.failedOn[m.ID] && c.usable(m) && o.AllowsKind(m.Info, m.Record.Zone, m.Record.Spot) {
 			return false
 		}
 	}
-	return len(o.failedOn) > 0
+	return true
+}
+
+// failsEverywhere reports whether a job failed on several machines, no less often
+// than its tasks run, or on all that there are for it. The tasks of a gang fail
+// together: how many run then tells nothing.
+func (c *Core) failsEverywhere(o *ownedJob) bool {
+	return len(o.failedOn) >= failedMachines && (o.together() || o.failures >= int(o.running)) || c.nowhereElse(o)
 }
 
 // weigh is what a machine is worth for the job's next task, if it is. A task
--- a/internal/coordination/candidates_test.go
+++ b/internal/coordination/candidates_test.go
@@ -22,7 +22,7 @@
 	best := math.Inf(1)
 	waits := map[*machineEntry]float64{}
 	for _, m := range c.machines {
-		if !c.mayTake(o, m, zones) {
+		if !c.mayTake(o, zones)(m) {
 			continue
 		}
 		w, room := m.waitFor(&o.Job, o.level)
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -294,7 +294,7 @@
 		c.watchSlow()
 		c.keeping.ExpireSilent(c.members.AllAdopted(), c.members.SharesFloor())
 		c.rebalance("")
-		c.keeping.Regular(c.levelTold)
+		c.keeping.Regular(c.levelTold, c.jobFails)
 		c.flushBits()
 		c.sendRelays(true)
 		c.members.Balance()
--- a/internal/coordination/events.go
+++ b/internal/coordination/events.go
@@ -126,12 +126,7 @@
 	}
 	switch e.Cause {
 	case protocol.EndError:
-		o.failedOn[e.Machine] = true
-		if c.failsEverywhere(o) {
-			o.backoff = min(max(2*o.backoff, 5*time.Second), 5*time.Minute)
-			o.notBefore = c.After(o.backoff)
-			c.Log.Info("job fails wherever it runs: it waits", "job", o.ID, "machines", len(o.failedOn), "wait", o.backoff)
-		}
+		c.failed(o, t)
 	case protocol.EndUnknown:
 		o.notBefore = c.After(2 * time.Second)
 	case protocol.EndFull, protocol.EndInUse:
--- a/internal/coordination/finish.go
+++ b/internal/coordination/finish.go
@@ -16,10 +16,7 @@
 	o.nDone++
 	c.ownedChanged.Touch(o.ID)
 	o.dirty[int(i)/bookkeeping.ChunkTasks] = true
-	if o.backoff > 0 {
-		o.backoff, o.notBefore = 0, 0
-		clear(o.failedOn)
-	}
+	c.sound(o)
 }
 
 // checkDone has a job's end written once all its tasks are done. It is told
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -144,8 +144,9 @@
 	now, firm = map[protocol.Zone]int{}, map[protocol.Zone]int{}
 	size, none := room.Need(&o.Job), map[protocol.Zone]int{}
 	c.looked += len(c.sorted)
+	mayTake := c.mayTake(o, none)
 	for _, m := range c.machinesInOrder() {
-		if c.mayTake(o, m, none) && !cl.against(o, m) && !(shun && m.Record.Spot) {
+		if mayTake(m) && !cl.against(o, m) && !(shun && m.Record.Spot) {
 			free, most := m.free(), m.firmRoom(o.level)
 			if c.holdsFor(o, m) {
 				free = m.idle() // it does not wait behind the rest
@@ -173,11 +174,12 @@
 	}
 	left := int(o.Tasks)
 	c.looked += len(c.sorted)
+	mayTake := c.mayTake(o, none)
 	for _, m := range c.machinesInOrder() {
 		if left <= 0 {
 			return
 		}
-		if best != "" && m.Record.Zone != best || cl.against(o, m) || !c.mayTake(o, m, none) {
+		if best != "" && m.Record.Zone != best || cl.against(o, m) || !mayTake(m) {
 			continue
 		}
 		if n := m.firmRoom(o.level).Fit(size); n > 0 {
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -424,7 +424,7 @@
 		t.Error("not tried again")
 	}
 	b.machine("vm-2", 1)
-	if b.c.mayTake(o, b.c.machines["vm-1"], nil) {
+	if b.c.mayTake(o, nil)(b.c.machines["vm-1"]) {
 		t.Error("tried there again though there is another machine")
 	}
 }
--- a/internal/coordination/insight.go
+++ b/internal/coordination/insight.go
@@ -18,6 +18,8 @@
 	Shares int // kept; 0 where there are none
 	// Misplaced are machines kept though their share is not.
 	Misplaced []protocol.MachineID
+	// SetAside are machines kept that fail what they start.
+	SetAside []protocol.MachineID
 	// Waits are the machines whose table entry is not empty: work that is there
 	// or announced.
 	Waits []protocol.MachineID
@@ -33,6 +35,11 @@
 			}
 		}
 	}
+	for _, id := range c.keeping.Machines() {
+		if st, kept := c.keeping.StateOf(id); kept && st.Suspect {
+			in.SetAside = append(in.SetAside, id)
+		}
+	}
 	for _, m := range c.machinesInOrder() {
 		if len(m.coming) > 0 || m.wait() != 0 {
 			in.Waits = append(in.Waits, m.ID)
--- /dev/null
+++ b/internal/coordination/keeping/judge.go
@@ -0,0 +1,45 @@
+package keeping
+
+import "damsonkeel/internal/protocol"
+
+// failsOf tells whether a job fails wherever it runs, by its owner's word.
+type failsOf func(protocol.JobID) bool
+
+// jobsAgainst is how many jobs have to fail on a machine in a row, none of them
+// failing elsewhere as well, until that speaks against the machine.
+const jobsAgainst = 2
+
+// judge sets a machine aside that fails what it starts, and takes it back where its
+// failures turn out to be those of jobs with a mistake. It waits until the owners
+// have had the time to say so: of two arrays with a mistake nearly every machine
+// fails a task of each, and the whole fleet was set aside.
+func (k *Keeper) judge(q *queue, fails failsOf) {
+	if len(q.failed) == 0 {
+		return
+	}
+	against := 0
+	for id, at := range q.failed {
+		switch {
+		case fails(id):
+			delete(q.failed, id)
+		case k.Since(at) >= 2*k.Op.RelayEvery:
+			against++
+		}
+	}
+	k.setAside(q, against >= jobsAgainst)
+}
+
+// setAside has nothing started on a machine any more, or goes on with it.
+func (k *Keeper) setAside(q *queue, suspect bool) {
+	if q.suspect == suspect {
+		return
+	}
+	q.suspect = suspect
+	k.touch(q)
+	if !suspect {
+		k.Log.Info("machine works again", "machine", q.id)
+		return
+	}
+	k.Log.Info("machine set aside: it fails its tasks", "machine", q.id, "jobs", len(q.failed))
+	k.releaseWaiting(q)
+}
--- a/internal/coordination/keeping/keeper.go
+++ b/internal/coordination/keeping/keeper.go
@@ -107,11 +107,12 @@
 
 // Regular is what is done once a relay period: others are stopped for what waits,
 // and for what room is held for.
-func (k *Keeper) Regular(level levelOf) {
+func (k *Keeper) Regular(level levelOf, fails failsOf) {
 	for _, q := range k.queuesInOrder() {
 		if k.frozen(q) {
 			continue
 		}
+		k.judge(q, fails)
 		k.preempt(q)
 		k.learnLevels(q, level)
 		k.clearHeld(q)
@@ -149,9 +150,13 @@
 	}
 }
 
-// JobOver: nothing of a job that is over may start or go on.
-func (k *Keeper) JobOver(id protocol.JobID) {
+// JobOver: nothing of a job that is over may start or go on. If it failed wherever it
+// ran, that speaks against no machine.
+func (k *Keeper) JobOver(id protocol.JobID, failing bool) {
 	for _, q := range k.queuesInOrder() {
+		if failing {
+			delete(q.failed, id)
+		}
 		if q.ofJob[id] == 0 || k.frozen(q) {
 			continue // if frozen: when it goes on, or by who takes it
 		}
--- a/internal/coordination/keeping/keeping_test.go
+++ b/internal/coordination/keeping/keeping_test.go
@@ -406,7 +406,7 @@
 	b.job("job-1")
 	delete(b.k.Live, "job-1")
 	b.k.NoteOver("job-1")
-	b.k.JobOver("job-1")
+	b.k.JobOver("job-1", false)
 	b.k.Place("node-0", &message.Place{Number: 6, Term: 1, Tasks: []message.Placement{{
 		Task: protocol.TaskID{Job: "job-1"}, Attempt: 9, Machine: "vm-1", Epoch: b.k.Records["vm-1"].Epoch,
 	}}})
@@ -436,19 +436,36 @@
 }
 
 // TestFailingMachine: one job's failures do not set a machine aside, those of two
-// do.
+// do, unless these fail wherever they run, as their owners say a moment later. One
+// that turns out to be good is taken back.
 func TestFailingMachine(t *testing.T) {
 	b := newBench(t)
 	b.ready("vm-1")
 	q := b.k.queues["vm-1"]
-	b.k.noteResult(q, &entry{task: protocol.TaskID{Job: "job-1"}, cause: protocol.EndError})
-	if q.suspect {
+	mistakes := map[protocol.JobID]bool{}
+	fail := func(job protocol.JobID, after time.Duration) {
+		b.k.noteResult(q, &entry{task: protocol.TaskID{Job: job}, cause: protocol.EndError})
+		b.k.judge(q, func(id protocol.JobID) bool { return mistakes[id] })
+		b.k.Now += clock.Time(after)
+		b.k.judge(q, func(id protocol.JobID) bool { return mistakes[id] })
+	}
+	if fail("job-1", 10*time.Second); q.suspect {
 		t.Error("set aside for one job's failures")
 	}
-	b.k.noteResult(q, &entry{task: protocol.TaskID{Job: "job-2"}, cause: protocol.EndError})
-	if !q.suspect {
+	if fail("job-2", time.Second); q.suspect {
+		t.Error("set aside before the job's owner could say anything")
+	}
+	mistakes["job-2"] = true
+	if fail("job-2", 10*time.Second); q.suspect {
+		t.Error("set aside for a job that fails everywhere")
+	}
+	if fail("job-3", 10*time.Second); !q.suspect {
 		t.Error("a machine that fails two jobs is not set aside")
 	}
+	mistakes["job-3"] = true
+	if fail("job-3", time.Second); q.suspect {
+		t.Error("not taken back")
+	}
 }
 
 // TestDueOrder: in a queue, what can still be done in time goes before what is
--- a/internal/coordination/keeping/queue.go
+++ b/internal/coordination/keeping/queue.go
@@ -49,7 +49,7 @@
 	idleSince   clock.Time
 	everSeen    bool
 
-	failed  map[protocol.JobID]bool // jobs that failed here since something last succeeded
+	failed  map[protocol.JobID]clock.Time // jobs that failed here since something last succeeded, and when
 	suspect bool
 
 	images []string // fetched by this session, the latest last
@@ -162,7 +162,7 @@
 func (k *Keeper) keep(id protocol.MachineID, z protocol.Zone) *queue {
 	q := &queue{
 		id: id, zone: z, session: k.sessionFloor[id], entries: map[protocol.TaskID]*entry{}, ofJob: map[protocol.JobID]int{},
-		lastAnswer: k.Now, idleSince: k.Now, failed: map[protocol.JobID]bool{},
+		lastAnswer: k.Now, idleSince: k.Now, failed: map[protocol.JobID]clock.Time{},
 	}
 	k.queues[id], k.kept = q, nil
 	k.touch(q)
--- a/internal/coordination/keeping/report.go
+++ b/internal/coordination/keeping/report.go
@@ -174,31 +174,22 @@
 	}
 }
 
-// noteResult watches for machines that fail what they start. Failures of
-// several jobs in a row speak against the machine, of one job against the job.
+// noteResult notes what speaks for and against a machine: see judge.
 func (k *Keeper) noteResult(q *queue, e *entry) {
 	switch e.cause {
 	case protocol.EndDone:
 		clear(q.failed)
-		if q.suspect {
-			q.suspect = false
-			k.touch(q)
-			k.Log.Info("machine works again", "machine", q.id)
-		}
+		k.setAside(q, false)
 	case protocol.EndError:
-		q.failed[e.task.Job] = true
+		if _, noted := q.failed[e.task.Job]; !noted {
+			q.failed[e.task.Job] = k.Now
+		}
 		for _, w := range slices.Clone(q.waiting) {
 			if w.task.Job == e.task.Job {
 				k.dropWaiting(q, w) // its owner places it elsewhere
 				k.tell(q, w, message.WhatReleased)
 			}
 		}
-		if !q.suspect && len(q.failed) >= 2 {
-			q.suspect = true
-			k.touch(q)
-			k.Log.Info("machine set aside: it fails its tasks", "machine", q.id, "jobs", len(q.failed))
-			k.releaseWaiting(q)
-		}
 	}
 }
 
--- a/internal/coordination/keeping/shares.go
+++ b/internal/coordination/keeping/shares.go
@@ -460,7 +460,7 @@
 	q.notice, q.draining, q.suspect, q.images = h.NoticeS, h.Draining, h.Suspect, h.Images
 	q.idleSince = k.Now - clock.Time(h.Idle)
 	for _, job := range h.Failed {
-		q.failed[job] = true
+		q.failed[job] = k.Now
 	}
 	for i := range h.Entries {
 		x := &h.Entries[i]
--- a/internal/coordination/message/between.go
+++ b/internal/coordination/message/between.go
@@ -167,6 +167,8 @@
 	// Level is its level and 1, while anything is promised for later: keepers who
 	// found its tasks on machines have to guess it otherwise. 0: not told.
 	Level int
+	// Failing: it fails wherever it runs, which speaks against no machine.
+	Failing bool
 }
 
 // Demand is work of one job that no machine has started.
--- /dev/null
+++ b/internal/coordination/mistake.go
@@ -0,0 +1,97 @@
+package coordination
+
+import (
+	"time"
+
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/protocol"
+)
+
+// A job that was submitted with a mistake fails on every machine until its user
+// cancels it; a faulty machine fails every job. What tells them apart is the rest:
+// of a good job's tasks most run while a few faulty machines fail some, on a good
+// machine other jobs' tasks are done. The job's owner judges the job, and says so
+// to all; the machine's keeper judges the machine, and leaves out the failures of
+// jobs with a mistake (package keeping).
+const (
+	// failedMachines is on how many machines a job fails before that speaks against
+	// the job.
+	failedMachines = 3
+	// A job that fails wherever it runs is tried again after so long at first, and
+	// at the most.
+	retryFirst, retryMost = 5 * time.Second, 5 * time.Minute
+	// A trial that runs so many times as long as others took to fail, and a little
+	// more, tells that the job's mistake, if it was one, is gone.
+	trialFactor, trialSlack = 3, 5 * time.Second
+)
+
+// failed notes that a task of a job ended in an error, and judges the job: it is
+// tried with one task at a time, ever later, once at least as many of its tasks have
+// failed as run.
+func (c *Core) failed(o *ownedJob, t *placedTask) {
+	o.failedOn[t.machine] = true
+	o.failures++
+	if t.running {
+		o.failedAfter = max(o.failedAfter, c.Since(t.runs))
+	}
+	switch {
+	case o.failing && t.trial && o.notBefore <= c.Now: // the first of a trial's tasks
+		o.backoff = min(2*o.backoff, retryMost)
+		o.notBefore = c.After(o.backoff)
+	case o.failing || !c.failsEverywhere(o):
+	default:
+		o.failing, o.backoff = true, retryFirst
+		o.notBefore = c.After(o.backoff)
+		c.ownedChanged.Touch(o.ID)
+		c.Log.Info("job fails wherever it runs: one task is tried now and then", "job", o.ID, "machines", len(o.failedOn))
+		for _, other := range inorder.Tasks(o.placed) {
+			if !other.started && !other.stopping && o.Kind != protocol.KindGang {
+				c.askStop(other, false, 0) // what waits in queues would fail as well
+			}
+		}
+	}
+}
+
+// sound takes back what was held against a job.
+func (c *Core) sound(o *ownedJob) {
+	o.failures = 0
+	if !o.failing {
+		return
+	}
+	o.failing, o.backoff, o.notBefore = false, 0, 0
+	clear(o.failedOn)
+	c.ownedChanged.Touch(o.ID)
+	c.owner.dirty = true
+	c.Log.Info("job no longer fails", "job", o.ID)
+}
+
+// watchTrials looks whether the trial of a job that failed goes on for much longer
+// than its tasks took to fail.
+func (c *Core) watchTrials(o *ownedJob) {
+	if !o.failing {
+		return
+	}
+	for _, t := range o.placed {
+		if t.trial && t.running && c.Since(t.runs) > trialFactor*o.failedAfter+trialSlack {
+			c.sound(o)
+			return
+		}
+	}
+}
+
+// mayTry is how many of n tasks of a job may be placed now.
+func (o *ownedJob) mayTry(n int) int {
+	switch {
+	case !o.failing:
+		return n
+	case len(o.placed) > 0:
+		return 0 // until all that is known to be there has ended
+	}
+	return min(n, 1)
+}
+
+// jobFails reports whether a live job fails wherever it runs, by its owner's word.
+func (c *Core) jobFails(id protocol.JobID) bool {
+	g, ok := c.JobProgress(id)
+	return ok && g.Failing
+}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -73,12 +73,16 @@
 	tried   Time
 	claimed []*machineEntry // for it then
 
-	level     room.Level // at the last placement
-	yields    bool       // at the last placement: has only what others leave
-	failedOn  map[protocol.MachineID]bool
-	backoff   time.Duration
-	notBefore Time
-	since     Time
+	level    room.Level // at the last placement
+	yields   bool       // at the last placement: has only what others leave
+	failedOn map[protocol.MachineID]bool
+	failures int  // attempts that ended in an error since a task was last done
+	failing  bool // it fails wherever it runs
+	// failedAfter is how long its tasks ran at the most before they failed.
+	failedAfter time.Duration
+	backoff     time.Duration
+	notBefore   Time
+	since       Time
 }
 
 // placedTask is an attempt that may exist: queued, started, or not proven gone.
@@ -97,6 +101,7 @@
 	midway    bool // may have run for a while when it was first told to run
 	stopping  bool // told to be killed
 	moving    bool // asked back, if it was never sent
+	trial     bool // placed while the job failed wherever it ran
 }
 
 type (
@@ -141,6 +146,7 @@
 // jobOver: the job's record says done or cancelled.
 func (c *Core) jobOver(id protocol.JobID) {
 	c.reservedJobOver(c.Live[id])
+	failing := c.jobFails(id)
 	delete(c.Live, id)
 	c.NoteOver(id)
 	for _, p := range c.peers {
@@ -163,7 +169,7 @@
 		c.owner.sorted = nil
 		c.owner.dirty = true
 	}
-	c.keeping.JobOver(id)
+	c.keeping.JobOver(id, failing)
 }
 
 // unplace forgets an attempt that is proven gone, or not this job's concern.
@@ -259,6 +265,7 @@
 			o.notBefore = 0
 			c.owner.dirty = true
 		}
+		c.watchTrials(o)
 	}
 }
 
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -107,6 +107,7 @@
 	var out []message.Placement
 	zones := o.zones()
 	var from *candidates
+	left = o.mayTry(left)
 	for i, ok := o.pending.NextSet(0); ok && len(out) < left; i, ok = o.pending.NextSet(i + 1) {
 		if o.placed[protocol.TaskID{Job: o.ID, Index: uint32(i)}] != nil {
 			continue // its last attempt is not gone
@@ -152,7 +153,7 @@
 func (c *Core) put(o *ownedJob, i uint32, m *machineEntry, a protocol.Attempt) message.Placement {
 	t := &placedTask{
 		task: protocol.TaskID{Job: o.ID, Index: i}, attempt: a, machine: m.ID, epoch: m.Epoch,
-		zone: m.Record.Zone, estimate: c.estimateOf(o),
+		zone: m.Record.Zone, estimate: c.estimateOf(o), trial: o.failing,
 	}
 	o.placed[t.task] = t
 	o.pending.Clear(uint(i))
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -110,7 +110,7 @@
 		if !o.loaded || o.unknown || o.notBefore > c.Now {
 			continue
 		}
-		n := c.mayStart(o, usage, min(int(o.pending.Count()), demandMost))
+		n := c.mayStart(o, usage, min(o.mayTry(int(o.pending.Count())), demandMost))
 		c.use(o, usage, n)
 		n += o.waits
 		if n > 0 {
@@ -181,7 +181,7 @@
 
 // progressOf is how far an owned job is.
 func (c *Core) progressOf(o *ownedJob) message.Progress {
-	g := message.Progress{Job: o.ID, Done: o.nDone, Running: o.running}
+	g := message.Progress{Job: o.ID, Done: o.nDone, Running: o.running, Failing: o.failing}
 	if c.promised.Any {
 		g.Level = int(o.level) + 1
 	}
--- a/internal/emulator/machines.go
+++ b/internal/emulator/machines.go
@@ -30,6 +30,7 @@
 		Jobs:     func(j protocol.JobID) (protocol.Job, bool) { job, ok := w.jobs[j]; return job, ok },
 		RunTime:  w.runTime,
 		Saved:    w.saved,
+		Mistaken: func(j protocol.JobID) bool { return w.mistaken[j] },
 		Started:  w.taskStarted,
 		Ended: func(m *standin.Worker, id protocol.TaskID, why protocol.EndCause) {
 			w.endedTask(m.ID, id, why)
--- /dev/null
+++ b/internal/emulator/mistakes_test.go
@@ -0,0 +1,85 @@
+package emulator
+
+import (
+	"testing"
+	"time"
+
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/standin"
+)
+
+// TestMistakes: a third of the jobs fail wherever they run, arrays of hundreds and
+// gangs too, while three machines fail everything. No good machine is set aside for
+// long, each bad one is; what fails everywhere is tried ever less often and takes
+// nothing from the rest; one whose mistake is mended runs to its end.
+func TestMistakes(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t.Fatalf, 31, standin.Settings(), 60, 60)
+	w.run(3 * time.Second)
+	faulty := map[protocol.MachineID]bool{}
+	for _, i := range []int{5, 25, 45} {
+		faulty[w.order[i]] = true
+		w.workers[w.order[i]].Faulty = true
+	}
+	starts := map[protocol.JobID]int{}
+	w.started = func(_ protocol.MachineID, id protocol.TaskID) { starts[id.Job]++ }
+	aside, good := map[protocol.MachineID]bool{}, 0
+	for i := range 80 {
+		j := protocol.Job{Class: "array", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 30, CPUs: 2, EstimateS: 5, Spot: true}
+		switch i % 4 {
+		case 0:
+			j.Class, j.Kind, j.Tasks, j.Priority = "gang", protocol.KindGang, 6, "high"
+		case 1:
+			j.Tasks = 1
+		case 2:
+			j.Tasks = 120
+		}
+		if i%2 == 0 {
+			w.submit(j)
+			w.mistaken[w.jobOrder[len(w.jobOrder)-1]] = i/2%3 == 0
+		}
+		w.run(w.now + time.Second)
+		for _, n := range w.nodes {
+			for _, id := range n.core.Look().SetAside {
+				if aside[id] = true; !faulty[id] {
+					good++
+				}
+			}
+		}
+	}
+	for id := range faulty {
+		if !aside[id] {
+			t.Errorf("%s fails everything and is not set aside", id)
+		}
+	}
+	if good > 60 { // of 80 s times 57 machines
+		t.Errorf("good machines are set aside for %d s in all", good)
+	}
+	mended := w.jobOrder[0]
+	if !w.mistaken[mended] {
+		t.Fatal("the first job has no mistake")
+	}
+	for _, id := range w.jobOrder {
+		if j := w.jobs[id]; w.mistaken[id] && starts[id] > 3*int(j.Tasks)+30 {
+			t.Errorf("%s of %d tasks, which fail everywhere, was started %d times", id, j.Tasks, starts[id])
+		}
+	}
+	delete(w.mistaken, mended)
+	for end := w.now + 400*time.Second; w.final[mended] == "" && w.now < end; {
+		w.run(w.now + time.Second)
+	}
+	w.run(w.now + 60*time.Second)
+	for _, id := range w.jobOrder {
+		if w.final[id] == "" != w.mistaken[id] {
+			t.Errorf("%s, with a mistake: %v, is %q", id, w.mistaken[id], w.final[id])
+		}
+		if w.mistaken[id] {
+			w.cancel(id)
+		}
+	}
+	w.run(w.now + 20*time.Second)
+	if len(w.onMachine) > 0 {
+		t.Errorf("%d tasks are on machines after all were cancelled", len(w.onMachine))
+	}
+	t.Logf("good machines set aside for %d s in all; starts %v", good, starts)
+}
--- a/internal/emulator/rules_test.go
+++ b/internal/emulator/rules_test.go
@@ -164,7 +164,11 @@
 	w.run(3 * time.Second)
 	for w.now < d.lasts {
 		if w.rng.IntN(3) > 0 {
+			before := len(w.jobOrder)
 			w.submit(d.job(w))
+			if len(w.jobOrder) > before && w.rng.IntN(15) == 0 {
+				w.mistaken[w.jobOrder[before]] = true
+			}
 		}
 		if len(w.jobOrder) > 0 && w.rng.IntN(6) == 0 {
 			if id := w.jobOrder[w.rng.IntN(len(w.jobOrder))]; w.final[id] == "" {
@@ -202,7 +206,7 @@
 	w.outage = 0
 	w.run(w.now + 40*time.Second)
 	for _, id := range w.jobOrder {
-		if w.jobs[id].Kind == protocol.KindService && w.final[id] == "" {
+		if (w.jobs[id].Kind == protocol.KindService || w.mistaken[id]) && w.final[id] == "" {
 			w.cancel(id)
 		}
 	}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -41,6 +41,7 @@
 	jobOrder  []protocol.JobID
 	submitted int // jobs, ever
 	cancelled map[protocol.JobID]time.Duration
+	mistaken  map[protocol.JobID]bool // fail wherever they run
 	final     map[protocol.JobID]string
 	results   map[protocol.TaskID]bool
 	onMachine map[protocol.TaskID]*standin.Worker
@@ -112,7 +113,7 @@
 	w := &world{
 		fail: fail, rng: rand.New(rand.NewPCG(seed, 1)), settings: settings, state: standin.NewState(),
 		cloud: standin.NewCloud(machines + 6), workers: map[protocol.MachineID]*simWorker{}, cuts: map[string]cut{},
-		jobs: map[protocol.JobID]protocol.Job{}, cancelled: map[protocol.JobID]time.Duration{}, final: map[protocol.JobID]string{},
+		jobs: map[protocol.JobID]protocol.Job{}, cancelled: map[protocol.JobID]time.Duration{}, mistaken: map[protocol.JobID]bool{}, final: map[protocol.JobID]string{},
 		results: map[protocol.TaskID]bool{}, onMachine: map[protocol.TaskID]*standin.Worker{},
 		types: []protocol.TypeInfo{
 			{Name: "small", CPUs: 4, MemoryGB: 16, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}},
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -20,6 +20,8 @@
 	GangWait time.Duration
 	Dead     bool
 	Faulty   bool // fails every task
+	// Mistaken, if set, tells which jobs fail on every machine, after a second.
+	Mistaken func(protocol.JobID) bool
 	Notice   *float64
 	Session  protocol.Session
 	Term     protocol.Term
@@ -46,10 +48,14 @@
 	cause   protocol.EndCause
 	saved   bool
 	left    time.Duration
+	ran     time.Duration
 	fetch   time.Duration
 	save    time.Duration
 }
 
+// mistakeAfter is how long a task of a job with a mistake runs before it fails.
+const mistakeAfter = time.Second
+
 // Start puts a worker into service.
 func (w *Worker) Start(now time.Duration) {
 	w.Session, w.renewed, w.lastTick = 1, now, now
@@ -160,9 +166,9 @@
 			w.end(id, t, protocol.EndStopped)
 		}
 	case protocol.TaskRunning:
-		t.left -= passed
+		t.left, t.ran = t.left-passed, t.ran+passed
 		switch j, _ := w.Jobs(id.Job); {
-		case w.Faulty:
+		case w.Faulty, w.Mistaken != nil && w.Mistaken(id.Job) && t.ran >= mistakeAfter:
 			w.end(id, t, protocol.EndError)
 		case t.left <= 0 && j.Kind == protocol.KindGang:
 			for i := range j.Tasks { // they complete together
