--- a/internal/emulator/rules_test.go
+++ b/internal/emulator/rules_test.go
@@ -204,6 +204,7 @@
 		w.run(w.now + time.Duration(1+w.rng.IntN(6))*time.Second)
 	}
 	w.outage = 0
+	clear(w.cuts) // what was held back still comes
 	w.run(w.now + 40*time.Second)
 	for _, id := range w.jobOrder {
 		if (w.jobs[id].Kind == protocol.KindService || w.mistaken[id]) && w.final[id] == "" {
@@ -356,3 +357,85 @@
 	}
 	day{machines: machines, job: job, lasts: 150 * time.Second, empty: true, teams: teams, trouble: trouble}.playSeeds(t, 40, 200_000)
 }
+
+// TestRulesHoldWhenBackAtOnce plays days on which processes that end are back within
+// half a second: one, all, the same one again and again, in the middle of changes of
+// the view, moves, takeovers and registrations, while the state service takes long,
+// so that what an earlier process asked for is done for the next one to see.
+func TestRulesHoldWhenBackAtOnce(t *testing.T) {
+	back := func(w *world, n *simNode) { w.crashFor(n, time.Duration(100+w.rng.IntN(400))*time.Millisecond) }
+	trouble := func(w *world) {
+		n := w.nodes[w.rng.IntN(3)]
+		switch w.rng.IntN(8) {
+		case 0, 1, 2:
+			back(w, n)
+		case 3:
+			for _, n := range w.nodes {
+				back(w, n)
+			}
+		case 4: // one after the other, the next while the one before takes part again
+			for i, n := range w.nodes {
+				w.after(time.Duration(i)*700*time.Millisecond, func() { back(w, n) })
+			}
+		case 5:
+			for i := range 1 + w.rng.IntN(30) {
+				w.after(time.Duration(i)*time.Second, func() { back(w, n) })
+			}
+		case 6: // while its shares move
+			w.moveSome(16)
+			w.after(time.Duration(w.rng.IntN(400))*time.Millisecond, func() { back(w, n) })
+		case 7:
+			w.slow = time.Duration(w.rng.IntN(3)) * 200 * time.Millisecond
+			w.after(5*time.Second, func() { w.slow = 0 })
+		}
+	}
+	day{machines: 9, job: (*world).randomJob, lasts: 120 * time.Second, trouble: trouble, often: true}.playSeeds(t, 40, 500_000)
+}
+
+// silence cuts a controller off from everything, or from one side.
+func (w *world) silence(n *simNode, d time.Duration, hold bool) {
+	sides := []string{"state", "workers"}
+	for _, peer := range w.nodes {
+		if peer != n {
+			sides = append(sides, string(peer.name))
+		}
+	}
+	if one := w.rng.IntN(2 * len(sides)); one < len(sides) {
+		sides = sides[one : one+1]
+	}
+	for _, side := range sides {
+		w.cut(string(n.name), side, d, hold)
+	}
+}
+
+// TestRulesHoldWhenSilent plays days on which controllers are silent for up to two
+// minutes and come back with their leases gone, to everybody or to one side, messages
+// lost or held back until then, two one after the other, during rolls and while
+// shares move; and on which they stand still for 3 to 40 s with their clocks running
+// on, at any moment, with all that came meanwhile handled when they go on.
+func TestRulesHoldWhenSilent(t *testing.T) {
+	trouble := func(w *world) {
+		i := w.rng.IntN(3)
+		n, next := w.nodes[i], w.nodes[(i+1)%3]
+		long := time.Duration(60+w.rng.IntN(60)) * time.Second
+		still := time.Duration(3+w.rng.IntN(37)) * time.Second
+		hold := w.rng.IntN(2) == 0
+		switch w.rng.IntN(5) {
+		case 0:
+			w.silence(n, long, hold)
+		case 1:
+			w.silence(n, long, hold)
+			w.after(long/2, func() { w.silence(next, long, hold) })
+		case 2:
+			w.roll()
+			w.silence(n, long, hold)
+		case 3:
+			w.moveSome(16)
+			w.after(time.Duration(w.rng.IntN(300))*time.Millisecond, func() { n.frozen = max(n.frozen, w.now+still) })
+		case 4:
+			n.frozen = max(n.frozen, w.now+still)
+			w.after(still/2, func() { next.frozen = max(next.frozen, w.now+still) })
+		}
+	}
+	day{machines: 9, job: (*world).randomJob, lasts: 150 * time.Second, trouble: trouble}.playSeeds(t, 40, 600_000)
+}
