--- a/internal/coordination/mistake.go
+++ b/internal/coordination/mistake.go
@@ -17,8 +17,8 @@
 	// failedMachines is on how many machines a job fails before that speaks against
 	// the job.
 	failedMachines = 3
-	// A job that fails wherever it runs is tried again after so long at first, and
-	// at the most.
+	// A job that fails wherever it runs is tried again after so long at first, for
+	// each task that a trial takes, and at the most.
 	retryFirst, retryMost = 5 * time.Second, 5 * time.Minute
 	// A trial that runs so many times as long as others took to fail, and a little
 	// more, tells that the job's mistake, if it was one, is gone.
@@ -41,6 +41,9 @@
 	case o.failing || !c.failsEverywhere(o):
 	default:
 		o.failing, o.backoff = true, retryFirst
+		if o.together() { // a trial takes the room of all its tasks
+			o.backoff = min(retryFirst*time.Duration(o.Tasks), retryMost)
+		}
 		o.notBefore = c.After(o.backoff)
 		c.ownedChanged.Touch(o.ID)
 		c.Log.Info("job fails wherever it runs: one task is tried now and then", "job", o.ID, "machines", len(o.failedOn))
