--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -87,8 +87,13 @@
 	return true
 }
 
+// refillWithin is how long the others of a gang wait for a place for what was
+// released: longer than the move of a share takes. Stopped at once, gangs were begun
+// again while all their shares moved.
+const refillWithin = 3 * time.Second
+
 // refill places what of a gang was released, under the attempt of the others; or has
-// these stopped, if there is no place for it.
+// these stopped, if there is no place for it for a while.
 func (c *Core) refill(o *ownedJob, usage map[protocol.Team]room.Amount, cl *claims) []message.Placement {
 	n := int(o.pending.Count())
 	if o.unknown || n+len(o.placed) != int(o.Tasks) {
@@ -103,10 +108,18 @@
 	}
 	if c.withinLimit(o, usage, n) {
 		if out := c.placeTogether(o, attempt, o.zones(), "", cl); out != nil {
+			o.lacksSince = 0
 			c.use(o, usage, n)
 			return out
 		}
 	}
+	if o.lacksSince == 0 {
+		o.lacksSince = c.Now
+	}
+	if c.Since(o.lacksSince) < refillWithin {
+		return nil
+	}
+	o.lacksSince = 0
 	for _, t := range inorder.Tasks(o.placed) {
 		c.askStop(t, true, known.GraceS(&o.Job))
 	}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -72,6 +72,8 @@
 	stuck   bool // a gang: when last tried, machines were looked at and none found
 	tried   Time
 	claimed []*machineEntry // for it then
+	// lacksSince is since when a gang lacks a place for what was released of it.
+	lacksSince Time
 
 	level    room.Level // at the last placement
 	yields   bool       // at the last placement: has only what others leave
