What a peer says that can't be is ignored, never a panic

Need: messages of another version or a broken peer had levels and counts that are looked up by: a generated one ended the process.

Change: a peer's message is checked before anything reckons with it, and one that can't be is ignored and logged at most once a minute. Run times below a millisecond count as that: rates are divided by them.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -56,6 +56,7 @@
 	lateMS     float64 // how late ticks come, on average
 	lastTick   Time
 	lastRelay  Time
+	refusedAt  Time // when an impossible message was last logged
 	nextPlaced Time // not placed again before
 	// movedUpTo is the machine at which the last rebalance left the rest to the
 	// next tick; empty: nothing is left.
@@ -128,6 +129,10 @@
 		c.report(m.Report)
 	case message.Received:
 		for _, fresh := range c.members.Received(m.Batch) {
+			if err := fresh.Check(); err != nil {
+				c.refusePeer(m.Batch.From, err)
+				continue
+			}
 			c.message(m.Batch.From, fresh)
 		}
 	case message.Leave:
@@ -161,6 +166,18 @@
 	return c.Actions
 }
 
+// refuseLogged is how often what peers say that can't be is logged at the most.
+const refuseLogged = time.Minute
+
+// refusePeer ignores what a peer says that can't be: it is of another version, or
+// broken.
+func (c *Core) refusePeer(from protocol.NodeName, err error) {
+	if c.refusedAt == 0 || c.Since(c.refusedAt) > refuseLogged {
+		c.refusedAt = c.Now
+		c.Log.Error("a peer's message is ignored", "peer", from, "err", err)
+	}
+}
+
 // placeEvery is how often pending tasks are placed at the most: what becomes
 // pending meanwhile is placed in one go.
 const placeEvery = 100 * time.Millisecond
--- a/internal/coordination/known/known.go
+++ b/internal/coordination/known/known.go
@@ -122,10 +122,14 @@
 	return ok && (t.CPUs > 0 || t.GPUs > 0)
 }
 
+// leastEstimate is the shortest run time that is reckoned with, in seconds: rates
+// are divided by it.
+const leastEstimate = 0.001
+
 // Estimate is a task's expected run time; the default stands in for none.
 func (k *Known) Estimate(j *protocol.Job) float64 {
 	if j.EstimateS > 0 {
-		return j.EstimateS
+		return max(j.EstimateS, leastEstimate)
 	}
 	return k.Op.DefaultEstimate.Seconds()
 }
