--- a/internal/coordination/leftover.go
+++ b/internal/coordination/leftover.go
@@ -44,7 +44,8 @@
 // keptForAims is how many processors the classes with objectives are likely to need:
 // what they use on average, and what it takes to work off in time what comes
 // beyond that, the deviations of the classes taken as independent. Until arrivals
-// have been watched for a while that is half of what is up at least.
+// have been watched for a while that is all that is up, but for leastLeft: tasks that
+// begin then hold for minutes what a fleet that comes up was rented for.
 func (c *Core) keptForAims(up float64) (cpus float64) {
 	squares, least := 0.0, 0.0
 	for _, k := range inorder.Of(c.classes) {
@@ -53,7 +54,7 @@
 			continue
 		}
 		if c.Since(c.Begun).Seconds() < forecast.KnownBoots*bootS {
-			least = up / 2
+			least = up
 		}
 		work := c.coming(k, func(a forecast.Arrival) float64 { return a.Work })
 		cpus += work.Mean()
