Where no machine of a kind comes up, one at a time is tried

Change: when three of a kind are overdue and none has come up for as long, none of it is counted on and one at a time is asked for, until one comes up.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -29,6 +29,7 @@
 	rents    map[string]*rentCall
 	requests uint64
 	refused  map[kind]refusal
+	boots    map[kind]*booting
 	deleting map[protocol.MachineID]Time
 	returned map[protocol.MachineID]Time // lists may still show them
 	lastPlan Time
@@ -67,7 +68,7 @@
 func newFleetState() fleetState {
 	return fleetState{
 		listed: map[protocol.MachineID]protocol.ListedMachine{}, orphan: map[protocol.MachineID]Time{},
-		coming: map[protocol.MachineID]coming{}, rents: map[string]*rentCall{}, refused: map[kind]refusal{},
+		coming: map[protocol.MachineID]coming{}, rents: map[string]*rentCall{}, refused: map[kind]refusal{}, boots: map[kind]*booting{},
 		deleting: map[protocol.MachineID]Time{}, returned: map[protocol.MachineID]Time{}, seen: map[protocol.MachineID]bool{},
 	}
 }
@@ -122,12 +123,66 @@
 			f.coming[id] = coming{kind{Type: l.Type, Zone: l.Zone, Spot: l.Spot}, c.Now - Time(l.AgeS*float64(time.Second))}
 		}
 	}
+	overdue := map[kind]int{}
 	for id, m := range f.coming {
-		late := Time(c.bootLimit(m.Type))
-		if c.machines[id] != nil || c.Now-m.at > late || f.returned[id] != 0 {
+		up := c.machines[id] != nil
+		if up {
+			*f.booting(m.kind) = booting{lastUp: c.Now}
+		} else if c.Since(m.at) > c.bootOverdue(m.Type) {
+			overdue[m.kind]++
+		}
+		if up || c.Now-m.at > Time(c.bootLimit(m.Type)) || f.returned[id] != 0 {
 			delete(f.coming, id)
 		}
 	}
+	for k, n := range overdue {
+		if b := f.booting(k); !b.trial && n >= overdueMost && c.Since(b.lastUp) > c.bootOverdue(k.Type) {
+			b.trial = true
+			c.Log.Info("machines of a kind do not come up: one at a time is tried", "type", k.Type, "zone", k.Zone, "spot", k.Spot, "overdue", n)
+		}
+	}
+}
+
+// booting is how machines of a kind come up.
+type booting struct {
+	lastUp Time // when one last did
+	// trial: so many are overdue and none has come up for so long that no more than
+	// one is asked for at a time, and none is counted on, until one comes up.
+	trial bool
+}
+
+// overdueMost is how many machines of a kind may be overdue while none comes up: a
+// few never do.
+const overdueMost = 3
+
+// booting is how machines of a kind come up.
+func (f *fleetState) booting(k kind) *booting {
+	b := f.boots[k]
+	if b == nil {
+		b = &booting{}
+		f.boots[k] = b
+	}
+	return b
+}
+
+// onTrial reports whether machines of a kind do not come up at present, and whether
+// one is under way to find out.
+func (f *fleetState) onTrial(k kind) (trial, underWay bool) {
+	if b := f.boots[k]; b == nil || !b.trial {
+		return false, false
+	}
+	for _, m := range f.coming {
+		underWay = underWay || m.kind == k
+	}
+	for _, r := range f.rents {
+		underWay = underWay || r.kind() == k
+	}
+	return true, underWay
+}
+
+// bootOverdue is how long after it was rented a machine should be up.
+func (c *Core) bootOverdue(t protocol.MachineType) time.Duration {
+	return config.Seconds(2*c.Types[t].BootS) + 10*time.Second
 }
 
 // bootLimit is how long a machine may take to come up before it is given up.
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -34,6 +34,9 @@
 	}
 	slots := up.List
 	for id, m := range inorder.Of(f.coming) {
+		if b := f.boots[m.kind]; b != nil && b.trial {
+			continue // not counted on
+		}
 		s := renting.Fresh(c.Types[m.Type], m.kind, 1)
 		s.InS = math.Max(s.Info.BootS-c.Since(m.at).Seconds(), 1)
 		s.Free = s.Free.Minus(known.ReservedBy(c.promised.Holds[id], c.Moment()))
@@ -134,6 +137,9 @@
 		if float64(len(c.fleet.rents)) >= math.Max(1, c.Settings.Site.Cloud.RPS) {
 			return
 		}
+		if trial, _ := c.fleet.onTrial(o.Kind); trial {
+			o.Count = 1
+		}
 		c.fleet.requests++
 		req := protocol.RentRequest{
 			Name: fmt.Sprintf("%s-%d-%d-%d", c.Self, c.Session, c.View.Term, c.fleet.requests),
@@ -177,6 +183,9 @@
 				if !j.AllowsKind(t, z, spot) || spot && shun || c.fleet.refused[k].until > c.Now {
 					continue
 				}
+				if _, tried := c.fleet.onTrial(k); tried {
+					continue
+				}
 				price := t.Price
 				if spot {
 					price = t.SpotPrice * (1 + stretch)
--- /dev/null
+++ b/internal/emulator/boots_test.go
@@ -0,0 +1,59 @@
+package emulator
+
+import (
+	"testing"
+	"time"
+
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/standin"
+)
+
+// TestMachinesThatNeverComeUp: from some moment on no machine of one type comes up, and
+// those of the other take five times as long. Work goes on on the other type; what
+// does not come is given back, and neither asked for nor paid for without bound.
+func TestMachinesThatNeverComeUp(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t.Fatalf, 41, standin.Settings(), 40, 6)
+	rentedAt, asked, booting, most := map[protocol.MachineID]time.Duration{}, 0, map[protocol.MachineID]bool{}, 0
+	w.heldS = func(id protocol.MachineID) float64 { return (w.now - rentedAt[id]).Seconds() }
+	w.rented = func(id protocol.MachineID, r protocol.RentRequest) {
+		rentedAt[id] = w.now
+		if r.Type == "large" {
+			asked++
+			booting[id] = true
+		}
+	}
+	w.bootTime = func(r protocol.RentRequest) time.Duration {
+		if r.Type == "large" {
+			return 24 * time.Hour
+		}
+		return 40 * time.Second // the catalogue says 8
+	}
+	w.run(3 * time.Second)
+	for range 120 {
+		w.submit(protocol.Job{Class: "array", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 40, CPUs: 2, EstimateS: 5, Spot: true})
+		w.run(w.now + 3*time.Second)
+		up := 0
+		for id := range booting {
+			if _, there := w.cloud.Machines[id]; there {
+				up++
+			}
+		}
+		most = max(most, up)
+	}
+	w.allEnd(t, 400*time.Second)
+	w.run(w.now + 120*time.Second)
+	left := 0
+	for id := range booting {
+		if _, there := w.cloud.Machines[id]; there {
+			left++
+		}
+	}
+	t.Logf("%d of the type that never comes were asked for, at most %d at a time; %d are left", asked, most, left)
+	if left > 0 {
+		t.Errorf("%d machines that never came up are still paid for two minutes after all work is over", left)
+	}
+	if asked > 6*40 {
+		t.Errorf("%d machines of a type that never comes up were asked for in eight minutes, with room for 46", asked)
+	}
+}
