What others leave is reckoned only where jobs are placed

From a last reading, behaviour unchanged: it was reckoned for rebalancing and returns as well, and for jobs with nothing to place; that such jobs wait in no queue was said twice, beside the check that a queue is too deep.

--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -73,7 +73,7 @@
 	mayTake := c.mayTake(o, zones)
 	for _, m := range c.machinesInOrder() {
 		if mayTake(m) {
-			if k, ok := s.weigh(m, c.rng.Uint32()); ok && !s.tooDeep(&k) && !(o.yields && k.rank == rankQueue) {
+			if k, ok := s.weigh(m, c.rng.Uint32()); ok && !s.tooDeep(&k) {
 				s.heap = append(s.heap, k)
 			}
 		}
@@ -190,9 +190,10 @@
 const queueAtMost = 2 * time.Minute
 
 // tooDeep reports whether a machine's queue takes no more of the job. One whose
-// tasks are to be stopped for the job does.
+// tasks are to be stopped for the job does; what has only what others leave waits in
+// no queue.
 func (s *candidates) tooDeep(k *candidate) bool {
-	return k.rank == rankQueue && k.wait > queueAtMost.Microseconds() && !k.m.firmRoom(s.job.level).Covers(s.need)
+	return k.rank == rankQueue && (s.job.yields || k.wait > queueAtMost.Microseconds() && !k.m.firmRoom(s.job.level).Covers(s.need))
 }
 
 // smallest is the machine with the smallest expected wait per processor, ties
@@ -201,7 +202,7 @@
 func (s *candidates) smallest(zones map[protocol.Zone]int) *machineEntry {
 	for len(s.heap) > 0 {
 		top := &s.heap[0]
-		if !s.job.allowsZone(top.m, zones) || s.tooDeep(top) || s.job.yields && top.rank == rankQueue || top.rank != rankQueue && top.rank != rankOwn && !s.claims.spared(s.job, top.m, s.need) {
+		if !s.job.allowsZone(top.m, zones) || s.tooDeep(top) || top.rank != rankQueue && top.rank != rankOwn && !s.claims.spared(s.job, top.m, s.need) {
 			heap.Pop(s)
 			continue
 		}
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -109,7 +109,6 @@
 		}
 		cl.classes = append(cl.classes, kp)
 	}
-	cl.leftOver = c.leftOver()
 	return cl
 }
 
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -29,6 +29,7 @@
 	batches := map[protocol.NodeName][]message.Placement{}
 	waits := map[protocol.MachineID]*ownWaits{}
 	cl := c.claims()
+	cl.leftOver = c.leftOver() // nothing but placing asks for it
 	c.setLevels()
 	c.forgetVain()
 	left := maxPerStep
@@ -39,10 +40,10 @@
 		}
 	}
 	for _, o := range c.jobsInOrder() {
-		o.yields = !math.IsInf(cl.leftOver, 1) && c.unaimed(&o.Job) && !c.heldFor(o)
 		if !o.loaded || o.finish || o.notBefore > c.Now || o.pending.None() {
 			continue
 		}
+		o.yields = !math.IsInf(cl.leftOver, 1) && c.unaimed(&o.Job) && !c.heldFor(o)
 		if o.stuck && c.Since(o.tried) < c.retryEvery(stuck) {
 			c.claimAgain(o, cl)
 			continue
