A watch's answer counts from when the watch was opened, and the bound is checked at start

What is cancelled rests on how long a controller may answer workers without knowing of it. That was reckoned from when a watch's answer arrived: one that the network held back, or that was read after the process stood still, counted as fresh, so the bound could be passed by the whole delay. It is counted from when the watch was opened now, and the first from before the records were read.

The bound stands in one place (config.CancelledWithin): node lease + 2 s + the workers' lease with drift, and a second has to be left of cancel_s. Settings under which not even the shortest lease keeps that are refused at start, with the numbers; before, the shortest was taken silently.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 const good = `
@@ -100,6 +102,11 @@
 	if fit, err := DefaultOperator().Fit(s); err != nil || fit.NodeLease > 3*time.Second || fit.NodeLease < time.Second {
 		t.Errorf("%v, %v", fit.NodeLease, err)
 	}
+	// Where even the shortest lease keeps cancelled tasks too long, it says so.
+	s.Site.Workers.LeaseS, s.Site.Workers.CancelS = 8, 11.5
+	if _, err := DefaultOperator().Fit(s); err == nil || !strings.Contains(err.Error(), "cancel_s 11.5") {
+		t.Errorf("a cancel_s too short: %v", err)
+	}
 	op, err = ParseOperator(strings.NewReader(`<damsonkeel><machineRecords>single</machineRecords><copyWait>3s</copyWait></damsonkeel>`))
 	if err != nil || !op.SingleRecords || op.CopyWait != 3*time.Second {
 		t.Errorf("%+v, %v", op, err)
@@ -120,3 +127,28 @@
 		}
 	}
 }
+
+// TestCancelledInTime: settings that are taken leave a margin of cancel_s above the
+// longest that a cancelled job's tasks may stay.
+func TestCancelledInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &Settings{}
+		w := &s.Site.Workers
+		w.LeaseS = rapid.Float64Range(0.5, 300).Draw(t, "lease_s")
+		w.CancelS = rapid.Float64Range(0.5, 400).Draw(t, "cancel_s")
+		op := DefaultOperator()
+		if rapid.Bool().Draw(t, "set") {
+			op.NodeLease = Seconds(rapid.Float64Range(0.1, 100).Draw(t, "nodeLease"))
+		}
+		fit, err := op.Fit(s)
+		if err != nil {
+			if op.NodeLease == 0 && w.CancelS > w.LeaseS*1.001+4.1 {
+				t.Fatalf("refused, though there is room: %v", err)
+			}
+			return
+		}
+		if stays := fit.NodeLease.Seconds() + 2 + w.LeaseS*1.0005; stays+0.999 > w.CancelS {
+			t.Fatalf("stays for %v s of %v s", stays, w.CancelS)
+		}
+	})
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -54,17 +54,46 @@
 // little longer than a controller takes to come back after an end.
 const usualNodeLease = 8 * time.Second
 
+// followSlack is how much longer than its lease a controller may act after it has
+// opened the last watch that was answered: a watch stays open for seconds.
+const followSlack = 2 * time.Second
+
+// FollowedWithin is the longest that a controller with a lease of its own answers
+// workers without knowing what has changed in the records.
+func FollowedWithin(nodeLease time.Duration) time.Duration { return nodeLease + followSlack }
+
+const (
+	// leaseDrift is by how much a worker's lease may be longer by another clock:
+	// steady clocks drift apart by up to 0.05%.
+	leaseDrift = 0.0005
+	// cancelMargin is what has to be left of cancel_s.
+	cancelMargin = time.Second
+	// leastNodeLease is the shortest node lease that can be kept.
+	leastNodeLease = time.Second
+)
+
+// CancelledWithin is how long the tasks of a cancelled job may stay after its user was
+// told, whatever fails: for FollowedWithin a controller may answer their worker
+// without knowing, and what it answered last keeps them for the worker's lease,
+// counted from when the report was sent.
+func CancelledWithin(nodeLease time.Duration, w Workers) time.Duration {
+	return FollowedWithin(nodeLease) + Seconds(w.LeaseS*(1+leaseDrift))
+}
+
 // Fit fits the settings to the platform's, and refuses what can't be.
 func (op Operator) Fit(s *Settings) (Operator, error) {
-	// A controller whose watch is stale keeps workers alive for as long as its
-	// lease lasts, and they keep a cancelled job's tasks for as long as theirs.
 	w := s.Site.Workers
-	most := max(Seconds(w.CancelS-1.01*w.LeaseS)-3*time.Second, time.Second)
+	most := Seconds(w.CancelS) - cancelMargin - CancelledWithin(0, w)
+	if most < leastNodeLease {
+		return op, fmt.Errorf("settings: cancel_s %v is too short: with a lease_s of %v and a node lease of %v a cancelled job's tasks may stay for %v, and %v has to be left",
+			w.CancelS, w.LeaseS, leastNodeLease, CancelledWithin(leastNodeLease, w), cancelMargin)
+	}
 	if op.NodeLease == 0 {
 		op.NodeLease = min(usualNodeLease, most)
 	}
 	if op.NodeLease > most {
-		return op, fmt.Errorf("operator settings: <nodeLease>: %v is too long: with lease_s and 3s it has to stay below cancel_s", op.NodeLease)
+		return op, fmt.Errorf("operator settings: <nodeLease>: %v is too long: a cancelled job's tasks may stay for %v then, and %v has to be left of cancel_s, %v",
+			op.NodeLease, CancelledWithin(op.NodeLease, w), cancelMargin, Seconds(w.CancelS))
 	}
 	return op, nil
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -25,11 +25,9 @@
 	askedTicks    = int(time.Second / tickEvery)
 	catalogueWait = time.Second
 	catalogueKeep = time.Minute
-	// followHold is how long one watch stays open. Its return proves the
-	// watch alive: a controller acts no longer than its lease and this slack
-	// after one.
-	followHold  = 3 * time.Second
-	followSlack = 2 * time.Second
+	// followHold is how long one watch stays open. Its return proves what was
+	// followed when it was opened: see ActsUntil.
+	followHold = 3 * time.Second
 )
 
 // Time is this process's steady clock.
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
@@ -31,6 +32,7 @@
 	defer cancel()
 	// Read before entering: any view that names this session is then a later
 	// change, and so are the records that came with it.
+	asked := n.now()
 	items, rev, err := n.readRecords(ctx)
 	if err != nil {
 		return err
@@ -59,7 +61,7 @@
 	n.post(message.Snapshot{Session: lease, Items: items, WallMS: time.Now().UnixMilli()})
 	l := &leaseClock{ttl: ttl}
 	l.extended.Store(int64(sent))
-	l.followed.Store(int64(n.now()))
+	l.followed.Store(int64(asked))
 	n.post(message.Entitled{Until: l.until()})
 	followEnd := make(chan error, 1)
 	go func() { followEnd <- n.follow(ctx, rev, l) }()
@@ -86,14 +88,24 @@
 // leaseClock reckons until when a session may act.
 type leaseClock struct {
 	ttl                time.Duration
-	extended, followed atomic.Int64 // when the last extension was sent; when the watch last answered
+	extended, followed atomic.Int64 // when the last extension that was answered was sent; when the last watch that was answered was opened
 }
 
-// until is the end of the lease as this clock has it: counted from before the
-// extension was sent, shortened by drift and by a margin for what is under way.
+// until is the end of the lease as this clock has it.
 func (l *leaseClock) until() Time {
-	lease := Time(l.extended.Load()) + Time(l.ttl) - Time(l.ttl/500) - Time(200*time.Millisecond)
-	return min(lease, Time(l.followed.Load())+Time(l.ttl)+Time(followSlack))
+	return ActsUntil(l.ttl, Time(l.extended.Load()), Time(l.followed.Load()))
+}
+
+// ActsUntil is until when a session may act: its lease, counted from before the
+// extension was sent, shortened by drift and by a margin for what is under way; and
+// no longer than a lease and a slack after the last watch was opened that has been
+// answered. That answer holds what had changed by then, whenever it arrives: one
+// held back by the network, or read after the process stood still, proves nothing
+// of the time since. What users are told of cancellations rests on it (docs/design.md,
+// "How long a cancelled task may stay").
+func ActsUntil(ttl time.Duration, extended, followed Time) Time {
+	lease := extended + Time(ttl) - Time(ttl/500) - Time(200*time.Millisecond)
+	return min(lease, followed+Time(config.FollowedWithin(ttl)))
 }
 
 func (n *Node) extend(ctx context.Context, lease protocol.LeaseID, l *leaseClock, followEnd <-chan error) error {
@@ -132,6 +144,7 @@
 func (n *Node) follow(ctx context.Context, from protocol.Revision, l *leaseClock) error {
 	hold := min(followHold, l.ttl) // a short lease needs the watch to prove itself more often
 	for ctx.Err() == nil {
+		opened := n.now()
 		ev, err := n.state.Follow(ctx, bookkeeping.FollowedPrefix, from, hold)
 		switch {
 		case errors.Is(err, bookkeeping.ErrCompacted):
@@ -147,7 +160,7 @@
 			n.post(message.Changed{Event: e})
 		}
 		from = max(from, ev.Revision)
-		l.followed.Store(int64(n.now()))
+		l.followed.Store(int64(opened))
 	}
 	return ctx.Err()
 }
--- /dev/null
+++ b/internal/coordination/session_test.go
@@ -0,0 +1,56 @@
+package coordination
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/protocol"
+)
+
+// TestWatchCountsFromWhenOpened: a watch's answer that the network holds back proves
+// what had changed when the watch was opened, not when it arrives: counted from then,
+// a controller answered workers for longer than cancellations allow.
+func TestWatchCountsFromWhenOpened(t *testing.T) {
+	const heldBack = 700 * time.Millisecond
+	answers, err := protocol.Encode(protocol.Events{Revision: 5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked := 0
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if asked++; asked > 1 {
+			<-r.Context().Done() // the second never answers
+			return
+		}
+		time.Sleep(heldBack)
+		_, _ = w.Write(answers)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+
+	n := &Node{log: slog.New(slog.DiscardHandler), start: time.Now(), state: bookkeeping.NewState(listener.Addr().String(), 1000, 1000, 1)}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*heldBack)
+	defer cancel()
+	l := &leaseClock{ttl: 8 * time.Second}
+	l.extended.Store(int64(time.Hour))
+	opened := n.now()
+	if err := n.follow(ctx, 4, l); err == nil || !strings.Contains(err.Error(), "deadline") {
+		t.Fatalf("the watch ended with %v", err)
+	}
+	if asked < 2 {
+		t.Fatal("no answer was taken: nothing is shown")
+	}
+	if late := time.Duration(l.until()) - time.Duration(ActsUntil(l.ttl, Time(time.Hour), opened)); late < 0 || late > heldBack/2 {
+		t.Errorf("acts %v longer than from when the watch was opened", late)
+	}
+}
