Starts are settled by the way they went; every answered report counts

Found by reading for commands that are held up, each with a test that fails on the sources before:

- A direct start that was refused, since a report's answer with a later token had overtaken it, went back to the queue though that answer had brought it: given notice, or failed beside others of its job, it was released while it ran, and its owner started it a second time.
- A start repeated in a report's answer could arrive after the attempt had been reaped directly, and run it again.
- A direct start sent once more was noted with its first token, and the answer to the second, or to any kill, settled the first.
It is sent again directly only with a later token now.
- A report that a direct answer had overtaken was answered, renewing the lease, and not counted: its machine was taken for gone up to a report period before its lease was over.
A report held back by the network is not answered any more.
- A share that is handed over kept its workers alive and killed nothing, for as long as the state service took: what is cancelled is killed there now.
- An attempt that has ended is no longer kept for ever for a direct start without an answer: that it was seen there settles it, or the token is raised.

--- a/internal/coordination/keeping/direct.go
+++ b/internal/coordination/keeping/direct.go
@@ -11,6 +11,11 @@
 // is heard after that, the term is raised, which settles it.
 const DirectTimeout = 4 * time.Second
 
+// stuckMost is how long an attempt that has ended is kept for a direct start that may be
+// under way before the token is raised for it: as a rule something else raises it. For
+// ever, its machine would never be empty and returned.
+const stuckMost = 10 * time.Second
+
 // wake has a queue's commands sent at once, at the end of the step.
 func (k *Keeper) wake(q *queue) {
 	if !q.push {
@@ -37,19 +42,10 @@
 		if !q.known || q.epoch == 0 || q.addr == "" || !q.everSeen {
 			continue
 		}
-		before := map[*entry]bool{}
-		for _, e := range q.entries {
-			before[e] = e.sent
-		}
-		orders := k.orders(q, 0)
+		orders := k.orders(q, 0, true)
 		if len(orders) == 0 {
 			continue
 		}
-		for _, e := range q.entries {
-			if e.sent && !before[e] {
-				e.direct = k.token(q)
-			}
-		}
 		q.commanding = true
 		k.Do(message.Command{Machine: q.id, Address: q.addr, Commands: protocol.Commands{
 			Term: k.token(q), Session: q.session, Orders: orders,
@@ -78,19 +74,26 @@
 		return // nothing is known of these starts: settleDirect sees to them
 	}
 	for _, o := range m.Orders {
-		if e := q.entries[o.Task]; e != nil && e.attempt == o.Attempt && e.direct == m.Term {
+		// A kill that is answered says nothing of a start sent before.
+		if e := q.entries[o.Task]; o.Op == protocol.OpStart && e != nil && e.attempt == o.Attempt && e.direct == m.Term {
 			e.direct = 0 // executed or refused, not under way any more
-			if !m.Executed && !e.present {
-				k.putBack(q, e)
-			}
 		}
 	}
-	r := m.Report
-	if !k.Acting() || r.Machine != q.id || r.Session != q.session || r.Seq <= q.seq || r.Term > k.token(q) {
+	if r := m.Report; k.Acting() && r.Machine == q.id && r.Session == q.session && r.Seq > q.seq && r.Term <= k.token(q) {
+		q.seq = r.Seq
+		k.takeReport(q, &r, false)
+	}
+	if m.Executed {
 		return
 	}
-	q.seq = r.Seq
-	k.takeReport(q, &r, false)
+	for _, o := range m.Orders {
+		// Refused, so it goes back, unless it is there, or may be: an answer to a
+		// report that has overtaken these commands brought it, or still will.
+		e := q.entries[o.Task]
+		if o.Op == protocol.OpStart && e != nil && e.attempt == o.Attempt && e.sent && !e.present && e.direct == 0 && !e.inAnswer {
+			k.putBack(q, e)
+		}
+	}
 }
 
 // settleDirect has the token raised, of its share or, where there are none, by a
--- a/internal/coordination/keeping/keeper.go
+++ b/internal/coordination/keeping/keeper.go
@@ -28,6 +28,8 @@
 	// allSince is since when this controller has acted and known that all act
 	// by this term; 0: not now. See expireSilent.
 	allSince clock.Time
+	// actsSince is since when this controller has acted without a break; 0: it does not.
+	actsSince clock.Time
 	// sessionFloor is the first session of a machine that may be alive: a
 	// report of an earlier one was held back by the network.
 	sessionFloor map[protocol.MachineID]protocol.Session
--- a/internal/coordination/keeping/keeping_test.go
+++ b/internal/coordination/keeping/keeping_test.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -555,3 +556,242 @@
 		}
 	}
 }
+
+// direct places a job's only task and returns the direct command that starts it.
+func (b *bench) direct(id protocol.JobID) message.Command {
+	b.job(id)
+	b.place(id)
+	return b.pushed()
+}
+
+// pushed is the direct command that the keeper sends now; none if it sends none.
+func (b *bench) pushed() (c message.Command) {
+	b.k.Actions = nil
+	b.k.Push()
+	for _, a := range b.k.Actions {
+		if cmd, ok := a.(message.Command); ok {
+			c = cmd
+		}
+	}
+	return c
+}
+
+// answered gives the keeper the answer to a direct command, or none.
+func (b *bench) answered(c message.Command, executed bool, tasks ...protocol.TaskReport) {
+	b.seq++
+	b.k.Commanded(message.Commanded{Machine: c.Machine, Term: c.Commands.Term, Session: c.Commands.Session, Orders: c.Commands.Orders, Answered: true, Executed: executed,
+		Report: protocol.Report{Machine: c.Machine, Type: "small", Zone: "a", Session: 1, Seq: b.seq, Term: b.k.View.Term, Tasks: tasks}})
+}
+
+func has(os []protocol.Order, op protocol.Op) bool {
+	return slices.ContainsFunc(os, func(o protocol.Order) bool { return o.Op == op })
+}
+
+// released reports whether an owner was told that a task's attempt never started.
+func (b *bench) released(task protocol.TaskID) bool {
+	return slices.ContainsFunc(b.k.Local, func(m message.PeerMessage) bool {
+		return m.Event != nil && m.Event.What == message.WhatReleased && m.Event.Task == task
+	})
+}
+
+// TestRefusedButThere: a direct start is refused, since an answer to a report has
+// overtaken it, with a later token and the same start. What is there, or may be, is not
+// queued again: given notice, its machine released it, and its owner started it a
+// second time elsewhere.
+func TestRefusedButThere(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		b := newBench(t)
+		b.ready("vm-1")
+		cmd := b.direct("job-1")
+		task := protocol.TaskID{Job: "job-1"}
+		b.k.View.Term = 2 // raised, for something else
+		if r := b.report("vm-1", 1, 1); starts(r.Reply.Orders) != 1 {
+			t.Fatalf("not in the answer: %+v", r)
+		}
+		if listed {
+			b.answered(cmd, false, protocol.TaskReport{Task: task, Attempt: 1, State: protocol.TaskRunning})
+		} else {
+			b.answered(cmd, false)
+		}
+		b.k.Local = nil
+		b.k.Drain("vm-1")
+		if b.released(task) {
+			t.Errorf("listed %v: released while it runs, or is about to", listed)
+		}
+		if e := b.k.queues["vm-1"].entries[task]; e == nil || !e.sent {
+			t.Errorf("listed %v: taken for not there: %+v", listed, e)
+		}
+	}
+}
+
+// TestThereAfterAll: an attempt that was put back and turns out to be on its machine is
+// in the queue no more.
+func TestThereAfterAll(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.job("job-1")
+	b.place("job-1")
+	task, q := protocol.TaskID{Job: "job-1"}, b.k.queues["vm-1"]
+	q.suspect = true // nothing is started
+	b.report("vm-1", 1, 1, protocol.TaskReport{Task: task, Attempt: 1, State: protocol.TaskRunning})
+	b.k.Local = nil
+	b.k.Drain("vm-1")
+	if len(q.waiting) != 0 || b.released(task) {
+		t.Errorf("waits, or is released, while it runs: %+v", q.waiting)
+	}
+}
+
+// TestNoReapWhileAStartIsUnderWay: a start that went directly and in an answer is
+// reaped only once both are settled: the later one to arrive would run it again.
+func TestNoReapWhileAStartIsUnderWay(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	cmd := b.direct("job-1")
+	task := protocol.TaskID{Job: "job-1"}
+	b.report("vm-1", 1, 1) // crosses the direct start; its answer brings it too
+	full := protocol.TaskReport{Task: task, Attempt: 1, State: protocol.TaskEnded, Cause: protocol.EndFull}
+	b.answered(cmd, true, full)
+	b.k.Forget(message.TaskRef{Task: task, Attempt: 1, Machine: "vm-1"})
+	b.k.wake(b.k.queues["vm-1"])
+	if c := b.pushed(); has(c.Commands.Orders, protocol.OpForget) {
+		t.Error("reaped directly while a report's answer with its start is under way")
+	}
+	if r := b.report("vm-1", 1, 1, full); !has(r.Reply.Orders, protocol.OpForget) {
+		t.Error("not reaped once the worker's next report has settled that")
+	}
+}
+
+// TestStartsSentAgain: a direct start without an answer is sent directly again only
+// with a later token, which the worker's refusal of the first rests on; and a kill
+// that is answered settles no start.
+func TestStartsSentAgain(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	cmd := b.direct("job-1")
+	q, task := b.k.queues["vm-1"], protocol.TaskID{Job: "job-1"}
+	b.k.Commanded(message.Commanded{Machine: "vm-1", Term: 1, Session: 1, Orders: cmd.Commands.Orders})
+	b.k.wake(q)
+	if c := b.pushed(); starts(c.Commands.Orders) != 0 {
+		t.Error("sent again with the same token")
+	}
+	b.report("vm-1", 1, 1) // in the answer too
+	b.report("vm-1", 1, 1, protocol.TaskReport{Task: task, Attempt: 1, State: protocol.TaskRunning})
+	b.k.Stop(message.Stop{TaskRef: message.TaskRef{Task: task, Attempt: 1, Machine: "vm-1"}, Kill: true})
+	kill := b.pushed()
+	if !has(kill.Commands.Orders, protocol.OpStop) {
+		t.Fatalf("not killed: %+v", kill)
+	}
+	stopped := protocol.TaskReport{Task: task, Attempt: 1, State: protocol.TaskEnded, Cause: protocol.EndStopped}
+	b.answered(kill, true, stopped)
+	b.k.Forget(message.TaskRef{Task: task, Attempt: 1, Machine: "vm-1"})
+	if r := b.report("vm-1", 1, 1, stopped); has(r.Reply.Orders, protocol.OpForget) {
+		t.Error("reaped though the first direct start may still be executed")
+	}
+	b.k.View.Term = 2
+	b.report("vm-1", 1, 1, stopped)
+	if r := b.report("vm-1", 1, 2, stopped); !has(r.Reply.Orders, protocol.OpForget) {
+		t.Error("not reaped after the worker has seen a later token")
+	}
+
+	again := newBench(t)
+	again.ready("vm-1")
+	cmd = again.direct("job-1")
+	again.k.Commanded(message.Commanded{Machine: "vm-1", Term: 1, Session: 1, Orders: cmd.Commands.Orders})
+	again.k.View.Term = 2
+	again.k.wake(again.k.queues["vm-1"])
+	if c := again.pushed(); starts(c.Commands.Orders) != 1 || c.Commands.Term != 2 {
+		t.Fatalf("not sent again with the later token: %+v", c)
+	}
+	again.report("vm-1", 1, 2) // the worker has seen it from elsewhere; the command is under way
+	if e := again.k.queues["vm-1"].entries[task]; e == nil || !e.sent {
+		t.Errorf("taken for never started while its command is under way: %+v", e)
+	}
+}
+
+// TestEveryAnswerCounts: a report that the answer to direct commands has overtaken is
+// answered, and its worker's lease counted from that; what is cancelled on the machine
+// is killed by it. A report that the network held back is not answered: what nobody
+// counts keeps no machine alive.
+func TestEveryAnswerCounts(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	cmd := b.direct("job-1")
+	running := protocol.TaskReport{Task: protocol.TaskID{Job: "job-1"}, Attempt: 1, State: protocol.TaskRunning}
+	sent := b.seq + 1
+	b.seq++
+	b.answered(cmd, true, running)
+	delete(b.k.Live, "job-1") // cancelled
+	b.k.NoteOver("job-1")
+	b.k.Now += clock.Time(3 * time.Second)
+	stale := func(session protocol.Session, seq protocol.Seq) message.ReplyReport {
+		b.seq = seq - 1
+		return b.report("vm-1", session, 1, running)
+	}
+	r := stale(1, sent)
+	if r.Status != 200 || !has(r.Reply.Orders, protocol.OpStop) {
+		t.Errorf("overtaken: %+v", r)
+	}
+	if q := b.k.queues["vm-1"]; q.lastAnswer != b.k.Now {
+		t.Errorf("answered at %v, counted at %v", b.k.Now, q.lastAnswer)
+	}
+	if r := stale(1, sent); r.Status != 503 {
+		t.Errorf("a copy: %+v", r)
+	}
+	if r := stale(0, 500); r.Status != 503 {
+		t.Errorf("of an earlier session: %+v", r)
+	}
+}
+
+// TestKilledWhileHandedOver: a share that is handed over may be under way for as long
+// as the state service takes; its workers are kept alive, and what is cancelled there
+// is killed all the same.
+func TestKilledWhileHandedOver(t *testing.T) {
+	b := newBench(t)
+	s := sharing.First([]protocol.Zone{"a", "b"})
+	for id := range s.List {
+		sharing.Give(s, sharing.ID(id), 100)
+	}
+	b.k.View.Layout, b.k.Shares = bookkeeping.LayoutShares, s
+	b.k.View.Members["node-1"] = 101
+	id := sharing.Of(s, "vm-1", "a")
+	b.machine("vm-1")
+	b.report("vm-1", 1, s.List[id].Epoch)
+	b.job("job-1")
+	running := protocol.TaskReport{Task: protocol.TaskID{Job: "job-1"}, Attempt: 1, State: protocol.TaskRunning}
+	b.report("vm-1", 1, s.List[id].Epoch, running)
+	b.k.Move(&message.Move{Term: 1, Shares: []message.Tenured{{Share: int(id), Tenure: s.List[id].Since}}, To: "node-1"})
+	if !b.k.frozen(b.k.queues["vm-1"]) {
+		t.Fatal("not handed over: nothing to test")
+	}
+	if r := b.report("vm-1", 1, s.List[id].Epoch, running); r.Status != 200 || len(r.Reply.Orders) != 0 {
+		t.Errorf("before the cancellation: %+v", r)
+	}
+	delete(b.k.Live, "job-1")
+	b.k.JobOver("job-1", false)
+	if r := b.report("vm-1", 1, s.List[id].Epoch, running); r.Status != 200 || !has(r.Reply.Orders, protocol.OpStop) {
+		t.Errorf("kept alive and not killed: %+v", r)
+	}
+}
+
+// TestNobodyIsSilentDuringAnOutage: who may not answer workers does not take them for
+// silent afterwards.
+func TestNobodyIsSilentDuringAnOutage(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.k.Until = b.k.Now
+	for range 40 {
+		b.k.Now += clock.Time(time.Second)
+		b.k.ExpireSilent(true, 0)
+	}
+	b.k.Until = b.k.Now + clock.Time(time.Minute)
+	if b.k.ExpireSilent(true, 0); b.k.queues["vm-1"].silence != message.SilenceNone {
+		t.Error("taken for silent")
+	}
+	for range 30 {
+		b.k.Now += clock.Time(time.Second)
+		b.k.ExpireSilent(true, 0)
+	}
+	if b.k.queues["vm-1"].silence != message.SilenceLong {
+		t.Error("not taken for silent when it is")
+	}
+}
--- a/internal/coordination/keeping/orders.go
+++ b/internal/coordination/keeping/orders.go
@@ -10,10 +10,20 @@
 	"damsonkeel/internal/protocol"
 )
 
-// orders fills an answer: reaps first, so that room and task ids are free,
-// then kills, then starts in order of service while they fit.
-func (k *Keeper) orders(q *queue, term protocol.Term) []protocol.Order {
+// orders fills an answer to a report, or direct commands: reaps first, so that room and
+// task ids are free, then kills, then starts in order of service while they fit. Each
+// start is noted by the way it goes, since each way is settled by other evidence.
+func (k *Keeper) orders(q *queue, term protocol.Term, direct bool) []protocol.Order {
 	orders := []protocol.Order{}
+	start := func(e *entry) {
+		e.again = e.direct != 0
+		if direct {
+			e.direct = k.token(q)
+		} else {
+			e.inAnswer = true
+		}
+		orders = append(orders, protocol.Order{Op: protocol.OpStart, Task: e.task, Attempt: e.attempt})
+	}
 	told := func(_ protocol.TaskID, e *entry) bool {
 		return e.present && (e.ended() || e.kill || k.Live[e.task.Job] == nil) || e.direct != 0
 	}
@@ -21,13 +31,25 @@
 		live := k.Live[e.task.Job] != nil
 		switch {
 		case !e.present:
-			if e.sent && e.direct != 0 && live && !e.kill {
-				orders = append(orders, protocol.Order{Op: protocol.OpStart, Task: e.task, Attempt: e.attempt})
+			// Directly once more only with a later token. With the same one, the
+			// answer to the second would settle it while the first may be executed
+			// still; noted with the first one's, it would be taken for settled by a
+			// worker that has seen the second's from elsewhere.
+			if e.sent && e.direct != 0 && live && !e.kill && (!direct || k.token(q) > e.direct) {
+				start(e)
 			}
 		case e.ended() && (e.reap || !live):
-			// After a reap the worker no longer knows the attempt: a direct
-			// start that is still under way would run it again.
-			if e.direct == 0 || term > e.direct {
+			// After a reap the worker no longer knows the attempt: a start that is
+			// still under way, directly or in an answer, would run it again.
+			switch {
+			case e.direct != 0 && term <= e.direct:
+				if e.stuck == 0 {
+					e.stuck = k.Now
+				}
+				if !direct && k.Since(e.stuck) > stuckMost {
+					k.settleDirect(q, e)
+				}
+			case !e.inAnswer:
 				orders = append(orders, protocol.Order{Op: protocol.OpForget, Task: e.task, Attempt: e.attempt})
 			}
 		case !e.ended() && (e.kill || !live):
@@ -43,7 +65,7 @@
 	})
 	for _, e := range k.startable(q) {
 		e.sent = true
-		orders = append(orders, protocol.Order{Op: protocol.OpStart, Task: e.task, Attempt: e.attempt})
+		start(e)
 		k.Log.Debug("start", "machine", q.id, "task", e.task, "attempt", e.attempt)
 	}
 	return orders
--- a/internal/coordination/keeping/queue.go
+++ b/internal/coordination/keeping/queue.go
@@ -18,7 +18,8 @@
 	id      protocol.MachineID
 	epoch   protocol.Version // of its record; 0: not registered
 	session protocol.Session // the newest seen
-	seq     protocol.Seq
+	seq     protocol.Seq     // of the newest report or answer to direct commands
+	ownSeq  protocol.Seq     // of the newest report
 	info    protocol.TypeInfo
 	addr    string
 	zone    protocol.Zone
@@ -85,6 +86,9 @@
 	from     protocol.NodeName // that placed it here, if any
 	sent     bool
 	direct   protocol.Term // of a direct start that has no answer: it may be executed until the worker sees a later term
+	again    bool          // its start has gone another way too since: that it is there does not tell which of them arrived
+	stuck    clock.Time    // since when it could be reaped but for a direct start that may be under way
+	inAnswer bool          // its start is in the last answer to a report: the worker's next report settles it
 	present  bool          // the worker has reported it
 	state    protocol.TaskState
 	cause    protocol.EndCause
@@ -234,14 +238,19 @@
 	k.touch(q)
 }
 
-func (k *Keeper) dropWaiting(q *queue, e *entry) {
+// unqueue takes an attempt out of what waits.
+func (k *Keeper) unqueue(q *queue, e *entry) {
 	if i := slices.Index(q.waiting, e); i >= 0 {
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 	}
-	q.drop(e.task)
 	k.touch(q)
 }
 
+func (k *Keeper) dropWaiting(q *queue, e *entry) {
+	k.unqueue(q, e)
+	q.drop(e.task)
+}
+
 // put adds an attempt, instead of another of its task if there is one.
 func (q *queue) put(e *entry) {
 	if q.entries[e.task] == nil {
--- a/internal/coordination/keeping/records.go
+++ b/internal/coordination/keeping/records.go
@@ -51,11 +51,18 @@
 	} else if k.allSince == 0 {
 		k.allSince = k.Now
 	}
+	if !k.Acting() {
+		k.actsSince = 0
+	} else if k.actsSince == 0 {
+		k.actsSince = k.Now
+	}
 	k.noteAlone(sharesFloor)
 	lease := k.LeaseOver()
 	for _, q := range k.queuesInOrder() {
 		quiet := k.Since(k.answered(q))
-		if s := k.silenceAfter(quiet); s != q.silence {
+		// Who may not answer can't tell who is silent: after an outage of the state
+		// service all machines would seem to be, and their holds be given up.
+		if s := k.silenceAfter(min(quiet, k.Since(k.actsSince))); k.actsSince != 0 && s != q.silence {
 			q.silence = s
 			k.touch(q)
 		}
--- a/internal/coordination/keeping/report.go
+++ b/internal/coordination/keeping/report.go
@@ -26,16 +26,16 @@
 			q.registered(m)
 		}
 	}
-	reply := protocol.ReportReply{Term: k.Token(r.Machine, r.Zone), Orders: []protocol.Order{}}
 	if r.Session < q.session || r.Session == q.session && r.Seq <= q.seq {
-		k.Do(message.ReplyReport{Status: 200, Reply: reply}) // held back by the network: says nothing
+		k.answerStale(q, &r)
 		return
 	}
+	reply := protocol.ReportReply{Term: k.token(q), Orders: []protocol.Order{}}
 	q.info, q.addr, q.zone = info, r.Address, r.Zone
 	if r.Session > q.session {
 		k.newSession(q, r.Session)
 	}
-	q.seq, q.lastAnswer, q.everSeen = r.Seq, k.Now, true
+	q.seq, q.ownSeq, q.lastAnswer, q.everSeen = r.Seq, r.Seq, k.Now, true
 	if q.silence != message.SilenceNone {
 		q.silence = message.SilenceNone
 		k.touch(q)
@@ -48,11 +48,38 @@
 	q.seen = max(q.seen, r.Term)
 	k.takeStock(q)
 	q.push = false
-	reply.Orders = k.orders(q, r.Term)
+	reply.Orders = k.orders(q, r.Term, false)
 	k.reckonState(q) // now that all of it was just looked at
 	k.Do(message.ReplyReport{Status: 200, Reply: reply})
 }
 
+// answerStale answers a report that says nothing new. One that an answer to direct
+// commands has overtaken is its worker's latest: it is answered, so its lease goes on
+// from now, and whoever counts how long it has been silent has to know. Left out of
+// that count, a machine was taken for gone up to a report's interval before its lease
+// was over. Any other was held back by the network, and its worker has given it up: an
+// answer would renew nothing that is known here.
+func (k *Keeper) answerStale(q *queue, r *protocol.Report) {
+	if r.Session < q.session || r.Seq <= q.ownSeq {
+		k.Do(message.ReplyReport{Status: 503})
+		return
+	}
+	k.keepAlive(q, r)
+}
+
+// keepAlive has a worker's lease go on, and nothing else but that what is over ends:
+// who keeps a worker alive has what is cancelled there killed.
+func (k *Keeper) keepAlive(q *queue, r *protocol.Report) {
+	q.ownSeq, q.lastAnswer = r.Seq, k.Now
+	reply := protocol.ReportReply{Term: k.token(q), Orders: []protocol.Order{}}
+	for _, t := range r.Tasks {
+		if t.State != protocol.TaskEnded && k.Live[t.Task.Job] == nil {
+			reply.Orders = append(reply.Orders, protocol.Order{Op: protocol.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: new(float64)})
+		}
+	}
+	k.Do(message.ReplyReport{Status: 200, Reply: reply})
+}
+
 // newSession: the worker's lease expired, and with it all it ran.
 func (k *Keeper) newSession(q *queue, s protocol.Session) {
 	if q.session != 0 {
@@ -60,7 +87,7 @@
 	}
 	// The old record stands until the new one is written; owners learn from
 	// the record that everything of the old session is gone.
-	q.session, q.seq, q.epoch, q.sole = s, 0, 0, false
+	q.session, q.seq, q.ownSeq, q.epoch, q.sole = s, 0, 0, 0, false
 	k.touch(q)
 	q.entries, q.ofJob = map[protocol.TaskID]*entry{}, map[protocol.JobID]int{}
 	q.waiting = nil
@@ -75,6 +102,11 @@
 // settles starts in that answer. A direct answer may cross it.
 func (k *Keeper) takeReport(q *queue, r *protocol.Report, own bool) {
 	listed := make(map[protocol.TaskID]bool, len(r.Tasks))
+	if own {
+		for _, e := range q.entries {
+			e.inAnswer = false
+		}
+	}
 	for _, t := range r.Tasks {
 		listed[t.Task] = true
 		e := q.entries[t.Task]
@@ -143,6 +175,14 @@
 func (k *Keeper) takeTask(q *queue, e *entry, t protocol.TaskReport) {
 	first := !e.present
 	before := e.state
+	if !e.sent {
+		// It was taken for not executed, and is there: left in the queue, it would be
+		// released and placed elsewhere while it runs here.
+		k.unqueue(q, e)
+	}
+	if first && !e.again {
+		e.direct = 0 // that start has arrived: nothing is under way
+	}
 	e.sent, e.present = true, true
 	e.state, e.cause, e.saved = t.State, t.Cause, t.Saved
 	if first || before != e.state {
--- a/internal/coordination/keeping/shares.go
+++ b/internal/coordination/keeping/shares.go
@@ -123,7 +123,7 @@
 }
 
 // answerFrozen answers a worker whose share is being handed over: its lease goes
-// on, and nothing else happens. What it says it says again to who takes it.
+// on, and nothing else happens but that what is over is killed: the move may last. What it says it says again to who takes it.
 func (k *Keeper) answerFrozen(r *protocol.Report) bool {
 	if !k.Sharing() {
 		return false
@@ -133,12 +133,12 @@
 		return false
 	}
 	q := k.queues[r.Machine]
-	if q == nil || r.Session != q.session || r.Seq <= q.seq {
+	if q == nil || r.Session != q.session || r.Seq <= q.ownSeq {
 		k.Do(message.ReplyReport{Status: 503})
 		return true
 	}
-	q.seq, q.lastAnswer = r.Seq, k.Now
-	k.Do(message.ReplyReport{Status: 200, Reply: protocol.ReportReply{Term: k.token(q), Orders: []protocol.Order{}}})
+	q.seq = max(q.seq, r.Seq)
+	k.keepAlive(q, r)
 	return true
 }
 
@@ -468,6 +468,7 @@
 			task: x.Task, attempt: x.Attempt, estimate: x.EstimateS, need: x.Need, since: k.Now - clock.Time(x.Age),
 			level: x.Level, guessed: x.Guessed, together: x.Together, from: x.From, sent: x.Sent, direct: x.Direct, present: x.Present,
 			state: x.State, cause: x.Cause, saved: x.Saved, kill: x.Kill, graceS: x.GraceS, reap: x.Reap, noticed: x.Noticed,
+			again: x.Direct != 0, // perhaps
 		}
 		if x.Ran >= 0 {
 			e.runs = k.Now - clock.Time(x.Ran)
