Emulator: troubles that meet, and the first meeting with its bound

It learns transactions and reports carried out late, messages to and from workers that take seconds, machines that stand still or hear nothing, and that leases get their full time back after an outage; controllers reckon until when they may act by the code that the process uses.

--- a/internal/emulator/machines.go
+++ b/internal/emulator/machines.go
@@ -15,6 +15,9 @@
 	nextAt  time.Duration
 	waiting bool
 	due     time.Duration // when time next changes something on it, in an exact world
+	// hung and deaf are until when it stands still, and until when it reports but gets
+	// neither answers nor commands.
+	hung, deaf time.Duration
 }
 
 func (w *world) boot(id protocol.MachineID, r protocol.RentRequest) {
@@ -55,7 +58,12 @@
 
 func (w *world) tick(sw *simWorker) {
 	session := sw.Session
-	if sw.Tick(w.now); sw.Session != session {
+	if w.now < sw.hung {
+		sw.Skip(w.now)
+	} else {
+		sw.Tick(w.now)
+	}
+	if sw.Session != session {
 		w.lapsed++
 	}
 }
@@ -75,6 +83,10 @@
 }
 
 func (w *world) report(sw *simWorker) {
+	if w.now < sw.hung {
+		sw.nextAt = sw.hung + w.delay()
+		return
+	}
 	sw.waiting = true
 	w.tickWorker(sw)
 	sent, r := w.now, sw.Report()
@@ -90,6 +102,12 @@
 			next(time.Second)
 		}
 	})
+	if w.lateReports > 0 && w.rng.Float64() < w.lateReports {
+		// Its answer goes to nobody, but whatever else it has the controller do.
+		w.after(2*time.Second+time.Duration(w.rng.Float64()*2*w.settings.Site.Workers.LeaseS*float64(time.Second)), func() {
+			w.stepNode(n, message.Reported{Report: r})
+		})
+	}
 	w.carryToZone(n, sw.Zone, func() {
 		if n.core == nil {
 			if !over {
@@ -103,8 +121,13 @@
 			if !ok {
 				continue
 			}
-			w.after(w.delay(), func() {
-				if over {
+			var answer func()
+			answer = func() {
+				if over || w.now < sw.deaf {
+					return
+				}
+				if w.now < sw.hung {
+					w.after(sw.hung-w.now+w.delay(), answer)
 					return
 				}
 				switch rr.Status {
@@ -126,7 +149,8 @@
 					sw.target = (sw.target + 1) % len(w.nodes)
 					next(time.Second)
 				}
-			})
+			}
+			w.after(w.workerDelay(), answer)
 		}
 	})
 }
--- /dev/null
+++ b/internal/emulator/meetings_test.go
@@ -0,0 +1,285 @@
+package emulator
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/standin"
+)
+
+// cancelOver cancels live jobs at random moments of a while.
+func (w *world) cancelOver(n int, d time.Duration) {
+	for range n {
+		w.after(time.Duration(w.rng.Int64N(int64(d)+1)), func() {
+			if len(w.jobOrder) == 0 {
+				return
+			}
+			if id := w.jobOrder[w.rng.IntN(len(w.jobOrder))]; w.final[id] == "" {
+				w.cancel(id)
+			}
+		})
+	}
+}
+
+// some calls do with a part of the machines.
+func (w *world) some(part float64, do func(*simWorker)) {
+	for _, id := range w.order {
+		if sw := w.workers[id]; !sw.Dead && w.rng.Float64() < part {
+			do(sw)
+		}
+	}
+}
+
+// refusedThenOut: the state service refuses a controller alone, jobs are cancelled
+// through the others meanwhile, then it is out for all, longer than cancel_s.
+func (w *world) refusedThenOut(n *simNode) {
+	refused := time.Duration(1000+w.rng.IntN(15_000)) * time.Millisecond
+	out := time.Duration(w.settings.Site.Workers.CancelS+float64(w.rng.IntN(20))) * time.Second
+	w.cut(string(n.name), "state", refused+out, w.rng.IntN(2) == 0)
+	if w.rng.IntN(3) == 0 {
+		for _, p := range w.nodes {
+			w.cut(string(n.name), string(p.name), refused+out/2, w.rng.IntN(2) == 0)
+		}
+	}
+	w.cancelOver(1+w.rng.IntN(6), refused)
+	w.after(refused, func() { w.outage = max(w.outage, w.now+out) })
+	switch w.rng.IntN(4) {
+	case 0:
+		w.after(refused/2, func() { n.frozen = max(n.frozen, w.now+time.Duration(3+w.rng.IntN(37))*time.Second) })
+	case 1:
+		w.after(refused/2, func() { w.crashFor(n, 200*time.Millisecond) })
+	case 2:
+		w.after(refused/2, func() { w.moveSome(16) })
+	}
+}
+
+// meeting makes one of the troubles that the operators name; two or three at a time
+// are a meeting.
+func (w *world) meeting() {
+	n := w.nodes[w.rng.IntN(3)]
+	d := time.Duration(2+w.rng.IntN(25)) * time.Second
+	hold := w.rng.IntN(2) == 0
+	switch w.rng.IntN(14) {
+	case 12, 13:
+		w.heldUp = 0.1 + w.rng.Float64()/2
+		w.after(d, func() { w.heldUp = 0 })
+	case 0:
+		if w.rng.IntN(6) == 0 {
+			w.refusedThenOut(n)
+		}
+	case 1: // cut from the records and from its peers, not from workers
+		w.cut(string(n.name), "state", d, hold)
+		for _, p := range w.nodes {
+			w.cut(string(n.name), string(p.name), d, hold)
+		}
+		w.cancelOver(3, d)
+	case 2, 3:
+		w.lateWrites = 0.1 + w.rng.Float64()/2
+		w.after(d, func() { w.lateWrites = 0 })
+	case 4, 5:
+		w.lateReports = 0.1 + w.rng.Float64()/2
+		w.after(d, func() { w.lateReports = 0 })
+	case 6:
+		w.some(0.3, func(sw *simWorker) { sw.deaf = w.now + d })
+	case 7, 8: // most within their lease
+		w.some(0.4, func(sw *simWorker) { sw.hung = w.now + time.Duration(300+w.rng.IntN(17_000))*time.Millisecond })
+	case 9:
+		w.crashFor(n, time.Duration(100+w.rng.IntN(900))*time.Millisecond)
+	case 10:
+		for _, n := range w.nodes {
+			if n != w.nodes[0] || w.rng.IntN(2) == 0 {
+				w.crashFor(n, time.Duration(100+w.rng.IntN(900))*time.Millisecond)
+			}
+		}
+	case 11:
+		w.slow = time.Duration(1+w.rng.IntN(3)) * 200 * time.Millisecond
+		w.after(d, func() { w.slow = 0 })
+	}
+}
+
+// farApart has the tasks of a job run for very different times, some longer than
+// most troubles last.
+func (w *world) farApart(protocol.TaskID) time.Duration {
+	if w.rng.IntN(4) == 0 {
+		return time.Duration(20+w.rng.IntN(40)) * time.Second
+	}
+	return time.Duration(500+w.rng.IntN(9000)) * time.Millisecond
+}
+
+// TestRulesHoldWhenTroublesMeet plays days on which two or three of the operators'
+// troubles come at once, again and again, with long tasks, jobs of a few tasks that
+// end far apart, and many cancellations.
+func TestRulesHoldWhenTroublesMeet(t *testing.T) {
+	trouble := func(w *world) {
+		w.runTime = w.farApart
+		if w.rng.IntN(2) == 0 {
+			return
+		}
+		for range 2 + w.rng.IntN(2) {
+			w.meeting()
+		}
+		w.cancelOver(w.rng.IntN(3), 2*time.Second)
+	}
+	day{machines: 9, job: (*world).randomJob, lasts: 150 * time.Second, trouble: trouble, often: true, after: 30 * time.Second}.playSeeds(t, 40, 700_000)
+}
+
+// TestRulesHoldWhenCommandsAreHeldUp plays days on which a good part of all commands,
+// reports and their answers takes seconds and arrives in any order, machines stand
+// still and go on, while tokens rise, shares move, and machines are given notice.
+func TestRulesHoldWhenCommandsAreHeldUp(t *testing.T) {
+	trouble := func(w *world) {
+		w.heldUp = 0.2 + w.rng.Float64()/2
+		switch w.rng.IntN(5) {
+		case 0:
+			w.moveSome(16)
+		case 1:
+			w.some(0.3, func(sw *simWorker) { sw.hung = w.now + time.Duration(300+w.rng.IntN(9000))*time.Millisecond })
+		case 2:
+			w.some(0.2, func(sw *simWorker) {
+				notice := 12.0
+				sw.Notice = &notice
+				w.after(12*time.Second, func() { sw.Notice = nil }) // not taken after all
+			})
+		case 3:
+			w.some(0.2, func(sw *simWorker) {
+				sw.Faulty = true
+				w.after(3*time.Second, func() { sw.Faulty = false })
+			})
+		}
+	}
+	day{machines: 9, job: (*world).randomJob, lasts: 120 * time.Second, trouble: trouble, often: true, after: 15 * time.Second}.playSeeds(t, 20, 800_000)
+}
+
+// firstMeeting is one way in which the state service refuses a controller alone, others
+// confirm cancellations, and it is then out for all.
+type firstMeeting struct {
+	refused time.Duration // alone, before the outage
+	hold    bool          // held back rather than refused
+	peers   bool          // cut from the other controllers too
+	do      func(*world, *simNode)
+}
+
+// play plays it on machines full of long tasks, with jobs cancelled during the time of
+// being refused and in its last moment. It returns how many tasks of cancelled
+// jobs were on machines when their users were told, and how long the last stayed.
+func (m firstMeeting) play(fail func(string, ...any), seed uint64, ownLease time.Duration) (on int, last time.Duration) {
+	const machines = 24
+	w := newWorld(fail, seed, standin.Settings(), machines, machines)
+	w.ownLease = ownLease
+	w.runTime = func(protocol.TaskID) time.Duration { return 10 * time.Minute }
+	w.run(3 * time.Second)
+	for range 40 { // some still fetch their images, or wait, when it begins
+		w.submit(protocol.Job{Class: "array", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 2, CPUs: 1, EstimateS: 600, Spot: true, CheckpointS: 2, SaveS: 2})
+		w.submit(protocol.Job{Class: "gang", Team: "free", Kind: protocol.KindGang, Priority: "high", Tasks: 2, CPUs: 1, EstimateS: 600, Spot: true, CheckpointS: 2, SaveS: 2})
+		w.run(w.now + 250*time.Millisecond)
+	}
+	n := w.nodes[seed%3]
+	out := time.Duration(w.settings.Site.Workers.CancelS)*time.Second + 10*time.Second
+	w.cut(string(n.name), "state", m.refused+out, m.hold)
+	if m.peers {
+		for _, p := range w.nodes {
+			w.cut(string(n.name), string(p.name), m.refused+out, m.hold)
+		}
+	}
+	if m.do != nil {
+		m.do(w, n)
+	}
+	start := w.now
+	cancel := func() {
+		id := w.jobOrder[w.rng.IntN(len(w.jobOrder))]
+		if _, already := w.cancelled[id]; already {
+			return
+		}
+		w.cancel(id)
+		for t := range w.onMachine {
+			if t.Job == id {
+				on++
+			}
+		}
+	}
+	for at := time.Duration(0); at < m.refused; at += 300 * time.Millisecond {
+		w.after(at, cancel)
+	}
+	w.after(m.refused, func() { // some that nobody follows any more
+		for range 12 {
+			cancel()
+		}
+		w.outage = w.now + out
+	})
+	for w.now < start+m.refused+out {
+		w.run(w.now + 100*time.Millisecond)
+		for t := range w.onMachine {
+			if at, ok := w.cancelled[t.Job]; ok {
+				last = max(last, w.now-at)
+			}
+		}
+	}
+	return on, last
+}
+
+// firstMeetings are the ways that are played.
+func firstMeetings() map[string]firstMeeting {
+	freeze := func(d time.Duration) func(*world, *simNode) {
+		return func(w *world, n *simNode) {
+			w.after(time.Second, func() { n.frozen = w.now + d })
+		}
+	}
+	return map[string]firstMeeting{
+		"its session survives":              {refused: 3 * time.Second},
+		"the outage comes at once":          {refused: 200 * time.Millisecond},
+		"before anybody notices":            {refused: 7 * time.Second},
+		"a new view, nobody heard of it":    {refused: 8500 * time.Millisecond},
+		"shares handed on":                  {refused: 14 * time.Second},
+		"held back":                         {refused: 9 * time.Second, hold: true},
+		"cut from its peers too":            {refused: 9 * time.Second, peers: true},
+		"all held back, peers too":          {refused: 5 * time.Second, peers: true, hold: true},
+		"it stands still for a moment":      {refused: 6 * time.Second, do: freeze(3 * time.Second)},
+		"it stands still for long":          {refused: 6 * time.Second, do: freeze(40 * time.Second)},
+		"it ends and is back at once":       {refused: 6 * time.Second, do: func(w *world, n *simNode) { w.after(2*time.Second, func() { w.crashFor(n, 200*time.Millisecond) }) }},
+		"shares move from and to it":        {refused: 4 * time.Second, do: func(w *world, _ *simNode) { w.moveSome(60) }},
+		"commands are held up":              {refused: 9 * time.Second, do: func(w *world, _ *simNode) { w.heldUp = 0.4 }},
+		"machines stand still":              {refused: 9 * time.Second, do: func(w *world, _ *simNode) { w.some(0.5, func(sw *simWorker) { sw.hung = w.now + 12*time.Second }) }},
+		"transactions are carried out late": {refused: 9 * time.Second, do: func(w *world, _ *simNode) { w.lateWrites = 0.3 }},
+	}
+}
+
+// TestRefusedAloneThenOut: the first meeting, each way with each controller as the one
+// refused: the tasks of what is cancelled are gone in time, which the bound of
+// docs/design.md says.
+func TestRefusedAloneThenOut(t *testing.T) {
+	for name, m := range firstMeetings() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(seeds(3)) {
+				on, last := m.play(t.Fatalf, 900+seed, simNodeLease)
+				if on == 0 {
+					t.Error("no cancelled task was on a machine: nothing is shown")
+				}
+				w := standin.Settings().Site.Workers
+				if bound := config.CancelledWithin(simNodeLease, w) + usualStep; last > bound {
+					t.Errorf("seed %d: stayed for %v, the bound is %v", seed, last, bound)
+				}
+				t.Logf("%d tasks of cancelled jobs on machines, the last for %v", on, last)
+			}
+		})
+	}
+}
+
+// TestActingTooLongIsNoticed: with a controller that answers workers far longer than it
+// may, the same play breaks the rule: the check bites.
+func TestActingTooLongIsNoticed(t *testing.T) {
+	broken := false
+	fail := func(format string, args ...any) {
+		broken = broken || strings.Contains(fmt.Sprintf(format, args...), "ran_cancelled")
+	}
+	for seed := range uint64(3) {
+		firstMeeting{refused: 3 * time.Second}.play(fail, 900+seed, time.Minute)
+	}
+	if !broken {
+		t.Error("a cancelled task stayed too long, and no rule was broken")
+	}
+}
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -15,6 +15,14 @@
 	return time.Duration(1+w.rng.IntN(30)) * time.Millisecond
 }
 
+// workerDelay is how long a message from or to a worker takes.
+func (w *world) workerDelay() time.Duration {
+	if w.heldUp > 0 && w.rng.Float64() < w.heldUp {
+		return time.Duration(100+w.rng.IntN(7000)) * time.Millisecond
+	}
+	return w.delay()
+}
+
 // carry passes a message between two ends: delivered, held back, or lost.
 func (w *world) carry(a, b string, deliver func()) (delivered bool) {
 	for _, key := range []string{a + ">" + b, b + ">" + a} {
@@ -32,6 +40,10 @@
 // carryToZone is carry between a controller and a machine, whose zone may be
 // cut off from it.
 func (w *world) carryToZone(n *simNode, z protocol.Zone, deliver func()) {
+	if w.heldUp > 0 {
+		held := deliver
+		deliver = func() { w.after(w.workerDelay(), held) }
+	}
 	w.carry(string(n.name), "zone "+string(z), func() { w.carry(string(n.name), "workers", deliver) })
 }
 
--- a/internal/emulator/nodes.go
+++ b/internal/emulator/nodes.go
@@ -31,6 +31,7 @@
 	layout   bookkeeping.Layout
 	frozen   time.Duration // until when its process stands still, clocks running on
 	extendAt time.Duration
+	watched  coordination.Time // until when it is known to have followed the records
 	// slowBy is how many times slower its process ticks until slowUntil.
 	slowBy    int
 	slowUntil time.Duration
@@ -64,7 +65,13 @@
 		level = slog.LevelDebug
 	}
 	var out io.Writer = os.Stderr
-	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level})).With("node", n.name)
+	simulated := func(_ []string, a slog.Attr) slog.Attr {
+		if a.Key == slog.TimeKey {
+			return slog.Duration("at", w.now)
+		}
+		return a
+	}
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level, ReplaceAttr: simulated})).With("node", n.name)
 	n.core = coordination.NewCore(&s, w.operator, rand.New(rand.NewPCG(w.rng.Uint64(), 2)), log)
 	n.born = w.now
 	n.session = 0
@@ -109,7 +116,7 @@
 		If:   []protocol.Condition{{Key: key, Version: it.Version}},
 		Then: []protocol.Change{{Put: key, Value: bookkeeping.Node{Session: lease, Layout: n.layout}, Lease: &lease}},
 	})
-	n.session, n.followed, n.extendAt = lease, at, w.now
+	n.session, n.followed, n.extendAt, n.watched = lease, at, w.now, w.clock(n)
 	w.stepNode(n, message.Snapshot{Session: lease, Items: items, WallMS: w.wallMS()})
 }
 
@@ -217,17 +224,17 @@
 		c := w.cuts[string(n.name)+">state"]
 		if c.hold && w.outage <= w.now {
 			w.after(c.until-w.now+w.delay(), func() { w.state.Txn(a.Txn) })
-			life := n.life
-			w.after(1500*time.Millisecond, func() {
-				if n.life == life {
-					w.stepNode(n, message.TxnDone{Tag: a.Tag, Outcome: message.OutcomeUnknown})
-				}
-			})
+			w.unanswered(n, a)
 			return
 		}
 		w.later(n, message.TxnDone{Tag: a.Tag, Outcome: message.OutcomeRefused})
 		return
 	}
+	if w.lateWrites > 0 && w.rng.Float64() < w.lateWrites {
+		w.after(2*time.Second+time.Duration(w.rng.IntN(10_000))*time.Millisecond, func() { w.state.Txn(a.Txn) })
+		w.unanswered(n, a)
+		return
+	}
 	if w.slow > 0 {
 		w.after(w.slow/2, func() { w.execute(n, a) })
 		return
@@ -235,6 +242,16 @@
 	w.execute(n, a)
 }
 
+// unanswered has a controller give a transaction up.
+func (w *world) unanswered(n *simNode, a message.Commit) {
+	life := n.life
+	w.after(1500*time.Millisecond, func() {
+		if n.life == life {
+			w.stepNode(n, message.TxnDone{Tag: a.Tag, Outcome: message.OutcomeUnknown})
+		}
+	})
+}
+
 func (w *world) execute(n *simNode, a message.Commit) {
 	out := message.OutcomeFailed
 	if w.state.Txn(a.Txn) {
@@ -278,8 +295,13 @@
 	if sw == nil {
 		sw = &simWorker{Worker: &standin.Worker{Dead: true}}
 	}
-	w.carryToZone(n, sw.Zone, func() {
-		if sw.Dead {
+	var execute func()
+	execute = func() {
+		if sw.Dead || w.now < sw.deaf {
+			return
+		}
+		if w.now < sw.hung { // executed when it goes on, before or after what else has come
+			w.after(sw.hung-w.now+w.delay(), execute)
 			return
 		}
 		w.tickWorker(sw)
@@ -291,13 +313,14 @@
 			done.Answered = false // the answer is lost
 			return
 		}
-		w.after(w.delay(), func() {
+		w.after(w.workerDelay(), func() {
 			if !answered && n.life == life {
 				answered = true
 				w.stepNode(n, done)
 			}
 		})
-	})
+	}
+	w.carryToZone(n, sw.Zone, execute)
 	w.after(keeping.DirectTimeout, func() {
 		if !answered && n.life == life {
 			answered = true
@@ -357,6 +380,7 @@
 	}
 	if n.session != 0 && w.stateReachable(n) {
 		w.follow(n)
+		n.watched = w.clock(n) - coordination.Time(w.slow)
 		if w.now >= n.extendAt {
 			n.extendAt = w.now + time.Second
 			if !w.state.Extend(w.now, n.session) {
@@ -369,7 +393,7 @@
 				w.after(300*time.Millisecond, func() { w.openSession(n, life) })
 				return
 			}
-			w.stepNode(n, message.Entitled{Until: w.clock(n) + coordination.Time(7700*time.Millisecond)})
+			w.stepNode(n, message.Entitled{Until: coordination.ActsUntil(w.ownLease, w.clock(n), n.watched)})
 		}
 	}
 	if n.slowBy > 1 && w.now < n.slowUntil && int(w.now/w.step)%n.slowBy != 0 {
--- a/internal/emulator/rules_test.go
+++ b/internal/emulator/rules_test.go
@@ -142,9 +142,10 @@
 	lasts    time.Duration
 	empty    bool // no machine is up at the start
 	teams    []config.Team
-	trouble  func(*world) // beside those that every day has
-	often    bool         // these come at each step
-	promises bool         // reservations and windows come and go
+	trouble  func(*world)  // beside those that every day has
+	often    bool          // these come at each step
+	promises bool          // reservations and windows come and go
+	after    time.Duration // that troubles which have begun take to come about
 }
 
 // play plays a day of troubles; when all is well again, every job must come to
@@ -203,7 +204,8 @@
 		}
 		w.run(w.now + time.Duration(1+w.rng.IntN(6))*time.Second)
 	}
-	w.outage = 0
+	w.run(w.now + d.after)
+	w.outage, w.slow, w.lateWrites, w.lateReports, w.heldUp = 0, 0, 0, 0, 0
 	clear(w.cuts) // what was held back still comes
 	w.run(w.now + 40*time.Second)
 	for _, id := range w.jobOrder {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -64,7 +64,15 @@
 	silent    time.Duration // until when the cloud answers nothing
 	checked   int           // changes of the state service that the rules have been held against
 
-	slow     time.Duration   // how long the state service takes
+	slow     time.Duration // how long the state service takes
+	wasOut   bool          // the state service was out at the last step
+	ownLease time.Duration // of the controllers, by their own clocks
+	// lateWrites is the share of the transactions that get no answer and are carried
+	// out seconds later, after newer ones; lateReports that of the reports of which a
+	// copy arrives again, up to two leases later.
+	lateWrites, lateReports float64
+	// heldUp is the share of commands, reports and their answers that take seconds.
+	heldUp   float64
 	loggedAt []time.Duration // when its changes happened
 	promised int             // changes of the calendar
 	lapsed   int             // workers' leases that ran out
@@ -121,7 +129,7 @@
 		},
 	}
 	w.layout = bookkeeping.LayoutShares
-	w.step, w.startMS, w.operator = usualStep, 1, config.DefaultOperator()
+	w.step, w.startMS, w.operator, w.ownLease = usualStep, 1, config.DefaultOperator(), simNodeLease
 	w.runTime = func(protocol.TaskID) time.Duration { return time.Duration(1000+w.rng.IntN(9000)) * time.Millisecond }
 	w.bootTime = func(protocol.RentRequest) time.Duration { return time.Duration(3+w.rng.IntN(8)) * time.Second }
 	w.heldS = func(protocol.MachineID) float64 { return 30 }
@@ -182,8 +190,14 @@
 			e.do()
 		}
 		w.now = end
-		if w.outage <= w.now {
+		if out := w.outage > w.now; !out {
+			if w.wasOut {
+				w.state.Restore(w.now)
+			}
 			w.state.Expire(w.now)
+			w.wasOut = false
+		} else {
+			w.wasOut = true
 		}
 		for w.state.Before+len(w.loggedAt) < w.state.Changes() {
 			w.loggedAt = append(w.loggedAt, w.now)
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -76,6 +76,13 @@
 	}
 }
 
+// Restore gives all leases their full time back, as after an outage.
+func (s *State) Restore(now time.Duration) {
+	for id, l := range s.leases {
+		s.leases[id] = lease{l.ttl, now + l.ttl}
+	}
+}
+
 // Release ends a lease, and deletes its keys.
 func (s *State) Release(id protocol.LeaseID) {
 	if _, ok := s.leases[id]; !ok {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -85,12 +85,7 @@
 // Tick lets time pass.
 func (w *Worker) Tick(now time.Duration) {
 	passed := now - w.lastTick
-	w.lastTick = now
-	if w.Dead {
-		return
-	}
-	if (now - w.renewed).Seconds() > w.LeaseS {
-		w.Restart(now)
+	if w.Skip(now); w.Dead {
 		return
 	}
 	for _, id := range w.sorted() {
@@ -98,6 +93,15 @@
 	}
 }
 
+// Skip passes time in which the machine stood still: its tasks did not go on, its
+// lease did, and what it holds beyond that it can't go on with.
+func (w *Worker) Skip(now time.Duration) {
+	w.lastTick = now
+	if !w.Dead && (now-w.renewed).Seconds() > w.LeaseS {
+		w.Restart(now)
+	}
+}
+
 // Restart begins the next session: all tasks are gone.
 func (w *Worker) Restart(now time.Duration) {
 	for id, t := range w.tasks {
