Bitmaps and the list of held room are written on their own versions; cut off, a controller lets its users go

A transaction without an answer may be carried out after newer ones of the same controller. Going through all of them, two held on the view alone: a late write of a job's bitmap took back the ends that only the next one had (they would be run again after a takeover), one of the held room an older list. Both hold on their own versions now; a bitmap's are read again after a write without an answer before anything more is written (TestBitmapIsWrittenOnItsVersion).

A member that may not act stayed healthy while it knew of no peer that acts. Cut off from the records and from all peers it can't know, and its users had no answer for as long as that lasted. It waits 10 s now, and as long as it hears a peer: an outage for all is told from being cut off by that.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -288,7 +288,7 @@
 			c.adoptShares(&s, version)
 		}
 	case f.Held:
-		err = c.heldBefore(value)
+		err = c.heldBefore(value, version)
 	case f.Calendar || f.Reservation != "" || f.Window != "":
 		err = c.calendarRecord(f, value, version)
 	}
@@ -344,7 +344,9 @@
 	case finishTag:
 		c.finishDone(tag, m.Outcome)
 	case bitsTag:
-		c.bitsDone(tag, m.Outcome)
+		c.bitsDone(tag, m.Outcome, m.Revision)
+	case heldTag:
+		c.promised.stale = c.promised.stale || m.Outcome != message.OutcomeDone
 	case registrar.Tag:
 		c.registrar.Written(tag, m.Outcome)
 	case keeping.RemoveTag:
--- a/internal/coordination/finish.go
+++ b/internal/coordination/finish.go
@@ -62,7 +62,7 @@
 	}
 	n := 0
 	for _, o := range inorder.Of(c.owner.jobs) {
-		if len(o.dirty) == 0 || o.writing || o.finish || !o.loaded {
+		if len(o.dirty) == 0 || o.writing || o.finish || !o.loaded || o.reread {
 			continue
 		}
 		if n++; n > c.Settings.Site.State.TxnOps {
@@ -75,8 +75,12 @@
 		}}
 		for chunk := range inorder.Of(o.dirty) {
 			tag.chunks = append(tag.chunks, chunk)
-			o.stored[chunk] = true
-			txn.Then = append(txn.Then, protocol.Change{Put: bookkeeping.BitsKey(o.ID, chunk), Value: bookkeeping.EncodeChunk(o.done, chunk)})
+			// On its version: a write without an answer may be carried out after the
+			// next one, and would take back the ends that only that one has.
+			key, have := bookkeeping.BitsKey(o.ID, chunk), o.stored[chunk]
+			txn.If = append(txn.If, protocol.Condition{Key: key, Version: have})
+			o.stored[chunk] = have // perhaps in the records from now on
+			txn.Then = append(txn.Then, protocol.Change{Put: key, Value: bookkeeping.EncodeChunk(o.done, chunk)})
 		}
 		clear(o.dirty)
 		o.writing, o.underWay = true, tag.chunks
@@ -84,15 +88,18 @@
 	}
 }
 
-func (c *Core) bitsDone(tag bitsTag, out message.Outcome) {
+func (c *Core) bitsDone(tag bitsTag, out message.Outcome, at protocol.Revision) {
 	o := c.owner.jobs[tag.job]
 	if o == nil {
 		return
 	}
 	o.writing, o.underWay = false, nil
-	if out != message.OutcomeDone {
-		for _, chunk := range tag.chunks {
+	for _, chunk := range tag.chunks {
+		if out == message.OutcomeDone {
+			o.stored[chunk] = protocol.Version(at)
+		} else {
 			o.dirty[chunk] = true
 		}
 	}
+	o.reread = out == message.OutcomeUnknown || out == message.OutcomeFailed
 }
--- a/internal/coordination/holding.go
+++ b/internal/coordination/holding.go
@@ -171,14 +171,15 @@
 	pr.stale, pr.written = false, c.Now
 	list := pr.List[:min(len(pr.List), int(1024*c.Settings.Site.State.ValueKB/heldBytes))]
 	c.Do(message.Commit{Tag: heldTag{}, Txn: protocol.Txn{
-		If:   []protocol.Condition{c.InThisView()},
+		If:   []protocol.Condition{c.InThisView(), {Key: bookkeeping.HeldKey, Version: pr.heldVersion}},
 		Then: []protocol.Change{{Put: bookkeeping.HeldKey, Value: heldRecord{list}}},
 	}})
 }
 
 // heldBefore takes over what was written, unless a list was heard already, which
 // is newer.
-func (c *Core) heldBefore(value protocol.RawValue) error {
+func (c *Core) heldBefore(value protocol.RawValue, version protocol.Version) error {
+	c.promised.heldVersion = version
 	var r heldRecord
 	if err := protocol.Decode(value, &r); err != nil || c.promised.Listed {
 		return err
--- a/internal/coordination/membership/members.go
+++ b/internal/coordination/membership/members.go
@@ -220,6 +220,31 @@
 // service is out for all, or nobody can be heard.
 func (ms *Members) OthersAct() bool { return len(ms.ActingPeers()) > 0 }
 
+// cutOffAfter is how long a controller that may not act and hears no other goes on
+// taking users' connections.
+const cutOffAfter = 10 * time.Second
+
+// WaitsOut reports whether a controller, while it may not act, does best to keep its
+// users and wait: nobody else is known to act, and it hears others who would say so.
+// One that is cut off from the records and from all others can't tell. Users that
+// stay with it would have no answer for as long as that lasts, so it waits for a
+// moment only.
+func (ms *Members) WaitsOut() bool {
+	if ms.OthersAct() {
+		return false
+	}
+	alone := true
+	for name, p := range ms.peers {
+		if name == ms.Self {
+			continue
+		}
+		if alone = false; p.heardAt != 0 && ms.Since(p.heardAt) < 3*ms.Op.RelayEvery {
+			return true
+		}
+	}
+	return alone || ms.Since(ms.Until) < cutOffAfter
+}
+
 // ActingPeers lists the other controllers known to act now. They say so
 // themselves; to one that they have left out of the view, in their answers.
 func (ms *Members) ActingPeers() []protocol.NodeName {
--- a/internal/coordination/message/step.go
+++ b/internal/coordination/message/step.go
@@ -39,6 +39,9 @@
 	TxnDone struct {
 		Tag     any
 		Outcome Outcome
+		// Revision is the service's after a transaction that was done: the version of
+		// all that it wrote.
+		Revision protocol.Revision
 	}
 	// JobLoaded answers a LoadBits.
 	JobLoaded struct {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -50,7 +50,7 @@
 	commands chan struct{} // holds one for each direct command under way
 
 	actingUntil atomic.Int64
-	waitsOut    atomic.Bool // a member that may not act, and nobody else is known to
+	waitsOut    atomic.Bool // a member that may not act does best to wait: see Members.WaitsOut
 	leaving     atomic.Bool // told to end
 	left        chan struct{}
 	types       atomic.Pointer[[]protocol.TypeInfo]
@@ -148,7 +148,7 @@
 			until = n.core.Until
 		}
 		n.actingUntil.Store(int64(until))
-		n.waitsOut.Store(until != 0 && !n.core.members.OthersAct())
+		n.waitsOut.Store(until != 0 && n.core.members.WaitsOut())
 		n.carryOut(ctx, actions)
 		if e.reply != nil {
 			e.reply(actions)
@@ -276,11 +276,11 @@
 }
 
 func (n *Node) commit(ctx context.Context, a message.Commit) {
-	_, err := n.state.Txn(ctx, a.Txn, precedence(a.Tag))
+	rev, err := n.state.Txn(ctx, a.Txn, precedence(a.Tag))
 	if err != nil && !errors.Is(err, bookkeeping.ErrConflict) {
 		n.log.Debug("transaction", "what", a.Tag, "err", err)
 	}
-	n.post(message.TxnDone{Tag: a.Tag, Outcome: outcome(err)})
+	n.post(message.TxnDone{Tag: a.Tag, Outcome: outcome(err), Revision: rev})
 }
 
 // command sends commands to a worker. Its kept connections go when it has not
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -62,8 +62,10 @@
 	writing bool
 	// underWay are the bitmap chunks that are being written.
 	underWay []int
-	// stored are the bitmap chunks that may be in the records.
-	stored map[int]bool
+	// stored are the bitmap chunks that may be in the records, and their versions as
+	// last read or written; reread: these may be others, since a write has no answer.
+	stored map[int]protocol.Version
+	reread bool
 	finish bool // all done; to be written
 	ran    forecast.RunTimes
 	again  *bitset.BitSet // tasks that ran before, in part
@@ -136,7 +138,7 @@
 func (c *Core) own(l *known.LiveJob) *ownedJob {
 	o := &ownedJob{
 		LiveJob: l, done: bitset.New(uint(l.Tasks)), pending: bitset.New(uint(l.Tasks)),
-		again: bitset.New(uint(l.Tasks)), placed: map[protocol.TaskID]*placedTask{}, dirty: map[int]bool{}, stored: map[int]bool{}, failedOn: map[protocol.MachineID]bool{}, since: l.Since,
+		again: bitset.New(uint(l.Tasks)), placed: map[protocol.TaskID]*placedTask{}, dirty: map[int]bool{}, stored: map[int]protocol.Version{}, failedOn: map[protocol.MachineID]bool{}, since: l.Since,
 	}
 	c.owner.jobs[l.ID] = o
 	c.ownedChanged.Touch(l.ID)
@@ -259,7 +261,7 @@
 		if o.finish {
 			c.writeFinish(o)
 		}
-		if !o.loaded && !o.loading {
+		if (!o.loaded || o.reread) && !o.loading {
 			o.loading = true
 			c.Do(message.LoadBits{Job: id})
 		}
--- a/internal/coordination/promises.go
+++ b/internal/coordination/promises.go
@@ -18,6 +18,8 @@
 
 	written Time   // when the list was last written
 	stale   bool   // it has changed since
+	// heldVersion is that of the list in the records, as followed.
+	heldVersion protocol.Version
 	number  uint64 // of the list, by the controller that chose it
 	teams   map[protocol.Team][]teamClaim
 
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -88,16 +88,18 @@
 
 func (c *Core) jobLoaded(m message.JobLoaded) {
 	o := c.owner.jobs[m.Job]
-	if o == nil || o.loaded {
+	if o == nil || o.loaded && !o.reread {
 		return
 	}
 	o.loading = false
 	if !m.OK {
 		return // asked for again at a later tick
 	}
+	o.reread = false
+	clear(o.stored)
 	for _, it := range m.Chunks {
 		if chunk, ok := bookkeeping.ChunkNumber(it.Key); ok {
-			o.stored[chunk] = true
+			o.stored[chunk] = it.Version
 		}
 		var b bookkeeping.Bits
 		err := protocol.Decode(it.Value, &b)
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -218,3 +219,72 @@
 		}
 	}
 }
+
+// TestBitmapIsWrittenOnItsVersion: a write of a job's bitmap that has no answer may be
+// carried out after the next one, and would take back the ends that only that one has.
+// It holds on the bitmap's own version, which is read again before anything more is
+// written.
+func TestBitmapIsWrittenOnItsVersion(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.job("job-1", "free", 3)
+	key := bookkeeping.BitsKey("job-1", 0)
+	type write struct {
+		commit  *message.Commit
+		version protocol.Version
+	}
+	next := func() (w write, reads bool) {
+		for range 30 {
+			for _, a := range b.step(message.Tick{}) {
+				switch a := a.(type) {
+				case message.Commit:
+					if _, is := a.Tag.(bitsTag); !is {
+						continue
+					}
+					w = write{commit: &a}
+					for _, cond := range a.Txn.If {
+						if cond.Key == key {
+							w.version = cond.Version
+						}
+					}
+					if !slices.ContainsFunc(a.Txn.If, func(c protocol.Condition) bool { return c.Key == key }) {
+						t.Fatal("written on any version")
+					}
+					return w, reads
+				case message.LoadBits:
+					reads = true
+					b.step(message.JobLoaded{Job: "job-1", OK: true, Chunks: []protocol.Item{{Key: key, Version: 77, Value: encoded(t, bookkeeping.EncodeChunk(b.c.owner.jobs["job-1"].done, 0))}}})
+				}
+			}
+		}
+		t.Fatal("the bitmap is not written")
+		return w, reads
+	}
+	end := func(i uint32) {
+		b.step(message.Tick{})
+		b.c.event(message.TaskEvent{TaskRef: message.TaskRef{Task: protocol.TaskID{Job: "job-1", Index: i}, Machine: "vm-1"}, What: message.WhatEnded, Cause: protocol.EndDone})
+	}
+	end(0)
+	first, _ := next()
+	if first.version != 0 {
+		t.Errorf("the first on version %d", first.version)
+	}
+	b.step(message.TxnDone{Tag: first.commit.Tag, Outcome: message.OutcomeDone, Revision: 55})
+	end(1)
+	second, reads := next()
+	if second.version != 55 || reads {
+		t.Errorf("the second on version %d, read again %v", second.version, reads)
+	}
+	b.step(message.TxnDone{Tag: second.commit.Tag, Outcome: message.OutcomeUnknown})
+	if third, reads := next(); third.version != 77 || !reads {
+		t.Errorf("after no answer on version %d, read again %v", third.version, reads)
+	}
+}
+
+func encoded(t *testing.T, v any) protocol.RawValue {
+	raw, err := protocol.Encode(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
--- a/internal/emulator/nodes.go
+++ b/internal/emulator/nodes.go
@@ -258,13 +258,14 @@
 		out = message.OutcomeDone
 		w.followSoon()
 	}
+	at := w.state.Revision
 	if w.rng.IntN(20) == 0 {
 		out = message.OutcomeUnknown // the answer is lost
 	}
 	life := n.life
 	w.after(w.slow/2, func() {
 		if n.life == life {
-			w.later(n, message.TxnDone{Tag: a.Tag, Outcome: out})
+			w.later(n, message.TxnDone{Tag: a.Tag, Outcome: out, Revision: at})
 		}
 	})
 }
