--- a/internal/coordination/keeping/direct.go
+++ b/internal/coordination/keeping/direct.go
@@ -11,11 +11,6 @@
 // is heard after that, the term is raised, which settles it.
 const DirectTimeout = 4 * time.Second
 
-// stuckMost is how long an attempt that has ended is kept for a direct start that may be
-// under way before the token is raised for it: as a rule something else raises it. For
-// ever, its machine would never be empty and returned.
-const stuckMost = 10 * time.Second
-
 // wake has a queue's commands sent at once, at the end of the step.
 func (k *Keeper) wake(q *queue) {
 	if !q.push {
--- a/internal/coordination/keeping/orders.go
+++ b/internal/coordination/keeping/orders.go
@@ -41,15 +41,7 @@
 		case e.ended() && (e.reap || !live):
 			// After a reap the worker no longer knows the attempt: a start that is
 			// still under way, directly or in an answer, would run it again.
-			switch {
-			case e.direct != 0 && term <= e.direct:
-				if e.stuck == 0 {
-					e.stuck = k.Now
-				}
-				if !direct && k.Since(e.stuck) > stuckMost {
-					k.settleDirect(q, e)
-				}
-			case !e.inAnswer:
+			if (e.direct == 0 || term > e.direct) && !e.inAnswer {
 				orders = append(orders, protocol.Order{Op: protocol.OpForget, Task: e.task, Attempt: e.attempt})
 			}
 		case !e.ended() && (e.kill || !live):
--- a/internal/coordination/keeping/queue.go
+++ b/internal/coordination/keeping/queue.go
@@ -87,7 +87,6 @@
 	sent     bool
 	direct   protocol.Term // of a direct start that has no answer: it may be executed until the worker sees a later term
 	again    bool          // its start has gone another way too since: that it is there does not tell which of them arrived
-	stuck    clock.Time    // since when it could be reaped but for a direct start that may be under way
 	inAnswer bool          // its start is in the last answer to a report: the worker's next report settles it
 	present  bool          // the worker has reported it
 	state    protocol.TaskState
--- a/internal/coordination/promises.go
+++ b/internal/coordination/promises.go
@@ -16,12 +16,12 @@
 type promises struct {
 	*known.Pledges
 
-	written Time   // when the list was last written
-	stale   bool   // it has changed since
+	written Time // when the list was last written
+	stale   bool // it has changed since
 	// heldVersion is that of the list in the records, as followed.
 	heldVersion protocol.Version
-	number  uint64 // of the list, by the controller that chose it
-	teams   map[protocol.Team][]teamClaim
+	number      uint64 // of the list, by the controller that chose it
+	teams       map[protocol.Team][]teamClaim
 
 	// byClass are the live jobs of the classes that something is due for within
 	// windowsAhead, as of the last relay period.
--- a/internal/emulator/meetings_test.go
+++ b/internal/emulator/meetings_test.go
@@ -129,7 +129,8 @@
 
 // TestRulesHoldWhenCommandsAreHeldUp plays days on which a good part of all commands,
 // reports and their answers takes seconds and arrives in any order, machines stand
-// still and go on, while tokens rise, shares move, and machines are given notice.
+// still and go on, while tokens rise, shares move, machines are given notice, and now
+// and then all controllers end.
 func TestRulesHoldWhenCommandsAreHeldUp(t *testing.T) {
 	trouble := func(w *world) {
 		w.heldUp = 0.2 + w.rng.Float64()/2
@@ -149,6 +150,12 @@
 				sw.Faulty = true
 				w.after(3*time.Second, func() { sw.Faulty = false })
 			})
+		case 4: // as in docs/incidents/2026-12-02-array-task-started-twice.md
+			if w.rng.IntN(4) == 0 {
+				for _, n := range w.nodes {
+					w.crashFor(n, time.Duration(100+w.rng.IntN(6000))*time.Millisecond)
+				}
+			}
 		}
 	}
 	day{machines: 9, job: (*world).randomJob, lasts: 120 * time.Second, trouble: trouble, often: true, after: 15 * time.Second}.playSeeds(t, 20, 800_000)
