--- a/internal/coordination/keeping/report.go
+++ b/internal/coordination/keeping/report.go
@@ -61,6 +61,7 @@
 // answer would renew nothing that is known here.
 func (k *Keeper) answerStale(q *queue, r *protocol.Report) {
 	if r.Session < q.session || r.Seq <= q.ownSeq {
+		k.Log.Debug("a report held back by the network is not answered", "machine", q.id, "session", r.Session, "seq", r.Seq)
 		k.Do(message.ReplyReport{Status: 503})
 		return
 	}
