--- a/internal/emulator/meetings_test.go
+++ b/internal/emulator/meetings_test.go
@@ -37,6 +37,9 @@
 // refusedThenOut: the state service refuses a controller alone, jobs are cancelled
 // through the others meanwhile, then it is out for all, longer than cancel_s.
 func (w *world) refusedThenOut(n *simNode) {
+	if w.now < 25*time.Second || w.outage > w.now {
+		return // there has to be something that runs
+	}
 	refused := time.Duration(1000+w.rng.IntN(15_000)) * time.Millisecond
 	out := time.Duration(w.settings.Site.Workers.CancelS+float64(w.rng.IntN(20))) * time.Second
 	w.cut(string(n.name), "state", refused+out, w.rng.IntN(2) == 0)
@@ -290,3 +293,83 @@
 		t.Error("a cancelled task stayed too long, and no rule was broken")
 	}
 }
+
+// fewTasks is a job of one to three tasks, now and then of a limited team.
+func fewTasks(w *world) protocol.Job {
+	j := w.randomJob()
+	if j.Tasks = min(j.Tasks, 3); j.Kind != protocol.KindGang && w.rng.IntN(2) == 0 {
+		j.Team = "bound"
+	}
+	return j
+}
+
+// TestRulesHoldInEachMeeting plays each of the operators' meetings by itself, over and
+// over, with jobs of a few tasks that end far apart.
+func TestRulesHoldInEachMeeting(t *testing.T) {
+	back := func(w *world, most time.Duration) {
+		w.crashFor(w.nodes[w.rng.IntN(3)], 100*time.Millisecond+time.Duration(w.rng.Int64N(int64(most))))
+	}
+	for name, trouble := range map[string]func(*world){
+		"jobs end across changes of leader": func(w *world) { back(w, 9*time.Second) },
+		"cut from the records and all peers": func(w *world) {
+			if n, d := w.nodes[w.rng.IntN(3)], time.Duration(4+w.rng.IntN(30))*time.Second; w.rng.IntN(4) == 0 {
+				hold := w.rng.IntN(2) == 0
+				w.cut(string(n.name), "state", d, hold)
+				for _, p := range w.nodes {
+					w.cut(string(n.name), string(p.name), d, hold)
+				}
+				w.cancelOver(4, d)
+			}
+		},
+		"transactions are carried out late": func(w *world) {
+			w.lateWrites = 0.35
+			if w.rng.IntN(3) == 0 {
+				back(w, time.Second)
+			}
+		},
+		"a leader ends while machines are deaf or away": func(w *world) {
+			d := time.Duration(2+w.rng.IntN(30)) * time.Second
+			w.some(0.3, func(sw *simWorker) {
+				if w.rng.IntN(2) == 0 {
+					sw.deaf = w.now + d
+				} else {
+					sw.hung = w.now + d
+				}
+			})
+			if w.rng.IntN(3) == 0 {
+				back(w, 9*time.Second)
+			}
+		},
+		"handed over and back, within a second": func(w *world) {
+			w.moveSome(24)
+			w.after(time.Duration(w.rng.IntN(300))*time.Millisecond, func() { back(w, 900*time.Millisecond) })
+			w.after(time.Duration(300+w.rng.IntN(900))*time.Millisecond, func() { w.moveSome(24) })
+		},
+		"slow, refused alone, out for all": func(w *world) {
+			w.slow = time.Duration(w.rng.IntN(4)) * 200 * time.Millisecond
+			if w.rng.IntN(8) == 0 {
+				w.refusedThenOut(w.nodes[w.rng.IntN(3)])
+			}
+		},
+		"old reports come after newer ones": func(w *world) {
+			w.lateReports = 0.6
+			switch w.rng.IntN(5) {
+			case 0:
+				back(w, 9*time.Second)
+			case 1:
+				w.moveSome(24)
+			case 2:
+				w.some(0.2, func(sw *simWorker) { sw.hung = w.now + time.Duration(w.rng.IntN(25))*time.Second })
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			all := func(w *world) {
+				w.runTime = w.farApart
+				trouble(w)
+				w.cancelOver(w.rng.IntN(2), time.Second)
+			}
+			day{machines: 9, job: fewTasks, lasts: 100 * time.Second, trouble: all, often: true, after: 30 * time.Second}.playSeeds(t, 6, 900_000)
+		})
+	}
+}
