--- a/internal/emulator/meetings_test.go
+++ b/internal/emulator/meetings_test.go
@@ -312,7 +312,7 @@
 	for name, trouble := range map[string]func(*world){
 		"jobs end across changes of leader": func(w *world) { back(w, 9*time.Second) },
 		"cut from the records and all peers": func(w *world) {
-			if n, d := w.nodes[w.rng.IntN(3)], time.Duration(4+w.rng.IntN(30))*time.Second; w.rng.IntN(4) == 0 {
+			if n, d := w.nodes[w.rng.IntN(3)], time.Duration(4+w.rng.IntN(70))*time.Second; w.rng.IntN(6) == 0 {
 				hold := w.rng.IntN(2) == 0
 				w.cut(string(n.name), "state", d, hold)
 				for _, p := range w.nodes {
