--- a/internal/coordination/leftover.go
+++ b/internal/coordination/leftover.go
@@ -29,10 +29,21 @@
 // guaranteed nothing, and its tasks run longer than another machine takes to be
 // up. Such jobs take only room that classes with objectives are not likely to
 // need: what has the same priority can't be stopped for others, so guests' long
-// tasks, once they fill a fleet, would hold all of it until they end.
+// tasks, once they fill a fleet, would hold all of it until they end. More urgent than
+// all of these classes they yield to none: that they may wait is said by nobody.
 func (c *Core) unaimed(j *protocol.Job) bool {
 	share, _ := c.aimedAt(j.Class)
-	return share == 0 && !c.Guarantees(j.Team) && c.Estimate(j) > c.upS(j)
+	return share == 0 && !c.Guarantees(j.Team) && c.Estimate(j) > c.upS(j) && c.someAsUrgent(j)
+}
+
+// someAsUrgent reports whether a class with an objective is as urgent as a job.
+func (c *Core) someAsUrgent(j *protocol.Job) bool {
+	for _, k := range c.classes {
+		if k.job.Priority.Rank() >= j.Priority.Rank() {
+			return true
+		}
+	}
+	return false
 }
 
 // heldFor reports whether room is held for a job by what is promised.
--- a/internal/emulator/guests_test.go
+++ b/internal/emulator/guests_test.go
@@ -74,3 +74,35 @@
 	}
 	t.Logf("%v and %v at the 90th percentile, guests up to %d", late(alone), late(beside), most)
 }
+
+// TestUrgentYieldsToNobody: jobs that no objective names, more urgent than all that
+// have one, are no guests: on a fleet that is full of less urgent work their tasks,
+// each as large as a machine, begin once what runs there ends. Taken for guests, they
+// had what was left, in small pieces: nothing.
+func TestUrgentYieldsToNobody(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t.Fatalf, 22, guestSettings(), 20, 20)
+	w.cloud.Capacity = 20
+	w.runTime = func(id protocol.TaskID) time.Duration { return config.Seconds(w.jobs[id.Job].EstimateS) }
+	came, waits := map[protocol.JobID]time.Duration{}, []time.Duration{}
+	w.started = func(_ protocol.MachineID, id protocol.TaskID) {
+		if at, urgent := came[id.Job]; urgent {
+			waits = append(waits, w.now-at)
+			delete(came, id.Job)
+		}
+	}
+	w.run(3 * time.Second)
+	for i := range 200 {
+		w.submit(protocol.Job{Class: "sheet", Team: "home", Kind: protocol.KindArray, Priority: "low", Tasks: 12, CPUs: 2, EstimateS: 12, Spot: true, DeadlineS: 60})
+		if i%20 == 10 {
+			w.submit(protocol.Job{Class: "urgent", Team: "home", Kind: protocol.KindGang, Priority: "high", Tasks: 1, CPUs: 8, EstimateS: 60, Spot: true})
+			came[w.jobOrder[len(w.jobOrder)-1]] = w.now
+		}
+		w.run(w.now + time.Second)
+	}
+	w.run(w.now + 30*time.Second)
+	if len(came) > 0 || slices.Max(waits) > 60*time.Second {
+		t.Errorf("%d of 10 have not begun, the others waited up to %v", len(came), slices.Max(append(waits, 0)))
+	}
+	t.Log(waits)
+}
