--- a/internal/coordination/session_test.go
+++ b/internal/coordination/session_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,9 +27,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	asked := 0
+	var asked atomic.Int32
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if asked++; asked > 1 {
+		if asked.Add(1) > 1 {
 			<-r.Context().Done() // the second never answers
 			return
 		}
@@ -47,7 +48,7 @@
 	if err := n.follow(ctx, 4, l); err == nil || !strings.Contains(err.Error(), "deadline") {
 		t.Fatalf("the watch ended with %v", err)
 	}
-	if asked < 2 {
+	if asked.Load() < 2 {
 		t.Fatal("no answer was taken: nothing is shown")
 	}
 	if late := time.Duration(l.until()) - time.Duration(ActsUntil(l.ttl, Time(time.Hour), opened)); late < 0 || late > heldBack/2 {
