--- a/internal/emulator/guests_test.go
+++ b/internal/emulator/guests_test.go
@@ -75,63 +75,70 @@
 	t.Logf("%v and %v at the 90th percentile, guests up to %d", late(alone), late(beside), most)
 }
 
-// TestUrgentYieldsToNobody: jobs that no objective names, more urgent than all that
-// have one, are no guests: on a fleet that is full of less urgent work their tasks,
-// each as large as a machine, begin once what runs there ends. Taken for guests, they
-// had what was left, in small pieces: nothing.
-func TestUrgentYieldsToNobody(t *testing.T) {
-	t.Parallel()
-	w := newWorld(t.Fatalf, 22, guestSettings(), 20, 20)
+// begins is which jobs have not begun, since when, and how long the others waited.
+type begins struct {
+	came  map[protocol.JobID]time.Duration
+	waits []time.Duration
+}
+
+// comes notes that the job submitted last has to begin.
+func (b *begins) comes(w *world) { b.came[w.jobOrder[len(w.jobOrder)-1]] = w.now }
+
+// late reports that some have not begun, or not soon enough.
+func (b *begins) late(most time.Duration) bool { return len(b.came) > 0 || slices.Max(b.waits) > most }
+
+// beginning is a fleet of 20 machines, and no more, on which it is noted when jobs begin.
+func beginning(t *testing.T, seed uint64) (*world, *begins) {
+	w, b := newWorld(t.Fatalf, seed, guestSettings(), 20, 20), &begins{came: map[protocol.JobID]time.Duration{}}
 	w.cloud.Capacity = 20
 	w.runTime = func(id protocol.TaskID) time.Duration { return config.Seconds(w.jobs[id.Job].EstimateS) }
-	came, waits := map[protocol.JobID]time.Duration{}, []time.Duration{}
 	w.started = func(_ protocol.MachineID, id protocol.TaskID) {
-		if at, urgent := came[id.Job]; urgent {
-			waits = append(waits, w.now-at)
-			delete(came, id.Job)
+		if at, awaited := b.came[id.Job]; awaited {
+			b.waits = append(b.waits, w.now-at)
+			delete(b.came, id.Job)
 		}
 	}
 	w.run(3 * time.Second)
+	return w, b
+}
+
+// TestUrgentYieldsToNobody: jobs that no objective names, more urgent than all that
+// have one, are no guests: on a fleet that is full of less urgent work their tasks,
+// each as large as a machine, begin once what runs there ends. Taken for guests, they
+// had what was left, in small pieces: nothing.
+func TestUrgentYieldsToNobody(t *testing.T) {
+	t.Parallel()
+	w, b := beginning(t, 22)
 	for i := range 200 {
 		w.submit(protocol.Job{Class: "sheet", Team: "home", Kind: protocol.KindArray, Priority: "low", Tasks: 12, CPUs: 2, EstimateS: 12, Spot: true, DeadlineS: 60})
 		if i%20 == 10 {
 			w.submit(protocol.Job{Class: "urgent", Team: "home", Kind: protocol.KindGang, Priority: "high", Tasks: 1, CPUs: 8, EstimateS: 60, Spot: true})
-			came[w.jobOrder[len(w.jobOrder)-1]] = w.now
+			b.comes(w)
 		}
 		w.run(w.now + time.Second)
 	}
 	w.run(w.now + 30*time.Second)
-	if len(came) > 0 || slices.Max(waits) > 60*time.Second {
-		t.Errorf("%d of 10 have not begun, the others waited up to %v", len(came), slices.Max(append(waits, 0)))
+	if b.late(60 * time.Second) {
+		t.Errorf("%d of 10 have not begun, the others waited up to %v", len(b.came), slices.Max(append(b.waits, 0)))
 	}
-	t.Log(waits)
+	t.Log(b.waits)
 }
 
 // TestGuestsBegin: beside a class with an objective that could use all there is,
 // every job without one begins within two minutes, however large.
 func TestGuestsBegin(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t.Fatalf, 23, guestSettings(), 20, 20)
-	w.cloud.Capacity = 20
-	w.runTime = func(id protocol.TaskID) time.Duration { return config.Seconds(w.jobs[id.Job].EstimateS) }
-	came, waits := map[protocol.JobID]time.Duration{}, []time.Duration{}
-	w.started = func(_ protocol.MachineID, id protocol.TaskID) {
-		if at, guest := came[id.Job]; guest {
-			waits = append(waits, w.now-at)
-			delete(came, id.Job)
-		}
-	}
-	w.run(3 * time.Second)
+	w, b := beginning(t, 23)
 	for i := range 240 {
 		w.submit(protocol.Job{Class: "sheet", Team: "home", Kind: protocol.KindArray, Priority: "low", Tasks: uint32(4 + i%2), CPUs: 2, EstimateS: 12, Spot: true, DeadlineS: 60})
 		if i%10 == 5 && i < 120 {
 			w.submit(protocol.Job{Class: "idle", Team: "guest", Kind: protocol.KindArray, Priority: "low", Tasks: uint32(20 + i), CPUs: 2, EstimateS: 90, Spot: true})
-			came[w.jobOrder[len(w.jobOrder)-1]] = w.now
+			b.comes(w)
 		}
 		w.run(w.now + time.Second)
 	}
-	if len(came) > 0 || slices.Max(waits) > 2*time.Minute {
-		t.Errorf("%d of 12 have not begun, the others waited up to %v", len(came), slices.Max(append(waits, 0)))
+	if b.late(2 * time.Minute) {
+		t.Errorf("%d of 12 have not begun, the others waited up to %v", len(b.came), slices.Max(append(b.waits, 0)))
 	}
-	t.Log(waits)
+	t.Log(b.waits)
 }
