--- a/internal/coordination/keeping/keeping_test.go
+++ b/internal/coordination/keeping/keeping_test.go
@@ -93,6 +93,16 @@
 	b.k.Pledged.Any = true
 }
 
+// shared has all machines kept by shares, by this keeper.
+func (b *bench) shared() *bookkeeping.Shares {
+	s := sharing.First([]protocol.Zone{"a", "b"})
+	for id := range s.List {
+		sharing.Give(s, sharing.ID(id), 100)
+	}
+	b.k.View.Layout, b.k.Shares = bookkeeping.LayoutShares, s
+	return s
+}
+
 // hold holds room on a machine.
 func (b *bench) hold(h calendar.Hold) {
 	b.k.Pledged.List = []calendar.Hold{h}
@@ -516,17 +526,12 @@
 // kept.
 func TestQueueOfAHeldBackReport(t *testing.T) {
 	b := newBench(t)
-	s := sharing.First([]protocol.Zone{"a", "b"})
-	for id := range s.List {
-		sharing.Give(s, sharing.ID(id), 100)
-	}
-	b.k.View.Layout, b.k.Shares = bookkeeping.LayoutShares, s
+	old := b.shared()
 	b.k.sessionFloor["vm-1"] = 2
 	b.report("vm-1", 1, 0)
 	if len(b.k.Machines()) != 1 {
 		t.Fatal("no queue: nothing to test")
 	}
-	old := b.k.Shares
 	b.k.Shares = sharing.Copy(old)
 	sharing.Give(b.k.Shares, sharing.Of(old, "vm-1", "a"), 101)
 	if b.k.AdoptShares(old); len(b.k.Machines()) != 0 {
@@ -747,11 +752,7 @@
 // is killed all the same.
 func TestKilledWhileHandedOver(t *testing.T) {
 	b := newBench(t)
-	s := sharing.First([]protocol.Zone{"a", "b"})
-	for id := range s.List {
-		sharing.Give(s, sharing.ID(id), 100)
-	}
-	b.k.View.Layout, b.k.Shares = bookkeeping.LayoutShares, s
+	s := b.shared()
 	b.k.View.Members["node-1"] = 101
 	id := sharing.Of(s, "vm-1", "a")
 	b.machine("vm-1")
--- a/internal/coordination/keeping/records.go
+++ b/internal/coordination/keeping/records.go
@@ -46,16 +46,8 @@
 // fell silent before it could be registered, too: its old record would be waited
 // for without end.
 func (k *Keeper) ExpireSilent(allAdopted bool, sharesFloor protocol.Term) {
-	if !k.Acting() || !allAdopted {
-		k.allSince = 0 // the count starts when all act by this term
-	} else if k.allSince == 0 {
-		k.allSince = k.Now
-	}
-	if !k.Acting() {
-		k.actsSince = 0
-	} else if k.actsSince == 0 {
-		k.actsSince = k.Now
-	}
+	k.allSince = k.holdsSince(k.allSince, k.Acting() && allAdopted) // the count starts when all act by this term
+	k.actsSince = k.holdsSince(k.actsSince, k.Acting())
 	k.noteAlone(sharesFloor)
 	lease := k.LeaseOver()
 	for _, q := range k.queuesInOrder() {
@@ -79,6 +71,18 @@
 	}
 }
 
+// holdsSince is since when something holds without a break, given since when it did
+// before; 0: it does not.
+func (k *Keeper) holdsSince(before clock.Time, holds bool) clock.Time {
+	switch {
+	case !holds:
+		return 0
+	case before == 0:
+		return k.Now
+	}
+	return before
+}
+
 // answered is since when nobody entitled can have answered a machine: since it
 // was answered here, or, before its inventory of this term, since all act by
 // this term. Until then an earlier keeper may answer it.
--- a/internal/coordination/keeping/report.go
+++ b/internal/coordination/keeping/report.go
@@ -27,7 +27,7 @@
 		}
 	}
 	if r.Session < q.session || r.Session == q.session && r.Seq <= q.seq {
-		k.answerStale(q, &r)
+		k.answerOnly(q, &r)
 		return
 	}
 	reply := protocol.ReportReply{Term: k.token(q), Orders: []protocol.Order{}}
@@ -53,13 +53,13 @@
 	k.Do(message.ReplyReport{Status: 200, Reply: reply})
 }
 
-// answerStale answers a report that says nothing new. One that an answer to direct
+// answerOnly answers a report and takes nothing from it. One that an answer to direct
 // commands has overtaken is its worker's latest: it is answered, so its lease goes on
 // from now, and whoever counts how long it has been silent has to know. Left out of
 // that count, a machine was taken for gone up to a report's interval before its lease
 // was over. Any other was held back by the network, and its worker has given it up: an
 // answer would renew nothing that is known here.
-func (k *Keeper) answerStale(q *queue, r *protocol.Report) {
+func (k *Keeper) answerOnly(q *queue, r *protocol.Report) {
 	if r.Session < q.session || r.Seq <= q.ownSeq {
 		k.Log.Debug("a report held back by the network is not answered", "machine", q.id, "session", r.Session, "seq", r.Seq)
 		k.Do(message.ReplyReport{Status: 503})
@@ -71,7 +71,7 @@
 // keepAlive has a worker's lease go on, and nothing else but that what is over ends:
 // who keeps a worker alive has what is cancelled there killed.
 func (k *Keeper) keepAlive(q *queue, r *protocol.Report) {
-	q.ownSeq, q.lastAnswer = r.Seq, k.Now
+	q.seq, q.ownSeq, q.lastAnswer = max(q.seq, r.Seq), r.Seq, k.Now
 	reply := protocol.ReportReply{Term: k.token(q), Orders: []protocol.Order{}}
 	for _, t := range r.Tasks {
 		if t.State != protocol.TaskEnded && k.Live[t.Task.Job] == nil {
--- a/internal/coordination/keeping/shares.go
+++ b/internal/coordination/keeping/shares.go
@@ -133,12 +133,11 @@
 		return false
 	}
 	q := k.queues[r.Machine]
-	if q == nil || r.Session != q.session || r.Seq <= q.ownSeq {
+	if q == nil || r.Session > q.session {
 		k.Do(message.ReplyReport{Status: 503})
 		return true
 	}
-	q.seq = max(q.seq, r.Seq)
-	k.keepAlive(q, r)
+	k.answerOnly(q, r)
 	return true
 }
 
--- a/internal/emulator/meetings_test.go
+++ b/internal/emulator/meetings_test.go
@@ -25,6 +25,13 @@
 	}
 }
 
+// cutFromPeers cuts a controller from all others.
+func (w *world) cutFromPeers(n *simNode, d time.Duration, hold bool) {
+	for _, p := range w.nodes {
+		w.cut(string(n.name), string(p.name), d, hold)
+	}
+}
+
 // some calls do with a part of the machines.
 func (w *world) some(part float64, do func(*simWorker)) {
 	for _, id := range w.order {
@@ -76,9 +83,7 @@
 		}
 	case 1: // cut from the records and from its peers, not from workers
 		w.cut(string(n.name), "state", d, hold)
-		for _, p := range w.nodes {
-			w.cut(string(n.name), string(p.name), d, hold)
-		}
+		w.cutFromPeers(n, d, hold)
 		w.cancelOver(3, d)
 	case 2, 3:
 		w.lateWrites = 0.1 + w.rng.Float64()/2
@@ -191,9 +196,7 @@
 	out := time.Duration(w.settings.Site.Workers.CancelS)*time.Second + 10*time.Second
 	w.cut(string(n.name), "state", m.refused+out, m.hold)
 	if m.peers {
-		for _, p := range w.nodes {
-			w.cut(string(n.name), string(p.name), m.refused+out, m.hold)
-		}
+		w.cutFromPeers(n, m.refused+out, m.hold)
 	}
 	if m.do != nil {
 		m.do(w, n)
@@ -315,9 +318,7 @@
 			if n, d := w.nodes[w.rng.IntN(3)], time.Duration(4+w.rng.IntN(70))*time.Second; w.rng.IntN(6) == 0 {
 				hold := w.rng.IntN(2) == 0
 				w.cut(string(n.name), "state", d, hold)
-				for _, p := range w.nodes {
-					w.cut(string(n.name), string(p.name), d, hold)
-				}
+				w.cutFromPeers(n, d, hold)
 				w.cancelOver(4, d)
 			}
 		},
--- a/internal/emulator/nodes.go
+++ b/internal/emulator/nodes.go
@@ -31,7 +31,6 @@
 	layout   bookkeeping.Layout
 	frozen   time.Duration // until when its process stands still, clocks running on
 	extendAt time.Duration
-	watched  coordination.Time // until when it is known to have followed the records
 	// slowBy is how many times slower its process ticks until slowUntil.
 	slowBy    int
 	slowUntil time.Duration
@@ -116,7 +115,7 @@
 		If:   []protocol.Condition{{Key: key, Version: it.Version}},
 		Then: []protocol.Change{{Put: key, Value: bookkeeping.Node{Session: lease, Layout: n.layout}, Lease: &lease}},
 	})
-	n.session, n.followed, n.extendAt, n.watched = lease, at, w.now, w.clock(n)
+	n.session, n.followed, n.extendAt = lease, at, w.now
 	w.stepNode(n, message.Snapshot{Session: lease, Items: items, WallMS: w.wallMS()})
 }
 
@@ -381,7 +380,6 @@
 	}
 	if n.session != 0 && w.stateReachable(n) {
 		w.follow(n)
-		n.watched = w.clock(n) - coordination.Time(w.slow)
 		if w.now >= n.extendAt {
 			n.extendAt = w.now + time.Second
 			if !w.state.Extend(w.now, n.session) {
@@ -394,7 +392,7 @@
 				w.after(300*time.Millisecond, func() { w.openSession(n, life) })
 				return
 			}
-			w.stepNode(n, message.Entitled{Until: coordination.ActsUntil(w.ownLease, w.clock(n), n.watched)})
+			w.stepNode(n, message.Entitled{Until: coordination.ActsUntil(w.ownLease, w.clock(n), w.clock(n)-coordination.Time(w.slow))})
 		}
 	}
 	if n.slowBy > 1 && w.now < n.slowUntil && int(w.now/w.step)%n.slowBy != 0 {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -190,14 +190,12 @@
 			e.do()
 		}
 		w.now = end
-		if out := w.outage > w.now; !out {
-			if w.wasOut {
-				w.state.Restore(w.now)
-			}
+		out := w.outage > w.now
+		if w.wasOut && !out {
+			w.state.Restore(w.now)
+		}
+		if w.wasOut = out; !out {
 			w.state.Expire(w.now)
-			w.wasOut = false
-		} else {
-			w.wasOut = true
 		}
 		for w.state.Before+len(w.loggedAt) < w.state.Changes() {
 			w.loggedAt = append(w.loggedAt, w.now)
