What a keeper that follows late lists of jobs that are over counts against limits

Cause, by reading: an inventory waits for the end of what is over, by what its keeper has followed. To an owner that has followed the end already, what such an inventory listed was nobody's, and what it had counted itself was dropped: the room was given to others of the team while the task was on its machine, beyond the limit (a team at its limit, a cancellation, a change of keeper or owner, and a keeper that is some seconds behind the records). Change: an inventory says what its attempts take of limited teams' limits; an owner to whom their jobs are over counts them until the keeper says that they are gone. TestOverButHeld fails without, in six ways.

--- a/internal/coordination/keeping/stock.go
+++ b/internal/coordination/keeping/stock.go
@@ -5,6 +5,7 @@
 
 	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -78,6 +79,9 @@
 		if e.present {
 			h.State = e.state
 		}
+		if j := k.Live[e.task.Job]; j != nil && k.Limited(j.Team) {
+			h.Team, h.Need = j.Team, room.Need(&j.Job)
+		}
 		byOwner[owner] = append(byOwner[owner], h)
 	}
 	for name := range inorder.Of(k.View.Members) {
--- a/internal/coordination/message/between.go
+++ b/internal/coordination/message/between.go
@@ -81,6 +81,10 @@
 	State   protocol.TaskState // empty: queued, never sent
 	Cause   protocol.EndCause
 	Saved   bool
+	// Team and Need are what it counts against, if its team has a limit: to its owner
+	// its job may be over already.
+	Team protocol.Team
+	Need room.Amount
 }
 
 // Inventory is everything of the addressee's jobs on a machine and in its
--- a/internal/coordination/message/check.go
+++ b/internal/coordination/message/check.go
@@ -104,6 +104,11 @@
 		}
 		c.amounts("lateness", 0, r.Load.LateMS)
 	}
+	if m.Inventory != nil {
+		for _, h := range m.Inventory.Held {
+			c.amounts("held", 0, h.Need.CPUs, h.Need.GPUs, h.Need.GB)
+		}
+	}
 	if m.Hand != nil {
 		c.hand(m.Hand)
 	}
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -168,10 +168,23 @@
 		c.gone(o, t)
 	}
 	c.left(inv.Machine, inv.Upto)
+	c.overButHeld(inv)
 	delete(c.owner.pending, inv.Machine)
 	c.resolveUnknown()
 }
 
+// overButHeld counts what a machine holds of jobs that are over here, and not yet by
+// what its keeper has followed: it has not been killed, and may even be started, until
+// the keeper follows. It counts against its team's limit until the keeper says that it
+// is gone. Taken for gone, its room was given to others of the team, beyond the limit.
+func (c *Core) overButHeld(inv *message.Inventory) {
+	for _, h := range inv.Held {
+		if c.Live[h.Task.Job] == nil && h.State != protocol.TaskEnded && c.Limited(h.Team) {
+			c.owner.leaving[message.TaskRef{Task: h.Task, Attempt: h.Attempt, Machine: inv.Machine}] = leavingTask{h.Team, h.Need, 0}
+		}
+	}
+}
+
 // takeHeld takes one attempt of an inventory.
 func (c *Core) takeHeld(o *ownedJob, m *machineEntry, h message.Held) {
 	ref := message.TaskRef{Task: h.Task, Attempt: h.Attempt, Machine: m.ID}
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -11,6 +11,7 @@
 	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
 
@@ -220,6 +221,46 @@
 	}
 }
 
+// TestOverButHeld: a keeper that follows the records late lists attempts of a job that is
+// over here: it has not killed them yet. They count against their team's limit until it
+// says that they are gone, for an owner that has just taken the team over, and for one
+// that has had it all the while.
+func TestOverButHeld(t *testing.T) {
+	for _, takenOver := range []bool{false, true} {
+		for _, state := range []protocol.TaskState{protocol.TaskRunning, protocol.TaskFetching, ""} {
+			b := newBench(t, "node-1")
+			id := b.keptBy("node-1")
+			team := protocol.Team("bound")
+			b.c.Settings.Site.Teams = nil
+			for i := 0; known.Rendezvous(b.c.View, "team "+string(team)) != "node-0"; i++ {
+				team = protocol.Team("bound" + string(rune('a'+i)))
+			}
+			b.c.Settings.Site.Teams = []config.Team{{Name: team, MaxCPUs: 4}}
+			b.machine(id, 1)
+			b.job("job-1", team, 4)
+			b.step(message.Changed{Event: protocol.Event{Delete: bookkeeping.LiveKey("job-1"), Version: 90}})
+			if takenOver {
+				clear(b.c.owner.leaving)
+				b.c.owner.unsure[team], b.c.owner.pending[id] = true, true
+			}
+			var held []message.Held
+			for i := range uint32(4) {
+				held = append(held, message.Held{Task: protocol.TaskID{Job: "job-1", Index: i}, Attempt: protocol.Attempt(i + 1), State: state, Team: team, Need: room.Amount{CPUs: 1}})
+			}
+			b.c.inventory("node-1", &message.Inventory{Term: 1, Machine: id, Epoch: b.c.machines[id].Epoch, Upto: 99, Held: held})
+			if used := b.c.teamUsage()[team].CPUs; used != 4 {
+				t.Errorf("taken over %v, %q: %v processors count, want 4", takenOver, state, used)
+			}
+			for _, h := range held {
+				b.c.event(message.TaskEvent{TaskRef: message.TaskRef{Task: h.Task, Attempt: h.Attempt, Machine: id}, What: message.WhatEnded, Cause: protocol.EndStopped})
+			}
+			if used := b.c.teamUsage()[team].CPUs; used != 0 {
+				t.Errorf("taken over %v, %q: %v processors count for ever", takenOver, state, used)
+			}
+		}
+	}
+}
+
 // TestBitmapIsWrittenOnItsVersion: a write of a job's bitmap that has no answer may be
 // carried out after the next one, and would take back the ends that only that one has.
 // It holds on the bitmap's own version, which is read again before anything more is
