A limit is not used up by what waits in queues while others of the team wait for it

Change: a task may wait in a queue only if one task each is left of its team's limit to those jobs of the team of which nothing has begun for 30 s.

--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -131,6 +131,9 @@
 			c.noteVain(o)
 			break
 		}
+		if from.heap[0].rank == rankQueue && !c.queuesWithinLimit(o, usage) {
+			break
+		}
 		out = append(out, c.putOn(from, uint32(i), m, c.nextAttempt(), zones))
 		c.use(o, usage, 1)
 	}
@@ -383,6 +386,28 @@
 		(t.MaxGPUs == 0 || u.GPUs+o.GPUs*float64(n) <= t.MaxGPUs+room.Slack)
 }
 
+// keptWaiting is how long a job waits before others of its team leave it a part of the
+// team's limit.
+const keptWaiting = 30 * time.Second
+
+// queuesWithinLimit reports whether one more task may wait in a machine's queue within
+// its team's limit: what waits there counts, and one task each is left of the limit to
+// those jobs of the team of which nothing has begun for a while. Else they would wait
+// beside machines with room, for a limit that is used up by what does not run.
+func (c *Core) queuesWithinLimit(o *ownedJob, usage map[protocol.Team]room.Amount) bool {
+	if !c.Limited(o.Team) {
+		return true
+	}
+	left := map[protocol.Team]room.Amount{o.Team: usage[o.Team]}
+	for _, other := range c.owner.jobs { // sums of processors, rounded below
+		if other != o && other.Team == o.Team && other.Kind != protocol.KindGang && len(other.placed) == 0 && other.nDone == 0 && c.Since(other.since) > keptWaiting {
+			c.use(other, left, 1)
+		}
+	}
+	left[o.Team] = left[o.Team].Round()
+	return c.withinLimit(o, left, 1)
+}
+
 // mayStart is how many of n more tasks keep the team within its limit.
 func (c *Core) mayStart(o *ownedJob, usage map[protocol.Team]room.Amount, n int) int {
 	return sort.Search(n, func(k int) bool { return !c.withinLimit(o, usage, k+1) })
