--- a/internal/coordination/keeping/keeping_test.go
+++ b/internal/coordination/keeping/keeping_test.go
@@ -666,6 +666,35 @@
 	}
 }
 
+// TestReapedInTheEnd: an attempt that has ended, while a start of it may be under way,
+// keeps its machine for a while, not until the token happens to rise: a machine that
+// was to go stayed, idle and closed to all.
+func TestReapedInTheEnd(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	cmd := b.direct("job-1")
+	task := protocol.TaskID{Job: "job-1"}
+	b.report("vm-1", 1, 1) // the answer brings the start once more
+	b.k.Commanded(message.Commanded{Machine: "vm-1", Term: 1, Session: 1, Orders: cmd.Commands.Orders})
+	done := protocol.TaskReport{Task: task, Attempt: 1, State: protocol.TaskEnded, Cause: protocol.EndDone}
+	b.report("vm-1", 1, 1, done)
+	b.k.Forget(message.TaskRef{Task: task, Attempt: 1, Machine: "vm-1"})
+	if r := b.report("vm-1", 1, 1, done); has(r.Reply.Orders, protocol.OpForget) || b.k.WantsTerm() {
+		t.Error("reaped, or a token asked for, at once")
+	}
+	b.k.Now += clock.Time(reapWait)
+	b.report("vm-1", 1, 1, done)
+	b.k.Now += clock.Time(time.Second)
+	if b.report("vm-1", 1, 1, done); !b.k.WantsTerm() {
+		t.Fatal("no later token is asked for")
+	}
+	b.k.View.Term = 2
+	b.report("vm-1", 1, 1, done)
+	if r := b.report("vm-1", 1, 2, done); !has(r.Reply.Orders, protocol.OpForget) {
+		t.Error("not reaped though its worker has seen a later token")
+	}
+}
+
 // TestStartsSentAgain: a direct start without an answer is sent directly again only
 // with a later token, which the worker's refusal of the first rests on; and a kill
 // that is answered settles no start.
--- a/internal/coordination/keeping/orders.go
+++ b/internal/coordination/keeping/orders.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/message"
@@ -41,8 +42,17 @@
 		case e.ended() && (e.reap || !live):
 			// After a reap the worker no longer knows the attempt: a start that is
 			// still under way, directly or in an answer, would run it again.
-			if (e.direct == 0 || term > e.direct) && !e.inAnswer {
+			switch underWay := e.direct != 0 && term <= e.direct; {
+			case !underWay && !e.inAnswer:
 				orders = append(orders, protocol.Order{Op: protocol.OpForget, Task: e.task, Attempt: e.attempt})
+			case !underWay || direct:
+			case e.reapSince == 0:
+				e.reapSince = k.Now
+			case k.Since(e.reapSince) > reapWait:
+				// No token rose for something else. Kept on, the attempt would keep its
+				// machine from being returned, drained or not, for as long as none does.
+				e.reapSince = k.Now
+				k.settleDirect(q, e)
 			}
 		case !e.ended() && (e.kill || !live):
 			grace := e.graceS
@@ -63,6 +73,10 @@
 	return orders
 }
 
+// reapWait is how long an attempt that has ended, and of which a direct start may be
+// under way, waits for its share's token to rise for something else.
+const reapWait = 15 * time.Second
+
 // startable takes from the queue what fits the free room.
 func (k *Keeper) startable(q *queue) []*entry {
 	if q.epoch == 0 || q.draining || q.notice != nil || q.suspect || len(q.waiting) == 0 {
--- a/internal/coordination/keeping/queue.go
+++ b/internal/coordination/keeping/queue.go
@@ -95,7 +95,9 @@
 	kill     bool
 	graceS   float64
 	reap     bool
-	noticed  bool
+	// reapSince is since when it waits to be reaped for a start that may be under way.
+	reapSince clock.Time
+	noticed   bool
 }
 
 type (
