--- a/internal/coordination/intake.go
+++ b/internal/coordination/intake.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -286,7 +288,8 @@
 			jobs[id] = intake.LiveJob{Version: j.Version, Progress: p}
 		}
 	}
-	return intake.Looked{Look: l.Look, Jobs: jobs, Acting: c.members.ActingPeers()}
+	members := slices.Sorted(maps.Keys(c.View.Members))
+	return intake.Looked{Look: l.Look, Jobs: jobs, Acting: c.members.ActingPeers(), Members: members}
 }
 
 // Submission is a user's submission, passed on to a peer.
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -5,6 +5,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
@@ -50,9 +51,6 @@
 	wakeAt   clock.Time // as last asked for
 	finals   map[protocol.JobID]bookkeeping.JobRecord
 	halts    map[protocol.JobID]*halt
-	// unheard are the controllers that did not answer their last Halt in time: nobody
-	// waits for them before they answer one again.
-	unheard map[protocol.NodeName]bool
 }
 
 // request is one that waits for its answer.
@@ -71,12 +69,13 @@
 	again  bool     // the second comparison
 	one    *request // whose job is live: how far is it?
 	passOn *request // which peer acts?
+	halt   protocol.JobID
 }
 
 // halt is a cancellation that controllers are being told of.
 type halt struct {
 	record bookkeeping.JobRecord
-	left   map[protocol.NodeName]bool // have not answered
+	left   map[protocol.NodeName]bool // have not answered; nil: not told yet
 	until  clock.Time
 	waits  []*request
 }
@@ -85,7 +84,7 @@
 func New(s *config.Settings, log *slog.Logger) *Intake {
 	return &Intake{
 		settings: s, log: log, requests: map[RequestID]*request{}, looks: map[LookID]*look{},
-		finals: map[protocol.JobID]bookkeeping.JobRecord{}, halts: map[protocol.JobID]*halt{}, unheard: map[protocol.NodeName]bool{},
+		finals: map[protocol.JobID]bookkeeping.JobRecord{}, halts: map[protocol.JobID]*halt{},
 	}
 }
 
@@ -344,35 +343,37 @@
 	}
 	h := in.halts[r.Job]
 	if h == nil {
-		h = &halt{record: rec, left: map[protocol.NodeName]bool{}, until: in.after(HaltWait)}
+		h = &halt{record: rec, until: in.after(HaltWait)}
 		in.halts[r.Job] = h
-		for _, to := range in.controllers() {
-			if !in.unheard[to] {
-				h.left[to] = true
-			}
-			in.do(Halt{r.Job, to})
-		}
+		in.look(&look{halt: r.Job})
 	}
 	r.until = max(r.until, h.until+1)
 	h.waits = append(h.waits, r)
-	in.checkHalt(r.Job, h)
 }
 
-func (in *Intake) controllers() []protocol.NodeName {
+// halt tells all controllers of a cancellation. Those are waited for that may act by
+// the view: others can't start anything. One that has ended, or stands still, is
+// waited for until the view leaves it out.
+func (in *Intake) halt(id protocol.JobID, members []protocol.NodeName) {
+	h := in.halts[id]
+	if h == nil {
+		return // it has taken too long
+	}
+	h.left = map[protocol.NodeName]bool{}
 	all := []protocol.NodeName{in.settings.Name}
 	for _, m := range in.settings.Members {
 		all = append(all, m.Name)
 	}
-	return all
+	for _, to := range all {
+		if len(members) == 0 || slices.Contains(members, to) {
+			h.left[to] = true
+		}
+		in.do(Halt{id, to})
+	}
 }
 
 func (in *Intake) halted(m Halted) {
-	if m.OK {
-		delete(in.unheard, m.By)
-	} else {
-		in.unheard[m.By] = true
-	}
-	if h := in.halts[m.Job]; h != nil {
+	if h := in.halts[m.Job]; h != nil && m.OK {
 		delete(h.left, m.By)
 		in.checkHalt(m.Job, h)
 	}
@@ -381,12 +382,9 @@
 // checkHalt answers those who wait for a cancellation once all have heard of it, or
 // it has taken long enough.
 func (in *Intake) checkHalt(id protocol.JobID, h *halt) {
-	if len(h.left) > 0 && in.now < h.until {
+	if (h.left == nil || len(h.left) > 0) && in.now < h.until {
 		return
 	}
-	for late := range h.left {
-		in.unheard[late] = true
-	}
 	delete(in.halts, id)
 	in.keepFinal(id, h.record)
 	for _, r := range h.waits {
@@ -424,6 +422,9 @@
 	case l.one != nil:
 		delete(in.looks, m.Look)
 		in.answer(l.one, underWay(l.one.Job, m.Jobs[l.one.Job].Progress))
+	case l.halt != "":
+		delete(in.looks, m.Look)
+		in.halt(l.halt, m.Members)
 	case l.passOn != nil:
 		delete(in.looks, m.Look)
 		in.passOn(l.passOn, m.Acting)
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -245,14 +245,15 @@
 }
 
 // TestToldOnceAllHaveHeard: a user is told that a job is cancelled, by whatever
-// request, only when all controllers have heard of it, or have had their time. Who
-// does not answer in time is not waited for again until it has answered once.
+// request, only when all controllers that may act have heard of it, or have had their
+// time; nobody waits for one that the view leaves out.
 func TestToldOnceAllHaveHeard(t *testing.T) {
 	for _, op := range []Operation{Submit, Poll, Cancel} {
 		s := newShell(4)
-		silent := protocol.NodeName("node-2")
+		members := []protocol.NodeName{"node-0", "node-1", "node-2"}
+		var silent protocol.NodeName
 		var told []protocol.NodeName
-		s.look = func(l Look) any { return Looked{Look: l.Look} }
+		s.look = func(l Look) any { return Looked{Look: l.Look, Members: members} }
 		s.get = func(g Get) any {
 			return Read{ID: g.ID, Outcome: message.OutcomeDone, Record: bookkeeping.JobRecord{State: bookkeeping.RecordCancelled, Tasks: 2}}
 		}
@@ -280,20 +281,23 @@
 			}
 			return time.Duration(s.now - from)
 		}
-		if d := ask(1, "job-000001"); d < HaltWait {
-			t.Errorf("operation %d: told after %v, though one has not heard", op, d)
+		if d := ask(1, "job-000001"); d >= HaltWait {
+			t.Errorf("operation %d: told after %v, though all have heard", op, d)
 		}
-		if slices.Sort(told); !slices.Equal(told, []protocol.NodeName{"node-0", "node-1", "node-2"}) {
+		if slices.Sort(told); !slices.Equal(told, members) {
 			t.Errorf("operation %d: %v are told", op, told)
 		}
-		if d := ask(2, "job-000002"); d >= HaltWait {
-			t.Errorf("operation %d: waited %v for one that does not answer", op, d)
-		}
-		silent = ""
-		ask(3, "job-000003") // it answers again
 		silent = "node-2"
+		if d := ask(2, "job-000002"); d < HaltWait {
+			t.Errorf("operation %d: told after %v, though one has not heard", op, d)
+		}
+		members = members[:2]
+		if d := ask(3, "job-000003"); d >= HaltWait {
+			t.Errorf("operation %d: waited %v for one that can't act", op, d)
+		}
+		members = nil // not known: any may act
 		if d := ask(4, "job-000004"); d < HaltWait {
-			t.Errorf("operation %d: one that has answered since is not waited for: %v", op, d)
+			t.Errorf("operation %d: told after %v, though one that may act has not heard", op, d)
 		}
 		told = nil
 		if ask(5, "job-000004"); len(told) > 0 {
--- a/internal/coordination/intake/message.go
+++ b/internal/coordination/intake/message.go
@@ -51,6 +51,8 @@
 		Look   LookID
 		Jobs   map[protocol.JobID]LiveJob // those asked for that are live, as followed
 		Acting []protocol.NodeName        // peers known to act
+		// Members are those who may act by the view, as followed; empty: none is known.
+		Members []protocol.NodeName
 	}
 	// Compared answers a Compare: done if nothing differs, failed if something does.
 	Compared struct {
--- a/internal/emulator/nodes.go
+++ b/internal/emulator/nodes.go
@@ -359,7 +359,7 @@
 
 // follow brings a controller the changes that it follows.
 func (w *world) follow(n *simNode) {
-	for n.followed < w.state.Changes() && w.age(n.followed) >= w.slow {
+	for n.followed < w.state.Changes() && w.age(n.followed) >= w.slow+w.lag {
 		ev := w.state.Change(n.followed)
 		n.followed++
 		if strings.HasPrefix(ev.Put+ev.Delete, bookkeeping.FollowedPrefix) {
@@ -402,7 +402,7 @@
 				w.after(300*time.Millisecond, func() { w.openSession(n, life) })
 				return
 			}
-			w.stepNode(n, message.Entitled{Until: coordination.ActsUntil(w.ownLease, w.clock(n), w.clock(n)-coordination.Time(w.slow))})
+			w.stepNode(n, message.Entitled{Until: coordination.ActsUntil(w.ownLease, w.clock(n), w.clock(n)-coordination.Time(w.slow+w.lag))})
 		}
 	}
 	if n.slowBy > 1 && w.now < n.slowUntil && int(w.now/w.step)%n.slowBy != 0 {
--- a/internal/emulator/userdays_test.go
+++ b/internal/emulator/userdays_test.go
@@ -25,7 +25,9 @@
 	trouble  func(*users)  // at each step of a second to six
 	after    time.Duration // that troubles which have begun take to come about
 	fail     func(string, ...any)
-	waits    bool // jobs may be left waiting longer: there is more work than room
+	closely  bool         // users ask at all controllers after each answer
+	atEnd    func(*users) // when all is over
+	waits    bool         // jobs may be left waiting longer: there is more work than room
 }
 
 // leftWaiting is how long a job may wait, once all is well, beside a machine that fits.
@@ -43,6 +45,7 @@
 	w := newWorld(fail, uint64(seed), settings, d.machines, d.machines)
 	w.exact = true // controllers are asked within milliseconds
 	u := w.withUsers()
+	u.closely = d.closely
 	if d.prepare != nil {
 		d.prepare(u)
 	}
@@ -66,7 +69,7 @@
 		w.run(w.now + time.Duration(1000+w.rng.IntN(5000))*time.Millisecond)
 	}
 	w.run(w.now + d.after)
-	w.outage, w.slow, w.lateWrites, w.lateReports, w.heldUp, w.lostAnswers, w.forNext = 0, 0, 0, 0, 0, 0, false
+	w.outage, w.slow, w.lateWrites, w.lateReports, w.heldUp, w.lostAnswers, w.lag, w.forNext = 0, 0, 0, 0, 0, 0, 0, false
 	clear(w.cuts)
 	for _, id := range w.order {
 		sw := w.workers[id]
@@ -104,6 +107,9 @@
 	if w.starts == 0 {
 		t.Error("nothing ran")
 	}
+	if d.atEnd != nil {
+		d.atEnd(u)
+	}
 	slices.Sort(u.cancelWaits)
 	median := time.Duration(0)
 	if n := len(u.cancelWaits); n > 0 {
--- a/internal/emulator/usermeetings_test.go
+++ b/internal/emulator/usermeetings_test.go
@@ -112,6 +112,7 @@
 		"users ask at all nodes within milliseconds": with(func(d *userDay) {
 			d.prepare = closely
 			d.trouble = func(u *users) {
+				u.lag = time.Duration(u.rng.IntN(4)) * 300 * time.Millisecond
 				n := u.nodes[u.rng.IntN(3)]
 				for end := u.now + 3*second; u.now < end; { // some begin as they are asked
 					u.after(time.Duration(u.rng.IntN(2000))*time.Millisecond, func() { u.back(n) })
@@ -142,6 +143,7 @@
 			d.prepare = long
 			d.trouble = func(u *users) {
 				n := u.nodes[u.rng.IntN(3)]
+				u.lag = time.Duration(u.rng.IntN(4)) * 500 * time.Millisecond
 				if u.rng.IntN(2) == 0 {
 					u.cut(string(u.nodes[u.rng.IntN(3)].name), "state", time.Duration(1+u.rng.IntN(7))*second, true) // follows late
 				}
@@ -151,6 +153,13 @@
 					u.after(time.Duration(u.rng.IntN(1000))*time.Millisecond, func() { u.back(n) })
 				case 2:
 					u.moveSome(24)
+				case 3: // a keeper takes over, and then follows late what is cancelled
+					u.moveSome(60)
+					after := time.Duration(u.rng.IntN(1500)) * time.Millisecond
+					u.after(after, func() {
+						u.cut(string(n.name), "state", time.Duration(4+u.rng.IntN(4))*second, true)
+						u.callOff(8, 0)
+					})
 				}
 			}
 		}),
@@ -158,6 +167,7 @@
 			d.prepare = closely
 			d.trouble = func(u *users) {
 				n := u.nodes[u.rng.IntN(3)]
+				u.lag = time.Duration(u.rng.IntN(4)) * 300 * time.Millisecond
 				switch u.rng.IntN(4) {
 				case 0:
 					u.moveSome(24)
--- a/internal/emulator/users_test.go
+++ b/internal/emulator/users_test.go
@@ -42,12 +42,14 @@
 	// unheard has controllers not hear of cancellations but through the records: a
 	// planted fault.
 	unheard bool
+	// tells, if set, changes what users are told: a planted fault.
+	tells func(*userJob, intake.Answer) intake.Answer
 
 	wellSince time.Duration // since when there are no troubles; 0: there are
 
 	asked, answered, refused, late int
 	tasks, startsAfter             int // starts sent in all, and after a confirmed cancellation
-	apart                          int // of these, by a controller cut off from another or from the records
+	apart                          int // of these, by a controller that was cut off from another or from the records since
 	cancelWaits                    []time.Duration
 }
 
@@ -109,7 +111,7 @@
 		if j := u.jobs[o.Task.Job]; j != nil && j.confirmed != 0 {
 			u.startsAfter++
 			for key, c := range u.cuts {
-				if c.until > u.now && strings.Contains(key, string(n.name)) && !strings.Contains(key, "zone") && !strings.Contains(key, "workers") {
+				if c.until > j.confirmed && strings.Contains(key, string(n.name)) && !strings.Contains(key, "zone") && !strings.Contains(key, "workers") {
 					u.apart++
 					break
 				}
@@ -272,6 +274,9 @@
 			return // given up: nobody has read it
 		}
 		given = true
+		if a.Status != 0 && u.tells != nil {
+			a = u.tells(j, a)
+		}
 		if a.Status != 0 {
 			u.answered++
 			u.judge(f, j, &begun, op, a)
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -69,6 +69,7 @@
 	checked int           // changes of the state service that the rules have been held against
 
 	slow     time.Duration // how long the state service takes
+	lag      time.Duration // by how much later controllers follow the records
 	wasOut   bool          // the state service was out at the last step
 	ownLease time.Duration // of the controllers, by their own clocks
 	// lateWrites is the share of the transactions that get no answer and are carried
