Where only the answer of a write is lost, the record tells the user after a tenth of a second

A submission or cancellation whose transaction was carried out without an answer was told after the request to the state service had timed out, 1.5 s later. After 100 ms its record is read now, once, beside the request: what is there is told, what is not yet says nothing. TestAnswerLost.

--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -31,7 +31,10 @@
 	HaltWait    = 250 * time.Millisecond
 	finalsMost  = 20000
 	cancelTries = 3
-	retryAfterS = 1
+	// answerWithin is how long the state service takes as a rule, and more. Where only
+	// its answer is lost, or late, the record tells what users wait for.
+	answerWithin = 100 * time.Millisecond
+	retryAfterS  = 1
 )
 
 // Intake is the state of one process between messages. It is not safe for
@@ -60,6 +63,10 @@
 	refusal *Answer // of a submission: unless its job is known
 	own     *Answer // of a submission that is being passed on: unless the peer answers
 	tries   int     // of a cancellation
+	// askAt is when the records are asked what became of a write that has no answer yet;
+	// 0: none is under way, or they have been asked.
+	askAt   clock.Time
+	writing bool
 }
 
 // look is a question to the core, and the comparison that follows for polls.
@@ -216,7 +223,21 @@
 		return
 	}
 	j.SubmittedMS = r.WallMS
-	in.do(Write{r.ID, AcceptTxn(&j)})
+	in.write(r, AcceptTxn(&j))
+}
+
+func (in *Intake) write(r *request, txn protocol.Txn) {
+	r.writing, r.askAt = true, in.after(answerWithin)
+	in.do(Write{r.ID, txn})
+	in.wakeBy(r.askAt)
+}
+
+// wakeBy asks to be called at a time, unless that is asked for already.
+func (in *Intake) wakeBy(at clock.Time) {
+	if in.wakeAt <= in.now || at < in.wakeAt {
+		in.wakeAt = at
+		in.do(Wake{at})
+	}
 }
 
 // refuse refuses a submission, unless its id is one that was accepted.
@@ -258,11 +279,13 @@
 	if r == nil {
 		return
 	}
+	settled := m.Outcome == message.OutcomeDone && (r.Operation == Submit || m.Record.State != bookkeeping.RecordLive)
 	switch {
+	case r.writing && !settled: // its answer may still come
 	case m.Outcome == message.OutcomeDone && m.Record.State == bookkeeping.RecordLive && r.Operation == Cancel:
 		rec := m.Record
 		rec.State = bookkeeping.RecordCancelled
-		in.do(Write{r.ID, CancelTxn(r.Job, m.Version, rec)})
+		in.write(r, CancelTxn(r.Job, m.Version, rec))
 	case m.Outcome == message.OutcomeDone:
 		in.tell(r, m.Record)
 	case m.Outcome != message.OutcomeFailed:
@@ -279,8 +302,11 @@
 
 func (in *Intake) written(m Written) {
 	r := in.requests[m.ID]
+	if r == nil {
+		return
+	}
+	r.writing, r.askAt = false, 0
 	switch {
-	case r == nil:
 	case m.Outcome == message.OutcomeRefused:
 		in.unavailable(r, "state service can't be asked")
 	case r.Operation == Submit && m.Outcome == message.OutcomeDone:
@@ -396,11 +422,22 @@
 	for id, h := range inorder.Of(in.halts) {
 		in.checkHalt(id, h)
 	}
+	next := clock.Time(0)
 	for _, r := range inorder.Of(in.requests) {
-		if in.now >= r.until {
+		switch {
+		case in.now >= r.until:
 			in.unavailable(r, "not settled in time")
+		case r.askAt == 0:
+		case in.now >= r.askAt:
+			r.askAt = 0
+			in.do(Get{r.ID, r.Job})
+		case next == 0 || r.askAt < next:
+			next = r.askAt
 		}
 	}
+	if next != 0 {
+		in.wakeBy(next)
+	}
 }
 
 // look asks the core.
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -306,6 +306,50 @@
 	}
 }
 
+// TestAnswerLost: where a transaction is carried out and its answer is lost, or late,
+// the record tells the user soon; where it is not carried out, nothing is said before
+// its answer comes, and no later answer is given to the same request.
+func TestAnswerLost(t *testing.T) {
+	for _, op := range []Operation{Submit, Cancel} {
+		for _, done := range []bool{true, false} {
+			s := newShell(4)
+			live := bookkeeping.JobRecord{State: bookkeeping.RecordLive, Tasks: 2}
+			record, wrote := &live, RequestID(0)
+			if op == Submit {
+				record = nil
+			}
+			s.look = func(l Look) any { return Looked{Look: l.Look, Members: []protocol.NodeName{"node-0"}} }
+			s.halt = func(h Halt) any { return Halted{Job: h.Job, By: h.To, OK: true} }
+			s.get = func(g Get) any {
+				if record == nil {
+					return Read{ID: g.ID, Outcome: message.OutcomeFailed}
+				}
+				return Read{ID: g.ID, Outcome: message.OutcomeDone, Record: *record, Version: 7}
+			}
+			s.write = func(w Write) any {
+				wrote = w.ID
+				if done && op == Submit {
+					record = &live
+				} else if done {
+					record = &bookkeeping.JobRecord{State: bookkeeping.RecordCancelled, Tasks: 2}
+				}
+				return nil
+			}
+			s.step(t, smallType)
+			s.step(t, Asked{ID: 1, Operation: op, Job: "job-000001", Body: submission(t, "job-000001", nil)})
+			s.pass(t, answerWithin+20*time.Millisecond)
+			a, told := s.answers[1]
+			if told != done {
+				t.Errorf("operation %d, carried out %v: told %v: %+v", op, done, told, a)
+			}
+			s.step(t, Written{ID: wrote, Outcome: message.OutcomeDone}) // in the end
+			if a := s.answers[1]; a.Status != 200 && a.Status != 201 {
+				t.Errorf("operation %d, carried out %v: %+v", op, done, a)
+			}
+		}
+	}
+}
+
 // TestBadSubmissions: what lacks a field or can't run is refused, unless its job is
 // known; nothing is refused by a controller that can't tell.
 func TestBadSubmissions(t *testing.T) {
--- a/internal/coordination/intake/polls.go
+++ b/internal/coordination/intake/polls.go
@@ -25,7 +25,7 @@
 		return
 	}
 	if in.now < in.nextLook {
-		in.wake()
+		in.wakeBy(in.nextLook)
 		return
 	}
 	site := &in.settings.Site
@@ -40,15 +40,7 @@
 	}
 	in.look(l, jobs...)
 	if len(in.polls) > 0 {
-		in.wake()
-	}
-}
-
-// wake asks once to be called when polls may be compared again.
-func (in *Intake) wake() {
-	if in.wakeAt != in.nextLook {
-		in.wakeAt = in.nextLook
-		in.do(Wake{in.nextLook})
+		in.wakeBy(in.nextLook)
 	}
 }
 
