--- a/internal/emulator/usermeetings_test.go
+++ b/internal/emulator/usermeetings_test.go
@@ -411,3 +411,49 @@
 	}
 	t.Logf("%d changes within a second at the most, of %v", most, u.settings.Site.State.WriteRPS)
 }
+
+// TestLeaderEndsAtEachStep: the controller that writes records ends at each moment, 20 ms
+// apart, of a new machine's first seconds, and of the election that follows when another
+// has ended; the state service takes long, and carries out some transactions late. What
+// waits for the machine runs, once; every job comes to its end.
+func TestLeaderEndsAtEachStep(t *testing.T) {
+	for name, first := range map[string]func(*users){
+		"of a registration": func(u *users) {
+			r := protocol.RentRequest{Name: "new", Type: "large", Zone: "a", Count: 1}
+			_, ids := u.cloud.Rent(r)
+			u.boot(ids[0], r)
+		},
+		"of an election":            func(u *users) { u.crashFor(u.leader(), 9*time.Second) },
+		"of an election, back soon": func(u *users) { u.back(u.leader()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for at := time.Duration(0); at < 2500*time.Millisecond; at += 20 * time.Millisecond {
+				w := newWorld(t.Fatalf, 78, standin.Settings(), 3, 3)
+				w.exact = true
+				w.cloud.Capacity = 4
+				u := w.withUsers()
+				u.wellFormed = true
+				w.run(8 * time.Second)
+				for range 8 { // more than fit
+					u.submit(protocol.Job{Class: "array", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 6, CPUs: 1, EstimateS: 5, Spot: true})
+				}
+				w.run(w.now + time.Second)
+				w.slow, w.lateWrites = 100*time.Millisecond, 0.2
+				first(u)
+				w.after(at, func() { w.crashFor(u.leader(), 300*time.Millisecond) })
+				w.after(at+600*time.Millisecond, func() { w.crashFor(u.leader(), 300*time.Millisecond) })
+				w.run(w.now + 15*time.Second)
+				w.slow, w.lateWrites = 0, 0
+				for end := w.now + 2*time.Minute; w.now < end && slices.ContainsFunc(slices.Collect(maps.Values(u.jobs)), func(j *userJob) bool { return j.floor < over }); {
+					w.run(w.now + time.Second)
+				}
+				for id, j := range inorder.Of(u.jobs) {
+					if j.told != protocol.JobDone {
+						t.Errorf("after %v: the user of %s was not told that it is done", at, id)
+					}
+				}
+			}
+		})
+	}
+}
