--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -326,7 +326,7 @@
 			c.flushBits()
 		}
 		c.sendRelays(false)
-		c.keeping.TakeStocks() // not in the step of the regular work: together they are long
+		c.keeping.GiveInventories() // not in the step of the regular work: together they are long
 	}
 	c.registrar.Write()
 	c.askMoreTables()
--- a/internal/coordination/vain.go
+++ b/internal/coordination/failedsearch.go
@@ -8,12 +8,12 @@
 	"damsonkeel/internal/protocol"
 )
 
-// vainSearch is a search for places that found none left: what asks for as much
+// failedSearch is a search for places that found none left: what asks for as much
 // or more, and may go to no other machines, need not look before a time. With
 // hundreds of small jobs waiting for a full fleet, each of them looking at all
 // machines ten times a second took more than a controller's whole share:
 // docs/incidents/2026-12-01-small-jobs-use-up-a-controller.md.
-type vainSearch struct {
+type failedSearch struct {
 	need  room.Amount
 	level room.Level
 	rank  int
@@ -27,39 +27,39 @@
 }
 
 const (
-	// vainAtOnce is how many machines may be looked at, a step, for arrays that
+	// searchedAtOnce is how many machines may be looked at, a step, for arrays that
 	// are likely to find no place.
-	vainAtOnce = 3000
-	// vainMost bounds the searches remembered.
-	vainMost = 64
+	searchedAtOnce = 3000
+	// failedSearchesMost bounds the searches remembered.
+	failedSearchesMost = 64
 )
 
-// noteVain remembers that a job's search for places found none any more.
-func (c *Core) noteVain(o *ownedJob) {
-	if o.OneZone || o.Spread || len(o.failedOn) > 0 || c.promised.Any || len(c.owner.vain) >= vainMost {
+// noteFailedSearch remembers that a job's search for places found none any more.
+func (c *Core) noteFailedSearch(o *ownedJob) {
+	if o.OneZone || o.Spread || len(o.failedOn) > 0 || c.promised.Any || len(c.owner.failedSearches) >= failedSearchesMost {
 		return // where it may go depends on more than what is remembered
 	}
-	c.owner.vain = append(c.owner.vain, vainSearch{
+	c.owner.failedSearches = append(c.owner.failedSearches, failedSearch{
 		need: room.Need(&o.Job), level: o.level, rank: o.Priority.Rank(), class: o.Class, types: o.Types, zone: o.Zone, spot: o.Spot, yields: o.yields,
 	})
-	every := placeEvery * time.Duration(max(1, len(c.owner.vain)*len(c.sorted)/vainAtOnce))
-	c.owner.vain[len(c.owner.vain)-1].until = c.After(every)
+	every := placeEvery * time.Duration(max(1, len(c.owner.failedSearches)*len(c.sorted)/searchedAtOnce))
+	c.owner.failedSearches[len(c.owner.failedSearches)-1].until = c.After(every)
 }
 
-// forgetVain drops the searches that are too long ago to tell anything.
-func (c *Core) forgetVain() {
-	c.owner.vain = slices.DeleteFunc(c.owner.vain, func(v vainSearch) bool { return v.until <= c.Now })
+// forgetFailedSearches drops the searches that are too long ago to tell anything.
+func (c *Core) forgetFailedSearches() {
+	c.owner.failedSearches = slices.DeleteFunc(c.owner.failedSearches, func(v failedSearch) bool { return v.until <= c.Now })
 }
 
-// inVain reports whether a job's search would find no place, as another's has not.
+// wouldFindNone reports whether a job's search would find no place, as another's has not.
 // Room kept for a class is room for its own jobs.
-func (c *Core) inVain(o *ownedJob) bool {
+func (c *Core) wouldFindNone(o *ownedJob) bool {
 	if c.promised.Any {
 		return false
 	}
 	need := room.Need(&o.Job)
-	for i := range c.owner.vain {
-		v := &c.owner.vain[i]
+	for i := range c.owner.failedSearches {
+		v := &c.owner.failedSearches[i]
 		if need.Covers(v.need) && o.level <= v.level && o.Priority.Rank() <= v.rank && (v.spot || !o.Spot) &&
 			(v.zone == "" || v.zone == o.Zone) && (len(v.types) == 0 || slices.Equal(v.types, o.Types)) &&
 			(v.class == o.Class || !c.Awaited(&o.Job)) && (o.yields || !v.yields) {
--- a/internal/coordination/vain_test.go
+++ b/internal/coordination/failedsearch_test.go
@@ -35,7 +35,7 @@
 		b.c.owner.dirty = true
 		b.step(message.Tick{})
 	}
-	if n := b.c.looked - before; n < machines || n > 2*ticks*vainAtOnce {
+	if n := b.c.looked - before; n < machines || n > 2*ticks*searchedAtOnce {
 		t.Errorf("%d machines looked at in %d steps", n, ticks)
 	}
 	all := b.c.machinesInOrder()
--- a/internal/coordination/keeping/stock.go
+++ b/internal/coordination/keeping/inventory.go
@@ -21,44 +21,44 @@
 	return false
 }
 
-// takeStock gives an inventory once in each term: when the worker has seen it,
+// giveInventory gives an inventory once in each term: when the worker has seen it,
 // or at once if this controller has kept the queue without a break since the
 // worker saw an earlier one. Else each restart of one controller would have
 // the owners wait for all machines, and one that is cut off hold up all.
-func (k *Keeper) takeStock(q *queue) {
-	if !k.frozen(q) && k.Now >= q.stockAfter && q.epoch != 0 && q.sole && !q.inventoried && !k.holdsOver(q) {
+func (k *Keeper) giveInventory(q *queue) {
+	if !k.frozen(q) && k.Now >= q.inventoryAfter && q.epoch != 0 && q.sole && !q.inventoried && !k.holdsOver(q) {
 		k.sendInventory(q)
 	}
 }
 
-// StocksMost bounds the inventories given in one step.
-const StocksMost = 500
+// InventoriesMost bounds the inventories given in one step.
+const InventoriesMost = 500
 
-// BeginStocks gives the inventories of queues kept without a break through a new
+// BeginInventories gives the inventories of queues kept without a break through a new
 // view: at once if there are few, else with the next ticks, since that step is
 // long enough.
-func (k *Keeper) BeginStocks() {
-	if k.stockDue = slices.Clone(k.queuesInOrder()); len(k.stockDue) <= StocksMost {
-		k.TakeStocks()
+func (k *Keeper) BeginInventories() {
+	if k.inventoryDue = slices.Clone(k.queuesInOrder()); len(k.inventoryDue) <= InventoriesMost {
+		k.GiveInventories()
 	}
 }
 
-// TakeStocks goes on with the inventories of queues kept without a break.
-func (k *Keeper) TakeStocks() {
-	n := min(len(k.stockDue), StocksMost)
-	due := k.stockDue[:n]
-	k.stockDue = k.stockDue[n:]
+// GiveInventories goes on with the inventories of queues kept without a break.
+func (k *Keeper) GiveInventories() {
+	n := min(len(k.inventoryDue), InventoriesMost)
+	due := k.inventoryDue[:n]
+	k.inventoryDue = k.inventoryDue[n:]
 	for _, q := range due {
 		switch {
 		case k.queues[q.id] != q:
-		case k.Now < q.stockAfter:
-			k.stockDue = append(k.stockDue, q)
+		case k.Now < q.inventoryAfter:
+			k.inventoryDue = append(k.inventoryDue, q)
 		default:
-			k.takeStock(q)
+			k.giveInventory(q)
 		}
 	}
-	if len(k.stockDue) == 0 {
-		k.stockDue = nil
+	if len(k.inventoryDue) == 0 {
+		k.inventoryDue = nil
 	}
 }
 
--- a/internal/coordination/keeping/keeper.go
+++ b/internal/coordination/keeping/keeper.go
@@ -21,10 +21,10 @@
 	known.Part
 	queues map[protocol.MachineID]*queue
 	kept   []*queue // the queues in order of their machines' names; nil: to be sorted again
-	// stockDue are queues kept without a break whose inventories of this term
+	// inventoryDue are queues kept without a break whose inventories of this term
 	// may be given at once.
-	stockDue []*queue
-	pushing  []*queue // with commands that may go out at once
+	inventoryDue []*queue
+	pushing      []*queue // with commands that may go out at once
 	// allSince is since when this controller has acted and known that all act
 	// by this term; 0: not now. See expireSilent.
 	allSince clock.Time
--- a/internal/coordination/keeping/queue.go
+++ b/internal/coordination/keeping/queue.go
@@ -30,25 +30,25 @@
 	waiting []*entry                   // never sent, in order of service once sorted
 	sorted  bool
 
-	lastAnswer  clock.Time
-	silence     message.Silence
-	told        bool                 // said is up to date
-	said        message.MachineState // what others are told
-	runs        []calendar.Run
-	contested   bool       // something here might be stopped for something that waits; as said
-	inventoried bool       // owners have an inventory of this term
-	known       bool       // what is on the machine was reported since it is kept here
-	stockAfter  clock.Time // no inventory is given before
-	sole        bool       // kept here without a break since the worker saw a term of that: nobody else can have started anything
-	registering bool
-	removing    bool
-	asked       clock.Time // when the registrar was last asked for either
-	commanding  bool       // a direct command has no answer yet
-	push        bool       // something may be started at once
-	notice      *float64
-	draining    bool
-	idleSince   clock.Time
-	everSeen    bool
+	lastAnswer     clock.Time
+	silence        message.Silence
+	told           bool                 // said is up to date
+	said           message.MachineState // what others are told
+	runs           []calendar.Run
+	contested      bool       // something here might be stopped for something that waits; as said
+	inventoried    bool       // owners have an inventory of this term
+	known          bool       // what is on the machine was reported since it is kept here
+	inventoryAfter clock.Time // no inventory is given before
+	sole           bool       // kept here without a break since the worker saw a term of that: nobody else can have started anything
+	registering    bool
+	removing       bool
+	asked          clock.Time // when the registrar was last asked for either
+	commanding     bool       // a direct command has no answer yet
+	push           bool       // something may be started at once
+	notice         *float64
+	draining       bool
+	idleSince      clock.Time
+	everSeen       bool
 
 	failed  map[protocol.JobID]clock.Time // jobs that failed here since something last succeeded, and when
 	suspect bool
--- a/internal/coordination/keeping/report.go
+++ b/internal/coordination/keeping/report.go
@@ -46,7 +46,7 @@
 	k.takeReport(q, &r, true)
 	q.sole = q.sole || r.Term >= k.ownToken(q)
 	q.seen = max(q.seen, r.Term)
-	k.takeStock(q)
+	k.giveInventory(q)
 	q.push = false
 	reply.Orders = k.orders(q, r.Term, false)
 	k.reckonState(q) // now that all of it was just looked at
--- a/internal/coordination/keeping/shares.go
+++ b/internal/coordination/keeping/shares.go
@@ -399,7 +399,7 @@
 			}
 		}
 		k.wake(q)
-		k.takeStock(q)
+		k.giveInventory(q)
 	}
 }
 
@@ -438,8 +438,8 @@
 			q = k.keep(id, m.Record.Zone)
 			q.registered(m)
 		}
-		q.stockAfter = k.After(crossing)
-		k.stockDue = append(k.stockDue, q)
+		q.inventoryAfter = k.After(crossing)
+		k.inventoryDue = append(k.inventoryDue, q)
 	}
 }
 
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -18,16 +18,16 @@
 
 // ownerState is what a controller keeps of the jobs it owns.
 type ownerState struct {
-	jobs    map[protocol.JobID]*ownedJob
-	sorted  []*ownedJob                     // in order of placement; nil: to be sorted again
-	dirty   bool                            // something may have become placeable
-	pending map[protocol.MachineID]bool     // machines whose inventory of this term is awaited
-	leaving map[message.TaskRef]leavingTask // attempts of limited teams' jobs that are over, not proven gone
-	unsure  map[protocol.Team]bool          // limited teams just taken over, whose use is not known yet
-	attempt uint64
-	retryAt Time
-	overdue overdues
-	vain    []vainSearch
+	jobs           map[protocol.JobID]*ownedJob
+	sorted         []*ownedJob                     // in order of placement; nil: to be sorted again
+	dirty          bool                            // something may have become placeable
+	pending        map[protocol.MachineID]bool     // machines whose inventory of this term is awaited
+	leaving        map[message.TaskRef]leavingTask // attempts of limited teams' jobs that are over, not proven gone
+	unsure         map[protocol.Team]bool          // limited teams just taken over, whose use is not known yet
+	attempt        uint64
+	retryAt        Time
+	overdue        overdues
+	failedSearches []failedSearch
 }
 
 func newOwnerState() ownerState {
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -31,7 +31,7 @@
 	cl := c.claims()
 	cl.leftOver = c.leftOver() // nothing but placing asks for it
 	c.setLevels()
-	c.forgetVain()
+	c.forgetFailedSearches()
 	left := maxPerStep
 	stuck := 0
 	for _, o := range c.jobsInOrder() {
@@ -52,7 +52,7 @@
 			c.claimAgain(o, cl)
 			continue
 		}
-		if o.Kind != protocol.KindGang && c.inVain(o) {
+		if o.Kind != protocol.KindGang && c.wouldFindNone(o) {
 			continue
 		}
 		var chosen []message.Placement
@@ -98,7 +98,7 @@
 }
 
 // lookedAtOnce is how many machines may be looked at, a step, for gangs that found
-// no place when they were last tried. See vainSearch for arrays.
+// no place when they were last tried. See failedSearch for arrays.
 const lookedAtOnce = 30_000
 
 // retryEvery is how often such gangs are tried again, of so many: at each step
@@ -128,7 +128,7 @@
 		}
 		m := from.smallest(zones)
 		if m == nil {
-			c.noteVain(o)
+			c.noteFailedSearch(o)
 			break
 		}
 		if from.heap[0].rank == rankQueue && !c.queuesWithinLimit(o, usage) {
--- a/internal/coordination/relays_test.go
+++ b/internal/coordination/relays_test.go
@@ -89,7 +89,7 @@
 // TestInventoriesInPieces: after a view that changes nothing for a controller's
 // queues, it gives their inventories in bounded steps, and all of them soon.
 func TestInventoriesInPieces(t *testing.T) {
-	const machines = 2*keeping.StocksMost + 100
+	const machines = 2*keeping.InventoriesMost + 100
 	f := newBusyFleet(t, machines, 100)
 	v := f.c.View
 	v.Term++
@@ -101,7 +101,7 @@
 				n++
 			}
 		}
-		if n > keeping.StocksMost {
+		if n > keeping.InventoriesMost {
 			t.Fatalf("%d inventories in one step", n)
 		}
 		given += n
--- a/internal/coordination/desk/desk.go
+++ b/internal/coordination/reportqueue/reportqueue.go
@@ -1,9 +1,9 @@
-// Package desk decides whose reports are answered first, and whose not at all,
+// Package reportqueue decides whose reports are answered first, and whose not at all,
 // when more come than can be answered. A worker that is not answered for its whole
 // lease kills all it runs, so the one that was answered longest ago goes first,
 // and the one answered last is refused first. It decides only: no clock, no
 // socket.
-package desk
+package reportqueue
 
 import (
 	"cmp"
@@ -46,8 +46,8 @@
 	return last
 }
 
-// Desk is the reports that wait.
-type Desk[T any] struct {
+// Queue is the reports that wait.
+type Queue[T any] struct {
 	most     int
 	patience time.Duration
 	waiting  line[T]
@@ -57,16 +57,16 @@
 
 // New holds at most so many reports. One that has waited longer than patience is
 // worth nothing: its worker has given the answer up.
-func New[T any](most int, patience time.Duration) *Desk[T] {
-	return &Desk[T]{most: most, patience: patience, answered: map[protocol.MachineID]clock.Time{}}
+func New[T any](most int, patience time.Duration) *Queue[T] {
+	return &Queue[T]{most: most, patience: patience, answered: map[protocol.MachineID]clock.Time{}}
 }
 
 // Len is how many wait.
-func (d *Desk[T]) Len() int { return len(d.waiting) }
+func (d *Queue[T]) Len() int { return len(d.waiting) }
 
 // Add takes a report. If there are too many then, one is returned to be refused
 // at once: perhaps the one that came.
-func (d *Desk[T]) Add(now clock.Time, m protocol.MachineID, report T) (refused T, any bool) {
+func (d *Queue[T]) Add(now clock.Time, m protocol.MachineID, report T) (refused T, any bool) {
 	d.number++
 	heap.Push(&d.waiting, Waiting[T]{Machine: m, Report: report, came: now, answered: d.answered[m], number: d.number})
 	if len(d.waiting) <= d.most {
@@ -83,7 +83,7 @@
 
 // Next takes the report to be answered next. Those returned as late are to be
 // refused: nobody waits for their answers.
-func (d *Desk[T]) Next(now clock.Time) (next Waiting[T], ok bool, late []T) {
+func (d *Queue[T]) Next(now clock.Time) (next Waiting[T], ok bool, late []T) {
 	for len(d.waiting) > 0 {
 		w := heap.Pop(&d.waiting).(Waiting[T])
 		if time.Duration(now-w.came) <= d.patience {
@@ -99,7 +99,7 @@
 const machinesMost = 1 << 16
 
 // Answered notes that a machine was answered in a way that renews its lease.
-func (d *Desk[T]) Answered(now clock.Time, m protocol.MachineID) {
+func (d *Queue[T]) Answered(now clock.Time, m protocol.MachineID) {
 	if len(d.answered) >= machinesMost {
 		clear(d.answered)
 	}
--- a/internal/coordination/desk/desk_test.go
+++ b/internal/coordination/reportqueue/reportqueue_test.go
@@ -1,4 +1,4 @@
-package desk
+package reportqueue
 
 import (
 	"fmt"
@@ -108,8 +108,8 @@
 
 func (l *fifo) answered(clock.Time, int) {}
 
-// byLease is a server with a desk.
-type byLease struct{ *Desk[int] }
+// byLease is a server with a queue.
+type byLease struct{ *Queue[int] }
 
 func name(worker int) protocol.MachineID { return protocol.MachineID(fmt.Sprint(worker)) }
 
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"damsonkeel/internal/coordination/desk"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/reportqueue"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
 )
@@ -30,18 +30,18 @@
 type reports struct {
 	ready chan struct{} // holds one while any wait
 
-	mu   sync.Mutex
-	desk *desk.Desk[pendingReport]
+	mu    sync.Mutex
+	queue *reportqueue.Queue[pendingReport]
 }
 
 func newReports() *reports {
-	return &reports{ready: make(chan struct{}, 1), desk: desk.New[pendingReport](reportsMost, reportPatience)}
+	return &reports{ready: make(chan struct{}, 1), queue: reportqueue.New[pendingReport](reportsMost, reportPatience)}
 }
 
 // add takes a report. It runs on the event loop and never waits.
 func (r *reports) add(now Time, p pendingReport) {
 	r.mu.Lock()
-	refused, any := r.desk.Add(now, p.report.Machine, p)
+	refused, any := r.queue.Add(now, p.report.Machine, p)
 	r.mu.Unlock()
 	if any {
 		refused.reply(failure(503, "busy"))
@@ -59,8 +59,8 @@
 // next is the message to the core for the report to be answered next.
 func (r *reports) next(now func() Time) (envelope, bool) {
 	r.mu.Lock()
-	w, ok, late := r.desk.Next(now())
-	more := r.desk.Len() > 0
+	w, ok, late := r.queue.Next(now())
+	more := r.queue.Len() > 0
 	r.mu.Unlock()
 	for _, p := range late {
 		p.reply(failure(503, "too late"))
@@ -88,5 +88,5 @@
 func (r *reports) answered(now Time, m protocol.MachineID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.desk.Answered(now, m)
+	r.queue.Answered(now, m)
 }
--- a/internal/coordination/reports_test.go
+++ b/internal/coordination/reports_test.go
@@ -35,7 +35,7 @@
 	add(now, "vm-answered")
 	add(now, "vm-sent-on")
 	for range 2 {
-		if answer(map[bool]int{true: 200, false: 421}[r.desk.Len() == 2]); len(status) == 0 {
+		if answer(map[bool]int{true: 200, false: 421}[r.queue.Len() == 2]); len(status) == 0 {
 			t.Fatal("not answered")
 		}
 	}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -31,7 +31,7 @@
 	c.keeping.Adopt(old, keeps)
 	c.adoptJobs(old, keeps)
 	c.beginRelays()
-	c.keeping.BeginStocks()
+	c.keeping.BeginInventories()
 	if !wasMember {
 		c.askTables()
 	}
