--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -391,20 +391,26 @@
 const keptWaiting = 30 * time.Second
 
 // queuesWithinLimit reports whether one more task may wait in a machine's queue within
-// its team's limit: what waits there counts, and one task each is left of the limit to
-// those jobs of the team of which nothing has begun for a while. Else they would wait
-// beside machines with room, for a limit that is used up by what does not run.
+// its team's limit: what waits there counts, and one task is left of the limit to that
+// job of the team of which nothing has begun for longest, and for a while. Else it would
+// wait beside machines with room, for a limit that is used up by what does not run. Left
+// to all such jobs, nothing would be queued where many wait, and whatever is large would
+// take what comes free.
 func (c *Core) queuesWithinLimit(o *ownedJob, usage map[protocol.Team]room.Amount) bool {
 	if !c.Limited(o.Team) {
 		return true
 	}
-	left := map[protocol.Team]room.Amount{o.Team: usage[o.Team]}
-	for _, other := range c.owner.jobs { // sums of processors, rounded below
-		if other != o && other.Team == o.Team && other.Kind != protocol.KindGang && len(other.placed) == 0 && other.nDone == 0 && c.Since(other.since) > keptWaiting {
-			c.use(other, left, 1)
+	var first *ownedJob
+	for _, other := range c.owner.jobs {
+		waits := other.Team == o.Team && other.Kind != protocol.KindGang && len(other.placed) == 0 && other.nDone == 0 && c.Since(other.since) > keptWaiting
+		if waits && (first == nil || cmp.Or(cmp.Compare(other.since, first.since), cmp.Compare(other.ID, first.ID)) < 0) {
+			first = other
 		}
 	}
-	left[o.Team] = left[o.Team].Round()
+	left := map[protocol.Team]room.Amount{o.Team: usage[o.Team]}
+	if first != nil && first != o {
+		c.use(first, left, 1)
+	}
 	return c.withinLimit(o, left, 1)
 }
 
