--- a/internal/coordination/intake.go
+++ b/internal/coordination/frontend.go
@@ -305,7 +305,7 @@
 // Submit answers a submission that a peer could not take.
 func (s *peerService) Submit(m Submission, reply *SubmissionReply) error {
 	done := make(chan *transport.Message, 1)
-	s.node.intake.ask(intake.Asked{Operation: intake.Submit, Body: m.Body, Passed: true}, func(a *transport.Message) { done <- a })
+	s.node.frontend.ask(intake.Asked{Operation: intake.Submit, Body: m.Body, Passed: true}, func(a *transport.Message) { done <- a })
 	a := <-done
 	*reply = SubmissionReply{Status: a.Status, Body: a.Body, RetryAfterS: a.RetryAfterS}
 	return nil
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -127,9 +127,6 @@
 	return in.actions
 }
 
-// Types are the machine types, as far as known.
-func (in *Intake) Types() []protocol.TypeInfo { return in.types }
-
 func (in *Intake) do(a Action) { in.actions = append(in.actions, a) }
 
 func (in *Intake) after(d time.Duration) clock.Time { return in.now + clock.Time(d) }
--- a/internal/coordination/limit_test.go
+++ b/internal/coordination/limit_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 
-	"damsonkeel/internal/config"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
@@ -16,12 +14,7 @@
 func TestLimitIsLeftToWhatWaits(t *testing.T) {
 	b := newBench(t, "node-1")
 	id := b.keptBy("node-1")
-	team := protocol.Team("bound")
-	b.c.Settings.Site.Teams = nil
-	for i := 0; known.Rendezvous(b.c.View, "team "+string(team)) != "node-0"; i++ {
-		team = protocol.Team("bound" + string(rune('a'+i)))
-	}
-	b.c.Settings.Site.Teams = []config.Team{{Name: team, MaxCPUs: 6}}
+	team := b.limited(6)
 	b.machine(id, 1) // four processors
 	load := func(job protocol.JobID) {
 		b.step(message.JobLoaded{Job: job, OK: true})
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -55,7 +55,7 @@
 	leaving     atomic.Bool // told to end
 	left        chan struct{}
 	typesKnown  atomic.Bool
-	intake      *frontend
+	frontend    *frontend
 }
 
 // envelope is a message to the core, or a question about it.
@@ -85,7 +85,7 @@
 	_, commands := sockets(s.Site.Limits.MaxConns)
 	n.workers = newWorkerClients(commands)
 	n.commands = make(chan struct{}, commands)
-	n.intake = newFrontend(n)
+	n.frontend = newFrontend(n)
 	return n
 }
 
@@ -104,7 +104,7 @@
 	go n.ticks(ctx)
 	go n.readCatalogue(ctx)
 	go n.sessions(ctx)
-	go n.intake.run(ctx)
+	go n.frontend.run(ctx)
 	go n.serve(ctx)
 	select {
 	case <-n.left:
@@ -117,7 +117,7 @@
 // serve answers users and workers until the context ends.
 func (n *Node) serve(ctx context.Context) {
 	conns, _ := sockets(n.settings.Site.Limits.MaxConns)
-	server := transport.NewServer(n.intake.handle, conns, n.log)
+	server := transport.NewServer(n.frontend.handle, conns, n.log)
 	for ctx.Err() == nil {
 		err := server.Serve(n.settings.Listen, func() { n.log.Info("serving", "addr", n.settings.Listen) })
 		n.log.Error("serving ended, starting again", "err", err)
@@ -209,7 +209,7 @@
 			wait = catalogueWait
 		} else {
 			n.typesKnown.Store(true)
-			n.intake.mailbox <- intake.TypesRead{Types: cat.Types}
+			n.frontend.mailbox <- intake.TypesRead{Types: cat.Types}
 			n.post(message.CatalogueRead{Types: cat.Types})
 		}
 		sleep(ctx, wait)
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -221,6 +221,16 @@
 	}
 }
 
+// limited makes a team with a limit, which this controller owns, the only one.
+func (b *bench) limited(cpus float64) protocol.Team {
+	team := protocol.Team("bound")
+	for i := 0; known.Rendezvous(b.c.View, "team "+string(team)) != "node-0"; i++ {
+		team = protocol.Team("bound" + string(rune('a'+i)))
+	}
+	b.c.Settings.Site.Teams = []config.Team{{Name: team, MaxCPUs: cpus}}
+	return team
+}
+
 // TestOverButHeld: a keeper that follows the records late lists attempts of a job that is
 // over here: it has not killed them yet. They count against their team's limit until it
 // says that they are gone, for an owner that has just taken the team over, and for one
@@ -230,12 +240,7 @@
 		for _, state := range []protocol.TaskState{protocol.TaskRunning, protocol.TaskFetching, ""} {
 			b := newBench(t, "node-1")
 			id := b.keptBy("node-1")
-			team := protocol.Team("bound")
-			b.c.Settings.Site.Teams = nil
-			for i := 0; known.Rendezvous(b.c.View, "team "+string(team)) != "node-0"; i++ {
-				team = protocol.Team("bound" + string(rune('a'+i)))
-			}
-			b.c.Settings.Site.Teams = []config.Team{{Name: team, MaxCPUs: 4}}
+			team := b.limited(4)
 			b.machine(id, 1)
 			b.job("job-1", team, 4)
 			b.step(message.Changed{Event: protocol.Event{Delete: bookkeeping.LiveKey("job-1"), Version: 90}})
