From a last reading: jobs that wait for a limit are looked for once a job, and twins made one; behaviour unchanged

What waits longest for a team's limit was looked for among all jobs for each task that goes into a queue. One check of what has not begun serves both its callers; an emulated controller's settings are made in one place; a passed submission's reply is the intake's own type; a halt without an answer says nothing, as nobody read it; a trial's switch is out of the tests.

--- a/internal/coordination/frontend.go
+++ b/internal/coordination/frontend.go
@@ -190,24 +190,22 @@
 		})
 	case intake.PassOn:
 		later(func() any {
-			var r SubmissionReply
+			var r intake.Answer
 			if err := f.peers[a.To].Call("Peer.Submit", Submission{a.Body}, &r, intake.PassOnWait); err != nil {
-				r = SubmissionReply{}
+				r = intake.Answer{}
 			}
-			return intake.PassedOn{ID: a.ID, Answer: intake.Answer(r)}
+			return intake.PassedOn{ID: a.ID, Answer: r}
 		})
 	case intake.Halt:
 		if a.To == f.n.settings.Name {
-			halted := func([]message.Action) { f.mailbox <- intake.Halted{Job: a.Job, By: a.To, OK: true} }
-			if !f.n.offer(envelope{msg: message.Halt{Job: a.Job}, reply: halted}) {
-				f.local = append(f.local, intake.Halted{Job: a.Job, By: a.To})
-			}
+			f.n.offer(envelope{msg: message.Halt{Job: a.Job}, reply: func([]message.Action) { f.mailbox <- intake.Halted{Job: a.Job, By: a.To} }})
 			return
 		}
-		later(func() any {
-			err := f.peers[a.To].Call("Peer.Halt", a.Job, new(bool), intake.HaltWait)
-			return intake.Halted{Job: a.Job, By: a.To, OK: err == nil}
-		})
+		go func() {
+			if f.peers[a.To].Call("Peer.Halt", a.Job, new(bool), intake.HaltWait) == nil {
+				f.mailbox <- intake.Halted{Job: a.Job, By: a.To}
+			}
+		}()
 	case intake.Wake:
 		time.AfterFunc(time.Duration(a.At-f.n.now()), func() { f.mailbox <- intake.Tick{} })
 	}
@@ -295,19 +293,12 @@
 // Submission is a user's submission, passed on to a peer.
 type Submission struct{ Body []byte }
 
-// SubmissionReply is what the user is to be told.
-type SubmissionReply struct {
-	Status      int
-	Body        []byte
-	RetryAfterS int
-}
-
 // Submit answers a submission that a peer could not take.
-func (s *peerService) Submit(m Submission, reply *SubmissionReply) error {
+func (s *peerService) Submit(m Submission, reply *intake.Answer) error {
 	done := make(chan *transport.Message, 1)
 	s.node.frontend.ask(intake.Asked{Operation: intake.Submit, Body: m.Body, Passed: true}, func(a *transport.Message) { done <- a })
 	a := <-done
-	*reply = SubmissionReply{Status: a.Status, Body: a.Body, RetryAfterS: a.RetryAfterS}
+	*reply = intake.Answer{Status: a.Status, Body: a.Body, RetryAfterS: a.RetryAfterS}
 	return nil
 }
 
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -34,7 +34,8 @@
 	// answerWithin is how long the state service takes as a rule, and more. Where only
 	// its answer is lost, or late, the record tells what users wait for.
 	answerWithin = 100 * time.Millisecond
-	retryAfterS  = 1
+	// RetryAfterS is when who gets 503 may come back.
+	RetryAfterS = 1
 )
 
 // Intake is the state of one process between messages. It is not safe for
@@ -136,7 +137,7 @@
 	body, _ := protocol.Encode(protocol.ErrorBody{Error: what}) // a struct of text always encodes
 	a := Answer{Status: status, Body: body}
 	if status == 503 {
-		a.RetryAfterS = retryAfterS
+		a.RetryAfterS = RetryAfterS
 	}
 	return a
 }
@@ -280,9 +281,7 @@
 	switch {
 	case r.writing && !settled: // its answer may still come
 	case m.Outcome == message.OutcomeDone && m.Record.State == bookkeeping.RecordLive && r.Operation == Cancel:
-		rec := m.Record
-		rec.State = bookkeeping.RecordCancelled
-		in.write(r, CancelTxn(r.Job, m.Version, rec))
+		in.write(r, CancelTxn(r.Job, m.Version, m.Record))
 	case m.Outcome == message.OutcomeDone:
 		in.tell(r, m.Record)
 	case m.Outcome != message.OutcomeFailed:
@@ -396,7 +395,7 @@
 }
 
 func (in *Intake) halted(m Halted) {
-	if h := in.halts[m.Job]; h != nil && m.OK {
+	if h := in.halts[m.Job]; h != nil {
 		delete(h.left, m.By)
 		in.checkHalt(m.Job, h)
 	}
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -263,7 +263,7 @@
 			if h.To == silent {
 				return nil
 			}
-			return Halted{Job: h.Job, By: h.To, OK: true}
+			return Halted{Job: h.Job, By: h.To}
 		}
 		s.step(t, smallType)
 		ask := func(id RequestID, job string) time.Duration {
@@ -319,7 +319,7 @@
 				record = nil
 			}
 			s.look = func(l Look) any { return Looked{Look: l.Look, Members: []protocol.NodeName{"node-0"}} }
-			s.halt = func(h Halt) any { return Halted{Job: h.Job, By: h.To, OK: true} }
+			s.halt = func(h Halt) any { return Halted{Job: h.Job, By: h.To} }
 			s.get = func(g Get) any {
 				if record == nil {
 					return Read{ID: g.ID, Outcome: message.OutcomeFailed}
--- a/internal/coordination/intake/message.go
+++ b/internal/coordination/intake/message.go
@@ -69,7 +69,6 @@
 	Halted struct {
 		Job protocol.JobID
 		By  protocol.NodeName
-		OK  bool
 	}
 	// TypesRead brings the machine types.
 	TypesRead struct{ Types []protocol.TypeInfo }
--- a/internal/coordination/keeping/orders.go
+++ b/internal/coordination/keeping/orders.go
@@ -89,7 +89,7 @@
 	for i := 0; i < len(q.waiting); {
 		e := q.waiting[i]
 		j := k.Live[e.task.Job]
-		if j == nil || !k.MayStart(e.task.Job) {
+		if !k.MayStart(e.task.Job) {
 			break // its record has not arrived yet, or that of its end
 		}
 		e.need = room.Need(&j.Job)
--- a/internal/coordination/leftover.go
+++ b/internal/coordination/leftover.go
@@ -56,7 +56,12 @@
 // queue; the rest has what others leave. Else, where all that is up is likely to be
 // needed, such jobs would not begin at all.
 func (c *Core) overdueToBegin(o *ownedJob) bool {
-	return len(o.placed) == 0 && o.nDone == 0 && c.Since(o.since) > beginsWithin
+	return c.notBegunFor(o, beginsWithin)
+}
+
+// notBegunFor reports whether nothing of a job has been placed for so long.
+func (c *Core) notBegunFor(o *ownedJob, d time.Duration) bool {
+	return len(o.placed) == 0 && o.nDone == 0 && c.Since(o.since) > d
 }
 
 // heldFor reports whether room is held for a job by what is promised.
--- a/internal/coordination/operate.go
+++ b/internal/coordination/operate.go
@@ -9,6 +9,7 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
+	"damsonkeel/internal/coordination/intake"
 	"damsonkeel/internal/operators"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
@@ -319,7 +320,7 @@
 	status := map[operators.Code]int{operators.Done: 200, operators.Refused: 409, operators.NotFound: 404, operators.Later: 503}[r.Code]
 	m := success(status, r)
 	if status == 503 {
-		m.RetryAfterS = 1
+		m.RetryAfterS = intake.RetryAfterS
 	}
 	return m
 }
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -112,6 +112,7 @@
 	var out []message.Placement
 	zones := o.zones()
 	var from *candidates
+	var waits *ownedJob // see queuesWithinLimit
 	left = o.mayTry(left)
 	for i, ok := o.pending.NextSet(0); ok && len(out) < left; i, ok = o.pending.NextSet(i + 1) {
 		if o.placed[protocol.TaskID{Job: o.ID, Index: uint32(i)}] != nil {
@@ -124,14 +125,14 @@
 			break
 		}
 		if from == nil {
-			from = c.candidatesFor(o, zones, cl)
+			from, waits = c.candidatesFor(o, zones, cl), c.longestWaiting(o)
 		}
 		m := from.smallest(zones)
 		if m == nil {
 			c.noteFailedSearch(o)
 			break
 		}
-		if from.heap[0].rank == rankQueue && !c.queuesWithinLimit(o, usage) {
+		if from.heap[0].rank == rankQueue && !c.queuesWithinLimit(o, waits, usage) {
 			break
 		}
 		out = append(out, c.putOn(from, uint32(i), m, c.nextAttempt(), zones))
@@ -392,26 +393,39 @@
 
 // queuesWithinLimit reports whether one more task may wait in a machine's queue within
 // its team's limit: what waits there counts, and one task is left of the limit to that
-// job of the team of which nothing has begun for longest, and for a while. Else it would
+// job of the team of which nothing has begun for longest, and for a while: to other,
+// unless the job itself has waited longer. Else it would
 // wait beside machines with room, for a limit that is used up by what does not run. Left
 // to all such jobs, nothing would be queued where many wait, and whatever is large would
 // take what comes free.
-func (c *Core) queuesWithinLimit(o *ownedJob, usage map[protocol.Team]room.Amount) bool {
+func (c *Core) queuesWithinLimit(o, other *ownedJob, usage map[protocol.Team]room.Amount) bool {
+	left := map[protocol.Team]room.Amount{o.Team: usage[o.Team]}
+	if other != nil && !(c.waitsForLimit(o) && bySince(o, other) < 0) {
+		c.use(other, left, 1)
+	}
+	return c.withinLimit(o, left, 1)
+}
+
+// longestWaiting is that other job of a job's team, if the team has a limit, of which
+// nothing has begun for longest, and for a while.
+func (c *Core) longestWaiting(o *ownedJob) (first *ownedJob) {
 	if !c.Limited(o.Team) {
-		return true
+		return nil
 	}
-	var first *ownedJob
 	for _, other := range c.owner.jobs {
-		waits := other.Team == o.Team && other.Kind != protocol.KindGang && len(other.placed) == 0 && other.nDone == 0 && c.Since(other.since) > keptWaiting
-		if waits && (first == nil || cmp.Or(cmp.Compare(other.since, first.since), cmp.Compare(other.ID, first.ID)) < 0) {
+		if other != o && other.Team == o.Team && c.waitsForLimit(other) && (first == nil || bySince(other, first) < 0) {
 			first = other
 		}
 	}
-	left := map[protocol.Team]room.Amount{o.Team: usage[o.Team]}
-	if first != nil && first != o {
-		c.use(first, left, 1)
-	}
-	return c.withinLimit(o, left, 1)
+	return first
+}
+
+func (c *Core) waitsForLimit(o *ownedJob) bool {
+	return o.Kind != protocol.KindGang && c.notBegunFor(o, keptWaiting)
+}
+
+func bySince(a, b *ownedJob) int {
+	return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.ID, b.ID))
 }
 
 // mayStart is how many of n more tasks keep the team within its limit.
--- a/internal/emulator/frontends_test.go
+++ b/internal/emulator/frontends_test.go
@@ -29,14 +29,7 @@
 	if f.in != nil && f.life == f.n.life {
 		return true
 	}
-	s := *w.settings
-	s.Name, s.Members = f.n.name, nil
-	for _, p := range w.nodes {
-		if p != f.n {
-			s.Members = append(s.Members, configMember(p))
-		}
-	}
-	f.life, f.in, f.replies = f.n.life, intake.New(&s, quiet), map[intake.RequestID]func(intake.Answer){}
+	f.life, f.in, f.replies = f.n.life, intake.New(w.settingsOf(f.n), quiet), map[intake.RequestID]func(intake.Answer){}
 	if w.now > 0 { // some time passes before it knows the machine types
 		w.alive(f.n, time.Duration(w.rng.IntN(1500))*time.Millisecond, func() { f.step(intake.TypesRead{Types: w.types}) })
 	} else {
@@ -148,26 +141,22 @@
 func (u *users) halt(f *frontend, a intake.Halt) {
 	w := u.world
 	if u.unheard {
-		f.later(0, intake.Halted{Job: a.Job, By: a.To, OK: true})
+		f.later(0, intake.Halted{Job: a.Job, By: a.To})
 		return
 	}
 	to := u.front(a.To).n
 	heard := func() {
-		life := to.life
 		if to.core == nil {
 			return
 		}
-		w.after(max(0, to.frozen-w.now), func() {
-			if to.life != life {
-				return
-			}
+		w.alive(to, max(0, to.frozen-w.now), func() {
 			w.stepNode(to, message.Halt{Job: a.Job})
-			w.carry(string(a.To), string(f.n.name), func() { f.later(0, intake.Halted{Job: a.Job, By: a.To, OK: true}) })
+			w.carry(string(a.To), string(f.n.name), func() { f.later(0, intake.Halted{Job: a.Job, By: a.To}) })
 		})
 	}
 	if to == f.n {
 		w.stepNode(to, message.Halt{Job: a.Job})
-		f.later(0, intake.Halted{Job: a.Job, By: a.To, OK: true})
+		f.later(0, intake.Halted{Job: a.Job, By: a.To})
 		return
 	}
 	w.carry(string(f.n.name), string(a.To), heard)
--- a/internal/emulator/nodes.go
+++ b/internal/emulator/nodes.go
@@ -47,9 +47,8 @@
 	return w.outage <= w.now && (!ok || c.until <= w.now)
 }
 
-func (w *world) startNode(n *simNode) {
-	n.life++
-	life := n.life
+// settingsOf are a controller's own settings.
+func (w *world) settingsOf(n *simNode) *config.Settings {
 	s := *w.settings
 	s.Name, s.Members = n.name, nil
 	for i, o := range w.nodes {
@@ -59,6 +58,12 @@
 			s.Members = append(s.Members, config.Member{Name: o.name, Zone: w.zoneOf(i)})
 		}
 	}
+	return &s
+}
+
+func (w *world) startNode(n *simNode) {
+	n.life++
+	life := n.life
 	level := slog.LevelError + 1
 	if os.Getenv("WORLD_LOG") != "" {
 		level = slog.LevelDebug
@@ -71,7 +76,7 @@
 		return a
 	}
 	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level, ReplaceAttr: simulated})).With("node", n.name)
-	n.core = coordination.NewCore(&s, w.operator, rand.New(rand.NewPCG(w.rng.Uint64(), 2)), log)
+	n.core = coordination.NewCore(w.settingsOf(n), w.operator, rand.New(rand.NewPCG(w.rng.Uint64(), 2)), log)
 	n.born = w.now
 	n.session = 0
 	n.outboxes = map[protocol.NodeName]*simOutbox{}
@@ -147,12 +152,7 @@
 
 // later gives a node's core a message, unless that process has ended.
 func (w *world) later(n *simNode, msg any) {
-	life := n.life
-	w.after(w.delay(), func() {
-		if n.life == life {
-			w.stepNode(n, msg)
-		}
-	})
+	w.alive(n, w.delay(), func() { w.stepNode(n, msg) })
 }
 
 func (w *world) carryOut(n *simNode, actions []message.Action) {
--- a/internal/emulator/userdays_test.go
+++ b/internal/emulator/userdays_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -189,11 +188,6 @@
 	for seed := range seeds(usual) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			d := d
-			if os.Getenv("UNHEARD") != "" {
-				prepare := d.prepare
-				d.prepare = func(u *users) { prepare(u); u.unheard = true }
-			}
 			if u := d.play(t, first+seed); u.startsAfter > u.apart {
 				t.Errorf("%d starts were sent after a confirmed cancellation, %d of these by one cut off", u.startsAfter, u.apart)
 			}
--- a/internal/emulator/users_test.go
+++ b/internal/emulator/users_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
-	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/intake"
 	"damsonkeel/internal/protocol"
@@ -15,8 +14,6 @@
 
 var quiet = slog.New(slog.DiscardHandler)
 
-func configMember(n *simNode) config.Member { return config.Member{Name: n.name} }
-
 const (
 	submitWait  = 5 * time.Second
 	pollWait    = 2 * time.Second
