--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -135,6 +135,8 @@
 			}
 			c.message(m.Batch.From, fresh)
 		}
+	case message.Halt:
+		c.Halt(m.Job)
 	case message.Leave:
 		c.leaving = true
 	case message.Tick:
@@ -407,9 +409,6 @@
 // checkView has the view changed if it should be.
 func (c *Core) checkView() { c.members.Check(c.keeping.WantsTerm()) }
 
-// actingPeers lists the other controllers known to act now.
-func (c *Core) actingPeers() []protocol.NodeName { return c.members.ActingPeers() }
-
 // lateMemory is the part of what was known of its lateness that a tick leaves.
 const lateMemory = 0.98
 
--- a/internal/coordination/insight.go
+++ b/internal/coordination/insight.go
@@ -15,7 +15,8 @@
 	Queues int // machines kept
 	Heard  int // of these, registered and known to have nothing but what is listed
 	Holds  []calendar.Hold
-	Shares int // kept; 0 where there are none
+	Writes bool // machines' records
+	Shares int  // kept; 0 where there are none
 	// Misplaced are machines kept though their share is not.
 	Misplaced []protocol.MachineID
 	// SetAside are machines kept that fail what they start.
@@ -27,7 +28,7 @@
 
 // Look tells what can be seen of it.
 func (c *Core) Look() Insight {
-	in := Insight{Term: c.View.Term, Queues: len(c.keeping.Machines()), Heard: c.keeping.Heard(), Shares: c.keeping.SharesKept(), Holds: c.promised.List}
+	in := Insight{Term: c.View.Term, Queues: len(c.keeping.Machines()), Heard: c.keeping.Heard(), Writes: c.Acting() && c.Registrar() == c.Self, Shares: c.keeping.SharesKept(), Holds: c.promised.List}
 	if c.Sharing() && c.Member() {
 		for _, id := range c.keeping.Machines() {
 			if m := c.Records[id]; m != nil && c.Keeper(id) != c.Self {
@@ -63,7 +64,7 @@
 	}
 	for _, m := range c.keeping.Machines() {
 		for _, a := range c.keeping.Attempts(m) {
-			if a.Task.Job == id {
+			if st, _ := c.keeping.StateOf(m); a.Task.Job == id || st.Draining {
 				fmt.Fprintf(&b, "  %s has %+v\n", c.Self, a)
 			}
 		}
--- a/internal/coordination/intake.go
+++ b/internal/coordination/intake.go
@@ -4,65 +4,78 @@
 	"context"
 	"errors"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
-	"damsonkeel/internal/coordination/known"
+	"damsonkeel/internal/coordination/intake"
 	"damsonkeel/internal/coordination/message"
-	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/operators"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
 )
 
-const (
-	maxRequests  = 256
-	intakeBudget = 1800 * time.Millisecond
-	maxFinals    = 20000
-	retryAfterS  = 1
-)
-
-// intake answers users and passes workers' reports on. What users are told
-// comes from the records, never from a guess.
-type intake struct {
-	n     *Node
-	slots chan struct{}
-	next  forward
-	live  *liveChecks
+// frontend is the actor around an intake.Intake: it routes requests, carries the
+// intake's messages, and passes workers' reports on to the core.
+type frontend struct {
+	n       *Node
+	core    *intake.Intake
+	mailbox chan any
+	local   []any // messages of a step to itself
+	lastID  atomic.Uint64
+	replies map[intake.RequestID]transport.Reply
+	slots   chan struct{}                         // of operators' requests
+	peers   map[protocol.NodeName]*transport.Peer // not the outbox's, whose calls may wait
+}
 
-	mu     sync.Mutex
-	finals map[protocol.JobID]bookkeeping.JobRecord // final states never change
+// userRequest is a request with whom to answer.
+type userRequest struct {
+	intake.Asked
+	reply transport.Reply
 }
 
-func newIntake(n *Node) *intake {
-	return &intake{n: n, slots: make(chan struct{}, maxRequests), finals: map[protocol.JobID]bookkeeping.JobRecord{}, next: newForward(n), live: newLiveChecks(n)}
+// operatorBudget is how long an operator's request may take, and
+// operatorRequestsMost how many wait at a time.
+const (
+	operatorBudget       = 1800 * time.Millisecond
+	operatorRequestsMost = 64
+)
+
+func newFrontend(n *Node) *frontend {
+	f := &frontend{
+		n: n, core: intake.New(n.settings, n.log), mailbox: make(chan any, 4*intake.RequestsMost),
+		replies: map[intake.RequestID]transport.Reply{}, slots: make(chan struct{}, operatorRequestsMost), peers: map[protocol.NodeName]*transport.Peer{},
+	}
+	for _, m := range n.settings.Members {
+		f.peers[m.Name] = transport.NewPeer(m.Peer)
+	}
+	return f
 }
 
 // handle routes a request. It runs on the event loop and never waits.
-func (in *intake) handle(m *transport.Message, reply transport.Reply) {
+func (f *frontend) handle(m *transport.Message, reply transport.Reply) {
 	switch {
 	case m.Path == "/v1/report":
 		if allow(m, reply, "POST") {
-			in.report(m, reply)
+			f.report(m, reply)
 		}
 	case m.Path == "/up":
 		if allow(m, reply, "GET") {
-			in.up(reply)
+			f.up(reply)
 		}
 	case m.Path == "/work":
 		if allow(m, reply, "POST") {
-			in.async(reply, func(ctx context.Context) *transport.Message { return in.accept(ctx, m.Body) })
+			f.ask(intake.Asked{Operation: intake.Submit, Body: m.Body}, reply)
 		}
-	case m.Path == operators.Path && in.n.op.OperatorKeys != "":
+	case m.Path == operators.Path && f.n.op.OperatorKeys != "":
 		if allow(m, reply, "POST") {
-			in.async(reply, func(ctx context.Context) *transport.Message { return in.operate(ctx, m.Body) })
+			f.operator(reply, m.Body)
 		}
 	case strings.HasPrefix(m.Path, "/work/"):
 		name, abort := strings.CutSuffix(strings.TrimPrefix(m.Path, "/work/"), "/abort")
-		method := "GET"
+		asked, method := intake.Asked{Operation: intake.Poll}, "GET"
 		if abort {
-			method = "POST"
+			asked, method = intake.Asked{Operation: intake.Cancel}, "POST"
 		}
 		if !allow(m, reply, method) {
 			return
@@ -72,12 +85,8 @@
 			reply(failure(404, "no such job"))
 			return
 		}
-		in.async(reply, func(ctx context.Context) *transport.Message {
-			if abort {
-				return in.abort(ctx, id)
-			}
-			return in.poll(ctx, id)
-		})
+		asked.Job = id
+		f.ask(asked, reply)
 	default:
 		reply(failure(404, "no such path"))
 	}
@@ -91,13 +100,12 @@
 	return true
 }
 
+func response(a intake.Answer) *transport.Message {
+	return &transport.Message{Status: a.Status, Body: a.Body, RetryAfterS: a.RetryAfterS}
+}
+
 func failure(status int, what string) *transport.Message {
-	body, _ := protocol.Encode(protocol.ErrorBody{Error: what}) // a struct of text always encodes
-	m := &transport.Message{Status: status, Body: body}
-	if status == 503 {
-		m.RetryAfterS = retryAfterS
-	}
-	return m
+	return response(intake.Failure(status, what))
 }
 
 func success(status int, v any) *transport.Message {
@@ -108,44 +116,137 @@
 	return &transport.Message{Status: status, Body: body}
 }
 
-// async answers in a goroutine of its own, or at once if there are too many.
-func (in *intake) async(reply transport.Reply, f func(context.Context) *transport.Message) {
+// ask gives the intake a request, or answers at once if too many wait.
+func (f *frontend) ask(a intake.Asked, reply transport.Reply) {
+	a.ID, a.WallMS = intake.RequestID(f.lastID.Add(1)), time.Now().UnixMilli()
 	select {
-	case in.slots <- struct{}{}:
+	case f.mailbox <- userRequest{a, reply}:
 	default:
 		reply(failure(503, "too many requests at once"))
-		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), intakeBudget)
-		defer func() {
-			cancel()
-			<-in.slots
-		}()
-		reply(f(ctx))
-	}()
+}
+
+// run is the intake's actor.
+func (f *frontend) run(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case m := <-f.mailbox:
+			if u, ok := m.(userRequest); ok {
+				f.replies[u.ID] = u.reply
+				m = u.Asked
+			}
+			f.step(ctx, m)
+		case <-t.C:
+			f.step(ctx, intake.Tick{})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *frontend) step(ctx context.Context, m any) {
+	f.local = append(f.local, m)
+	for len(f.local) > 0 {
+		m := f.local[0]
+		f.local = f.local[1:]
+		for _, a := range f.core.Step(f.n.now(), m) {
+			f.carryOut(ctx, a)
+		}
+	}
+}
+
+// carryOut executes an action; none of them waits here.
+func (f *frontend) carryOut(ctx context.Context, a intake.Action) {
+	later := func(do func() any) {
+		go func() { f.mailbox <- do() }()
+	}
+	switch a := a.(type) {
+	case intake.Reply:
+		f.replies[a.ID](response(a.Answer))
+		delete(f.replies, a.ID)
+	case intake.Get:
+		later(func() any { return f.get(ctx, a) })
+	case intake.Write:
+		later(func() any {
+			_, err := f.n.state.Txn(ctx, a.Txn, bookkeeping.First)
+			if errors.Is(err, bookkeeping.ErrMalformed) {
+				f.n.log.Error("state service refuses a job's record", "err", err)
+			}
+			return intake.Written{ID: a.ID, Outcome: outcome(err)}
+		})
+	case intake.Look:
+		look := func(c *Core) { f.mailbox <- c.LookFor(a) }
+		if !f.n.offer(envelope{ask: look}) {
+			f.local = append(f.local, intake.Looked{Look: a.Look})
+		}
+	case intake.Compare:
+		later(func() any {
+			differ, err := f.n.state.Compare(ctx, a.Conditions)
+			return intake.Compared{Look: a.Look, Outcome: outcome(err), Differ: differ}
+		})
+	case intake.PassOn:
+		later(func() any {
+			var r SubmissionReply
+			if err := f.peers[a.To].Call("Peer.Submit", Submission{a.Body}, &r, intake.PassOnWait); err != nil {
+				r = SubmissionReply{}
+			}
+			return intake.PassedOn{ID: a.ID, Answer: intake.Answer(r)}
+		})
+	case intake.Halt:
+		if a.To == f.n.settings.Name {
+			halted := func([]message.Action) { f.mailbox <- intake.Halted{Job: a.Job, By: a.To, OK: true} }
+			if !f.n.offer(envelope{msg: message.Halt{Job: a.Job}, reply: halted}) {
+				f.local = append(f.local, intake.Halted{Job: a.Job, By: a.To})
+			}
+			return
+		}
+		later(func() any {
+			err := f.peers[a.To].Call("Peer.Halt", a.Job, new(bool), intake.HaltWait)
+			return intake.Halted{Job: a.Job, By: a.To, OK: err == nil}
+		})
+	case intake.Wake:
+		time.AfterFunc(time.Duration(a.At-f.n.now()), func() { f.mailbox <- intake.Tick{} })
+	}
+}
+
+func (f *frontend) get(ctx context.Context, a intake.Get) intake.Read {
+	it, err := f.n.state.Get(ctx, bookkeeping.JobKey(a.Job))
+	r := intake.Read{ID: a.ID, Outcome: outcome(err), Version: it.Version}
+	if err == nil {
+		err = protocol.Decode(it.Value, &r.Record)
+	}
+	switch {
+	case errors.Is(err, bookkeeping.ErrNotFound):
+		r.Outcome = message.OutcomeFailed
+	case err != nil && r.Outcome != message.OutcomeRefused:
+		r.Outcome = message.OutcomeUnknown
+	}
+	return r
 }
 
 // up answers health checks: 200 while this controller is a member, knows the
 // machine types, and may act. While the state service is out for all it stays
 // 200: requests get their 503 and when to come back at once, and the load
 // balancer need not find every controller healthy anew when it is over.
-func (in *intake) up(reply transport.Reply) {
-	if in.n.leaving.Load() || !in.n.acting() && !in.n.waitsOut.Load() || in.n.types.Load() == nil {
+func (f *frontend) up(reply transport.Reply) {
+	n := f.n
+	if n.leaving.Load() || !n.acting() && !n.waitsOut.Load() || !n.typesKnown.Load() {
 		reply(failure(503, "not ready"))
 		return
 	}
 	reply(&transport.Message{Status: 200})
 }
 
-func (in *intake) report(m *transport.Message, reply transport.Reply) {
+func (f *frontend) report(m *transport.Message, reply transport.Reply) {
 	r, err := protocol.ParseReport(m.Body)
 	if err != nil {
-		in.n.log.Info("report refused", "err", err)
+		f.n.log.Info("report refused", "err", err)
 		reply(failure(400, err.Error()))
 		return
 	}
-	in.n.reports.add(in.n.now(), pendingReport{r, reply})
+	f.n.reports.add(f.n.now(), pendingReport{r, reply})
 }
 
 func reportAnswer(rr message.ReplyReport) *transport.Message {
@@ -158,213 +259,60 @@
 	return failure(rr.Status, "not entitled")
 }
 
-func (in *intake) final(id protocol.JobID) (bookkeeping.JobRecord, bool) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	r, ok := in.finals[id]
-	return r, ok
-}
-
-func (in *intake) keepFinal(id protocol.JobID, r bookkeeping.JobRecord) {
-	if r.State == bookkeeping.RecordLive {
-		return
-	}
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if len(in.finals) >= maxFinals {
-		for k := range in.finals { // any one: it can be read again
-			delete(in.finals, k)
-			break
-		}
-	}
-	in.finals[id] = r
-}
-
-// read reads a job's state: from its own copy if it is final, else from the
-// state service.
-func (in *intake) read(ctx context.Context, id protocol.JobID) (bookkeeping.JobRecord, protocol.Version, error) {
-	if r, ok := in.final(id); ok {
-		return r, 0, nil
-	}
-	it, err := in.n.state.Get(ctx, bookkeeping.JobKey(id))
-	if err != nil {
-		return bookkeeping.JobRecord{}, 0, err
-	}
-	var r bookkeeping.JobRecord
-	if err := protocol.Decode(it.Value, &r); err != nil {
-		return r, 0, err
-	}
-	in.keepFinal(id, r)
-	return r, it.Version, nil
-}
-
-// status is what a user is told of a job with a record.
-func (in *intake) status(id protocol.JobID, r bookkeeping.JobRecord) protocol.JobStatus {
-	s := protocol.JobStatus{ID: id}
-	var done, running uint32
-	switch r.State {
-	case bookkeeping.RecordDone:
-		s.State, done = protocol.JobDone, r.Tasks
-	case bookkeeping.RecordCancelled:
-		s.State = protocol.JobCancelled
+// operator answers an operator's request in a goroutine of its own.
+func (f *frontend) operator(reply transport.Reply, body []byte) {
+	select {
+	case f.slots <- struct{}{}:
 	default:
-		p, _ := ask(in.n, func(c *Core) message.Progress { p, _ := c.JobProgress(id); return p })
-		return underWay(id, p)
-	}
-	s.Done, s.Running = &done, &running
-	return s
-}
-
-// underWay is what a user is told of a job that is live.
-func underWay(id protocol.JobID, p message.Progress) protocol.JobStatus {
-	s := protocol.JobStatus{ID: id, State: protocol.JobQueued, Done: &p.Done, Running: &p.Running}
-	if p.Running > 0 {
-		s.State = protocol.JobRunning
-	}
-	return s
-}
-
-// unavailable answers when the state service could not be asked.
-func (in *intake) unavailable(what string, err error) *transport.Message {
-	in.n.log.Debug(what, "err", err)
-	return failure(503, "state service can't be asked")
-}
-
-func (in *intake) poll(ctx context.Context, id protocol.JobID) *transport.Message {
-	if _, over := in.final(id); !over {
-		switch progress, err := in.live.of(ctx, id); {
-		case err == nil:
-			return success(200, underWay(id, progress))
-		case !errors.Is(err, errNotLive):
-			return in.unavailable("poll", err)
-		}
-	}
-	r, _, err := in.read(ctx, id)
-	switch {
-	case err == nil:
-		return success(200, in.status(id, r))
-	case errors.Is(err, bookkeeping.ErrNotFound):
-		return failure(404, "no such job")
+		reply(failure(503, "too many requests at once"))
+		return
 	}
-	return in.unavailable("poll", err)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), operatorBudget)
+		defer func() {
+			cancel()
+			<-f.slots
+		}()
+		reply(f.operate(ctx, body))
+	}()
 }
 
-func (in *intake) submit(ctx context.Context, body []byte) *transport.Message {
-	j, err := protocol.ParseSubmission(body)
-	if err != nil {
-		id, ok := protocol.SubmittedID(body)
-		if !ok {
-			return failure(400, err.Error())
-		}
-		return in.refuse(ctx, id, failure(400, err.Error()))
-	}
-	if _, ok := in.final(j.ID); !ok {
-		types := in.n.types.Load()
-		if types == nil {
-			return failure(503, "machine types not known yet")
-		}
-		if why := in.neverRuns(&j, *types); why != "" {
-			return in.refuse(ctx, j.ID, failure(422, why))
+// LookFor answers a question of the intake.
+func (c *Core) LookFor(l intake.Look) intake.Looked {
+	jobs := make(map[protocol.JobID]intake.LiveJob, len(l.Jobs))
+	for _, id := range l.Jobs {
+		if j := c.Live[id]; j != nil {
+			p, _ := c.JobProgress(id)
+			jobs[id] = intake.LiveJob{Version: j.Version, Progress: p}
 		}
 	}
-	j.SubmittedMS = time.Now().UnixMilli()
-	_, err = in.n.state.Txn(ctx, AcceptTxn(&j), bookkeeping.First)
-	switch {
-	case err == nil:
-		return success(201, protocol.JobStatus{ID: j.ID, State: protocol.JobQueued})
-	case errors.Is(err, bookkeeping.ErrRefused):
-		return in.unavailable("submit", err)
-	case errors.Is(err, bookkeeping.ErrMalformed):
-		in.n.log.Error("state service refuses a job's record", "job", j.ID, "err", err)
-		return failure(503, "can't be stored")
-	}
-	// It is known already, or the answer was lost: the record tells. One not
-	// there yet may still come, so that says nothing either way.
-	r, _, rerr := in.read(ctx, j.ID)
-	if rerr != nil {
-		return in.unavailable("submit", errors.Join(err, rerr))
-	}
-	return success(200, in.status(j.ID, r))
-}
-
-// AcceptTxn accepts a job: it holds only if no job with its id is known.
-func AcceptTxn(j *protocol.Job) protocol.Txn {
-	return protocol.Txn{
-		If: []protocol.Condition{{Key: bookkeeping.JobKey(j.ID)}},
-		Then: []protocol.Change{
-			{Put: bookkeeping.JobKey(j.ID), Value: bookkeeping.JobRecord{State: bookkeeping.RecordLive, Tasks: j.Tasks}},
-			{Put: bookkeeping.LiveKey(j.ID), Value: j},
-		},
-	}
+	return intake.Looked{Look: l.Look, Jobs: jobs, Acting: c.members.ActingPeers()}
 }
 
-// CancelTxn cancels a job: it holds only if the job is still as it was read.
-// Both of its records change together, always, so they have one version.
-func CancelTxn(id protocol.JobID, version protocol.Version, r bookkeeping.JobRecord) protocol.Txn {
-	r.State = bookkeeping.RecordCancelled
-	return protocol.Txn{
-		If:   []protocol.Condition{{Key: bookkeeping.JobKey(id), Version: version}, {Key: bookkeeping.LiveKey(id), Version: version}},
-		Then: []protocol.Change{{Put: bookkeeping.JobKey(id), Value: r}, {Delete: bookkeeping.LiveKey(id)}},
-	}
-}
+// Submission is a user's submission, passed on to a peer.
+type Submission struct{ Body []byte }
 
-// refuse refuses a submission, unless its id is one that was accepted.
-func (in *intake) refuse(ctx context.Context, id protocol.JobID, no *transport.Message) *transport.Message {
-	r, _, err := in.read(ctx, id)
-	switch {
-	case err == nil:
-		return success(200, in.status(id, r))
-	case errors.Is(err, bookkeeping.ErrNotFound):
-		return no
-	}
-	return in.unavailable("submit", err)
+// SubmissionReply is what the user is to be told.
+type SubmissionReply struct {
+	Status      int
+	Body        []byte
+	RetryAfterS int
 }
 
-// neverRuns says why a job can never run, or nothing.
-func (in *intake) neverRuns(j *protocol.Job, types []protocol.TypeInfo) string {
-	team, ok := in.n.settings.Team(j.Team)
-	if !ok {
-		return "unknown team"
-	}
-	l := known.LiveJob{Job: *j}
-	l.Zone = "" // the zone may offer the type another day
-	fits := false
-	for _, t := range types {
-		fits = fits || l.AllowsKind(t, "", false)
-	}
-	if !fits {
-		return "a task fits no allowed machine type"
-	}
-	n := 1.0
-	if j.Kind != protocol.KindArray {
-		n = float64(j.Tasks)
-	}
-	if team.MaxCPUs > 0 && n*j.CPUs > team.MaxCPUs+room.Slack || team.MaxGPUs > 0 && n*j.GPUs > team.MaxGPUs+room.Slack {
-		return "more than the team's limit"
-	}
-	return ""
+// Submit answers a submission that a peer could not take.
+func (s *peerService) Submit(m Submission, reply *SubmissionReply) error {
+	done := make(chan *transport.Message, 1)
+	s.node.intake.ask(intake.Asked{Operation: intake.Submit, Body: m.Body, Passed: true}, func(a *transport.Message) { done <- a })
+	a := <-done
+	*reply = SubmissionReply{Status: a.Status, Body: a.Body, RetryAfterS: a.RetryAfterS}
+	return nil
 }
 
-func (in *intake) abort(ctx context.Context, id protocol.JobID) *transport.Message {
-	for range 3 {
-		r, version, err := in.read(ctx, id)
-		switch {
-		case errors.Is(err, bookkeeping.ErrNotFound):
-			return failure(404, "no such job")
-		case err != nil:
-			return in.unavailable("abort", err)
-		case r.State != bookkeeping.RecordLive:
-			return success(200, protocol.JobStatus{ID: id, State: in.status(id, r).State})
-		}
-		r.State = bookkeeping.RecordCancelled
-		_, err = in.n.state.Txn(ctx, CancelTxn(id, version, r), bookkeeping.First)
-		switch {
-		case err == nil:
-			in.keepFinal(id, r)
-			return success(200, protocol.JobStatus{ID: id, State: protocol.JobCancelled})
-		case errors.Is(err, bookkeeping.ErrRefused):
-			return in.unavailable("abort", err)
-		}
-	}
-	return failure(503, "not settled yet")
+// Halt has nothing more of a cancelled job started here.
+func (s *peerService) Halt(id protocol.JobID, halted *bool) error {
+	done := make(chan struct{})
+	s.node.mailbox <- envelope{msg: message.Halt{Job: id}, reply: func([]message.Action) { close(done) }}
+	<-done
+	*halted = true
+	return nil
 }
--- /dev/null
+++ b/internal/coordination/intake/intake.go
@@ -0,0 +1,491 @@
+// Package intake decides what users are told: of submissions, polls and
+// cancellations. What they are told comes from the records, never from a guess. It
+// is a step function over plain state; who calls it carries the messages.
+package intake
+
+import (
+	"log/slog"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/coordination/known"
+	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/protocol"
+)
+
+const (
+	// RequestsMost bounds the requests that wait for an answer at a time.
+	RequestsMost = 256
+	// budget is how long a request may take: users wait 2 s for a poll.
+	budget = 1800 * time.Millisecond
+	// PassOnWait is how long a peer may take for a submission that is passed on.
+	PassOnWait = 700 * time.Millisecond
+	// HaltWait is how long a user waits at the most for all controllers to have
+	// heard of a cancellation. The bound on tasks of cancelled jobs rests on what
+	// controllers follow, not on this.
+	HaltWait    = 250 * time.Millisecond
+	finalsMost  = 20000
+	cancelTries = 3
+	retryAfterS = 1
+)
+
+// Intake is the state of one process between messages. It is not safe for
+// concurrent use: one actor owns it.
+type Intake struct {
+	settings *config.Settings
+	log      *slog.Logger
+	now      clock.Time
+	actions  []Action
+
+	types    []protocol.TypeInfo // nil: not known yet
+	requests map[RequestID]*request
+	looks    map[LookID]*look
+	lastLook LookID
+	polls    []*request // that wait to be compared together
+	nextLook clock.Time // no comparing before
+	wakeAt   clock.Time // as last asked for
+	finals   map[protocol.JobID]bookkeeping.JobRecord
+	halts    map[protocol.JobID]*halt
+	// unheard are the controllers that did not answer their last Halt in time: nobody
+	// waits for them before they answer one again.
+	unheard map[protocol.NodeName]bool
+}
+
+// request is one that waits for its answer.
+type request struct {
+	Asked
+	until   clock.Time
+	refusal *Answer // of a submission: unless its job is known
+	own     *Answer // of a submission that is being passed on: unless the peer answers
+	tries   int     // of a cancellation
+}
+
+// look is a question to the core, and the comparison that follows for polls.
+type look struct {
+	polls  []*request
+	jobs   map[protocol.JobID]LiveJob
+	again  bool     // the second comparison
+	one    *request // whose job is live: how far is it?
+	passOn *request // which peer acts?
+}
+
+// halt is a cancellation that controllers are being told of.
+type halt struct {
+	record bookkeeping.JobRecord
+	left   map[protocol.NodeName]bool // have not answered
+	until  clock.Time
+	waits  []*request
+}
+
+// New knows nothing but the settings.
+func New(s *config.Settings, log *slog.Logger) *Intake {
+	return &Intake{
+		settings: s, log: log, requests: map[RequestID]*request{}, looks: map[LookID]*look{},
+		finals: map[protocol.JobID]bookkeeping.JobRecord{}, halts: map[protocol.JobID]*halt{}, unheard: map[protocol.NodeName]bool{},
+	}
+}
+
+// Step handles one message at a time of the steady clock.
+func (in *Intake) Step(now clock.Time, msg any) []Action {
+	in.now, in.actions = now, nil
+	switch m := msg.(type) {
+	case Asked:
+		in.asked(m)
+	case Read:
+		in.read(m)
+	case Written:
+		in.written(m)
+	case Looked:
+		in.looked(m)
+	case Compared:
+		in.compared(m)
+	case PassedOn:
+		if r := in.requests[m.ID]; r != nil && r.own != nil {
+			if m.Answer.Status == 0 {
+				m.Answer = *r.own // it may have been accepted: a repeat finds out
+			}
+			in.answer(r, m.Answer)
+		}
+	case Halted:
+		in.halted(m)
+	case TypesRead:
+		in.types = m.Types
+	case Tick:
+		in.tick()
+	}
+	in.comparePolls()
+	return in.actions
+}
+
+// Types are the machine types, as far as known.
+func (in *Intake) Types() []protocol.TypeInfo { return in.types }
+
+func (in *Intake) do(a Action) { in.actions = append(in.actions, a) }
+
+func (in *Intake) after(d time.Duration) clock.Time { return in.now + clock.Time(d) }
+
+// Failure is an answer that says what is wrong; who may come back is told when.
+func Failure(status int, what string) Answer {
+	body, _ := protocol.Encode(protocol.ErrorBody{Error: what}) // a struct of text always encodes
+	a := Answer{Status: status, Body: body}
+	if status == 503 {
+		a.RetryAfterS = retryAfterS
+	}
+	return a
+}
+
+func success(status int, s protocol.JobStatus) Answer {
+	body, err := protocol.Encode(s)
+	if err != nil {
+		return Failure(500, "encoding failed")
+	}
+	return Answer{Status: status, Body: body}
+}
+
+// answer answers a request, once.
+func (in *Intake) answer(r *request, a Answer) {
+	if in.requests[r.ID] == r {
+		delete(in.requests, r.ID)
+		in.do(Reply{r.ID, a})
+	}
+}
+
+// unavailable answers what can't be settled now. A submission goes to a peer that
+// acts first, once: the state service may refuse this controller alone.
+func (in *Intake) unavailable(r *request, what string) {
+	in.log.Debug("request can't be answered", "operation", r.Operation, "job", r.Job, "why", what)
+	a := Failure(503, what)
+	if r.Operation != Submit || r.Passed || r.own != nil || in.now >= r.until {
+		in.answer(r, a)
+		return
+	}
+	r.own, r.until = &a, min(r.until, in.after(PassOnWait))
+	in.look(&look{passOn: r})
+}
+
+func (in *Intake) asked(m Asked) {
+	if len(in.requests) >= RequestsMost {
+		in.do(Reply{m.ID, Failure(503, "too many requests at once")})
+		return
+	}
+	r := &request{Asked: m, until: in.after(budget)}
+	if m.Passed {
+		r.until = in.after(PassOnWait)
+	}
+	in.requests[m.ID] = r
+	switch m.Operation {
+	case Submit:
+		in.submit(r)
+	case Poll:
+		if rec, ok := in.final(r.Job); ok {
+			in.tell(r, rec)
+		} else {
+			in.polls = append(in.polls, r)
+		}
+	case Cancel:
+		in.get(r)
+	}
+}
+
+func (in *Intake) submit(r *request) {
+	j, err := protocol.ParseSubmission(r.Body)
+	if err != nil {
+		id, ok := protocol.SubmittedID(r.Body)
+		if !ok {
+			in.answer(r, Failure(400, err.Error()))
+			return
+		}
+		r.Job = id
+		in.refuse(r, Failure(400, err.Error()))
+		return
+	}
+	r.Job = j.ID
+	if rec, ok := in.final(j.ID); ok {
+		in.tell(r, rec)
+		return
+	}
+	if in.types == nil {
+		in.unavailable(r, "machine types not known yet")
+		return
+	}
+	if why := in.neverRuns(&j); why != "" {
+		in.refuse(r, Failure(422, why))
+		return
+	}
+	j.SubmittedMS = r.WallMS
+	in.do(Write{r.ID, AcceptTxn(&j)})
+}
+
+// refuse refuses a submission, unless its id is one that was accepted.
+func (in *Intake) refuse(r *request, no Answer) {
+	r.refusal = &no
+	in.get(r)
+}
+
+// final is a job's record if it is known to be over.
+func (in *Intake) final(id protocol.JobID) (bookkeeping.JobRecord, bool) {
+	if h := in.halts[id]; h != nil {
+		return h.record, true
+	}
+	rec, ok := in.finals[id]
+	return rec, ok
+}
+
+func (in *Intake) keepFinal(id protocol.JobID, rec bookkeeping.JobRecord) {
+	if len(in.finals) >= finalsMost {
+		for k := range in.finals { // any one: it can be read again
+			delete(in.finals, k)
+			break
+		}
+	}
+	in.finals[id] = rec
+}
+
+// get reads a job's state: as kept here if it is final, else from the records.
+func (in *Intake) get(r *request) {
+	if rec, ok := in.final(r.Job); ok {
+		in.tell(r, rec)
+		return
+	}
+	in.do(Get{r.ID, r.Job})
+}
+
+func (in *Intake) read(m Read) {
+	r := in.requests[m.ID]
+	if r == nil {
+		return
+	}
+	switch {
+	case m.Outcome == message.OutcomeDone && m.Record.State == bookkeeping.RecordLive && r.Operation == Cancel:
+		rec := m.Record
+		rec.State = bookkeeping.RecordCancelled
+		in.do(Write{r.ID, CancelTxn(r.Job, m.Version, rec)})
+	case m.Outcome == message.OutcomeDone:
+		in.tell(r, m.Record)
+	case m.Outcome != message.OutcomeFailed:
+		in.unavailable(r, "state service can't be asked")
+	case r.refusal != nil:
+		in.answer(r, *r.refusal)
+	case r.Operation == Submit:
+		// Not there yet, but it may still come: that says nothing either way.
+		in.unavailable(r, "not settled yet")
+	default:
+		in.answer(r, Failure(404, "no such job"))
+	}
+}
+
+func (in *Intake) written(m Written) {
+	r := in.requests[m.ID]
+	switch {
+	case r == nil:
+	case m.Outcome == message.OutcomeRefused:
+		in.unavailable(r, "state service can't be asked")
+	case r.Operation == Submit && m.Outcome == message.OutcomeDone:
+		in.answer(r, success(201, protocol.JobStatus{ID: r.Job, State: protocol.JobQueued}))
+	case r.Operation == Cancel && m.Outcome == message.OutcomeDone:
+		in.tell(r, bookkeeping.JobRecord{State: bookkeeping.RecordCancelled})
+	default:
+		// It is not as it was read, known already, or the answer was lost: the record
+		// tells.
+		if r.tries++; r.tries >= cancelTries {
+			in.unavailable(r, "not settled yet")
+			return
+		}
+		in.get(r)
+	}
+}
+
+// tell answers with a job's record.
+func (in *Intake) tell(r *request, rec bookkeeping.JobRecord) {
+	switch rec.State {
+	case bookkeeping.RecordLive:
+		in.look(&look{one: r})
+	case bookkeeping.RecordCancelled:
+		in.tellCancelled(r, rec)
+	default:
+		in.keepFinal(r.Job, rec)
+		in.answer(r, in.over(r, rec))
+	}
+}
+
+// over is what users are told of a job that is over.
+func (in *Intake) over(r *request, rec bookkeeping.JobRecord) Answer {
+	s := protocol.JobStatus{ID: r.Job, State: protocol.JobCancelled}
+	done, running := uint32(0), uint32(0)
+	if rec.State == bookkeeping.RecordDone {
+		s.State, done = protocol.JobDone, rec.Tasks
+	}
+	if r.Operation != Cancel {
+		s.Done, s.Running = &done, &running
+	}
+	return success(200, s)
+}
+
+// underWay is what users are told of a job that is live.
+func underWay(id protocol.JobID, p message.Progress) Answer {
+	s := protocol.JobStatus{ID: id, State: protocol.JobQueued, Done: &p.Done, Running: &p.Running}
+	if p.Running > 0 {
+		s.State = protocol.JobRunning
+	}
+	return success(200, s)
+}
+
+// tellCancelled answers that a job is cancelled. Before the first such answer all
+// controllers are told: each follows the records, but some milliseconds late, or
+// seconds, and may start a task until then, which from the answer on none may be.
+func (in *Intake) tellCancelled(r *request, rec bookkeeping.JobRecord) {
+	if _, ok := in.finals[r.Job]; ok {
+		in.answer(r, in.over(r, rec))
+		return
+	}
+	h := in.halts[r.Job]
+	if h == nil {
+		h = &halt{record: rec, left: map[protocol.NodeName]bool{}, until: in.after(HaltWait)}
+		in.halts[r.Job] = h
+		for _, to := range in.controllers() {
+			if !in.unheard[to] {
+				h.left[to] = true
+			}
+			in.do(Halt{r.Job, to})
+		}
+	}
+	r.until = max(r.until, h.until+1)
+	h.waits = append(h.waits, r)
+	in.checkHalt(r.Job, h)
+}
+
+func (in *Intake) controllers() []protocol.NodeName {
+	all := []protocol.NodeName{in.settings.Name}
+	for _, m := range in.settings.Members {
+		all = append(all, m.Name)
+	}
+	return all
+}
+
+func (in *Intake) halted(m Halted) {
+	if m.OK {
+		delete(in.unheard, m.By)
+	} else {
+		in.unheard[m.By] = true
+	}
+	if h := in.halts[m.Job]; h != nil {
+		delete(h.left, m.By)
+		in.checkHalt(m.Job, h)
+	}
+}
+
+// checkHalt answers those who wait for a cancellation once all have heard of it, or
+// it has taken long enough.
+func (in *Intake) checkHalt(id protocol.JobID, h *halt) {
+	if len(h.left) > 0 && in.now < h.until {
+		return
+	}
+	for late := range h.left {
+		in.unheard[late] = true
+	}
+	delete(in.halts, id)
+	in.keepFinal(id, h.record)
+	for _, r := range h.waits {
+		in.answer(r, in.over(r, h.record))
+	}
+}
+
+func (in *Intake) tick() {
+	for id, h := range inorder.Of(in.halts) {
+		in.checkHalt(id, h)
+	}
+	for _, r := range inorder.Of(in.requests) {
+		if in.now >= r.until {
+			in.unavailable(r, "not settled in time")
+		}
+	}
+}
+
+// look asks the core.
+func (in *Intake) look(l *look, jobs ...protocol.JobID) {
+	in.lastLook++
+	in.looks[in.lastLook] = l
+	if l.one != nil {
+		jobs = append(jobs, l.one.Job)
+	}
+	in.do(Look{in.lastLook, jobs})
+}
+
+func (in *Intake) looked(m Looked) {
+	l := in.looks[m.Look]
+	if l == nil {
+		return
+	}
+	switch {
+	case l.one != nil:
+		delete(in.looks, m.Look)
+		in.answer(l.one, underWay(l.one.Job, m.Jobs[l.one.Job].Progress))
+	case l.passOn != nil:
+		delete(in.looks, m.Look)
+		in.passOn(l.passOn, m.Acting)
+	default:
+		l.jobs = m.Jobs
+		in.compare(m.Look, l)
+	}
+}
+
+// passOn has a peer that acts answer a submission. One hop is all, and one peer.
+func (in *Intake) passOn(r *request, acting []protocol.NodeName) {
+	for _, m := range in.settings.Members {
+		if len(acting) > 0 && m.Name == acting[0] && in.requests[r.ID] == r {
+			in.do(PassOn{r.ID, m.Name, r.Body})
+			return
+		}
+	}
+	in.answer(r, *r.own)
+}
+
+// AcceptTxn accepts a job: it holds only if no job with its id is known.
+func AcceptTxn(j *protocol.Job) protocol.Txn {
+	return protocol.Txn{
+		If: []protocol.Condition{{Key: bookkeeping.JobKey(j.ID)}},
+		Then: []protocol.Change{
+			{Put: bookkeeping.JobKey(j.ID), Value: bookkeeping.JobRecord{State: bookkeeping.RecordLive, Tasks: j.Tasks}},
+			{Put: bookkeeping.LiveKey(j.ID), Value: j},
+		},
+	}
+}
+
+// CancelTxn cancels a job: it holds only if the job is still as it was read.
+// Both of its records change together, always, so they have one version.
+func CancelTxn(id protocol.JobID, version protocol.Version, r bookkeeping.JobRecord) protocol.Txn {
+	r.State = bookkeeping.RecordCancelled
+	return protocol.Txn{
+		If:   []protocol.Condition{{Key: bookkeeping.JobKey(id), Version: version}, {Key: bookkeeping.LiveKey(id), Version: version}},
+		Then: []protocol.Change{{Put: bookkeeping.JobKey(id), Value: r}, {Delete: bookkeeping.LiveKey(id)}},
+	}
+}
+
+// neverRuns says why a job can never run, or nothing.
+func (in *Intake) neverRuns(j *protocol.Job) string {
+	team, ok := in.settings.Team(j.Team)
+	if !ok {
+		return "unknown team"
+	}
+	l := known.LiveJob{Job: *j}
+	l.Zone = "" // the zone may offer the type another day
+	fits := false
+	for _, t := range in.types {
+		fits = fits || l.AllowsKind(t, "", false)
+	}
+	if !fits {
+		return "a task fits no allowed machine type"
+	}
+	n := 1.0
+	if j.Kind != protocol.KindArray {
+		n = float64(j.Tasks)
+	}
+	if team.MaxCPUs > 0 && n*j.CPUs > team.MaxCPUs+room.Slack || team.MaxGPUs > 0 && n*j.GPUs > team.MaxGPUs+room.Slack {
+		return "more than the team's limit"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/coordination/intake/intake_test.go
@@ -0,0 +1,366 @@
+package intake
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/protocol"
+
+	"pgregory.net/rapid"
+)
+
+// shell plays the actor around an intake: what it asks for is answered by the given
+// functions, at once unless they return nil.
+type shell struct {
+	in      *Intake
+	now     clock.Time
+	answers map[RequestID]Answer
+	get     func(Get) any
+	write   func(Write) any
+	look    func(Look) any
+	compare func(Compare) any
+	passOn  func(PassOn) any
+	halt    func(Halt) any
+}
+
+func newShell(txnOps int) *shell {
+	s := &config.Settings{Name: "node-0", Members: []config.Member{{Name: "node-1"}, {Name: "node-2"}}}
+	s.Site.Count, s.Site.State = 3, config.State{RPS: 6000, WriteRPS: 2000, TxnOps: txnOps}
+	s.Site.Teams = []config.Team{{Name: "free"}, {Name: "bound", MaxCPUs: 4}}
+	return &shell{in: New(s, slog.New(slog.DiscardHandler)), now: 1, answers: map[RequestID]Answer{}}
+}
+
+// step gives the intake a message, and all that follows from it.
+func (s *shell) step(t interface{ Fatalf(string, ...any) }, msg any) {
+	for left := []any{msg}; len(left) > 0; left = left[1:] {
+		for _, a := range s.in.Step(s.now, left[0]) {
+			var next any
+			switch a := a.(type) {
+			case Reply:
+				if _, twice := s.answers[a.ID]; twice {
+					t.Fatalf("request %d is answered twice", a.ID)
+				}
+				s.answers[a.ID] = a.Answer
+			case Get:
+				next = s.get(a)
+			case Write:
+				next = s.write(a)
+			case Look:
+				next = s.look(a)
+			case Compare:
+				next = s.compare(a)
+			case PassOn:
+				next = s.passOn(a)
+			case Halt:
+				next = s.halt(a)
+			}
+			if next != nil {
+				left = append(left, next)
+			}
+		}
+	}
+}
+
+// pass lets time pass, with ticks.
+func (s *shell) pass(t interface{ Fatalf(string, ...any) }, d time.Duration) {
+	for end := s.now + clock.Time(d); s.now < end; {
+		s.now += clock.Time(10 * time.Millisecond)
+		s.step(t, Tick{})
+	}
+}
+
+func status(t interface{ Fatalf(string, ...any) }, a Answer) protocol.JobStatus {
+	var s protocol.JobStatus
+	if err := protocol.Decode(a.Body, &s); err != nil {
+		t.Fatalf("body of %d: %v", a.Status, err)
+	}
+	return s
+}
+
+// TestPollsTogether: polls that come together are answered by few requests, each by
+// one that began after it came; nobody is told that a job is live whose record
+// differs, and what can't be asked is refused.
+func TestPollsTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newShell(4)
+		records := map[protocol.JobID]protocol.Version{}
+		known := map[protocol.JobID]LiveJob{}
+		jobs := rapid.IntRange(1, 60).Draw(t, "jobs")
+		for i := range jobs {
+			id := protocol.JobID(fmt.Sprint("job-", i))
+			records[id] = protocol.Version(i + 1)
+			switch rapid.IntRange(0, 9).Draw(t, "record") {
+			case 0: // ended since
+				known[id] = LiveJob{Version: records[id]}
+				records[id] += 100
+			case 1: // its record has not arrived here
+			default:
+				known[id] = LiveJob{Version: records[id], Progress: message.Progress{Job: id, Running: uint32(i)}}
+			}
+		}
+		live := func(id protocol.JobID) bool { k, ok := known[id]; return ok && k.Version == records[id] }
+		outage, namesAll := rapid.IntRange(0, 5).Draw(t, "outage") == 0, rapid.Bool().Draw(t, "names all")
+		requests, read := 0, map[protocol.JobID]bool{}
+		s.look = func(l Look) any { return Looked{Look: l.Look, Jobs: known} }
+		s.compare = func(c Compare) any {
+			requests++
+			out := Compared{Look: c.Look, Outcome: message.OutcomeDone}
+			if len(c.Conditions) > 16 {
+				t.Fatalf("%d conditions", len(c.Conditions))
+			}
+			if outage {
+				out.Outcome = message.OutcomeRefused
+				return out
+			}
+			for id, v := range records {
+				if slices.ContainsFunc(c.Conditions, func(c protocol.Condition) bool { return c.Key == bookkeeping.JobKey(id) && c.Version != v }) && (namesAll || len(out.Differ) == 0) {
+					out.Differ, out.Outcome = append(out.Differ, bookkeeping.JobKey(id)), message.OutcomeFailed
+				}
+			}
+			return out
+		}
+		s.get = func(g Get) any {
+			read[g.Job] = true
+			r := Read{ID: g.ID, Outcome: message.OutcomeDone, Record: bookkeeping.JobRecord{State: bookkeeping.RecordDone, Tasks: 1}}
+			if live(g.Job) || known[g.Job].Version == 0 {
+				r.Record.State = bookkeeping.RecordLive
+			}
+			if outage {
+				r = Read{ID: g.ID, Outcome: message.OutcomeRefused}
+			}
+			return r
+		}
+		polls := rapid.IntRange(1, 150).Draw(t, "polls")
+		for i := range polls {
+			s.step(t, Asked{ID: RequestID(i), Operation: Poll, Job: protocol.JobID(fmt.Sprint("job-", i%jobs))})
+		}
+		s.pass(t, budget)
+		for i := range polls {
+			id := protocol.JobID(fmt.Sprint("job-", i%jobs))
+			a, ok := s.answers[RequestID(i)]
+			switch {
+			case !ok:
+				t.Fatalf("%s: no answer", id)
+			case outage && (a.Status != 503 || a.RetryAfterS == 0):
+				t.Fatalf("%s in an outage: %+v", id, a)
+			case outage:
+			case a.Status != 200:
+				t.Fatalf("%s: %+v", id, a)
+			case live(id) && (*status(t, a).Running != known[id].Progress.Running || namesAll && read[id]):
+				t.Fatalf("%s, which is live: %+v, read %v", id, status(t, a), read[id])
+			case !live(id) && !read[id]:
+				t.Fatalf("%s, which is not known to be live, is not read", id)
+			case !live(id) && known[id].Version != 0 && status(t, a).State != protocol.JobDone:
+				t.Fatalf("%s, which is over, is told to be %s", id, status(t, a).State)
+			}
+		}
+		// The first poll is answered by itself; the others come together.
+		if most := 2 * (polls/16 + 2); requests > most {
+			t.Fatalf("%d requests for %d polls", requests, polls)
+		}
+	})
+}
+
+// submission is what a user sends, with a field left out or changed.
+func submission(t *testing.T, id string, change func(map[string]any)) []byte {
+	m := map[string]any{
+		"id": id, "berth": "train", "crew": "free", "rig": "batch", "tide": "high", "hauls": 2, "cores": 1.0, "gpus": 0.0, "memory_gb": 1.0,
+		"hullcast": "img", "image_gb": 1.0, "hulls": nil, "quay": nil, "together": false, "scatter": false, "driftstock": true,
+		"passage_s": 10.0, "logmark_s": 0.0, "stow_s": 0.0, "landfall_s": nil,
+	}
+	if change != nil {
+		change(m)
+	}
+	b, err := protocol.Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+var smallType = TypesRead{Types: []protocol.TypeInfo{{Name: "small", CPUs: 4, MemoryGB: 16}}}
+
+// TestPassOn: what this controller can't take one peer that acts is asked once, and
+// its answer given back as it is; without an answer the user is told to come back,
+// never that the job was accepted.
+func TestPassOn(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		acting []protocol.NodeName
+		reply  Answer
+		silent bool
+		asked  int
+		status int
+	}{
+		{"nobody acts", nil, Answer{Status: 201}, false, 0, 503},
+		{"accepted", []protocol.NodeName{"node-1", "node-2"}, Answer{Status: 201, Body: []byte("yes")}, false, 1, 201},
+		{"refused", []protocol.NodeName{"node-1", "node-2"}, Answer{Status: 422}, false, 1, 422},
+		{"refused there, too", []protocol.NodeName{"node-1", "node-2"}, Answer{Status: 503, RetryAfterS: 2}, false, 1, 503},
+		{"no answer", []protocol.NodeName{"node-1"}, Answer{Status: 201}, true, 1, 503},
+		{"an empty answer", []protocol.NodeName{"node-1"}, Answer{}, false, 1, 503},
+		{"one not known", []protocol.NodeName{"node-9"}, Answer{Status: 201}, false, 0, 503},
+	} {
+		s := newShell(4)
+		asked := 0
+		body := submission(t, "job-000001", nil)
+		s.write = func(w Write) any { return Written{ID: w.ID, Outcome: message.OutcomeRefused} }
+		s.look = func(l Look) any { return Looked{Look: l.Look, Acting: tc.acting} }
+		s.passOn = func(p PassOn) any {
+			if asked++; p.To != "node-1" || string(p.Body) != string(body) {
+				t.Errorf("%s: asked %v", tc.name, p)
+			}
+			if tc.silent {
+				return nil
+			}
+			return PassedOn{ID: p.ID, Answer: tc.reply}
+		}
+		s.step(t, smallType)
+		s.step(t, Asked{ID: 1, Operation: Submit, Body: body})
+		s.pass(t, budget)
+		m := s.answers[1]
+		if asked != tc.asked || m.Status != tc.status {
+			t.Errorf("%s: %d asked, answer %d, want %d and %d", tc.name, asked, m.Status, tc.asked, tc.status)
+		}
+		if m.Status == 503 && m.RetryAfterS == 0 {
+			t.Errorf("%s: not said when to come back", tc.name)
+		}
+		if m.Status == 201 && string(m.Body) != string(tc.reply.Body) {
+			t.Errorf("%s: body %q", tc.name, m.Body)
+		}
+	}
+	s := newShell(4)
+	s.write = func(w Write) any { return Written{ID: w.ID, Outcome: message.OutcomeRefused} }
+	s.step(t, smallType)
+	s.step(t, Asked{ID: 1, Operation: Submit, Body: submission(t, "job-000001", nil), Passed: true}) // would fail for want of look
+	if s.answers[1].Status != 503 {
+		t.Error("passed on twice")
+	}
+}
+
+// TestToldOnceAllHaveHeard: a user is told that a job is cancelled, by whatever
+// request, only when all controllers have heard of it, or have had their time. Who
+// does not answer in time is not waited for again until it has answered once.
+func TestToldOnceAllHaveHeard(t *testing.T) {
+	for _, op := range []Operation{Submit, Poll, Cancel} {
+		s := newShell(4)
+		silent := protocol.NodeName("node-2")
+		var told []protocol.NodeName
+		s.look = func(l Look) any { return Looked{Look: l.Look} }
+		s.get = func(g Get) any {
+			return Read{ID: g.ID, Outcome: message.OutcomeDone, Record: bookkeeping.JobRecord{State: bookkeeping.RecordCancelled, Tasks: 2}}
+		}
+		s.write = func(w Write) any { return Written{ID: w.ID, Outcome: message.OutcomeFailed} }
+		s.halt = func(h Halt) any {
+			told = append(told, h.To)
+			if h.To == silent {
+				return nil
+			}
+			return Halted{Job: h.Job, By: h.To, OK: true}
+		}
+		s.step(t, smallType)
+		ask := func(id RequestID, job string) time.Duration {
+			t.Helper()
+			from := s.now
+			s.step(t, Asked{ID: id, Operation: op, Job: protocol.JobID(job), Body: submission(t, job, nil)})
+			for range 100 {
+				if _, ok := s.answers[id]; ok {
+					break
+				}
+				s.pass(t, 10*time.Millisecond)
+			}
+			if a := s.answers[id]; a.Status != 200 || status(t, a).State != protocol.JobCancelled {
+				t.Fatalf("operation %d: %+v", op, a)
+			}
+			return time.Duration(s.now - from)
+		}
+		if d := ask(1, "job-000001"); d < HaltWait {
+			t.Errorf("operation %d: told after %v, though one has not heard", op, d)
+		}
+		if slices.Sort(told); !slices.Equal(told, []protocol.NodeName{"node-0", "node-1", "node-2"}) {
+			t.Errorf("operation %d: %v are told", op, told)
+		}
+		if d := ask(2, "job-000002"); d >= HaltWait {
+			t.Errorf("operation %d: waited %v for one that does not answer", op, d)
+		}
+		silent = ""
+		ask(3, "job-000003") // it answers again
+		silent = "node-2"
+		if d := ask(4, "job-000004"); d < HaltWait {
+			t.Errorf("operation %d: one that has answered since is not waited for: %v", op, d)
+		}
+		told = nil
+		if ask(5, "job-000004"); len(told) > 0 {
+			t.Errorf("operation %d: %v are told once more", op, told)
+		}
+	}
+}
+
+// TestBadSubmissions: what lacks a field or can't run is refused, unless its job is
+// known; nothing is refused by a controller that can't tell.
+func TestBadSubmissions(t *testing.T) {
+	set := func(k string, v any) func(map[string]any) { return func(m map[string]any) { m[k] = v } }
+	cases := map[string]struct {
+		body   []byte
+		status int
+	}{
+		"not CBOR":              {[]byte{0xff, 1}, 400},
+		"empty":                 {nil, 400},
+		"no id":                 {submission(t, "", nil), 400},
+		"unknown team":          {submission(t, "job-000001", set("crew", "nobody")), 422},
+		"fits no machine":       {submission(t, "job-000001", set("cores", 5.0)), 422},
+		"of no type":            {submission(t, "job-000001", set("hulls", []string{"huge"})), 422},
+		"beyond the team's":     {submission(t, "job-000001", func(m map[string]any) { m["crew"], m["rig"], m["hauls"], m["cores"] = "bound", "gang", 3, 2.0 }), 422},
+		"an array in the limit": {submission(t, "job-000001", func(m map[string]any) { m["crew"], m["hauls"], m["cores"] = "bound", 3, 2.0 }), 201},
+	}
+	for _, field := range []string{"berth", "crew", "rig", "tide", "hauls", "cores", "gpus", "memory_gb", "hullcast", "image_gb", "together", "scatter", "driftstock", "passage_s", "logmark_s", "stow_s"} {
+		cases["without "+field] = struct {
+			body   []byte
+			status int
+		}{submission(t, "job-000001", func(m map[string]any) { delete(m, field) }), 400}
+	}
+	for name, tc := range cases {
+		for _, known := range []bool{false, true} {
+			for _, outage := range []bool{false, true} {
+				s := newShell(4)
+				s.step(t, smallType)
+				s.look = func(l Look) any { return Looked{Look: l.Look} }
+				s.get = func(g Get) any {
+					r := Read{ID: g.ID, Outcome: message.OutcomeFailed}
+					switch {
+					case outage:
+						r.Outcome = message.OutcomeRefused
+					case known:
+						r = Read{ID: g.ID, Outcome: message.OutcomeDone, Record: bookkeeping.JobRecord{State: bookkeeping.RecordLive, Tasks: 2}}
+					}
+					return r
+				}
+				s.write = func(w Write) any {
+					out := message.OutcomeDone
+					if outage {
+						out = message.OutcomeRefused
+					} else if known {
+						out = message.OutcomeFailed
+					}
+					return Written{ID: w.ID, Outcome: out}
+				}
+				s.step(t, Asked{ID: 1, Operation: Submit, Body: tc.body})
+				want := tc.status
+				if _, named := protocol.SubmittedID(tc.body); named && outage {
+					want = 503
+				} else if named && known {
+					want = 200
+				}
+				if got := s.answers[1].Status; got != want {
+					t.Errorf("%s, known %v, outage %v: %d, want %d", name, known, outage, got, want)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/intake/main_test.go
@@ -0,0 +1,10 @@
+package intake
+
+import (
+	"os"
+	"testing"
+
+	"damsonkeel/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m)) }
--- /dev/null
+++ b/internal/coordination/intake/message.go
@@ -0,0 +1,136 @@
+package intake
+
+import (
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/protocol"
+)
+
+// RequestID numbers the requests that one process has been asked.
+type RequestID uint64
+
+// LookID numbers the questions to the core.
+type LookID uint64
+
+// Operation is what a user asks for.
+type Operation uint8
+
+// The operations.
+const (
+	Submit Operation = iota + 1
+	Poll
+	Cancel
+)
+
+// Messages to the step function.
+type (
+	// Asked is a user's request.
+	Asked struct {
+		ID        RequestID
+		Operation Operation
+		Job       protocol.JobID // of polls and cancellations
+		Body      []byte         // of submissions
+		Passed    bool           // by a peer: not passed on once more
+		WallMS    int64          // the time of day
+	}
+	// Read answers a Get.
+	Read struct {
+		ID      RequestID
+		Outcome message.Outcome // failed: there is no such record
+		Record  bookkeeping.JobRecord
+		Version protocol.Version
+	}
+	// Written answers a Write.
+	Written struct {
+		ID      RequestID
+		Outcome message.Outcome
+	}
+	// Looked answers a Look.
+	Looked struct {
+		Look   LookID
+		Jobs   map[protocol.JobID]LiveJob // those asked for that are live, as followed
+		Acting []protocol.NodeName        // peers known to act
+	}
+	// Compared answers a Compare: done if nothing differs, failed if something does.
+	Compared struct {
+		Look    LookID
+		Outcome message.Outcome
+		Differ  []string // keys that are named as different
+	}
+	// PassedOn answers a PassOn; no status: the peer did not answer.
+	PassedOn struct {
+		ID     RequestID
+		Answer Answer
+	}
+	// Halted answers a Halt.
+	Halted struct {
+		Job protocol.JobID
+		By  protocol.NodeName
+		OK  bool
+	}
+	// TypesRead brings the machine types.
+	TypesRead struct{ Types []protocol.TypeInfo }
+	// Tick lets time pass.
+	Tick struct{}
+)
+
+// LiveJob is a live job as this controller's core knows it.
+type LiveJob struct {
+	Version  protocol.Version
+	Progress message.Progress
+}
+
+// Answer is what a user is told.
+type Answer struct {
+	Status      int
+	Body        []byte
+	RetryAfterS int
+}
+
+// Action is something the step function asks for.
+type Action any
+
+// The actions. Each but Reply and Wake is answered by one message, at some time or
+// never: a request that waits longer than its budget is answered without.
+type (
+	// Reply answers a request.
+	Reply struct {
+		ID     RequestID
+		Answer Answer
+	}
+	// Get reads a job's record.
+	Get struct {
+		ID  RequestID
+		Job protocol.JobID
+	}
+	// Write executes a transaction.
+	Write struct {
+		ID  RequestID
+		Txn protocol.Txn
+	}
+	// Look asks this controller's core what it knows of jobs, and who acts.
+	Look struct {
+		Look LookID
+		Jobs []protocol.JobID
+	}
+	// Compare is a transaction that only compares.
+	Compare struct {
+		Look       LookID
+		Conditions []protocol.Condition
+	}
+	// PassOn has a peer answer a submission.
+	PassOn struct {
+		ID   RequestID
+		To   protocol.NodeName
+		Body []byte
+	}
+	// Halt tells a controller, this one or a peer, that a job is cancelled: it starts
+	// no task of it any more, though it may not have followed that yet.
+	Halt struct {
+		Job protocol.JobID
+		To  protocol.NodeName
+	}
+	// Wake asks for a Tick at a time.
+	Wake struct{ At clock.Time }
+)
--- /dev/null
+++ b/internal/coordination/intake/polls.go
@@ -0,0 +1,105 @@
+package intake
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/protocol"
+)
+
+// livePart is the part of a controller's requests to the state service that polls
+// of live jobs may take.
+const livePart = 0.25
+
+// comparePolls finds out for the polls that wait whether their jobs are still live,
+// many in one request: a transaction that only compares the versions of their
+// records with those followed here. It begins after all polls that it answers
+// have come, so it is as new as a read for each of them would be. Users of
+// hundreds of jobs poll more often than the state service takes requests:
+// docs/incidents/2026-12-01-small-jobs-use-up-a-controller.md.
+func (in *Intake) comparePolls() {
+	if len(in.polls) == 0 {
+		return
+	}
+	if in.now < in.nextLook {
+		in.wake()
+		return
+	}
+	site := &in.settings.Site
+	share := bookkeeping.EqualShare(site.State.RPS, site.State.WriteRPS, site.Count)
+	in.nextLook = in.after(time.Duration(float64(time.Second) / max(1, livePart*share.Requests)))
+	n := min(len(in.polls), max(1, 4*site.State.TxnOps))
+	l := &look{polls: slices.Clone(in.polls[:n])}
+	in.polls = slices.Delete(in.polls, 0, n)
+	var jobs []protocol.JobID
+	for _, r := range l.polls {
+		jobs = append(jobs, r.Job)
+	}
+	in.look(l, jobs...)
+	if len(in.polls) > 0 {
+		in.wake()
+	}
+}
+
+// wake asks once to be called when polls may be compared again.
+func (in *Intake) wake() {
+	if in.wakeAt != in.nextLook {
+		in.wakeAt = in.nextLook
+		in.do(Wake{in.nextLook})
+	}
+}
+
+// compare holds the versions of the jobs of a look against the records. What is not
+// known to be live only its own record can tell.
+func (in *Intake) compare(id LookID, l *look) {
+	var conditions []protocol.Condition
+	l.polls = slices.DeleteFunc(l.polls, func(r *request) bool {
+		j, live := l.jobs[r.Job]
+		switch {
+		case in.requests[r.ID] != r: // answered since
+		case !live:
+			in.get(r)
+		default:
+			conditions = append(conditions, protocol.Condition{Key: bookkeeping.JobKey(r.Job), Version: j.Version})
+			return false
+		}
+		return true
+	})
+	if len(conditions) == 0 {
+		delete(in.looks, id)
+		return
+	}
+	slices.SortFunc(conditions, func(a, b protocol.Condition) int { return cmp.Compare(a.Key, b.Key) })
+	in.do(Compare{id, slices.Compact(conditions)}) // some may be asked for twice
+}
+
+// compared answers polls. Where some records differ, those that are not named as
+// such are compared once more.
+func (in *Intake) compared(m Compared) {
+	l := in.looks[m.Look]
+	if l == nil {
+		return
+	}
+	if m.Outcome == message.OutcomeFailed {
+		all := l.again || len(m.Differ) == 0
+		for _, r := range l.polls {
+			if all || slices.Contains(m.Differ, bookkeeping.JobKey(r.Job)) {
+				delete(l.jobs, r.Job)
+			}
+		}
+		l.again = true
+		in.compare(m.Look, l)
+		return
+	}
+	delete(in.looks, m.Look)
+	for _, r := range l.polls {
+		if m.Outcome == message.OutcomeDone {
+			in.answer(r, underWay(r.Job, l.jobs[r.Job].Progress))
+		} else {
+			in.unavailable(r, "state service can't be asked")
+		}
+	}
+}
--- a/internal/coordination/keeping/keeper.go
+++ b/internal/coordination/keeping/keeper.go
@@ -193,10 +193,14 @@
 // Attempt is one attempt that is kept, as it can be seen from outside.
 type Attempt struct {
 	message.TaskRef
-	Sent    bool // it may be on the machine
-	Present bool // the worker has reported it
-	Ended   bool
-	Kill    bool
+	Sent     bool // it may be on the machine
+	Present  bool // the worker has reported it
+	Ended    bool
+	Kill     bool
+	Reap     bool
+	Direct   protocol.Term // of a start that may be under way
+	Again    bool
+	InAnswer bool
 }
 
 // Attempts lists what is kept of a machine.
@@ -208,7 +212,7 @@
 	for _, e := range inorder.Tasks(q.entries) {
 		list = append(list, Attempt{
 			TaskRef: message.TaskRef{Task: e.task, Attempt: e.attempt, Machine: id},
-			Sent:    e.sent, Present: e.present, Ended: e.ended(), Kill: e.kill,
+			Sent:    e.sent, Present: e.present, Ended: e.ended(), Kill: e.kill, Reap: e.reap, Direct: e.direct, Again: e.again, InAnswer: e.inAnswer,
 		})
 	}
 	return list
--- a/internal/coordination/keeping/orders.go
+++ b/internal/coordination/keeping/orders.go
@@ -35,7 +35,7 @@
 			// answer to the second would settle it while the first may be executed
 			// still; noted with the first one's, it would be taken for settled by a
 			// worker that has seen the second's from elsewhere.
-			if e.sent && e.direct != 0 && live && !e.kill && (!direct || k.token(q) > e.direct) {
+			if e.sent && e.direct != 0 && k.MayStart(e.task.Job) && !e.kill && (!direct || k.token(q) > e.direct) {
 				start(e)
 			}
 		case e.ended() && (e.reap || !live):
@@ -75,8 +75,8 @@
 	for i := 0; i < len(q.waiting); {
 		e := q.waiting[i]
 		j := k.Live[e.task.Job]
-		if j == nil {
-			break // its record has not arrived yet
+		if j == nil || !k.MayStart(e.task.Job) {
+			break // its record has not arrived yet, or that of its end
 		}
 		e.need = room.Need(&j.Job)
 		later, reserved := k.mayStartOn(q, e, j, free)
--- a/internal/coordination/known/known.go
+++ b/internal/coordination/known/known.go
@@ -42,6 +42,7 @@
 
 	Live    map[protocol.JobID]*LiveJob
 	over    map[protocol.JobID]clock.Time // seen to end, and when
+	halted  map[protocol.JobID]clock.Time // cancelled, and since when that is known
 	Records map[protocol.MachineID]*Machine
 	Pledged *Pledges
 }
@@ -60,6 +61,7 @@
 	k.Shares, k.SharesVersion = nil, 0
 	k.Keepers = map[protocol.MachineID]protocol.NodeName{}
 	k.Live, k.over = map[protocol.JobID]*LiveJob{}, map[protocol.JobID]clock.Time{}
+	k.halted = map[protocol.JobID]clock.Time{}
 	k.Records = map[protocol.MachineID]*Machine{}
 	k.Pledged = k.Pledged.anew()
 }
@@ -93,6 +95,7 @@
 // under way.
 func (k *Known) NoteOver(id protocol.JobID) {
 	k.over[id] = k.Now
+	delete(k.halted, id)
 	if len(k.over) <= 4096 {
 		return
 	}
@@ -110,6 +113,32 @@
 	return over && k.Live[id] == nil
 }
 
+// haltedFor is for how long a halted job is remembered: far longer than a controller
+// may act without having followed its end.
+const haltedFor = time.Minute
+
+// Halt has no task of a job started any more: its user is about to be told that it is
+// cancelled, which is in the records, but may not have been followed yet. All the
+// rest of its end waits for that, so that it happens here in the order of the records.
+func (k *Known) Halt(id protocol.JobID) {
+	if _, over := k.over[id]; over && k.Live[id] == nil {
+		return
+	}
+	k.halted[id] = k.Now
+	for old, at := range k.halted {
+		if k.Since(at) > haltedFor {
+			delete(k.halted, old)
+		}
+	}
+}
+
+// MayStart reports whether tasks of a job may be started: it is live, and not known to
+// be cancelled.
+func (k *Known) MayStart(id protocol.JobID) bool {
+	_, halted := k.halted[id]
+	return k.Live[id] != nil && !halted
+}
+
 // Limited reports whether anything bounds a team's use.
 func (k *Known) Limited(name protocol.Team) bool {
 	t, ok := k.Settings.Team(name)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -11,6 +11,7 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/intake"
 	"damsonkeel/internal/coordination/keeping"
 	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/message"
@@ -53,8 +54,8 @@
 	waitsOut    atomic.Bool // a member that may not act does best to wait: see Members.WaitsOut
 	leaving     atomic.Bool // told to end
 	left        chan struct{}
-	types       atomic.Pointer[[]protocol.TypeInfo]
-	intake      *intake
+	typesKnown  atomic.Bool
+	intake      *frontend
 }
 
 // envelope is a message to the core, or a question about it.
@@ -84,7 +85,7 @@
 	_, commands := sockets(s.Site.Limits.MaxConns)
 	n.workers = newWorkerClients(commands)
 	n.commands = make(chan struct{}, commands)
-	n.intake = newIntake(n)
+	n.intake = newFrontend(n)
 	return n
 }
 
@@ -103,7 +104,7 @@
 	go n.ticks(ctx)
 	go n.readCatalogue(ctx)
 	go n.sessions(ctx)
-	go n.intake.live.run(ctx)
+	go n.intake.run(ctx)
 	go n.serve(ctx)
 	select {
 	case <-n.left:
@@ -207,7 +208,8 @@
 			n.log.Info("catalogue can't be read", "err", err)
 			wait = catalogueWait
 		} else {
-			n.types.Store(&cat.Types)
+			n.typesKnown.Store(true)
+			n.intake.mailbox <- intake.TypesRead{Types: cat.Types}
 			n.post(message.CatalogueRead{Types: cat.Types})
 		}
 		sleep(ctx, wait)
--- a/internal/coordination/operate.go
+++ b/internal/coordination/operate.go
@@ -279,35 +279,36 @@
 
 // operate answers an operator's request. A change is tried again while others
 // change the calendar, or while it is not known what became of it: its id tells.
-func (in *intake) operate(ctx context.Context, body []byte) *transport.Message {
-	keys, err := operators.ReadKeys(in.n.op.OperatorKeys) // anew each time: keys are changed without a restart
+func (f *frontend) operate(ctx context.Context, body []byte) *transport.Message {
+	keys, err := operators.ReadKeys(f.n.op.OperatorKeys) // anew each time: keys are changed without a restart
 	if err != nil {
-		in.n.log.Error("operators' keys can't be read", "err", err)
+		f.n.log.Error("operators' keys can't be read", "err", err)
 		return failure(503, "operators' keys can't be read")
 	}
-	r, by, err := operators.Open(body, keys, time.Now(), in.n.settings.Site.ClockError())
+	r, by, err := operators.Open(body, keys, time.Now(), f.n.settings.Site.ClockError())
 	if err != nil {
-		in.n.log.Info("operator's request refused", "err", err)
+		f.n.log.Info("operator's request refused", "err", err)
 		return success(403, operators.Reply{Code: operators.Denied, Reason: operators.ErrSeal.Error()})
 	}
 	for ctx.Err() == nil {
-		d, ok := ask(in.n, func(c *Core) decision { return c.decide(by, &r) })
+		d, ok := ask(f.n, func(c *Core) decision { return c.decide(by, &r) })
 		if !ok {
 			break
 		}
 		if d.txn == nil {
 			return operatorAnswer(d.reply)
 		}
-		_, err := in.n.state.Txn(ctx, *d.txn, bookkeeping.First)
+		_, err := f.n.state.Txn(ctx, *d.txn, bookkeeping.First)
 		switch {
 		case err == nil:
-			in.n.log.Info("operator's change", "by", by, "op", r.Op, "window", r.Window, "name", r.Name, "controller", r.Controller, "id", r.ID)
+			f.n.log.Info("operator's change", "by", by, "op", r.Op, "window", r.Window, "name", r.Name, "controller", r.Controller, "id", r.ID)
 			return operatorAnswer(d.reply)
 		case errors.Is(err, bookkeeping.ErrMalformed):
-			in.n.log.Error("state service refuses a record of the calendar", "err", err)
+			f.n.log.Error("state service refuses a record of the calendar", "err", err)
 			return operatorAnswer(operators.Reply{Code: operators.Refused, Reason: "too large to be stored"})
 		case errors.Is(err, bookkeeping.ErrRefused):
-			return in.unavailable("operator", err)
+			f.n.log.Debug("operator", "err", err)
+			return failure(503, "state service can't be asked")
 		}
 		sleep(ctx, 100*time.Millisecond) // until what is followed has caught up
 	}
@@ -318,7 +319,7 @@
 	status := map[operators.Code]int{operators.Done: 200, operators.Refused: 409, operators.NotFound: 404, operators.Later: 503}[r.Code]
 	m := success(status, r)
 	if status == 503 {
-		m.RetryAfterS = retryAfterS
+		m.RetryAfterS = 1
 	}
 	return m
 }
--- /dev/null
+++ b/internal/coordination/passedby_test.go
@@ -0,0 +1,27 @@
+package coordination
+
+import (
+	"testing"
+
+	"damsonkeel/internal/coordination/message"
+)
+
+// TestPassedBy: a controller left out of the view learns from its peers'
+// answers that they act: it is refused alone, and does not call itself healthy.
+func TestPassedBy(t *testing.T) {
+	b := newBench(t, "node-1")
+	old := message.Batch{From: "node-1", FromSession: 101, ToSession: 100, Term: 1}
+	b.view(2, "node-0")
+	passed := false
+	for _, a := range b.step(message.Received{Batch: old}) {
+		passed = passed || a == message.ReplyBatch{Reply: message.BatchPassed}
+	}
+	if !passed {
+		t.Error("a controller that was left out is not told that others act")
+	}
+	out := newBench(t, "node-1")
+	out.step(message.PeerActs{Peer: "node-1"})
+	if !out.c.members.OthersAct() {
+		t.Error("not refused alone, though a peer acts")
+	}
+}
--- /dev/null
+++ b/internal/emulator/frontends_test.go
@@ -0,0 +1,178 @@
+package emulator
+
+import (
+	"slices"
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/intake"
+	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/protocol"
+)
+
+// frontend plays the actor around a controller's intake, as coordination.Node does.
+type frontend struct {
+	u       *users
+	n       *simNode
+	life    int // of the process that it belongs to
+	in      *intake.Intake
+	lastID  intake.RequestID
+	replies map[intake.RequestID]func(intake.Answer)
+}
+
+// begin makes the intake of a process that has begun, and says whether one is there.
+func (f *frontend) begin() bool {
+	w := f.u.world
+	if f.n.core == nil {
+		return false
+	}
+	if f.in != nil && f.life == f.n.life {
+		return true
+	}
+	s := *w.settings
+	s.Name, s.Members = f.n.name, nil
+	for _, p := range w.nodes {
+		if p != f.n {
+			s.Members = append(s.Members, configMember(p))
+		}
+	}
+	f.life, f.in, f.replies = f.n.life, intake.New(&s, quiet), map[intake.RequestID]func(intake.Answer){}
+	if w.now > 0 { // some time passes before it knows the machine types
+		w.alive(f.n, time.Duration(w.rng.IntN(1500))*time.Millisecond, func() { f.step(intake.TypesRead{Types: w.types}) })
+	} else {
+		f.step(intake.TypesRead{Types: w.types})
+	}
+	return true
+}
+
+// ask gives the process a request; nobody answers if there is none.
+func (f *frontend) ask(a intake.Asked, reply func(intake.Answer)) {
+	if !f.begin() {
+		return
+	}
+	f.lastID++
+	a.ID, a.WallMS = f.lastID, f.u.wallMS()
+	f.replies[a.ID] = reply
+	f.step(a)
+}
+
+// step has the process handle a message, when it goes on if it stands still.
+func (f *frontend) step(msg any) {
+	w := f.u.world
+	if !f.begin() {
+		return
+	}
+	if w.now < f.n.frozen {
+		w.alive(f.n, f.n.frozen-w.now, func() { f.step(msg) })
+		return
+	}
+	for _, a := range f.in.Step(w.clock(f.n), msg) {
+		f.carryOut(a)
+	}
+}
+
+// later gives the process a message after a while, unless it has ended by then.
+func (f *frontend) later(d time.Duration, msg any) {
+	f.u.alive(f.n, d, func() { f.step(msg) })
+}
+
+func (f *frontend) carryOut(a intake.Action) {
+	w := f.u.world
+	switch a := a.(type) {
+	case intake.Reply:
+		reply := f.replies[a.ID]
+		delete(f.replies, a.ID)
+		f.u.sent(a.Answer)
+		w.after(w.delay(), func() { reply(a.Answer) })
+	case intake.Get:
+		f.read(func() any {
+			it, ok := w.state.Get(bookkeeping.JobKey(a.Job))
+			r := intake.Read{ID: a.ID, Outcome: message.OutcomeFailed, Version: it.Version}
+			if ok {
+				r.Outcome = message.OutcomeDone
+				if err := protocol.Decode(it.Value, &r.Record); err != nil {
+					w.fail("%v", err)
+				}
+			}
+			return r
+		}, func(out message.Outcome) any { return intake.Read{ID: a.ID, Outcome: out} })
+	case intake.Compare:
+		f.read(func() any {
+			c := intake.Compared{Look: a.Look, Outcome: message.OutcomeDone}
+			for _, cond := range a.Conditions {
+				if it, _ := w.state.Get(cond.Key); it.Version != cond.Version {
+					c.Outcome, c.Differ = message.OutcomeFailed, append(c.Differ, cond.Key)
+				}
+			}
+			return c
+		}, func(out message.Outcome) any { return intake.Compared{Look: a.Look, Outcome: out} })
+	case intake.Write:
+		w.transact(f.n, a.Txn, func(out message.Outcome, _ protocol.Revision) { f.step(intake.Written{ID: a.ID, Outcome: out}) })
+	case intake.Look:
+		f.step(f.n.core.LookFor(a))
+	case intake.PassOn:
+		p := f.u.front(a.To)
+		w.carry(string(f.n.name), string(a.To), func() {
+			p.ask(intake.Asked{Operation: intake.Submit, Body: a.Body, Passed: true}, func(answer intake.Answer) {
+				w.carry(string(a.To), string(f.n.name), func() { f.later(0, intake.PassedOn{ID: a.ID, Answer: answer}) })
+			})
+		})
+	case intake.Halt:
+		f.u.halt(f, a)
+	case intake.Wake:
+		f.later(time.Duration(a.At-w.clock(f.n)), intake.Tick{})
+	}
+}
+
+// read asks the state service something that changes nothing.
+func (f *frontend) read(answer func() any, without func(message.Outcome) any) {
+	w := f.u.world
+	switch {
+	case w.outage <= w.now && !w.stateReachable(f.n) && w.cuts[string(f.n.name)+">state"].hold:
+		f.later(1500*time.Millisecond, without(message.OutcomeUnknown))
+	case !w.stateReachable(f.n):
+		f.later(w.delay(), without(message.OutcomeRefused))
+	default:
+		w.alive(f.n, w.delay()+w.slow/2, func() {
+			got := answer()
+			if w.rng.IntN(30) == 0 {
+				f.later(1500*time.Millisecond, without(message.OutcomeUnknown))
+				return
+			}
+			f.later(w.delay()+w.slow/2, got)
+		})
+	}
+}
+
+// halt tells a controller's core that a job is cancelled.
+func (u *users) halt(f *frontend, a intake.Halt) {
+	w := u.world
+	if u.unheard {
+		f.later(0, intake.Halted{Job: a.Job, By: a.To, OK: true})
+		return
+	}
+	to := u.front(a.To).n
+	heard := func() {
+		life := to.life
+		if to.core == nil {
+			return
+		}
+		w.after(max(0, to.frozen-w.now), func() {
+			if to.life != life {
+				return
+			}
+			w.stepNode(to, message.Halt{Job: a.Job})
+			w.carry(string(a.To), string(f.n.name), func() { f.later(0, intake.Halted{Job: a.Job, By: a.To, OK: true}) })
+		})
+	}
+	if to == f.n {
+		w.stepNode(to, message.Halt{Job: a.Job})
+		f.later(0, intake.Halted{Job: a.Job, By: a.To, OK: true})
+		return
+	}
+	w.carry(string(f.n.name), string(a.To), heard)
+}
+
+func (u *users) front(name protocol.NodeName) *frontend {
+	return u.fronts[slices.IndexFunc(u.fronts, func(f *frontend) bool { return f.n.name == name })]
+}
--- a/internal/emulator/machines.go
+++ b/internal/emulator/machines.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
@@ -18,6 +19,8 @@
 	// hung and deaf are until when it stands still, and until when it reports but gets
 	// neither answers nor commands.
 	hung, deaf time.Duration
+	// mute is until when it reaches no controller, while commands reach it.
+	mute time.Duration
 }
 
 func (w *world) boot(id protocol.MachineID, r protocol.RentRequest) {
@@ -87,9 +90,17 @@
 		sw.nextAt = sw.hung + w.delay()
 		return
 	}
+	if w.now < sw.mute {
+		sw.target = (sw.target + 1) % len(w.nodes)
+		sw.nextAt = w.now + time.Second
+		return
+	}
 	sw.waiting = true
 	w.tickWorker(sw)
 	sent, r := w.now, sw.Report()
+	if w.forNext && len(w.keptReports) < keptReportsMost {
+		w.keptReports = append(w.keptReports, r)
+	}
 	n := w.nodes[sw.target]
 	over := false
 	next := func(d time.Duration) {
@@ -121,9 +132,10 @@
 			if !ok {
 				continue
 			}
+			w.ordered(n, rr.Reply.Orders)
 			var answer func()
 			answer = func() {
-				if over || w.now < sw.deaf {
+				if over || w.now < sw.deaf || w.now < sw.mute {
 					return
 				}
 				if w.now < sw.hung {
@@ -155,6 +167,25 @@
 	})
 }
 
+// keptReportsMost bounds the reports that are kept for a new view.
+const keptReportsMost = 200
+
+// deliverKept has the reports that were kept reach every controller within half a
+// second, once a new view is there.
+func (w *world) deliverKept() {
+	it, _ := w.state.Get(bookkeeping.ViewKey)
+	if it.Version == w.viewAt {
+		return
+	}
+	w.viewAt = it.Version
+	for _, r := range w.keptReports {
+		for _, n := range w.nodes {
+			w.after(time.Duration(w.rng.IntN(500))*time.Millisecond, func() { w.stepNode(n, message.Reported{Report: r}) })
+		}
+	}
+	w.keptReports = nil
+}
+
 // gangs lets the tasks of gangs find one another, and notice who is gone.
 func (w *world) gangs() {
 	for _, id := range w.jobOrder {
--- a/internal/emulator/nodes.go
+++ b/internal/emulator/nodes.go
@@ -166,6 +166,7 @@
 			ok := w.stateReachable(n)
 			w.later(n, message.JobLoaded{Job: a.Job, Chunks: w.state.List(bookkeeping.BitsPrefix(a.Job)), OK: ok})
 		case message.Command:
+			w.ordered(n, a.Commands.Orders)
 			w.command(n, a)
 		case message.Rent:
 			if w.silent > w.now {
@@ -215,57 +216,66 @@
 	}
 }
 
-// commit applies a transaction; behind a cut it may be applied late, with no
-// answer.
+// commit applies a core's transaction.
 func (w *world) commit(n *simNode, a message.Commit) {
 	w.checkSize(a)
+	w.transact(n, a.Txn, func(out message.Outcome, at protocol.Revision) {
+		w.stepNode(n, message.TxnDone{Tag: a.Tag, Outcome: out, Revision: at})
+	})
+}
+
+// transact applies a transaction of a process, which is told of the outcome unless it
+// has ended; behind a cut it may be applied late, with no answer.
+func (w *world) transact(n *simNode, txn protocol.Txn, done func(message.Outcome, protocol.Revision)) {
 	if !w.stateReachable(n) {
 		c := w.cuts[string(n.name)+">state"]
 		if c.hold && w.outage <= w.now {
-			w.after(c.until-w.now+w.delay(), func() { w.state.Txn(a.Txn) })
-			w.unanswered(n, a)
+			w.after(c.until-w.now+w.delay(), func() { w.state.Txn(txn) })
+			w.unanswered(n, done)
 			return
 		}
-		w.later(n, message.TxnDone{Tag: a.Tag, Outcome: message.OutcomeRefused})
+		w.alive(n, w.delay(), func() { done(message.OutcomeRefused, 0) })
 		return
 	}
 	if w.lateWrites > 0 && w.rng.Float64() < w.lateWrites {
-		w.after(2*time.Second+time.Duration(w.rng.IntN(10_000))*time.Millisecond, func() { w.state.Txn(a.Txn) })
-		w.unanswered(n, a)
+		w.after(2*time.Second+time.Duration(w.rng.IntN(10_000))*time.Millisecond, func() { w.state.Txn(txn) })
+		w.unanswered(n, done)
 		return
 	}
 	if w.slow > 0 {
-		w.after(w.slow/2, func() { w.execute(n, a) })
+		w.after(w.slow/2, func() { w.execute(n, txn, done) })
 		return
 	}
-	w.execute(n, a)
+	w.execute(n, txn, done)
 }
 
-// unanswered has a controller give a transaction up.
-func (w *world) unanswered(n *simNode, a message.Commit) {
+// alive does something later, unless a process has ended by then.
+func (w *world) alive(n *simNode, d time.Duration, do func()) {
 	life := n.life
-	w.after(1500*time.Millisecond, func() {
+	w.after(d, func() {
 		if n.life == life {
-			w.stepNode(n, message.TxnDone{Tag: a.Tag, Outcome: message.OutcomeUnknown})
+			do()
 		}
 	})
 }
 
-func (w *world) execute(n *simNode, a message.Commit) {
+// unanswered has a process give a transaction up.
+func (w *world) unanswered(n *simNode, done func(message.Outcome, protocol.Revision)) {
+	w.alive(n, 1500*time.Millisecond, func() { done(message.OutcomeUnknown, 0) })
+}
+
+func (w *world) execute(n *simNode, txn protocol.Txn, done func(message.Outcome, protocol.Revision)) {
 	out := message.OutcomeFailed
-	if w.state.Txn(a.Txn) {
+	if w.state.Txn(txn) {
 		out = message.OutcomeDone
 		w.followSoon()
 	}
 	at := w.state.Revision
-	if w.rng.IntN(20) == 0 {
+	if w.rng.IntN(20) == 0 || w.lostAnswers > 0 && w.rng.Float64() < w.lostAnswers {
 		out = message.OutcomeUnknown // the answer is lost
 	}
-	life := n.life
-	w.after(w.slow/2, func() {
-		if n.life == life {
-			w.later(n, message.TxnDone{Tag: a.Tag, Outcome: out, Revision: at})
-		}
+	w.alive(n, w.slow/2, func() {
+		w.alive(n, w.delay(), func() { done(out, at) })
 	})
 }
 
--- /dev/null
+++ b/internal/emulator/userdays_test.go
@@ -0,0 +1,224 @@
+package emulator
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/standin"
+)
+
+// userDay is a generated day on which users do all that is asked of controllers.
+type userDay struct {
+	machines int
+	lasts    time.Duration
+	job      func(*world) protocol.Job
+	every    time.Duration // between submissions
+	cancels  float64       // share of the jobs that are cancelled at a random moment
+	teams    []config.Team
+	prepare  func(*users)
+	trouble  func(*users)  // at each step of a second to six
+	after    time.Duration // that troubles which have begun take to come about
+	fail     func(string, ...any)
+	waits    bool // jobs may be left waiting longer: there is more work than room
+}
+
+// leftWaiting is how long a job may wait, once all is well, beside a machine that fits.
+const leftWaiting = 90 * time.Second
+
+func (d userDay) play(t *testing.T, seed int) *users {
+	fail := d.fail
+	if fail == nil {
+		fail = t.Fatalf
+	}
+	settings := standin.Settings()
+	if d.teams != nil {
+		settings.Site.Teams = d.teams
+	}
+	w := newWorld(fail, uint64(seed), settings, d.machines, d.machines)
+	w.exact = true // controllers are asked within milliseconds
+	u := w.withUsers()
+	if d.prepare != nil {
+		d.prepare(u)
+	}
+	w.run(3 * time.Second)
+	var submit func()
+	submit = func() {
+		if u.now >= d.lasts {
+			return
+		}
+		j := u.submit(d.job(w))
+		if w.rng.Float64() < d.cancels {
+			w.after(time.Duration(w.rng.IntN(20_000))*time.Millisecond, func() { u.cancelJob(j) })
+		}
+		w.after(time.Duration(w.rng.Int64N(int64(2*d.every))), submit)
+	}
+	submit()
+	for w.now < d.lasts {
+		if d.trouble != nil {
+			d.trouble(u)
+		}
+		w.run(w.now + time.Duration(1000+w.rng.IntN(5000))*time.Millisecond)
+	}
+	w.run(w.now + d.after)
+	w.outage, w.slow, w.lateWrites, w.lateReports, w.heldUp, w.lostAnswers, w.forNext = 0, 0, 0, 0, 0, 0, false
+	clear(w.cuts)
+	for _, id := range w.order {
+		sw := w.workers[id]
+		sw.hung, sw.deaf, sw.mute = min(sw.hung, w.now), min(sw.deaf, w.now), min(sw.mute, w.now)
+	}
+	w.run(w.now + 40*time.Second)
+	u.wellSince = w.now
+	since := map[protocol.JobID]time.Duration{}
+	open := func() (n int) {
+		for _, j := range u.jobs {
+			if j.accepted && j.floor < over {
+				n++
+			}
+		}
+		return n
+	}
+	for end := w.now + 900*time.Second; w.now < end && (open() > 0 || w.now < u.wellSince+10*time.Second); {
+		w.run(w.now + 5*time.Second)
+		u.checkRecords()
+		u.checkForgotten()
+		for _, j := range inorder.Of(u.jobs) {
+			if j.accepted && j.floor < over && (j.job.Kind == protocol.KindService || w.mistaken[j.id]) {
+				u.cancelJob(j)
+			}
+		}
+		if !d.waits {
+			u.checkLeftWaiting(since)
+		}
+	}
+	for _, j := range inorder.Of(u.jobs) {
+		if j.accepted && j.floor < over {
+			fail("the user of %s was never told of its end; record %q, cancelled %v, %+v\n%s", j.id, w.final[j.id], j.cancels, j.job, w.whereabouts(j.id))
+		}
+	}
+	if w.starts == 0 {
+		t.Error("nothing ran")
+	}
+	slices.Sort(u.cancelWaits)
+	median := time.Duration(0)
+	if n := len(u.cancelWaits); n > 0 {
+		median = u.cancelWaits[n/2]
+	}
+	t.Logf("%d jobs, %d questions, %d answered, %d of these 503, %d late ends; %d starts sent, %d after a confirmed cancellation, %d of these by one cut off; %d cancellations, median %v", len(u.jobs), u.asked, u.answered, u.refused, u.late, u.tasks, u.startsAfter, u.apart, len(u.cancelWaits), median)
+	return u
+}
+
+// waitsBeside is a machine beside which a job waits, with no task on any machine, though
+// it fits, has room and the job's team is under its limit.
+func (u *users) waitsBeside(j *userJob) (protocol.MachineID, bool) {
+	if j.job.Kind == protocol.KindGang {
+		return "", false
+	}
+	missing, zones, used := false, map[protocol.Zone]int{}, 0.0
+	free := map[protocol.MachineID]float64{}
+	placed := map[protocol.TaskID]bool{}
+	for _, id := range u.order {
+		sw := u.workers[id]
+		free[id] = sw.Info.CPUs
+		for _, task := range sw.Tasks() {
+			k := u.world.jobs[task.Job]
+			free[id] -= k.CPUs
+			if k.Team == j.job.Team {
+				used += k.CPUs
+			}
+			if task.Job == j.id {
+				placed[task] = true
+				zones[sw.Zone]++
+			}
+		}
+	}
+	for i := range j.job.Tasks {
+		task := protocol.TaskID{Job: j.id, Index: i}
+		missing = missing || !u.results[task] && !placed[task]
+	}
+	team, _ := u.settings.Team(j.job.Team)
+	if !missing || len(placed) > 0 || team.MaxCPUs > 0 && used+j.job.CPUs > team.MaxCPUs {
+		return "", false
+	}
+	for _, id := range u.order {
+		sw := u.workers[id]
+		fits := !sw.Dead && !sw.Faulty && sw.Notice == nil && free[id] >= j.job.CPUs && (j.job.Spot || !sw.Spot) && (j.job.Zone == "" || j.job.Zone == sw.Zone) &&
+			(len(j.job.Types) == 0 || slices.Contains(j.job.Types, sw.Info.Name))
+		if j.job.OneZone && len(zones) > 0 && zones[sw.Zone] == 0 || j.job.Spread && zones[sw.Zone] >= int(j.job.Tasks+1)/2 {
+			fits = false
+		}
+		if fits {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// checkLeftWaiting: no job waits so long beside a machine for it, once all is well.
+func (u *users) checkLeftWaiting(since map[protocol.JobID]time.Duration) {
+	for _, j := range inorder.Of(u.jobs) {
+		m, waits := protocol.MachineID(""), false
+		if j.accepted && u.final[j.id] == "" && !u.mistaken[j.id] {
+			m, waits = u.waitsBeside(j)
+		}
+		switch {
+		case !waits:
+			delete(since, j.id)
+		case since[j.id] == 0:
+			since[j.id] = u.now
+		case u.now-since[j.id] > leftWaiting:
+			u.fail("%v left waiting: %s for %v, beside %s\n%s", u.now, j.id, u.now-since[j.id], m, u.whereabouts(j.id))
+		}
+	}
+}
+
+// playSeeds plays a day with so many seeds. No start may be sent after a confirmed
+// cancellation by a controller that the others can reach.
+func (d userDay) playSeeds(t *testing.T, usual, first int) {
+	for seed := range seeds(usual) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			d := d
+			if os.Getenv("UNHEARD") != "" {
+				prepare := d.prepare
+				d.prepare = func(u *users) { prepare(u); u.unheard = true }
+			}
+			if u := d.play(t, first+seed); u.startsAfter > u.apart {
+				t.Errorf("%d starts were sent after a confirmed cancellation, %d of these by one cut off", u.startsAfter, u.apart)
+			}
+		})
+	}
+}
+
+// TestUsersOnADayWithoutTroubles: what users are told holds, and no start is sent after
+// a confirmed cancellation, where nothing else goes wrong; jobs are cancelled, asked for
+// and submitted again at the moment at which their last task ends, too.
+func TestUsersOnADayWithoutTroubles(t *testing.T) {
+	d := userDay{machines: 9, lasts: 60 * time.Second, job: (*world).randomJob, every: time.Second, cancels: 0.4,
+		prepare: func(u *users) { u.closely, u.cancelEnds = true, 0.5 }}
+	d.playSeeds(t, 6, 1_000_000)
+}
+
+// TestUsersOnDaysOfTroubles: the same while the troubles of the other generated days
+// come, alone and two or three at once.
+func TestUsersOnDaysOfTroubles(t *testing.T) {
+	trouble := func(u *users) {
+		u.runTime = u.farApart
+		switch u.rng.IntN(6) {
+		case 0, 1:
+			u.trouble()
+		case 2:
+			u.meeting()
+			u.meeting()
+		case 3:
+			u.moveSome(16)
+		}
+	}
+	userDay{machines: 9, lasts: 120 * time.Second, job: (*world).randomJob, every: time.Second, cancels: 0.4, after: 30 * time.Second,
+		prepare: func(u *users) { u.closely, u.cancelEnds = true, 0.2 }, trouble: trouble}.playSeeds(t, 20, 1_100_000)
+}
