damsonkeel-scale: a run of real controllers and thousands of stand-in workers on one machine

Cause: no run of real processes was larger than three controllers and four workers. Change: a program of its own. The stand-ins behind the wire are services, a cloud and hosts of workers now, which the tests of three controllers use as before. A submission is encoded in the protocol's package. Measured: TestSmallSite (3 controllers, 60 workers, a controller killed, machines dead, a region apart): no rule broken.

--- /dev/null
+++ b/cmd/damsonkeel-scale/scale_test.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"damsonkeel/internal/scale"
+)
+
+// buildTool builds this program.
+func buildTool(t *testing.T) string {
+	bin := filepath.Join(t.TempDir(), "damsonkeel-scale")
+	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return bin
+}
+
+// TestSmallSite: a small site with real controllers breaks no rule while one of them
+// is killed, machines die and a region is apart. Times are not judged.
+func TestSmallSite(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes about 40 seconds")
+	}
+	t.Parallel()
+	var out, progress bytes.Buffer
+	cmd := exec.Command(buildTool(t), "--site", "../../deploy/scale-small.toml", "--root", "../..", "--output", "json")
+	cmd.Stdout, cmd.Stderr = &out, &progress
+	if err := cmd.Run(); err != nil {
+		t.Fatalf("%v\n%s", err, progress.String())
+	}
+	var r scale.Result
+	if err := json.Unmarshal(out.Bytes(), &r); err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Rules) > 0 {
+		t.Errorf("rules broken: %v", r.Rules)
+	}
+	if r.Workers != 60 || r.Controllers != 3 || r.Starts < 100 || r.Urgent.Jobs < 10 {
+		t.Errorf("%d workers, %d controllers, %d starts, %d urgent jobs", r.Workers, r.Controllers, r.Starts, r.Urgent.Jobs)
+	}
+	if len(r.Troubles) != 3 || r.ControllersDied > 0 {
+		t.Errorf("troubles %+v, %d controllers ended by themselves", r.Troubles, r.ControllersDied)
+	}
+	if r.Worker.MemoryMB <= 0 || r.Worker.BytesS <= 0 || len(r.Roles) != 6 {
+		t.Errorf("nothing measured: %+v, %d roles", r.Worker, len(r.Roles))
+	}
+}
+
+// TestInterruptLeavesNothing: a run that is interrupted ends all of its processes and
+// removes its files.
+func TestInterruptLeavesNothing(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes about ten seconds")
+	}
+	t.Parallel()
+	dir := t.TempDir()
+	cmd := exec.Command(buildTool(t), "--site", "../../deploy/scale-small.toml", "--root", "../..")
+	cmd.Env = append(os.Environ(), "TMPDIR="+dir)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	const running = 10 // processes at least, of 16
+	for deadline := time.Now().Add(60 * time.Second); len(children(t, cmd.Process.Pid)) < running; time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the run does not begin")
+		}
+	}
+	pids := children(t, cmd.Process.Pid)
+	if err := cmd.Process.Signal(syscall.SIGINT); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err == nil {
+		t.Error("an interrupted run exits with 0")
+	}
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		left := 0
+		for _, pid := range pids {
+			if syscall.Kill(pid, 0) == nil {
+				left++
+			}
+		}
+		if left == 0 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d of %d processes are left", left, len(pids))
+		}
+	}
+	if files, err := os.ReadDir(dir); err != nil || len(files) > 0 {
+		t.Errorf("files left: %v, %v", files, err)
+	}
+}
+
+// children lists the processes that a process has started.
+func children(t *testing.T, pid int) []int {
+	var pids []int
+	tasks, err := filepath.Glob(filepath.Join("/proc", strconv.Itoa(pid), "task", "*", "children"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, task := range tasks {
+		b, err := os.ReadFile(task)
+		if err != nil {
+			continue // the thread has ended
+		}
+		for _, field := range strings.Fields(string(b)) {
+			child, err := strconv.Atoi(field)
+			if err != nil {
+				t.Fatal(err)
+			}
+			pids = append(pids, child)
+		}
+	}
+	return pids
+}
--- a/cmd/damsonkeel/real_test.go
+++ b/cmd/damsonkeel/real_test.go
@@ -158,11 +158,7 @@
 // submit submits a job until it is accepted.
 func (r *real) submit(j protocol.Job) {
 	r.p.Submitted(j)
-	body, err := protocol.Encode(map[string]any{
-		"id": j.ID, "berth": j.Class, "crew": j.Team, "rig": j.Kind, "tide": j.Priority, "hauls": j.Tasks, "cores": j.CPUs, "gpus": 0.0,
-		"memory_gb": j.MemoryGB, "hulls": nil, "quay": nil, "together": false, "scatter": false, "driftstock": false, "hullcast": "img", "image_gb": 0.1,
-		"passage_s": j.EstimateS, "logmark_s": 0.0, "stow_s": 0.0, "landfall_s": nil,
-	})
+	body, err := protocol.EncodeSubmission(j)
 	if err != nil {
 		r.t.Fatal(err)
 	}
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -160,6 +160,33 @@
 	return j, c.err
 }
 
+// EncodeSubmission writes a job as its user submits it.
+func EncodeSubmission(j Job) ([]byte, error) {
+	class, team, kind, priority := j.Class, string(j.Team), string(j.Kind), string(j.Priority)
+	id, tasks := string(j.ID), uint64(j.Tasks)
+	s := submission{
+		ID: &id, Class: &class, Team: &team, Kind: &kind, Priority: &priority, Tasks: &tasks,
+		CPUs: &j.CPUs, GPUs: &j.GPUs, MemoryGB: &j.MemoryGB, Image: &j.Image, ImageGB: &j.ImageGB,
+		OneZone: &j.OneZone, Spread: &j.Spread, Spot: &j.Spot,
+		EstimateS: &j.EstimateS, CheckpointS: &j.CheckpointS, SaveS: &j.SaveS,
+	}
+	if j.DeadlineS > 0 {
+		s.DeadlineS = &j.DeadlineS
+	}
+	if j.Zone != "" {
+		zone := string(j.Zone)
+		s.Zone = &zone
+	}
+	if len(j.Types) > 0 {
+		types := make([]string, len(j.Types))
+		for i, t := range j.Types {
+			types[i] = string(t)
+		}
+		s.Types = &types
+	}
+	return Encode(s)
+}
+
 // fieldChecker keeps the first thing found wrong.
 type fieldChecker struct{ err error }
 
--- a/internal/protocol/job_test.go
+++ b/internal/protocol/job_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"reflect"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -37,6 +38,13 @@
 	if err := Decode(encode(t, j), &back); err != nil {
 		t.Fatal(err)
 	}
+	again, err := EncodeSubmission(j)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if submitted, err := ParseSubmission(again); err != nil || !reflect.DeepEqual(submitted, j) {
+		t.Fatalf("submitted again: %+v, %v", submitted, err)
+	}
 	if back.ID != j.ID || back.CPUs != j.CPUs || back.Types[0] != j.Types[0] {
 		t.Fatalf("%+v", back)
 	}
--- /dev/null
+++ b/internal/scale/figures.go
@@ -0,0 +1,222 @@
+package scale
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/scale/rules"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// HubFigures are what is reckoned from what workers and users saw.
+type HubFigures struct {
+	Rules       []rules.Violation
+	Starts      int
+	StartsPeakS int
+	RunningPeak int
+	Classes     map[string]Waits // from submission to the start, by task; "all": of all
+	UrgentJobs  Waits            // until all tasks of a job run
+	State       StateFigures
+	Troubles    []TroubleFigures
+}
+
+// StateFigures are what the state service held and served.
+type StateFigures struct {
+	Records int               `json:"records"`
+	Bytes   int               `json:"bytes"`
+	PeakS   map[string]uint64 `json:"peak_s"` // busiest second of each kind
+}
+
+// TroubleFigures tell how long a trouble was felt, in seconds from its end.
+type TroubleFigures struct {
+	Kind TroubleKind `json:"kind"`
+	AtS  float64     `json:"at_s"`
+	ForS float64     `json:"for_s"`
+	// HeardS is until each worker's report was answered again; StartsBackS until nine
+	// tenths as many tasks started again as before. -1: not before the run's end.
+	HeardS      float64 `json:"heard_s"`
+	StartsBackS float64 `json:"starts_back_s"`
+}
+
+const (
+	// urgentClass is the class whose jobs are to start at once.
+	urgentClass = "urgent"
+	// allClasses names the waits of all tasks.
+	allClasses = "all"
+	// startsWindow is the time over which starts are compared, and startsBack the part
+	// that has to be back.
+	startsWindow = 5 * time.Second
+	startsBack   = 0.9
+	// neverAgain stands for what did not come before the end.
+	neverAgain = -1
+	// unfinishedGrace is how long before the end jobs have to be submitted to count as
+	// not begun.
+	unfinishedGrace = 10 * time.Second
+)
+
+// figures reckons from all that was seen.
+func (h *Hub) figures() *HubFigures {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	terms := rules.Terms{CancelS: h.site.Timings.CancelS}
+	names := h.site.TeamNames()
+	for _, t := range h.site.Teams {
+		for range t.Count {
+			terms.Teams = append(terms.Teams, rules.Team{Name: names[len(terms.Teams)], MaxCPUs: t.MaxCPUs})
+		}
+	}
+	out := &HubFigures{Rules: rules.Check(terms, h.events, h.users)}
+	starts := startTimes(h.events)
+	out.Starts = len(starts)
+	out.StartsPeakS = peakPerSecond(starts)
+	out.RunningPeak = runningPeak(h.events)
+	out.Classes, out.UrgentJobs = h.waits()
+	for i := range h.troubles {
+		h.troubles[i].figures.StartsBackS = startsBackAfter(starts, h.troubles[i].begun, h.troubles[i].ended)
+		out.Troubles = append(out.Troubles, h.troubles[i].figures)
+	}
+	return out
+}
+
+// startTimes lists when tasks came onto machines, in order.
+func startTimes(events []rules.MachineEvent) []time.Duration {
+	var at []time.Duration
+	for _, e := range events {
+		if e.Kind == rules.TaskOn {
+			at = append(at, e.At)
+		}
+	}
+	slices.Sort(at)
+	return at
+}
+
+// peakPerSecond is how many of the times fall into one second at the most.
+func peakPerSecond(at []time.Duration) int {
+	most, first := 0, 0
+	for i := range at {
+		for at[i]-at[first] >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// runningPeak is how many tasks were on machines at the most.
+func runningPeak(events []rules.MachineEvent) int {
+	sorted := slices.Clone(events)
+	slices.SortStableFunc(sorted, func(a, b rules.MachineEvent) int { return int(a.At - b.At) })
+	on, most := map[protocol.TaskID]protocol.MachineID{}, 0
+	for _, e := range sorted {
+		switch e.Kind {
+		case rules.TaskOn:
+			on[e.Task] = e.Machine
+		case rules.TaskOff:
+			delete(on, e.Task)
+		case rules.MachineGone:
+			maps.DeleteFunc(on, func(_ protocol.TaskID, m protocol.MachineID) bool { return m == e.Machine })
+		}
+		most = max(most, len(on))
+	}
+	return most
+}
+
+// waits reckons how long tasks waited for their first start, by class, and how long
+// urgent jobs waited for all of their tasks.
+func (h *Hub) waits() (map[string]Waits, Waits) {
+	submitted, cancelled := map[protocol.JobID]time.Duration{}, map[protocol.JobID]bool{}
+	end := time.Duration(0)
+	for _, e := range h.users {
+		end = max(end, e.Answered)
+		switch e.Kind {
+		case rules.UserUploads:
+			submitted[e.Job] = e.Asked
+		case rules.UserCancels:
+			cancelled[e.Job] = true
+		}
+	}
+	first := h.firstStarts()
+	classes := map[string]*hdrhistogram.Histogram{}
+	urgent := newHistogram()
+	for id, at := range submitted {
+		if cancelled[id] {
+			continue
+		}
+		job := h.jobs[id]
+		if classes[job.Class] == nil {
+			classes[job.Class] = newHistogram()
+		}
+		last := time.Duration(0)
+		for i := range job.Tasks {
+			start, begun := first[protocol.TaskID{Job: id, Index: i}]
+			if !begun && at > end-unfinishedGrace {
+				continue
+			}
+			if !begun {
+				start = end // at the least
+			}
+			last = max(last, start)
+			record(classes[job.Class], start-at)
+		}
+		if job.Class == urgentClass && last > 0 {
+			record(urgent, last-at)
+		}
+	}
+	out := map[string]Waits{}
+	all := newHistogram()
+	for name, c := range classes {
+		out[name] = waitsOf(c)
+		all.Merge(c)
+	}
+	out[allClasses] = waitsOf(all)
+	return out, waitsOf(urgent)
+}
+
+// firstStarts is when each task first ran; tasks of a gang run once it is complete.
+func (h *Hub) firstStarts() map[protocol.TaskID]time.Duration {
+	first := map[protocol.TaskID]time.Duration{}
+	note := func(task protocol.TaskID, at time.Duration) {
+		if was, ok := first[task]; !ok || at < was {
+			first[task] = at
+		}
+	}
+	for _, e := range h.events {
+		job := h.jobs[e.Task.Job]
+		isGang := job.Kind == protocol.KindGang && job.Tasks > 1
+		switch {
+		case e.Kind == rules.TaskOn && !isGang:
+			note(e.Task, e.At)
+		case e.Kind == rules.GangRuns:
+			for i := range job.Tasks {
+				note(protocol.TaskID{Job: job.ID, Index: i}, e.At)
+			}
+		}
+	}
+	return first
+}
+
+// startsBackAfter is how long after a trouble's end as many tasks started again as
+// before it; neverAgain if they did not.
+func startsBackAfter(starts []time.Duration, begun, ended time.Duration) float64 {
+	if len(starts) == 0 {
+		return neverAgain
+	}
+	want := startsBack * float64(startsIn(starts, begun-startsWindow, begun))
+	for at := ended; at <= starts[len(starts)-1]; at += time.Second {
+		if float64(startsIn(starts, at, at+startsWindow)) >= want {
+			return math.Round((at-ended).Seconds()*10) / 10
+		}
+	}
+	return neverAgain
+}
+
+// startsIn counts the times from one moment until before another.
+func startsIn(starts []time.Duration, from, until time.Duration) int {
+	first, _ := slices.BinarySearch(starts, from)
+	last, _ := slices.BinarySearch(starts, until)
+	return last - first
+}
--- /dev/null
+++ b/internal/scale/table.go
@@ -0,0 +1,97 @@
+package scale
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+)
+
+// Print writes results as tables for people.
+func Print(out io.Writer, results []*Result) {
+	printRuns(out, results)
+	printRoles(out, results)
+	printTraffic(out, results)
+	printTroubles(out, results)
+	for _, r := range results {
+		if r.Saturated {
+			fmt.Fprintf(out, "scale %v is SATURATED: timers were up to %.0f ms late in 99 of 100 cases (%.0f at most); its times don't count as the service's.\n", r.Factor, r.Lateness.P99MS, saturatedMS*1.0)
+		}
+		for _, rule := range r.Rules {
+			fmt.Fprintf(out, "scale %v: rule broken: %s\n", r.Factor, rule)
+		}
+	}
+}
+
+func newTable(out io.Writer, header ...any) table.Writer {
+	t := table.NewWriter()
+	t.SetOutputMirror(out)
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(header)
+	return t
+}
+
+func printRuns(out io.Writer, results []*Result) {
+	t := newTable(out, "scale", "workers", "rules broken", "timers late p99 ms", "starts", "peak /s", "running", "urgent jobs", "p50 s", "p99 s", "worst s", "all p50 s", "all p99 s", "accepted p99 s", "polls p99 s", "controllers died")
+	for _, r := range results {
+		all := r.Waits[allClasses]
+		t.AppendRow(table.Row{r.Factor, r.Workers, len(r.Rules), fixed1(r.Lateness.P99MS), r.Starts, r.StartsPeakS, r.RunningPeak,
+			r.Urgent.Jobs, fixed2(r.Urgent.P50S), fixed2(r.Urgent.P99S), fixed2(r.Urgent.WorstS), fixed2(all.P50S), fixed2(all.P99S),
+			fixed2(r.Users.Submissions.P99S), fixed2(r.Users.Polls.P99S), r.ControllersDied})
+	}
+	t.Render()
+}
+
+func printRoles(out io.Writer, results []*Result) {
+	t := newTable(out, "scale", "role", "processes", "cores, mean", "most", "peak", "memory MB", "files", "threads", "goroutines")
+	for _, r := range results {
+		for _, f := range r.Roles {
+			t.AppendRow(table.Row{r.Factor, f.Role, f.Processes, fixed4(f.CPU), fixed4(f.CPUMost), fixed2(f.CPUPeak), fixed1(f.MemoryMB), f.Files, f.Threads, f.Goroutines})
+		}
+		t.AppendRow(table.Row{r.Factor, "a worker, most", 1, fixed4(r.Worker.CPUShare), "", "", fixed1(r.Worker.MemoryMB), "", "", fmt.Sprintf("%.0f B/s", r.Worker.BytesS)})
+	}
+	t.Render()
+}
+
+func printTraffic(out io.Writer, results []*Result) {
+	t := newTable(out, "scale", "role", "kind", "messages /s", "bytes in /s", "bytes out /s", "busiest second")
+	for _, r := range results {
+		for _, f := range r.Roles {
+			for _, kind := range slices.Sorted(maps.Keys(f.Traffic)) {
+				rate, peak := f.Traffic[kind], ""
+				if n, ok := r.State.PeakS[cutPrefix(kind, "state ")]; ok && f.Role == RoleServices {
+					peak = fmt.Sprint(n)
+				}
+				t.AppendRow(table.Row{r.Factor, f.Role, kind, rate.MessagesS, rate.BytesInS, rate.BytesOutS, peak})
+			}
+		}
+		t.AppendRow(table.Row{r.Factor, "state service", fmt.Sprintf("%d records, %d bytes", r.State.Records, r.State.Bytes), "", "", "", ""})
+	}
+	t.Render()
+}
+
+func printTroubles(out io.Writer, results []*Result) {
+	t := newTable(out, "scale", "trouble", "at s", "for s", "all workers heard after s", "starts back after s")
+	for _, r := range results {
+		slices.SortStableFunc(r.Troubles, func(a, b TroubleFigures) int { return cmp.Compare(a.AtS, b.AtS) })
+		for _, f := range r.Troubles {
+			t.AppendRow(table.Row{r.Factor, f.Kind, f.AtS, f.ForS, f.HeardS, f.StartsBackS})
+		}
+	}
+	t.Render()
+}
+
+// cutPrefix is a text without a prefix; empty if it has not got it.
+func cutPrefix(text, prefix string) string {
+	if len(text) <= len(prefix) || text[:len(prefix)] != prefix {
+		return ""
+	}
+	return text[len(prefix):]
+}
+
+func fixed1(v float64) string { return fmt.Sprintf("%.1f", v) }
+func fixed2(v float64) string { return fmt.Sprintf("%.2f", v) }
+func fixed4(v float64) string { return fmt.Sprintf("%.4f", v) }
--- /dev/null
+++ b/internal/standin/serve/platform.go
@@ -0,0 +1,166 @@
+// Package serve puts the models of the platform's services behind its wire: a
+// state service, a cloud and workers on loopback, for tests and trials with real
+// controllers at real speed.
+package serve
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"damsonkeel/internal/protocol"
+)
+
+const (
+	// ReportS and LeaseS are the workers' times, as settings should name them.
+	ReportS = 2.0
+	LeaseS  = 12.0
+)
+
+// Platform is a state service, a cloud and workers in one process. Close ends it.
+type Platform struct {
+	State, Cloud string // addresses
+
+	stateService *StateService
+	cloudService *CloudService
+	host         *Host
+	begun        time.Time
+
+	mu       sync.Mutex
+	returned map[protocol.MachineID]bool // also those that were still to come up
+	jobs     map[protocol.JobID]protocol.Job
+	started  map[protocol.TaskID]time.Time
+	starts   map[protocol.JobID]int
+}
+
+// New starts a platform with so many machines to rent at the most. Nodes are the
+// addresses of the controllers.
+func New(types []protocol.TypeInfo, machines int, nodes map[protocol.NodeName]string) (*Platform, error) {
+	p := &Platform{
+		begun: time.Now(), returned: map[protocol.MachineID]bool{}, jobs: map[protocol.JobID]protocol.Job{},
+		started: map[protocol.TaskID]time.Time{}, starts: map[protocol.JobID]int{},
+	}
+	p.host = NewHost(HostConfig{
+		Controllers: nodes, Report: seconds(ReportS), Lease: seconds(LeaseS), GangWait: time.Minute,
+		RunTime: func(j protocol.Job, _ protocol.TaskID) time.Duration { return seconds(j.EstimateS) },
+		Jobs:    p, Observer: p, Clock: p.now, Results: map[protocol.TaskID]bool{},
+	})
+	var err error
+	if p.stateService, err = NewStateService(Limits{}, p.now); err != nil {
+		return nil, err
+	}
+	if p.cloudService, err = NewCloudService(Limits{}, types, machines, p, p.now); err != nil {
+		return nil, err
+	}
+	p.State, p.Cloud = p.stateService.Addr, p.cloudService.Addr
+	return p, nil
+}
+
+// Close ends all servers and workers.
+func (p *Platform) Close() {
+	p.host.Close()
+	p.cloudService.Close()
+	p.stateService.Close()
+}
+
+// Submitted makes a job known to workers, as its user's upload does.
+func (p *Platform) Submitted(j protocol.Job) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.jobs[j.ID] = j
+}
+
+// Describe reads descriptions that were submitted.
+func (p *Platform) Describe(ids []protocol.JobID) (map[protocol.JobID]protocol.Job, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := map[protocol.JobID]protocol.Job{}
+	for _, id := range ids {
+		if j, ok := p.jobs[id]; ok {
+			found[id] = j
+		}
+	}
+	return found, nil
+}
+
+// Started is when each task of a job first started.
+func (p *Platform) Started(id protocol.JobID) []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ts []time.Time
+	for t, at := range p.started {
+		if t.Job == id {
+			ts = append(ts, at)
+		}
+	}
+	return ts
+}
+
+// Starts is how many times tasks of a job have started, those that started again
+// included.
+func (p *Platform) Starts(id protocol.JobID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starts[id]
+}
+
+// now is the platform's steady clock.
+func (p *Platform) now() time.Duration { return time.Since(p.begun) }
+
+// Rented has a machine come up after a while.
+func (p *Platform) Rented(id protocol.MachineID, info protocol.TypeInfo, req protocol.RentRequest) {
+	boot := seconds((0.6 + 0.9*rand.Float64()) * info.BootS)
+	time.AfterFunc(boot, func() {
+		if p.isReturned(id) {
+			return
+		}
+		if err := p.host.Up(id, info, req.Zone, req.Spot); err != nil {
+			return // a machine that never comes up
+		}
+		if p.isReturned(id) { // while it came up
+			p.host.Kill(id)
+		}
+	})
+}
+
+func (p *Platform) isReturned(id protocol.MachineID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.returned[id]
+}
+
+// Return ends machines.
+func (p *Platform) Return(ids []protocol.MachineID) error {
+	p.mu.Lock()
+	for _, id := range ids {
+		p.returned[id] = true
+	}
+	p.mu.Unlock()
+	p.host.Kill(ids...)
+	return nil
+}
+
+// Machine is a machine that is up.
+func (p *Platform) Machine(id protocol.MachineID) (Listed, bool) { return p.host.Machine(id) }
+
+// Up hears of a machine.
+func (p *Platform) Up(protocol.MachineID, protocol.TypeInfo, protocol.Zone, bool, time.Duration) {}
+
+// Gone hears of a machine.
+func (p *Platform) Gone(protocol.MachineID, time.Duration) {}
+
+// On hears of a task that has started.
+func (p *Platform) On(_ protocol.MachineID, task protocol.TaskID, _ protocol.Attempt, _ time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.starts[task.Job]++
+	if _, before := p.started[task]; !before {
+		p.started[task] = time.Now()
+	}
+}
+
+// Off hears of a task that has ended.
+func (p *Platform) Off(protocol.MachineID, protocol.TaskID, protocol.Attempt, protocol.EndCause, time.Duration) {
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/standin/serve/traffic.go
@@ -0,0 +1,91 @@
+package serve
+
+import (
+	"maps"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Flow is what has passed of one kind of message, seen from who counts it.
+type Flow struct {
+	Messages uint64 `json:"messages"`
+	BytesIn  uint64 `json:"bytes_in"`
+	BytesOut uint64 `json:"bytes_out"`
+}
+
+// Traffic counts messages and bytes by kind. It is safe for concurrent use.
+type Traffic struct {
+	mu    sync.Mutex
+	flows map[string]Flow
+}
+
+// NewTraffic makes an empty count.
+func NewTraffic() *Traffic { return &Traffic{flows: map[string]Flow{}} }
+
+// Add counts messages of a kind, with their bytes.
+func (t *Traffic) Add(kind string, messages, bytesIn, bytesOut int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.flows[kind]
+	f.Messages += uint64(messages)
+	f.BytesIn += uint64(bytesIn)
+	f.BytesOut += uint64(bytesOut)
+	t.flows[kind] = f
+}
+
+// Flows returns what was counted until now.
+func (t *Traffic) Flows() map[string]Flow {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.flows)
+}
+
+// countedListener counts the bytes of all connections that it accepts.
+type countedListener struct {
+	net.Listener
+	kind    string
+	traffic *Traffic
+}
+
+// Accept waits for the next connection.
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, l.kind, l.traffic}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	kind    string
+	traffic *Traffic
+}
+
+// Read counts what comes in.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.Add(c.kind, 0, n, 0)
+	return n, err
+}
+
+// Write counts what goes out.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.Add(c.kind, 0, 0, n)
+	return n, err
+}
+
+// countedWriter counts the body of a response.
+type countedWriter struct {
+	http.ResponseWriter
+	bytes int
+}
+
+// Write counts a part of the body.
+func (w *countedWriter) Write(b []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(b)
+	w.bytes += n
+	return n, err
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -97,6 +97,19 @@
 	}
 }
 
+// LeaseMissing reports whether a transaction writes with a lease that is over.
+func (s *State) LeaseMissing(t protocol.Txn) bool {
+	for _, c := range t.Then {
+		if c.Lease == nil {
+			continue
+		}
+		if _, ok := s.leases[*c.Lease]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Txn executes a transaction and reports whether its conditions held and its
 // leases were there.
 func (s *State) Txn(t protocol.Txn) bool {
@@ -105,12 +118,8 @@
 			return false
 		}
 	}
-	for _, c := range t.Then {
-		if c.Lease != nil {
-			if _, ok := s.leases[*c.Lease]; !ok {
-				return false
-			}
-		}
+	if s.LeaseMissing(t) {
+		return false
 	}
 	s.Revision++
 	for _, c := range t.Then {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -38,6 +38,10 @@
 	// Caches has it fetch an image once; else every task fetches its own anew, which is
 	// more work than there is, and more moments at which something can go wrong.
 	Caches bool
+	// FetchTime, if set, is how long an image takes to fetch; else it is a second.
+	FetchTime func(protocol.Job) time.Duration
+
+	changes int // how often a task has changed its state by itself, ever
 
 	images map[string]bool // fetched
 
@@ -87,6 +91,17 @@
 	return ids
 }
 
+// LastTick is when time last passed here.
+func (w *Worker) LastTick() time.Duration { return w.lastTick }
+
+// LeaseEnds is when the lease ends, unless a report is answered before.
+func (w *Worker) LeaseEnds() time.Duration {
+	return w.renewed + time.Duration(w.LeaseS*float64(time.Second))
+}
+
+// Changes counts how often tasks here have started or ended.
+func (w *Worker) Changes() int { return w.changes }
+
 // Tick lets time pass.
 func (w *Worker) Tick(now time.Duration) {
 	passed := now - w.lastTick
@@ -122,7 +137,7 @@
 
 // Next is when time next changes something here, if no command does.
 func (w *Worker) Next() time.Duration {
-	next := w.renewed + time.Duration(w.LeaseS*float64(time.Second)) + 1
+	next := w.LeaseEnds() + 1
 	for _, t := range w.tasks {
 		in := time.Duration(-1)
 		switch t.state {
@@ -156,6 +171,7 @@
 	case protocol.TaskFetching:
 		if t.fetch -= passed; t.fetch <= 0 {
 			t.state = protocol.TaskRunning
+			w.changes++
 			w.Started(w, id, t.attempt)
 			j, _ := w.Jobs(id.Job)
 			w.images[j.Image] = true
@@ -193,6 +209,7 @@
 }
 
 func (w *Worker) end(id protocol.TaskID, t *workerTask, cause protocol.EndCause) {
+	w.changes++
 	w.Ended(w, id, cause)
 	if t.saved && w.Saved != nil {
 		w.Saved(id, t.left)
@@ -300,6 +317,9 @@
 		t.state, t.cause = protocol.TaskEnded, protocol.EndFull
 	default:
 		t.left = w.RunTime(o.Task)
+		if w.FetchTime != nil {
+			t.fetch = w.FetchTime(j)
+		}
 		if w.Caches && w.images[j.Image] {
 			t.fetch = 0
 		}
