--- a/cmd/damsonkeel/calendar.go
+++ b/cmd/damsonkeel/calendar.go
@@ -200,13 +200,9 @@
 
 // settle puts a request; what is not done is an error with its exit code.
 func (f *askFlags) settle(r operators.Request) (operators.Reply, error) {
-	keys, err := operators.ReadKeys(f.Key)
-	if err != nil {
-		return operators.Reply{}, err
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
 	defer cancel()
-	reply, err := operators.NewClient(keys[0], f.Controller).Do(ctx, r)
+	reply, err := f.put(ctx, r)
 	if err != nil {
 		return operators.Reply{}, err
 	}
@@ -217,6 +213,15 @@
 	return reply, &exitError{code, errors.New(reply.Reason)}
 }
 
+// put puts a request until the context ends.
+func (f *askFlags) put(ctx context.Context, r operators.Request) (operators.Reply, error) {
+	keys, err := operators.ReadKeys(f.Key)
+	if err != nil {
+		return operators.Reply{}, err
+	}
+	return operators.NewClient(keys[0], f.Controller).Do(ctx, r)
+}
+
 func (f *askFlags) print(reply operators.Reply) error {
 	if f.Output == "json" {
 		e := json.NewEncoder(os.Stdout)
@@ -238,6 +243,9 @@
 	if len(reply.Controllers) > 0 {
 		printShares(reply)
 	}
+	if reply.Config != nil {
+		printConfig(reply.Config)
+	}
 	if len(reply.Reservations) > 0 {
 		printReservations(reply.Reservations)
 	}
--- a/cmd/damsonkeel/main.go
+++ b/cmd/damsonkeel/main.go
@@ -17,6 +17,7 @@
 	Reserve reserveCommand `cmd:"" help:"Reservations: room for a job at a time."`
 	Window  windowCommand  `cmd:"" help:"Maintenance windows: nothing new starts on what they cover."`
 	Shares  sharesCommand  `cmd:"" help:"Shares of the machines: which controller keeps which."`
+	Config  configCommand  `cmd:"" help:"The configuration that may change while controllers run."`
 	Key     keyCommand     `cmd:"" help:"Make an operator's key."`
 	Emulate emulateCommand `cmd:"" help:"Play a site in simulated time, with simulated machines."`
 
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -72,6 +72,9 @@
 	Held        bool
 	Reservation EntryName
 	Window      EntryName
+
+	Configuration      bool
+	ConfigurationEntry EntryID
 }
 
 // ParseFollowed tells what a followed key is about.
@@ -94,6 +97,12 @@
 	if n, ok := strings.CutPrefix(key, blockPrefix); ok {
 		return Followed{Block: n}, true
 	}
+	if key == ConfigurationKey {
+		return Followed{Configuration: true}, true
+	}
+	if id, ok := entryOf(key); ok {
+		return Followed{ConfigurationEntry: id}, true
+	}
 	if key == HeldKey {
 		return Followed{Held: true}, true
 	}
@@ -118,6 +127,11 @@
 	LayoutSingle Layout = 1 // each in a record of its own
 	LayoutBlocks Layout = 2 // several in one record
 	LayoutShares Layout = 3 // the same, and shares of the machines have their holders in a record
+	// LayoutConfiguration is the same, and all members follow the records of the
+	// configuration.
+	LayoutConfiguration Layout = 4
+	// LatestLayout is the latest of them.
+	LatestLayout = LayoutConfiguration
 )
 
 // View is who may act in a term: the controllers with their sessions.
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -32,6 +32,9 @@
 	SingleRecords bool
 	// NoShares has machines kept as versions before shares of them did.
 	NoShares bool
+	// FixedConfiguration keeps the configuration as the files have it: no change of it
+	// is taken while controllers run.
+	FixedConfiguration bool
 	// OperatorKeys is the file of the keys that operators' requests are sealed
 	// with; empty: no such request is taken.
 	OperatorKeys string
@@ -54,6 +57,18 @@
 // little longer than a controller takes to come back after an end.
 const usualNodeLease = 8 * time.Second
 
+// ConfiguredWithin is how long after a change of the configuration a controller may
+// act by the one before at the most.
+const ConfiguredWithin = 11 * time.Second
+
+// configuredMargin is what has to be left of that: clocks drift apart, and a step that
+// has begun takes its time.
+const configuredMargin = 500 * time.Millisecond
+
+// Configurable reports whether the configuration may change while controllers run:
+// operators can ask for it, and nothing keeps it as it is.
+func (op Operator) Configurable() bool { return op.OperatorKeys != "" && !op.FixedConfiguration }
+
 // followSlack is how much longer than its lease a controller may act after it has
 // opened the last watch that was answered: a watch stays open for seconds.
 const followSlack = 2 * time.Second
@@ -95,6 +110,10 @@
 		return op, fmt.Errorf("operator settings: <nodeLease>: %v is too long: a cancelled job's tasks may stay for %v then, and %v has to be left of cancel_s, %v",
 			op.NodeLease, CancelledWithin(op.NodeLease, w), cancelMargin, Seconds(w.CancelS))
 	}
+	if most := ConfiguredWithin - configuredMargin - FollowedWithin(0); op.Configurable() && op.NodeLease > most {
+		return op, fmt.Errorf("operator settings: <nodeLease>: %v is too long: a controller may act for %v without following a change of the configuration then, which has to be in force everywhere within %v; at most %v, or <configuration>off</configuration>",
+			op.NodeLease, FollowedWithin(op.NodeLease), ConfiguredWithin, most)
+	}
 	return op, nil
 }
 
@@ -125,6 +144,12 @@
 			return nil
 		},
 		"machines": machines(&op),
+		"configuration": func(text string) error {
+			if op.FixedConfiguration = text == "off"; !op.FixedConfiguration && text != "on" {
+				return fmt.Errorf("%q is none of its values", text)
+			}
+			return nil
+		},
 		"machineShares": func(text string) error {
 			if op.NoShares = text == "off"; !op.NoShares && text != "on" {
 				return fmt.Errorf("%q is none of its values", text)
@@ -180,14 +205,18 @@
 
 // duration takes an element's text into a setting.
 func duration(into *time.Duration) func(string) error {
-	return func(text string) error {
-		v, err := time.ParseDuration(text)
-		if err != nil || v < 100*time.Millisecond || v > time.Hour {
-			return fmt.Errorf("%q is no duration from 100ms to 1h", text)
-		}
-		*into = v
-		return nil
+	return func(text string) error { return SetDuration(into, text) }
+}
+
+// SetDuration takes the text of a setting that is a duration. The error says what it
+// has to be.
+func SetDuration(into *time.Duration, text string) error {
+	v, err := time.ParseDuration(text)
+	if err != nil || v < 100*time.Millisecond || v > time.Hour {
+		return fmt.Errorf("%q is no duration from 100ms to 1h", text)
 	}
+	*into = v
+	return nil
 }
 
 // machinesMost bounds how many machines of a type may be counted on.
--- /dev/null
+++ b/internal/coordination/configuration/main_test.go
@@ -0,0 +1,10 @@
+package configuration
+
+import (
+	"os"
+	"testing"
+
+	"damsonkeel/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m)) }
--- /dev/null
+++ b/internal/coordination/configured.go
@@ -0,0 +1,82 @@
+package coordination
+
+import (
+	"time"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/configuration"
+	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/protocol"
+)
+
+// configurationRecord takes a followed record of the configuration.
+func (c *Core) configurationRecord(f bookkeeping.Followed, value protocol.RawValue, version protocol.Version) error {
+	changed := false
+	if f.Configuration {
+		var head bookkeeping.Configuration
+		if err := protocol.Decode(value, &head); err != nil {
+			return err
+		}
+		changed = c.Configured.TakeHead(head, version)
+	} else {
+		var entry bookkeeping.ConfigurationEntry
+		if err := protocol.Decode(value, &entry); err != nil {
+			return err
+		}
+		changed = c.Configured.TakeEntry(f.ConfigurationEntry, entry)
+	}
+	if changed {
+		c.configured()
+	}
+	return nil
+}
+
+// ConfigurationInForce is the configuration that this controller acts by.
+func (c *Core) ConfigurationInForce() *configuration.Effective { return c.Configured.Effective() }
+
+// configured goes over to the configuration that is in force now, in one step: what
+// was decided by the one before and has not begun is decided anew.
+func (c *Core) configured() {
+	effective := c.Configured.Effective()
+	c.Op = effective.Operator
+	c.Log.Info("configuration in force", "revision", uint64(effective.Revision))
+	c.owner.sorted = nil
+	c.owner.dirty = true
+	c.refreshDue()
+	c.keeping.AdoptConfiguration()
+	c.keeping.Resort()
+	c.Do(message.Configured{Effective: effective})
+}
+
+// openTypes are the machine types, with the zones, in which the configuration lets
+// machines be rented.
+func (c *Core) openTypes() map[protocol.MachineType]protocol.TypeInfo {
+	if !c.Configured.Effective().AnyPlaceClosed() {
+		return c.Types
+	}
+	open := map[protocol.MachineType]protocol.TypeInfo{}
+	for name, info := range c.Types {
+		zones := info.AllowZones
+		info.AllowZones = nil
+		for _, zone := range zones {
+			if !c.PlaceClosed(name, zone) {
+				info.AllowZones = append(info.AllowZones, zone)
+			}
+		}
+		open[name] = info
+	}
+	return open
+}
+
+// revisionOf is the revision that a controller says it acts by, and how long ago it
+// said so.
+func (c *Core) revisionOf(name protocol.NodeName) (bookkeeping.ConfigurationRevision, time.Duration) {
+	if name == c.Self {
+		return c.Configured.Effective().Revision, 0
+	}
+	p := c.peers[name]
+	if p == nil || p.configuredAt == 0 {
+		return 0, 0
+	}
+	return p.configuration, c.Since(p.configuredAt)
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -71,6 +71,10 @@
 	told     hearsay // its word on the machines it keeps
 	demand   []message.Demand
 	progress map[protocol.JobID]message.Progress
+	// configuration is the revision that it says it acts by, and configuredAt when it
+	// last said so; 0: never.
+	configuration bookkeeping.ConfigurationRevision
+	configuredAt  Time
 }
 
 // NewCore makes a controller's state before its first session.
@@ -291,6 +295,8 @@
 		}
 	case f.Held:
 		err = c.heldBefore(value, version)
+	case f.Configuration || f.ConfigurationEntry != "":
+		err = c.configurationRecord(f, value, version)
 	case f.Calendar || f.Reservation != "" || f.Window != "":
 		err = c.calendarRecord(f, value, version)
 	}
--- a/internal/coordination/cost_test.go
+++ b/internal/coordination/cost_test.go
@@ -326,6 +326,7 @@
 			f := newBusyFleet(b, s.machines, s.tasks)
 			f.c.fleet.haveList = true
 			f.c.Settings.Site.Objectives = append(f.c.Settings.Site.Objectives, config.Objective{Kind: "wait", Class: "soon", WithinS: 10, Share: 0.9})
+			f.c.Configured.Reset() // read anew
 			var demand []message.Demand
 			for i := range 300 {
 				id := protocol.JobID(fmt.Sprint("job-waits-", i))
--- a/internal/coordination/frontend.go
+++ b/internal/coordination/frontend.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/configuration"
 	"damsonkeel/internal/coordination/intake"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/operators"
@@ -26,8 +27,10 @@
 	local   []any // messages of a step to itself
 	lastID  atomic.Uint64
 	replies map[intake.RequestID]transport.Reply
-	slots   chan struct{}                         // of operators' requests
-	peers   map[protocol.NodeName]*transport.Peer // not the outbox's, whose calls may wait
+	slots   chan struct{} // of operators' requests
+	// configured holds the configuration in force that the intake has not taken yet.
+	configured chan *configuration.Effective
+	peers      map[protocol.NodeName]*transport.Peer // not the outbox's, whose calls may wait
 }
 
 // userRequest is a request with whom to answer.
@@ -45,8 +48,9 @@
 
 func newFrontend(n *Node) *frontend {
 	f := &frontend{
-		n: n, core: intake.New(n.settings, n.log), mailbox: make(chan any, 4*intake.RequestsMost),
-		replies: map[intake.RequestID]transport.Reply{}, slots: make(chan struct{}, operatorRequestsMost), peers: map[protocol.NodeName]*transport.Peer{},
+		n: n, core: intake.New(n.settings, n.op, n.log), mailbox: make(chan any, 4*intake.RequestsMost),
+		configured: make(chan *configuration.Effective, 1),
+		replies:    map[intake.RequestID]transport.Reply{}, slots: make(chan struct{}, operatorRequestsMost), peers: map[protocol.NodeName]*transport.Peer{},
 	}
 	for _, m := range n.settings.Members {
 		f.peers[m.Name] = transport.NewPeer(m.Peer)
@@ -140,6 +144,8 @@
 				m = u.Asked
 			}
 			f.step(ctx, m)
+		case effective := <-f.configured:
+			f.step(ctx, intake.Configured{Effective: effective})
 		case <-t.C:
 			f.step(ctx, intake.Tick{})
 		case <-ctx.Done():
@@ -148,6 +154,16 @@
 	}
 }
 
+// configure gives the intake the configuration in force, instead of one that it has
+// not taken yet. Only the core's actor calls it.
+func (f *frontend) configure(effective *configuration.Effective) {
+	select {
+	case <-f.configured:
+	default:
+	}
+	f.configured <- effective
+}
+
 func (f *frontend) step(ctx context.Context, m any) {
 	f.local = append(f.local, m)
 	for len(f.local) > 0 {
--- /dev/null
+++ b/internal/coordination/intake/configured.go
@@ -0,0 +1,51 @@
+package intake
+
+import (
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/configuration"
+	"damsonkeel/internal/coordination/inorder"
+	"damsonkeel/internal/protocol"
+)
+
+// configuredNow takes the configuration in force, and decides anew what one before
+// could not settle.
+func (in *Intake) configuredNow(effective *configuration.Effective) {
+	in.configured = effective
+	for _, r := range inorder.Of(in.requests) {
+		if r.configuredAnew && r.configuredBy != effective.Version {
+			in.submitAnew(r)
+		}
+	}
+}
+
+// onConfiguration has a transaction hold only while the configuration that it was
+// decided by is in force: however late it is carried out, it accepts nothing by one
+// that was replaced.
+func (in *Intake) onConfiguration(r *request, txn protocol.Txn) protocol.Txn {
+	if !in.configurable {
+		return txn
+	}
+	r.configuredBy, r.configuredAnew = in.configured.Version, false
+	txn.If = append(txn.If, protocol.Condition{Key: bookkeeping.ConfigurationKey, Version: r.configuredBy})
+	return txn
+}
+
+// refuseByConfiguration refuses a submission, unless its id is one that was accepted,
+// or the configuration has changed.
+func (in *Intake) refuseByConfiguration(r *request, no Answer) {
+	if !in.configurable {
+		in.refuse(r, no)
+		return
+	}
+	r.refusal = &no
+	unknown := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.JobKey(r.Job)}}, Then: []protocol.Change{}}
+	in.write(r, in.onConfiguration(r, unknown))
+}
+
+// submitAnew decides a submission by the configuration in force, once that is another
+// one than what it was decided by.
+func (in *Intake) submitAnew(r *request) {
+	if r.configuredBy != in.configured.Version {
+		in.submit(r)
+	}
+}
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -11,6 +11,7 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/configuration"
 	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
@@ -46,6 +47,11 @@
 	now      clock.Time
 	actions  []Action
 
+	// configured is the configuration in force, as followed. Where it may change,
+	// submissions are accepted and refused on its version.
+	configured   *configuration.Effective
+	configurable bool
+
 	types    []protocol.TypeInfo // nil: not known yet
 	requests map[RequestID]*request
 	looks    map[LookID]*look
@@ -68,6 +74,10 @@
 	// 0: none is under way, or they have been asked.
 	askAt   clock.Time
 	writing bool
+	// configuredBy is the version of the configuration that a submission's transaction
+	// holds on, and configuredAnew: it has failed, perhaps by that alone.
+	configuredBy   protocol.Version
+	configuredAnew bool
 }
 
 // look is a question to the core, and the comparison that follows for polls.
@@ -89,8 +99,9 @@
 }
 
 // New knows nothing but the settings.
-func New(s *config.Settings, log *slog.Logger) *Intake {
+func New(s *config.Settings, op config.Operator, log *slog.Logger) *Intake {
 	return &Intake{
+		configured: configuration.Base(&s.Site, op), configurable: op.Configurable(),
 		settings: s, log: log, requests: map[RequestID]*request{}, looks: map[LookID]*look{},
 		finals: map[protocol.JobID]bookkeeping.JobRecord{}, halts: map[protocol.JobID]*halt{},
 	}
@@ -121,6 +132,8 @@
 		in.halted(m)
 	case TypesRead:
 		in.types = m.Types
+	case Configured:
+		in.configuredNow(m.Effective)
 	case Tick:
 		in.tick()
 	}
@@ -217,11 +230,11 @@
 		return
 	}
 	if why := in.neverRuns(&j); why != "" {
-		in.refuse(r, Failure(422, why))
+		in.refuseByConfiguration(r, Failure(422, why))
 		return
 	}
 	j.SubmittedMS = r.WallMS
-	in.write(r, AcceptTxn(&j))
+	in.write(r, in.onConfiguration(r, AcceptTxn(&j)))
 }
 
 func (in *Intake) write(r *request, txn protocol.Txn) {
@@ -288,6 +301,8 @@
 		in.unavailable(r, "state service can't be asked")
 	case r.refusal != nil:
 		in.answer(r, *r.refusal)
+	case r.configuredAnew:
+		in.submitAnew(r)
 	case r.Operation == Submit:
 		// Not there yet, but it may still come: that says nothing either way.
 		in.unavailable(r, "not settled yet")
@@ -305,6 +320,8 @@
 	switch {
 	case m.Outcome == message.OutcomeRefused:
 		in.unavailable(r, "state service can't be asked")
+	case r.Operation == Submit && m.Outcome == message.OutcomeDone && r.refusal != nil:
+		in.answer(r, *r.refusal) // by the configuration in force, and the job is not known
 	case r.Operation == Submit && m.Outcome == message.OutcomeDone:
 		in.answer(r, success(201, protocol.JobStatus{ID: r.Job, State: protocol.JobQueued}))
 	case r.Operation == Cancel && m.Outcome == message.OutcomeDone:
@@ -316,6 +333,9 @@
 			in.unavailable(r, "not settled yet")
 			return
 		}
+		if r.configuredAnew = r.Operation == Submit && in.configurable && m.Outcome == message.OutcomeFailed; r.configuredAnew {
+			r.refusal = nil
+		}
 		in.get(r)
 	}
 }
@@ -501,10 +521,13 @@
 
 // neverRuns says why a job can never run, or nothing.
 func (in *Intake) neverRuns(j *protocol.Job) string {
-	team, ok := in.settings.Team(j.Team)
+	team, ok := in.configured.Team(j.Team)
 	if !ok {
 		return "unknown team"
 	}
+	if team.Closed {
+		return "the team is closed to new jobs"
+	}
 	l := known.LiveJob{Job: *j}
 	l.Zone = "" // the zone may offer the type another day
 	fits := false
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -34,7 +34,7 @@
 	s := &config.Settings{Name: "node-0", Members: []config.Member{{Name: "node-1"}, {Name: "node-2"}}}
 	s.Site.Count, s.Site.State = 3, config.State{RPS: 6000, WriteRPS: 2000, TxnOps: txnOps}
 	s.Site.Teams = []config.Team{{Name: "free"}, {Name: "bound", MaxCPUs: 4}}
-	return &shell{in: New(s, slog.New(slog.DiscardHandler)), now: 1, answers: map[RequestID]Answer{}}
+	return &shell{in: New(s, config.DefaultOperator(), slog.New(slog.DiscardHandler)), now: 1, answers: map[RequestID]Answer{}}
 }
 
 // step gives the intake a message, and all that follows from it.
--- a/internal/coordination/intake/message.go
+++ b/internal/coordination/intake/message.go
@@ -3,6 +3,7 @@
 import (
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/configuration"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/protocol"
 )
@@ -70,6 +71,8 @@
 		Job protocol.JobID
 		By  protocol.NodeName
 	}
+	// Configured brings the configuration in force, as followed.
+	Configured struct{ Effective *configuration.Effective }
 	// TypesRead brings the machine types.
 	TypesRead struct{ Types []protocol.TypeInfo }
 	// Tick lets time pass.
--- /dev/null
+++ b/internal/coordination/keeping/configured.go
@@ -0,0 +1,44 @@
+package keeping
+
+import (
+	"slices"
+
+	"damsonkeel/internal/coordination/message"
+)
+
+// AdoptConfiguration goes over to a new configuration: what may not be started by it any more
+// goes back to its owners.
+func (k *Keeper) AdoptConfiguration() {
+	for _, q := range k.queuesInOrder() {
+		k.touch(q) // whether it is closed may have changed
+		if !k.frozen(q) {
+			k.releaseOutdated(q)
+		}
+	}
+}
+
+// closed reports whether the configuration has nothing new started on a machine.
+func (k *Keeper) closed(q *queue) bool { return k.PlaceClosed(q.info.Name, q.zone) }
+
+// outdated reports whether an attempt was placed before its team's limit was lowered.
+// Its owner did not hold it against the limit in force, so it may not be started: the
+// limit is checked here at the start, and by the owner when it places it anew.
+func (k *Keeper) outdated(e *entry) bool {
+	job := k.Live[e.task.Job]
+	return job != nil && e.configuration < k.LimitLowered(job.Team)
+}
+
+// releaseOutdated gives back to its owners what waits on a machine and may not be
+// started by the configuration in force.
+func (k *Keeper) releaseOutdated(q *queue) {
+	if k.closed(q) {
+		k.releaseWaiting(q)
+		return
+	}
+	for _, e := range slices.Clone(q.waiting) {
+		if k.outdated(e) {
+			k.dropWaiting(q, e)
+			k.tell(q, e, message.WhatReleased)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/keeping/configured_test.go
@@ -0,0 +1,55 @@
+package keeping
+
+import (
+	"testing"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/protocol"
+)
+
+// lowered has the limit of a team lowered by a revision.
+func (b *bench) lowered(revision bookkeeping.ConfigurationRevision, version protocol.Version) {
+	id := bookkeeping.NewEntryID(bookkeeping.EntryTeam, "bound")
+	b.k.Configured.TakeEntry(id, bookkeeping.ConfigurationEntry{Revision: revision, Team: &bookkeeping.TeamEntry{MaxCPUs: 2, Lowered: revision}})
+	b.k.Configured.TakeHead(bookkeeping.Configuration{Revision: revision, Entries: []bookkeeping.EntryID{id}}, version)
+	b.k.AdoptConfiguration()
+}
+
+// placeBy queues a task of the limited team, placed by a revision.
+func (b *bench) placeBy(id protocol.JobID, revision bookkeeping.ConfigurationRevision) {
+	b.job(id)
+	b.k.Live[id].Team = "bound"
+	b.k.Place("node-0", &message.Place{Term: 1, Configuration: revision, Tasks: []message.Placement{{Task: protocol.TaskID{Job: id}, Attempt: 1, Machine: "vm-1", Epoch: 7, CPUs: 1, GB: 1}}})
+}
+
+// TestOutdatedIsNotStarted: what was placed before its team's limit was lowered is not
+// started, whether it waits, comes late, or its start has gone out without an answer
+// and would be sent again.
+func TestOutdatedIsNotStarted(t *testing.T) {
+	b := newBench(t)
+	b.ready("vm-1")
+	b.placeBy("job-waits", 0)
+	b.lowered(1, 5)
+	b.placeBy("job-late", 0)
+	b.placeBy("job-new", 1)
+	r := b.report("vm-1", 1, 1)
+	if n := starts(r.Reply.Orders); n != 1 || r.Reply.Orders[len(r.Reply.Orders)-1].Task.Job != "job-new" {
+		t.Errorf("%d starts: %+v", n, r.Reply.Orders)
+	}
+
+	b = newBench(t)
+	b.ready("vm-1")
+	b.placeBy("job-sent", 0)
+	b.k.Push()
+	task := protocol.TaskID{Job: "job-sent"}
+	if e := b.k.queues["vm-1"].entries[task]; e == nil || !e.sent || e.direct == 0 {
+		t.Fatalf("not sent directly: %+v", e)
+	}
+	b.k.queues["vm-1"].commanding = false // its answer does not come
+	b.k.View.Term = 2                     // a later token: it would be sent again
+	b.lowered(1, 5)
+	if n := starts(b.k.orders(b.k.queues["vm-1"], 1, true)); n != 0 {
+		t.Errorf("%d starts are sent again", n)
+	}
+}
--- a/internal/coordination/keeping/keeper.go
+++ b/internal/coordination/keeping/keeper.go
@@ -118,6 +118,7 @@
 		k.preempt(q)
 		k.learnLevels(q, level)
 		k.clearHeld(q)
+		k.releaseOutdated(q)
 	}
 }
 
--- a/internal/coordination/keeping/machinestate.go
+++ b/internal/coordination/keeping/machinestate.go
@@ -73,7 +73,7 @@
 		Machine: q.id, Epoch: q.epoch, Images: slices.Clone(q.images),
 		Heard: q.known, Held: len(q.entries), Queued: len(q.waiting), Suspect: q.suspect, Draining: q.draining,
 		Silence: q.silence, Noticed: q.notice != nil,
-		Closed: q.draining || q.suspect || q.notice != nil || q.silence == message.SilenceLong,
+		Closed: q.draining || q.suspect || q.notice != nil || q.silence == message.SilenceLong || k.closed(q),
 	}
 	free, held := room.Capacity(q.info), room.Uses{}
 	least, most := room.Ranks, -1 // ranks of what may be stopped, and of what waits
--- a/internal/coordination/keeping/orders.go
+++ b/internal/coordination/keeping/orders.go
@@ -36,7 +36,7 @@
 			// answer to the second would settle it while the first may be executed
 			// still; noted with the first one's, it would be taken for settled by a
 			// worker that has seen the second's from elsewhere.
-			if e.sent && e.direct != 0 && k.MayStart(e.task.Job) && !e.kill && (!direct || k.token(q) > e.direct) {
+			if e.sent && e.direct != 0 && k.MayStart(e.task.Job) && !k.outdated(e) && !e.kill && (!direct || k.token(q) > e.direct) {
 				start(e)
 			}
 		case e.ended() && (e.reap || !live):
@@ -79,7 +79,7 @@
 
 // startable takes from the queue what fits the free room.
 func (k *Keeper) startable(q *queue) []*entry {
-	if q.epoch == 0 || q.draining || q.notice != nil || q.suspect || len(q.waiting) == 0 {
+	if q.epoch == 0 || q.draining || q.notice != nil || q.suspect || len(q.waiting) == 0 || k.closed(q) {
 		return nil
 	}
 	var out []*entry
@@ -92,6 +92,11 @@
 		if !k.MayStart(e.task.Job) {
 			break // its record has not arrived yet, or that of its end
 		}
+		if k.outdated(e) {
+			k.dropWaiting(q, e)
+			k.tell(q, e, message.WhatReleased)
+			continue
+		}
 		e.need = room.Need(&j.Job)
 		later, reserved := k.mayStartOn(q, e, j, free)
 		if !free.Covers(e.need) || later == startSoon || held && !reserved {
--- a/internal/coordination/keeping/preempt.go
+++ b/internal/coordination/keeping/preempt.go
@@ -21,7 +21,7 @@
 // it has to start to be done in time.
 func (k *Keeper) startBy(e *entry, l *known.LiveJob) clock.Time {
 	first := k.DoneBy(l) - clock.Time(1.5*e.estimate*float64(time.Second)) // owners' estimates are often wrong by half
-	for _, o := range k.Settings.Site.Objectives {
+	for _, o := range k.Objectives() {
 		asked := o.Kind == "wait" && o.Class == l.Class || o.Kind == "guarantee" && e.level.Guaranteed()
 		if by := l.Since + clock.Time(o.WithinS*float64(time.Second)); asked && by >= k.Now {
 			first = min(first, by)
--- a/internal/coordination/keeping/queue.go
+++ b/internal/coordination/keeping/queue.go
@@ -84,17 +84,19 @@
 	due      clock.Time        // of its job, when the queue was last sorted
 	together bool              // others of its gang wait for it
 	from     protocol.NodeName // that placed it here, if any
-	sent     bool
-	direct   protocol.Term // of a direct start that has no answer: it may be executed until the worker sees a later term
-	again    bool          // its start has gone another way too since: that it is there does not tell which of them arrived
-	inAnswer bool          // its start is in the last answer to a report: the worker's next report settles it
-	present  bool          // the worker has reported it
-	state    protocol.TaskState
-	cause    protocol.EndCause
-	saved    bool
-	kill     bool
-	graceS   float64
-	reap     bool
+	// configuration is the revision that its owner placed it by.
+	configuration bookkeeping.ConfigurationRevision
+	sent          bool
+	direct        protocol.Term // of a direct start that has no answer: it may be executed until the worker sees a later term
+	again         bool          // its start has gone another way too since: that it is there does not tell which of them arrived
+	inAnswer      bool          // its start is in the last answer to a report: the worker's next report settles it
+	present       bool          // the worker has reported it
+	state         protocol.TaskState
+	cause         protocol.EndCause
+	saved         bool
+	kill          bool
+	graceS        float64
+	reap          bool
 	// reapSince is since when it waits to be reaped for a start that may be under way.
 	reapSince clock.Time
 	noticed   bool
@@ -228,7 +230,7 @@
 func (k *Keeper) putBack(q *queue, e *entry) {
 	e.sent = false
 	k.enqueue(q, e)
-	if q.draining || q.suspect || q.notice != nil {
+	if q.draining || q.suspect || q.notice != nil || k.closed(q) || k.outdated(e) {
 		k.dropWaiting(q, e)
 		k.tell(q, e, message.WhatReleased)
 	}
@@ -277,7 +279,7 @@
 		k.handled[from] = p.Number
 	}
 	for _, t := range p.Tasks {
-		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), level: room.Level(t.Level), together: t.Together, from: from, since: k.Now}
+		e := &entry{task: t.Task, attempt: t.Attempt, estimate: t.EstimateS, need: t.Need(), level: room.Level(t.Level), together: t.Together, from: from, since: k.Now, configuration: p.Configuration}
 		q := k.queues[t.Machine]
 		refuse := func() {
 			if q != nil {
@@ -290,7 +292,7 @@
 		// The term and the machine's record must be those the owner placed
 		// by: a placement held back by the network while the machine or the
 		// job went elsewhere and came back must not start anything.
-		if q == nil || k.IsOver(t.Task.Job) || p.Term != k.View.Term || t.Tenure != k.Tenure(q.id, q.zone) || q.epoch == 0 || q.epoch != t.Epoch || q.draining || q.notice != nil || q.suspect || k.frozen(q) {
+		if q == nil || k.IsOver(t.Task.Job) || p.Term != k.View.Term || t.Tenure != k.Tenure(q.id, q.zone) || q.epoch == 0 || q.epoch != t.Epoch || q.draining || q.notice != nil || q.suspect || k.frozen(q) || k.closed(q) || k.outdated(e) {
 			refuse()
 			continue
 		}
--- a/internal/coordination/keeping/shares.go
+++ b/internal/coordination/keeping/shares.go
@@ -204,7 +204,7 @@
 		h.Entries = append(h.Entries, message.HandedEntry{
 			Task: e.task, Attempt: e.attempt, EstimateS: e.estimate, Need: e.need, Found: e.order == 0, Age: k.Since(e.since), Ran: ran,
 			Level: e.level, Guessed: e.guessed, Together: e.together, From: e.from, Sent: e.sent, Direct: e.direct, Present: e.present,
-			State: e.state, Cause: e.cause, Saved: e.saved, Kill: e.kill, GraceS: e.graceS, Reap: e.reap, Noticed: e.noticed,
+			State: e.state, Cause: e.cause, Saved: e.saved, Kill: e.kill, GraceS: e.graceS, Reap: e.reap, Noticed: e.noticed, Configuration: e.configuration,
 		})
 	}
 	for _, e := range inorder.Tasks(q.entries) {
@@ -466,7 +466,7 @@
 		e := &entry{
 			task: x.Task, attempt: x.Attempt, estimate: x.EstimateS, need: x.Need, since: k.Now - clock.Time(x.Age),
 			level: x.Level, guessed: x.Guessed, together: x.Together, from: x.From, sent: x.Sent, direct: x.Direct, present: x.Present,
-			state: x.State, cause: x.Cause, saved: x.Saved, kill: x.Kill, graceS: x.GraceS, reap: x.Reap, noticed: x.Noticed,
+			state: x.State, cause: x.Cause, saved: x.Saved, kill: x.Kill, graceS: x.GraceS, reap: x.Reap, noticed: x.Noticed, configuration: x.Configuration,
 			again: x.Direct != 0, // perhaps
 		}
 		if x.Ran >= 0 {
--- a/internal/coordination/known/due.go
+++ b/internal/coordination/known/due.go
@@ -19,7 +19,7 @@
 	if j.DeadlineS > 0 {
 		by = append(by, j.DeadlineS)
 	}
-	for _, o := range k.Settings.Site.Objectives {
+	for _, o := range k.Objectives() {
 		switch {
 		case o.Class != j.Class:
 		case o.Kind == "finished" && o.WithinS > 0:
@@ -65,7 +65,7 @@
 
 // Awaited reports whether a job's class is expected to start within a time.
 func (k *Known) Awaited(j *protocol.Job) bool {
-	for _, o := range k.Settings.Site.Objectives {
+	for _, o := range k.Objectives() {
 		if o.Kind == "wait" && o.Class == j.Class {
 			return true
 		}
--- a/internal/coordination/known/known.go
+++ b/internal/coordination/known/known.go
@@ -12,6 +12,7 @@
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/configuration"
 	"damsonkeel/internal/protocol"
 )
 
@@ -45,11 +46,16 @@
 	halted  map[protocol.JobID]clock.Time // cancelled, and since when that is known
 	Records map[protocol.MachineID]*Machine
 	Pledged *Pledges
+	// Configured is the configuration: the settings with what operators have changed.
+	Configured *configuration.Followed
 }
 
 // NewKnown knows nothing but its settings.
 func NewKnown(s *config.Settings, op config.Operator, log *slog.Logger) *Known {
-	k := &Known{Self: s.Name, Settings: s, Op: op, Log: log, Types: map[protocol.MachineType]protocol.TypeInfo{}}
+	k := &Known{
+		Self: s.Name, Settings: s, Op: op, Log: log, Types: map[protocol.MachineType]protocol.TypeInfo{},
+		Configured: configuration.NewFollowed(&s.Site, op),
+	}
 	k.Reset()
 	return k
 }
@@ -64,6 +70,8 @@
 	k.halted = map[protocol.JobID]clock.Time{}
 	k.Records = map[protocol.MachineID]*Machine{}
 	k.Pledged = k.Pledged.anew()
+	k.Configured.Reset()
+	k.Op = k.Configured.Effective().Operator
 }
 
 // Machine is a registered machine as the records have it.
@@ -139,15 +147,36 @@
 	return k.Live[id] != nil && !halted
 }
 
-// Limited reports whether anything bounds a team's use.
-func (k *Known) Limited(name protocol.Team) bool {
-	t, ok := k.Settings.Team(name)
-	return ok && t.Limited()
+// Limited reports whether a team may have a limit, now or after a change of the
+// configuration: its jobs have one owner then, and all that they take is counted.
+func (k *Known) Limited(name protocol.Team) bool { return k.limitedIn(k.View, name) }
+
+func (k *Known) limitedIn(v bookkeeping.View, name protocol.Team) bool {
+	return configuration.OneOwner(&k.Settings.Site, v.Layout, name)
+}
+
+// Team finds a team as it is in force.
+func (k *Known) Team(name protocol.Team) (configuration.Team, bool) {
+	return k.Configured.Effective().Team(name)
+}
+
+// Objectives are those in force.
+func (k *Known) Objectives() []config.Objective { return k.Configured.Effective().Objectives }
+
+// PlaceClosed reports whether a machine's type or zone takes no new work.
+func (k *Known) PlaceClosed(machineType protocol.MachineType, zone protocol.Zone) bool {
+	return k.Configured.Effective().PlaceClosed(machineType, zone)
+}
+
+// LimitLowered is the last revision of the configuration that lowered a team's limit:
+// what was placed by an earlier one is started no more.
+func (k *Known) LimitLowered(name protocol.Team) configuration.Revision {
+	return k.Configured.Effective().LimitLowered(name)
 }
 
 // Guarantees reports whether a team is guaranteed anything.
 func (k *Known) Guarantees(name protocol.Team) bool {
-	t, ok := k.Settings.Team(name)
+	t, ok := k.Team(name)
 	return ok && (t.CPUs > 0 || t.GPUs > 0)
 }
 
--- a/internal/coordination/known/roles.go
+++ b/internal/coordination/known/roles.go
@@ -155,7 +155,7 @@
 // JobOwner is the one controller that owns a job. All jobs of a limited team
 // have the same owner, so that the limit is checked in one place.
 func (k *Known) JobOwner(v bookkeeping.View, j *protocol.Job) protocol.NodeName {
-	if k.Limited(j.Team) {
+	if k.limitedIn(v, j.Team) {
 		return Rendezvous(v, "team "+string(j.Team))
 	}
 	return Rendezvous(v, "job "+string(j.ID))
--- a/internal/coordination/leftover.go
+++ b/internal/coordination/leftover.go
@@ -15,7 +15,7 @@
 // aimedAt is the largest share of a class's jobs that an objective of the settings
 // names, 0 if none does, and whether they should start within a time.
 func (c *Core) aimedAt(class string) (share float64, awaited bool) {
-	for _, o := range c.Settings.Site.Objectives {
+	for _, o := range c.Objectives() {
 		switch {
 		case o.Class != class:
 		case o.Kind == "wait" || o.Kind == "deadline" || o.Kind == "finished":
--- a/internal/coordination/levels.go
+++ b/internal/coordination/levels.go
@@ -14,7 +14,7 @@
 	jobs := slices.Clone(c.jobsInOrder())
 	slices.SortStableFunc(jobs, func(a, b *ownedJob) int { return cmp.Compare(a.SubmittedMS, b.SubmittedMS) })
 	for _, o := range jobs {
-		t, ok := c.Settings.Team(o.Team)
+		t, ok := c.Team(o.Team)
 		if !ok || !c.Guarantees(o.Team) {
 			c.setLevel(o, room.LevelOf(o.Priority, false))
 			continue
--- a/internal/coordination/membership/members.go
+++ b/internal/coordination/membership/members.go
@@ -66,6 +66,30 @@
 // Absent takes over that a controller's record has gone with its lease.
 func (ms *Members) Absent(name protocol.NodeName) { delete(ms.nodes, name) }
 
+// Outdated lists the controllers that are present and kept out of the view, since
+// they don't know its layout.
+func (ms *Members) Outdated() []protocol.NodeName {
+	var names []protocol.NodeName
+	for name, n := range inorder.Of(ms.nodes) {
+		if max(n.Layout, bookkeeping.LayoutSingle) < ms.View.Layout {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Hindering lists the controllers that are present and know no layout as late as
+// another one: while they are, it does not come into use.
+func (ms *Members) Hindering(layout bookkeeping.Layout) []protocol.NodeName {
+	var names []protocol.NodeName
+	for name, n := range inorder.Of(ms.nodes) {
+		if n.Layout < layout {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // IsPresent reports whether a controller is in the records.
 func (ms *Members) IsPresent(name protocol.NodeName) bool {
 	_, is := ms.nodes[name]
@@ -148,7 +172,7 @@
 // it stays out: it would miss machines that may hold tasks.
 func (ms *Members) wantMembers() (map[protocol.NodeName]protocol.LeaseID, bookkeeping.Layout) {
 	want := map[protocol.NodeName]protocol.LeaseID{}
-	least := bookkeeping.LayoutShares
+	least := bookkeeping.LatestLayout
 	for name, n := range ms.nodes {
 		l := max(n.Layout, bookkeeping.LayoutSingle)
 		if l < ms.View.Layout {
--- a/internal/coordination/message/between.go
+++ b/internal/coordination/message/between.go
@@ -35,7 +35,9 @@
 type Place struct {
 	Number uint64 // counts the sender's messages of this kind
 	Term   protocol.Term
-	Tasks  []Placement
+	// Configuration is the revision that the owner placed by.
+	Configuration bookkeeping.ConfigurationRevision
+	Tasks         []Placement
 }
 
 // TaskRef names one attempt on one machine.
@@ -191,6 +193,8 @@
 type Relay struct {
 	Term   protocol.Term
 	Acting bool // the sender's lease is valid by its own clock
+	// Configuration is the revision that the sender acts by.
+	Configuration bookkeeping.ConfigurationRevision
 	// HaveMachines and HaveJobs are how far the sender holds the addressee's
 	// streams of this term.
 	HaveMachines, HaveJobs uint64
--- a/internal/coordination/message/move.go
+++ b/internal/coordination/message/move.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
 )
@@ -66,16 +67,18 @@
 	Guessed   bool
 	Together  bool
 	From      protocol.NodeName
-	Sent      bool
-	Direct    protocol.Term
-	Present   bool
-	State     protocol.TaskState
-	Cause     protocol.EndCause
-	Saved     bool
-	Kill      bool
-	GraceS    float64
-	Reap      bool
-	Noticed   bool
+	// Configuration is the revision that its owner placed it by.
+	Configuration bookkeeping.ConfigurationRevision
+	Sent          bool
+	Direct        protocol.Term
+	Present       bool
+	State         protocol.TaskState
+	Cause         protocol.EndCause
+	Saved         bool
+	Kill          bool
+	GraceS        float64
+	Reap          bool
+	Noticed       bool
 }
 
 // Load is what a controller says of itself, for who balances the shares.
--- a/internal/coordination/message/step.go
+++ b/internal/coordination/message/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"damsonkeel/internal/coordination/clock"
+	"damsonkeel/internal/coordination/configuration"
 	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/protocol"
 )
@@ -138,6 +139,8 @@
 		Own, All lending.Amount
 		Until    clock.Time
 	}
+	// Configured tells that another configuration is in force.
+	Configured struct{ Effective *configuration.Effective }
 	// ListMachines reads the cloud's list.
 	ListMachines struct{}
 )
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -252,6 +252,8 @@
 				}
 				n.post(message.Deleted{Machines: a.Machines, OK: err == nil})
 			}()
+		case message.Configured:
+			n.frontend.configure(a.Effective)
 		case message.SetShare:
 			n.state.SetShare(bookkeeping.Share(a.Own), bookkeeping.Share(a.All), n.start.Add(time.Duration(a.Until)))
 		case message.ListMachines:
--- a/internal/coordination/operate.go
+++ b/internal/coordination/operate.go
@@ -30,7 +30,10 @@
 func (c *Core) facts() *calendar.Facts {
 	return &calendar.Facts{
 		Types: c.Types, Most: c.Op.Machines,
-		Team: func(t protocol.Team) (config.Team, bool) { return c.Settings.Team(t) },
+		Team: func(name protocol.Team) (config.Team, bool) {
+			t, ok := c.Team(name)
+			return t.Team, ok
+		},
 		Machine: func(id protocol.MachineID) (protocol.MachineType, protocol.Zone, bool) {
 			m := c.machines[id]
 			if m == nil {
@@ -52,7 +55,16 @@
 	if c.Session == 0 || len(c.Types) == 0 || c.WallMS == 0 {
 		return no(operators.Later, "not ready")
 	}
+	if r.Config == nil {
+		r.Config = &operators.ConfigRequest{}
+	}
 	switch {
+	case r.Op == operators.OpConfig:
+		return c.showConfiguration(r)
+	case r.Op == operators.OpConfigure:
+		return c.configure(by, r)
+	case r.Op == operators.OpConfigStatus:
+		return c.configurationStatus()
 	case r.Op == operators.OpShares:
 		return c.listShares()
 	case r.Op == operators.OpMove:
@@ -291,6 +303,9 @@
 		f.n.log.Info("operator's request refused", "err", err)
 		return success(403, operators.Reply{Code: operators.Denied, Reason: operators.ErrSeal.Error()})
 	}
+	if r.Op == operators.OpConfigHistory {
+		return f.configurationHistory(ctx)
+	}
 	for ctx.Err() == nil {
 		d, ok := ask(f.n, func(c *Core) decision { return c.decide(by, &r) })
 		if !ok {
@@ -305,7 +320,7 @@
 			f.n.log.Info("operator's change", "by", by, "op", r.Op, "window", r.Window, "name", r.Name, "controller", r.Controller, "id", r.ID)
 			return operatorAnswer(d.reply)
 		case errors.Is(err, bookkeeping.ErrMalformed):
-			f.n.log.Error("state service refuses a record of the calendar", "err", err)
+			f.n.log.Error("state service refuses an operator's record", "err", err)
 			return operatorAnswer(operators.Reply{Code: operators.Refused, Reason: "too large to be stored"})
 		case errors.Is(err, bookkeeping.ErrRefused):
 			f.n.log.Debug("operator", "err", err)
--- /dev/null
+++ b/internal/coordination/operateconfig.go
@@ -0,0 +1,164 @@
+package coordination
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/configuration"
+	"damsonkeel/internal/operators"
+	"damsonkeel/internal/protocol"
+)
+
+// configListed bounds the entries of one answer.
+const configListed = 200
+
+// configure decides an operator's change of the configuration.
+func (c *Core) configure(by string, r *operators.Request) decision {
+	followed := c.Configured
+	if revision, done := followed.DoneBefore(r.ID); done {
+		reply := operators.Reply{Code: operators.Done, Reason: "was carried out already", Config: &operators.ConfigReply{Revision: revision, WithinS: c.configuredWithinS()}}
+		return decision{reply: reply}
+	}
+	present := followed.Effective().Revision
+	switch {
+	case !c.Acting():
+		return no(operators.Later, "may not act now")
+	case c.View.Layout < bookkeeping.LayoutConfiguration:
+		return no(operators.Refused, fmt.Sprintf("not taken while controllers take part that don't follow such changes, being of an earlier version or without operators' keys: %v", c.members.Hindering(bookkeeping.LayoutConfiguration)))
+	case r.Config.Revision != nil && *r.Config.Revision != present:
+		return no(operators.Refused, fmt.Sprintf("revision %d is in force, not %d", present, *r.Config.Revision))
+	}
+	plan, err := followed.Decide(c.configurationFacts(), r.Config.Changes)
+	if err != nil {
+		return no(operators.Refused, err.Error())
+	}
+	plan.Request, plan.By, plan.AtMS = r.ID, by, c.Moment()
+	d := decision{reply: operators.Reply{Code: operators.Done, Config: &operators.ConfigReply{Revision: plan.Revision, Changes: plan.Changes, WithinS: c.configuredWithinS()}}}
+	switch {
+	case len(plan.Changes) == 0:
+		d.reply.Reason, d.reply.Config.Revision = "nothing changes", present
+	case r.DryRun:
+		d.reply.Reason = "nothing was changed: a dry run"
+	default:
+		txn := plan.Transaction()
+		d.txn = &txn
+	}
+	return d
+}
+
+// configuredWithinS is how long a controller may act by an earlier revision, in seconds.
+func (c *Core) configuredWithinS() float64 {
+	return config.FollowedWithin(c.Op.NodeLease).Seconds()
+}
+
+// configurationFacts is what decisions on the configuration know of the site.
+func (c *Core) configurationFacts() *configuration.Facts {
+	facts := &configuration.Facts{
+		Zones: c.Settings.Site.Zones, Types: slices.Sorted(maps.Keys(c.Types)), MaxChanges: c.Settings.Site.State.TxnOps,
+		LiveJobs: func(team protocol.Team) (n int) {
+			for _, job := range c.Live {
+				if job.Team == team {
+					n++
+				}
+			}
+			return n
+		},
+	}
+	for name, count := range c.Op.Machines {
+		facts.Processors += float64(count) * c.Types[name].CPUs
+	}
+	return facts
+}
+
+// showConfiguration lists entries as they are in force.
+func (c *Core) showConfiguration(r *operators.Request) decision {
+	effective := c.Configured.Effective()
+	reply := operators.Reply{Code: operators.Done, Config: &operators.ConfigReply{Revision: effective.Revision}}
+	for _, id := range c.configurationIDs() {
+		if id <= r.Config.After || !r.Config.Wants(id) {
+			continue
+		}
+		if len(reply.Config.Entries) >= configListed {
+			reply.More = true
+			break
+		}
+		reply.Config.Entries = append(reply.Config.Entries, c.configurationView(id))
+	}
+	if len(reply.Config.Entries) == 0 && r.Config.Entry != "" {
+		return no(operators.NotFound, "there is no such entry")
+	}
+	return decision{reply: reply}
+}
+
+// configurationIDs names all entries: those of the platform's file and those that
+// were changed.
+func (c *Core) configurationIDs() []bookkeeping.EntryID {
+	ids := map[bookkeeping.EntryID]bool{}
+	for _, team := range c.Configured.Effective().Teams() {
+		ids[bookkeeping.NewEntryID(bookkeeping.EntryTeam, string(team))] = true
+	}
+	for _, o := range c.Objectives() {
+		if o.Class != "" {
+			ids[bookkeeping.NewEntryID(bookkeeping.EntryClass, o.Class)] = true
+		}
+	}
+	for _, zone := range c.Settings.Site.Zones {
+		ids[bookkeeping.NewEntryID(bookkeeping.EntryZone, string(zone))] = true
+	}
+	for name := range c.Types {
+		ids[bookkeeping.NewEntryID(bookkeeping.EntryType, string(name))] = true
+	}
+	for _, name := range configuration.Settings() {
+		ids[bookkeeping.NewEntryID(bookkeeping.EntrySetting, name)] = true
+	}
+	for id := range c.Configured.Entries() {
+		ids[id] = true
+	}
+	return slices.Sorted(maps.Keys(ids))
+}
+
+// configurationView is an entry as it is in force.
+func (c *Core) configurationView(id bookkeeping.EntryID) operators.ConfigEntry {
+	effective := c.Configured.Effective()
+	v := operators.ConfigEntry{Entry: id, Revision: c.Configured.Entry(id).Revision}
+	switch kind, name := id.Split(); kind {
+	case bookkeeping.EntryTeam:
+		t, known := effective.Team(protocol.Team(name))
+		v.Team = &bookkeeping.TeamEntry{CPUs: t.CPUs, MaxCPUs: t.MaxCPUs, GPUs: t.GPUs, MaxGPUs: t.MaxGPUs, Closed: t.Closed, Removed: !known, Lowered: t.Lowered}
+	case bookkeeping.EntryClass:
+		for _, o := range effective.Objectives {
+			if o.Class == name {
+				v.Objectives = append(v.Objectives, bookkeeping.ObjectiveEntry{Kind: o.Kind, WithinS: o.WithinS, Share: o.Share, Times: o.Times})
+			}
+		}
+	case bookkeeping.EntryZone:
+		v.Closed = effective.PlaceClosed("", protocol.Zone(name))
+	case bookkeeping.EntryType:
+		v.Closed = effective.PlaceClosed(protocol.MachineType(name), "")
+	case bookkeeping.EntrySetting:
+		v.Value = effective.Setting(name)
+	}
+	return v
+}
+
+// configurationStatus tells who acts by which revision.
+func (c *Core) configurationStatus() decision {
+	reply := operators.Reply{Code: operators.Done, Config: &operators.ConfigReply{Revision: c.Configured.Effective().Revision, WithinS: c.configuredWithinS()}}
+	outdated := c.members.Outdated()
+	names := append(slices.Collect(maps.Keys(c.View.Members)), outdated...)
+	names = append(names, c.Self)
+	for _, m := range c.Settings.Members {
+		names = append(names, m.Name)
+	}
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
+		revision, ago := c.revisionOf(name)
+		reply.Config.Controllers = append(reply.Config.Controllers, operators.ConfigController{
+			Name: name, Revision: revision, Member: c.View.Members[name] != 0, Older: slices.Contains(outdated, name), HeardS: ago.Seconds(),
+		})
+	}
+	return decision{reply: reply}
+}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -92,7 +92,7 @@
 				o.placed[t.Task].number = p.placed
 			}
 		}
-		c.Send(keeper, message.PeerMessage{Place: &message.Place{Number: p.placed, Term: c.View.Term, Tasks: tasks}})
+		c.Send(keeper, message.PeerMessage{Place: &message.Place{Number: p.placed, Term: c.View.Term, Configuration: c.Configured.Effective().Revision, Tasks: tasks}})
 	}
 	c.sendWaits(waits)
 }
@@ -307,7 +307,7 @@
 
 // usable reports whether tasks may be placed on a machine at all.
 func (c *Core) usable(m *machineEntry) bool {
-	return m.open() && !m.refused
+	return m.open() && !m.refused && !c.PlaceClosed(m.Record.Type, m.Record.Zone)
 }
 
 // open reports whether its keeper lets tasks be placed on a machine.
@@ -378,7 +378,7 @@
 
 // withinLimit reports whether n more tasks keep the team within its limit.
 func (c *Core) withinLimit(o *ownedJob, usage map[protocol.Team]room.Amount, n int) bool {
-	t, ok := c.Settings.Team(o.Team)
+	t, ok := c.Team(o.Team)
 	if !ok {
 		return false
 	}
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -63,7 +63,7 @@
 	for _, r := range c.fleet.rents {
 		underWay[r.kind()] += r.req.Count
 	}
-	p := renting.New(c.Types, c.slots(), underWay)
+	p := renting.New(c.openTypes(), c.slots(), underWay)
 	defer c.rentWanted(p)
 	var demand, rest []message.Demand
 	for _, p := range c.peers {
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -111,7 +111,7 @@
 		if !regular && !t.short {
 			continue
 		}
-		r := &message.Relay{Term: c.View.Term, Acting: c.Acting(), HaveMachines: t.machinesFrom.Have(), HaveJobs: t.jobsFrom.Have()}
+		r := &message.Relay{Term: c.View.Term, Acting: c.Acting(), Configuration: c.Configured.Effective().Revision, HaveMachines: t.machinesFrom.Have(), HaveJobs: t.jobsFrom.Have()}
 		r.Load = message.Load{LateMS: c.lateMS, Leaving: c.leaving}
 		r.Ask = c.rates.Asks(c.Now)
 		if l, ok := loans[p.session]; ok {
@@ -181,6 +181,7 @@
 		c.members.Acts(from)
 	}
 	c.members.Says(from, r.Load)
+	p.configuration, p.configuredAt = r.Configuration, c.Now
 	p.demand = r.Demand
 	if from != c.Self {
 		c.rates.Heard(p.session, r.Ask, c.Now)
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -75,8 +75,10 @@
 		return bookkeeping.LayoutSingle
 	case n.op.NoShares:
 		return bookkeeping.LayoutBlocks
+	case !n.op.Configurable():
+		return bookkeeping.LayoutShares
 	}
-	return bookkeeping.LayoutShares
+	return bookkeeping.LayoutConfiguration
 }
 
 func (n *Node) readRecords(ctx context.Context) ([]protocol.Item, protocol.Revision, error) {
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -30,9 +30,9 @@
 			c.owner.leaving[ref] = t
 		}
 	}
-	for _, t := range c.Settings.Site.Teams {
-		if j := (&protocol.Job{Team: t.Name}); t.Limited() && c.JobOwner(c.View, j) == c.Self && (!keeps || c.JobOwner(old, j) != c.Self) {
-			c.owner.unsure[t.Name] = true
+	for _, team := range c.Configured.Effective().TeamsEver() {
+		if j := (&protocol.Job{Team: team}); c.Limited(team) && c.JobOwner(c.View, j) == c.Self && (!keeps || c.JobOwner(old, j) != c.Self) {
+			c.owner.unsure[team] = true
 		}
 	}
 	for id, m := range c.machines {
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -190,6 +190,7 @@
 			team = protocol.Team("bound" + string(rune('a'+i)))
 		}
 		b.c.Settings.Site.Teams = []config.Team{{Name: team, MaxCPUs: 4}}
+		b.c.Configured.Reset() // read anew
 		b.machine(id, 1)
 		for i := range 2 { // the first is over before the second is placed
 			job := protocol.JobID("job-" + string(rune('1'+i)))
@@ -228,6 +229,7 @@
 		team = protocol.Team("bound" + string(rune('a'+i)))
 	}
 	b.c.Settings.Site.Teams = []config.Team{{Name: team, MaxCPUs: cpus}}
+	b.c.Configured.Reset() // read anew
 	return team
 }
 
--- a/internal/emulator/frontends_test.go
+++ b/internal/emulator/frontends_test.go
@@ -29,7 +29,8 @@
 	if f.in != nil && f.life == f.n.life {
 		return true
 	}
-	f.life, f.in, f.replies = f.n.life, intake.New(w.settingsOf(f.n), quiet), map[intake.RequestID]func(intake.Answer){}
+	f.life, f.in, f.replies = f.n.life, intake.New(w.settingsOf(f.n), w.operator, quiet), map[intake.RequestID]func(intake.Answer){}
+	f.step(intake.Configured{Effective: f.n.core.ConfigurationInForce()})
 	if w.now > 0 { // some time passes before it knows the machine types
 		w.alive(f.n, time.Duration(w.rng.IntN(1500))*time.Millisecond, func() { f.step(intake.TypesRead{Types: w.types}) })
 	} else {
--- a/internal/emulator/nodes.go
+++ b/internal/emulator/nodes.go
@@ -162,6 +162,8 @@
 			n.outboxes[a.To].Add(a)
 		case message.Commit:
 			w.commit(n, a)
+		case message.Configured:
+			w.configured(n, a.Effective)
 		case message.LoadBits:
 			ok := w.stateReachable(n)
 			w.later(n, message.JobLoaded{Job: a.Job, Chunks: w.state.List(bookkeeping.BitsPrefix(a.Job)), OK: ok})
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -35,8 +35,8 @@
 			zones[on.Zone]++
 		}
 	}
-	if team, _ := w.settings.Team(j.Team); team.MaxCPUs > 0 && used > team.MaxCPUs+1e-9 {
-		w.fail("%v quota: %s uses %v", w.now, j.Team, used)
+	if limit := w.limitOf(j.Team); limit > 0 && used > limit+1e-9 {
+		w.fail("%v quota: %s uses %v of %v", w.now, j.Team, used, limit)
 	}
 	if j.OneZone && len(zones) > 1 || j.Spread && zones[m.Zone] > int(j.Tasks+1)/2 {
 		w.fail("%v wrong_place: zones of %v: %v", w.now, id.Job, zones)
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -12,6 +12,7 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/coordination/configuration"
 	"damsonkeel/internal/coordination/intake"
 	"damsonkeel/internal/coordination/sharing"
 	"damsonkeel/internal/protocol"
@@ -65,8 +66,12 @@
 	cancelBy func(protocol.JobID)
 	// ordered: a process has sent orders to a worker, directly or in an answer.
 	ordered func(*simNode, []protocol.Order)
-	silent  time.Duration // until when the cloud answers nothing
-	checked int           // changes of the state service that the rules have been held against
+	// limitOf is the limit in processors that a team's use is held against; 0: none.
+	limitOf func(protocol.Team) float64
+	// configured: another configuration is in force at a controller.
+	configured func(*simNode, *configuration.Effective)
+	silent     time.Duration // until when the cloud answers nothing
+	checked    int           // changes of the state service that the rules have been held against
 
 	slow     time.Duration // how long the state service takes
 	lag      time.Duration // by how much later controllers follow the records
@@ -149,6 +154,11 @@
 	w.started = func(protocol.MachineID, protocol.TaskID) {}
 	w.endedTask, w.movedAt = func(protocol.MachineID, protocol.TaskID, protocol.EndCause) {}, map[sharing.ID]time.Duration{}
 	w.ordered = func(*simNode, []protocol.Order) {}
+	w.limitOf = func(name protocol.Team) float64 {
+		team, _ := w.settings.Team(name)
+		return team.MaxCPUs
+	}
+	w.configured = func(*simNode, *configuration.Effective) {}
 	w.rented, w.gone = func(protocol.MachineID, protocol.RentRequest) {}, func(protocol.MachineID) {}
 	for i := range up {
 		r := protocol.RentRequest{Name: fmt.Sprint("first", i), Type: w.types[i%2].Name, Zone: w.types[0].AllowZones[i/2%2], Spot: i%3 == 0, Count: 1}
--- a/internal/operators/messages.go
+++ b/internal/operators/messages.go
@@ -48,6 +48,8 @@
 	Shares     []int             `cbor:"shares,omitempty"`     // to be moved
 	Controller protocol.NodeName `cbor:"controller,omitempty"` // to which, or that is to keep none
 	End        bool              `cbor:"end,omitempty"`        // of being away
+
+	Config *ConfigRequest `cbor:"config,omitempty"`
 }
 
 // Code is how a request ended.
@@ -76,6 +78,8 @@
 
 	Controllers []Controller `cbor:"controllers,omitempty" json:"controllers,omitempty"`
 	Shares      []Share      `cbor:"shares,omitempty" json:"shares,omitempty"`
+
+	Config *ConfigReply `cbor:"config,omitempty" json:"config,omitempty"`
 }
 
 // Reservation is a reservation as operators see it.
