The scale run changes the configuration, and tells where urgent work's time goes

Change: an operator in the run, who changes limits, guarantees and a setting and asks each controller by which revision it acts; the checker holds starts against the limits that were in force when they were ordered; waits in stages, starts and running tasks over time. A controller says whether it acts when it is asked for its revision.

--- a/cmd/damsonkeel-scale/scale_test.go
+++ b/cmd/damsonkeel-scale/scale_test.go
@@ -50,6 +50,9 @@
 	if len(r.Troubles) != 3 || r.ControllersDied > 0 {
 		t.Errorf("troubles %+v, %d controllers ended by themselves", r.Troubles, r.ControllersDied)
 	}
+	if r.Config == nil || r.Config.Changes < 10 || r.Config.InForceWorstS > 11 {
+		t.Errorf("changes of the configuration: %+v", r.Config)
+	}
 	if r.Worker.MemoryMB <= 0 || r.Worker.BytesS <= 0 || len(r.Roles) != 6 {
 		t.Errorf("nothing measured: %+v, %d roles", r.Worker, len(r.Roles))
 	}
--- a/internal/coordination/operateconfig.go
+++ b/internal/coordination/operateconfig.go
@@ -158,6 +158,7 @@
 		revision, ago := c.revisionOf(name)
 		reply.Config.Controllers = append(reply.Config.Controllers, operators.ConfigController{
 			Name: name, Revision: revision, Member: c.View.Members[name] != 0, Older: slices.Contains(outdated, name), HeardS: ago.Seconds(),
+			Acting: name == c.Self && c.Acting(),
 		})
 	}
 	return decision{reply: reply}
--- a/internal/operators/configuration.go
+++ b/internal/operators/configuration.go
@@ -78,7 +78,9 @@
 	Revision bookkeeping.ConfigurationRevision `cbor:"revision" json:"revision"`
 	// Member: it may act by the view. Older: it is of a version, or set so, that does
 	// not know these records, and is kept from acting.
-	Member bool    `cbor:"member" json:"member"`
+	Member bool `cbor:"member" json:"member"`
+	// Acting: its lease is valid; only told of the controller that answers.
+	Acting bool    `cbor:"acting,omitempty" json:"acting,omitempty"`
 	Older  bool    `cbor:"older,omitempty" json:"older,omitempty"`
 	HeardS float64 `cbor:"heard_s" json:"heard_s"` // how long ago it last said so
 }
--- a/internal/scale/controllers.go
+++ b/internal/scale/controllers.go
@@ -31,6 +31,7 @@
 	dir     string
 	program []string // the program with its arguments, but for the settings file
 	extra   []string // further arguments
+	keys    string   // file of operators' keys; empty: none
 	sampler *sampler
 
 	mu     sync.Mutex
@@ -61,7 +62,11 @@
 // which something is reached from a region.
 func (c *controllers) write(link func(region int, target string) string) error {
 	operator := filepath.Join(c.dir, "operator.xml")
-	text := fmt.Sprintf("<damsonkeel><idleReturn>%v</idleReturn></damsonkeel>\n", seconds(c.site.IdleReturnS))
+	text := fmt.Sprintf("<idleReturn>%v</idleReturn>", seconds(c.site.IdleReturnS))
+	if c.keys != "" {
+		text += "<operatorKeys>" + c.keys + "</operatorKeys>"
+	}
+	text = "<damsonkeel>" + text + "</damsonkeel>\n"
 	if err := os.WriteFile(operator, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/internal/scale/figures.go
+++ b/internal/scale/figures.go
@@ -1,11 +1,12 @@
 package scale
 
 import (
-	"maps"
+	"cmp"
 	"math"
 	"slices"
 	"time"
 
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/scale/rules"
 
@@ -20,6 +21,8 @@
 	RunningPeak int
 	Classes     map[string]Waits // from submission to the start, by task; "all": of all
 	UrgentJobs  Waits            // until all tasks of a job run
+	Urgent      UrgentStages
+	Timeline    []TimelinePoint
 	State       StateFigures
 	Troubles    []TroubleFigures
 }
@@ -62,7 +65,7 @@
 func (h *Hub) figures() *HubFigures {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	terms := rules.Terms{CancelS: h.site.Timings.CancelS}
+	terms := rules.Terms{CancelS: h.site.Timings.CancelS, Limits: h.limits, WithinS: config.ConfiguredWithin.Seconds()}
 	names := h.site.TeamNames()
 	for _, t := range h.site.Teams {
 		for range t.Count {
@@ -75,6 +78,8 @@
 	out.StartsPeakS = peakPerSecond(starts)
 	out.RunningPeak = runningPeak(h.events)
 	out.Classes, out.UrgentJobs = h.waits()
+	out.Urgent = h.urgentStages()
+	out.Timeline = h.timeline()
 	for i := range h.troubles {
 		h.troubles[i].figures.StartsBackS = startsBackAfter(starts, h.troubles[i].begun, h.troubles[i].ended)
 		out.Troubles = append(out.Troubles, h.troubles[i].figures)
@@ -109,18 +114,11 @@
 // runningPeak is how many tasks were on machines at the most.
 func runningPeak(events []rules.MachineEvent) int {
 	sorted := slices.Clone(events)
-	slices.SortStableFunc(sorted, func(a, b rules.MachineEvent) int { return int(a.At - b.At) })
-	on, most := map[protocol.TaskID]protocol.MachineID{}, 0
+	slices.SortStableFunc(sorted, func(a, b rules.MachineEvent) int { return cmp.Compare(a.At, b.At) })
+	count, most := newRunCount(), 0
 	for _, e := range sorted {
-		switch e.Kind {
-		case rules.TaskOn:
-			on[e.Task] = e.Machine
-		case rules.TaskOff:
-			delete(on, e.Task)
-		case rules.MachineGone:
-			maps.DeleteFunc(on, func(_ protocol.TaskID, m protocol.MachineID) bool { return m == e.Machine })
-		}
-		most = max(most, len(on))
+		count.take(e)
+		most = max(most, count.running())
 	}
 	return most
 }
--- a/internal/scale/hub.go
+++ b/internal/scale/hub.go
@@ -36,6 +36,7 @@
 	// initial, while machines of the start are rented, names the process of each.
 	initial  func(protocol.Zone) string
 	troubles []*trackedTrouble
+	limits   []rules.LimitChange
 }
 
 // hubProcess is a process that runs workers.
@@ -72,6 +73,7 @@
 	userStream
 	controllerStream
 	runStream
+	operatorStream
 )
 
 // process finds a process, or adds it. The lock is held.
@@ -295,6 +297,13 @@
 	t.figures.HeardS = math.Round((Now()-t.ended).Seconds()*10) / 10
 }
 
+// setLimits notes the changes of limits that were made.
+func (h *Hub) setLimits(limits []rules.LimitChange) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limits = limits
+}
+
 // workerAway is how long a worker that is restarted is away.
 const workerAway = 3 * time.Second
 
--- a/internal/scale/messages.go
+++ b/internal/scale/messages.go
@@ -94,6 +94,8 @@
 	Apart []int `json:",omitempty"`
 	// Trouble is something that happens to machines; for the hub's process.
 	Trouble *Trouble `json:",omitempty"`
+	// Limits are the changes of limits that were made; for the hub's process.
+	Limits []rules.LimitChange `json:",omitempty"`
 	// Finish ends the process after its report.
 	Finish bool `json:",omitempty"`
 }
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -49,6 +49,8 @@
 	Roles           []RoleFigures    `json:"roles"`
 	State           StateFigures     `json:"state"`
 	Troubles        []TroubleFigures `json:"troubles"`
+	Config          *ConfigFigures   `json:"config,omitempty"`
+	Timeline        []TimelinePoint  `json:"timeline"`
 
 	reports map[string]RoleReport
 	roleOf  map[string]string
@@ -60,6 +62,8 @@
 	P50S   float64 `json:"start_p50_s"`
 	P99S   float64 `json:"start_p99_s"`
 	WorstS float64 `json:"start_worst_s"`
+	// Stages are the parts of a task's wait.
+	Stages UrgentStages `json:"stages"`
 }
 
 // WorkerFigures are the most that a worker in a process of its own has spent.
@@ -141,7 +145,8 @@
 	}
 	r.Starts, r.StartsPeakS, r.RunningPeak = h.Starts, h.StartsPeakS, h.RunningPeak
 	r.Waits, r.State, r.Troubles = h.Classes, h.State, h.Troubles
-	r.Urgent = UrgentFigures{Jobs: h.UrgentJobs.Count, P50S: h.UrgentJobs.P50S, P99S: h.UrgentJobs.P99S, WorstS: h.UrgentJobs.WorstS}
+	r.Urgent = UrgentFigures{Jobs: h.UrgentJobs.Count, P50S: h.UrgentJobs.P50S, P99S: h.UrgentJobs.P99S, WorstS: h.UrgentJobs.WorstS, Stages: h.Urgent}
+	r.Timeline = h.Timeline
 }
 
 func violation(v rules.Violation) string { return fmt.Sprintf("%s: %s", v.Rule, v.What) }
--- a/internal/scale/rules/check.go
+++ b/internal/scale/rules/check.go
@@ -59,7 +59,9 @@
 	holds      map[protocol.MachineID]map[protocol.TaskID]bool
 	on         map[protocol.TaskID]protocol.MachineID
 	used       map[protocol.Team]float64
-	limits     map[protocol.Team]float64
+	limits     map[protocol.Team]float64 // at the beginning
+	changes    map[protocol.Team][]LimitChange
+	ordered    map[protocol.TaskID]time.Duration // when its start was last taken
 	done       map[protocol.TaskID]time.Duration // when it first completed
 	last       time.Duration
 	starts     int
@@ -70,11 +72,15 @@
 	c := &checker{
 		terms: terms, jobs: map[protocol.JobID]protocol.Job{}, cancelled: map[protocol.JobID]time.Duration{}, asked: map[protocol.JobID]time.Duration{},
 		machines: map[protocol.MachineID]MachineEvent{}, holds: map[protocol.MachineID]map[protocol.TaskID]bool{}, on: map[protocol.TaskID]protocol.MachineID{},
-		used: map[protocol.Team]float64{}, limits: map[protocol.Team]float64{}, done: map[protocol.TaskID]time.Duration{},
+		used: map[protocol.Team]float64{}, limits: map[protocol.Team]float64{},
+		changes: map[protocol.Team][]LimitChange{}, ordered: map[protocol.TaskID]time.Duration{}, done: map[protocol.TaskID]time.Duration{},
 	}
 	for _, t := range terms.Teams {
 		c.limits[t.Name] = t.MaxCPUs
 	}
+	for _, change := range terms.Limits {
+		c.changes[change.Team] = append(c.changes[change.Team], change)
+	}
 	for _, e := range users {
 		switch {
 		case e.Kind == UserUploads:
@@ -110,6 +116,8 @@
 		for task := range c.holds[e.Machine] {
 			c.taskOff(e.Machine, task, e.At)
 		}
+	case TaskOrdered:
+		c.ordered[e.Task] = e.At
 	case TaskOn:
 		c.taskOn(e)
 	case TaskOff:
@@ -167,11 +175,34 @@
 	c.holds[e.Machine][e.Task] = true
 	c.on[e.Task] = e.Machine
 	c.used[job.Team] += job.CPUs
-	if limit := c.limits[job.Team]; limit > 0 && c.used[job.Team] > limit+amountSlack {
+	if limit := c.limitFor(e, job.Team); limit > 0 && c.used[job.Team] > limit+amountSlack {
 		c.broken(Quota, e.At, "%s uses %v processors of at most %v", job.Team, c.used[job.Team], limit)
 	}
 }
 
+// limitFor is the highest limit of a team by which a task that comes onto its machine
+// may have been ordered; 0: none.
+func (c *checker) limitFor(e MachineEvent, team protocol.Team) float64 {
+	ordered, known := c.ordered[e.Task]
+	if !known {
+		ordered = e.At
+	}
+	since := ordered - time.Duration(c.terms.WithinS*float64(time.Second))
+	limit := c.limits[team]
+	for _, change := range c.changes[team] {
+		switch {
+		case change.Asked > e.At:
+		case change.Answered < since:
+			limit = change.MaxCPUs // the one before is in force no more
+		case change.MaxCPUs == 0 || limit == 0:
+			limit = 0
+		default:
+			limit = max(limit, change.MaxCPUs)
+		}
+	}
+	return limit
+}
+
 // place checks where a task starts.
 func (c *checker) place(e MachineEvent, job protocol.Job) {
 	machine := c.machines[e.Machine]
--- a/internal/scale/rules/check_test.go
+++ b/internal/scale/rules/check_test.go
@@ -84,7 +84,17 @@
 			s.upload(protocol.Job{ID: "job-more", Kind: protocol.KindArray, Team: "bound", Tasks: 1, CPUs: 0.5})
 			s.on(5*second, "b1", task("job-more", 0))
 		}},
-		"in the wrong zone":    {WrongPlace, func(s *story) { s.on(40*second, "b1", task("job-array", 0)) }},
+		"in the wrong zone": {WrongPlace, func(s *story) { s.on(40*second, "b1", task("job-array", 0)) }},
+		"on the wrong type": {WrongPlace, func(s *story) {
+			s.machines = append(s.machines, MachineEvent{Kind: MachineUp, Machine: "a3", Type: "m16", Zone: "a"})
+			s.on(40*second, "a3", task("job-array", 0))
+		}},
+		"spread over one zone": {WrongPlace, func(s *story) {
+			s.upload(protocol.Job{ID: "job-spread", Kind: protocol.KindArray, Team: "free", Tasks: 3, CPUs: 1, Spread: true})
+			for i := range uint32(3) {
+				s.on(40*second, "a1", task("job-spread", i))
+			}
+		}},
 		"gang in two zones":    {WrongPlace, func(s *story) { s.on(5*second, "a1", task("job-gang", 1)) }},
 		"cancelled, but stays": {RanCancelled, func(s *story) { s.on(31*second, "a1", task("job-off", 0)); s.on(55*second, "a1", task("job-gang", 0)) }},
 		"cancelled, but starts": {RanCancelled, func(s *story) {
@@ -120,6 +130,26 @@
 	}
 }
 
+// TestChangedLimits: a start is held against the limits that it may have been ordered by.
+func TestChangedLimits(t *testing.T) {
+	terms := Terms{Teams: []Team{{"bound", 8}}, CancelS: 40, WithinS: 11, Limits: []LimitChange{
+		{Asked: 40 * second, Answered: 41 * second, Team: "bound", MaxCPUs: 4},
+		{Asked: 90 * second, Answered: 91 * second, Team: "bound", MaxCPUs: 12},
+	}}
+	for at, broken := range map[time.Duration]bool{30 * second: false, 50 * second: false, 53 * second: true, 80 * second: true, 90 * second: false} {
+		s := &story{}
+		s.up("a1", "a")
+		s.upload(protocol.Job{ID: "job-1", Kind: protocol.KindArray, Team: "bound", Tasks: 2, CPUs: 4})
+		s.on(at-second/2, "a1", task("job-1", 0))
+		s.machines = append(s.machines, MachineEvent{At: at, Kind: TaskOrdered, Machine: "a1", Task: task("job-1", 1)})
+		s.on(at+second/2, "a1", task("job-1", 1))
+		found := Check(terms, s.machines, s.users)
+		if got := len(found) > 0; got != broken {
+			t.Errorf("ordered at %v: %v", at, found)
+		}
+	}
+}
+
 // TestAnswersUnderWayMayCross: an answer is only held against those that came before
 // its question was asked.
 func TestAnswersUnderWayMayCross(t *testing.T) {
--- a/internal/scale/rules/observation.go
+++ b/internal/scale/rules/observation.go
@@ -15,8 +15,9 @@
 const (
 	MachineUp MachineEventKind = iota + 1
 	MachineGone
-	TaskOn  // a task has its image: it is on the machine
-	TaskOff // it has left the machine
+	TaskOn      // a task has its image: it is on the machine
+	TaskOff     // it has left the machine
+	TaskOrdered // a task's start was taken
 	// GangRuns is seen where a gang meets: all tasks of an attempt run.
 	GangRuns
 )
@@ -61,10 +62,22 @@
 	MaxCPUs float64
 }
 
+// LimitChange is a change of a team's limit while a run goes on: it was made at some time
+// from when it was asked for until it was answered.
+type LimitChange struct {
+	Asked, Answered time.Duration
+	Team            protocol.Team
+	MaxCPUs         float64
+}
+
 // Terms are what the rules are checked by.
 type Terms struct {
 	Teams   []Team
 	CancelS float64 // how long after a confirmed cancellation tasks may stay
+	// Limits are the changes of limits, in order; for WithinS after one, starts may be
+	// ordered by the limit before.
+	Limits  []LimitChange
+	WithinS float64
 }
 
 // Rule names a rule of the protocol.
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -57,6 +57,7 @@
 	links       map[string]string // addresses by linkName
 	addresses   map[string]string // of the services
 	controllers *controllers
+	operator    *operator // nil: nobody changes the configuration
 	begin       time.Duration
 
 	mu    sync.Mutex
@@ -146,6 +147,11 @@
 		return err
 	}
 	r.controllers.program = program
+	if r.site.Configuration.Changes > 0 {
+		if r.operator, r.controllers.keys, err = newOperator(r.site, dir, r.options.Seed); err != nil {
+			return err
+		}
+	}
 	if err := r.startForwarders(); err != nil {
 		return err
 	}
@@ -259,6 +265,10 @@
 	if _, err := r.startRole(&r.users, RoleUsers, RoleUsers, RoleConfig{Controllers: reach, Begin: r.begin}); err != nil {
 		return err
 	}
+	if r.operator != nil {
+		r.operator.addresses = reach
+		go r.operator.run(ctx, r.begin)
+	}
 	troubles := slices.Clone(r.site.Troubles)
 	slices.SortStableFunc(troubles, func(a, b Trouble) int { return int(1000 * (a.AtS - b.AtS)) })
 	end, told := r.begin+seconds(r.site.DurationS), r.begin
@@ -345,6 +355,18 @@
 // finish has all processes report.
 func (r *run) finish() (*Result, error) {
 	result := newResult(r.site, r.options)
+	if r.operator != nil {
+		if err := r.services.tell(RoleCommand{Limits: r.operator.limits()}); err != nil {
+			return nil, err
+		}
+		var err error
+		if result.Config, err = r.operator.figures(); err != nil {
+			return nil, err
+		}
+		for _, v := range r.operator.broken {
+			result.Rules = append(result.Rules, violation(v))
+		}
+	}
 	order := append([]*child{r.users}, r.workers...)
 	order = append(append(order, r.forwarders...), r.services)
 	for _, c := range order {
--- a/internal/scale/services.go
+++ b/internal/scale/services.go
@@ -156,4 +156,7 @@
 	if c.Trouble != nil {
 		s.hub.trouble(*c.Trouble)
 	}
+	if c.Limits != nil {
+		s.hub.setLimits(c.Limits)
+	}
 }
--- a/internal/scale/site.go
+++ b/internal/scale/site.go
@@ -46,6 +46,16 @@
 	Objectives []Objective `toml:"objectives"`
 	Load       []Load      `toml:"load"`
 	Troubles   []Trouble   `toml:"troubles"`
+	// Configuration, if it has changes, is what operators change meanwhile.
+	Configuration Configuration `toml:"configuration"`
+}
+
+// Configuration is how operators change the configuration: so many changes, evenly over
+// a time.
+type Configuration struct {
+	Changes int     `toml:"changes"`
+	FromS   float64 `toml:"from_s"`
+	ForS    float64 `toml:"for_s"`
 }
 
 // Timings are the workers' times.
@@ -223,6 +233,8 @@
 		{"state.requests_per_s", s.State.RequestsPerS, 1, anyAmount}, {"state.changes_per_s", s.State.ChangesPerS, 1, anyAmount},
 		{"state.value_kb", s.State.ValueKB, 1, 1024}, {"state.txn_ops", float64(s.State.TxnOps), 2, 1000}, {"state.answer_ms", s.State.AnswerMS, 0, 1000},
 		{"cloud.requests_per_s", s.Cloud.RequestsPerS, 0.1, anyAmount}, {"cloud.list_lag_s", s.Cloud.ListLagS, 0, 600}, {"cloud.answer_ms", s.Cloud.AnswerMS, 0, 1000},
+		{"configuration.changes", float64(s.Configuration.Changes), 0, 10_000},
+		{"configuration.from_s", s.Configuration.FromS, 0, s.DurationS}, {"configuration.for_s", s.Configuration.ForS, 0, s.DurationS},
 		{"limits.cpu", s.Limits.CPU, tiny, 64}, {"limits.memory_mb", s.Limits.MemoryMB, 16, anyAmount}, {"limits.max_connections", float64(s.Limits.MaxConns), 50, anyAmount},
 	}
 	if err := checkFields(fields); err != nil {
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -16,6 +16,8 @@
 	printRoles(out, results)
 	printTraffic(out, results)
 	printTroubles(out, results)
+	printStages(out, results)
+	printConfig(out, results)
 	for _, r := range results {
 		if r.Saturated {
 			fmt.Fprintf(out, "scale %v is SATURATED: timers were up to %.0f ms late in 99 of 100 cases (%.0f at most); its times don't count as the service's.\n", r.Factor, r.Lateness.P99MS, saturatedMS*1.0)
@@ -84,6 +86,29 @@
 	t.Render()
 }
 
+func printStages(out io.Writer, results []*Result) {
+	t := newTable(out, "scale", "urgent tasks", "p50 s", "p99 s", "worst s")
+	for _, r := range results {
+		for _, stage := range []struct {
+			name  string
+			waits Waits
+		}{{"until accepted", r.Urgent.Stages.Accepted}, {"until ordered at the worker", r.Urgent.Stages.Ordered}, {"until the image is there", r.Urgent.Stages.Image}} {
+			t.AppendRow(table.Row{r.Factor, stage.name, fixed2(stage.waits.P50S), fixed2(stage.waits.P99S), fixed2(stage.waits.WorstS)})
+		}
+	}
+	t.Render()
+}
+
+func printConfig(out io.Writer, results []*Result) {
+	t := newTable(out, "scale", "changes of the configuration", "failed", "durable p99 s", "in force p99 s", "worst s", "by the bound", "oldest acted by s")
+	for _, r := range results {
+		if c := r.Config; c != nil {
+			t.AppendRow(table.Row{r.Factor, c.Changes, c.Failed, fixed2(c.AnsweredP99S), fixed2(c.InForceP99S), fixed2(c.InForceWorstS), c.ByBound, fixed2(c.OldestS)})
+		}
+	}
+	t.Render()
+}
+
 // cutPrefix is a text without a prefix; empty if it has not got it.
 func cutPrefix(text, prefix string) string {
 	if len(text) <= len(prefix) || text[:len(prefix)] != prefix {
--- /dev/null
+++ b/internal/scale/timeline.go
@@ -0,0 +1,119 @@
+package scale
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/scale/rules"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// timelineStep is how far the points of a timeline are apart.
+const timelineStep = 5 * time.Second
+
+// TimelinePoint is what went on in the time before it.
+type TimelinePoint struct {
+	AtS     float64 `json:"at_s"`
+	StartsS float64 `json:"starts_s"` // a second
+	Running int     `json:"running"`  // tasks on machines, at its end
+}
+
+// timeline is the starts and what ran, over time.
+func (h *Hub) timeline() []TimelinePoint {
+	if len(h.users) == 0 {
+		return nil
+	}
+	begin := h.users[0].Asked
+	events := slices.Clone(h.events)
+	slices.SortStableFunc(events, func(a, b rules.MachineEvent) int { return cmp.Compare(a.At, b.At) })
+	var points []TimelinePoint
+	count := newRunCount()
+	starts, next := 0, begin+timelineStep
+	for _, e := range events {
+		for e.At >= next {
+			points = append(points, TimelinePoint{(next - begin).Seconds(), float64(starts) / timelineStep.Seconds(), count.running()})
+			starts, next = 0, next+timelineStep
+		}
+		if count.take(e); e.Kind == rules.TaskOn {
+			starts++
+		}
+	}
+	return points
+}
+
+// runCount counts the tasks on machines.
+type runCount struct {
+	on map[protocol.TaskID]protocol.MachineID
+}
+
+func newRunCount() *runCount { return &runCount{map[protocol.TaskID]protocol.MachineID{}} }
+
+func (c *runCount) running() int { return len(c.on) }
+
+// take takes the next event.
+func (c *runCount) take(e rules.MachineEvent) {
+	switch e.Kind {
+	case rules.TaskOn:
+		c.on[e.Task] = e.Machine
+	case rules.TaskOff:
+		delete(c.on, e.Task)
+	case rules.MachineGone:
+		for task, machine := range c.on {
+			if machine == e.Machine {
+				delete(c.on, task)
+			}
+		}
+	}
+}
+
+// UrgentStages are the parts of an urgent task's wait: until its job is accepted, from
+// then until its worker has the order to start it, and until it has its image.
+type UrgentStages struct {
+	Accepted Waits `json:"accepted"`
+	Ordered  Waits `json:"ordered"`
+	Image    Waits `json:"image"`
+}
+
+// urgentStages measures the parts of the waits of urgent tasks.
+func (h *Hub) urgentStages() UrgentStages {
+	submitted, accepted := map[protocol.JobID]time.Duration{}, map[protocol.JobID]time.Duration{}
+	for _, e := range h.users {
+		switch {
+		case e.Kind == rules.UserUploads:
+			submitted[e.Job] = e.Asked
+		case e.Kind == rules.UserSubmits && e.Status/100 == 2 && accepted[e.Job] == 0:
+			accepted[e.Job] = e.Answered
+		}
+	}
+	ordered, on := firstOf(h.events, rules.TaskOrdered), firstOf(h.events, rules.TaskOn)
+	var stages [3]*hdrhistogram.Histogram
+	for i := range stages {
+		stages[i] = newHistogram()
+	}
+	for task, at := range on {
+		if h.jobs[task.Job].Class != urgentClass || accepted[task.Job] == 0 || ordered[task] == 0 {
+			continue
+		}
+		record(stages[0], accepted[task.Job]-submitted[task.Job])
+		record(stages[1], ordered[task]-accepted[task.Job])
+		record(stages[2], at-ordered[task])
+	}
+	return UrgentStages{waitsOf(stages[0]), waitsOf(stages[1]), waitsOf(stages[2])}
+}
+
+// firstOf is when something first happened to each task.
+func firstOf(events []rules.MachineEvent, kind rules.MachineEventKind) map[protocol.TaskID]time.Duration {
+	first := map[protocol.TaskID]time.Duration{}
+	for _, e := range events {
+		if e.Kind != kind {
+			continue
+		}
+		if was, ok := first[e.Task]; !ok || e.At < was {
+			first[e.Task] = e.At
+		}
+	}
+	return first
+}
--- a/internal/scale/workers.go
+++ b/internal/scale/workers.go
@@ -161,6 +161,11 @@
 	r.note(rules.MachineEvent{At: at, Kind: rules.MachineGone, Machine: id})
 }
 
+// Ordered notes a task whose start was taken.
+func (r *workersRole) Ordered(id protocol.MachineID, task protocol.TaskID, attempt protocol.Attempt, at time.Duration) {
+	r.note(rules.MachineEvent{At: at, Kind: rules.TaskOrdered, Machine: id, Task: task, Attempt: attempt})
+}
+
 // On notes a task that has come onto its machine.
 func (r *workersRole) On(id protocol.MachineID, task protocol.TaskID, attempt protocol.Attempt, at time.Duration) {
 	r.note(rules.MachineEvent{At: at, Kind: rules.TaskOn, Machine: id, Task: task, Attempt: attempt})
--- a/internal/standin/serve/host.go
+++ b/internal/standin/serve/host.go
@@ -39,6 +39,8 @@
 type Observer interface {
 	Up(machine protocol.MachineID, info protocol.TypeInfo, zone protocol.Zone, spot bool, at time.Duration)
 	Gone(machine protocol.MachineID, at time.Duration)
+	// Ordered tells that a task's start was taken; its image may have to be fetched.
+	Ordered(machine protocol.MachineID, task protocol.TaskID, attempt protocol.Attempt, at time.Duration)
 	// On and Off tell when a task comes onto its machine and leaves it.
 	On(machine protocol.MachineID, task protocol.TaskID, attempt protocol.Attempt, at time.Duration)
 	Off(machine protocol.MachineID, task protocol.TaskID, attempt protocol.Attempt, cause protocol.EndCause, at time.Duration)
@@ -131,6 +133,9 @@
 		Started: func(w *standin.Worker, task protocol.TaskID, attempt protocol.Attempt) {
 			h.cfg.Observer.On(w.ID, task, attempt, h.cfg.Clock())
 		},
+		Ordered: func(w *standin.Worker, task protocol.TaskID, attempt protocol.Attempt) {
+			h.cfg.Observer.Ordered(w.ID, task, attempt, h.cfg.Clock())
+		},
 		Ended: h.ended,
 	}
 	if h.cfg.CachedImages {
--- a/internal/standin/serve/platform.go
+++ b/internal/standin/serve/platform.go
@@ -149,6 +149,9 @@
 // Gone hears of a machine.
 func (p *Platform) Gone(protocol.MachineID, time.Duration) {}
 
+// Ordered hears of a start that was taken.
+func (p *Platform) Ordered(protocol.MachineID, protocol.TaskID, protocol.Attempt, time.Duration) {}
+
 // On hears of a task that has started.
 func (p *Platform) On(_ protocol.MachineID, task protocol.TaskID, _ protocol.Attempt, _ time.Duration) {
 	p.mu.Lock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -28,6 +28,8 @@
 	Seq      protocol.Seq
 
 	Jobs func(protocol.JobID) (protocol.Job, bool)
+	// Ordered, if set, hears of tasks whose start was taken, before they have their image.
+	Ordered func(*Worker, protocol.TaskID, protocol.Attempt)
 	// Started and Ended hear of tasks as they come onto and go off the machine.
 	Started func(*Worker, protocol.TaskID, protocol.Attempt)
 	Ended   func(*Worker, protocol.TaskID, protocol.EndCause)
@@ -323,6 +325,9 @@
 		if w.Caches && w.images[j.Image] {
 			t.fetch = 0
 		}
+		if w.Ordered != nil {
+			w.Ordered(w, o.Task, o.Attempt)
+		}
 	}
 }
 
