--- a/cmd/damsonkeel-scale/main.go
+++ b/cmd/damsonkeel-scale/main.go
@@ -20,6 +20,7 @@
 
 type commandLine struct {
 	Play playCommand `cmd:"" default:"withargs" help:"Play a site; the command if none is named."`
+	Fit  fitCommand  `cmd:"" help:"Fit the figures of results of several sizes over the number of workers."`
 	Role roleCommand `cmd:"" hidden:"" help:"A process of a run; started by play."`
 }
 
@@ -32,8 +33,30 @@
 	Root   string    `help:"Checkout whose deploy file says how the service is built." default:"." type:"path"`
 }
 
+type fitCommand struct {
+	Results []string `arg:"" help:"Files of results, as --keep writes them." type:"existingfile"`
+	Output  string   `help:"Form of the slopes: ${enum}." enum:"table,json" default:"table"`
+}
+
 type roleCommand struct{}
 
+// Run fits figures.
+func (f *fitCommand) Run() error {
+	results, err := scale.ReadResults(f.Results)
+	if err != nil {
+		return err
+	}
+	slopes, err := scale.Fit(results)
+	if err != nil {
+		return err
+	}
+	if f.Output == "json" {
+		return encodeJSON(os.Stdout, slopes)
+	}
+	scale.PrintSlopes(os.Stdout, slopes)
+	return nil
+}
+
 // Run plays a role of a run, as its standard input says.
 func (*roleCommand) Run() error {
 	return scale.RunRole(os.Stdin, os.Stdout, scale.Logger(slog.LevelError))
@@ -95,12 +118,16 @@
 
 // writeJSON writes one result as an object, several as a list.
 func writeJSON(out io.Writer, results []*scale.Result) error {
-	enc := json.NewEncoder(out)
-	enc.SetIndent("", "  ")
 	if len(results) == 1 {
-		return enc.Encode(results[0])
+		return encodeJSON(out, results[0])
 	}
-	return enc.Encode(results)
+	return encodeJSON(out, results)
+}
+
+func encodeJSON(out io.Writer, v any) error {
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
 }
 
 func main() {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -152,3 +152,23 @@
 		}
 	})
 }
+
+// TestConfiguredInTime: where the configuration may change, settings that are taken
+// leave a margin of the time within which a change is in force everywhere; elsewhere
+// nothing is asked of them.
+func TestConfiguredInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &Settings{}
+		s.Site.Workers.LeaseS, s.Site.Workers.CancelS = 20, 200
+		op := DefaultOperator()
+		op.NodeLease = Seconds(rapid.Float64Range(0.1, 60).Draw(t, "nodeLease"))
+		op.FixedConfiguration = rapid.Bool().Draw(t, "fixed")
+		if rapid.Bool().Draw(t, "keys") {
+			op.OperatorKeys = "keys"
+		}
+		_, err := op.Fit(s)
+		if fits := op.NodeLease.Seconds()+2 <= 10.5; (err == nil) != (fits || !op.Configurable()) {
+			t.Fatalf("%+v: %v", op, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/scale/fit_test.go
@@ -0,0 +1,39 @@
+package scale
+
+import (
+	"errors"
+	"math"
+	"testing"
+)
+
+// TestFit: figures that grow in a line are found as that line, and two sizes are too few.
+func TestFit(t *testing.T) {
+	var results []*Result
+	for _, workers := range []int{700, 1400, 2800} {
+		results = append(results, &Result{
+			Workers: workers, Worker: WorkerFigures{BytesS: 184},
+			Roles: []RoleFigures{{Role: roleController, MemoryMB: 10 + 0.02*float64(workers)}},
+		})
+	}
+	if _, err := Fit(results[:2]); !errors.Is(err, errSizes) {
+		t.Errorf("two sizes: %v", err)
+	}
+	slopes, err := Fit(results)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string][2]float64{"controller: memory, MB": {10, 20}, "worker: bytes a second": {184, 0}}
+	for _, s := range slopes {
+		line, asked := want[s.Figure]
+		if !asked {
+			continue
+		}
+		delete(want, s.Figure)
+		if math.Abs(s.Intercept-line[0]) > 1e-6 || math.Abs(s.Per1000-line[1]) > 1e-6 || s.Least != 700 || s.Most != 2800 {
+			t.Errorf("%+v, want %v", s, line)
+		}
+	}
+	if len(want) > 0 {
+		t.Errorf("not fitted: %v", want)
+	}
+}
