Names of the field: peer reports, reported states, price premiums, failing jobs; one throttle for the stand-in services

Cause: names that need explaining (hearsay, told, dear, mistake); the stand-in services limited their requests twice. Change: renamed, without change of behaviour; the throttle stands once. Measured: the tests of the core and its parts pass as they are, but for the names they use.

--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -16,15 +16,15 @@
 // once for all that are placed in one go, and after each task only the one
 // that took it again.
 type candidates struct {
-	job    *ownedJob
-	need   room.Amount
-	risk   float64 // what a spot machine adds to the wait, in seconds
-	shun   bool    // spot machines only if there is no other way
-	claims *claims
-	bars   func(*machineEntry) bool // see Core.bars; nil: nothing is promised
-	own    func(*machineEntry) bool // whether room is held there for the job
-	dear   map[kind]float64
-	heap   []candidate
+	job           *ownedJob
+	need          room.Amount
+	risk          float64 // what a spot machine adds to the wait, in seconds
+	shun          bool    // spot machines only if there is no other way
+	claims        *claims
+	bars          func(*machineEntry) bool // see Core.bars; nil: nothing is promised
+	own           func(*machineEntry) bool // whether room is held there for the job
+	pricePremiums map[kind]float64
+	heap          []candidate
 }
 
 // candidate is a machine as the job's next task would find it.
@@ -66,7 +66,7 @@
 
 // candidatesFor looks for the machines that may run a job's tasks.
 func (c *Core) candidatesFor(o *ownedJob, zones map[protocol.Zone]int, cl *claims) *candidates {
-	s := &candidates{job: o, need: room.Need(&o.Job), bars: c.bars(o), claims: cl, risk: c.spotStretch(&o.Job) * c.Estimate(&o.Job), shun: c.risky(&o.Job), dear: c.dear}
+	s := &candidates{job: o, need: room.Need(&o.Job), bars: c.bars(o), claims: cl, risk: c.spotStretch(&o.Job) * c.Estimate(&o.Job), shun: c.risky(&o.Job), pricePremiums: c.pricePremiums}
 	if s.bars != nil {
 		s.own = func(m *machineEntry) bool { return c.holdsFor(o, m) }
 	}
@@ -83,29 +83,29 @@
 	return s
 }
 
-// dearness is how much dearer each kind of machine is than the cheapest: the
+// reckonPricePremiums is how much more expensive each kind of machine is than the cheapest: the
 // part of its price, for a processor, that the cheapest would save. Among
 // machines with room it counts like the part of one that is free: the cheap and
-// the full ones are filled first, so that the dear ones become idle.
-func (c *Core) dearness() map[kind]float64 {
-	dear := map[kind]float64{}
+// the full ones are filled first, so that the expensive ones become idle.
+func (c *Core) reckonPricePremiums() map[kind]float64 {
+	premiums := map[kind]float64{}
 	least := math.Inf(1)
 	for _, t := range c.Types {
 		for _, z := range t.AllowZones {
 			for _, spot := range []bool{true, false} {
 				k := kind{Type: t.Name, Zone: z, Spot: spot}
-				dear[k] = c.price(k)
-				least = math.Min(least, dear[k])
+				premiums[k] = c.price(k)
+				least = math.Min(least, premiums[k])
 			}
 		}
 	}
-	for k, price := range dear {
-		dear[k] = 0
+	for k, price := range premiums {
+		premiums[k] = 0
 		if price > 0 {
-			dear[k] = 1 - least/price
+			premiums[k] = 1 - least/price
 		}
 	}
-	return dear
+	return premiums
 }
 
 // mayTake tells which machines a job may have a task on at present, given the zones
@@ -163,7 +163,7 @@
 		w += s.risk
 	}
 	if room {
-		w += s.dear[m.kind()]
+		w += s.pricePremiums[m.kind()]
 	}
 	k := candidate{m: m, rank: rankQueue, wait: int64(math.Round(w * 1e6)), tie: tie}
 	if room && !(s.shun && m.Record.Spot) {
--- a/internal/coordination/candidates_test.go
+++ b/internal/coordination/candidates_test.go
@@ -65,12 +65,12 @@
 			},
 		}
 		busy := float64(rapid.IntRange(0, int(info.CPUs)).Draw(t, "busy"))
-		m.told = message.MachineState{
+		m.reported = message.MachineState{
 			Machine: id, Epoch: 1, FreeCPUs: info.CPUs - busy, FreeGB: info.MemoryGB - busy, Wait: 10 * busy,
 			Suspect: rapid.IntRange(0, 9).Draw(t, "suspect") == 0,
 		}
-		if m.told.FreeCPUs == 0 && rapid.Bool().Draw(t, "queue") {
-			m.told.Queued, m.told.Wait = 3, m.told.Wait+float64(rapid.IntRange(0, 50).Draw(t, "queued"))
+		if m.reported.FreeCPUs == 0 && rapid.Bool().Draw(t, "queue") {
+			m.reported.Queued, m.reported.Wait = 3, m.reported.Wait+float64(rapid.IntRange(0, 50).Draw(t, "queued"))
 		}
 		c.addMachine(m)
 	}
@@ -116,7 +116,7 @@
 }
 
 // TestCheapMachinesFillFirst: of machines with room the cheap ones are filled
-// first, the fuller ones before the others, so that dear ones become idle.
+// first, the fuller ones before the others, so that expensive ones become idle.
 func TestCheapMachinesFillFirst(t *testing.T) {
 	b := newBench(t)
 	b.step(message.CatalogueRead{Types: []protocol.TypeInfo{{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, Price: 0.6, SpotPrice: 0.2, AllowZones: []protocol.Zone{"a"}}}})
@@ -124,7 +124,7 @@
 		id := protocol.MachineID(fmt.Sprint("vm-", i))
 		b.ready(id)
 		m := b.c.machines[id]
-		m.Record.Spot, m.told.Queued = spot, 0
+		m.Record.Spot, m.reported.Queued = spot, 0
 	}
 	j := protocol.Job{ID: "job-1", Class: "sheet", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 6, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}
 	b.put(bookkeeping.LiveKey(j.ID), j)
@@ -146,8 +146,8 @@
 	b.ready("vm-2")
 	queued := func(id protocol.MachineID, l room.Level, work float64) {
 		m := b.c.machines[id]
-		m.told.Queued, m.told.Wait, m.told.Queue = 1, 100+work, make([]float64, l+1)
-		m.told.Queue[l] = work
+		m.reported.Queued, m.reported.Wait, m.reported.Queue = 1, 100+work, make([]float64, l+1)
+		m.reported.Queue[l] = work
 	}
 	queued("vm-1", room.LevelOf("standard", false), 900)
 	queued("vm-2", room.LevelOf("high", false), 400)
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -82,7 +82,7 @@
 	l, sum := known.LiveJob{Job: *j}, 0.0
 	for _, m := range c.machinesInOrder() {
 		if c.usable(m) && l.AllowsKind(m.Info, m.Record.Zone, m.Record.Spot) {
-			sum += room.Amount{CPUs: m.told.Ending.CPUs, GPUs: m.told.Ending.GPUs, GB: m.told.Ending.GB}.Places(room.Need(j))
+			sum += room.Amount{CPUs: m.reported.Ending.CPUs, GPUs: m.reported.Ending.GPUs, GB: m.reported.Ending.GB}.Places(room.Need(j))
 		}
 	}
 	return sum
--- a/internal/coordination/classes_test.go
+++ b/internal/coordination/classes_test.go
@@ -80,10 +80,10 @@
 		k.arrivals = append(k.arrivals, forecast.Arrival{At: b.c.Now - Time(time.Duration(9-i)*4*time.Second), Tasks: float64(10 + i)})
 	}
 	none := b.c.reserve(k)
-	b.c.machines["vm-1"].told.Ending = message.Use{CPUs: 2, GB: 8}
-	b.c.machines["vm-2"].told.Ending = message.Use{CPUs: 2, GB: 8}
+	b.c.machines["vm-1"].reported.Ending = message.Use{CPUs: 2, GB: 8}
+	b.c.machines["vm-2"].reported.Ending = message.Use{CPUs: 2, GB: 8}
 	some := b.c.reserve(k)
-	b.c.machines["vm-2"].told.Ending = message.Use{CPUs: 20, GB: 80}
+	b.c.machines["vm-2"].reported.Ending = message.Use{CPUs: 20, GB: 80}
 	many := b.c.reserve(k)
 	if some >= none || many > some || many < 15 {
 		t.Errorf("room kept for %d, with ends for %d, with many for %d", none, some, many)
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -32,12 +32,12 @@
 	keeping   *keeping.Keeper
 	rng       *rand.Rand
 
-	dear     map[kind]float64 // see dearness: by the prices last read
-	copy     tableCopy
-	classes  map[string]*class
-	machines map[protocol.MachineID]*machineEntry
-	sorted   []*machineEntry // the machines in order of their names
-	spotsUp  int             // of these, spot machines
+	pricePremiums map[kind]float64 // by the prices last read: see reckonPricePremiums
+	copy          tableCopy
+	classes       map[string]*class
+	machines      map[protocol.MachineID]*machineEntry
+	sorted        []*machineEntry // the machines in order of their names
+	spotsUp       int             // of these, spot machines
 
 	owner ownerState
 	// ownedChanged are the owned jobs, as their state changes: a stream for all
@@ -67,8 +67,8 @@
 // peer is what is known of another controller's present session.
 type peer struct {
 	session  protocol.LeaseID
-	placed   uint64  // number of the last Place sent to it
-	told     hearsay // its word on the machines it keeps
+	placed   uint64      // number of the last Place sent to it
+	reports  peerReports // its word on the machines it keeps
 	demand   []message.Demand
 	progress map[protocol.JobID]message.Progress
 	// configuration is the revision that it says it acts by, and configuredAt when it
@@ -209,7 +209,7 @@
 	for _, t := range types {
 		c.Types[t.Name] = t
 	}
-	c.dear = c.dearness()
+	c.pricePremiums = c.reckonPricePremiums()
 	for _, m := range c.machines {
 		m.Info = c.Types[m.Record.Type]
 	}
--- a/internal/coordination/failedsearch_test.go
+++ b/internal/coordination/failedsearch_test.go
@@ -17,7 +17,7 @@
 	const machines, jobs, ticks = 600, 300, 20
 	b.zoned("a", machines, false, heldAt(2, 4))
 	for _, m := range b.c.machinesInOrder() {
-		m.told.Wait = 10_000
+		m.reported.Wait = 10_000
 	}
 	var first protocol.JobID
 	for i := range 2 * jobs {
@@ -40,7 +40,7 @@
 	}
 	all := b.c.machinesInOrder()
 	m := all[slices.IndexFunc(all, func(m *machineEntry) bool { return b.c.Keeper(m.ID) == "node-1" })] // here nobody keeps the rest
-	m.told.FreeCPUs, m.told.FreeGB, m.told.Wait = 1, 4, 0
+	m.reported.FreeCPUs, m.reported.FreeGB, m.reported.Wait = 1, 4, 0
 	for range ticks {
 		b.c.owner.dirty = true
 		b.step(message.Tick{})
--- a/internal/coordination/mistake.go
+++ b/internal/coordination/failingjob.go
@@ -7,12 +7,12 @@
 	"damsonkeel/internal/protocol"
 )
 
-// A job that was submitted with a mistake fails on every machine until its user
-// cancels it; a faulty machine fails every job. What tells them apart is the rest:
+// A failing job was submitted with an error in itself, and fails on every machine
+// until its user cancels it; a faulty machine fails every job. What tells them apart is the rest:
 // of a good job's tasks most run while a few faulty machines fail some, on a good
 // machine other jobs' tasks are done. The job's owner judges the job, and says so
 // to all; the machine's keeper judges the machine, and leaves out the failures of
-// jobs with a mistake (package keeping).
+// failing jobs (package keeping).
 const (
 	// failedMachines is on how many machines a job fails before that speaks against
 	// the job.
@@ -21,7 +21,7 @@
 	// each task that a trial takes, and at the most.
 	retryFirst, retryMost = 5 * time.Second, 5 * time.Minute
 	// A trial that runs so many times as long as others took to fail, and a little
-	// more, tells that the job's mistake, if it was one, is gone.
+	// more, tells that what was wrong with the job is gone.
 	trialFactor, trialSlack = 3, 5 * time.Second
 )
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -303,22 +303,22 @@
 			c.dropRecord(m)
 			continue
 		}
-		if m.told.Epoch != m.Epoch || !c.recent(m, 5*time.Second) {
+		if m.reported.Epoch != m.Epoch || !c.recent(m, 5*time.Second) {
 			continue // nothing recent is known of it
 		}
 		l, listed := f.listed[id]
 		f.seen[id] = f.seen[id] || listed && l.State == "running"
-		silent, idleS := m.told.Silence == message.SilenceLong, m.told.IdleS+c.Since(m.at).Seconds()
-		switch empty := m.told.Heard && m.told.Held == 0 && m.extra == 0; {
-		case silent && (m.told.Noticed || f.seen[id] && !listed):
+		silent, idleS := m.reported.Silence == message.SilenceLong, m.reported.IdleS+c.Since(m.at).Seconds()
+		switch empty := m.reported.Heard && m.reported.Held == 0 && m.extra == 0; {
+		case silent && (m.reported.Noticed || f.seen[id] && !listed):
 			// Taken, by all signs. The cloud's answer to its deletion proves
 			// it, long before the worker's lease would.
 			c.Log.Info("deleting a silent machine that seems taken", "machine", id)
 			gone = append(gone, id)
-		case empty && (m.told.Draining || m.told.Suspect):
+		case empty && (m.reported.Draining || m.reported.Suspect):
 			gone = append(gone, id)
 		case c.keepPromised(m):
-		case empty && !m.told.Draining && idleS > c.keepIdle(m.Info, spare) && spare >= m.Info.CPUs && cl.give(m):
+		case empty && !m.reported.Draining && idleS > c.keepIdle(m.Info, spare) && spare >= m.Info.CPUs && cl.give(m):
 			spare -= m.Info.CPUs
 			c.Log.Info("returning an idle machine", "machine", id, "idle_s", int(idleS))
 			c.Send(c.Keeper(id), message.PeerMessage{Drain: &id})
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -114,12 +114,12 @@
 			t.Fatalf("returned %v", ids)
 		}
 	}
-	if b.c.machines["vm-1"].told.Heard || b.c.machines["vm-1"].told.IdleS > 0 {
-		t.Errorf("told %+v", b.c.machines["vm-1"].told)
+	if b.c.machines["vm-1"].reported.Heard || b.c.machines["vm-1"].reported.IdleS > 0 {
+		t.Errorf("told %+v", b.c.machines["vm-1"].reported)
 	}
 	b.report("vm-1", 1, b.c.View.Term)
 	b.relay()
-	if !b.c.machines["vm-1"].told.Heard {
+	if !b.c.machines["vm-1"].reported.Heard {
 		t.Error("not heard after a report")
 	}
 }
--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -25,7 +25,7 @@
 			held: held, mine: map[protocol.TaskID]*placedTask{},
 		}
 		free := room.Capacity(m.Info).Minus(held.Firm(0))
-		m.told = message.MachineState{Machine: id, Epoch: 1, FreeCPUs: free.CPUs, FreeGB: free.GB}
+		m.reported = message.MachineState{Machine: id, Epoch: 1, FreeCPUs: free.CPUs, FreeGB: free.GB}
 		b.c.addMachine(m)
 	}
 }
@@ -113,9 +113,9 @@
 		t.Fatal("avoided before any was taken")
 	}
 	for range 40 {
-		m := &machineEntry{Machine: &known.Machine{Record: bookkeeping.Machine{Spot: true}}, told: message.MachineState{Noticed: true}}
+		m := &machineEntry{Machine: &known.Machine{Record: bookkeeping.Machine{Spot: true}}, reported: message.MachineState{Noticed: true}}
 		b.c.noteLoss(m)
-		m.told = message.MachineState{Draining: true, Noticed: true}
+		m.reported = message.MachineState{Draining: true, Noticed: true}
 		b.c.noteLoss(m) // returned by ourselves
 	}
 	if b.c.spots.Losses() != 40 {
--- a/internal/coordination/holding.go
+++ b/internal/coordination/holding.go
@@ -76,13 +76,13 @@
 		if !m.open() {
 			continue
 		}
-		if !c.recent(m, 3*c.Op.RelayEvery) && len(c.promised.Holds[m.ID]) == 0 || m.told.Epoch != m.Epoch {
+		if !c.recent(m, 3*c.Op.RelayEvery) && len(c.promised.Holds[m.ID]) == 0 || m.reported.Epoch != m.Epoch {
 			// Nobody tells of it at present. Where room is held already it stays
 			// so: while a controller is away its machines would lose their holds
 			// to others, and be filled.
 			continue
 		}
-		runs := slices.Clone(m.told.Runs)
+		runs := slices.Clone(m.reported.Runs)
 		for i := range runs {
 			r := &runs[i]
 			for _, h := range c.promised.Holds[m.ID] {
@@ -140,7 +140,7 @@
 func (c *Core) mostHeard() bool {
 	heard := 0
 	for _, m := range c.machines {
-		if c.recent(m, 3*c.Op.RelayEvery) && m.told.Heard {
+		if c.recent(m, 3*c.Op.RelayEvery) && m.reported.Heard {
 			heard++
 		}
 	}
--- a/internal/coordination/holding_test.go
+++ b/internal/coordination/holding_test.go
@@ -37,11 +37,11 @@
 	m := b.c.machines["vm-1"]
 	task := protocol.TaskID{Job: "job-1"}
 	soon := calendar.After(b.c.Moment(), time.Minute)
-	m.told.Runs = []calendar.Run{{Task: task, Attempt: 3, Ends: soon, Level: 0}}
+	m.reported.Runs = []calendar.Run{{Task: task, Attempt: 3, Ends: soon, Level: 0}}
 	told := message.MachineState{Machine: "vm-1", Epoch: m.Epoch, Heard: true, Runs: []calendar.Run{{Task: task, Attempt: 3, Ends: soon + 1e6, Level: 4}}}
 	b.c.takeState("node-0", b.c.peers["node-0"], message.MachineState{Machine: "vm-1", Epoch: m.Epoch}) // not heard yet
 	b.c.takeState("node-0", b.c.peers["node-0"], told)
-	if r := m.told.Runs[0]; r.Ends != soon {
+	if r := m.reported.Runs[0]; r.Ends != soon {
 		t.Errorf("ends %d, want %d", r.Ends, soon)
 	}
 	b.job("job-1", "free", 1)
--- a/internal/coordination/insight.go
+++ b/internal/coordination/insight.go
@@ -59,7 +59,7 @@
 			fmt.Fprintf(&b, "  placed %+v\n", *t)
 		}
 		for _, m := range c.machinesInOrder() {
-			fmt.Fprintf(&b, "  %s in %s, spot %v, kept by %s: usable %v, room %+v, told %+v\n", m.ID, m.Record.Zone, m.Record.Spot, c.Keeper(m.ID), c.usable(m), m.free(), m.told)
+			fmt.Fprintf(&b, "  %s in %s, spot %v, kept by %s: usable %v, room %+v, told %+v\n", m.ID, m.Record.Zone, m.Record.Spot, c.Keeper(m.ID), c.usable(m), m.free(), m.reported)
 		}
 	}
 	for _, m := range c.keeping.Machines() {
--- a/internal/coordination/operate.go
+++ b/internal/coordination/operate.go
@@ -279,7 +279,7 @@
 			continue
 		}
 		last := calendar.Moment(0)
-		for _, r := range m.told.Runs {
+		for _, r := range m.reported.Runs {
 			last = max(last, r.Ends)
 		}
 		if last > opens {
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -230,13 +230,13 @@
 
 // wait is the machine's expected wait, in processor seconds, as far as this
 // controller knows.
-func (m *machineEntry) wait() float64 { return math.Max(0, m.told.Wait+m.copied+m.extra) }
+func (m *machineEntry) wait() float64 { return math.Max(0, m.reported.Wait+m.copied+m.extra) }
 
 // waitBefore is what of the machine's expected wait comes before a task of a
 // level: what is queued there at lower levels lets it go first.
 func (m *machineEntry) waitBefore(l room.Level) float64 {
 	wait := m.wait()
-	for lower, work := range m.told.Queue {
+	for lower, work := range m.reported.Queue {
 		if room.Level(lower) < l {
 			wait -= work
 		}
@@ -247,10 +247,10 @@
 // free is what a machine has free now, as far as this controller knows. One
 // with a queue has none: what waits there comes first.
 func (m *machineEntry) free() room.Amount {
-	if m.told.Epoch != m.Epoch {
+	if m.reported.Epoch != m.Epoch {
 		return room.Capacity(m.Info).Minus(m.taken.Firm(0)) // nothing told yet: as it came up
 	}
-	if m.told.Queued > 0 {
+	if m.reported.Queued > 0 {
 		return room.Amount{}
 	}
 	return m.idle()
@@ -259,10 +259,10 @@
 // idle is what nothing runs in on a machine, whatever waits there: what room is
 // held for does not wait behind the rest.
 func (m *machineEntry) idle() room.Amount {
-	if m.told.Epoch != m.Epoch {
+	if m.reported.Epoch != m.Epoch {
 		return m.free()
 	}
-	return room.Amount{CPUs: m.told.FreeCPUs, GPUs: m.told.FreeGPUs, GB: m.told.FreeGB}.Minus(m.taken.Firm(0))
+	return room.Amount{CPUs: m.reported.FreeCPUs, GPUs: m.reported.FreeGPUs, GB: m.reported.FreeGB}.Minus(m.taken.Firm(0))
 }
 
 // unreserved is what a machine has free now beside what is held for reservations.
@@ -272,7 +272,7 @@
 // be stopped for it is gone.
 func (m *machineEntry) firmRoom(l room.Level) room.Amount {
 	room := room.Capacity(m.Info).Minus(m.taken.Firm(l))
-	if m.told.Epoch == m.Epoch {
+	if m.reported.Epoch == m.Epoch {
 		room = room.Minus(m.held.Firm(l))
 	}
 	return room
@@ -299,7 +299,7 @@
 
 // fetch is how long the machine takes to get a job's image, in seconds.
 func (m *machineEntry) fetch(j *protocol.Job) float64 {
-	if slices.Contains(m.told.Images, j.Image) {
+	if slices.Contains(m.reported.Images, j.Image) {
 		return 0
 	}
 	return known.FetchS(m.Info, j)
@@ -312,7 +312,7 @@
 
 // open reports whether its keeper lets tasks be placed on a machine.
 func (m *machineEntry) open() bool {
-	return m.Info.Name != "" && !m.told.Closed && !m.told.Draining && !m.told.Suspect
+	return m.Info.Name != "" && !m.reported.Closed && !m.reported.Draining && !m.reported.Suspect
 }
 
 // allows reports whether a job may have a task on a machine: type, zone, kind
--- a/internal/coordination/rebalance.go
+++ b/internal/coordination/rebalance.go
@@ -43,7 +43,7 @@
 	}
 	var roomy []*machineEntry
 	for _, m := range c.machinesInOrder() {
-		if m.ID > after && c.usable(m) && m.told.Epoch == m.Epoch && (m.told.Queued == 0 && m.free().CPUs > room.Slack || len(c.promised.Holds[m.ID]) > 0 && m.idle().CPUs > room.Slack) {
+		if m.ID > after && c.usable(m) && m.reported.Epoch == m.Epoch && (m.reported.Queued == 0 && m.free().CPUs > room.Slack || len(c.promised.Holds[m.ID]) > 0 && m.idle().CPUs > room.Slack) {
 			roomy = append(roomy, m)
 		}
 	}
@@ -76,7 +76,7 @@
 	var all []*movableTasks
 	var queued []*machineEntry
 	for _, m := range c.machinesInOrder() {
-		if m.told.Queued > 0 && len(m.mine) > 0 {
+		if m.reported.Queued > 0 && len(m.mine) > 0 {
 			queued = append(queued, m)
 		}
 	}
@@ -118,7 +118,7 @@
 	for ; taken < most; taken++ {
 		var best *movableTasks
 		for _, g := range movable {
-			if len(g.tasks) > 0 && free.Covers(g.need) && (m.told.Queued == 0 || c.holdsFor(g.job, m)) && (best == nil || g.before(best)) && c.mayMove(g, m, cl) {
+			if len(g.tasks) > 0 && free.Covers(g.need) && (m.reported.Queued == 0 || c.holdsFor(g.job, m)) && (best == nil || g.before(best)) && c.mayMove(g, m, cl) {
 				best = g
 			}
 		}
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -14,9 +14,9 @@
 	"damsonkeel/internal/protocol"
 )
 
-// hearsay is what is held of one peer's streams, and how far the peer holds
+// peerReports is what is held of one peer's streams, and how far the peer holds
 // this controller's.
-type hearsay struct {
+type peerReports struct {
 	machinesTo, jobsTo     relay.Cursor
 	machinesFrom, jobsFrom relay.Replica
 	// holdsTo and holdsFrom number what is held, as it has it of this controller
@@ -33,8 +33,8 @@
 	early map[protocol.MachineID]message.MachineState
 }
 
-func newHearsay() hearsay {
-	return hearsay{handled: map[protocol.NodeName]uint64{}, waits: map[*machineEntry]bool{}, early: map[protocol.MachineID]message.MachineState{}}
+func newPeerReports() peerReports {
+	return peerReports{handled: map[protocol.NodeName]uint64{}, waits: map[*machineEntry]bool{}, early: map[protocol.MachineID]message.MachineState{}}
 }
 
 // statesMost bounds the machines that one message tells of: a full copy, as each
@@ -54,7 +54,7 @@
 		m.by = nil
 	}
 	for _, p := range c.peers {
-		t := &p.told
+		t := &p.reports
 		t.machinesTo, t.jobsTo = relay.Cursor{}, relay.Cursor{}
 		t.machinesFrom.Begin(uint64(c.View.Term))
 		t.jobsFrom.Begin(uint64(c.View.Term))
@@ -68,7 +68,7 @@
 // that this peer keeps no more, or keeps in another session, and those by owners
 // that have another session now. None of them will be counted.
 func (c *Core) dropComing(name protocol.NodeName, p *peer, replaced map[protocol.NodeName]bool) {
-	for m := range p.told.waits {
+	for m := range p.reports.waits {
 		if replaced[name] || c.Keeper(m.ID) != name {
 			m.coming = nil
 		} else {
@@ -76,12 +76,12 @@
 		}
 		m.reckon()
 		if len(m.coming) == 0 {
-			delete(p.told.waits, m)
+			delete(p.reports.waits, m)
 		}
 	}
 	for owner, gone := range replaced {
 		if gone {
-			delete(p.told.handled, owner)
+			delete(p.reports.handled, owner)
 		}
 	}
 }
@@ -107,7 +107,7 @@
 	}
 	var same *message.Relay // as sent to the one before
 	for name, p := range inorder.Of(c.peers) {
-		t := &p.told
+		t := &p.reports
 		if !regular && !t.short {
 			continue
 		}
@@ -190,7 +190,7 @@
 		}
 	}
 	if r.Term == c.View.Term {
-		t := &p.told
+		t := &p.reports
 		t.machinesTo.Heard(r.HaveMachines)
 		t.jobsTo.Heard(r.HaveJobs)
 		t.holdsTo = r.HaveHolds
@@ -236,17 +236,17 @@
 		}
 	case m == nil || st.Epoch > m.Epoch:
 		// Its record is still to come. The keeper does not tell it again.
-		if len(p.told.early) < earlyMost {
-			p.told.early[st.Machine] = st
+		if len(p.reports.early) < earlyMost {
+			p.reports.early[st.Machine] = st
 		}
 	case st.Epoch == m.Epoch && c.Keeper(m.ID) == from:
-		if (m.told.Closed || m.refused) && !st.Closed || m.told.Epoch == 0 {
+		if (m.reported.Closed || m.refused) && !st.Closed || m.reported.Epoch == 0 {
 			c.owner.dirty = true
 		}
-		if st.Runs = knewMore(m.told.Runs, st.Runs); !st.Heard && m.told.Epoch == m.Epoch {
-			st.Runs = m.told.Runs // it has not heard the machine yet
+		if st.Runs = knewMore(m.reported.Runs, st.Runs); !st.Heard && m.reported.Epoch == m.Epoch {
+			st.Runs = m.reported.Runs // it has not heard the machine yet
 		}
-		m.told, m.by, m.at, m.copied, m.refused = st, p, c.Now, 0, false
+		m.reported, m.by, m.at, m.copied, m.refused = st, p, c.Now, 0, false
 		m.held = room.Uses{}
 		message.AddUses(&m.held, st.Uses)
 	}
@@ -260,8 +260,8 @@
 	if p == nil {
 		return
 	}
-	if st, ok := p.told.early[m.ID]; ok && st.Epoch <= m.Epoch {
-		delete(p.told.early, m.ID)
+	if st, ok := p.reports.early[m.ID]; ok && st.Epoch <= m.Epoch {
+		delete(p.reports.early, m.ID)
 		c.takeState(keeper, p, st)
 	}
 }
@@ -269,16 +269,16 @@
 // counted drops the announced placements that a keeper's word includes now.
 func (c *Core) counted(p *peer, handled map[protocol.NodeName]uint64) {
 	for owner, n := range handled {
-		p.told.handled[owner] = max(p.told.handled[owner], n)
+		p.reports.handled[owner] = max(p.reports.handled[owner], n)
 	}
-	for m := range p.told.waits {
-		included := func(w comingWait) bool { return w.number <= p.told.handled[w.owner] }
+	for m := range p.reports.waits {
+		included := func(w comingWait) bool { return w.number <= p.reports.handled[w.owner] }
 		if slices.ContainsFunc(m.coming, included) {
 			m.coming = without(m.coming, included)
 			m.reckon()
 		}
 		if len(m.coming) == 0 {
-			delete(p.told.waits, m)
+			delete(p.reports.waits, m)
 		}
 	}
 }
@@ -286,7 +286,7 @@
 // recent reports whether what is known of a machine is its keeper's word in this
 // term, and that word is no older than so long.
 func (c *Core) recent(m *machineEntry, d time.Duration) bool {
-	return m.by != nil && m.by == c.peers[c.Keeper(m.ID)] && c.Since(m.by.told.at) <= d
+	return m.by != nil && m.by == c.peers[c.Keeper(m.ID)] && c.Since(m.by.reports.at) <= d
 }
 
 // equalShare is this controller's part of the state service's rates before
--- a/internal/coordination/relays_test.go
+++ b/internal/coordination/relays_test.go
@@ -179,7 +179,7 @@
 		hear := func() {
 			r := word[0]
 			word = word[1:]
-			before := c.peers["node-2"].told.machinesFrom
+			before := c.peers["node-2"].reports.machinesFrom
 			c.relayed("node-2", r)
 			if before.Accept(r.Machines) && r.Handled != nil {
 				lastIncluded = max(lastIncluded, r.Handled["node-1"])
@@ -229,7 +229,7 @@
 				if len(word) > 0 && rapid.Bool().Draw(t, "lost") {
 					word = word[1:]
 				}
-				to.Heard(c.peers["node-2"].told.machinesFrom.Have())
+				to.Heard(c.peers["node-2"].reports.machinesFrom.Have())
 			}
 			check()
 		}
@@ -240,7 +240,7 @@
 			handle()
 		}
 		for range 20 {
-			to.Heard(c.peers["node-2"].told.machinesFrom.Have())
+			to.Heard(c.peers["node-2"].reports.machinesFrom.Have())
 			say()
 			for len(word) > 0 {
 				hear()
@@ -266,7 +266,7 @@
 	b.machine(id, 1)
 	m := b.c.machines[id]
 	if m.free().CPUs != 3 || !b.c.recent(m, time.Minute) {
-		t.Errorf("room %+v, told %+v", m.free(), m.told)
+		t.Errorf("room %+v, told %+v", m.free(), m.reported)
 	}
 	b.view(2, "node-0", "node-1")
 	if b.c.recent(m, time.Minute) {
@@ -286,7 +286,7 @@
 	i := uint32(0)
 	for _, m := range b.c.machinesInOrder() {
 		if m.Record.Zone == "b" { // full, and more waits there
-			m.told.FreeCPUs, m.told.Queued = 0, 12
+			m.reported.FreeCPUs, m.reported.Queued = 0, 12
 			for range 12 {
 				b.c.put(o, i, m, 1)
 				i++
--- a/internal/coordination/slow.go
+++ b/internal/coordination/slow.go
@@ -82,7 +82,7 @@
 		}
 		usual, ok := o.usual()
 		switch late := t.runs + tooLong(usual); {
-		case !ok || c.owner.pending[m.ID] || !c.recent(m, 3*c.Op.RelayEvery) || m.told.Silence != message.SilenceNone:
+		case !ok || c.owner.pending[m.ID] || !c.recent(m, 3*c.Op.RelayEvery) || m.reported.Silence != message.SilenceNone:
 			heap.Push(h, overdue{c.After(5 * time.Second), t}) // nothing can be said yet
 		case late > c.Now:
 			heap.Push(h, overdue{late, t})
@@ -103,19 +103,19 @@
 		m.late = 0
 	}
 	m.late, m.lateAt = m.late+1, c.Now
-	if m.late < slowTasks || m.told.Draining {
+	if m.late < slowTasks || m.reported.Draining {
 		return
 	}
 	draining := 0
 	for _, other := range c.machines {
-		if other.told.Draining {
+		if other.reported.Draining {
 			draining++
 		}
 	}
 	if draining*slowShare > len(c.machines) {
 		return
 	}
-	m.told.Draining = true // at once, though its keeper has not said so yet
+	m.reported.Draining = true // at once, though its keeper has not said so yet
 	c.Log.Info("machine runs its tasks slowly: giving it up", "machine", m.ID)
 	c.Send(c.Keeper(m.ID), message.PeerMessage{Drain: &m.ID})
 	for _, t := range inorder.Tasks(m.mine) {
--- a/internal/coordination/slow_test.go
+++ b/internal/coordination/slow_test.go
@@ -58,9 +58,9 @@
 			b.c.Now += Time(tc.goesOn / 2)
 			for i, m := range b.c.machinesInOrder() {
 				if m.by = b.c.peers[b.c.Keeper(m.ID)]; tc.heard {
-					m.by.told.at = b.c.Now
+					m.by.reports.at = b.c.Now
 				}
-				m.told.Draining = i > 0 && i <= tc.draining
+				m.reported.Draining = i > 0 && i <= tc.draining
 			}
 			b.c.watchSlow()
 		}
--- a/internal/coordination/spot.go
+++ b/internal/coordination/spot.go
@@ -13,7 +13,7 @@
 
 // noteLoss counts a machine whose record went as taken, if it looks so.
 func (c *Core) noteLoss(m *machineEntry) {
-	if m.Record.Spot && !m.told.Draining && (m.told.Noticed || m.told.Silence == message.SilenceLong) {
+	if m.Record.Spot && !m.reported.Draining && (m.reported.Noticed || m.reported.Silence == message.SilenceLong) {
 		c.spots.Lost()
 	}
 }
--- a/internal/coordination/table.go
+++ b/internal/coordination/table.go
@@ -11,7 +11,7 @@
 // wait table holds of it.
 type machineEntry struct {
 	*known.Machine
-	told     message.MachineState // by its keeper
+	reported message.MachineState // by its keeper
 	by       *peer                // the keeper's session that told it in this term, if any
 	at       Time                 // when that was
 	coming   []comingWait         // placements that its keeper's word does not include yet
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -240,7 +240,7 @@
 			m.coming = nil
 			m.reckon()
 			for _, p := range c.peers {
-				delete(p.told.waits, m)
+				delete(p.reports.waits, m)
 			}
 		}
 	}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -51,7 +51,7 @@
 	}
 	for name, session := range v.Members {
 		if c.peers[name] == nil {
-			c.peers[name] = &peer{session: session, progress: map[protocol.JobID]message.Progress{}, told: newHearsay()}
+			c.peers[name] = &peer{session: session, progress: map[protocol.JobID]message.Progress{}, reports: newPeerReports()}
 		}
 	}
 }
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -26,7 +26,7 @@
 	m.coming = append(m.coming, w)
 	m.extra += w.add
 	m.taken.Add(w.level, w.taken)
-	p.told.waits[m] = true
+	p.reports.waits[m] = true
 }
 
 // reckon sums what is announced anew: nothing is subtracted, so that nothing
@@ -59,7 +59,7 @@
 		}
 		keeper := c.Keeper(m.ID)
 		n := a.Numbers[keeper]
-		if p := c.peers[keeper]; p == nil || n <= p.told.handled[from] {
+		if p := c.peers[keeper]; p == nil || n <= p.reports.handled[from] {
 			continue
 		}
 		for i, u := range w.Taken {
@@ -156,7 +156,7 @@
 func (c *Core) sendTable(to protocol.NodeName) {
 	var ws []message.Wait
 	for id, m := range inorder.Of(c.machines) {
-		if m.told.Epoch == m.Epoch {
+		if m.reported.Epoch == m.Epoch {
 			ws = append(ws, message.Wait{Machine: id, Add: m.wait()})
 		}
 	}
@@ -173,7 +173,7 @@
 	}
 	c.copy.got = true
 	for _, w := range ws {
-		if m := c.machines[w.Machine]; m != nil && m.told.Epoch == 0 {
+		if m := c.machines[w.Machine]; m != nil && m.reported.Epoch == 0 {
 			m.copied = w.Add
 		}
 	}
--- a/internal/standin/serve/cloud.go
+++ b/internal/standin/serve/cloud.go
@@ -10,8 +10,6 @@
 
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
-
-	"golang.org/x/time/rate"
 )
 
 // maxListed is how many machines a page of the cloud's list holds at the most.
@@ -42,12 +40,11 @@
 	Addr    string
 	Traffic *Traffic
 
-	server   *http.Server
-	limits   Limits
-	requests *rate.Limiter
-	types    []protocol.TypeInfo
-	fleet    Fleet
-	clock    func() time.Duration
+	throttle
+	server *http.Server
+	types  []protocol.TypeInfo
+	fleet  Fleet
+	clock  func() time.Duration
 
 	mu    sync.Mutex
 	model *standin.Cloud
@@ -56,8 +53,9 @@
 // NewCloudService starts a cloud on loopback that has so many machines.
 func NewCloudService(limits Limits, types []protocol.TypeInfo, capacity int, fleet Fleet, clock func() time.Duration) (*CloudService, error) {
 	limits.Burst = cmp.Or(limits.Burst, cloudBurst)
+	t := newThrottle(limits)
 	c := &CloudService{
-		Traffic: NewTraffic(), limits: limits, requests: limits.limiter(limits.Requests), types: types, fleet: fleet, clock: clock, model: standin.NewCloud(capacity),
+		Traffic: t.traffic, throttle: t, types: types, fleet: fleet, clock: clock, model: standin.NewCloud(capacity),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /catalog", c.limited("catalogue", func(w http.ResponseWriter, _ *http.Request) { answer(w, 200, protocol.Catalogue{Types: c.types}) }))
@@ -81,22 +79,6 @@
 	return c.rentNow(req)
 }
 
-func (c *CloudService) limited(kind string, h http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		if !c.requests.Allow() {
-			c.Traffic.Add("refused", 1, 0, 0)
-			answer(w, 429, protocol.ErrorBody{Error: "too many requests"})
-			return
-		}
-		if c.limits.Latency != nil {
-			time.Sleep(c.limits.Latency())
-		}
-		counted := &countedWriter{ResponseWriter: w}
-		h(counted, r)
-		c.Traffic.Add(kind, 1, int(max(0, r.ContentLength)), counted.bytes)
-	}
-}
-
 func (c *CloudService) rent(req protocol.RentRequest) (int, any) {
 	all := c.rentNow(req)
 	if len(all) == 0 {
--- a/internal/standin/serve/state.go
+++ b/internal/standin/serve/state.go
@@ -26,35 +26,16 @@
 	expireEvery = 50 * time.Millisecond
 )
 
-// Limits bounds what a stand-in service serves.
-type Limits struct {
-	// Requests and Changes are how many a second; 0: any number.
-	Requests, Changes float64
-	// Burst is how many seconds' worth may come at once; 0: one.
-	Burst float64
-	// Latency is added to each answer; nil: none.
-	Latency func() time.Duration
-}
-
-// limiter makes a limiter of so many a second; without a number, of any.
-func (l Limits) limiter(perSecond float64) *rate.Limiter {
-	if perSecond <= 0 {
-		return rate.NewLimiter(rate.Inf, 0)
-	}
-	return rate.NewLimiter(rate.Limit(perSecond), int(perSecond*max(1, l.Burst)))
-}
-
 // StateService puts the model of the state service behind its wire.
 type StateService struct {
 	Addr    string
 	Traffic *Traffic
 
-	server   *http.Server
-	limits   Limits
-	requests *rate.Limiter
-	changes  *rate.Limiter
-	clock    func() time.Duration
-	done     chan struct{}
+	throttle
+	server  *http.Server
+	changes *rate.Limiter
+	clock   func() time.Duration
+	done    chan struct{}
 
 	mu      sync.Mutex
 	state   *standin.State
@@ -63,9 +44,9 @@
 
 // NewStateService starts a state service on loopback. Clock is its steady clock.
 func NewStateService(limits Limits, clock func() time.Duration) (*StateService, error) {
+	t := newThrottle(limits)
 	s := &StateService{
-		Traffic: NewTraffic(), limits: limits, requests: limits.limiter(limits.Requests), changes: limits.limiter(limits.Changes),
-		clock: clock, done: make(chan struct{}), state: standin.NewState(), changed: make(chan struct{}),
+		Traffic: t.traffic, throttle: t, changes: limits.limiter(limits.Changes), clock: clock, done: make(chan struct{}), state: standin.NewState(), changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /keys", s.limited("list", s.list))
@@ -100,23 +81,6 @@
 	return len(items), bytes
 }
 
-// limited counts requests of a kind and refuses those beyond the limit.
-func (s *StateService) limited(kind string, h http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		if !s.requests.Allow() {
-			s.Traffic.Add("refused", 1, 0, 0)
-			answer(w, 429, protocol.ErrorBody{Error: "too many requests"})
-			return
-		}
-		if s.limits.Latency != nil {
-			time.Sleep(s.limits.Latency())
-		}
-		counted := &countedWriter{ResponseWriter: w}
-		h(counted, r)
-		s.Traffic.Add(kind, 1, int(max(0, r.ContentLength)), counted.bytes)
-	}
-}
-
 // wake lets watches look again. The lock is held.
 func (s *StateService) wake() {
 	close(s.changed)
@@ -185,8 +149,7 @@
 		return
 	}
 	if !s.changes.AllowN(time.Now(), len(t.Then)) {
-		s.Traffic.Add("refused", 1, 0, 0)
-		answer(w, 429, protocol.ErrorBody{Error: "too many changes"})
+		s.refuse(w, "too many changes")
 		return
 	}
 	s.Traffic.Add("changes", len(t.Then), 0, 0)
