Placing in rounds: a function of 76 lines in four; decisions unchanged

Cause: schedule was the longest function of the core. Change: a round's state is a type; one job's placing, its bookkeeping and the messages to keepers are functions of their own. The order of all steps is as before.

--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -18,6 +18,16 @@
 // hold up everything else; the rest follows at the next one.
 const maxPerStep = 2000
 
+// placingRound is one pass over the jobs that wait to be placed.
+type placingRound struct {
+	usage   map[protocol.Team]room.Amount
+	claims  *claims
+	batches map[protocol.NodeName][]message.Placement // by keeper
+	waits   map[protocol.MachineID]*ownWaits
+	left    int // placements that the step may still make
+	stuck   int // gangs that found no place when they were last tried
+}
+
 // schedule places what is pending: each task once, on the machine with the
 // smallest expected wait per processor among those that can run it.
 func (c *Core) schedule() {
@@ -25,62 +35,77 @@
 	if len(c.Types) == 0 {
 		return
 	}
-	usage := c.teamUsage()
-	batches := map[protocol.NodeName][]message.Placement{}
-	waits := map[protocol.MachineID]*ownWaits{}
-	cl := c.claims()
-	cl.leftOver = c.leftOver() // nothing but placing asks for it
+	r := &placingRound{
+		usage: c.teamUsage(), claims: c.claims(), batches: map[protocol.NodeName][]message.Placement{},
+		waits: map[protocol.MachineID]*ownWaits{}, left: maxPerStep,
+	}
+	r.claims.leftOver = c.leftOver() // nothing but placing asks for it
 	c.setLevels()
 	c.forgetFailedSearches()
-	left := maxPerStep
-	stuck := 0
 	for _, o := range c.jobsInOrder() {
 		if o.stuck && !o.pending.None() {
-			stuck++
+			r.stuck++
 		}
 	}
 	for _, o := range c.jobsInOrder() {
 		if !o.loaded || o.finish || o.notBefore > c.Now || o.pending.None() {
 			continue
 		}
-		o.yields = !math.IsInf(cl.leftOver, 1) && c.unaimed(&o.Job) && !c.heldFor(o)
-		most := left
-		if o.yields && c.overdueToBegin(o) {
-			o.yields, most = false, min(left, 1)
-		}
-		if o.stuck && c.Since(o.tried) < c.retryEvery(stuck) {
-			c.claimAgain(o, cl)
-			continue
-		}
-		if o.Kind != protocol.KindGang && c.wouldFindNone(o) {
-			continue
-		}
-		var chosen []message.Placement
-		looked := c.looked
-		o.claimed = nil
-		if o.Kind == protocol.KindGang {
-			chosen = c.placeGang(o, usage, cl)
-		} else {
-			chosen = c.placeArray(o, usage, most, cl)
-		}
-		left -= len(chosen)
-		o.stuck, o.tried = o.Kind == protocol.KindGang && len(chosen) == 0 && c.looked > looked, c.Now
-		for _, p := range chosen {
-			keeper := c.Keeper(p.Machine)
-			batches[keeper] = append(batches[keeper], p)
-			w := waits[p.Machine]
-			if w == nil {
-				w = &ownWaits{}
-				waits[p.Machine] = w
-			}
-			w.add += p.EstimateS * p.CPUs
-			w.taken.Add(room.Level(p.Level), p.Need())
-		}
-		if left <= 0 {
+		c.note(r, c.placeJob(o, r))
+		if r.left <= 0 {
 			c.owner.dirty = true
 			break
 		}
 	}
+	c.sendPlacements(r.batches)
+	c.sendWaits(r.waits)
+}
+
+// placeJob places what is pending of one job.
+func (c *Core) placeJob(o *ownedJob, r *placingRound) []message.Placement {
+	o.yields = !math.IsInf(r.claims.leftOver, 1) && c.unaimed(&o.Job) && !c.heldFor(o)
+	most := r.left
+	if o.yields && c.overdueToBegin(o) {
+		o.yields, most = false, min(r.left, 1)
+	}
+	if o.stuck && c.Since(o.tried) < c.retryEvery(r.stuck) {
+		c.claimAgain(o, r.claims)
+		return nil
+	}
+	if o.Kind != protocol.KindGang && c.wouldFindNone(o) {
+		return nil
+	}
+	var chosen []message.Placement
+	looked := c.looked
+	o.claimed = nil
+	if o.Kind == protocol.KindGang {
+		chosen = c.placeGang(o, r.usage, r.claims)
+	} else {
+		chosen = c.placeArray(o, r.usage, most, r.claims)
+	}
+	o.stuck, o.tried = o.Kind == protocol.KindGang && len(chosen) == 0 && c.looked > looked, c.Now
+	return chosen
+}
+
+// note adds the placements of a job to a round.
+func (c *Core) note(r *placingRound, chosen []message.Placement) {
+	r.left -= len(chosen)
+	for _, p := range chosen {
+		keeper := c.Keeper(p.Machine)
+		r.batches[keeper] = append(r.batches[keeper], p)
+		w := r.waits[p.Machine]
+		if w == nil {
+			w = &ownWaits{}
+			r.waits[p.Machine] = w
+		}
+		w.add += p.EstimateS * p.CPUs
+		w.taken.Add(room.Level(p.Level), p.Need())
+	}
+}
+
+// sendPlacements hands placements to the machines' keepers.
+func (c *Core) sendPlacements(batches map[protocol.NodeName][]message.Placement) {
+	revision := c.Configured.Effective().Revision
 	for keeper, tasks := range inorder.Of(batches) {
 		p := c.peers[keeper]
 		if p == nil {
@@ -92,9 +117,8 @@
 				o.placed[t.Task].number = p.placed
 			}
 		}
-		c.Send(keeper, message.PeerMessage{Place: &message.Place{Number: p.placed, Term: c.View.Term, Configuration: c.Configured.Effective().Revision, Tasks: tasks}})
+		c.Send(keeper, message.PeerMessage{Place: &message.Place{Number: p.placed, Term: c.View.Term, Configuration: revision, Tasks: tasks}})
 	}
-	c.sendWaits(waits)
 }
 
 // lookedAtOnce is how many machines may be looked at, a step, for gangs that found
