Scale run: urgent work beside each trouble, and beside none

Cause: what a trouble costs urgent work can't be told from one figure over all. Change: for each trouble the urgent jobs submitted from its beginning until 20 s after its end, and those beside none. Measured: not run yet at size.

--- a/internal/scale/figures.go
+++ b/internal/scale/figures.go
@@ -21,6 +21,7 @@
 	RunningPeak int
 	Classes     map[string]Waits // from submission to the start, by task; "all": of all
 	UrgentJobs  Waits            // until all tasks of a job run
+	Calm        UrgentSpell      // urgent jobs beside no trouble
 	Urgent      UrgentStages
 	Timeline    []TimelinePoint
 	State       StateFigures
@@ -43,6 +44,50 @@
 	// tenths as many tasks started again as before. -1: not before the run's end.
 	HeardS      float64 `json:"heard_s"`
 	StartsBackS float64 `json:"starts_back_s"`
+	// Urgent are the urgent jobs that were submitted from its beginning until a while
+	// after its end. Troubles overlap: a job may count for several.
+	Urgent UrgentSpell `json:"urgent"`
+}
+
+// UrgentSpell tells how long urgent jobs of a spell waited for all of their tasks.
+type UrgentSpell struct {
+	Jobs   int     `json:"jobs"`
+	InTime float64 `json:"in_time"` // part that waited at most urgentWithin
+	P99S   float64 `json:"p99_s"`
+	WorstS float64 `json:"worst_s"`
+}
+
+// urgentWait is how long an urgent job waited.
+type urgentWait struct {
+	submitted, wait time.Duration
+}
+
+const (
+	// urgentWithin is the time within which urgent jobs are to start.
+	urgentWithin = 2400 * time.Millisecond
+	// feltAfter is how long after its end a trouble counts for jobs that are submitted.
+	feltAfter = 20 * time.Second
+)
+
+// spellOf sums up the urgent jobs that were submitted while something holds.
+func spellOf(waits []urgentWait, holds func(time.Duration) bool) UrgentSpell {
+	hist, inTime := newHistogram(), 0
+	for _, w := range waits {
+		if !holds(w.submitted) {
+			continue
+		}
+		record(hist, w.wait)
+		if w.wait <= urgentWithin {
+			inTime++
+		}
+	}
+	jobs := int(hist.TotalCount())
+	return UrgentSpell{Jobs: jobs, InTime: float64(inTime) / float64(max(1, jobs)), P99S: quantileS(hist, 99), WorstS: quantileS(hist, 100)}
+}
+
+// felt reports whether a trouble counts for what is submitted at a time.
+func (t *trackedTrouble) felt(at time.Duration) bool {
+	return at >= t.begun && at <= t.ended+feltAfter
 }
 
 const (
@@ -77,10 +122,20 @@
 	out.Starts = len(starts)
 	out.StartsPeakS = peakPerSecond(starts)
 	out.RunningPeak = runningPeak(h.events)
-	out.Classes, out.UrgentJobs = h.waits()
+	var urgent []urgentWait
+	out.Classes, urgent = h.waits()
+	hist := newHistogram()
+	for _, w := range urgent {
+		record(hist, w.wait)
+	}
+	out.UrgentJobs = waitsOf(hist)
+	out.Calm = spellOf(urgent, func(at time.Duration) bool {
+		return !slices.ContainsFunc(h.troubles, func(t *trackedTrouble) bool { return t.felt(at) })
+	})
 	out.Urgent = h.urgentStages()
 	out.Timeline = h.timeline()
 	for i := range h.troubles {
+		h.troubles[i].figures.Urgent = spellOf(urgent, h.troubles[i].felt)
 		h.troubles[i].figures.StartsBackS = startsBackAfter(starts, h.troubles[i].begun, h.troubles[i].ended)
 		out.Troubles = append(out.Troubles, h.troubles[i].figures)
 	}
@@ -125,7 +180,7 @@
 
 // waits reckons how long tasks waited for their first start, by class, and how long
 // urgent jobs waited for all of their tasks.
-func (h *Hub) waits() (map[string]Waits, Waits) {
+func (h *Hub) waits() (map[string]Waits, []urgentWait) {
 	submitted, cancelled := map[protocol.JobID]time.Duration{}, map[protocol.JobID]bool{}
 	end := time.Duration(0)
 	for _, e := range h.users {
@@ -139,7 +194,7 @@
 	}
 	first := h.firstStarts()
 	classes := map[string]*hdrhistogram.Histogram{}
-	urgent := newHistogram()
+	var urgent []urgentWait
 	for id, at := range submitted {
 		if cancelled[id] {
 			continue
@@ -161,7 +216,7 @@
 			record(classes[job.Class], start-at)
 		}
 		if job.Class == urgentClass && last > 0 {
-			record(urgent, last-at)
+			urgent = append(urgent, urgentWait{at, last - at})
 		}
 	}
 	out := map[string]Waits{}
@@ -171,7 +226,7 @@
 		all.Merge(c)
 	}
 	out[allClasses] = waitsOf(all)
-	return out, waitsOf(urgent)
+	return out, urgent
 }
 
 // firstStarts is when each task first ran; tasks of a gang run once it is complete.
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -76,12 +76,13 @@
 }
 
 func printTroubles(out io.Writer, results []*Result) {
-	t := newTable(out, "scale", "trouble", "at s", "for s", "all workers heard after s", "starts back after s")
+	t := newTable(out, "scale", "trouble", "at s", "for s", "all workers heard after s", "starts back after s", "urgent jobs", "in 2.4 s", "p99 s", "worst s")
 	for _, r := range results {
 		slices.SortStableFunc(r.Troubles, func(a, b TroubleFigures) int { return cmp.Compare(a.AtS, b.AtS) })
 		for _, f := range r.Troubles {
-			t.AppendRow(table.Row{r.Factor, f.Kind, f.AtS, f.ForS, f.HeardS, f.StartsBackS})
+			t.AppendRow(table.Row{r.Factor, f.Kind, f.AtS, f.ForS, f.HeardS, f.StartsBackS, f.Urgent.Jobs, fixed2(f.Urgent.InTime), fixed2(f.Urgent.P99S), fixed2(f.Urgent.WorstS)})
 		}
+		t.AppendRow(table.Row{r.Factor, "none", "", "", "", "", r.Urgent.Calm.Jobs, fixed2(r.Urgent.Calm.InTime), fixed2(r.Urgent.Calm.P99S), fixed2(r.Urgent.Calm.WorstS)})
 	}
 	t.Render()
 }
