A team that is reset keeps the revision that last lowered its limit; acceptances hold on a configuration once one is followed

Cause: read again: a team raised, lowered and reset to its file's limit lost the mark, so what was placed by the higher limit could still be started; a controller without keys accepted by its file beside changed records. Change: a reset entry carries the mark; an intake that has followed a revision puts it into its conditions.

--- a/internal/bookkeeping/configuration.go
+++ b/internal/bookkeeping/configuration.go
@@ -78,12 +78,14 @@
 // ConfigurationEntry is the record of an entry; beside the revision one field is set.
 type ConfigurationEntry struct {
 	Revision ConfigurationRevision `cbor:"revision" json:"revision"` // that wrote it
-	// Reset: it is as the platform's file has it.
-	Reset bool         `cbor:"reset,omitempty" json:"reset,omitempty"`
-	Team  *TeamEntry   `cbor:"team,omitempty" json:"team,omitempty"`
-	Class *ClassEntry  `cbor:"class,omitempty" json:"class,omitempty"`
-	Place *PlaceEntry  `cbor:"place,omitempty" json:"place,omitempty"` // of a zone or a machine type
-	Value *SettingText `cbor:"value,omitempty" json:"value,omitempty"`
+	// Reset: it is as the platform's file has it. Lowered, of a team, is then the last
+	// revision that lowered its limit.
+	Reset   bool                  `cbor:"reset,omitempty" json:"reset,omitempty"`
+	Lowered ConfigurationRevision `cbor:"lowered,omitempty" json:"lowered,omitempty"`
+	Team    *TeamEntry            `cbor:"team,omitempty" json:"team,omitempty"`
+	Class   *ClassEntry           `cbor:"class,omitempty" json:"class,omitempty"`
+	Place   *PlaceEntry           `cbor:"place,omitempty" json:"place,omitempty"` // of a zone or a machine type
+	Value   *SettingText          `cbor:"value,omitempty" json:"value,omitempty"`
 }
 
 // SettingText is the value of one of the operators' own settings, as in their file.
--- a/internal/coordination/configuration/configuration_test.go
+++ b/internal/coordination/configuration/configuration_test.go
@@ -169,6 +169,28 @@
 	}
 }
 
+// TestResetKeepsLowered: a team that is reset to a higher limit keeps the revision that
+// lowered it last: what was placed by a still higher one may wait somewhere.
+func TestResetKeepsLowered(t *testing.T) {
+	s := newStore()
+	s.write(t, operators.ConfigChange{Entry: "team/bound", MaxCPUs: number(100)}) // from 12
+	s.write(t, operators.ConfigChange{Entry: "team/bound", MaxCPUs: number(10)})
+	s.write(t, operators.ConfigChange{Entry: "team/bound", Reset: true})
+	if got := s.Effective().LimitLowered("bound"); got != 2 {
+		t.Errorf("lowered by revision %d, want 2", got)
+	}
+	if team, _ := s.Effective().Team("bound"); team.MaxCPUs != 12 {
+		t.Errorf("%+v", team)
+	}
+	s.write(t, operators.ConfigChange{Entry: "team/bound", MaxCPUs: number(50)})
+	if got := s.Effective().LimitLowered("bound"); got != 2 {
+		t.Errorf("changed again: lowered by revision %d, want 2", got)
+	}
+	if _, err := s.Decide(facts(), []operators.ConfigChange{{Entry: "team/bound", Reset: true}}); err == nil {
+		t.Error("a reset that lowers the limit is taken")
+	}
+}
+
 // TestBadChanges: each bad change is refused by name, and nothing of what stands
 // beside it is done.
 func TestBadChanges(t *testing.T) {
--- a/internal/coordination/configuration/decide.go
+++ b/internal/coordination/configuration/decide.go
@@ -124,13 +124,11 @@
 			return none, err
 		}
 	}
+	lowered := f.lastLowered(c.Entry)
 	if c.Reset {
-		return bookkeeping.ConfigurationEntry{Reset: true}, nil
-	}
-	t := bookkeeping.TeamEntry{CPUs: have.CPUs, MaxCPUs: have.MaxCPUs, GPUs: have.GPUs, MaxGPUs: have.MaxGPUs, Closed: have.Closed, Lowered: have.Lowered}
-	if was := f.entries[bookkeeping.NewEntryID(bookkeeping.EntryTeam, string(name))].Team; was != nil {
-		t.Lowered = was.Lowered // also of a team that was removed
+		return bookkeeping.ConfigurationEntry{Reset: true, Lowered: lowered}, nil
 	}
+	t := bookkeeping.TeamEntry{CPUs: have.CPUs, MaxCPUs: have.MaxCPUs, GPUs: have.GPUs, MaxGPUs: have.MaxGPUs, Closed: have.Closed, Lowered: lowered}
 	if t.Removed = c.Remove; c.Remove {
 		return bookkeeping.ConfigurationEntry{Team: &t}, nil
 	}
@@ -159,6 +157,16 @@
 	return bookkeeping.ConfigurationEntry{Team: &t}, nil
 }
 
+// lastLowered is the last revision that lowered a team's limit, also of one that was
+// reset or removed since: what was placed before may still wait somewhere.
+func (f *Followed) lastLowered(id bookkeeping.EntryID) Revision {
+	entry := f.entries[id]
+	if entry.Team != nil {
+		return entry.Team.Lowered
+	}
+	return entry.Lowered
+}
+
 // lowers reports whether a team may use less than before.
 func lowers(have Team, t *bookkeeping.TeamEntry) bool {
 	less := func(to, from float64) bool { return to > 0 && (from == 0 || to < from) }
--- a/internal/coordination/configuration/effective.go
+++ b/internal/coordination/configuration/effective.go
@@ -80,6 +80,7 @@
 		entry := entries[id]
 		if team, ok := bookkeeping.TeamOf(id); ok {
 			e.teamsEver[team] = true
+			e.lowered(team, entry.Lowered)
 		}
 		if entry.Reset {
 			continue
@@ -119,6 +120,14 @@
 	}
 }
 
+// lowered notes the revision that last lowered the limit of a team that was reset.
+func (e *Effective) lowered(name protocol.Team, revision Revision) {
+	if t, known := e.teams[name]; known && revision > 0 {
+		t.Lowered = revision
+		e.teams[name] = t
+	}
+}
+
 func (e *Effective) addObjectives(class string, c *bookkeeping.ClassEntry) {
 	for _, o := range c.Objectives {
 		e.Objectives = append(e.Objectives, config.Objective{Kind: o.Kind, Class: class, WithinS: o.WithinS, Share: o.Share, Times: o.Times})
--- a/internal/coordination/intake/configured.go
+++ b/internal/coordination/intake/configured.go
@@ -11,6 +11,7 @@
 // could not settle.
 func (in *Intake) configuredNow(effective *configuration.Effective) {
 	in.configured = effective
+	in.configurable = in.configurable || effective.Version > 0 // whatever this controller's own settings say
 	for _, r := range inorder.Of(in.requests) {
 		if r.configuredAnew && r.configuredBy != effective.Version {
 			in.submitAnew(r)
