--- a/internal/coordination/candidates_test.go
+++ b/internal/coordination/candidates_test.go
@@ -6,9 +6,9 @@
 	"testing"
 
 	"damsonkeel/internal/bookkeeping"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 
 	"pgregory.net/rapid"
@@ -59,7 +59,7 @@
 		}
 		m := &machineEntry{
 			mine: map[protocol.TaskID]*placedTask{},
-			Machine: &known.Machine{
+			Machine: &stateview.Machine{
 				ID: id, Epoch: 1, Info: info,
 				Record: bookkeeping.Machine{Zone: rapid.SampledFrom([]protocol.Zone{"a", "b"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "spot")},
 			},
@@ -91,8 +91,8 @@
 			CPUs: float64(rapid.IntRange(1, 4).Draw(t, "cpus")), MemoryGB: 1, ImageGB: 2, EstimateS: 7, Spot: rapid.Bool().Draw(t, "mayspot"),
 			OneZone: rapid.Bool().Draw(t, "onezone"), Spread: rapid.Bool().Draw(t, "spread"),
 		}
-		o := c.own(&known.LiveJob{Job: j})
-		reserved := &known.LiveJob{Job: protocol.Job{Class: "gang", Priority: "high", CPUs: 4, MemoryGB: 8, Spot: true}}
+		o := c.own(&stateview.LiveJob{Job: j})
+		reserved := &stateview.LiveJob{Job: protocol.Job{Class: "gang", Priority: "high", CPUs: 4, MemoryGB: 8, Spot: true}}
 		cl := &claims{classes: []kept{{job: reserved, need: room.Need(&reserved.Job), spare: rapid.IntRange(-2, 5).Draw(t, "spare")}}}
 		zones := map[protocol.Zone]int{}
 		from := c.candidatesFor(o, zones, cl)
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -4,8 +4,8 @@
 	"slices"
 
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 )
 
 // claims is the room that is not free for everybody, though nothing is on it.
@@ -85,7 +85,7 @@
 
 // kept is room reserved for one class, wherever it is.
 type kept struct {
-	job   *known.LiveJob
+	job   *stateview.LiveJob
 	risky bool // spot machines are no room for it
 	need  room.Amount
 	spare int // how many more tasks fit than are reserved
@@ -100,7 +100,7 @@
 		if r == 0 {
 			continue
 		}
-		l := &known.LiveJob{Job: k.job}
+		l := &stateview.LiveJob{Job: k.job}
 		kp := kept{job: l, risky: c.risky(&l.Job), need: room.Need(&l.Job), spare: -r}
 		for _, m := range c.machines {
 			if c.usable(m) && kp.suits(m) {
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -4,8 +4,8 @@
 	"math"
 
 	"damsonkeel/internal/coordination/forecast"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -39,10 +39,10 @@
 func (c *Core) upS(j *protocol.Job) float64 {
 	up := math.Inf(1)
 	for _, t := range c.Types {
-		l := known.LiveJob{Job: *j}
+		l := stateview.LiveJob{Job: *j}
 		l.Zone = ""
 		if l.AllowsKind(t, "", false) {
-			up = math.Min(up, t.BootS+known.FetchS(t, j))
+			up = math.Min(up, t.BootS+stateview.FetchS(t, j))
 		}
 	}
 	return up
@@ -79,7 +79,7 @@
 	if j.Kind != protocol.KindArray {
 		return 0
 	}
-	l, sum := known.LiveJob{Job: *j}, 0.0
+	l, sum := stateview.LiveJob{Job: *j}, 0.0
 	for _, m := range c.machinesInOrder() {
 		if c.usable(m) && l.AllowsKind(m.Info, m.Record.Zone, m.Record.Spot) {
 			sum += room.Amount{CPUs: m.reported.Ending.CPUs, GPUs: m.reported.Ending.GPUs, GB: m.reported.Ending.GB}.Places(room.Need(j))
--- a/internal/coordination/classes_test.go
+++ b/internal/coordination/classes_test.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"damsonkeel/internal/coordination/forecast"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -36,11 +36,11 @@
 	b.ready("vm-1")
 	m := b.c.machines["vm-1"]
 	cl := b.c.claims()
-	small := &ownedJob{LiveJob: &known.LiveJob{Job: protocol.Job{Class: "array", Priority: "standard", CPUs: 1, MemoryGB: 1}}}
+	small := &ownedJob{LiveJob: &stateview.LiveJob{Job: protocol.Job{Class: "array", Priority: "standard", CPUs: 1, MemoryGB: 1}}}
 	if ok := cl.spared(small, m, room.Need(&small.Job)); ok {
 		t.Error("a small task may take the last room kept")
 	}
-	big := &ownedJob{LiveJob: &known.LiveJob{Job: protocol.Job{Class: "gang", Priority: "high", CPUs: 4, MemoryGB: 1}}}
+	big := &ownedJob{LiveJob: &stateview.LiveJob{Job: protocol.Job{Class: "gang", Priority: "high", CPUs: 4, MemoryGB: 1}}}
 	if ok := cl.spared(big, m, room.Need(&big.Job)); !ok {
 		t.Error("the class itself may not use it")
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -13,20 +13,20 @@
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/keeping"
-	"damsonkeel/internal/coordination/known"
-	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/membership"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/ratesharing"
 	"damsonkeel/internal/coordination/registrar"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
 // Core is one controller's whole state between messages. It is not safe for
 // concurrent use: one actor owns it.
 type Core struct {
-	known.Part
+	stateview.Part
 	members   *membership.Members
 	registrar *registrar.Registrar
 	keeping   *keeping.Keeper
@@ -44,7 +44,7 @@
 	// members in one term.
 	ownedChanged relay.Log[protocol.JobID]
 	// rates outlives sessions: what was lent in the last one is still lent.
-	rates *lending.Book[protocol.LeaseID]
+	rates *ratesharing.Book[protocol.LeaseID]
 	share message.SetShare // as last set
 	peers map[protocol.NodeName]*peer
 	spots forecast.Spot
@@ -79,7 +79,7 @@
 
 // NewCore makes a controller's state before its first session.
 func NewCore(s *config.Settings, op config.Operator, rng *rand.Rand, log *slog.Logger) *Core {
-	p := known.Part{Known: known.NewKnown(s, op, log), Output: &known.Output{}}
+	p := stateview.Part{State: stateview.NewState(s, op, log), Output: &stateview.Output{}}
 	c := &Core{Part: p, members: membership.New(p), registrar: registrar.New(p), keeping: keeping.New(p), rng: rng}
 	c.reset()
 	return c
@@ -87,7 +87,7 @@
 
 // reset forgets everything a session knew. What matters is in the records.
 func (c *Core) reset() {
-	c.Known.Reset()
+	c.State.Reset()
 	c.members.Reset()
 	c.registrar.Reset()
 	c.classes = map[string]*class{}
@@ -106,7 +106,7 @@
 	c.Now = now
 	c.Actions = nil
 	if c.rates == nil {
-		c.rates = lending.NewBook[protocol.LeaseID](c.equalShare(), now)
+		c.rates = ratesharing.NewBook[protocol.LeaseID](c.equalShare(), now)
 	}
 	switch m := msg.(type) {
 	case message.Snapshot:
@@ -116,7 +116,7 @@
 		for _, it := range m.Items {
 			c.record(it.Key, it.Value, it.Version, true)
 		}
-		if !c.members.IsPresent(c.Self) && c.Op.NodeLease >= lending.LoanMost {
+		if !c.members.IsPresent(c.Self) && c.Op.NodeLease >= ratesharing.LoanMost {
 			// An earlier process of this controller was gone for its whole
 			// lease: what it lent is over.
 			c.rates.NothingLent()
@@ -382,7 +382,7 @@
 // nothing has begun for a while, goes first until something does: waiting behind all
 // that is due sooner, which keeps coming where there is more work than room, it would
 // not begin for minutes.
-func (c *Core) dueNow(l *known.LiveJob) Time {
+func (c *Core) dueNow(l *stateview.LiveJob) Time {
 	if c.Since(l.Since) > beginsWithin && len(c.DueTimes(&l.Job)) == 0 && !c.Awaited(&l.Job) {
 		if g, _ := c.JobProgress(l.ID); g.Running == 0 && g.Done == 0 {
 			return l.Since
--- a/internal/coordination/events.go
+++ b/internal/coordination/events.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -85,12 +85,12 @@
 func (c *Core) noticed(o *ownedJob, t *placedTask, leftS float64) {
 	if o.Kind == protocol.KindGang {
 		for _, other := range inorder.Tasks(o.placed) {
-			c.askStop(other, true, known.GraceS(&o.Job))
+			c.askStop(other, true, stateview.GraceS(&o.Job))
 		}
 		return
 	}
 	if o.CheckpointS > 0 || o.Kind == protocol.KindService {
-		c.askStop(t, true, known.GraceS(&o.Job))
+		c.askStop(t, true, stateview.GraceS(&o.Job))
 		return
 	}
 	ran := 0.0
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -11,8 +11,8 @@
 	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/inorder"
 	"damsonkeel/internal/coordination/keeping"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -87,7 +87,7 @@
 // fleetStep rents and returns machines, if that is this controller's role.
 func (c *Core) fleetStep() {
 	f := &c.fleet
-	if !c.Acting() || len(c.Types) == 0 || known.Rendezvous(c.View, "fleet") != c.Self {
+	if !c.Acting() || len(c.Types) == 0 || stateview.Rendezvous(c.View, "fleet") != c.Self {
 		return
 	}
 	if !f.listing && (!f.haveList || c.Since(f.listedAt) > listEvery) {
@@ -235,7 +235,7 @@
 
 // planning reports whether this controller rents and returns machines.
 func (c *Core) planning() bool {
-	return c.Acting() && len(c.Types) > 0 && known.Rendezvous(c.View, "fleet") == c.Self && c.fleet.haveList && c.Since(c.fleet.since) >= settleTime
+	return c.Acting() && len(c.Types) > 0 && stateview.Rendezvous(c.View, "fleet") == c.Self && c.fleet.haveList && c.Since(c.fleet.since) >= settleTime
 }
 
 // keepIdle is how long a machine is kept idle, in seconds: as long as the boot
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -8,8 +8,8 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/keeping"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -169,7 +169,7 @@
 		t.Errorf("kept %v s where nothing comes", s)
 	}
 	b.ready("vm-1")
-	b.c.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Priority: "best_effort", CPUs: 2}}
+	b.c.Live["job-1"] = &stateview.LiveJob{Job: protocol.Job{ID: "job-1", Priority: "best_effort", CPUs: 2}}
 	b.c.peers["node-0"].demand = []message.Demand{{Job: "job-1", Unstarted: 9}}
 	if spare := b.c.spareCPUs(); spare != 4-18 {
 		t.Errorf("%v processors to spare of 4 while 18 are waited for", spare)
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -121,7 +121,7 @@
 	}
 	o.lacksSince = 0
 	for _, t := range inorder.Tasks(o.placed) {
-		c.askStop(t, true, known.GraceS(&o.Job))
+		c.askStop(t, true, stateview.GraceS(&o.Job))
 	}
 	return nil
 }
--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -7,9 +7,9 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/forecast"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -18,7 +18,7 @@
 	for i := range n {
 		id := protocol.MachineID(fmt.Sprintf("vm-%s%v%d", z, spot, i))
 		m := &machineEntry{
-			Machine: &known.Machine{
+			Machine: &stateview.Machine{
 				ID: id, Epoch: 1, Info: protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16},
 				Record: bookkeeping.Machine{Zone: z, Spot: spot},
 			},
@@ -31,7 +31,7 @@
 }
 
 func (b *bench) gang(id protocol.JobID, tasks uint32) *ownedJob {
-	o := b.c.own(&known.LiveJob{Job: protocol.Job{
+	o := b.c.own(&stateview.LiveJob{Job: protocol.Job{
 		ID: id, Class: "gang", Team: "free", Kind: protocol.KindGang, Priority: "high", Tasks: tasks, CPUs: 4, MemoryGB: 1,
 		EstimateS: 100, CheckpointS: 10, OneZone: true, Spot: true,
 	}, Since: b.c.Now})
@@ -92,7 +92,7 @@
 	}
 	urgent := b.gang("job-3", 2)
 	urgent.level = room.LevelOf("production", false)
-	array := &ownedJob{LiveJob: &known.LiveJob{}, level: room.LevelOf("standard", false)}
+	array := &ownedJob{LiveJob: &stateview.LiveJob{}, level: room.LevelOf("standard", false)}
 	for m := range l.gangs {
 		if !l.against(urgent, m) || l.against(array, m) {
 			t.Error("claims hold against what could be stopped, or not against the rest")
@@ -113,7 +113,7 @@
 		t.Fatal("avoided before any was taken")
 	}
 	for range 40 {
-		m := &machineEntry{Machine: &known.Machine{Record: bookkeeping.Machine{Spot: true}}, reported: message.MachineState{Noticed: true}}
+		m := &machineEntry{Machine: &stateview.Machine{Record: bookkeeping.Machine{Spot: true}}, reported: message.MachineState{Noticed: true}}
 		b.c.noteLoss(m)
 		m.reported = message.MachineState{Draining: true, Noticed: true}
 		b.c.noteLoss(m) // returned by ourselves
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -10,9 +10,9 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/keeping"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/membership"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
 )
@@ -112,7 +112,7 @@
 // keptBy is a machine that one of the members keeps.
 func (b *bench) keptBy(n protocol.NodeName) protocol.MachineID {
 	id := protocol.MachineID("vm-0")
-	for i := 0; known.MachineKeeper(b.c.View, id) != n; i++ {
+	for i := 0; stateview.MachineKeeper(b.c.View, id) != n; i++ {
 		id = protocol.MachineID("vm-" + string(rune('a'+i)))
 	}
 	return id
@@ -224,7 +224,7 @@
 	var theirs []protocol.MachineID
 	for i := 0; len(theirs) < 4; i++ {
 		id := protocol.MachineID(fmt.Sprint("vm-", i))
-		if known.MachineKeeper(b.c.View, id) == "node-1" {
+		if stateview.MachineKeeper(b.c.View, id) == "node-1" {
 			theirs = append(theirs, id)
 			b.machine(id, 1)
 		}
@@ -289,7 +289,7 @@
 		return 0
 	}
 	good := message.Batch{From: "node-1", FromSession: 101, ToSession: 100, Term: 1, Messages: []message.PeerMessage{{Added: &message.Added{
-		Term: 1, Numbers: map[protocol.NodeName]uint64{known.MachineKeeper(b.c.View, "vm-1"): 1},
+		Term: 1, Numbers: map[protocol.NodeName]uint64{stateview.MachineKeeper(b.c.View, "vm-1"): 1},
 		Waits: []message.Wait{{Machine: "vm-1", Add: 5, Taken: []message.Use{{CPUs: 1}}}},
 	}}}}
 	b.machine("vm-1", 1)
--- a/internal/coordination/heldroom.go
+++ b/internal/coordination/heldroom.go
@@ -3,8 +3,8 @@
 import (
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 )
 
 // bars tells on which machines a job's tasks may not be placed for what is
@@ -28,7 +28,7 @@
 		}
 		t.Ends = calendar.After(now, config.Seconds(wait+likely))
 		holds := c.promised.Holds[m.ID]
-		if c.InWindow(m.ID, m.Record.Type, m.Record.Zone, now, known.PromisedEnd(holds, &t)) {
+		if c.InWindow(m.ID, m.Record.Type, m.Record.Zone, now, stateview.PromisedEnd(holds, &t)) {
 			return true
 		}
 		return len(holds) > 0 && !calendar.Leaves(holds, &t, free, now)
--- a/internal/coordination/holding.go
+++ b/internal/coordination/holding.go
@@ -9,10 +9,10 @@
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/renting"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -41,8 +41,8 @@
 )
 
 // jobOf is a job as a reservation describes it, on ordinary machines.
-func jobOf(s *bookkeeping.ReservationSpec) *known.LiveJob {
-	return &known.LiveJob{Job: protocol.Job{
+func jobOf(s *bookkeeping.ReservationSpec) *stateview.LiveJob {
+	return &stateview.LiveJob{Job: protocol.Job{
 		Class: s.Class, Team: s.Team, Kind: protocol.KindArray, Priority: s.Priority, Tasks: uint32(s.Tasks),
 		CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, Zone: s.Zone, OneZone: s.OneZone, EstimateS: s.LengthS,
 	}}
@@ -114,7 +114,7 @@
 	if !pr.Any && len(pr.List) == 0 || !c.planning() {
 		return
 	}
-	if !pr.Listed && c.Since(c.fleet.since) < known.SettleHolds && !c.mostHeard() {
+	if !pr.Listed && c.Since(c.fleet.since) < stateview.SettleHolds && !c.mostHeard() {
 		return
 	}
 	pr.Listed = true
--- a/internal/coordination/holding_test.go
+++ b/internal/coordination/holding_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"damsonkeel/internal/coordination/calendar"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -21,7 +21,7 @@
 			b.c.fleet.refused[kind{Type: "small", Zone: z, Spot: spot}] = refusal{until: b.c.After(time.Minute)}
 		}
 	}
-	if after := b.c.Lead(reserve("one", "daily at 04:00", 2)); after != before || before <= known.LeadSlack {
+	if after := b.c.Lead(reserve("one", "daily at 04:00", 2)); after != before || before <= stateview.LeadSlack {
 		t.Errorf("%v before, %v after", before, after)
 	}
 }
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -13,9 +13,9 @@
 	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/configuration"
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -528,7 +528,7 @@
 	if team.Closed {
 		return "the team is closed to new jobs"
 	}
-	l := known.LiveJob{Job: *j}
+	l := stateview.LiveJob{Job: *j}
 	l.Zone = "" // the zone may offer the type another day
 	fits := false
 	for _, t := range in.types {
--- a/internal/coordination/keeping/clearing.go
+++ b/internal/coordination/keeping/clearing.go
@@ -7,8 +7,8 @@
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 )
 
 // startLater is why something that waits in a machine's queue does not start.
@@ -22,7 +22,7 @@
 
 // mayStartOn decides whether something that fits may start on a machine, for what
 // is promised there.
-func (k *Keeper) mayStartOn(q *queue, e *entry, j *known.LiveJob, free room.Amount) (startLater, bool) {
+func (k *Keeper) mayStartOn(q *queue, e *entry, j *stateview.LiveJob, free room.Amount) (startLater, bool) {
 	pr := k.Pledged
 	holds := pr.Holds[q.id]
 	if len(pr.Windows) == 0 && len(holds) == 0 && (pr.Listed || !pr.Any) {
@@ -33,7 +33,7 @@
 	run := k.LikelyS(&j.Job, e.estimate) + q.fetchS(j)
 	t.Ends = calendar.After(now, config.Seconds(run))
 	owns := calendar.OwnUntil(holds, t.Of) != 0
-	if m := k.Records[q.id]; m != nil && k.InWindow(q.id, m.Record.Type, m.Record.Zone, now, known.PromisedEnd(holds, &t)) {
+	if m := k.Records[q.id]; m != nil && k.InWindow(q.id, m.Record.Type, m.Record.Zone, now, stateview.PromisedEnd(holds, &t)) {
 		return startElsewhere, owns
 	}
 	switch {
@@ -54,11 +54,11 @@
 }
 
 // fetchS is how long the machine takes to get a job's image, in seconds.
-func (q *queue) fetchS(j *known.LiveJob) float64 {
+func (q *queue) fetchS(j *stateview.LiveJob) float64 {
 	if slices.Contains(q.images, j.Image) {
 		return 0
 	}
-	return known.FetchS(q.info, &j.Job)
+	return stateview.FetchS(q.info, &j.Job)
 }
 
 // clearHeld stops what is in the way of room held on a machine, in the last
@@ -101,7 +101,7 @@
 // saveS is how long an attempt may take to be gone once it is stopped.
 func (k *Keeper) saveS(e *entry) float64 {
 	if j := k.Live[e.task.Job]; j != nil {
-		return known.GraceS(&j.Job)
+		return stateview.GraceS(&j.Job)
 	}
 	return 1
 }
--- a/internal/coordination/keeping/keeper.go
+++ b/internal/coordination/keeping/keeper.go
@@ -8,17 +8,17 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/coordination/sharing"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
 // Keeper keeps the queues of the machines that report to this controller.
 type Keeper struct {
-	known.Part
+	stateview.Part
 	queues map[protocol.MachineID]*queue
 	kept   []*queue // the queues in order of their machines' names; nil: to be sorted again
 	// inventoryDue are queues kept without a break whose inventories of this term
@@ -44,7 +44,7 @@
 }
 
 // New keeps nothing yet.
-func New(p known.Part) *Keeper {
+func New(p stateview.Part) *Keeper {
 	k := &Keeper{Part: p}
 	k.Reset()
 	return k
@@ -71,7 +71,7 @@
 // the present view than in an earlier one.
 func (k *Keeper) ForgetOwners(old bookkeeping.View) {
 	for name := range k.handled {
-		if !known.SameSession(old, k.View, name) {
+		if !stateview.SameSession(old, k.View, name) {
 			delete(k.handled, name)
 		}
 	}
@@ -123,7 +123,7 @@
 }
 
 // Recorded takes over a machine's record.
-func (k *Keeper) Recorded(m *known.Machine) {
+func (k *Keeper) Recorded(m *stateview.Machine) {
 	q := k.queues[m.ID]
 	if q != nil && q.session < m.Record.Session {
 		// Registered by the keeper before, whose word of it came too late.
@@ -138,7 +138,7 @@
 }
 
 // RecordGone: a machine's record was deleted, on proof that nothing is left.
-func (k *Keeper) RecordGone(m *known.Machine) {
+func (k *Keeper) RecordGone(m *stateview.Machine) {
 	k.sessionFloor[m.ID] = max(k.sessionFloor[m.ID], m.Record.Session+1)
 	if q := k.queues[m.ID]; q != nil && q.session <= m.Record.Session {
 		k.dropQueue(m.ID)
--- a/internal/coordination/keeping/keeping_test.go
+++ b/internal/coordination/keeping/keeping_test.go
@@ -11,10 +11,10 @@
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/clock"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/coordination/sharing"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/fixedseed"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
@@ -32,7 +32,7 @@
 func newBench(t *testing.T) *bench {
 	s := standin.Settings()
 	s.Name = "node-0"
-	p := known.Part{Known: known.NewKnown(s, config.DefaultOperator(), slog.New(slog.DiscardHandler)), Output: &known.Output{}}
+	p := stateview.Part{State: stateview.NewState(s, config.DefaultOperator(), slog.New(slog.DiscardHandler)), Output: &stateview.Output{}}
 	p.Types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}}
 	p.Session, p.Begun, p.Now, p.Until = 100, 1, 1, clock.Time(time.Hour)
 	p.View = bookkeeping.View{Term: 1, Members: map[protocol.NodeName]protocol.LeaseID{"node-0": 100}}
@@ -43,14 +43,14 @@
 // machine registers a machine's first session.
 func (b *bench) machine(id protocol.MachineID) {
 	rec := bookkeeping.Machine{Session: 1, Address: "x", Type: "small", Zone: "a"}
-	m := &known.Machine{ID: id, Record: rec, Epoch: 7, Info: b.k.Types["small"]}
+	m := &stateview.Machine{ID: id, Record: rec, Epoch: 7, Info: b.k.Types["small"]}
 	b.k.Records[id] = m
 	b.k.Recorded(m)
 }
 
 // job accepts a job of one task.
 func (b *bench) job(id protocol.JobID) {
-	b.k.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, MemoryGB: 1, EstimateS: 10, Image: "i"}}
+	b.k.Live[id] = &stateview.LiveJob{Job: protocol.Job{ID: id, Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, MemoryGB: 1, EstimateS: 10, Image: "i"}}
 }
 
 // place queues a job's only task.
@@ -144,7 +144,7 @@
 		b.ready("vm-1")
 		q := b.k.queues["vm-1"]
 		entry := func(id protocol.JobID, k task, cpus float64) *entry {
-			b.k.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Team: k.team, Priority: k.priority, CPUs: cpus, Tasks: 1}}
+			b.k.Live[id] = &stateview.LiveJob{Job: protocol.Job{ID: id, Team: k.team, Priority: k.priority, CPUs: cpus, Tasks: 1}}
 			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: 900, need: room.Amount{CPUs: cpus}, level: room.LevelOf(k.priority, k.guaranteed)}
 			q.put(e)
 			return e
@@ -185,7 +185,7 @@
 		b.ready("vm-1")
 		q := b.k.queues["vm-1"]
 		entry := func(id protocol.JobID, p protocol.Priority, class string, s float64) *entry {
-			l := &known.LiveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Priority: p, CPUs: 3, Tasks: 1, EstimateS: s}, Since: b.k.Now}
+			l := &stateview.LiveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Priority: p, CPUs: 3, Tasks: 1, EstimateS: s}, Since: b.k.Now}
 			l.Due = b.k.Due(l)
 			b.k.Live[id] = l
 			e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: s, since: b.k.Now, need: room.Amount{CPUs: 3}, level: room.LevelOf(p, false)}
@@ -210,7 +210,7 @@
 func TestFoundTasksTeachNothing(t *testing.T) {
 	b := newBench(t)
 	b.k.Pledged.Any = true
-	b.k.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Class: "array"}}
+	b.k.Live["job-1"] = &stateview.LiveJob{Job: protocol.Job{ID: "job-1", Class: "array"}}
 	end := func(order uint64, n int) {
 		for range n {
 			b.k.noteError(&entry{task: protocol.TaskID{Job: "job-1"}, order: order, runs: b.k.Now - clock.Time(10*time.Second), estimate: 10, cause: protocol.EndDone})
@@ -238,7 +238,7 @@
 	b.hold(hold)
 	q := b.k.queues["vm-1"]
 	wait := func(id protocol.JobID, class string, estimate float64) *entry {
-		b.k.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Kind: protocol.KindArray, Priority: "standard", CPUs: 2, MemoryGB: 1, Tasks: 1, EstimateS: estimate, SubmittedMS: int64(b.k.Moment())}}
+		b.k.Live[id] = &stateview.LiveJob{Job: protocol.Job{ID: id, Class: class, Team: "free", Kind: protocol.KindArray, Priority: "standard", CPUs: 2, MemoryGB: 1, Tasks: 1, EstimateS: estimate, SubmittedMS: int64(b.k.Moment())}}
 		e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: estimate, need: room.Amount{CPUs: 2, GB: 1}, level: 1, from: "node-0"}
 		q.put(e)
 		b.k.enqueue(q, e)
@@ -271,7 +271,7 @@
 	b.hold(calendar.Hold{For: "one", Machine: "vm-1", Tasks: 2, Need: room.Amount{CPUs: 4, GB: 2}, Level: 1, Clear: calendar.After(now, 8*time.Minute), From: calendar.After(now, 10*time.Minute), Until: calendar.After(now, 40*time.Minute)})
 	q := b.k.queues["vm-1"]
 	run := func(id protocol.JobID, p protocol.Priority) *entry {
-		b.k.Live[id] = &known.LiveJob{Job: protocol.Job{ID: id, Priority: p, Team: "free", CPUs: 2, Tasks: 1, CheckpointS: 10, SaveS: 10}}
+		b.k.Live[id] = &stateview.LiveJob{Job: protocol.Job{ID: id, Priority: p, Team: "free", CPUs: 2, Tasks: 1, CheckpointS: 10, SaveS: 10}}
 		e := &entry{task: protocol.TaskID{Job: id}, attempt: 1, estimate: 3600, need: room.Amount{CPUs: 2}, level: room.LevelOf(p, false), sent: true, present: true, state: protocol.TaskRunning}
 		q.put(e)
 		return e
@@ -317,7 +317,7 @@
 		q := b.k.queues["vm-1"]
 		e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 1, sent: true}
 		q.put(e)
-		b.k.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: "standard"}}
+		b.k.Live["job-1"] = &stateview.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: "standard"}}
 		if drained {
 			b.k.Drain("vm-1")
 		}
@@ -338,8 +338,8 @@
 		b := newBench(t)
 		b.ready("vm-1")
 		q := b.k.queues["vm-1"]
-		b.k.Live["job-1"] = &known.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: tc.runs, CPUs: 2, Tasks: 1}}
-		b.k.Live["job-2"] = &known.LiveJob{Job: protocol.Job{ID: "job-2", Team: "free", Kind: protocol.KindGang, Priority: "high", CPUs: 4, Tasks: 2}}
+		b.k.Live["job-1"] = &stateview.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Priority: tc.runs, CPUs: 2, Tasks: 1}}
+		b.k.Live["job-2"] = &stateview.LiveJob{Job: protocol.Job{ID: "job-2", Team: "free", Kind: protocol.KindGang, Priority: "high", CPUs: 4, Tasks: 2}}
 		runs := &entry{
 			task: protocol.TaskID{Job: "job-1"}, attempt: 1, need: room.Amount{CPUs: 2}, level: room.LevelOf(tc.runs, false),
 			sent: true, present: true, state: protocol.TaskRunning,
@@ -484,7 +484,7 @@
 func TestDueOrder(t *testing.T) {
 	b := newBench(t)
 	job := func(id protocol.JobID, deadline float64) *entry {
-		l := &known.LiveJob{Job: protocol.Job{ID: id, Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, EstimateS: 10, DeadlineS: deadline}, Since: b.k.Now}
+		l := &stateview.LiveJob{Job: protocol.Job{ID: id, Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, EstimateS: 10, DeadlineS: deadline}, Since: b.k.Now}
 		l.Due = b.k.Due(l)
 		b.k.Live[id] = l
 		return &entry{task: protocol.TaskID{Job: id}, level: 1}
--- a/internal/coordination/keeping/preempt.go
+++ b/internal/coordination/keeping/preempt.go
@@ -7,8 +7,8 @@
 
 	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -19,7 +19,7 @@
 // startBy is the time by which an attempt should start: the first that can
 // still be kept of what its class and its team's guarantee ask for, else when
 // it has to start to be done in time.
-func (k *Keeper) startBy(e *entry, l *known.LiveJob) clock.Time {
+func (k *Keeper) startBy(e *entry, l *stateview.LiveJob) clock.Time {
 	first := k.DoneBy(l) - clock.Time(1.5*e.estimate*float64(time.Second)) // owners' estimates are often wrong by half
 	for _, o := range k.Objectives() {
 		asked := o.Kind == "wait" && o.Class == l.Class || o.Kind == "guarantee" && e.level.Guaranteed()
--- a/internal/coordination/keeping/queue.go
+++ b/internal/coordination/keeping/queue.go
@@ -7,9 +7,9 @@
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -194,7 +194,7 @@
 	return k.kept
 }
 
-func (q *queue) registered(m *known.Machine) {
+func (q *queue) registered(m *stateview.Machine) {
 	q.epoch, q.info, q.addr, q.zone = m.Epoch, m.Info, m.Record.Address, m.Record.Zone
 	q.session = max(q.session, m.Record.Session)
 }
--- a/internal/coordination/membership/balance.go
+++ b/internal/coordination/membership/balance.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/sharing"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/operators"
 	"damsonkeel/internal/protocol"
 )
@@ -46,7 +46,7 @@
 // Balance has shares moved, if this controller is the one that decides: each move is
 // asked of the share's keeper.
 func (ms *Members) Balance() {
-	if !ms.Sharing() || !ms.Acting() || known.Rendezvous(ms.View, "shares") != ms.Self {
+	if !ms.Sharing() || !ms.Acting() || stateview.Rendezvous(ms.View, "shares") != ms.Self {
 		ms.balancer = sharing.Balancer{}
 		return
 	}
@@ -71,7 +71,7 @@
 	var ways []way
 	for _, m := range moves {
 		st := ms.Shares.List[m.ID]
-		w := way{ms.Holder(m.ID), known.NameOf(ms.View, m.To)}
+		w := way{ms.Holder(m.ID), stateview.NameOf(ms.View, m.To)}
 		if asked[w] == nil {
 			asked[w] = &message.Move{Term: ms.View.Term, To: w.to, Cause: m.Cause}
 			ways = append(ways, w)
--- a/internal/coordination/membership/members.go
+++ b/internal/coordination/membership/members.go
@@ -10,16 +10,16 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/sharing"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
 // Members is who takes part: this controller's and the others' presence in the
 // records, the view and when it is to change, and the peers' sessions.
 type Members struct {
-	known.Part
+	stateview.Part
 	nodes   map[protocol.NodeName]bookkeeping.Node // present in the records
 	writing bool                                   // a view
 	retry   clock.Time                             // nothing is written before
@@ -49,7 +49,7 @@
 type ViewTag struct{}
 
 // New knows nobody yet.
-func New(p known.Part) *Members {
+func New(p stateview.Part) *Members {
 	ms := &Members{Part: p}
 	ms.Reset()
 	return ms
--- a/internal/coordination/membership/members_test.go
+++ b/internal/coordination/membership/members_test.go
@@ -8,8 +8,8 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/clock"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/standin"
 )
@@ -33,7 +33,7 @@
 	} {
 		s := standin.Settings()
 		s.Name = "node-0"
-		p := known.Part{Known: known.NewKnown(s, config.DefaultOperator(), slog.New(slog.DiscardHandler)), Output: &known.Output{}}
+		p := stateview.Part{State: stateview.NewState(s, config.DefaultOperator(), slog.New(slog.DiscardHandler)), Output: &stateview.Output{}}
 		p.Session, p.Now, p.Until = 100, clock.Time(time.Minute), clock.Time(time.Minute)
 		ms := New(p)
 		v := bookkeeping.View{Term: 1, Members: map[protocol.NodeName]protocol.LeaseID{"node-0": 100}}
--- a/internal/coordination/message/between.go
+++ b/internal/coordination/message/between.go
@@ -5,7 +5,7 @@
 import (
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
-	"damsonkeel/internal/coordination/lending"
+	"damsonkeel/internal/coordination/ratesharing"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -212,9 +212,9 @@
 
 	Load Load // of the sender
 
-	// Ask and Loan share out the state service's rates by need (package lending).
-	Ask  lending.Ask
-	Loan *lending.Loan
+	// Ask and Loan share out the state service's rates by need (package ratesharing).
+	Ask  ratesharing.Ask
+	Loan *ratesharing.Loan
 
 	// Holds is what is held for reservations, by the controller that rents, to
 	// those who have not got it yet; HaveHolds numbers what the sender has.
--- a/internal/coordination/message/step.go
+++ b/internal/coordination/message/step.go
@@ -3,7 +3,7 @@
 import (
 	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/configuration"
-	"damsonkeel/internal/coordination/lending"
+	"damsonkeel/internal/coordination/ratesharing"
 	"damsonkeel/internal/protocol"
 )
 
@@ -38,7 +38,7 @@
 	Leave struct{}
 	// StateAsked says what was asked of the state service in the last second,
 	// within this controller's share or not.
-	StateAsked struct{ Amount lending.Amount }
+	StateAsked struct{ Amount ratesharing.Amount }
 	// TxnDone answers a Commit.
 	TxnDone struct {
 		Tag     any
@@ -136,7 +136,7 @@
 	// SetShare sets what may be used of the state service's rates: All until a
 	// time, from then on only Own.
 	SetShare struct {
-		Own, All lending.Amount
+		Own, All ratesharing.Amount
 		Until    clock.Time
 	}
 	// Configured tells that another configuration is in force.
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -13,8 +13,8 @@
 	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/intake"
 	"damsonkeel/internal/coordination/keeping"
-	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/ratesharing"
 	"damsonkeel/internal/coordination/registrar"
 	"damsonkeel/internal/protocol"
 	"damsonkeel/internal/transport"
@@ -191,7 +191,7 @@
 		case <-t.C:
 			n.offer(envelope{msg: message.Tick{WallMS: time.Now().UnixMilli()}})
 			if i%askedTicks == 0 {
-				n.offer(envelope{msg: message.StateAsked{Amount: lending.Amount(n.state.Asked())}})
+				n.offer(envelope{msg: message.StateAsked{Amount: ratesharing.Amount(n.state.Asked())}})
 			}
 		case <-ctx.Done():
 			return
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -8,9 +8,9 @@
 
 	"damsonkeel/internal/coordination/forecast"
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 
 	"github.com/bits-and-blooms/bitset"
@@ -47,7 +47,7 @@
 
 // ownedJob is a job this controller owns.
 type ownedJob struct {
-	*known.LiveJob
+	*stateview.LiveJob
 	loaded  bool // the bitmap of finished tasks has been read
 	loading bool
 	unknown bool // taken over: tasks not listed may be anywhere until all inventories are in
@@ -121,7 +121,7 @@
 	if c.Live[j.ID] != nil {
 		return
 	}
-	l := &known.LiveJob{Job: j, Version: version, Since: c.Submitted(&j)}
+	l := &stateview.LiveJob{Job: j, Version: version, Since: c.Submitted(&j)}
 	l.Due = c.Due(l)
 	c.Live[j.ID] = l
 	c.noteArrival(&l.Job)
@@ -135,7 +135,7 @@
 	c.Log.Debug("job", "id", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks)
 }
 
-func (c *Core) own(l *known.LiveJob) *ownedJob {
+func (c *Core) own(l *stateview.LiveJob) *ownedJob {
 	o := &ownedJob{
 		LiveJob: l, done: bitset.New(uint(l.Tasks)), pending: bitset.New(uint(l.Tasks)),
 		again: bitset.New(uint(l.Tasks)), placed: map[protocol.TaskID]*placedTask{}, dirty: map[int]bool{}, stored: map[int]protocol.Version{}, failedOn: map[protocol.MachineID]bool{}, since: l.Since,
@@ -211,7 +211,7 @@
 		// The rest of the attempt can't go on: its next one starts when all
 		// of this one are gone.
 		for _, other := range inorder.Tasks(o.placed) {
-			c.askStop(other, true, known.GraceS(&o.Job))
+			c.askStop(other, true, stateview.GraceS(&o.Job))
 		}
 	}
 }
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -326,7 +326,7 @@
 	if slices.Contains(m.reported.Images, j.Image) {
 		return 0
 	}
-	return known.FetchS(m.Info, j)
+	return stateview.FetchS(m.Info, j)
 }
 
 // usable reports whether tasks may be placed on a machine at all.
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -9,10 +9,10 @@
 
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/renting"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -39,7 +39,7 @@
 		}
 		s := renting.Fresh(c.Types[m.Type], m.kind, 1)
 		s.InS = math.Max(s.Info.BootS-c.Since(m.at).Seconds(), 1)
-		s.Free = s.Free.Minus(known.ReservedBy(c.promised.Holds[id], c.Moment()))
+		s.Free = s.Free.Minus(stateview.ReservedBy(c.promised.Holds[id], c.Moment()))
 		slots = append(slots, s)
 	}
 	for _, r := range inorder.Of(f.rents) {
@@ -49,10 +49,10 @@
 }
 
 // work is tasks of a job as a plan reckons with them.
-func (c *Core) work(j *known.LiveJob, l room.Level, estimateS float64) renting.Work {
+func (c *Core) work(j *stateview.LiveJob, l room.Level, estimateS float64) renting.Work {
 	return renting.Work{
 		Need: room.Need(&j.Job), Level: l, OneZone: j.OneZone && j.Zone == "", Shun: c.risky(&j.Job),
-		EstimateS: estimateS, FetchS: func(t protocol.TypeInfo) float64 { return known.FetchS(t, &j.Job) },
+		EstimateS: estimateS, FetchS: func(t protocol.TypeInfo) float64 { return stateview.FetchS(t, &j.Job) },
 		Allows: j.AllowsKind, Offers: c.offers(j),
 	}
 }
@@ -84,7 +84,7 @@
 		}
 	}
 	for _, k := range inorder.Of(c.classes) {
-		j := &known.LiveJob{Job: k.job}
+		j := &stateview.LiveJob{Job: k.job}
 		j.OneZone = false // it is kept for several jobs
 		if n := c.reserve(k); n > 0 {
 			p.House(c.work(j, room.LevelOf(j.Priority, false), 0), n)
@@ -114,13 +114,13 @@
 		if work := c.comingWork(k); work > 0 {
 			estimateS := c.Estimate(&k.job)
 			n := int(work / (estimateS * math.Max(k.job.CPUs, room.Slack)))
-			p.WorkOff(c.work(&known.LiveJob{Job: k.job}, 0, estimateS), n, c.upS(&k.job))
+			p.WorkOff(c.work(&stateview.LiveJob{Job: k.job}, 0, estimateS), n, c.upS(&k.job))
 		}
 	}
 }
 
 // wants is the job of a demand, with the zone that is left to it.
-func (c *Core) wants(d message.Demand) *known.LiveJob {
+func (c *Core) wants(d message.Demand) *stateview.LiveJob {
 	j := c.Live[d.Job]
 	if j == nil || d.Zone == "" {
 		return j
@@ -157,7 +157,7 @@
 // timeLeft is how long a job's tasks may still wait, in seconds, and be done
 // when it is due. Owners' estimates are often wrong by half. What nobody sets
 // a time for waits no longer than a machine takes to come.
-func (c *Core) timeLeft(j *known.LiveJob, d message.Demand) float64 {
+func (c *Core) timeLeft(j *stateview.LiveJob, d message.Demand) float64 {
 	if len(c.DueTimes(&j.Job)) == 0 {
 		return 0
 	}
@@ -165,7 +165,7 @@
 }
 
 // offers lists what may be rented for a job, the cheapest per task first.
-func (c *Core) offers(j *known.LiveJob) []kind {
+func (c *Core) offers(j *stateview.LiveJob) []kind {
 	type offer struct {
 		kind
 		price float64
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"testing"
 
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/renting"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -109,7 +109,7 @@
 	b.c.Types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}, Price: 1, SpotPrice: 1}
 	b.zoned("a", 20, false, room.Uses{})
 	b.zoned("b", 1, false, room.Uses{})
-	o := b.c.own(&known.LiveJob{Job: protocol.Job{
+	o := b.c.own(&stateview.LiveJob{Job: protocol.Job{
 		ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 60, CPUs: 1, MemoryGB: 1, EstimateS: 60, OneZone: true,
 	}, Since: b.c.Now})
 	o.loaded = true
--- a/internal/coordination/promises.go
+++ b/internal/coordination/promises.go
@@ -6,15 +6,15 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
 // promises is what a controller reckons of the calendar as an owner, and as the
 // one that chooses where room is held.
 type promises struct {
-	*known.Pledges
+	*stateview.Pledges
 
 	written Time // when the list was last written
 	stale   bool // it has changed since
@@ -25,7 +25,7 @@
 
 	// byClass are the live jobs of the classes that something is due for within
 	// windowsAhead, as of the last relay period.
-	byClass map[string][]*known.LiveJob
+	byClass map[string][]*stateview.LiveJob
 	seen    map[calendar.Name]*seenJob
 	dues    []calendar.Due                  // as last chosen for
 	short   map[calendar.Name]int           // tasks that no sure room is held for, as last chosen
@@ -49,7 +49,7 @@
 	tasks int
 }
 
-func newPromises(p *known.Pledges) promises {
+func newPromises(p *stateview.Pledges) promises {
 	return promises{
 		Pledges: p, seen: map[calendar.Name]*seenJob{}, short: map[calendar.Name]int{}, zones: map[calendar.Name]protocol.Zone{},
 		risk: map[calendar.Name]string{}, write: map[calendar.Name]bool{},
@@ -127,7 +127,7 @@
 	pr.Book.Extend(now)
 	pr.Windows, pr.teams = nil, map[protocol.Team][]teamClaim{}
 	soon := pr.Book.Overlapping(calendar.After(now, -2*off), calendar.After(now, windowsAhead))
-	pr.byClass = map[string][]*known.LiveJob{}
+	pr.byClass = map[string][]*stateview.LiveJob{}
 	for _, o := range soon {
 		if !o.Window {
 			pr.byClass[pr.Book.Reservation(o.Name).Reservation.Spec.Class] = nil
@@ -140,7 +140,7 @@
 	}
 	for _, o := range soon {
 		if o.Window {
-			pr.Windows = append(pr.Windows, known.OpenWindow{Spec: &pr.Book.Window(o.Name).Window.Spec, Start: calendar.After(o.Start, -off), End: calendar.After(o.End, off)})
+			pr.Windows = append(pr.Windows, stateview.OpenWindow{Spec: &pr.Book.Window(o.Name).Window.Spec, Start: calendar.After(o.Start, -off), End: calendar.After(o.End, off)})
 		}
 	}
 	for _, e := range pr.Book.Due(calendar.After(now, -2*off), calendar.After(now, windowsAhead)) {
@@ -153,7 +153,7 @@
 func (c *Core) reckonReserved() {
 	now := c.Moment()
 	for _, m := range c.machines {
-		m.reserved = known.ReservedBy(c.promised.Holds[m.ID], now)
+		m.reserved = stateview.ReservedBy(c.promised.Holds[m.ID], now)
 	}
 }
 
@@ -178,7 +178,7 @@
 	if s := c.promised.seen[e.Reservation.Spec.Name]; s != nil && s.start == e.StartMS {
 		came, tasks, started = true, s.tasks, s.tasks
 	}
-	each := func(l *known.LiveJob) {
+	each := func(l *stateview.LiveJob) {
 		if calendar.Matches(e.Reservation, &l.Job) {
 			g, _ := c.JobProgress(l.ID)
 			came, tasks, started = true, tasks+int(l.Tasks), started+int(g.Done+g.Running)
@@ -202,7 +202,7 @@
 }
 
 // reservedJobOver remembers a job of a reservation that is over.
-func (c *Core) reservedJobOver(l *known.LiveJob) {
+func (c *Core) reservedJobOver(l *stateview.LiveJob) {
 	if !c.promised.Any || l == nil {
 		return
 	}
--- a/internal/coordination/lending/lending_test.go
+++ b/internal/coordination/ratesharing/lending_test.go
@@ -1,4 +1,4 @@
-package lending
+package ratesharing
 
 import (
 	"os"
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -9,8 +9,8 @@
 	"damsonkeel/internal/coordination/blocks"
 	"damsonkeel/internal/coordination/clock"
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -18,13 +18,13 @@
 // controller is the one member that writes them in a term, what it has to write.
 // Only one does, so that no machine is ever in two blocks.
 type Registrar struct {
-	known.Part
+	stateview.Part
 	shelf *blocks.Shelf
 	pen
 }
 
 // New knows no records yet.
-func New(p known.Part) *Registrar {
+func New(p stateview.Part) *Registrar {
 	g := &Registrar{Part: p}
 	g.Reset()
 	return g
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -7,8 +7,8 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/calendar"
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/lending"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/ratesharing"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
 	"damsonkeel/internal/protocol"
@@ -100,7 +100,7 @@
 // sendRelays passes on what changed: once a relay period to everybody, in
 // between only to those who lack more than one message may hold.
 func (c *Core) sendRelays(regular bool) {
-	var loans map[protocol.LeaseID]lending.Loan
+	var loans map[protocol.LeaseID]ratesharing.Loan
 	if regular {
 		loans = c.rates.Lend(c.Now)
 		c.setShare() // before anybody can use what is lent
@@ -291,9 +291,9 @@
 
 // equalShare is this controller's part of the state service's rates before
 // anything is lent.
-func (c *Core) equalShare() lending.Amount {
+func (c *Core) equalShare() ratesharing.Amount {
 	site := &c.Settings.Site
-	return lending.Amount(bookkeeping.EqualShare(site.State.RPS, site.State.WriteRPS, site.Count))
+	return ratesharing.Amount(bookkeeping.EqualShare(site.State.RPS, site.State.WriteRPS, site.Count))
 }
 
 // setShare has what may be used now set, if that has changed.
--- a/internal/coordination/relays_test.go
+++ b/internal/coordination/relays_test.go
@@ -7,10 +7,10 @@
 
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/keeping"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/relay"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 
 	"pgregory.net/rapid"
@@ -124,7 +124,7 @@
 		c := b.c
 		var ids []protocol.MachineID
 		for i := 0; len(ids) < 3; i++ {
-			if id := protocol.MachineID(fmt.Sprint("vm-", i)); known.MachineKeeper(c.View, id) == "node-2" {
+			if id := protocol.MachineID(fmt.Sprint("vm-", i)); stateview.MachineKeeper(c.View, id) == "node-2" {
 				ids = append(ids, id)
 				b.machine(id, 1)
 			}
@@ -281,7 +281,7 @@
 	b := newBench(t, "node-1")
 	b.zoned("a", 300, false, room.Uses{})
 	b.zoned("b", 300, false, room.Uses{})
-	o := b.c.own(&known.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 4000, CPUs: 1, EstimateS: 10}})
+	o := b.c.own(&stateview.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 4000, CPUs: 1, EstimateS: 10}})
 	o.loaded = true
 	i := uint32(0)
 	for _, m := range b.c.machinesInOrder() {
--- a/internal/coordination/runtimes_test.go
+++ b/internal/coordination/runtimes_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -14,7 +14,7 @@
 // from saved progress.
 func TestUsualRunTime(t *testing.T) {
 	b := newBench(t, "node-1")
-	o := b.c.own(&known.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 20, CPUs: 1, EstimateS: 100}})
+	o := b.c.own(&stateview.LiveJob{Job: protocol.Job{ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 20, CPUs: 1, EstimateS: 100}})
 	start := func(i uint32) {
 		p := &placedTask{task: protocol.TaskID{Job: "job-1", Index: i}, attempt: 1, machine: "vm-1"}
 		o.placed[p.task] = p
--- a/internal/coordination/slow.go
+++ b/internal/coordination/slow.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -120,7 +120,7 @@
 	c.Send(c.Keeper(m.ID), message.PeerMessage{Drain: &m.ID})
 	for _, t := range inorder.Tasks(m.mine) {
 		if o := c.owner.jobs[t.task.Job]; o != nil && o.Kind == protocol.KindArray && o.CheckpointS > 0 {
-			c.askStop(t, true, known.GraceS(&o.Job)) // goes on elsewhere from what it saves
+			c.askStop(t, true, stateview.GraceS(&o.Job)) // goes on elsewhere from what it saves
 		}
 	}
 }
--- a/internal/coordination/slow_test.go
+++ b/internal/coordination/slow_test.go
@@ -4,9 +4,9 @@
 	"testing"
 	"time"
 
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
@@ -33,7 +33,7 @@
 	} {
 		b := newBench(t, "node-1")
 		b.zoned("a", 20, false, room.Uses{})
-		o := b.c.own(&known.LiveJob{Job: protocol.Job{
+		o := b.c.own(&stateview.LiveJob{Job: protocol.Job{
 			ID: "job-1", Team: "free", Kind: protocol.KindArray, Priority: "standard", Tasks: 20, CPUs: 1, EstimateS: 10, CheckpointS: 5, SaveS: 1,
 		}})
 		o.loaded = true
--- a/internal/coordination/known/due.go
+++ b/internal/coordination/stateview/due.go
@@ -1,4 +1,4 @@
-package known
+package stateview
 
 import (
 	"math"
@@ -14,7 +14,7 @@
 
 // DueTimes are the times, in seconds after its submission, by which a job
 // should be done: its deadline and its class's objectives, in any order.
-func (k *Known) DueTimes(j *protocol.Job) []float64 {
+func (k *State) DueTimes(j *protocol.Job) []float64 {
 	var by []float64
 	if j.DeadlineS > 0 {
 		by = append(by, j.DeadlineS)
@@ -32,7 +32,7 @@
 }
 
 // Due is what jobs of a level are ordered by: when they should be done.
-func (k *Known) Due(l *LiveJob) clock.Time {
+func (k *State) Due(l *LiveJob) clock.Time {
 	if k.Awaited(&l.Job) {
 		return l.Since // whoever waits longest for a start goes first
 	}
@@ -42,7 +42,7 @@
 // DoneBy is when a job should be done: the first of its times that can still be
 // kept. What can keep none any more makes way for what can, but not for ever:
 // it is due again when as long has passed once more, and so on.
-func (k *Known) DoneBy(l *LiveJob) clock.Time {
+func (k *State) DoneBy(l *LiveJob) clock.Time {
 	age := k.Since(l.Since).Seconds()
 	first, last := math.Inf(1), 0.0
 	times := k.DueTimes(&l.Job)
@@ -64,7 +64,7 @@
 }
 
 // Awaited reports whether a job's class is expected to start within a time.
-func (k *Known) Awaited(j *protocol.Job) bool {
+func (k *State) Awaited(j *protocol.Job) bool {
 	for _, o := range k.Objectives() {
 		if o.Kind == "wait" && o.Class == j.Class {
 			return true
@@ -74,7 +74,7 @@
 }
 
 // Submitted is when a job was submitted, by this process's clock.
-func (k *Known) Submitted(j *protocol.Job) clock.Time {
+func (k *State) Submitted(j *protocol.Job) clock.Time {
 	if k.WallMS == 0 || j.SubmittedMS == 0 {
 		return k.Now
 	}
--- a/internal/coordination/known/livejob.go
+++ b/internal/coordination/stateview/livejob.go
@@ -1,4 +1,4 @@
-package known
+package stateview
 
 import (
 	"slices"
--- a/internal/coordination/known/part.go
+++ b/internal/coordination/stateview/part.go
@@ -1,4 +1,4 @@
-package known
+package stateview
 
 import (
 	"damsonkeel/internal/bookkeeping"
@@ -9,7 +9,7 @@
 // Part is what each part of a core has: what is known, and what its step asks
 // for.
 type Part struct {
-	*Known
+	*State
 	*Output
 }
 
--- a/internal/coordination/known/pledges.go
+++ b/internal/coordination/stateview/pledges.go
@@ -1,4 +1,4 @@
-package known
+package stateview
 
 import (
 	"slices"
@@ -47,7 +47,7 @@
 }
 
 // Of tells which reservations a job is one of.
-func (k *Known) Of(j *protocol.Job) func(calendar.Name) bool {
+func (k *State) Of(j *protocol.Job) func(calendar.Name) bool {
 	return func(n calendar.Name) bool {
 		e := k.Pledged.Book.Reservation(n)
 		return e != nil && calendar.Matches(e.Reservation, j)
@@ -56,7 +56,7 @@
 
 // InWindow reports whether a window that covers a machine is open at some time
 // from a moment until before another.
-func (k *Known) InWindow(id protocol.MachineID, t protocol.MachineType, z protocol.Zone, from, to calendar.Moment) bool {
+func (k *State) InWindow(id protocol.MachineID, t protocol.MachineType, z protocol.Zone, from, to calendar.Moment) bool {
 	for i := range k.Pledged.Windows {
 		w := &k.Pledged.Windows[i]
 		if w.End > from && w.Start < to && calendar.Covers(w.Spec, id, t, z) {
@@ -68,7 +68,7 @@
 
 // Lead is how long before its time a reservation's room is clear: as long as
 // another machine takes to come, and one more in its place.
-func (k *Known) Lead(s *bookkeeping.ReservationSpec) time.Duration {
+func (k *State) Lead(s *bookkeeping.ReservationSpec) time.Duration {
 	boot := 0.0
 	for _, t := range k.Types { // those the cloud has none of at present, too: this must not change from moment to moment
 		if calendar.Fits(s, t, s.Zone) {
@@ -81,7 +81,7 @@
 // Unsettled reports whether what ends at a moment might be in the way of something
 // that room was held for before all controllers ended: until it is held anew,
 // that waits.
-func (k *Known) Unsettled(j *protocol.Job, ends calendar.Moment) bool {
+func (k *State) Unsettled(j *protocol.Job, ends calendar.Moment) bool {
 	pr := k.Pledged
 	if pr.Listed || k.Since(k.Begun) > SettleHolds+10*time.Second {
 		return false
@@ -93,12 +93,12 @@
 }
 
 // LikelyS is how long a task is very likely to run at the most, in seconds.
-func (k *Known) LikelyS(j *protocol.Job, estimateS float64) float64 {
+func (k *State) LikelyS(j *protocol.Job, estimateS float64) float64 {
 	return estimateS * k.Pledged.Errors[j.Class].Factor()
 }
 
 // ReservationOf is the reservation of a name, or one that matches no job.
-func (k *Known) ReservationOf(n calendar.Name) *bookkeeping.Reservation {
+func (k *State) ReservationOf(n calendar.Name) *bookkeeping.Reservation {
 	if e := k.Pledged.Book.Reservation(n); e != nil {
 		return e.Reservation
 	}
--- a/internal/coordination/known/roles.go
+++ b/internal/coordination/stateview/roles.go
@@ -1,4 +1,4 @@
-package known
+package stateview
 
 import (
 	"slices"
@@ -60,12 +60,12 @@
 }
 
 // Sharing reports whether machines are kept by shares in this term.
-func (k *Known) Sharing() bool {
+func (k *State) Sharing() bool {
 	return k.View.Layout >= bookkeeping.LayoutShares && k.Shares != nil
 }
 
 // Keeper is the controller that a registered machine reports to.
-func (k *Known) Keeper(m protocol.MachineID) protocol.NodeName {
+func (k *State) Keeper(m protocol.MachineID) protocol.NodeName {
 	var z protocol.Zone
 	if r := k.Records[m]; r != nil {
 		z = r.Record.Zone
@@ -75,7 +75,7 @@
 
 // KeeperIn is the controller that a machine of a zone reports to; none while its
 // share is nobody's.
-func (k *Known) KeeperIn(m protocol.MachineID, z protocol.Zone) protocol.NodeName {
+func (k *State) KeeperIn(m protocol.MachineID, z protocol.Zone) protocol.NodeName {
 	switch {
 	case k.Sharing():
 		return k.Holder(sharing.Of(k.Shares, m, z))
@@ -86,7 +86,7 @@
 }
 
 // Holder is the member that keeps a share; none if its session is over.
-func (k *Known) Holder(id sharing.ID) protocol.NodeName {
+func (k *State) Holder(id sharing.ID) protocol.NodeName {
 	return NameOf(k.View, k.Shares.List[id].Holder)
 }
 
@@ -102,7 +102,7 @@
 
 // Token is what a machine's keeper has its commands carry: the epoch of its share,
 // or the term where there are no shares.
-func (k *Known) Token(m protocol.MachineID, z protocol.Zone) protocol.Term {
+func (k *State) Token(m protocol.MachineID, z protocol.Zone) protocol.Term {
 	if k.Sharing() {
 		return k.Shares.List[sharing.Of(k.Shares, m, z)].Epoch
 	}
@@ -111,7 +111,7 @@
 
 // Tenure is since when, as an epoch, a machine's keeper has kept it; 0 where there
 // are no shares: the term tells then.
-func (k *Known) Tenure(m protocol.MachineID, z protocol.Zone) protocol.Term {
+func (k *State) Tenure(m protocol.MachineID, z protocol.Zone) protocol.Term {
 	if k.Sharing() {
 		return k.Shares.List[sharing.Of(k.Shares, m, z)].Since
 	}
@@ -119,7 +119,7 @@
 }
 
 // SharesEpoch is how far the record of the shares is known.
-func (k *Known) SharesEpoch() protocol.Term {
+func (k *State) SharesEpoch() protocol.Term {
 	if k.Shares == nil {
 		return 0
 	}
@@ -128,7 +128,7 @@
 
 // rendezvousKeeper is machineKeeper by the present view, reckoned once for each
 // machine.
-func (k *Known) rendezvousKeeper(m protocol.MachineID) protocol.NodeName {
+func (k *State) rendezvousKeeper(m protocol.MachineID) protocol.NodeName {
 	n, ok := k.Keepers[m]
 	if !ok {
 		n = MachineKeeper(k.View, m)
@@ -145,7 +145,7 @@
 const keepersKept = 1 << 14
 
 // OwnerOf is jobOwner by the present view, reckoned once for each job.
-func (k *Known) OwnerOf(l *LiveJob) protocol.NodeName {
+func (k *State) OwnerOf(l *LiveJob) protocol.NodeName {
 	if l.ownerTerm != k.View.Term {
 		l.owner, l.ownerTerm = k.JobOwner(k.View, &l.Job), k.View.Term
 	}
@@ -154,7 +154,7 @@
 
 // JobOwner is the one controller that owns a job. All jobs of a limited team
 // have the same owner, so that the limit is checked in one place.
-func (k *Known) JobOwner(v bookkeeping.View, j *protocol.Job) protocol.NodeName {
+func (k *State) JobOwner(v bookkeeping.View, j *protocol.Job) protocol.NodeName {
 	if k.limitedIn(v, j.Team) {
 		return Rendezvous(v, "team "+string(j.Team))
 	}
@@ -162,7 +162,7 @@
 }
 
 // Registrar is the member that writes machines' records.
-func (k *Known) Registrar() protocol.NodeName { return Rendezvous(k.View, "machine records") }
+func (k *State) Registrar() protocol.NodeName { return Rendezvous(k.View, "machine records") }
 
 // SameSession reports whether a node is in both views with the same session.
 func SameSession(a, b bookkeeping.View, n protocol.NodeName) bool {
--- a/internal/coordination/known/known.go
+++ b/internal/coordination/stateview/state.go
@@ -1,8 +1,8 @@
-// Package known holds what a controller knows that all parts of its core read:
+// Package stateview holds what a controller knows that all parts of its core read:
 // the records that all controllers follow, the view, the time and its settings;
 // who keeps a machine and who owns a job by that; and what is promised. It
 // decides nothing.
-package known
+package stateview
 
 import (
 	"log/slog"
@@ -16,9 +16,9 @@
 	"damsonkeel/internal/protocol"
 )
 
-// Known is what a controller knows that all parts of its core read: its
+// State is what a controller knows that all parts of its core read: its
 // settings, the time, its session, the view, and the records that all follow.
-type Known struct {
+type State struct {
 	Self     protocol.NodeName
 	Settings *config.Settings
 	Op       config.Operator
@@ -50,9 +50,9 @@
 	Configured *configuration.Followed
 }
 
-// NewKnown knows nothing but its settings.
-func NewKnown(s *config.Settings, op config.Operator, log *slog.Logger) *Known {
-	k := &Known{
+// NewState knows nothing but its settings.
+func NewState(s *config.Settings, op config.Operator, log *slog.Logger) *State {
+	k := &State{
 		Self: s.Name, Settings: s, Op: op, Log: log, Types: map[protocol.MachineType]protocol.TypeInfo{},
 		Configured: configuration.NewFollowed(&s.Site, op),
 	}
@@ -61,7 +61,7 @@
 }
 
 // Reset forgets what a session knew. What matters is in the records.
-func (k *Known) Reset() {
+func (k *State) Reset() {
 	k.Session, k.Until = 0, 0
 	k.View, k.ViewVersion = bookkeeping.View{}, 0
 	k.Shares, k.SharesVersion = nil, 0
@@ -84,24 +84,24 @@
 
 // Acting reports whether this controller may command workers and settle jobs:
 // its lease has not run out by its own clock, and the view has its session.
-func (k *Known) Acting() bool {
+func (k *State) Acting() bool {
 	return k.Now < k.Until && k.Member()
 }
 
 // Member reports whether the view has this session.
-func (k *Known) Member() bool {
+func (k *State) Member() bool {
 	return k.Session != 0 && k.View.Members[k.Self] == k.Session
 }
 
 // After is the time so long from now.
-func (k *Known) After(d time.Duration) clock.Time { return k.Now + clock.Time(d) }
+func (k *State) After(d time.Duration) clock.Time { return k.Now + clock.Time(d) }
 
 // Since is how long ago a time was.
-func (k *Known) Since(t clock.Time) time.Duration { return time.Duration(k.Now - t) }
+func (k *State) Since(t clock.Time) time.Duration { return time.Duration(k.Now - t) }
 
 // NoteOver remembers that a job is over, for messages about it that are still
 // under way.
-func (k *Known) NoteOver(id protocol.JobID) {
+func (k *State) NoteOver(id protocol.JobID) {
 	k.over[id] = k.Now
 	delete(k.halted, id)
 	if len(k.over) <= 4096 {
@@ -116,7 +116,7 @@
 
 // IsOver reports whether a job is known to have ended, rather than not to have
 // arrived here yet.
-func (k *Known) IsOver(id protocol.JobID) bool {
+func (k *State) IsOver(id protocol.JobID) bool {
 	_, over := k.over[id]
 	return over && k.Live[id] == nil
 }
@@ -128,7 +128,7 @@
 // Halt has no task of a job started any more: its user is about to be told that it is
 // cancelled, which is in the records, but may not have been followed yet. All the
 // rest of its end waits for that, so that it happens here in the order of the records.
-func (k *Known) Halt(id protocol.JobID) {
+func (k *State) Halt(id protocol.JobID) {
 	if _, over := k.over[id]; over && k.Live[id] == nil {
 		return
 	}
@@ -142,40 +142,40 @@
 
 // MayStart reports whether tasks of a job may be started: it is live, and not known to
 // be cancelled.
-func (k *Known) MayStart(id protocol.JobID) bool {
+func (k *State) MayStart(id protocol.JobID) bool {
 	_, halted := k.halted[id]
 	return k.Live[id] != nil && !halted
 }
 
 // Limited reports whether a team may have a limit, now or after a change of the
 // configuration: its jobs have one owner then, and all that they take is counted.
-func (k *Known) Limited(name protocol.Team) bool { return k.limitedIn(k.View, name) }
+func (k *State) Limited(name protocol.Team) bool { return k.limitedIn(k.View, name) }
 
-func (k *Known) limitedIn(v bookkeeping.View, name protocol.Team) bool {
+func (k *State) limitedIn(v bookkeeping.View, name protocol.Team) bool {
 	return configuration.OneOwner(&k.Settings.Site, v.Layout, name)
 }
 
 // Team finds a team as it is in force.
-func (k *Known) Team(name protocol.Team) (configuration.Team, bool) {
+func (k *State) Team(name protocol.Team) (configuration.Team, bool) {
 	return k.Configured.Effective().Team(name)
 }
 
 // Objectives are those in force.
-func (k *Known) Objectives() []config.Objective { return k.Configured.Effective().Objectives }
+func (k *State) Objectives() []config.Objective { return k.Configured.Effective().Objectives }
 
 // PlaceClosed reports whether a machine's type or zone takes no new work.
-func (k *Known) PlaceClosed(machineType protocol.MachineType, zone protocol.Zone) bool {
+func (k *State) PlaceClosed(machineType protocol.MachineType, zone protocol.Zone) bool {
 	return k.Configured.Effective().PlaceClosed(machineType, zone)
 }
 
 // LimitLowered is the last revision of the configuration that lowered a team's limit:
 // what was placed by an earlier one is started no more.
-func (k *Known) LimitLowered(name protocol.Team) configuration.Revision {
+func (k *State) LimitLowered(name protocol.Team) configuration.Revision {
 	return k.Configured.Effective().LimitLowered(name)
 }
 
 // Guarantees reports whether a team is guaranteed anything.
-func (k *Known) Guarantees(name protocol.Team) bool {
+func (k *State) Guarantees(name protocol.Team) bool {
 	t, ok := k.Team(name)
 	return ok && (t.CPUs > 0 || t.GPUs > 0)
 }
@@ -185,7 +185,7 @@
 const leastEstimate = 0.001
 
 // Estimate is a task's expected run time; the default stands in for none.
-func (k *Known) Estimate(j *protocol.Job) float64 {
+func (k *State) Estimate(j *protocol.Job) float64 {
 	if j.EstimateS > 0 {
 		return max(j.EstimateS, leastEstimate)
 	}
@@ -195,26 +195,26 @@
 // LeaseOver is how long after the last possible answer a worker has surely
 // killed its tasks: its lease by a clock that may run slow, and a margin for
 // answers on their way.
-func (k *Known) LeaseOver() time.Duration {
+func (k *State) LeaseOver() time.Duration {
 	lease := k.Settings.Site.Workers.LeaseS
 	return time.Duration(lease*1.002*float64(time.Second)) + 5*time.Second
 }
 
 // InThisView is the condition that the view is unchanged.
-func (k *Known) InThisView() protocol.Condition {
+func (k *State) InThisView() protocol.Condition {
 	return protocol.Condition{Key: bookkeeping.ViewKey, Version: k.ViewVersion}
 }
 
 // InBlocks reports whether machines are recorded in blocks in this term.
-func (k *Known) InBlocks() bool { return k.View.Layout >= bookkeeping.LayoutBlocks }
+func (k *State) InBlocks() bool { return k.View.Layout >= bookkeeping.LayoutBlocks }
 
 // Moment is the time of day.
-func (k *Known) Moment() calendar.Moment {
+func (k *State) Moment() calendar.Moment {
 	return calendar.Moment(k.WallMS + int64(k.Now/clock.Time(time.Millisecond)))
 }
 
 // TellTime takes over the time of day; steady clocks drift apart.
-func (k *Known) TellTime(wallMS int64) {
+func (k *State) TellTime(wallMS int64) {
 	if wallMS != 0 {
 		k.WallMS = wallMS - int64(k.Now/clock.Time(time.Millisecond))
 	}
--- a/internal/coordination/table.go
+++ b/internal/coordination/table.go
@@ -1,16 +1,16 @@
 package coordination
 
 import (
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
 // machineEntry is a registered machine as the records have it, and what the
 // wait table holds of it.
 type machineEntry struct {
-	*known.Machine
+	*stateview.Machine
 	reported message.MachineState // by its keeper
 	by       *peer                // the keeper's session that told it in this term, if any
 	at       Time                 // when that was
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -3,9 +3,9 @@
 import (
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/coordination/inorder"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/sharing"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 
 	"github.com/bits-and-blooms/bitset"
@@ -83,7 +83,7 @@
 		return false // the record of the shares has told: see sharesMoved
 	}
 	keeper := c.Keeper(id)
-	return known.MachineKeeper(old, id) != keeper || !known.SameSession(old, c.View, keeper)
+	return stateview.MachineKeeper(old, id) != keeper || !stateview.SameSession(old, c.View, keeper)
 }
 
 func (c *Core) jobLoaded(m message.JobLoaded) {
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -9,15 +9,15 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/coordination/keeping"
-	"damsonkeel/internal/coordination/known"
 	"damsonkeel/internal/coordination/message"
 	"damsonkeel/internal/coordination/room"
+	"damsonkeel/internal/coordination/stateview"
 	"damsonkeel/internal/protocol"
 )
 
 // inventory plays the proof of all that is on a machine.
 func (b *bench) inventory(id protocol.MachineID, held ...message.Held) {
-	b.c.inventory(known.MachineKeeper(b.c.View, id), &message.Inventory{
+	b.c.inventory(stateview.MachineKeeper(b.c.View, id), &message.Inventory{
 		Term: b.c.View.Term, Machine: id, Epoch: b.c.machines[id].Epoch, Upto: 1 << 40, Held: held,
 	})
 }
@@ -186,7 +186,7 @@
 		id := b.keptBy("node-1")
 		team := protocol.Team("bound")
 		b.c.Settings.Site.Teams = nil
-		for i := 0; known.Rendezvous(b.c.View, "team "+string(team)) != "node-0" || known.RendezvousBut(b.c.View, []protocol.NodeName{"node-1"}, "team "+string(team)) != "node-0"; i++ {
+		for i := 0; stateview.Rendezvous(b.c.View, "team "+string(team)) != "node-0" || stateview.RendezvousBut(b.c.View, []protocol.NodeName{"node-1"}, "team "+string(team)) != "node-0"; i++ {
 			team = protocol.Team("bound" + string(rune('a'+i)))
 		}
 		b.c.Settings.Site.Teams = []config.Team{{Name: team, MaxCPUs: 4}}
@@ -225,7 +225,7 @@
 // limited makes a team with a limit, which this controller owns, the only one.
 func (b *bench) limited(cpus float64) protocol.Team {
 	team := protocol.Team("bound")
-	for i := 0; known.Rendezvous(b.c.View, "team "+string(team)) != "node-0"; i++ {
+	for i := 0; stateview.Rendezvous(b.c.View, "team "+string(team)) != "node-0"; i++ {
 		team = protocol.Team("bound" + string(rune('a'+i)))
 	}
 	b.c.Settings.Site.Teams = []config.Team{{Name: team, MaxCPUs: cpus}}
