Scale run: when changes were in force at the controllers that could be asked

Cause: with a region apart every change counts by the bound, which hides how soon the others act by it. Change: the same figures over the controllers that answered in time.

--- a/internal/scale/operator.go
+++ b/internal/scale/operator.go
@@ -47,6 +47,9 @@
 	InForceP99S   float64 `json:"in_force_p99_s"`
 	InForceWorstS float64 `json:"in_force_worst_s"`
 	ByBound       int     `json:"by_bound"`
+	// Heard is the same over the controllers that could be asked in time.
+	HeardP99S   float64 `json:"heard_p99_s"`
+	HeardWorstS float64 `json:"heard_worst_s"`
 	// OldestS is the longest after a change that a controller was seen acting by an
 	// earlier one.
 	OldestS float64 `json:"oldest_s"`
@@ -209,24 +212,28 @@
 		return nil, errNoChanges
 	}
 	f := &ConfigFigures{Changes: len(o.made), Failed: o.failed, AnsweredP99S: quantileS(o.answered, 99), OldestS: max(0, o.oldest.Seconds())}
-	inForce := newHistogram()
+	inForce, heard := newHistogram(), newHistogram()
 	bound := config.FollowedWithin(o.nodeLease())
 	for _, made := range o.made {
-		longest, byBound := time.Duration(0), false
+		longest, longestHeard, byBound := time.Duration(0), time.Duration(0), false
 		for name := range o.addresses {
 			at, known := made.settled[name]
 			took := at - made.answered
 			if !known || took > bound {
 				took, byBound = bound, true
+			} else {
+				longestHeard = max(longestHeard, took)
 			}
 			longest = max(longest, took)
 		}
 		record(inForce, longest)
+		record(heard, longestHeard)
 		if byBound {
 			f.ByBound++
 		}
 	}
 	f.InForceP99S, f.InForceWorstS = quantileS(inForce, 99), quantileS(inForce, 100)
+	f.HeardP99S, f.HeardWorstS = quantileS(heard, 99), quantileS(heard, 100)
 	return f, nil
 }
 
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -101,10 +101,10 @@
 }
 
 func printConfig(out io.Writer, results []*Result) {
-	t := newTable(out, "scale", "changes of the configuration", "failed", "durable p99 s", "in force p99 s", "worst s", "by the bound", "oldest acted by s")
+	t := newTable(out, "scale", "changes of the configuration", "failed", "durable p99 s", "in force p99 s", "worst s", "by the bound", "of those heard p99 s", "worst s", "oldest acted by s")
 	for _, r := range results {
 		if c := r.Config; c != nil {
-			t.AppendRow(table.Row{r.Factor, c.Changes, c.Failed, fixed2(c.AnsweredP99S), fixed2(c.InForceP99S), fixed2(c.InForceWorstS), c.ByBound, fixed2(c.OldestS)})
+			t.AppendRow(table.Row{r.Factor, c.Changes, c.Failed, fixed2(c.AnsweredP99S), fixed2(c.InForceP99S), fixed2(c.InForceWorstS), c.ByBound, fixed2(c.HeardP99S), fixed2(c.HeardWorstS), fixed2(c.OldestS)})
 		}
 	}
 	t.Render()
