--- a/internal/scale/figures.go
+++ b/internal/scale/figures.go
@@ -21,11 +21,13 @@
 	RunningPeak int
 	Classes     map[string]Waits // from submission to the start, by task; "all": of all
 	UrgentJobs  Waits            // until all tasks of a job run
-	Calm        UrgentSpell      // urgent jobs beside no trouble
-	Urgent      UrgentStages
-	Timeline    []TimelinePoint
-	State       StateFigures
-	Troubles    []TroubleFigures
+	// Calm are urgent jobs beside no trouble whose team's limit left them room, and
+	// CalmAtLimit those whose did not.
+	Calm, CalmAtLimit UrgentSpell
+	Urgent            UrgentStages
+	Timeline          []TimelinePoint
+	State             StateFigures
+	Troubles          []TroubleFigures
 }
 
 // StateFigures are what the state service held and served.
@@ -45,7 +47,8 @@
 	HeardS      float64 `json:"heard_s"`
 	StartsBackS float64 `json:"starts_back_s"`
 	// Urgent are the urgent jobs that were submitted from its beginning until a while
-	// after its end. Troubles overlap: a job may count for several.
+	// after its end, and whose team's limit left them room. Troubles overlap: a job may
+	// count for several.
 	Urgent UrgentSpell `json:"urgent"`
 }
 
@@ -60,6 +63,8 @@
 // urgentWait is how long an urgent job waited.
 type urgentWait struct {
 	submitted, wait time.Duration
+	// atLimit: its team's limit left no room for it when it was submitted.
+	atLimit bool
 }
 
 const (
@@ -70,10 +75,10 @@
 )
 
 // spellOf sums up the urgent jobs that were submitted while something holds.
-func spellOf(waits []urgentWait, holds func(time.Duration) bool) UrgentSpell {
+func spellOf(waits []urgentWait, holds func(urgentWait) bool) UrgentSpell {
 	hist, inTime := newHistogram(), 0
 	for _, w := range waits {
-		if !holds(w.submitted) {
+		if !holds(w) {
 			continue
 		}
 		record(hist, w.wait)
@@ -86,8 +91,8 @@
 }
 
 // felt reports whether a trouble counts for what is submitted at a time.
-func (t *trackedTrouble) felt(at time.Duration) bool {
-	return at >= t.begun && at <= t.ended+feltAfter
+func (t *trackedTrouble) felt(w urgentWait) bool {
+	return w.submitted >= t.begun && w.submitted <= t.ended+feltAfter
 }
 
 const (
@@ -129,13 +134,15 @@
 		record(hist, w.wait)
 	}
 	out.UrgentJobs = waitsOf(hist)
-	out.Calm = spellOf(urgent, func(at time.Duration) bool {
-		return !slices.ContainsFunc(h.troubles, func(t *trackedTrouble) bool { return t.felt(at) })
-	})
+	calm := func(w urgentWait) bool {
+		return !slices.ContainsFunc(h.troubles, func(t *trackedTrouble) bool { return t.felt(w) })
+	}
+	out.Calm = spellOf(urgent, func(w urgentWait) bool { return calm(w) && !w.atLimit })
+	out.CalmAtLimit = spellOf(urgent, func(w urgentWait) bool { return calm(w) && w.atLimit })
 	out.Urgent = h.urgentStages()
 	out.Timeline = h.timeline()
 	for i := range h.troubles {
-		h.troubles[i].figures.Urgent = spellOf(urgent, h.troubles[i].felt)
+		h.troubles[i].figures.Urgent = spellOf(urgent, func(w urgentWait) bool { return h.troubles[i].felt(w) && !w.atLimit })
 		h.troubles[i].figures.StartsBackS = startsBackAfter(starts, h.troubles[i].begun, h.troubles[i].ended)
 		out.Troubles = append(out.Troubles, h.troubles[i].figures)
 	}
@@ -192,7 +199,7 @@
 			cancelled[e.Job] = true
 		}
 	}
-	first := h.firstStarts()
+	first, atLimit := h.firstStarts(), h.atLimit()
 	classes := map[string]*hdrhistogram.Histogram{}
 	var urgent []urgentWait
 	for id, at := range submitted {
@@ -216,7 +223,7 @@
 			record(classes[job.Class], start-at)
 		}
 		if job.Class == urgentClass && last > 0 {
-			urgent = append(urgent, urgentWait{at, last - at})
+			urgent = append(urgent, urgentWait{at, last - at, atLimit[id]})
 		}
 	}
 	out := map[string]Waits{}
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -62,8 +62,9 @@
 	P50S   float64 `json:"start_p50_s"`
 	P99S   float64 `json:"start_p99_s"`
 	WorstS float64 `json:"start_worst_s"`
-	// Calm are the jobs that were submitted beside no trouble.
-	Calm UrgentSpell `json:"calm"`
+	// Calm are the jobs that were submitted beside no trouble, within their teams' limits.
+	Calm        UrgentSpell `json:"calm"`
+	CalmAtLimit UrgentSpell `json:"calm_at_limit"` // of these, whose team's limit left no room
 	// Stages are the parts of a task's wait.
 	Stages UrgentStages `json:"stages"`
 }
@@ -147,7 +148,7 @@
 	}
 	r.Starts, r.StartsPeakS, r.RunningPeak = h.Starts, h.StartsPeakS, h.RunningPeak
 	r.Waits, r.State, r.Troubles = h.Classes, h.State, h.Troubles
-	r.Urgent = UrgentFigures{Jobs: h.UrgentJobs.Count, P50S: h.UrgentJobs.P50S, P99S: h.UrgentJobs.P99S, WorstS: h.UrgentJobs.WorstS, Calm: h.Calm, Stages: h.Urgent}
+	r.Urgent = UrgentFigures{Jobs: h.UrgentJobs.Count, P50S: h.UrgentJobs.P50S, P99S: h.UrgentJobs.P99S, WorstS: h.UrgentJobs.WorstS, Calm: h.Calm, CalmAtLimit: h.CalmAtLimit, Stages: h.Urgent}
 	r.Timeline = h.Timeline
 }
 
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -83,6 +83,8 @@
 			t.AppendRow(table.Row{r.Factor, f.Kind, f.AtS, f.ForS, f.HeardS, f.StartsBackS, f.Urgent.Jobs, fixed2(f.Urgent.InTime), fixed2(f.Urgent.P99S), fixed2(f.Urgent.WorstS)})
 		}
 		t.AppendRow(table.Row{r.Factor, "none", "", "", "", "", r.Urgent.Calm.Jobs, fixed2(r.Urgent.Calm.InTime), fixed2(r.Urgent.Calm.P99S), fixed2(r.Urgent.Calm.WorstS)})
+		limit := r.Urgent.CalmAtLimit
+		t.AppendRow(table.Row{r.Factor, "none, team at its limit", "", "", "", "", limit.Jobs, fixed2(limit.InTime), fixed2(limit.P99S), fixed2(limit.WorstS)})
 	}
 	t.Render()
 }
