--- a/internal/scale/timeline.go
+++ b/internal/scale/timeline.go
@@ -19,6 +19,8 @@
 	AtS     float64 `json:"at_s"`
 	StartsS float64 `json:"starts_s"` // a second
 	Running int     `json:"running"`  // tasks on machines, at its end
+	// Machines are those that are up, at its end.
+	Machines int `json:"machines"`
 }
 
 // timeline is the starts and what ran, over time.
@@ -34,7 +36,7 @@
 	starts, next := 0, begin+timelineStep
 	for _, e := range events {
 		for e.At >= next {
-			points = append(points, TimelinePoint{(next - begin).Seconds(), float64(starts) / timelineStep.Seconds(), count.running()})
+			points = append(points, TimelinePoint{(next - begin).Seconds(), float64(starts) / timelineStep.Seconds(), count.running(), count.machines})
 			starts, next = 0, next+timelineStep
 		}
 		if count.take(e); e.Kind == rules.TaskOn {
@@ -46,21 +48,25 @@
 
 // runCount counts the tasks on machines.
 type runCount struct {
-	on map[protocol.TaskID]protocol.MachineID
+	on       map[protocol.TaskID]protocol.MachineID
+	machines int // that are up
 }
 
-func newRunCount() *runCount { return &runCount{map[protocol.TaskID]protocol.MachineID{}} }
+func newRunCount() *runCount { return &runCount{on: map[protocol.TaskID]protocol.MachineID{}} }
 
 func (c *runCount) running() int { return len(c.on) }
 
 // take takes the next event.
 func (c *runCount) take(e rules.MachineEvent) {
 	switch e.Kind {
+	case rules.MachineUp:
+		c.machines++
 	case rules.TaskOn:
 		c.on[e.Task] = e.Machine
 	case rules.TaskOff:
 		delete(c.on, e.Task)
 	case rules.MachineGone:
+		c.machines--
 		for task, machine := range c.on {
 			if machine == e.Machine {
 				delete(c.on, task)
