Scale run: one tracker of what is on machines; waits in parts

Change: one tracker, with a hook for what changes; submissions, waits and sums are functions of their own.

--- a/internal/scale/figures.go
+++ b/internal/scale/figures.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -177,7 +178,7 @@
 func runningPeak(events []rules.MachineEvent) int {
 	sorted := slices.Clone(events)
 	slices.SortStableFunc(sorted, func(a, b rules.MachineEvent) int { return cmp.Compare(a.At, b.At) })
-	count, most := newRunCount(), 0
+	count, most := newTracker(), 0
 	for _, e := range sorted {
 		count.take(e)
 		most = max(most, count.running())
@@ -185,55 +186,66 @@
 	return most
 }
 
-// waits reckons how long tasks waited for their first start, by class, and how long
-// urgent jobs waited for all of their tasks.
-func (h *Hub) waits() (map[string]Waits, []urgentWait) {
-	submitted, cancelled := map[protocol.JobID]time.Duration{}, map[protocol.JobID]bool{}
-	end := time.Duration(0)
+// submissions are the jobs that were not cancelled, by when they were submitted, and
+// when the last answer of all came.
+func (h *Hub) submissions() (at map[protocol.JobID]time.Duration, end time.Duration) {
+	at = map[protocol.JobID]time.Duration{}
+	cancelled := map[protocol.JobID]bool{}
 	for _, e := range h.users {
 		end = max(end, e.Answered)
 		switch e.Kind {
 		case rules.UserUploads:
-			submitted[e.Job] = e.Asked
+			at[e.Job] = e.Asked
 		case rules.UserCancels:
 			cancelled[e.Job] = true
 		}
 	}
+	maps.DeleteFunc(at, func(id protocol.JobID, _ time.Duration) bool { return cancelled[id] })
+	return at, end
+}
+
+// waits reckons how long tasks waited for their first start, by class, and how long
+// urgent jobs waited for all of their tasks. A task that has not begun has waited until
+// the end, at the least, unless its job came shortly before that.
+func (h *Hub) waits() (map[string]Waits, []urgentWait) {
+	submitted, end := h.submissions()
 	first, atLimit := h.firstStarts(), h.atLimit()
 	classes := map[string]*hdrhistogram.Histogram{}
 	var urgent []urgentWait
 	for id, at := range submitted {
-		if cancelled[id] {
-			continue
-		}
 		job := h.jobs[id]
 		if classes[job.Class] == nil {
 			classes[job.Class] = newHistogram()
 		}
-		last := time.Duration(0)
+		longest := time.Duration(-1)
 		for i := range job.Tasks {
 			start, begun := first[protocol.TaskID{Job: id, Index: i}]
 			if !begun && at > end-unfinishedGrace {
 				continue
 			}
 			if !begun {
-				start = end // at the least
+				start = end
 			}
-			last = max(last, start)
+			longest = max(longest, start-at)
 			record(classes[job.Class], start-at)
 		}
-		if job.Class == urgentClass && last > 0 {
-			urgent = append(urgent, urgentWait{at, last - at, atLimit[id]})
+		if job.Class == urgentClass && longest >= 0 {
+			urgent = append(urgent, urgentWait{at, longest, atLimit[id]})
 		}
 	}
+	return summed(classes), urgent
+}
+
+// summed are the waits of each class, and of all.
+func summed(classes map[string]*hdrhistogram.Histogram) map[string]Waits {
 	out := map[string]Waits{}
 	all := newHistogram()
-	for name, c := range classes {
-		out[name] = waitsOf(c)
-		all.Merge(c)
+	for name, hist := range classes {
+		out[name] = waitsOf(hist)
+		all.Merge(hist)
 	}
 	out[allClasses] = waitsOf(all)
-	return out, urgent
+	return out
 }
 
 // firstStarts is when each task first ran; tasks of a gang run once it is complete.
--- a/internal/scale/timeline.go
+++ b/internal/scale/timeline.go
@@ -32,7 +32,7 @@
 	events := slices.Clone(h.events)
 	slices.SortStableFunc(events, func(a, b rules.MachineEvent) int { return cmp.Compare(a.At, b.At) })
 	var points []TimelinePoint
-	count := newRunCount()
+	count := newTracker()
 	starts, next := 0, begin+timelineStep
 	for _, e := range events {
 		for e.At >= next {
@@ -46,35 +46,6 @@
 	return points
 }
 
-// runCount counts the tasks on machines.
-type runCount struct {
-	on       map[protocol.TaskID]protocol.MachineID
-	machines int // that are up
-}
-
-func newRunCount() *runCount { return &runCount{on: map[protocol.TaskID]protocol.MachineID{}} }
-
-func (c *runCount) running() int { return len(c.on) }
-
-// take takes the next event.
-func (c *runCount) take(e rules.MachineEvent) {
-	switch e.Kind {
-	case rules.MachineUp:
-		c.machines++
-	case rules.TaskOn:
-		c.on[e.Task] = e.Machine
-	case rules.TaskOff:
-		delete(c.on, e.Task)
-	case rules.MachineGone:
-		c.machines--
-		for task, machine := range c.on {
-			if machine == e.Machine {
-				delete(c.on, task)
-			}
-		}
-	}
-}
-
 // UrgentStages are the parts of an urgent task's wait: until its job is accepted, from
 // then until its worker has the order to start it, and until it has its image.
 type UrgentStages struct {
