Names of the field: reservations instead of promises and pledges

Cause: names of an earlier house style that need explaining. Change: renamed, without change of behaviour.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -50,7 +50,7 @@
 	spots forecast.Spot
 	fleet fleetState
 	// promised is the calendar: reservations and windows.
-	promised promises
+	reservations reservationState
 
 	leaving    bool    // the process is to end
 	lateMS     float64 // how late ticks come, on average
@@ -98,7 +98,7 @@
 	c.peers = map[protocol.NodeName]*peer{}
 	c.owner = newOwnerState()
 	c.fleet = newFleetState()
-	c.promised = newPromises(c.Pledged)
+	c.reservations = newReservationState(c.Reservations)
 }
 
 // Step handles one message at a time of the steady clock.
@@ -314,7 +314,7 @@
 	if c.Since(c.lastRelay) >= c.Op.RelayEvery {
 		c.lastRelay = c.Now
 		c.refreshDue()
-		c.refreshPromises()
+		c.refreshReservations()
 		c.watchSpots()
 		c.watchSlow()
 		c.keeping.ExpireSilent(c.members.AllAdopted(), c.members.SharesFloor())
@@ -346,7 +346,7 @@
 	case membership.ViewTag:
 		c.members.ViewWritten(m.Outcome)
 	case reservationTag:
-		delete(c.promised.write, tag.name)
+		delete(c.reservations.write, tag.name)
 	case keeping.RegisterTag:
 		c.keeping.RegistrationDone(tag, m.Outcome)
 	case finishTag:
@@ -354,7 +354,7 @@
 	case bitsTag:
 		c.bitsDone(tag, m.Outcome, m.Revision)
 	case heldTag:
-		c.promised.stale = c.promised.stale || m.Outcome != message.OutcomeDone
+		c.reservations.stale = c.reservations.stale || m.Outcome != message.OutcomeDone
 	case registrar.Tag:
 		c.registrar.Written(tag, m.Outcome)
 	case keeping.RemoveTag:
--- a/internal/coordination/failedsearch.go
+++ b/internal/coordination/failedsearch.go
@@ -36,7 +36,7 @@
 
 // noteFailedSearch remembers that a job's search for places found none any more.
 func (c *Core) noteFailedSearch(o *ownedJob) {
-	if o.OneZone || o.Spread || len(o.failedOn) > 0 || c.promised.Any || len(c.owner.failedSearches) >= failedSearchesMost {
+	if o.OneZone || o.Spread || len(o.failedOn) > 0 || c.reservations.Any || len(c.owner.failedSearches) >= failedSearchesMost {
 		return // where it may go depends on more than what is remembered
 	}
 	c.owner.failedSearches = append(c.owner.failedSearches, failedSearch{
@@ -54,7 +54,7 @@
 // wouldFindNone reports whether a job's search would find no place, as another's has not.
 // Room kept for a class is room for its own jobs.
 func (c *Core) wouldFindNone(o *ownedJob) bool {
-	if c.promised.Any {
+	if c.reservations.Any {
 		return false
 	}
 	need := room.Need(&o.Job)
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -110,7 +110,7 @@
 	}
 	f.lastPlan = c.Now
 	c.noteComing()
-	c.choosePromised()
+	c.chooseReserved()
 	c.plan()
 	c.returnMachines()
 }
@@ -211,7 +211,7 @@
 		for _, id := range m.Machines {
 			f.coming[id] = coming{k, c.Now}
 		}
-		c.choosePromised() // before anybody else uses them
+		c.chooseReserved() // before anybody else uses them
 		c.Log.Info("rented", "machines", m.Machines, "request", m.Request.Name)
 		delete(f.refused, k)
 		if len(m.Machines) == m.Request.Count {
@@ -317,7 +317,7 @@
 			gone = append(gone, id)
 		case empty && (m.reported.Draining || m.reported.Suspect):
 			gone = append(gone, id)
-		case c.keepPromised(m):
+		case c.keepReserved(m):
 		case empty && !m.reported.Draining && idleS > c.keepIdle(m.Info, spare) && spare >= m.Info.CPUs && cl.give(m):
 			spare -= m.Info.CPUs
 			c.Log.Info("returning an idle machine", "machine", id, "idle_s", int(idleS))
--- a/internal/coordination/heldroom.go
+++ b/internal/coordination/heldroom.go
@@ -10,7 +10,7 @@
 // bars tells on which machines a job's tasks may not be placed for what is
 // promised there; nil: nothing is.
 func (c *Core) bars(o *ownedJob) func(m *machineEntry) bool {
-	if len(c.promised.Windows) == 0 && len(c.promised.List) == 0 {
+	if len(c.reservations.Windows) == 0 && len(c.reservations.List) == 0 {
 		return nil
 	}
 	now := c.Moment()
@@ -27,8 +27,8 @@
 			wait += m.waitBefore(o.level) / max(m.Info.CPUs, 1)
 		}
 		t.Ends = calendar.After(now, config.Seconds(wait+likely))
-		holds := c.promised.Holds[m.ID]
-		if c.InWindow(m.ID, m.Record.Type, m.Record.Zone, now, stateview.PromisedEnd(holds, &t)) {
+		holds := c.reservations.Holds[m.ID]
+		if c.InWindow(m.ID, m.Record.Type, m.Record.Zone, now, stateview.ReservedEnd(holds, &t)) {
 			return true
 		}
 		return len(holds) > 0 && !calendar.Leaves(holds, &t, free, now)
@@ -37,5 +37,5 @@
 
 // holdsFor reports whether room is held on a machine for a job.
 func (c *Core) holdsFor(o *ownedJob, m *machineEntry) bool {
-	return calendar.OwnUntil(c.promised.Holds[m.ID], c.Of(&o.Job)) != 0
+	return calendar.OwnUntil(c.reservations.Holds[m.ID], c.Of(&o.Job)) != 0
 }
--- a/internal/coordination/holding.go
+++ b/internal/coordination/holding.go
@@ -52,7 +52,7 @@
 func (c *Core) dues() []calendar.Due {
 	now := c.Moment()
 	var dues []calendar.Due
-	for _, e := range c.promised.Book.Due(now, calendar.After(now, holdAhead)) {
+	for _, e := range c.reservations.Book.Due(now, calendar.After(now, holdAhead)) {
 		if !e.Promised() {
 			continue
 		}
@@ -76,7 +76,7 @@
 		if !m.open() {
 			continue
 		}
-		if !c.recent(m, 3*c.Op.RelayEvery) && len(c.promised.Holds[m.ID]) == 0 || m.reported.Epoch != m.Epoch {
+		if !c.recent(m, 3*c.Op.RelayEvery) && len(c.reservations.Holds[m.ID]) == 0 || m.reported.Epoch != m.Epoch {
 			// Nobody tells of it at present. Where room is held already it stays
 			// so: while a controller is away its machines would lose their holds
 			// to others, and be filled.
@@ -85,7 +85,7 @@
 		runs := slices.Clone(m.reported.Runs)
 		for i := range runs {
 			r := &runs[i]
-			for _, h := range c.promised.Holds[m.ID] {
+			for _, h := range c.reservations.Holds[m.ID] {
 				if !r.Sure && r.For != h.For && h.Ends != 0 {
 					r.Ends = min(r.Ends, h.Ends) // as was known of it before
 				}
@@ -98,7 +98,7 @@
 	}
 	for id, m := range inorder.Of(c.fleet.coming) {
 		info := c.Types[m.Type]
-		up := config.Seconds(c.promised.Boots.Likely(info.BootS)) - c.Since(m.at)
+		up := config.Seconds(c.reservations.Boots.Likely(info.BootS)) - c.Since(m.at)
 		if up < 0 || c.machines[id] != nil {
 			continue // late, and may never come
 		}
@@ -107,10 +107,10 @@
 	return ms
 }
 
-// choosePromised chooses where room is held, and writes what became of what is
+// chooseReserved chooses where room is held, and writes what became of what is
 // promised.
-func (c *Core) choosePromised() {
-	pr := &c.promised
+func (c *Core) chooseReserved() {
+	pr := &c.reservations
 	if !pr.Any && len(pr.List) == 0 || !c.planning() {
 		return
 	}
@@ -133,7 +133,7 @@
 	}
 	c.writeHeld()
 	c.noteRisks()
-	c.advancePromised()
+	c.advanceReserved()
 }
 
 // mostHeard reports whether nearly all machines are told of.
@@ -164,7 +164,7 @@
 // controllers have ended: without it their machines are filled before any of
 // them knows what was held.
 func (c *Core) writeHeld() {
-	pr := &c.promised
+	pr := &c.reservations
 	if !pr.stale || c.Since(pr.written) < writeHeldEvery {
 		return
 	}
@@ -179,19 +179,19 @@
 // heldBefore takes over what was written, unless a list was heard already, which
 // is newer.
 func (c *Core) heldBefore(value protocol.RawValue, version protocol.Version) error {
-	c.promised.heldVersion = version
+	c.reservations.heldVersion = version
 	var r heldRecord
-	if err := protocol.Decode(value, &r); err != nil || c.promised.Listed {
+	if err := protocol.Decode(value, &r); err != nil || c.reservations.Listed {
 		return err
 	}
-	c.promised.Listed = true
+	c.reservations.Listed = true
 	c.setHolds(r.Holds)
 	return nil
 }
 
 // setHolds takes over what is held.
 func (c *Core) setHolds(list []calendar.Hold) {
-	pr := &c.promised
+	pr := &c.reservations
 	pr.List = list
 	pr.Holds = map[protocol.MachineID][]calendar.Hold{}
 	for _, h := range list {
@@ -201,12 +201,12 @@
 	c.owner.dirty = true
 }
 
-// rentPromised asks for machines for what no room could be held for, a boot
+// rentReserved asks for machines for what no room could be held for, a boot
 // ahead.
-func (c *Core) rentPromised(p *renting.Plan) {
+func (c *Core) rentReserved(p *renting.Plan) {
 	now := c.Moment()
-	for _, d := range c.promised.dues {
-		short := c.promised.short[d.Spec.Name]
+	for _, d := range c.reservations.dues {
+		short := c.reservations.short[d.Spec.Name]
 		for _, r := range c.fleet.rents {
 			if r.of == d.Spec.Name {
 				short -= r.req.Count * room.Capacity(c.Types[r.req.Type]).Fit(calendar.Size(&d.Spec))
@@ -216,28 +216,28 @@
 			continue
 		}
 		j := jobOf(&d.Spec)
-		if z := c.promised.zones[d.Spec.Name]; z != "" {
+		if z := c.reservations.zones[d.Spec.Name]; z != "" {
 			j.Zone = z
 		}
 		p.Buy(c.work(j, room.LevelOf(d.Spec.Priority, false), d.Spec.LengthS), short, string(d.Spec.Name))
 	}
 }
 
-// keepPromised reports whether a machine is kept for what is held on it, though
+// keepReserved reports whether a machine is kept for what is held on it, though
 // it is idle.
-func (c *Core) keepPromised(m *machineEntry) bool {
+func (c *Core) keepReserved(m *machineEntry) bool {
 	now := c.Moment()
-	for _, h := range c.promised.Holds[m.ID] {
+	for _, h := range c.reservations.Holds[m.ID] {
 		if now >= calendar.After(h.Clear, -keepAhead) && now < h.Until {
 			return true
 		}
 	}
-	return len(c.promised.Windows) > 0 && c.InWindow(m.ID, m.Record.Type, m.Record.Zone, now, now)
+	return len(c.reservations.Windows) > 0 && c.InWindow(m.ID, m.Record.Type, m.Record.Zone, now, now)
 }
 
 // noteRisks tells why what is due may not be kept.
 func (c *Core) noteRisks() {
-	pr := &c.promised
+	pr := &c.reservations
 	now := c.Moment()
 	clear(pr.risk)
 	for _, d := range pr.dues {
@@ -251,10 +251,10 @@
 	}
 }
 
-// advancePromised has reservations go through their states, each in one
+// advanceReserved has reservations go through their states, each in one
 // transaction on its record.
-func (c *Core) advancePromised() {
-	pr := &c.promised
+func (c *Core) advanceReserved() {
+	pr := &c.reservations
 	now := c.Moment()
 	if c.Since(pr.swept) > sweepEvery {
 		// What was due while nobody could act is long over.
@@ -272,7 +272,7 @@
 
 // advance has one reservation go on.
 func (c *Core) advance(e *calendar.Entry, now calendar.Moment) {
-	pr, name := &c.promised, e.Name()
+	pr, name := &c.reservations, e.Name()
 	if pr.write[name] || e.State == bookkeeping.Cancelled {
 		return
 	}
@@ -295,14 +295,14 @@
 // noteBoot learns how long a machine took to come up.
 func (c *Core) noteBoot(id protocol.MachineID, rec bookkeeping.Machine) {
 	if m, awaited := c.fleet.coming[id]; awaited && rec.Session == 1 {
-		c.promised.Boots.Note(c.Since(m.at), c.Types[m.Type].BootS)
+		c.reservations.Boots.Note(c.Since(m.at), c.Types[m.Type].BootS)
 	}
 }
 
 // limitClaimed is what of a team's limit is promised to other jobs by the time
 // that a task of this one is likely to be over.
 func (c *Core) limitClaimed(o *ownedJob) (sum room.Amount) {
-	claims := c.promised.teams[o.Team]
+	claims := c.reservations.teams[o.Team]
 	if len(claims) == 0 {
 		return sum
 	}
--- a/internal/coordination/holding_test.go
+++ b/internal/coordination/holding_test.go
@@ -33,7 +33,7 @@
 func TestTakenOverRoom(t *testing.T) {
 	b := promising(t)
 	b.ready("vm-1")
-	b.c.promised.Any = true
+	b.c.reservations.Any = true
 	m := b.c.machines["vm-1"]
 	task := protocol.TaskID{Job: "job-1"}
 	soon := calendar.After(b.c.Moment(), time.Minute)
--- a/internal/coordination/insight.go
+++ b/internal/coordination/insight.go
@@ -28,7 +28,7 @@
 
 // Look tells what can be seen of it.
 func (c *Core) Look() Insight {
-	in := Insight{Term: c.View.Term, Queues: len(c.keeping.Machines()), Heard: c.keeping.Heard(), Writes: c.Acting() && c.Registrar() == c.Self, Shares: c.keeping.SharesKept(), Holds: c.promised.List}
+	in := Insight{Term: c.View.Term, Queues: len(c.keeping.Machines()), Heard: c.keeping.Heard(), Writes: c.Acting() && c.Registrar() == c.Self, Shares: c.keeping.SharesKept(), Holds: c.reservations.List}
 	if c.Sharing() && c.Member() {
 		for _, id := range c.keeping.Machines() {
 			if m := c.Records[id]; m != nil && c.Keeper(id) != c.Self {
--- a/internal/coordination/keeping/clearing.go
+++ b/internal/coordination/keeping/clearing.go
@@ -23,7 +23,7 @@
 // mayStartOn decides whether something that fits may start on a machine, for what
 // is promised there.
 func (k *Keeper) mayStartOn(q *queue, e *entry, j *stateview.LiveJob, free room.Amount) (startLater, bool) {
-	pr := k.Pledged
+	pr := k.Reservations
 	holds := pr.Holds[q.id]
 	if len(pr.Windows) == 0 && len(holds) == 0 && (pr.Listed || !pr.Any) {
 		return startNow, false
@@ -33,7 +33,7 @@
 	run := k.LikelyS(&j.Job, e.estimate) + q.fetchS(j)
 	t.Ends = calendar.After(now, config.Seconds(run))
 	owns := calendar.OwnUntil(holds, t.Of) != 0
-	if m := k.Records[q.id]; m != nil && k.InWindow(q.id, m.Record.Type, m.Record.Zone, now, stateview.PromisedEnd(holds, &t)) {
+	if m := k.Records[q.id]; m != nil && k.InWindow(q.id, m.Record.Type, m.Record.Zone, now, stateview.ReservedEnd(holds, &t)) {
 		return startElsewhere, owns
 	}
 	switch {
@@ -50,7 +50,7 @@
 // ownsRoom reports whether room that is held for an attempt's job is free.
 func (k *Keeper) ownsRoom(q *queue, e *entry) bool {
 	j := k.Live[e.task.Job]
-	return j != nil && q.free().Covers(e.need) && calendar.OwnUntil(k.Pledged.Holds[q.id], k.Of(&j.Job)) != 0
+	return j != nil && q.free().Covers(e.need) && calendar.OwnUntil(k.Reservations.Holds[q.id], k.Of(&j.Job)) != 0
 }
 
 // fetchS is how long the machine takes to get a job's image, in seconds.
@@ -65,7 +65,7 @@
 // moment that leaves time to save: only what is less urgent than the reserved
 // work and beyond its team's guarantee.
 func (k *Keeper) clearHeld(q *queue) {
-	holds := k.Pledged.Holds[q.id]
+	holds := k.Reservations.Holds[q.id]
 	if len(holds) == 0 {
 		return
 	}
--- a/internal/coordination/keeping/keeping_test.go
+++ b/internal/coordination/keeping/keeping_test.go
@@ -36,7 +36,7 @@
 	p.Types["small"] = protocol.TypeInfo{Name: "small", CPUs: 4, MemoryGB: 16, BootS: 8, AllowZones: []protocol.Zone{"a", "b"}}
 	p.Session, p.Begun, p.Now, p.Until = 100, 1, 1, clock.Time(time.Hour)
 	p.View = bookkeeping.View{Term: 1, Members: map[protocol.NodeName]protocol.LeaseID{"node-0": 100}}
-	p.Pledged.Listed = true
+	p.Reservations.Listed = true
 	return &bench{t: t, k: New(p)}
 }
 
@@ -81,7 +81,7 @@
 // reserve promises room at a time from now.
 func (b *bench) reserve(name calendar.Name, in time.Duration) {
 	at := calendar.After(b.k.Moment(), in)
-	err := b.k.Pledged.Book.PutReservation(bookkeeping.Reservation{
+	err := b.k.Reservations.Book.PutReservation(bookkeeping.Reservation{
 		Spec: bookkeeping.ReservationSpec{
 			Name: name, Class: string(name), When: time.UnixMilli(int64(at)).UTC().Format("2006-01-02 at 15:04:05"), HoldS: 600, LengthS: 600, Tasks: 2, CPUs: 2, MemoryGB: 1, Priority: "standard",
 		},
@@ -90,7 +90,7 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	b.k.Pledged.Any = true
+	b.k.Reservations.Any = true
 }
 
 // shared has all machines kept by shares, by this keeper.
@@ -105,8 +105,8 @@
 
 // hold holds room on a machine.
 func (b *bench) hold(h calendar.Hold) {
-	b.k.Pledged.List = []calendar.Hold{h}
-	b.k.Pledged.Holds[h.Machine] = b.k.Pledged.List
+	b.k.Reservations.List = []calendar.Hold{h}
+	b.k.Reservations.Holds[h.Machine] = b.k.Reservations.List
 }
 
 func starts(os []protocol.Order) int {
@@ -209,7 +209,7 @@
 // truth, and reserved room was full at its time.
 func TestFoundTasksTeachNothing(t *testing.T) {
 	b := newBench(t)
-	b.k.Pledged.Any = true
+	b.k.Reservations.Any = true
 	b.k.Live["job-1"] = &stateview.LiveJob{Job: protocol.Job{ID: "job-1", Class: "array"}}
 	end := func(order uint64, n int) {
 		for range n {
@@ -509,7 +509,7 @@
 // TestLevelIsLearned: how urgent something found on a machine is, its owner says.
 func TestLevelIsLearned(t *testing.T) {
 	b := newBench(t)
-	b.k.Pledged.Any = true
+	b.k.Reservations.Any = true
 	b.ready("vm-1")
 	e := &entry{task: protocol.TaskID{Job: "job-1"}, attempt: 3, level: room.LevelOf("best_effort", true), guessed: true, present: true, sent: true}
 	q := b.k.queues["vm-1"]
--- a/internal/coordination/keeping/orders.go
+++ b/internal/coordination/keeping/orders.go
@@ -100,7 +100,7 @@
 		e.need = room.Need(&j.Job)
 		later, reserved := k.mayStartOn(q, e, j, free)
 		if !free.Covers(e.need) || later == startSoon || held && !reserved {
-			if len(k.Pledged.Holds[q.id]) == 0 && later != startSoon {
+			if len(k.Reservations.Holds[q.id]) == 0 && later != startSoon {
 				break // first come, first served: what is behind waits too
 			}
 			held = true // but for what room is held here for
--- a/internal/coordination/keeping/runs.go
+++ b/internal/coordination/keeping/runs.go
@@ -13,13 +13,13 @@
 // counted from then, estimates would seem good, and room clear that is not.
 func (k *Keeper) noteError(e *entry) {
 	j := k.Live[e.task.Job]
-	if !k.Pledged.Any || j == nil || e.order == 0 || e.runs == 0 || e.cause != protocol.EndDone {
+	if !k.Reservations.Any || j == nil || e.order == 0 || e.runs == 0 || e.cause != protocol.EndDone {
 		return
 	}
-	f := k.Pledged.Errors[j.Class]
+	f := k.Reservations.Errors[j.Class]
 	if f == nil {
 		f = &forecast.Errors{}
-		k.Pledged.Errors[j.Class] = f
+		k.Reservations.Errors[j.Class] = f
 	}
 	f.Note(k.Since(e.runs), e.estimate)
 }
@@ -27,7 +27,7 @@
 // runsOf lists what a machine runs, for the controller that chooses where room
 // is held.
 func (k *Keeper) runsOf(q *queue) []calendar.Run {
-	if !k.Pledged.Any {
+	if !k.Reservations.Any {
 		return nil
 	}
 	now := k.Moment()
@@ -41,7 +41,7 @@
 		left := 0.0
 		if j != nil {
 			left = k.LikelyS(&j.Job, e.estimate)
-			for _, o := range k.Pledged.List {
+			for _, o := range k.Reservations.List {
 				if calendar.Matches(k.ReservationOf(o.For), &j.Job) {
 					r.For = o.For
 					break
@@ -65,7 +65,7 @@
 // learnLevels takes over, for attempts found on machines, how urgent their owners
 // say they are. What is guessed may be too high: nothing of it would be stopped.
 func (k *Keeper) learnLevels(q *queue, level levelOf) {
-	if !k.Pledged.Any {
+	if !k.Reservations.Any {
 		return
 	}
 	for _, e := range q.entries {
--- a/internal/coordination/leftover.go
+++ b/internal/coordination/leftover.go
@@ -67,7 +67,7 @@
 // heldFor reports whether room is held for a job by what is promised.
 func (c *Core) heldFor(o *ownedJob) bool {
 	of := c.Of(&o.Job)
-	return slices.ContainsFunc(c.promised.List, func(h calendar.Hold) bool { return of(h.For) })
+	return slices.ContainsFunc(c.reservations.List, func(h calendar.Hold) bool { return of(h.For) })
 }
 
 // keptForAims is how many processors the classes with objectives are likely to need:
--- a/internal/coordination/levels.go
+++ b/internal/coordination/levels.go
@@ -28,7 +28,7 @@
 
 // setLevel sets a job's level, and has it told if anybody reckons with it.
 func (c *Core) setLevel(o *ownedJob, l room.Level) {
-	if o.level != l && c.promised.Any {
+	if o.level != l && c.reservations.Any {
 		c.ownedChanged.Touch(o.ID)
 	}
 	o.level = l
--- a/internal/coordination/operate.go
+++ b/internal/coordination/operate.go
@@ -72,9 +72,9 @@
 	case r.Op == operators.OpAway:
 		return c.putAway(r)
 	case r.Op == operators.OpList || r.Op == operators.OpShow:
-		return c.showPromised(r)
+		return c.showReserved(r)
 	case r.Op == operators.OpCancel:
-		return c.cancelPromised(r)
+		return c.cancelReserved(r)
 	case r.Op == operators.OpAdd && !r.Window && r.Reservation != nil:
 		return c.addReservation(by, r)
 	case r.Op == operators.OpAdd && r.Window && r.Spec != nil:
@@ -84,7 +84,7 @@
 }
 
 func (c *Core) addReservation(by string, r *operators.Request) decision {
-	pr, s := &c.promised, *r.Reservation
+	pr, s := &c.reservations, *r.Reservation
 	if err := calendar.CheckReservation(&s); err != nil {
 		return no(operators.Refused, err.Error())
 	}
@@ -116,7 +116,7 @@
 }
 
 func (c *Core) addWindow(by string, r *operators.Request) decision {
-	pr, s := &c.promised, *r.Spec
+	pr, s := &c.reservations, *r.Spec
 	if err := calendar.CheckWindow(&s); err != nil {
 		return no(operators.Refused, err.Error())
 	}
@@ -162,16 +162,16 @@
 // since this was decided.
 func (c *Core) changeCalendar(key string, version protocol.Version, value any) *protocol.Txn {
 	return &protocol.Txn{
-		If: []protocol.Condition{{Key: bookkeeping.CalendarKey, Version: c.promised.Version}, {Key: key, Version: version}},
+		If: []protocol.Condition{{Key: bookkeeping.CalendarKey, Version: c.reservations.Version}, {Key: key, Version: version}},
 		Then: []protocol.Change{
 			{Put: key, Value: value},
-			{Put: bookkeeping.CalendarKey, Value: bookkeeping.Calendar{Changes: c.promised.Changes + 1}},
+			{Put: bookkeeping.CalendarKey, Value: bookkeeping.Calendar{Changes: c.reservations.Changes + 1}},
 		},
 	}
 }
 
-func (c *Core) cancelPromised(r *operators.Request) decision {
-	pr := &c.promised
+func (c *Core) cancelReserved(r *operators.Request) decision {
+	pr := &c.reservations
 	done := operators.Reply{Code: operators.Done, Reason: "cancelled"}
 	e, what := pr.Book.Reservation(r.Name), "reservation"
 	if r.Window {
@@ -197,8 +197,8 @@
 // listed at once: an answer is at most as large as a request.
 const listedMost = 40
 
-func (c *Core) showPromised(r *operators.Request) decision {
-	pr := &c.promised
+func (c *Core) showReserved(r *operators.Request) decision {
+	pr := &c.reservations
 	reply := operators.Reply{Code: operators.Done}
 	if r.Op == operators.OpShow {
 		e := pr.Book.Reservation(r.Name)
@@ -242,13 +242,13 @@
 
 func (c *Core) reservationView(e *calendar.Entry) operators.Reservation {
 	v := operators.Reservation{Reservation: *e.Reservation}
-	for _, h := range c.promised.List {
+	for _, h := range c.reservations.List {
 		if h.For == e.Name() {
 			v.Held += h.Tasks
 			v.On = append(v.On, h.Machine)
 		}
 	}
-	if risk, ok := c.promised.risk[e.Name()]; ok {
+	if risk, ok := c.reservations.risk[e.Name()]; ok {
 		v.Risk = risk // newer than its record
 	}
 	_, _, v.Started = c.jobsOf(e)
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -23,7 +23,7 @@
 	f := &c.fleet
 	var up renting.Slots
 	for _, m := range c.machinesInOrder() {
-		if !c.usable(m) || len(c.promised.Windows) > 0 && c.InWindow(m.ID, m.Record.Type, m.Record.Zone, c.Moment(), c.Moment()) {
+		if !c.usable(m) || len(c.reservations.Windows) > 0 && c.InWindow(m.ID, m.Record.Type, m.Record.Zone, c.Moment(), c.Moment()) {
 			continue
 		}
 		a := renting.Alike{Kind: m.kind(), Free: m.unreserved(), Held: m.held}
@@ -39,7 +39,7 @@
 		}
 		s := renting.Fresh(c.Types[m.Type], m.kind, 1)
 		s.InS = math.Max(s.Info.BootS-c.Since(m.at).Seconds(), 1)
-		s.Free = s.Free.Minus(stateview.ReservedBy(c.promised.Holds[id], c.Moment()))
+		s.Free = s.Free.Minus(stateview.ReservedBy(c.reservations.Holds[id], c.Moment()))
 		slots = append(slots, s)
 	}
 	for _, r := range inorder.Of(f.rents) {
@@ -102,7 +102,7 @@
 		runS += d.EstimateS * float64(d.Unstarted)
 		weight += float64(d.Unstarted)
 	}
-	c.rentPromised(p)
+	c.rentReserved(p)
 	p.Gather(top, runS/math.Max(weight, 1))
 	for _, d := range rest {
 		j := c.wants(d)
--- a/internal/coordination/rebalance.go
+++ b/internal/coordination/rebalance.go
@@ -43,7 +43,7 @@
 	}
 	var roomy []*machineEntry
 	for _, m := range c.machinesInOrder() {
-		if m.ID > after && c.usable(m) && m.reported.Epoch == m.Epoch && (m.reported.Queued == 0 && m.free().CPUs > room.Slack || len(c.promised.Holds[m.ID]) > 0 && m.idle().CPUs > room.Slack) {
+		if m.ID > after && c.usable(m) && m.reported.Epoch == m.Epoch && (m.reported.Queued == 0 && m.free().CPUs > room.Slack || len(c.reservations.Holds[m.ID]) > 0 && m.idle().CPUs > room.Slack) {
 			roomy = append(roomy, m)
 		}
 	}
--- a/internal/coordination/registration.go
+++ b/internal/coordination/registration.go
@@ -18,7 +18,7 @@
 	}
 	c.noteBoot(id, rec)
 	m = &machineEntry{Machine: &stateview.Machine{ID: id, Record: rec, Epoch: version, Info: c.Types[rec.Type]}, mine: map[protocol.TaskID]*placedTask{}}
-	m.reserved = stateview.ReservedBy(c.promised.Holds[id], c.Moment())
+	m.reserved = stateview.ReservedBy(c.reservations.Holds[id], c.Moment())
 	c.addMachine(m)
 	c.owner.dirty = true
 	c.keeping.Recorded(m.Machine)
--- a/internal/coordination/relays.go
+++ b/internal/coordination/relays.go
@@ -118,8 +118,8 @@
 			r.Loan = &l
 		}
 		r.HaveHolds = t.holdsFrom
-		if c.promised.number != 0 && c.promised.number>>32 == uint64(c.View.Term) && t.holdsTo != c.promised.number && name != c.Self {
-			r.Holds = &message.Holds{Number: c.promised.number, List: c.promised.List}
+		if c.reservations.number != 0 && c.reservations.number>>32 == uint64(c.View.Term) && t.holdsTo != c.reservations.number && name != c.Self {
+			r.Holds = &message.Holds{Number: c.reservations.number, List: c.reservations.List}
 		}
 		if same == nil {
 			r.Demand = c.demand()
@@ -196,7 +196,7 @@
 		t.holdsTo = r.HaveHolds
 		if r.Holds != nil && from != c.Self {
 			t.holdsFrom = r.Holds.Number
-			c.promised.Listed = true
+			c.reservations.Listed = true
 			c.setHolds(r.Holds.List)
 		}
 		if t.machinesFrom.Accept(r.Machines) {
--- a/internal/coordination/promises.go
+++ b/internal/coordination/reservations.go
@@ -11,10 +11,10 @@
 	"damsonkeel/internal/protocol"
 )
 
-// promises is what a controller reckons of the calendar as an owner, and as the
+// reservationState is what a controller reckons of the calendar as an owner, and as the
 // one that chooses where room is held.
-type promises struct {
-	*stateview.Pledges
+type reservationState struct {
+	*stateview.Reservations
 
 	written Time // when the list was last written
 	stale   bool // it has changed since
@@ -49,16 +49,16 @@
 	tasks int
 }
 
-func newPromises(p *stateview.Pledges) promises {
-	return promises{
-		Pledges: p, seen: map[calendar.Name]*seenJob{}, short: map[calendar.Name]int{}, zones: map[calendar.Name]protocol.Zone{},
+func newReservationState(p *stateview.Reservations) reservationState {
+	return reservationState{
+		Reservations: p, seen: map[calendar.Name]*seenJob{}, short: map[calendar.Name]int{}, zones: map[calendar.Name]protocol.Zone{},
 		risk: map[calendar.Name]string{}, write: map[calendar.Name]bool{},
 	}
 }
 
 // calendarRecord takes over a record of the calendar.
 func (c *Core) calendarRecord(f bookkeeping.Followed, value protocol.RawValue, version protocol.Version) (err error) {
-	pr := &c.promised
+	pr := &c.reservations
 	switch {
 	case f.Calendar:
 		var r bookkeeping.Calendar
@@ -78,38 +78,38 @@
 			err = pr.Book.PutWindow(w, version, c.Moment())
 		}
 	}
-	c.somethingPromised()
+	c.somethingReserved()
 	return err
 }
 
 // calendarGone takes over that a record was deleted.
 func (c *Core) calendarGone(f bookkeeping.Followed) {
 	if f.Reservation != "" {
-		c.promised.Book.Drop(false, f.Reservation)
+		c.reservations.Book.Drop(false, f.Reservation)
 		c.unhold(f.Reservation)
 	} else {
-		c.promised.Book.Drop(true, f.Window)
+		c.reservations.Book.Drop(true, f.Window)
 	}
-	c.somethingPromised()
+	c.somethingReserved()
 }
 
 // unhold frees at once what was held for a reservation that is over: a controller
 // that hears of that before the next list does not wait for it.
 func (c *Core) unhold(n calendar.Name) {
 	held := func(h calendar.Hold) bool { return h.For == n }
-	if slices.ContainsFunc(c.promised.List, held) {
-		c.setHolds(slices.DeleteFunc(slices.Clone(c.promised.List), held))
+	if slices.ContainsFunc(c.reservations.List, held) {
+		c.setHolds(slices.DeleteFunc(slices.Clone(c.reservations.List), held))
 	}
 }
 
-// somethingPromised notes whether there is anything in the book. What machines
+// somethingReserved notes whether there is anything in the book. What machines
 // run is told from then on.
-func (c *Core) somethingPromised() {
-	is := !c.promised.Book.Empty()
-	if is == c.promised.Any {
+func (c *Core) somethingReserved() {
+	is := !c.reservations.Book.Empty()
+	if is == c.reservations.Any {
 		return
 	}
-	c.promised.Any = is
+	c.reservations.Any = is
 	c.keeping.TouchAll()
 }
 
@@ -117,9 +117,9 @@
 // placed: more than tasks are likely to run.
 const windowsAhead = 24 * time.Hour
 
-// refreshPromises reckons once a relay period what is open, held and claimed now.
-func (c *Core) refreshPromises() {
-	pr := &c.promised
+// refreshReservations reckons once a relay period what is open, held and claimed now.
+func (c *Core) refreshReservations() {
+	pr := &c.reservations
 	if !pr.Any && len(pr.List) == 0 {
 		return
 	}
@@ -153,7 +153,7 @@
 func (c *Core) reckonReserved() {
 	now := c.Moment()
 	for _, m := range c.machines {
-		m.reserved = stateview.ReservedBy(c.promised.Holds[m.ID], now)
+		m.reserved = stateview.ReservedBy(c.reservations.Holds[m.ID], now)
 	}
 }
 
@@ -166,7 +166,7 @@
 	}
 	_, wanted, started := c.jobsOf(e)
 	if n := float64(wanted - started); n > 0 {
-		c.promised.teams[s.Team] = append(c.promised.teams[s.Team], teamClaim{s.Name, calendar.Size(s).Times(n), e.StartMS})
+		c.reservations.teams[s.Team] = append(c.reservations.teams[s.Team], teamClaim{s.Name, calendar.Size(s).Times(n), e.StartMS})
 	}
 }
 
@@ -175,7 +175,7 @@
 func (c *Core) jobsOf(e *calendar.Entry) (came bool, wanted, started int) {
 	wanted = e.Reservation.Spec.Tasks
 	tasks := 0
-	if s := c.promised.seen[e.Reservation.Spec.Name]; s != nil && s.start == e.StartMS {
+	if s := c.reservations.seen[e.Reservation.Spec.Name]; s != nil && s.start == e.StartMS {
 		came, tasks, started = true, s.tasks, s.tasks
 	}
 	each := func(l *stateview.LiveJob) {
@@ -189,7 +189,7 @@
 			each(l)
 		}
 	} else {
-		for _, l := range c.promised.byClass[e.Reservation.Spec.Class] {
+		for _, l := range c.reservations.byClass[e.Reservation.Spec.Class] {
 			if c.Live[l.ID] == l {
 				each(l)
 			}
@@ -203,18 +203,18 @@
 
 // reservedJobOver remembers a job of a reservation that is over.
 func (c *Core) reservedJobOver(l *stateview.LiveJob) {
-	if !c.promised.Any || l == nil {
+	if !c.reservations.Any || l == nil {
 		return
 	}
 	now := c.Moment()
-	for _, e := range c.promised.Book.Due(calendar.After(now, -time.Minute), calendar.After(now, time.Hour)) {
+	for _, e := range c.reservations.Book.Due(calendar.After(now, -time.Minute), calendar.After(now, time.Hour)) {
 		if !calendar.Matches(e.Reservation, &l.Job) {
 			continue
 		}
-		s := c.promised.seen[e.Name()]
+		s := c.reservations.seen[e.Name()]
 		if s == nil || s.start != e.StartMS {
 			s = &seenJob{start: e.StartMS}
-			c.promised.seen[e.Name()] = s
+			c.reservations.seen[e.Name()] = s
 		}
 		s.tasks += int(l.Tasks)
 	}
--- a/internal/coordination/promises_test.go
+++ b/internal/coordination/reservations_test.go
@@ -63,7 +63,7 @@
 	if reply := b.do(add); reply.Code != operators.Done {
 		t.Fatalf("%+v", reply)
 	}
-	if stale.If[0].Key != bookkeeping.CalendarKey || stale.If[0].Version == b.c.promised.Version {
+	if stale.If[0].Key != bookkeeping.CalendarKey || stale.If[0].Version == b.c.reservations.Version {
 		t.Error("decided before the first was accepted, and not conditional on that")
 	}
 	if reply, txn := b.operate(add); reply.Code != operators.Done || txn != nil || len(reply.Reservations) != 1 {
@@ -73,7 +73,7 @@
 	if reply, _ := b.operate(add); reply.Code != operators.Refused {
 		t.Errorf("its name is taken: %+v", reply)
 	}
-	made := b.c.promised.Book.Reservation("one").Reservation.MadeMS
+	made := b.c.reservations.Book.Reservation("one").Reservation.MadeMS
 	if reply := b.do(operators.Request{Op: operators.OpCancel, Name: "one", Made: made - 1}); reply.Code != operators.Refused {
 		t.Errorf("another one is cancelled: %+v", reply)
 	}
@@ -82,7 +82,7 @@
 			t.Errorf("cancel: %+v", reply)
 		}
 	}
-	if b.c.promised.Book.Reservation("one").State != bookkeeping.Cancelled || len(b.c.promised.Book.Overlapping(0, 1<<41)) != 0 {
+	if b.c.reservations.Book.Reservation("one").State != bookkeeping.Cancelled || len(b.c.reservations.Book.Overlapping(0, 1<<41)) != 0 {
 		t.Error("not cancelled")
 	}
 }
--- a/internal/coordination/stateview/pledges.go
+++ b/internal/coordination/stateview/reservations.go
@@ -12,9 +12,9 @@
 	"damsonkeel/internal/protocol"
 )
 
-// Pledges is what all parts know of the calendar: the records that all follow,
+// Reservations is what all parts know of the calendar: the records that all follow,
 // what is held for them at present, and what is open.
-type Pledges struct {
+type Reservations struct {
 	Book    *calendar.Book
 	Version protocol.Version // of the calendar's own record
 	Changes uint64           // that it counts
@@ -32,8 +32,8 @@
 }
 
 // anew forgets what a session knew; what is learned of estimates and boots stays.
-func (p *Pledges) anew() *Pledges {
-	fresh := &Pledges{Book: calendar.NewBook(), Holds: map[protocol.MachineID][]calendar.Hold{}, Errors: map[string]*forecast.Errors{}}
+func (p *Reservations) anew() *Reservations {
+	fresh := &Reservations{Book: calendar.NewBook(), Holds: map[protocol.MachineID][]calendar.Hold{}, Errors: map[string]*forecast.Errors{}}
 	if p != nil {
 		fresh.Boots, fresh.Errors = p.Boots, p.Errors
 	}
@@ -49,7 +49,7 @@
 // Of tells which reservations a job is one of.
 func (k *State) Of(j *protocol.Job) func(calendar.Name) bool {
 	return func(n calendar.Name) bool {
-		e := k.Pledged.Book.Reservation(n)
+		e := k.Reservations.Book.Reservation(n)
 		return e != nil && calendar.Matches(e.Reservation, j)
 	}
 }
@@ -57,8 +57,8 @@
 // InWindow reports whether a window that covers a machine is open at some time
 // from a moment until before another.
 func (k *State) InWindow(id protocol.MachineID, t protocol.MachineType, z protocol.Zone, from, to calendar.Moment) bool {
-	for i := range k.Pledged.Windows {
-		w := &k.Pledged.Windows[i]
+	for i := range k.Reservations.Windows {
+		w := &k.Reservations.Windows[i]
 		if w.End > from && w.Start < to && calendar.Covers(w.Spec, id, t, z) {
 			return true
 		}
@@ -72,7 +72,7 @@
 	boot := 0.0
 	for _, t := range k.Types { // those the cloud has none of at present, too: this must not change from moment to moment
 		if calendar.Fits(s, t, s.Zone) {
-			boot = max(boot, k.Pledged.Boots.Likely(t.BootS))
+			boot = max(boot, k.Reservations.Boots.Likely(t.BootS))
 		}
 	}
 	return config.Seconds(2*boot) + LeadSlack
@@ -82,7 +82,7 @@
 // that room was held for before all controllers ended: until it is held anew,
 // that waits.
 func (k *State) Unsettled(j *protocol.Job, ends calendar.Moment) bool {
-	pr := k.Pledged
+	pr := k.Reservations
 	if pr.Listed || k.Since(k.Begun) > SettleHolds+10*time.Second {
 		return false
 	}
@@ -94,20 +94,20 @@
 
 // LikelyS is how long a task is very likely to run at the most, in seconds.
 func (k *State) LikelyS(j *protocol.Job, estimateS float64) float64 {
-	return estimateS * k.Pledged.Errors[j.Class].Factor()
+	return estimateS * k.Reservations.Errors[j.Class].Factor()
 }
 
 // ReservationOf is the reservation of a name, or one that matches no job.
 func (k *State) ReservationOf(n calendar.Name) *bookkeeping.Reservation {
-	if e := k.Pledged.Book.Reservation(n); e != nil {
+	if e := k.Reservations.Book.Reservation(n); e != nil {
 		return e.Reservation
 	}
 	return noReservation
 }
 
-// PromisedEnd is when a task is reckoned to be over by what is promised: no later
+// ReservedEnd is when a task is reckoned to be over by what is promised: no later
 // than its own room is held, which no window cuts short.
-func PromisedEnd(holds []calendar.Hold, t *calendar.Task) calendar.Moment {
+func ReservedEnd(holds []calendar.Hold, t *calendar.Task) calendar.Moment {
 	if until := calendar.OwnUntil(holds, t.Of); until != 0 {
 		return min(t.Ends, until)
 	}
--- a/internal/coordination/stateview/state.go
+++ b/internal/coordination/stateview/state.go
@@ -41,11 +41,11 @@
 	// Highest is the highest token that any worker has told since the process began.
 	Highest protocol.Term
 
-	Live    map[protocol.JobID]*LiveJob
-	over    map[protocol.JobID]clock.Time // seen to end, and when
-	halted  map[protocol.JobID]clock.Time // cancelled, and since when that is known
-	Records map[protocol.MachineID]*Machine
-	Pledged *Pledges
+	Live         map[protocol.JobID]*LiveJob
+	over         map[protocol.JobID]clock.Time // seen to end, and when
+	halted       map[protocol.JobID]clock.Time // cancelled, and since when that is known
+	Records      map[protocol.MachineID]*Machine
+	Reservations *Reservations
 	// Configured is the configuration: the settings with what operators have changed.
 	Configured *configuration.Followed
 }
@@ -69,7 +69,7 @@
 	k.Live, k.over = map[protocol.JobID]*LiveJob{}, map[protocol.JobID]clock.Time{}
 	k.halted = map[protocol.JobID]clock.Time{}
 	k.Records = map[protocol.MachineID]*Machine{}
-	k.Pledged = k.Pledged.anew()
+	k.Reservations = k.Reservations.anew()
 	k.Configured.Reset()
 	k.Op = k.Configured.Effective().Operator
 }
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -182,7 +182,7 @@
 // progressOf is how far an owned job is.
 func (c *Core) progressOf(o *ownedJob) message.Progress {
 	g := message.Progress{Job: o.ID, Done: o.nDone, Running: o.running, Failing: o.failing}
-	if c.promised.Any {
+	if c.reservations.Any {
 		g.Level = int(o.level) + 1
 	}
 	return g
