Names of the field: announcing a cancellation instead of halting a job

Cause: 'halt' and 'halted' need explaining. Change: renamed, but for the method that earlier versions call between controllers; no change of behaviour.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -139,8 +139,8 @@
 			}
 			c.message(m.Batch.From, fresh)
 		}
-	case message.Halt:
-		c.Halt(m.Job)
+	case message.JobCancelled:
+		c.NoteCancelled(m.Job)
 	case message.Leave:
 		c.leaving = true
 	case message.Tick:
--- a/internal/coordination/frontend.go
+++ b/internal/coordination/frontend.go
@@ -212,14 +212,14 @@
 			}
 			return intake.PassedOn{ID: a.ID, Answer: r}
 		})
-	case intake.Halt:
+	case intake.Announce:
 		if a.To == f.n.settings.Name {
-			f.n.offer(envelope{msg: message.Halt{Job: a.Job}, reply: func([]message.Action) { f.mailbox <- intake.Halted{Job: a.Job, By: a.To} }})
+			f.n.offer(envelope{msg: message.JobCancelled{Job: a.Job}, reply: func([]message.Action) { f.mailbox <- intake.Announced{Job: a.Job, By: a.To} }})
 			return
 		}
 		go func() {
-			if f.peers[a.To].Call("Peer.Halt", a.Job, new(bool), intake.HaltWait) == nil {
-				f.mailbox <- intake.Halted{Job: a.Job, By: a.To}
+			if f.peers[a.To].Call("Peer.Halt", a.Job, new(bool), intake.AnnounceWait) == nil {
+				f.mailbox <- intake.Announced{Job: a.Job, By: a.To}
 			}
 		}()
 	case intake.Wake:
@@ -318,10 +318,11 @@
 	return nil
 }
 
-// Halt has nothing more of a cancelled job started here.
+// Halt has nothing more of a cancelled job started here. Earlier versions call it by this
+// name.
 func (s *peerService) Halt(id protocol.JobID, halted *bool) error {
 	done := make(chan struct{})
-	s.node.mailbox <- envelope{msg: message.Halt{Job: id}, reply: func([]message.Action) { close(done) }}
+	s.node.mailbox <- envelope{msg: message.JobCancelled{Job: id}, reply: func([]message.Action) { close(done) }}
 	<-done
 	*halted = true
 	return nil
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -26,12 +26,12 @@
 	budget = 1800 * time.Millisecond
 	// PassOnWait is how long a peer may take for a submission that is passed on.
 	PassOnWait = 700 * time.Millisecond
-	// HaltWait is how long a user waits at the most for all controllers to have
+	// AnnounceWait is how long a user waits at the most for all controllers to have
 	// heard of a cancellation. The bound on tasks of cancelled jobs rests on what
 	// controllers follow, not on this.
-	HaltWait    = 250 * time.Millisecond
-	finalsMost  = 20000
-	cancelTries = 3
+	AnnounceWait = 250 * time.Millisecond
+	finalsMost   = 20000
+	cancelTries  = 3
 	// answerWithin is how long the state service takes as a rule, and more. Where only
 	// its answer is lost, or late, the record tells what users wait for.
 	answerWithin = 100 * time.Millisecond
@@ -52,15 +52,15 @@
 	configured   *configuration.Effective
 	configurable bool
 
-	types    []protocol.TypeInfo // nil: not known yet
-	requests map[RequestID]*request
-	looks    map[LookID]*look
-	lastLook LookID
-	polls    []*request // that wait to be compared together
-	nextLook clock.Time // no comparing before
-	wakeAt   clock.Time // as last asked for
-	finals   map[protocol.JobID]bookkeeping.JobRecord
-	halts    map[protocol.JobID]*halt
+	types         []protocol.TypeInfo // nil: not known yet
+	requests      map[RequestID]*request
+	looks         map[LookID]*look
+	lastLook      LookID
+	polls         []*request // that wait to be compared together
+	nextLook      clock.Time // no comparing before
+	wakeAt        clock.Time // as last asked for
+	finals        map[protocol.JobID]bookkeeping.JobRecord
+	announcements map[protocol.JobID]*announcement
 }
 
 // request is one that waits for its answer.
@@ -82,16 +82,16 @@
 
 // look is a question to the core, and the comparison that follows for polls.
 type look struct {
-	polls  []*request
-	jobs   map[protocol.JobID]LiveJob
-	again  bool     // the second comparison
-	one    *request // whose job is live: how far is it?
-	passOn *request // which peer acts?
-	halt   protocol.JobID
+	polls    []*request
+	jobs     map[protocol.JobID]LiveJob
+	again    bool     // the second comparison
+	one      *request // whose job is live: how far is it?
+	passOn   *request // which peer acts?
+	announce protocol.JobID
 }
 
-// halt is a cancellation that controllers are being told of.
-type halt struct {
+// announcement is a cancellation that controllers are being told of.
+type announcement struct {
 	record bookkeeping.JobRecord
 	left   map[protocol.NodeName]bool // have not answered; nil: not told yet
 	until  clock.Time
@@ -103,7 +103,7 @@
 	return &Intake{
 		configured: configuration.Base(&s.Site, op), configurable: op.Configurable(),
 		settings: s, log: log, requests: map[RequestID]*request{}, looks: map[LookID]*look{},
-		finals: map[protocol.JobID]bookkeeping.JobRecord{}, halts: map[protocol.JobID]*halt{},
+		finals: map[protocol.JobID]bookkeeping.JobRecord{}, announcements: map[protocol.JobID]*announcement{},
 	}
 }
 
@@ -128,8 +128,8 @@
 			}
 			in.answer(r, m.Answer)
 		}
-	case Halted:
-		in.halted(m)
+	case Announced:
+		in.announced(m)
 	case TypesRead:
 		in.types = m.Types
 	case Configured:
@@ -259,7 +259,7 @@
 
 // final is a job's record if it is known to be over.
 func (in *Intake) final(id protocol.JobID) (bookkeeping.JobRecord, bool) {
-	if h := in.halts[id]; h != nil {
+	if h := in.announcements[id]; h != nil {
 		return h.record, true
 	}
 	rec, ok := in.finals[id]
@@ -383,21 +383,21 @@
 		in.answer(r, in.over(r, rec))
 		return
 	}
-	h := in.halts[r.Job]
+	h := in.announcements[r.Job]
 	if h == nil {
-		h = &halt{record: rec, until: in.after(HaltWait)}
-		in.halts[r.Job] = h
-		in.look(&look{halt: r.Job})
+		h = &announcement{record: rec, until: in.after(AnnounceWait)}
+		in.announcements[r.Job] = h
+		in.look(&look{announce: r.Job})
 	}
 	r.until = max(r.until, h.until+1)
 	h.waits = append(h.waits, r)
 }
 
-// halt tells all controllers of a cancellation. Those are waited for that may act by
+// announce tells all controllers of a cancellation. Those are waited for that may act by
 // the view: others can't start anything. One that has ended, or stands still, is
 // waited for until the view leaves it out.
-func (in *Intake) halt(id protocol.JobID, members []protocol.NodeName) {
-	h := in.halts[id]
+func (in *Intake) announce(id protocol.JobID, members []protocol.NodeName) {
+	h := in.announcements[id]
 	if h == nil {
 		return // it has taken too long
 	}
@@ -410,24 +410,24 @@
 		if len(members) == 0 || slices.Contains(members, to) {
 			h.left[to] = true
 		}
-		in.do(Halt{id, to})
+		in.do(Announce{id, to})
 	}
 }
 
-func (in *Intake) halted(m Halted) {
-	if h := in.halts[m.Job]; h != nil {
+func (in *Intake) announced(m Announced) {
+	if h := in.announcements[m.Job]; h != nil {
 		delete(h.left, m.By)
-		in.checkHalt(m.Job, h)
+		in.checkAnnouncement(m.Job, h)
 	}
 }
 
-// checkHalt answers those who wait for a cancellation once all have heard of it, or
+// checkAnnouncement answers those who wait for a cancellation once all have heard of it, or
 // it has taken long enough.
-func (in *Intake) checkHalt(id protocol.JobID, h *halt) {
+func (in *Intake) checkAnnouncement(id protocol.JobID, h *announcement) {
 	if (h.left == nil || len(h.left) > 0) && in.now < h.until {
 		return
 	}
-	delete(in.halts, id)
+	delete(in.announcements, id)
 	in.keepFinal(id, h.record)
 	for _, r := range h.waits {
 		in.answer(r, in.over(r, h.record))
@@ -435,8 +435,8 @@
 }
 
 func (in *Intake) tick() {
-	for id, h := range inorder.Of(in.halts) {
-		in.checkHalt(id, h)
+	for id, h := range inorder.Of(in.announcements) {
+		in.checkAnnouncement(id, h)
 	}
 	next := clock.Time(0)
 	for _, r := range inorder.Of(in.requests) {
@@ -475,9 +475,9 @@
 	case l.one != nil:
 		delete(in.looks, m.Look)
 		in.answer(l.one, underWay(l.one.Job, m.Jobs[l.one.Job].Progress))
-	case l.halt != "":
+	case l.announce != "":
 		delete(in.looks, m.Look)
-		in.halt(l.halt, m.Members)
+		in.announce(l.announce, m.Members)
 	case l.passOn != nil:
 		delete(in.looks, m.Look)
 		in.passOn(l.passOn, m.Acting)
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -27,7 +27,7 @@
 	look    func(Look) any
 	compare func(Compare) any
 	passOn  func(PassOn) any
-	halt    func(Halt) any
+	halt    func(Announce) any
 }
 
 func newShell(txnOps int) *shell {
@@ -58,7 +58,7 @@
 				next = s.compare(a)
 			case PassOn:
 				next = s.passOn(a)
-			case Halt:
+			case Announce:
 				next = s.halt(a)
 			}
 			if next != nil {
@@ -258,12 +258,12 @@
 			return Read{ID: g.ID, Outcome: message.OutcomeDone, Record: bookkeeping.JobRecord{State: bookkeeping.RecordCancelled, Tasks: 2}}
 		}
 		s.write = func(w Write) any { return Written{ID: w.ID, Outcome: message.OutcomeFailed} }
-		s.halt = func(h Halt) any {
+		s.halt = func(h Announce) any {
 			told = append(told, h.To)
 			if h.To == silent {
 				return nil
 			}
-			return Halted{Job: h.Job, By: h.To}
+			return Announced{Job: h.Job, By: h.To}
 		}
 		s.step(t, smallType)
 		ask := func(id RequestID, job string) time.Duration {
@@ -281,22 +281,22 @@
 			}
 			return time.Duration(s.now - from)
 		}
-		if d := ask(1, "job-000001"); d >= HaltWait {
+		if d := ask(1, "job-000001"); d >= AnnounceWait {
 			t.Errorf("operation %d: told after %v, though all have heard", op, d)
 		}
 		if slices.Sort(told); !slices.Equal(told, members) {
 			t.Errorf("operation %d: %v are told", op, told)
 		}
 		silent = "node-2"
-		if d := ask(2, "job-000002"); d < HaltWait {
+		if d := ask(2, "job-000002"); d < AnnounceWait {
 			t.Errorf("operation %d: told after %v, though one has not heard", op, d)
 		}
 		members = members[:2]
-		if d := ask(3, "job-000003"); d >= HaltWait {
+		if d := ask(3, "job-000003"); d >= AnnounceWait {
 			t.Errorf("operation %d: waited %v for one that can't act", op, d)
 		}
 		members = nil // not known: any may act
-		if d := ask(4, "job-000004"); d < HaltWait {
+		if d := ask(4, "job-000004"); d < AnnounceWait {
 			t.Errorf("operation %d: told after %v, though one that may act has not heard", op, d)
 		}
 		told = nil
@@ -319,7 +319,7 @@
 				record = nil
 			}
 			s.look = func(l Look) any { return Looked{Look: l.Look, Members: []protocol.NodeName{"node-0"}} }
-			s.halt = func(h Halt) any { return Halted{Job: h.Job, By: h.To} }
+			s.halt = func(h Announce) any { return Announced{Job: h.Job, By: h.To} }
 			s.get = func(g Get) any {
 				if record == nil {
 					return Read{ID: g.ID, Outcome: message.OutcomeFailed}
--- a/internal/coordination/intake/message.go
+++ b/internal/coordination/intake/message.go
@@ -66,8 +66,8 @@
 		ID     RequestID
 		Answer Answer
 	}
-	// Halted answers a Halt.
-	Halted struct {
+	// Announced answers an Announce.
+	Announced struct {
 		Job protocol.JobID
 		By  protocol.NodeName
 	}
@@ -129,9 +129,9 @@
 		To   protocol.NodeName
 		Body []byte
 	}
-	// Halt tells a controller, this one or a peer, that a job is cancelled: it starts
+	// Announce tells a controller, this one or a peer, that a job is cancelled: it starts
 	// no task of it any more, though it may not have followed that yet.
-	Halt struct {
+	Announce struct {
 		Job protocol.JobID
 		To  protocol.NodeName
 	}
--- a/internal/coordination/message/step.go
+++ b/internal/coordination/message/step.go
@@ -27,9 +27,9 @@
 	Reported struct{ Report protocol.Report }
 	// Received is a peer's batch; ReplyBatch answers it.
 	Received struct{ Batch Batch }
-	// Halt says that a job is cancelled, which may not have been followed yet: no
+	// JobCancelled says that a job is cancelled, which may not have been followed yet: no
 	// task of it may be started from now on.
-	Halt struct{ Job protocol.JobID }
+	JobCancelled struct{ Job protocol.JobID }
 	// Tick lets time pass.
 	Tick struct {
 		WallMS int64 // the time of day; 0: as last told
--- a/internal/coordination/stateview/state.go
+++ b/internal/coordination/stateview/state.go
@@ -43,7 +43,7 @@
 
 	Live         map[protocol.JobID]*LiveJob
 	over         map[protocol.JobID]clock.Time // seen to end, and when
-	halted       map[protocol.JobID]clock.Time // cancelled, and since when that is known
+	cancelled    map[protocol.JobID]clock.Time // cancelled, and since when that is known
 	Records      map[protocol.MachineID]*Machine
 	Reservations *Reservations
 	// Configured is the configuration: the settings with what operators have changed.
@@ -67,7 +67,7 @@
 	k.Shares, k.SharesVersion = nil, 0
 	k.Keepers = map[protocol.MachineID]protocol.NodeName{}
 	k.Live, k.over = map[protocol.JobID]*LiveJob{}, map[protocol.JobID]clock.Time{}
-	k.halted = map[protocol.JobID]clock.Time{}
+	k.cancelled = map[protocol.JobID]clock.Time{}
 	k.Records = map[protocol.MachineID]*Machine{}
 	k.Reservations = k.Reservations.anew()
 	k.Configured.Reset()
@@ -103,7 +103,7 @@
 // under way.
 func (k *State) NoteOver(id protocol.JobID) {
 	k.over[id] = k.Now
-	delete(k.halted, id)
+	delete(k.cancelled, id)
 	if len(k.over) <= 4096 {
 		return
 	}
@@ -121,21 +121,21 @@
 	return over && k.Live[id] == nil
 }
 
-// haltedFor is for how long a halted job is remembered: far longer than a controller
+// cancelledFor is for how long a cancelled job is remembered: far longer than a controller
 // may act without having followed its end.
-const haltedFor = time.Minute
+const cancelledFor = time.Minute
 
-// Halt has no task of a job started any more: its user is about to be told that it is
+// NoteCancelled has no task of a job started any more: its user is about to be told that it is
 // cancelled, which is in the records, but may not have been followed yet. All the
 // rest of its end waits for that, so that it happens here in the order of the records.
-func (k *State) Halt(id protocol.JobID) {
+func (k *State) NoteCancelled(id protocol.JobID) {
 	if _, over := k.over[id]; over && k.Live[id] == nil {
 		return
 	}
-	k.halted[id] = k.Now
-	for old, at := range k.halted {
-		if k.Since(at) > haltedFor {
-			delete(k.halted, old)
+	k.cancelled[id] = k.Now
+	for old, at := range k.cancelled {
+		if k.Since(at) > cancelledFor {
+			delete(k.cancelled, old)
 		}
 	}
 }
@@ -143,8 +143,8 @@
 // MayStart reports whether tasks of a job may be started: it is live, and not known to
 // be cancelled.
 func (k *State) MayStart(id protocol.JobID) bool {
-	_, halted := k.halted[id]
-	return k.Live[id] != nil && !halted
+	_, cancelled := k.cancelled[id]
+	return k.Live[id] != nil && !cancelled
 }
 
 // Limited reports whether a team may have a limit, now or after a change of the
--- a/internal/emulator/frontends_test.go
+++ b/internal/emulator/frontends_test.go
@@ -111,7 +111,7 @@
 				w.carry(string(a.To), string(f.n.name), func() { f.later(0, intake.PassedOn{ID: a.ID, Answer: answer}) })
 			})
 		})
-	case intake.Halt:
+	case intake.Announce:
 		f.u.halt(f, a)
 	case intake.Wake:
 		f.later(time.Duration(a.At-w.clock(f.n)), intake.Tick{})
@@ -139,10 +139,10 @@
 }
 
 // halt tells a controller's core that a job is cancelled.
-func (u *users) halt(f *frontend, a intake.Halt) {
+func (u *users) halt(f *frontend, a intake.Announce) {
 	w := u.world
 	if u.unheard {
-		f.later(0, intake.Halted{Job: a.Job, By: a.To})
+		f.later(0, intake.Announced{Job: a.Job, By: a.To})
 		return
 	}
 	to := u.front(a.To).n
@@ -151,13 +151,13 @@
 			return
 		}
 		w.alive(to, max(0, to.frozen-w.now), func() {
-			w.stepNode(to, message.Halt{Job: a.Job})
-			w.carry(string(a.To), string(f.n.name), func() { f.later(0, intake.Halted{Job: a.Job, By: a.To}) })
+			w.stepNode(to, message.JobCancelled{Job: a.Job})
+			w.carry(string(a.To), string(f.n.name), func() { f.later(0, intake.Announced{Job: a.Job, By: a.To}) })
 		})
 	}
 	if to == f.n {
-		w.stepNode(to, message.Halt{Job: a.Job})
-		f.later(0, intake.Halted{Job: a.Job, By: a.To})
+		w.stepNode(to, message.JobCancelled{Job: a.Job})
+		f.later(0, intake.Announced{Job: a.Job, By: a.To})
 		return
 	}
 	w.carry(string(f.n.name), string(a.To), heard)
