Operators' settings: the reader of 70 lines in parts

Cause: the longest function of the package; three elements of two values were read by the same lines. Change: elements in a table, one reader for those of two values, checks of an element on their own.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -130,39 +130,24 @@
 	return ParseOperator(f)
 }
 
+// elements are the elements of the file, with what takes the text of each.
+func (op *Operator) elements() map[string]func(string) error {
+	return map[string]func(string) error{
+		"relayEvery": duration(&op.RelayEvery), "copyWait": duration(&op.CopyWait), "defaultEstimate": duration(&op.DefaultEstimate),
+		"nodeLease": duration(&op.NodeLease), "idleReturn": duration(&op.IdleReturn),
+		"operatorKeys":   keysFile(&op.OperatorKeys),
+		"machines":       machines(op),
+		"configuration":  choice(&op.FixedConfiguration, "off", "on"),
+		"machineShares":  choice(&op.NoShares, "off", "on"),
+		"machineRecords": choice(&op.SingleRecords, "single", "blocks"),
+	}
+}
+
 // ParseOperator reads operators' settings. Unknown elements and bad values
 // are named in the error.
 func ParseOperator(r io.Reader) (Operator, error) {
 	op := DefaultOperator()
-	take := map[string]func(string) error{
-		"relayEvery": duration(&op.RelayEvery), "copyWait": duration(&op.CopyWait), "defaultEstimate": duration(&op.DefaultEstimate),
-		"nodeLease": duration(&op.NodeLease), "idleReturn": duration(&op.IdleReturn),
-		"operatorKeys": func(text string) error {
-			if op.OperatorKeys = text; text == "" {
-				return errors.New("no file is named")
-			}
-			return nil
-		},
-		"machines": machines(&op),
-		"configuration": func(text string) error {
-			if op.FixedConfiguration = text == "off"; !op.FixedConfiguration && text != "on" {
-				return fmt.Errorf("%q is none of its values", text)
-			}
-			return nil
-		},
-		"machineShares": func(text string) error {
-			if op.NoShares = text == "off"; !op.NoShares && text != "on" {
-				return fmt.Errorf("%q is none of its values", text)
-			}
-			return nil
-		},
-		"machineRecords": func(text string) error {
-			if op.SingleRecords = text == "single"; !op.SingleRecords && text != "blocks" {
-				return fmt.Errorf("%q is none of its values", text)
-			}
-			return nil
-		},
-	}
+	take := op.elements()
 	d := xml.NewDecoder(r)
 	depth, name, text := 0, "", ""
 	for {
@@ -180,14 +165,8 @@
 		case xml.StartElement:
 			depth++
 			name, text = t.Name.Local, ""
-			if depth == 1 && name != "damsonkeel" {
-				return op, fmt.Errorf("operator settings: root element <%s>, want <damsonkeel>", name)
-			}
-			if depth > 2 || depth == 2 && take[name] == nil {
-				return op, fmt.Errorf("operator settings: unknown element <%s>", name)
-			}
-			if len(t.Attr) > 0 {
-				return op, fmt.Errorf("operator settings: <%s>: unknown attribute %q", name, t.Attr[0].Name.Local)
+			if err := checkElement(t, depth, take[name] != nil); err != nil {
+				return op, fmt.Errorf("operator settings: %w", err)
 			}
 		case xml.CharData:
 			text += string(t)
@@ -203,6 +182,41 @@
 	}
 }
 
+// checkElement checks that an element may stand at its depth; known: it is one of the
+// settings.
+func checkElement(t xml.StartElement, depth int, known bool) error {
+	name := t.Name.Local
+	switch {
+	case depth == 1 && name != "damsonkeel":
+		return fmt.Errorf("root element <%s>, want <damsonkeel>", name)
+	case depth > 2 || depth == 2 && !known:
+		return fmt.Errorf("unknown element <%s>", name)
+	case len(t.Attr) > 0:
+		return fmt.Errorf("<%s>: unknown attribute %q", name, t.Attr[0].Name.Local)
+	}
+	return nil
+}
+
+// keysFile takes the name of the file of operators' keys.
+func keysFile(into *string) func(string) error {
+	return func(text string) error {
+		if *into = text; text == "" {
+			return errors.New("no file is named")
+		}
+		return nil
+	}
+}
+
+// choice takes an element that has two values, the first of which sets it.
+func choice(into *bool, set, unset string) func(string) error {
+	return func(text string) error {
+		if *into = text == set; !*into && text != unset {
+			return fmt.Errorf("%q is none of its values", text)
+		}
+		return nil
+	}
+}
+
 // duration takes an element's text into a setting.
 func duration(into *time.Duration) func(string) error {
 	return func(text string) error { return SetDuration(into, text) }
