--- a/internal/scale/site_test.go
+++ b/internal/scale/site_test.go
@@ -9,7 +9,7 @@
 // TestSitesAreWhole: the site files of the repository are taken, and what is wrong
 // in one is named.
 func TestSitesAreWhole(t *testing.T) {
-	for _, name := range []string{"scale-small", "scale-target"} {
+	for _, name := range []string{"scale-small", "scale-target", "scale-peak"} {
 		site, err := LoadSite("../../deploy/" + name + ".toml")
 		if err != nil {
 			t.Fatal(err)
