Scale run: exchanges whose answers are lost count once, and directives stand until they are carried out

Cause: read again: a process that stands still for longer than a call may wait lost what the hub told it, and what it had seen; a machine's return was confirmed at the second try though its process stood still. Change: exchanges are numbered and repeated, directives kept until they are confirmed, machines until they are gone.

--- a/internal/scale/hub.go
+++ b/internal/scale/hub.go
@@ -44,7 +44,8 @@
 	name    string
 	number  uint64 // of the last directive
 	carried uint64
-	waiting []Directive
+	heard   uint64        // number of the last exchange
+	waiting []Directive   // until they are carried out
 	oldest  time.Duration // see Exchange
 	workers bool
 }
@@ -54,6 +55,8 @@
 	process *hubProcess
 	listed  serve.Listed
 	up      bool
+	// returned is the number of the directive that ends it; 0: it is not to end.
+	returned uint64
 }
 
 // newHub makes a hub.
@@ -101,6 +104,18 @@
 	p := h.process(in.Process)
 	p.carried = max(p.carried, in.Carried)
 	p.oldest = max(p.oldest, in.Oldest)
+	if in.Number > p.heard {
+		p.heard = in.Number
+		h.take(in)
+	}
+	p.waiting = slices.DeleteFunc(p.waiting, func(d Directive) bool { return d.Number <= p.carried })
+	out.List = slices.Clone(p.waiting)
+	h.confirmed.Broadcast()
+	return nil
+}
+
+// take takes what a process has seen. The lock is held.
+func (h *Hub) take(in Exchange) {
 	h.users = append(h.users, in.Users...)
 	for id, listed := range in.Addresses {
 		if m := h.machines[id]; m != nil {
@@ -110,9 +125,6 @@
 	for _, e := range in.Machines {
 		h.seen(e)
 	}
-	out.List, p.waiting = p.waiting, nil
-	h.confirmed.Broadcast()
-	return nil
 }
 
 // seen keeps an event, and lets gangs meet. The lock is held.
@@ -221,10 +233,14 @@
 	defer h.mu.Unlock()
 	last := map[*hubProcess]uint64{}
 	for _, id := range ids {
-		if m := h.machines[id]; m != nil {
-			last[m.process] = h.direct(m.process, Directive{Kind: DirectKill, Machine: id})
-			delete(h.machines, id)
+		m := h.machines[id]
+		if m == nil {
+			continue
+		}
+		if m.returned == 0 {
+			m.returned = h.direct(m.process, Directive{Kind: DirectKill, Machine: id})
 		}
+		last[m.process] = max(last[m.process], m.returned)
 	}
 	timer := time.AfterFunc(returnWait, h.confirmed.Broadcast)
 	defer timer.Stop()
@@ -233,6 +249,9 @@
 			return errReturnLate
 		}
 	}
+	for _, id := range ids {
+		delete(h.machines, id)
+	}
 	return nil
 }
 
@@ -323,7 +342,7 @@
 func (h *Hub) draw() (protocol.MachineID, *hubMachine) {
 	var ids []protocol.MachineID
 	for id, m := range h.machines {
-		if m.up && !m.listed.Failed && isShared(m.process.name) {
+		if m.up && !m.listed.Failed && m.returned == 0 && isShared(m.process.name) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/scale/messages.go
+++ b/internal/scale/messages.go
@@ -15,6 +15,9 @@
 // second.
 type Exchange struct {
 	Process string
+	// Number counts the process's exchanges: one whose answer was lost is repeated with
+	// its number, and counts once.
+	Number uint64
 	// Carried is the number of the last directive that was carried out.
 	Carried  uint64
 	Machines []rules.MachineEvent
--- a/internal/scale/users.go
+++ b/internal/scale/users.go
@@ -60,6 +60,10 @@
 	polls       *hdrhistogram.Histogram
 	unanswered  int
 	notAccepted int
+
+	exchanging sync.Mutex // one exchange at a time
+	unheard    *Exchange  // whose answer was lost: it is repeated
+	number     uint64     // of the last exchange
 }
 
 // arrival is a job that comes at a time of the site.
@@ -217,13 +221,20 @@
 }
 
 func (r *usersRole) exchange() {
-	r.mu.Lock()
-	in := Exchange{Process: r.cfg.Name, Users: r.seen}
-	r.seen = nil
-	r.mu.Unlock()
-	if err := r.hub.Call(hubService+".Exchange", in, &Directives{}, hubTimeout); err != nil {
+	r.exchanging.Lock()
+	defer r.exchanging.Unlock()
+	if r.unheard == nil {
+		r.mu.Lock()
+		r.number++
+		r.unheard = &Exchange{Process: r.cfg.Name, Number: r.number, Users: r.seen}
+		r.seen = nil
+		r.mu.Unlock()
+	}
+	if err := r.hub.Call(hubService+".Exchange", *r.unheard, &Directives{}, hubTimeout); err != nil {
 		r.log.Error("exchange with the hub", "err", err)
+		return
 	}
+	r.unheard = nil
 }
 
 // report is what users met with.
--- a/internal/scale/workers.go
+++ b/internal/scale/workers.go
@@ -31,11 +31,14 @@
 	host *serve.Host
 	log  *slog.Logger
 
-	mu        sync.Mutex
-	seen      []rules.MachineEvent
-	came      []protocol.MachineID // since the last exchange
-	cancelled map[protocol.MachineID]bool
-	carried   uint64
+	mu         sync.Mutex
+	seen       []rules.MachineEvent
+	came       []protocol.MachineID // since the last exchange
+	cancelled  map[protocol.MachineID]bool
+	carried    uint64
+	exchanging sync.Mutex // one exchange at a time
+	unheard    *Exchange  // whose answer was lost: it is repeated
+	number     uint64     // of the last exchange
 }
 
 // newWorkersRole begins to run workers.
@@ -77,22 +80,20 @@
 
 // exchange tells the hub what was seen, and carries out what it says.
 func (r *workersRole) exchange() error {
-	oldest := r.host.OldestAnswered()
-	r.mu.Lock()
-	in := Exchange{Process: r.name, Carried: r.carried, Machines: r.seen, Oldest: oldest, Addresses: map[protocol.MachineID]serve.Listed{}}
-	came := r.came
-	r.seen, r.came = nil, nil
-	r.mu.Unlock()
-	for _, id := range came {
-		if listed, ok := r.host.Machine(id); ok {
-			in.Addresses[id] = listed
-		}
+	r.exchanging.Lock()
+	defer r.exchanging.Unlock()
+	if r.unheard == nil {
+		r.unheard = r.gather()
 	}
 	var out Directives
-	if err := r.hub.Call(hubService+".Exchange", in, &out, hubTimeout); err != nil {
+	if err := r.hub.Call(hubService+".Exchange", *r.unheard, &out, hubTimeout); err != nil {
 		return err
 	}
+	r.unheard = nil
 	for _, d := range out.List {
+		if d.Number <= r.carried {
+			continue // told again, as the hub has not heard of it yet
+		}
 		r.carryOut(d)
 		r.mu.Lock()
 		r.carried = d.Number
@@ -101,6 +102,23 @@
 	return nil
 }
 
+// gather is what was seen since the last exchange.
+func (r *workersRole) gather() *Exchange {
+	oldest := r.host.OldestAnswered()
+	r.mu.Lock()
+	r.number++
+	in := &Exchange{Process: r.name, Number: r.number, Carried: r.carried, Machines: r.seen, Oldest: oldest, Addresses: map[protocol.MachineID]serve.Listed{}}
+	came := r.came
+	r.seen, r.came = nil, nil
+	r.mu.Unlock()
+	for _, id := range came {
+		if listed, ok := r.host.Machine(id); ok {
+			in.Addresses[id] = listed
+		}
+	}
+	return in
+}
+
 func (r *workersRole) carryOut(d Directive) {
 	switch d.Kind {
 	case DirectUp:
