--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -112,8 +112,12 @@
 			values = append(values, f.of(r))
 		}
 		intercept, slope := stat.LinearRegression(workers, values, nil, false)
+		fits := stat.RSquared(workers, values, nil, intercept, slope)
+		if slices.Max(values) == slices.Min(values) {
+			fits = 1 // the line goes through all of them; R2 has no value then
+		}
 		slopes = append(slopes, Slope{
-			Figure: f.name, Intercept: intercept, Per1000: 1000 * slope, R2: stat.RSquared(workers, values, nil, intercept, slope),
+			Figure: f.name, Intercept: intercept, Per1000: 1000 * slope, R2: fits,
 			Least: int(sizes[0]), Most: int(sizes[len(sizes)-1]), Runs: len(results),
 		})
 	}
--- a/internal/scale/fit_test.go
+++ b/internal/scale/fit_test.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		delete(want, s.Figure)
-		if math.Abs(s.Intercept-line[0]) > 1e-6 || math.Abs(s.Per1000-line[1]) > 1e-6 || s.Least != 700 || s.Most != 2800 {
+		if math.Abs(s.Intercept-line[0]) > 1e-6 || math.Abs(s.Per1000-line[1]) > 1e-6 || math.Abs(s.R2-1) > 1e-9 || s.Least != 700 || s.Most != 2800 {
 			t.Errorf("%+v, want %v", s, line)
 		}
 	}
