--- a/cmd/damsonkeel-scale/scale_test.go
+++ b/cmd/damsonkeel-scale/scale_test.go
@@ -30,7 +30,6 @@
 	if testing.Short() {
 		t.Skip("takes about 40 seconds")
 	}
-	t.Parallel()
 	var out, progress bytes.Buffer
 	cmd := exec.Command(buildTool(t), "--site", "../../deploy/scale-small.toml", "--root", "../..", "--output", "json")
 	cmd.Stdout, cmd.Stderr = &out, &progress
@@ -64,7 +63,6 @@
 	if testing.Short() {
 		t.Skip("takes about ten seconds")
 	}
-	t.Parallel()
 	dir := t.TempDir()
 	cmd := exec.Command(buildTool(t), "--site", "../../deploy/scale-small.toml", "--root", "../..")
 	cmd.Env = append(os.Environ(), "TMPDIR="+dir)
