Read again: no look at queues without a lowered limit, one strict reader of TOML, teams listed once, what nothing used

Cause: keepers copied every queue's waiting attempts each second, also where no configuration has ever changed; three readers of TOML with the same lines; the scale run listed a site's teams in three places; a method, a field, an alias and an accessor that nothing used; ids of requests made up through a struct of other flags. Change: an attempt placed by the revision in force, or where there is none, is never looked up, and a queue is copied only if something of it goes; config.DecodeStrict; siteSettings and Settings.Team; the unused is gone; requestID. An unknown field of a site to emulate is now introduced as such in its error; nothing else behaves otherwise.

--- a/cmd/damsonkeel/calendar.go
+++ b/cmd/damsonkeel/calendar.go
@@ -122,11 +122,14 @@
 	return a.ask(operators.Request{Op: operators.OpAdd, Window: true, ID: a.id(), DryRun: a.DryRun, Replace: a.Replace, Spec: spec})
 }
 
-func (c *changeFlags) id() string {
-	if c.ID == "" {
+func (c *changeFlags) id() string { return requestID(c.ID) }
+
+// requestID is the id of a request: as it was given, or made up.
+func requestID(given string) string {
+	if given == "" {
 		return rand.Text()
 	}
-	return c.ID
+	return given
 }
 
 // Run lists reservations.
--- a/cmd/damsonkeel/config.go
+++ b/cmd/damsonkeel/config.go
@@ -171,8 +171,7 @@
 
 // change puts a change, and waits until it is in force if that is asked for.
 func (f *configChangeFlags) change(ask *askFlags, changes []operators.ConfigChange) error {
-	id := changeFlags{ID: f.ID}
-	r := operators.Request{Op: operators.OpConfigure, ID: id.id(), DryRun: f.DryRun, Config: &operators.ConfigRequest{Changes: changes}}
+	r := operators.Request{Op: operators.OpConfigure, ID: requestID(f.ID), DryRun: f.DryRun, Config: &operators.ConfigRequest{Changes: changes}}
 	if f.Revision != nil {
 		revision := bookkeeping.ConfigurationRevision(*f.Revision)
 		r.Config.Revision = &revision
--- a/internal/coordination/configuration/configuration_test.go
+++ b/internal/coordination/configuration/configuration_test.go
@@ -252,8 +252,8 @@
 	if r, done := s.DoneBefore(fmt.Sprint("request-", bookkeeping.ConfigurationRequests+4)); !done || r != bookkeeping.ConfigurationRequests+5 {
 		t.Errorf("the last request: %v, %v", r, done)
 	}
-	if _, done := s.DoneBefore("request-0"); done || len(s.Head().Requests) != bookkeeping.ConfigurationRequests {
-		t.Errorf("%d requests are kept", len(s.Head().Requests))
+	if _, done := s.DoneBefore("request-0"); done || len(s.head.Requests) != bookkeeping.ConfigurationRequests {
+		t.Errorf("%d requests are kept", len(s.head.Requests))
 	}
 	plan, err := s.Decide(facts(), []operators.ConfigChange{{Entry: "team/other", MaxCPUs: number(float64(44 + bookkeeping.ConfigurationRequests))}})
 	if err != nil || len(plan.Changes) != 0 {
--- a/internal/coordination/configuration/decide.go
+++ b/internal/coordination/configuration/decide.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"damsonkeel/internal/bookkeeping"
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/operators"
 	"damsonkeel/internal/protocol"
 )
@@ -188,7 +189,7 @@
 // page.
 func (f *Followed) checkTeamEnds(facts *Facts, name protocol.Team, c operators.ConfigChange) error {
 	have, known := f.effective.Team(name)
-	inFile := slices.ContainsFunc(f.site.Teams, func(t teamOfFile) bool { return t.Name == name })
+	inFile := slices.ContainsFunc(f.site.Teams, func(t config.Team) bool { return t.Name == name })
 	switch {
 	case !known && c.Remove:
 		return errors.New("there is no such team")
--- a/internal/coordination/configuration/follow.go
+++ b/internal/coordination/configuration/follow.go
@@ -53,9 +53,6 @@
 // Entries are those that were changed, reset ones included.
 func (f *Followed) Entries() map[bookkeeping.EntryID]bookkeeping.ConfigurationEntry { return f.entries }
 
-// Head is the record of the revision in force.
-func (f *Followed) Head() bookkeeping.Configuration { return f.head }
-
 // TakeEntry takes the record of an entry, and reports whether anything in force has
 // changed.
 func (f *Followed) TakeEntry(id bookkeeping.EntryID, entry bookkeeping.ConfigurationEntry) bool {
--- a/internal/coordination/configuration/owner.go
+++ b/internal/coordination/configuration/owner.go
@@ -6,9 +6,6 @@
 	"damsonkeel/internal/protocol"
 )
 
-// teamOfFile is a team of the platform's file.
-type teamOfFile = config.Team
-
 // OneOwner reports whether all jobs of a team have the same owner, which checks the
 // team's limit. It rests on the platform's file alone, which is the same everywhere:
 // did it change with a revision, a job would have two owners while some controllers
--- a/internal/coordination/keeping/configured.go
+++ b/internal/coordination/keeping/configured.go
@@ -24,6 +24,9 @@
 // Its owner did not hold it against the limit in force, so it may not be started: the
 // limit is checked here at the start, and by the owner when it places it anew.
 func (k *Keeper) outdated(e *entry) bool {
+	if e.configuration >= k.Configured.Effective().Revision {
+		return false // placed by the revision in force, or there is none
+	}
 	job := k.Live[e.task.Job]
 	return job != nil && e.configuration < k.LimitLowered(job.Team)
 }
@@ -35,6 +38,9 @@
 		k.releaseWaiting(q)
 		return
 	}
+	if !slices.ContainsFunc(q.waiting, k.outdated) {
+		return
+	}
 	for _, e := range slices.Clone(q.waiting) {
 		if k.outdated(e) {
 			k.dropWaiting(q, e)
--- a/internal/emulator/site.go
+++ b/internal/emulator/site.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"maps"
@@ -12,8 +11,6 @@
 	"damsonkeel/internal/bookkeeping"
 	"damsonkeel/internal/config"
 	"damsonkeel/internal/protocol"
-
-	"github.com/pelletier/go-toml/v2"
 )
 
 // Site is a site to emulate: what it has, what comes and what happens to it.
@@ -133,12 +130,7 @@
 // ParseSite reads and checks a site; its errors name the field.
 func ParseSite(b []byte) (*Site, error) {
 	s := &Site{ReportS: 10, LeaseS: 45, StepMS: 1000}
-	d := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields()
-	if err := d.Decode(s); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) {
-			return nil, fmt.Errorf("site: %s", strict.String())
-		}
+	if err := config.DecodeStrict(b, s); err != nil {
 		return nil, fmt.Errorf("site: %w", err)
 	}
 	if err := s.check(); err != nil {
--- a/internal/operators/configfile.go
+++ b/internal/operators/configfile.go
@@ -1,15 +1,11 @@
 package operators
 
 import (
-	"bytes"
-	"errors"
-	"fmt"
 	"maps"
 	"slices"
 
 	"damsonkeel/internal/bookkeeping"
-
-	"github.com/pelletier/go-toml/v2"
+	"damsonkeel/internal/config"
 )
 
 // ConfigFile is a file of changes of the configuration: all of them are made in one
@@ -53,13 +49,7 @@
 // ParseConfigFile reads a file of changes. Unknown fields are named.
 func ParseConfigFile(b []byte) (*ConfigFile, error) {
 	f := &ConfigFile{}
-	d := toml.NewDecoder(bytes.NewReader(b))
-	d.DisallowUnknownFields()
-	if err := d.Decode(f); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) {
-			return nil, fmt.Errorf("unknown field:\n%s", strict.String())
-		}
+	if err := config.DecodeStrict(b, f); err != nil {
 		return nil, err
 	}
 	return f, nil
--- a/internal/scale/figures.go
+++ b/internal/scale/figures.go
@@ -117,11 +117,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	terms := rules.Terms{CancelS: h.site.Timings.CancelS, Limits: h.limits, WithinS: config.ConfiguredWithin.Seconds()}
-	names := h.site.TeamNames()
-	for _, t := range h.site.Teams {
-		for range t.Count {
-			terms.Teams = append(terms.Teams, rules.Team{Name: names[len(terms.Teams)], MaxCPUs: t.MaxCPUs})
-		}
+	for _, t := range siteSettings(h.site).Teams {
+		terms.Teams = append(terms.Teams, rules.Team{Name: t.Name, MaxCPUs: t.MaxCPUs})
 	}
 	out := &HubFigures{Rules: rules.Check(terms, h.events, h.users)}
 	starts := startTimes(h.events)
--- a/internal/scale/operator.go
+++ b/internal/scale/operator.go
@@ -66,6 +66,7 @@
 // operator changes the configuration, and asks each controller by what it acts.
 type operator struct {
 	site      *Site
+	settings  *config.Settings // of the site, as controllers have them
 	key       operators.Key
 	addresses map[protocol.NodeName]string
 	rng       *rand.Rand
@@ -89,7 +90,7 @@
 	if err := os.WriteFile(path, []byte(key.String()+"\n"), 0o600); err != nil {
 		return nil, "", err
 	}
-	return &operator{site: site, key: key, rng: rand.New(rand.NewPCG(seed, operatorStream)), answered: newHistogram()}, path, nil
+	return &operator{site: site, settings: &config.Settings{Site: siteSettings(site)}, key: key, rng: rand.New(rand.NewPCG(seed, operatorStream)), answered: newHistogram()}, path, nil
 }
 
 // run makes the changes of the site, and asks who acts by what.
@@ -114,7 +115,7 @@
 func (o *operator) draw(i int) (operators.ConfigChange, *rules.LimitChange) {
 	names := o.site.TeamNames()
 	team := names[o.rng.IntN(len(names))]
-	file := o.teamInFile(team)
+	file, _ := o.settings.Team(team)
 	switch i % 4 {
 	case 0, 1:
 		if file.MaxCPUs > 0 {
@@ -129,16 +130,6 @@
 	return operators.ConfigChange{Entry: bookkeeping.NewEntryID(bookkeeping.EntrySetting, "idleReturn"), Value: &value}, nil
 }
 
-// teamInFile is a team as the platform's file has it.
-func (o *operator) teamInFile(name protocol.Team) config.Team {
-	for _, t := range siteSettings(o.site).Teams {
-		if t.Name == name {
-			return t
-		}
-	}
-	return config.Team{}
-}
-
 // change puts a change to the controllers until it is settled.
 func (o *operator) change(ctx context.Context, id string, change operators.ConfigChange, limit *rules.LimitChange) {
 	ctx, cancel := context.WithTimeout(ctx, changeWait)
@@ -239,8 +230,7 @@
 
 // nodeLease is how long a controller may act without the state service here.
 func (o *operator) nodeLease() time.Duration {
-	settings := &config.Settings{Site: siteSettings(o.site)}
-	fitted, err := config.DefaultOperator().Fit(settings)
+	fitted, err := config.DefaultOperator().Fit(o.settings)
 	if err != nil {
 		return config.ConfiguredWithin
 	}
--- a/internal/scale/sampler.go
+++ b/internal/scale/sampler.go
@@ -15,12 +15,11 @@
 
 // Spent is what processes of a role have used. Times are in seconds of one core.
 type Spent struct {
-	CPUS        float64 // in all
-	CPUPeak     float64 // cores in the busiest second of a process
-	MemoryMB    float64 // peak of a process
-	Files       int     // peak of a process
-	Threads     int     // peak of a process
-	sampledFrom time.Duration
+	CPUS     float64 // in all
+	CPUPeak  float64 // cores in the busiest second of a process
+	MemoryMB float64 // peak of a process
+	Files    int     // peak of a process
+	Threads  int     // peak of a process
 }
 
 // sampler reads what processes use from the system.
@@ -62,7 +61,7 @@
 	s.names[pid] = name
 	s.last[pid] = cpuReading{at: Now()}
 	if s.spent[name] == nil {
-		s.spent[name] = &Spent{sampledFrom: Now()}
+		s.spent[name] = &Spent{}
 	}
 }
 
--- a/internal/scale/site.go
+++ b/internal/scale/site.go
@@ -5,16 +5,14 @@
 package scale
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"math"
 	"os"
 	"slices"
 
+	"damsonkeel/internal/config"
 	"damsonkeel/internal/protocol"
-
-	"github.com/pelletier/go-toml/v2"
 )
 
 // Site is what is played. Durations are in seconds unless a name says otherwise.
@@ -181,13 +179,7 @@
 // ParseSite reads and checks a site. Unknown fields and bad values are named.
 func ParseSite(b []byte) (*Site, error) {
 	s := &Site{}
-	d := toml.NewDecoder(bytes.NewReader(b))
-	d.DisallowUnknownFields()
-	if err := d.Decode(s); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) {
-			return nil, fmt.Errorf("site: unknown field:\n%s", strict.String())
-		}
+	if err := config.DecodeStrict(b, s); err != nil {
 		return nil, fmt.Errorf("site: %w", err)
 	}
 	if err := s.check(); err != nil {
--- a/internal/standin/serve/host.go
+++ b/internal/standin/serve/host.go
@@ -210,13 +210,6 @@
 	return Listed{Address: w.addr, Since: w.since}, true
 }
 
-// Machines lists the machines that are up, in order.
-func (h *Host) Machines() []protocol.MachineID {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return slices.Sorted(maps.Keys(h.workers))
-}
-
 // OldestAnswered is the time since which each worker has had an answered report.
 func (h *Host) OldestAnswered() time.Duration {
 	h.mu.Lock()
