--- a/review/_standin/bench.go
+++ b/review/_standin/bench.go
@@ -44,7 +44,9 @@
 	Runs       []Run          // all starts so far
 	running    map[runKey]int // index in Runs of what runs
 	zones      map[protocol.MachineID]protocol.Zone
-	exits      []string
+	Peers      map[string]*Proxy // by the names of both ends; used if ProxyPeers is set
+	ProxyPeers bool
+	accepts    []Run // start commands that workers have accepted
 	closing    bool
 }
 
@@ -69,6 +71,7 @@
 	Serve    string
 	PeerAddr string
 	State    *Access
+	StateWay *Proxy // between the controller and the store, if ProxyPeers is set
 	settings string
 	bench    *Bench
 	cmd      *exec.Cmd
@@ -118,6 +121,10 @@
 			{Name: "geraete", CPUs: 64, MaxCPUs: 264}, {Name: "firmware", CPUs: 56, MaxCPUs: 128},
 			{Name: "kunden", CPUs: 80, MaxCPUs: 128}, {Name: "labor", CPUs: 48, MaxCPUs: 80}, {Name: "hochschule"},
 		},
+		Objectives: []config.Objective{
+			{Kind: "wait", Class: "benchsweep", WithinS: 18, Share: 0.97}, {Kind: "finished", Class: "benchsweep", WithinS: 400, Share: 0.93},
+			{Kind: "deadline", Class: "flashround", Share: 0.85, Times: 1}, {Kind: "guarantee", WithinS: 5, Share: 0.96},
+		},
 		Workers: config.Workers{ReportS: 4, LeaseS: 20, GangWaitS: 35, GangPeerS: 6, CancelS: 40},
 		State:   config.State{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 12},
 		Cloud:   config.Cloud{RPS: 6, ListLagS: 8},
@@ -201,10 +208,10 @@
 	b := n.bench
 	site := b.Site
 	s := config.Settings{Name: protocol.NodeName(n.Name), Zone: site.Zones[i%len(site.Zones)], Listen: n.Serve, PeerBind: n.PeerAddr, Site: site}
-	s.Services = config.Services{Cloud: b.cloud.Addr, State: n.State.Addr}
+	s.Services = config.Services{Cloud: b.cloud.Addr, State: n.stateAddr()}
 	for j, other := range b.Nodes {
 		if other != n {
-			s.Members = append(s.Members, config.Member{Name: protocol.NodeName(other.Name), Zone: site.Zones[j%len(site.Zones)], Peer: other.PeerAddr})
+			s.Members = append(s.Members, config.Member{Name: protocol.NodeName(other.Name), Zone: site.Zones[j%len(site.Zones)], Peer: b.peerAddr(n, other)})
 		}
 	}
 	text, err := toml.Marshal(s)
@@ -405,7 +412,8 @@
 		return
 	}
 	b.Logf("rented %s %s in %s", id, info.Name, req.Zone)
-	time.AfterFunc(config.Seconds(info.BootS), start)
+	boot := config.Seconds(info.BootS)
+	time.AfterFunc(boot, start)
 }
 
 // Terminate ends machines with all that is on them.
@@ -447,7 +455,10 @@
 }
 
 // TaskStartAccepted records a start command that a worker has accepted.
-func (b *Bench) TaskStartAccepted(machine protocol.MachineID, task protocol.TaskID, attempt protocol.Attempt, _ time.Duration) {
+func (b *Bench) TaskStartAccepted(machine protocol.MachineID, task protocol.TaskID, attempt protocol.Attempt, at time.Duration) {
+	b.mu.Lock()
+	b.accepts = append(b.accepts, Run{Machine: machine, Task: task, Attempt: attempt, Start: at})
+	b.mu.Unlock()
 	b.Logf("%s accepts the start of %v, attempt %d", machine, task, attempt)
 }
 
@@ -482,3 +493,47 @@
 	}
 	return runs
 }
+
+// Accepts returns the start commands for a job's tasks that workers have accepted so far.
+func (b *Bench) Accepts(id protocol.JobID) (accepts []Run) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range b.accepts {
+		if r.Task.Job == id {
+			accepts = append(accepts, r)
+		}
+	}
+	return accepts
+}
+
+func (b *Bench) peerAddr(from, to *Node) string {
+	if !b.ProxyPeers {
+		return to.PeerAddr
+	}
+	if b.Peers == nil {
+		b.Peers = map[string]*Proxy{}
+	}
+	p := NewProxy(to.PeerAddr)
+	b.Peers[from.Name+" "+to.Name] = p
+	return p.Addr
+}
+
+func (n *Node) stateAddr() string {
+	if !n.bench.ProxyPeers {
+		return n.State.Addr
+	}
+	n.StateWay = NewProxy(n.State.Addr)
+	return n.StateWay.Addr
+}
+
+// Cut cuts a controller from the store and from the other controllers, or ends that.
+func (b *Bench) Cut(n *Node, mode string) {
+	b.Logf("%s cut from the store and the other controllers: %q", n.Name, mode)
+	n.StateWay.Set(mode)
+	for _, other := range b.Nodes {
+		if other != n {
+			b.Peers[n.Name+" "+other.Name].Set(mode)
+			b.Peers[other.Name+" "+n.Name].Set(mode)
+		}
+	}
+}
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -26,7 +26,6 @@
 	state   *fake.KeyValueStore
 	changed chan struct{} // closed at each change
 	access  map[string]*Access
-	server  []*http.Server
 }
 
 // Access is how the store treats one controller.
@@ -272,24 +271,6 @@
 	return events, s.changed, true
 }
 
-// Keys lists the keys with a prefix, for the record.
-func (s *Store) Keys(prefix string) (keys []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, it := range s.state.List(prefix) {
-		keys = append(keys, it.Key)
-	}
-	return keys
-}
-
-// Read decodes the value of a key, for the stand-ins' own use; false if it does not exist.
-func (s *Store) Read(key string, into any) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	it, ok := s.state.Get(key)
-	return ok && protocol.Decode(it.Value, into) == nil
-}
-
 func decode(r *http.Request, into any) bool {
 	b, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
 	return err == nil && protocol.Decode(b, into) == nil
