--- a/review/_standin/bench.go
+++ b/review/_standin/bench.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -46,6 +47,7 @@
 	zones      map[protocol.MachineID]protocol.Zone
 	Peers      map[string]*Proxy // by the names of both ends; used if ProxyPeers is set
 	ProxyPeers bool
+	quickBoot  bool  // rented machines are up within two seconds
 	accepts    []Run // start commands that workers have accepted
 	closing    bool
 }
@@ -413,6 +415,9 @@
 	}
 	b.Logf("rented %s %s in %s", id, info.Name, req.Zone)
 	boot := config.Seconds(info.BootS)
+	if b.quickBoot {
+		boot = time.Duration(1000+rand.IntN(1000)) * time.Millisecond
+	}
 	time.AfterFunc(boot, start)
 }
 
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -8,8 +8,9 @@
 
 func main() {
 	cases := map[string]func(*Bench){
-		"stale-watch": staleWatch,
-		"cut-off":     cutOff,
+		"stale-records": staleRecords,
+		"stale-watch":   staleWatch,
+		"cut-off":       cutOff,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
--- a/review/_standin/stalewatch.go
+++ b/review/_standin/stalewatch.go
@@ -51,29 +51,64 @@
 	b.Finish(ranCancelled(b, told))
 }
 
-// refuseOnce plays one spell, with jobs numbered from number, and adds to told when the users were
-// told of the cancellations.
-func refuseOnce(b *Bench, number int, told map[protocol.JobID]time.Duration) {
-	victim, others := b.Nodes[0], b.Nodes[1:]
-	over := make(chan struct{}) // closed when the spell is over
-	var mu sync.Mutex
-	ending, ended := false, false
-	victim.State.OnRequest(func(kind string) time.Duration {
-		mu.Lock()
-		defer mu.Unlock()
-		if !ending || ended || kind != "watch" {
-			return 0
-		}
-		ended = true
-		victim.State.Refuse(false)
-		b.Logf("the store serves %s, and answers its watch after %v", victim.Name, slowAnswer)
-		close(over)
-		return slowAnswer
-	})
+// refusal is one spell in which the store refuses a controller alone.
+type refusal struct {
+	b        *Bench
+	victim   *Node
+	over     chan struct{} // closed when the controller is served again
+	mu       sync.Mutex
+	ending   bool
+	ended    bool
+	extended time.Time // when the controller last asked to extend its lease
+}
+
+// refuse begins a spell. With TROUBLE=0 the controller is served all the time.
+func (b *Bench) refuse(victim *Node) *refusal {
+	r := &refusal{b: b, victim: victim, over: make(chan struct{}), extended: time.Now()}
+	victim.State.OnRequest(r.onRequest)
 	if b.Trouble {
 		b.Logf("the store refuses %s", victim.Name)
 		victim.State.Refuse(true)
 	}
+	return r
+}
+
+// onRequest ends the spell, once it is to end, with a watch that is asked for at least 100 ms after
+// the last extension, so that the next extension doesn't come before it. That watch is answered
+// after slowAnswer.
+func (r *refusal) onRequest(kind string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if kind == "extend" {
+		r.extended = time.Now()
+	}
+	if !r.ending || r.ended || kind != "watch" || time.Since(r.extended) < 100*time.Millisecond {
+		return 0
+	}
+	r.ended = true
+	r.victim.State.Refuse(false)
+	r.b.Logf("the store serves %s, and answers its watch after %v", r.victim.Name, slowAnswer)
+	close(r.over)
+	return slowAnswer
+}
+
+// end ends the spell, and returns when the controller is served again.
+func (r *refusal) end() {
+	r.mu.Lock()
+	r.ending = true
+	r.mu.Unlock()
+	select {
+	case <-r.over:
+	case <-time.After(10 * time.Second): // no watch is asked for: nothing to see
+		r.victim.State.Refuse(false)
+	}
+}
+
+// refuseOnce plays one spell, with jobs numbered from number, and adds to told when the users were
+// told of the cancellations.
+func refuseOnce(b *Bench, number int, told map[protocol.JobID]time.Duration) {
+	victim, others := b.Nodes[0], b.Nodes[1:]
+	spell := b.refuse(victim)
 	began := time.Now()
 	teams := []string{"hochschule", "geraete", "firmware", "hochschule", "kunden", "labor", "hochschule", "hochschule"}
 	var jobs []protocol.JobID
@@ -84,14 +119,9 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 	time.Sleep(time.Until(began.Add(refusedFor)))
-	mu.Lock()
-	ending = true
-	mu.Unlock()
-	select {
-	case <-over:
-	case <-time.After(10 * time.Second): // no watch is asked for: nothing to see
-	}
+	spell.end()
 	time.Sleep(50 * time.Millisecond)
+	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for i, id := range jobs {
 		wg.Add(1)
