--- a/review/_standin/stalerecords.go
+++ b/review/_standin/stalerecords.go
@@ -15,8 +15,8 @@
 	b.Start(siteMachines, 60)
 	b.WaitUp(20*time.Second, b.Nodes...)
 	time.Sleep(3 * time.Second)
-	for spell := 0; spell < spells && b.Now() < 72*time.Second; spell++ {
-		refuseWhileGrowing(b, 400+100*spell, uint32(20+25*spell))
+	for spell := 0; spell < 2 && b.Now() < 70*time.Second; spell++ {
+		refuseWhileGrowing(b, 400+100*spell, 20)
 		if broken := ranTwice(b); len(broken) > 0 {
 			b.Finish(broken)
 		}
@@ -35,21 +35,21 @@
 		count++
 		b.Submit(j, others...)
 	}
-	for b.rentedUp() == up && count < 7 { // until the first rented machine is up
+	for b.rentedUp() == up && count < 20 { // until the first rented machine is up
 		submit()
 		time.Sleep(time.Second)
 	}
 	spell := b.refuse(victim)
 	began := time.Now()
-	for range 8 {
+	for range 5 {
 		submit()
 		submit()
-		time.Sleep(1200 * time.Millisecond)
+		time.Sleep(2 * time.Second)
 	}
 	time.Sleep(time.Until(began.Add(refusedFor)))
 	spell.end()
 	b.WaitUp(20*time.Second, b.Nodes...)
-	for range 15 {
+	for range 20 {
 		if time.Sleep(time.Second); len(ranTwice(b)) > 0 {
 			return
 		}
