--- a/review/_standin/bench.go
+++ b/review/_standin/bench.go
@@ -106,14 +106,14 @@
 }
 
 // NewBench prepares a deployment like brandli-prueflabor, the smaller site of the pages. The
-// record is written to record.txt in the case's folder.
-func NewBench(folder string) *Bench {
+// record, record.txt in the case's folder, is appended to.
+func NewBench(record string) *Bench {
 	b := &Bench{
 		Trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), jobs: map[protocol.JobID]protocol.Job{},
 		terminated: map[protocol.MachineID]bool{}, running: map[runKey]int{}, zones: map[protocol.MachineID]protocol.Zone{},
 	}
 	var err error
-	b.record, err = os.Create(filepath.Join(folder, "record.txt"))
+	b.record, err = os.OpenFile(record, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 	check(err)
 	b.dir, err = os.MkdirTemp("", "review-")
 	check(err)
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -13,7 +13,7 @@
 		"cut-off":       cutOff,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
 	}
 	cases[os.Args[1]](NewBench(os.Args[2]))
