Sessions: drop what an ended session's watch and requests deliver late

No message said which session it belonged to. The core took the late changes for new ones: a job that was over became live for good, an older block of machine records took machines away and put them back without the attempts on them, and the deletion of a controller's earlier registration was taken for that of its present one.

Change: what is valid in one session only is a message.SessionMessage and reaches the core in an InSession, which names the session; the core drops it in any other. That holds for changes, extensions, the session's end, and the results of transactions, bitmap reads, direct commands and cloud requests. The type of the wrapper keeps a new one from being sent bare. Client.Do ends with its context, and a session does not end before its watch has.

--- a/internal/controller/actions.go
+++ b/internal/controller/actions.go
@@ -22,8 +22,10 @@
 
 // executeActions executes the actions of a step, except the replies, which the envelope's reply
 // function sends. It never blocks: an action that takes time runs in a goroutine, which posts
-// its result to the core and ends with its call or with the context.
+// its result to the core and ends with its call or with the context. The results belong to the
+// core's present session, in which the actions were decided.
 func (n *Node) executeActions(ctx context.Context, actions []message.Action) {
+	session := n.core.Session
 	for _, action := range actions {
 		switch a := action.(type) {
 		case message.Send:
@@ -31,17 +33,17 @@
 				outbox.Add(a)
 			}
 		case message.Commit:
-			go n.commit(ctx, a)
+			go n.commit(ctx, session, a)
 		case message.Command:
-			go n.executeCommand(ctx, a)
+			go n.executeCommand(ctx, session, a)
 		case message.LoadBitmap:
-			go n.loadBitmap(ctx, a.Job)
+			go n.loadBitmap(ctx, session, a.Job)
 		case message.Provision:
-			go n.provision(ctx, a.Request)
+			go n.provision(ctx, session, a.Request)
 		case message.Terminate:
-			go n.terminate(ctx, a.Machines)
+			go n.terminate(ctx, session, a.Machines)
 		case message.ListMachines:
-			go n.listMachines(ctx)
+			go n.listMachines(ctx, session)
 		case message.ConfigurationChanged:
 			n.frontend.SetConfiguration(a.Effective)
 		case message.SetRateAllotment:
@@ -64,54 +66,54 @@
 }
 
 // commit executes a transaction on the key-value store and posts its outcome.
-func (n *Node) commit(ctx context.Context, a message.Commit) {
+func (n *Node) commit(ctx context.Context, session protocol.LeaseID, a message.Commit) {
 	revision, err := n.store.CompareAndSwap(ctx, a.Transaction, transactionPriority(a.Tag))
 	if err != nil && !errors.Is(err, serviceclient.ErrConflict) {
 		n.log.Debug("transaction failed", "tag", a.Tag, "err", err)
 	}
-	n.post(message.CommitDone{Tag: a.Tag, Outcome: outcome.Of(err), Revision: revision})
+	n.postInSession(session, message.CommitDone{Tag: a.Tag, Outcome: outcome.Of(err), Revision: revision})
 }
 
 // provision requests machines from the cloud and posts the machines and the outcome.
-func (n *Node) provision(ctx context.Context, request protocol.ProvisionRequest) {
+func (n *Node) provision(ctx context.Context, session protocol.LeaseID, request protocol.ProvisionRequest) {
 	machines, err := n.cloud.Provision(ctx, request)
-	n.post(message.ProvisionDone{Request: request, Machines: machines, Outcome: outcome.Of(err)})
+	n.postInSession(session, message.ProvisionDone{Request: request, Machines: machines, Outcome: outcome.Of(err)})
 }
 
 // terminate requests that the cloud terminates machines, and posts whether it confirmed that.
-func (n *Node) terminate(ctx context.Context, machines []protocol.MachineID) {
+func (n *Node) terminate(ctx context.Context, session protocol.LeaseID, machines []protocol.MachineID) {
 	err := n.cloud.Terminate(ctx, machines)
 	if err != nil {
 		n.log.Info("failed to terminate machines", "machines", machines, "err", err)
 	}
-	n.post(message.TerminateDone{Machines: machines, OK: err == nil})
+	n.postInSession(session, message.TerminateDone{Machines: machines, OK: err == nil})
 }
 
 // listMachines reads the list of machines from the cloud and posts it, or that this failed.
-func (n *Node) listMachines(ctx context.Context) {
+func (n *Node) listMachines(ctx context.Context, session protocol.LeaseID) {
 	machines, err := n.cloud.ListMachines(ctx)
 	if err != nil {
 		n.log.Info("failed to list the machines", "err", err)
 	}
-	n.post(message.MachinesListed{Machines: machines, OK: err == nil})
+	n.postInSession(session, message.MachinesListed{Machines: machines, OK: err == nil})
 }
 
 // loadBitmap reads the chunks of a job's bitmap of finished tasks from the key-value store, and
 // posts them, or that this failed.
-func (n *Node) loadBitmap(ctx context.Context, id protocol.JobID) {
+func (n *Node) loadBitmap(ctx context.Context, session protocol.LeaseID, id protocol.JobID) {
 	ctx, cancel := context.WithTimeout(ctx, bitmapTimeout)
 	defer cancel()
 	items, _, err := n.store.List(ctx, record.BitmapPrefix(id))
 	if err != nil {
 		n.log.Debug("failed to read a job's bitmap", "job", id, "err", err)
 	}
-	n.post(message.BitmapLoaded{Job: id, Chunks: items, OK: err == nil})
+	n.postInSession(session, message.BitmapLoaded{Job: id, Chunks: items, OK: err == nil})
 }
 
 // executeCommand sends direct commands to a worker as soon as one of the command slots, which
 // limit the direct commands in progress, is free. It posts the result: whether the worker has
 // answered, and whether it has executed them. If the context ends first, nothing is sent.
-func (n *Node) executeCommand(ctx context.Context, a message.Command) {
+func (n *Node) executeCommand(ctx context.Context, session protocol.LeaseID, a message.Command) {
 	done := message.CommandDone{Machine: a.Machine, Term: a.Commands.Term, AgentEpoch: a.Commands.AgentEpoch, Orders: a.Commands.Orders}
 	select {
 	case n.commandSlots <- struct{}{}:
@@ -119,7 +121,7 @@
 		<-n.commandSlots
 	case <-ctx.Done():
 	}
-	n.post(done)
+	n.postInSession(session, done)
 }
 
 // sendCommands sends direct commands to a worker and stores its answer, a heartbeat, in done. An
--- a/internal/controller/busyfleet_test.go
+++ b/internal/controller/busyfleet_test.go
@@ -76,7 +76,7 @@
 
 // stepAndExecute has the core handle a message, and the workers execute the resulting orders.
 func (fleet *busyFleet) stepAndExecute(msg any) []message.Action {
-	actions := fleet.core.Step(fleet.now, msg)
+	actions := fleet.core.Step(fleet.now, inCurrentSession(fleet.core, msg))
 	fleet.executeOrders(msg, actions)
 	return actions
 }
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -110,16 +111,12 @@
 }
 
 // handleMessage passes a message to the module that it concerns.
-func (c *Core) handleMessage(msg any) { //nolint:gocyclo // a plain dispatching switch
+func (c *Core) handleMessage(msg any) {
 	switch m := msg.(type) {
 	case message.Snapshot:
 		c.beginSession(m)
-	case message.RecordChanged:
-		c.handleRecordEvent(m.Event)
-	case message.LeaseExtended:
-		c.LeaseDeadline = m.Until
-	case message.SessionEnded:
-		c.reset()
+	case message.InSession:
+		c.handleInSession(m)
 	case message.CatalogueRead:
 		c.handleCatalogue(m.Types)
 	case message.HeartbeatReceived:
@@ -134,14 +131,37 @@
 		c.handleTick(m)
 	case message.StoreRateUsed:
 		c.rates.NoteUse(m.Amount)
+	case message.PeerLeads:
+		c.members.NoteHoldsLease(m.Peer)
+	}
+}
+
+// handleInSession handles a message of the current session. It drops one of a session that has
+// ended: a change that a late watch of that session delivers is older than the snapshot of the
+// current one, and would bring back what was deleted in between.
+func (c *Core) handleInSession(m message.InSession) {
+	if m.Session != c.Session || m.Session == 0 {
+		c.Log.Debug("dropped a message of an ended session", "session", m.Session, "current", c.Session, "type", fmt.Sprintf("%T", m.Message))
+		return
+	}
+	c.handleSessionMessage(m.Message)
+}
+
+// handleSessionMessage passes a message of the current session to the module that it concerns.
+func (c *Core) handleSessionMessage(msg message.SessionMessage) {
+	switch m := msg.(type) {
+	case message.RecordChanged:
+		c.handleRecordEvent(m.Event)
+	case message.LeaseExtended:
+		c.LeaseDeadline = m.Until
+	case message.SessionEnded:
+		c.reset()
 	case message.CommitDone:
 		c.handleCommitDone(m)
 	case message.BitmapLoaded:
 		c.jobs.HandleBitmapLoaded(m)
 	case message.CommandDone:
 		c.dispatcher.HandleCommandDone(m)
-	case message.PeerLeads:
-		c.members.NoteHoldsLease(m.Peer)
 	case message.ProvisionDone:
 		c.autoscaler.HandleProvisionDone(m)
 	case message.TerminateDone:
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -40,10 +40,19 @@
 }
 
 // step advances the time by the interval between placements and has the core handle a
-// message.
+// message. A message that belongs to a session belongs to the current one.
 func (h *harness) step(msg any) []message.Action {
 	h.now += Time(placement.Interval)
-	return h.core.Step(h.now, msg)
+	return h.core.Step(h.now, inCurrentSession(h.core, msg))
+}
+
+// inCurrentSession returns a message as one of the core's current session if it is valid in one
+// session only, and otherwise as it is.
+func inCurrentSession(core *Core, msg any) any {
+	if m, ok := msg.(message.SessionMessage); ok {
+		return message.InSession{Session: core.Session, Message: m}
+	}
+	return msg
 }
 
 // putRecord has the core receive a new version of a record.
--- a/internal/controller/mailbox.go
+++ b/internal/controller/mailbox.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"damsonkeel/internal/controller/message"
+	"damsonkeel/internal/protocol"
 )
 
 // mailboxSize is the capacity of the core's mailbox, in messages.
@@ -22,6 +23,12 @@
 // post sends a message to the core. It blocks while the mailbox is full.
 func (n *Node) post(msg any) { n.deliver(envelope{msg: msg}) }
 
+// postInSession sends a message that belongs to a session to the core, which drops it if the
+// session has ended by then. It blocks while the mailbox is full.
+func (n *Node) postInSession(session protocol.LeaseID, msg message.SessionMessage) {
+	n.post(message.InSession{Session: session, Message: msg})
+}
+
 // deliver puts an envelope into the core's mailbox. It blocks while the mailbox is full, and
 // returns false if the core actor has ended.
 func (n *Node) deliver(e envelope) bool {
--- a/internal/controller/message/step.go
+++ b/internal/controller/message/step.go
@@ -14,14 +14,13 @@
 		Items   []protocol.Item // the watched records
 		WallMS  int64           // the time of day, in milliseconds of the Unix epoch
 	}
-	// RecordChanged is one change of a watched record of the key-value store.
-	RecordChanged struct{ Event protocol.Event }
-	// LeaseExtended reports until when this controller's lease of the key-value store
-	// lasts, by its own clock.
-	LeaseExtended struct{ Until clock.Time }
-	// SessionEnded reports that this controller's session with the key-value store has
-	// ended.
-	SessionEnded struct{}
+	// InSession carries a message that belongs to a session of this controller. It has no
+	// effect once that session has ended: the message may describe records as they were
+	// before the snapshot of a later session, or complete a request whose state was dropped.
+	InSession struct {
+		Session protocol.LeaseID
+		Message SessionMessage
+	}
 	// CatalogueRead carries the machine types of the catalogue.
 	CatalogueRead struct{ Types []protocol.TypeInfo }
 	// HeartbeatReceived is a worker's heartbeat; ReplyHeartbeat answers it.
@@ -41,6 +40,24 @@
 	// were attempted in the last second, including those beyond this controller's
 	// allotment.
 	StoreRateUsed struct{ Amount ratelimit.Amount }
+	// PeerLeads reports that a peer holds its lease in a view without this controller.
+	PeerLeads struct{ Peer protocol.NodeName }
+)
+
+// SessionMessage is a message that is valid in one session only. It reaches the core in an
+// InSession.
+type SessionMessage interface{ belongsToSession() }
+
+// The messages that are valid in one session.
+type (
+	// RecordChanged is one change of a watched record of the key-value store.
+	RecordChanged struct{ Event protocol.Event }
+	// LeaseExtended reports until when this controller's lease of the key-value store
+	// lasts, by its own clock.
+	LeaseExtended struct{ Until clock.Time }
+	// SessionEnded reports that this controller's session with the key-value store has
+	// ended.
+	SessionEnded struct{}
 	// CommitDone answers a Commit.
 	CommitDone struct {
 		Tag     any // of the Commit
@@ -65,8 +82,6 @@
 		Executed   bool               // the worker accepted the orders; if false in an answer, it refused them
 		Heartbeat  protocol.Heartbeat // if answered
 	}
-	// PeerLeads reports that a peer holds its lease in a view without this controller.
-	PeerLeads struct{ Peer protocol.NodeName }
 	// ProvisionDone answers a Provision.
 	ProvisionDone struct {
 		Request  protocol.ProvisionRequest
@@ -85,6 +100,16 @@
 	}
 )
 
+func (RecordChanged) belongsToSession()  {}
+func (LeaseExtended) belongsToSession()  {}
+func (SessionEnded) belongsToSession()   {}
+func (CommitDone) belongsToSession()     {}
+func (BitmapLoaded) belongsToSession()   {}
+func (CommandDone) belongsToSession()    {}
+func (ProvisionDone) belongsToSession()  {}
+func (TerminateDone) belongsToSession()  {}
+func (MachinesListed) belongsToSession() {}
+
 // Outcome is the outcome of a request to the key-value store or the cloud, as far as it is
 // known.
 type Outcome uint8
--- a/internal/controller/scale_test.go
+++ b/internal/controller/scale_test.go
@@ -64,7 +64,7 @@
 			longestAdoption, longestTick := time.Duration(0), time.Duration(0)
 			measureStep := func(longest *time.Duration, msg any) {
 				startedAt := time.Now()
-				actions := fleet.core.Step(fleet.now, msg)
+				actions := fleet.core.Step(fleet.now, inCurrentSession(fleet.core, msg))
 				*longest = max(*longest, time.Since(startedAt))
 				fleet.executeOrders(nil, actions)
 			}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,14 +48,14 @@
 		if err := n.runSession(ctx); err != nil && ctx.Err() == nil {
 			n.log.Info("session ended", "err", err)
 		}
-		n.post(message.SessionEnded{})
 		sleep(ctx, sessionRetryDelay)
 	}
 }
 
 // runSession reads the records, writes this controller's own node record under a new lease,
 // and follows the records while it keeps the lease alive. It returns why the session ended or
-// could not begin.
+// could not begin. When it returns, the watch of the session has ended too, and the core has
+// received all messages of the session.
 func (n *Node) runSession(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -75,10 +76,15 @@
 	leaseTimes := &leaseClock{ttl: n.operator.NodeLease}
 	leaseTimes.extensionSentAt.Store(int64(grantSentAt))
 	leaseTimes.watchOpenedAt.Store(int64(readStartedAt))
-	n.post(message.LeaseExtended{Until: leaseTimes.deadline()})
+	n.postInSession(lease, message.LeaseExtended{Until: leaseTimes.deadline()})
 	watchEnded := make(chan error, 1)
-	go func() { watchEnded <- n.watchRecords(ctx, revision, leaseTimes) }()
-	return n.keepLeaseAlive(ctx, lease, leaseTimes, watchEnded)
+	var watch sync.WaitGroup
+	watch.Go(func() { watchEnded <- n.watchRecords(ctx, lease, revision, leaseTimes) })
+	err = n.keepLeaseAlive(ctx, lease, leaseTimes, watchEnded)
+	cancel()
+	watch.Wait()
+	n.postInSession(lease, message.SessionEnded{})
+	return err
 }
 
 // readRecords reads all followed records, and returns the revision from which a watch misses no
@@ -181,7 +187,7 @@
 			}
 			failing, delay = false, leaseTimes.ttl/keepAlivesPerLease
 			leaseTimes.extensionSentAt.Store(int64(sentAt))
-			n.post(message.LeaseExtended{Until: leaseTimes.deadline()})
+			n.postInSession(lease, message.LeaseExtended{Until: leaseTimes.deadline()})
 		case errors.Is(err, serviceclient.ErrNotFound):
 			return fmt.Errorf("session %d: %w", lease, errLeaseLost)
 		default:
@@ -193,10 +199,10 @@
 	}
 }
 
-// watchRecords passes the changes of followed records after a revision to the core, in order. It
-// returns when the store has dropped the changes since that revision, or the context ends. Other
-// failures are retried.
-func (n *Node) watchRecords(ctx context.Context, fromRevision protocol.Revision, leaseTimes *leaseClock) error {
+// watchRecords passes the changes of followed records after a revision to the core, in order, as
+// messages of a session. It returns when the store has dropped the changes since that revision,
+// or the context ends. Other failures are retried.
+func (n *Node) watchRecords(ctx context.Context, session protocol.LeaseID, fromRevision protocol.Revision, leaseTimes *leaseClock) error {
 	// A short lease requires more frequent proof from the watch.
 	timeout := min(watchTimeout, leaseTimes.ttl)
 	for ctx.Err() == nil {
@@ -211,9 +217,11 @@
 			}
 			sleep(ctx, watchRetryDelay)
 			continue
+		case ctx.Err() != nil:
+			continue // the session has ended: the answer is too late
 		}
 		for _, event := range events.Events {
-			n.post(message.RecordChanged{Event: event})
+			n.postInSession(session, message.RecordChanged{Event: event})
 		}
 		fromRevision = max(fromRevision, events.Revision)
 		leaseTimes.watchOpenedAt.Store(int64(openedAt))
--- a/internal/controller/sessions_test.go
+++ b/internal/controller/sessions_test.go
@@ -46,7 +46,7 @@
 	leaseTimes := &leaseClock{ttl: 8 * time.Second}
 	leaseTimes.extensionSentAt.Store(int64(time.Hour))
 	openedAt := node.now()
-	if err := node.watchRecords(ctx, 4, leaseTimes); err == nil || !strings.Contains(err.Error(), "deadline") {
+	if err := node.watchRecords(ctx, 1, 4, leaseTimes); err == nil || !strings.Contains(err.Error(), "deadline") {
 		t.Fatalf("the watch ended with %v", err)
 	}
 	if requests.Load() < 2 {
--- a/internal/simulator/actions.go
+++ b/internal/simulator/actions.go
@@ -121,7 +121,8 @@
 // times out.
 type commandExchange struct {
 	node        *node
-	incarnation int // incarnation of the node that sent the command
+	incarnation int              // incarnation of the node that sent the command
+	session     protocol.LeaseID // session in which it was sent
 	worker      *worker
 	commands    protocol.Commands
 	done        message.CommandDone
@@ -133,7 +134,7 @@
 func (n *node) sendCommands(a message.Command) {
 	w := n.world
 	x := &commandExchange{
-		node: n, incarnation: n.incarnation, worker: w.workers[a.Machine], commands: a.Commands,
+		node: n, incarnation: n.incarnation, session: n.core.Session, worker: w.workers[a.Machine], commands: a.Commands,
 		done: message.CommandDone{Machine: a.Machine, Term: a.Commands.Term, AgentEpoch: a.Commands.AgentEpoch, Orders: a.Commands.Orders},
 	}
 	if x.worker == nil {
@@ -175,6 +176,6 @@
 func (x *commandExchange) finish() {
 	if !x.finished && x.node.incarnation == x.incarnation {
 		x.finished = true
-		x.node.step(x.done)
+		x.node.stepInSession(x.session, x.done)
 	}
 }
--- a/internal/simulator/node.go
+++ b/internal/simulator/node.go
@@ -40,9 +40,11 @@
 	outboxes       map[protocol.NodeName]*outbox
 	session        protocol.LeaseID // session of the key-value store; 0 if there is none
 	renewAt        time.Duration    // when the session's lease is next renewed
-	watchedChanges int              // number of changes of the key-value store delivered so far
-	layout         record.Layout
-	pausedUntil    time.Duration // the process is paused until then, while its clocks run on
+	watchedChanges int              // number of changes that the session's watches have returned so far
+	// slowWatch is the session's watch whose answer is on its way; nil if there is none.
+	slowWatch   *slowWatch
+	layout      record.Layout
+	pausedUntil time.Duration // the process is paused until then, while its clocks run on
 	// slowdown is the factor by which the process ticks less often, until slowdownUntil.
 	slowdown      int
 	slowdownUntil time.Duration
@@ -141,7 +143,7 @@
 		Conditions: []protocol.Condition{{Key: key, Version: it.Version}},
 		Changes:    []protocol.Change{{Put: key, Value: record.Node{Session: lease, Layout: n.layout}, Lease: &lease}},
 	})
-	n.session, n.watchedChanges, n.renewAt = lease, at, w.now
+	n.session, n.watchedChanges, n.renewAt, n.slowWatch = lease, at, w.now, nil
 	n.step(message.Snapshot{Session: lease, Items: items, WallMS: w.wallMS()})
 }
 
@@ -181,10 +183,16 @@
 	return actions
 }
 
-// deliver passes a message to the core after a network delay, unless the process has ended
-// by then.
-func (n *node) deliver(msg any) {
-	n.afterIfAlive(n.world.delay(), func() { n.step(msg) })
+// stepInSession passes a message that belongs to a session to the core.
+func (n *node) stepInSession(session protocol.LeaseID, msg message.SessionMessage) {
+	n.step(message.InSession{Session: session, Message: msg})
+}
+
+// deliver passes the result of a request of the core's current session to the core after a
+// network delay, unless the process has ended by then.
+func (n *node) deliver(msg message.SessionMessage) {
+	session := n.core.Session
+	n.afterIfAlive(n.world.delay(), func() { n.stepInSession(session, msg) })
 }
 
 // tick advances the node by one step: it delivers watched changes and renews the session if it
@@ -217,11 +225,11 @@
 	w := n.world
 	n.renewAt = w.now + renewInterval
 	if w.state.ExtendLease(w.now, n.session) {
-		n.step(message.LeaseExtended{Until: controller.LeaseDeadline(w.nodeLease, n.clock(), n.clock()-controller.Time(w.stateLatency+w.watchLag))})
+		n.stepInSession(n.session, message.LeaseExtended{Until: controller.LeaseDeadline(w.nodeLease, n.clock(), n.watchOpenedAt())})
 		return true
 	}
+	n.stepInSession(n.session, message.SessionEnded{})
 	n.session = 0
-	n.step(message.SessionEnded{})
 	for _, o := range n.outboxes {
 		o.busyUntil = 0
 	}
@@ -240,19 +248,6 @@
 	return w.wallMS()
 }
 
-// deliverWatchedChanges passes changes of the key-value store to the core once they are older
-// than the latency of the key-value store and the lag of the watch.
-func (n *node) deliverWatchedChanges() {
-	w := n.world
-	for n.watchedChanges < w.state.Changes() && w.changeAge(n.watchedChanges) >= w.stateLatency+w.watchLag {
-		ev := w.state.Change(n.watchedChanges)
-		n.watchedChanges++
-		if isWatched(ev) {
-			n.step(message.RecordChanged{Event: ev})
-		}
-	}
-}
-
 // scheduleWatch makes all nodes deliver the latest changes after a network delay, in an
 // event-driven world.
 func (w *world) scheduleWatch() {
--- a/internal/simulator/stateservice.go
+++ b/internal/simulator/stateservice.go
@@ -33,7 +33,10 @@
 	// lostAnswerFraction is the fraction of the transactions that are applied but whose reply
 	// is lost, in addition to the one in twenty whose reply is always lost.
 	lostAnswerFraction float64
-	changeTimes        []time.Duration // times of the changes, from index state.CompactedChanges on
+	// slowWatchFraction is the fraction of the watches whose answers take minSlowWatch to
+	// maxSlowWatch, and so may arrive after the session that opened the watch has ended.
+	slowWatchFraction float64
+	changeTimes       []time.Duration // times of the changes, from index state.CompactedChanges on
 }
 
 // isUnavailable reports whether the key-value store has an outage.
@@ -82,8 +85,9 @@
 // the outcome to the core.
 func (n *node) commit(a message.Commit) {
 	n.world.checkTransactionSize(a)
+	session := n.core.Session
 	n.transact(a.Transaction, func(out message.Outcome, at protocol.Revision) {
-		n.step(message.CommitDone{Tag: a.Tag, Outcome: out, Revision: at})
+		n.stepInSession(session, message.CommitDone{Tag: a.Tag, Outcome: out, Revision: at})
 	})
 }
 
--- a/internal/simulator/useroverlaps_test.go
+++ b/internal/simulator/useroverlaps_test.go
@@ -123,6 +123,22 @@
 				}
 			}
 		}),
+		"refused by the state service for longer than a lease, with slow watch answers": with(func(d *userScenario) {
+			// The answer of a watch that was asked for before the lease was lost arrives after
+			// the next session has read its snapshot: docs/incidents/2026-12-04-late-watch-of-an-ended-session.md.
+			d.duration = 150 * second
+			d.prepare = func(u *users) {
+				useSpreadRunTimes(u)
+				u.slowWatchFraction = 0.5
+			}
+			d.fault = func(u *users) {
+				if u.rng.IntN(3) == 0 {
+					refused := time.Duration(8000+u.rng.IntN(6000)) * time.Millisecond
+					u.partition(string(u.nodes[u.rng.IntN(3)].name), "state", refused, false)
+					u.after(refused, func() { u.cancelRunningJobs(6, 0) })
+				}
+			}
+		}),
 		"only the replies of transactions are lost": with(func(d *userScenario) {
 			d.prepare = requestOften
 			d.fault = func(u *users) {
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -41,23 +41,32 @@
 // any more.
 func (cc *clientConn) close() { _ = cc.conn.Close() }
 
+// interrupt makes the reads and writes of a request in progress fail at once. The connection
+// can't be reused. An error means that the connection is closed, which has the same effect.
+func (cc *clientConn) interrupt() { _ = cc.conn.SetDeadline(time.Unix(1, 0)) }
+
 // NewClient returns a client that sends its requests to addr.
 func NewClient(addr string) *Client { return &Client{addr: addr} }
 
-// Do sends a request and waits for its response until the deadline of ctx. The target is the
-// path with the query. A response with any status is no error. After an error the outcome is
-// unknown: the server may have executed the request, or may still execute it.
+// Do sends a request and waits for its response until ctx ends. The target is the path with the
+// query. A response with any status is no error. After an error the outcome is unknown: the
+// server may have executed the request, or may still execute it.
 func (c *Client) Do(ctx context.Context, method, target string, body []byte) (*Message, error) {
 	cc, err := c.connection(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("%s %s%s: %w", method, c.addr, target, err)
 	}
+	stopInterrupt := context.AfterFunc(ctx, cc.interrupt)
 	m, err := cc.roundTrip(ctx, AppendRequest(nil, method, c.addr, target, body))
+	interrupted := !stopInterrupt()
 	if err != nil {
 		cc.close()
+		if ended := ctx.Err(); ended != nil {
+			err = ended // the cause of the failed read or write
+		}
 		return nil, fmt.Errorf("%s %s%s: %w", method, c.addr, target, err)
 	}
-	if m.Close {
+	if m.Close || interrupted {
 		cc.close()
 	} else {
 		c.release(cc)
