Jobs: ignore a bitmap that was requested before a takeover

Cause: found by looking for work that outlives what began it. BitmapLoaded named the job only. A controller that owned a job, lost it by a view and got it back by a later one, within the 10 s that a read may take, took the first answer for the present one: it counted as read without the tasks that the owner in between had finished and written, and these ran again. Change: LoadBitmap and BitmapLoaded name the term; an answer to a request from before the job was last taken over is ignored. Not seen on a machine; no rule is broken by it, since a task that has completed exits at once when it is started again.

--- a/internal/controller/actions.go
+++ b/internal/controller/actions.go
@@ -37,7 +37,7 @@
 		case message.Command:
 			go n.executeCommand(ctx, session, a)
 		case message.LoadBitmap:
-			go n.loadBitmap(ctx, session, a.Job)
+			go n.loadBitmap(ctx, session, a)
 		case message.Provision:
 			go n.provision(ctx, session, a.Request)
 		case message.Terminate:
@@ -100,14 +100,14 @@
 
 // loadBitmap reads the chunks of a job's bitmap of finished tasks from the key-value store, and
 // posts them, or that this failed.
-func (n *Node) loadBitmap(ctx context.Context, session protocol.LeaseID, id protocol.JobID) {
+func (n *Node) loadBitmap(ctx context.Context, session protocol.LeaseID, a message.LoadBitmap) {
 	ctx, cancel := context.WithTimeout(ctx, bitmapTimeout)
 	defer cancel()
-	items, _, err := n.store.List(ctx, record.BitmapPrefix(id))
+	items, _, err := n.store.List(ctx, record.BitmapPrefix(a.Job))
 	if err != nil {
-		n.log.Debug("failed to read a job's bitmap", "job", id, "err", err)
+		n.log.Debug("failed to read a job's bitmap", "job", a.Job, "err", err)
 	}
-	n.postInSession(session, message.BitmapLoaded{Job: id, Chunks: items, OK: err == nil})
+	n.postInSession(session, message.BitmapLoaded{Job: a.Job, Term: a.Term, Chunks: items, OK: err == nil})
 }
 
 // executeCommand sends direct commands to a worker as soon as one of the command slots, which
--- a/internal/controller/jobs/bitmap.go
+++ b/internal/controller/jobs/bitmap.go
@@ -80,15 +80,16 @@
 // requestBitmap requests a read of a job's bitmap.
 func (o *Owned) requestBitmap(job *Job) {
 	job.bitmap.loading = true
-	o.Emit(message.LoadBitmap{Job: job.ID})
+	o.Emit(message.LoadBitmap{Job: job.ID, Term: o.View.Term})
 }
 
 // HandleBitmapLoaded merges the stored bitmap of a job, as read from the records, into its
 // state, and kills the attempts of tasks that the bitmap says are done. If the read failed,
-// Retry repeats it.
+// Retry repeats it. A read that was requested before the job was last taken over is ignored:
+// an owner in between may have written finished tasks that it does not contain.
 func (o *Owned) HandleBitmapLoaded(loaded message.BitmapLoaded) {
 	job := o.ByID[loaded.Job]
-	if job == nil || job.Loaded && !job.bitmap.rereadNeeded {
+	if job == nil || loaded.Term < job.adoptedTerm || job.Loaded && !job.bitmap.rereadNeeded {
 		return
 	}
 	job.bitmap.loading = false
--- a/internal/controller/jobs/job.go
+++ b/internal/controller/jobs/job.go
@@ -17,6 +17,8 @@
 type Job struct {
 	*clusterstate.LiveJob
 
+	// adoptedTerm is the term in which this controller became the owner of the job.
+	adoptedTerm protocol.Term
 	// Loaded is set once the bitmap of finished tasks has been read.
 	Loaded bool
 	// Unverified is set after a takeover until all inventories have been received: until
--- a/internal/controller/jobs/owned.go
+++ b/internal/controller/jobs/owned.go
@@ -115,6 +115,7 @@
 // no task pending.
 func (o *Owned) AdoptJob(live *clusterstate.LiveJob) *Job {
 	job := newJob(live)
+	job.adoptedTerm = o.View.Term
 	o.ByID[live.ID] = job
 	o.changes.Touch(live.ID)
 	o.sorted = nil
--- a/internal/controller/limit_test.go
+++ b/internal/controller/limit_test.go
@@ -18,7 +18,7 @@
 	team := h.useLimitedTeam(6)
 	h.registerMachine(id, 1) // four processors
 	loadBitmap := func(job protocol.JobID) {
-		h.step(message.BitmapLoaded{Job: job, OK: true})
+		h.step(message.BitmapLoaded{Job: job, Term: h.core.View.Term, OK: true})
 		h.step(message.Tick{})
 	}
 	h.acceptJob("job-1", team, 40)
--- a/internal/controller/message/action.go
+++ b/internal/controller/message/action.go
@@ -37,7 +37,10 @@
 	}
 	// LoadBitmap reads the bitmap of a job's finished tasks from the key-value store.
 	// BitmapLoaded answers it.
-	LoadBitmap struct{ Job protocol.JobID }
+	LoadBitmap struct {
+		Job  protocol.JobID
+		Term protocol.Term // in which it is requested
+	}
 	// Command sends commands directly to a worker, without waiting for its next heartbeat.
 	// CommandDone answers it.
 	Command struct {
--- a/internal/controller/message/step.go
+++ b/internal/controller/message/step.go
@@ -71,6 +71,7 @@
 	// BitmapLoaded answers a LoadBitmap.
 	BitmapLoaded struct {
 		Job    protocol.JobID
+		Term   protocol.Term // of the LoadBitmap
 		Chunks []protocol.Item
 		OK     bool // the bitmap was read; otherwise Chunks is not valid
 	}
--- a/internal/controller/runtimes_test.go
+++ b/internal/controller/runtimes_test.go
@@ -16,7 +16,7 @@
 	h.registerMachine("vm-1", 1)
 	h.acceptJob("job-1", "free", 20)
 	h.adoptView(3, "node-0") // the core has missed a view
-	h.step(message.BitmapLoaded{Job: "job-1", OK: true})
+	h.step(message.BitmapLoaded{Job: "job-1", Term: h.core.View.Term, OK: true})
 	var held []message.HeldAttempt
 	for i := range uint32(12) {
 		held = append(held, message.HeldAttempt{Task: protocol.TaskID{Job: "job-1", Index: i}, Attempt: 1, State: protocol.TaskRunning})
--- a/internal/controller/takeover_test.go
+++ b/internal/controller/takeover_test.go
@@ -37,7 +37,7 @@
 	if !job.Unverified || job.Pending.Any() || len(job.Placed) > 0 {
 		t.Fatalf("after a missed view: %+v", job)
 	}
-	h.step(message.BitmapLoaded{Job: "job-1", OK: true})
+	h.step(message.BitmapLoaded{Job: "job-1", Term: h.core.View.Term, OK: true})
 	h.deliverInventory("vm-1", message.HeldAttempt{Task: task, Attempt: 1, State: protocol.TaskEnded, Cause: protocol.EndError})
 	if job.Pending.Any() {
 		t.Fatal("the task is pending while vm-2 may run a later attempt")
@@ -305,7 +305,7 @@
 					return written, reads
 				case message.LoadBitmap:
 					reads = true
-					h.step(message.BitmapLoaded{Job: "job-1", OK: true, Chunks: []protocol.Item{{Key: key, Version: 77, Value: encode(t, record.EncodeChunk(h.core.jobs.ByID["job-1"].Done, 0))}}})
+					h.step(message.BitmapLoaded{Job: "job-1", Term: h.core.View.Term, OK: true, Chunks: []protocol.Item{{Key: key, Version: 77, Value: encode(t, record.EncodeChunk(h.core.jobs.ByID["job-1"].Done, 0))}}})
 				}
 			}
 		}
--- a/internal/simulator/actions.go
+++ b/internal/simulator/actions.go
@@ -39,7 +39,7 @@
 			w.onConfiguration(n, a.Effective)
 		case message.LoadBitmap:
 			ok := n.stateReachable()
-			n.deliver(message.BitmapLoaded{Job: a.Job, Chunks: w.state.List(record.BitmapPrefix(a.Job)), OK: ok})
+			n.deliver(message.BitmapLoaded{Job: a.Job, Term: a.Term, Chunks: w.state.List(record.BitmapPrefix(a.Job)), OK: ok})
 		case message.Command:
 			w.onOrders(n, a.Commands.Orders)
 			n.sendCommands(a)
