Direct commands: check again what waited for a slot, and match results to what was sent

Cause: found by looking for work that outlives what began it. Direct commands wait for a command slot, for seconds where workers hang (each holds its slot for up to 4 s), and were sent then without a further look: after the lease, in a later session, or with starts of a job whose cancellation this controller had acknowledged since. And the result of commands that an earlier queue of a machine had sent, before its shard went and came back, ended the flight of the present queue's.

Change: commands that had to wait are sent only if the core would still send them (Core.MaySend: same session, lease held, no start of a job that may not start); else nothing is sent, the starts are queued again without a later token, since they can't be delivered, and the other orders are built anew. Commands are numbered, and a result is taken for those it names.

Tests, failing before: TestCommandsAreCheckedAfterWait, TestResultOfEarlierQueueIsIgnored; TestWithheldStartIsQueuedAgain, TestMaySend.

Price: none for commands that find a free slot; for others one query of the core.

--- a/internal/controller/actions.go
+++ b/internal/controller/actions.go
@@ -112,18 +112,37 @@
 
 // executeCommand sends direct commands to a worker as soon as one of the command slots, which
 // limit the direct commands in progress, is free. It posts the result: whether the worker has
-// answered, and whether it has executed them. If the context ends first, nothing is sent.
+// answered, and whether it has executed them. Commands that had to wait for a slot are sent only
+// if the core would still send them. If the context ends first, nothing is sent.
 func (n *Node) executeCommand(ctx context.Context, session protocol.LeaseID, a message.Command) {
-	done := message.CommandDone{Machine: a.Machine, Term: a.Commands.Term, AgentEpoch: a.Commands.AgentEpoch, Orders: a.Commands.Orders}
+	done := a.Done()
 	select {
 	case n.commandSlots <- struct{}{}:
 		n.sendCommands(ctx, a, &done)
 		<-n.commandSlots
-	case <-ctx.Done():
+	default:
+		n.executeCommandLater(ctx, session, a, &done)
 	}
 	n.postInSession(session, done)
 }
 
+// executeCommandLater waits for a command slot, and then sends direct commands or marks them as
+// withheld.
+func (n *Node) executeCommandLater(ctx context.Context, session protocol.LeaseID, a message.Command, done *message.CommandDone) {
+	select {
+	case n.commandSlots <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-n.commandSlots }()
+	maySend, ok := queryCore(n, func(c *Core) bool { return c.MaySend(n.now(), session, &a.Commands) })
+	if !ok || !maySend {
+		done.Withheld = true
+		return
+	}
+	n.sendCommands(ctx, a, done)
+}
+
 // sendCommands sends direct commands to a worker and stores its answer, a heartbeat, in done. An
 // answer with the status 409 means that the worker did not execute the commands. Without a
 // valid answer, done stays unchanged.
--- a/internal/controller/busyfleet_test.go
+++ b/internal/controller/busyfleet_test.go
@@ -91,7 +91,7 @@
 		case message.Command:
 			fleet.startTasks(a.Machine, a.Commands.Orders)
 			fleet.stepAndExecute(message.CommandDone{
-				Machine: a.Machine, Term: a.Commands.Term, AgentEpoch: 1, Orders: a.Commands.Orders, Answered: true, Executed: true, Heartbeat: fleet.nextHeartbeat(a.Machine),
+				Number: a.Number, Machine: a.Machine, Term: a.Commands.Term, AgentEpoch: 1, Orders: a.Commands.Orders, Answered: true, Executed: true, Heartbeat: fleet.nextHeartbeat(a.Machine),
 			})
 		}
 	}
--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -42,7 +42,7 @@
 	if termRaised() {
 		t.Error("the term is raised while the answer may still arrive")
 	}
-	h.step(message.CommandDone{Machine: "vm-1", Term: command.Commands.Term, AgentEpoch: 1, Orders: command.Commands.Orders})
+	h.step(command.Done())
 	if termRaised() {
 		t.Error("the term is raised for a silent worker")
 	}
--- a/internal/controller/dispatcher/configuration_test.go
+++ b/internal/controller/dispatcher/configuration_test.go
@@ -46,8 +46,8 @@
 	if e := f.queue().entries[task]; e == nil || !e.sent || e.directFencingToken == 0 {
 		t.Fatalf("start was not sent directly: %+v", e)
 	}
-	f.queue().directInFlight = false // the answer does not arrive
-	f.dispatcher.View.Term = 2       // with a later token the start would be sent again
+	f.queue().commandInFlight = 0 // the answer does not arrive
+	f.dispatcher.View.Term = 2    // with a later token the start would be sent again
 	f.lowerTeamLimit(1, 5)
 	if n := countStarts(f.queue().buildOrders(1, true)); n != 0 {
 		t.Errorf("%d starts were sent again, want 0", n)
--- a/internal/controller/dispatcher/directcommands.go
+++ b/internal/controller/dispatcher/directcommands.go
@@ -15,7 +15,8 @@
 // directSchedule lists the queues to which requestDirect was applied in this step: their
 // commands are sent at its end.
 type directSchedule struct {
-	due []*queue
+	due        []*queue
+	lastNumber uint64 // of the last message of commands that was sent
 }
 
 // takeAll empties the list and returns it.
@@ -44,7 +45,7 @@
 		return
 	}
 	for _, q := range d.direct.takeAll() {
-		if !q.directRequested || q.directInFlight || d.queues.get(q.id) != q || q.handingOver() {
+		if !q.directRequested || q.commandInFlight != 0 || d.queues.get(q.id) != q || q.handingOver() {
 			continue // the answer to the commands in flight reschedules the queue
 		}
 		q.directRequested = false
@@ -66,8 +67,9 @@
 	if len(orders) == 0 {
 		return
 	}
-	q.directInFlight = true
-	q.Emit(message.Command{Machine: q.id, Address: q.address, Commands: protocol.Commands{
+	q.direct.lastNumber++
+	q.commandInFlight = q.direct.lastNumber
+	q.Emit(message.Command{Number: q.commandInFlight, Machine: q.id, Address: q.address, Commands: protocol.Commands{
 		Term: q.fencingToken(), AgentEpoch: q.agentEpoch, Orders: orders,
 	}})
 }
@@ -75,13 +77,15 @@
 // HandleCommandDone ends the flight of a worker's direct commands. If the worker answered,
 // the starts are marked as settled, the status in the answer is applied like a heartbeat,
 // and starts that the worker refused are queued again. If it did not answer, the starts
-// remain unsettled. Commands requested in the meantime are scheduled.
+// remain unsettled. Commands requested in the meantime are scheduled. The result of commands
+// that an earlier queue of the machine has sent is ignored: the machine was held by another
+// dispatcher since.
 func (d *Dispatcher) HandleCommandDone(result message.CommandDone) {
 	q := d.queues.get(result.Machine)
-	if q == nil {
+	if q == nil || result.Number != q.commandInFlight {
 		return
 	}
-	q.directInFlight = false
+	q.commandInFlight = 0
 	if q.handingOver() {
 		return // the next heartbeat settles the commands
 	}
@@ -89,6 +93,9 @@
 		q.directRequested = false
 		q.requestDirect()
 	}
+	if q.agentEpoch == result.AgentEpoch && result.Withheld {
+		q.requeueWithheld(&result)
+	}
 	if q.agentEpoch != result.AgentEpoch || !result.Answered {
 		return // the outcome of these starts is unknown: see settleDirectStart
 	}
@@ -139,6 +146,19 @@
 	}
 }
 
+// requeueWithheld queues starts that were not sent again, and has the other orders sent anew.
+// A start that was sent before with an earlier token stays unsettled: that one may still be
+// delivered.
+func (q *queue) requeueWithheld(result *message.CommandDone) {
+	for _, o := range result.Orders {
+		if e := q.entryToStart(o); e != nil && e.directFencingToken == result.Term && !e.startResent {
+			e.directFencingToken = 0
+		}
+	}
+	q.requeueRefused(result.Orders)
+	q.requestDirect()
+}
+
 // settleDirectStart requests a higher fencing token for a direct start that was not
 // answered and that its worker's heartbeat does not settle. The token of the shard is
 // raised or, without shards, a new term is begun. Once the worker has seen the higher
@@ -146,7 +166,7 @@
 // heartbeat: no token settles anything while the worker is silent, and most workers that
 // stay silent are lost.
 func (q *queue) settleDirectStart(e *entry) {
-	if q.directInFlight || e.directFencingToken != q.fencingToken() {
+	if q.commandInFlight != 0 || e.directFencingToken != q.fencingToken() {
 		return
 	}
 	q.Log.Info("direct start was not answered: raising the fencing token", "machine", q.id, "task", e.task, "token", e.directFencingToken)
--- a/internal/controller/dispatcher/directcommands_test.go
+++ b/internal/controller/dispatcher/directcommands_test.go
@@ -14,7 +14,7 @@
 func TestDirectAnswerDoesNotSettleStartsInReply(t *testing.T) {
 	f := newFixture(t)
 	f.registerAndSendHeartbeat()
-	f.queue().directInFlight = true // a direct command is not answered yet
+	f.queue().commandInFlight = 7 // a direct command is not answered yet
 	f.addJob("job-1")
 	f.placeTask("job-1")
 	if r := f.heartbeat(1, 1); countStarts(r.Reply.Orders) != 1 {
@@ -22,7 +22,7 @@
 	}
 	f.seq++
 	f.dispatcher.HandleCommandDone(message.CommandDone{
-		Machine: "vm-1", Term: 1, AgentEpoch: 1, Answered: true, Executed: true,
+		Number: 7, Machine: "vm-1", Term: 1, AgentEpoch: 1, Answered: true, Executed: true,
 		Heartbeat: protocol.Heartbeat{Machine: "vm-1", Type: "small", Zone: "a", AgentEpoch: 1, Seq: f.seq, Term: 1},
 	})
 	if e := f.queue().entries[protocol.TaskID{Job: "job-1"}]; e == nil || !e.sent {
@@ -109,7 +109,7 @@
 	cmd := f.startDirectly()
 	task := protocol.TaskID{Job: "job-1"}
 	f.heartbeat(1, 1) // the reply contains the start again
-	f.dispatcher.HandleCommandDone(message.CommandDone{Machine: "vm-1", Term: 1, AgentEpoch: 1, Orders: cmd.Commands.Orders})
+	f.dispatcher.HandleCommandDone(cmd.Done())
 	done := protocol.TaskStatus{Task: task, Attempt: 1, State: protocol.TaskEnded, Cause: protocol.EndDone}
 	f.heartbeat(1, 1, done)
 	f.dispatcher.ForgetAttempt(message.TaskRef{Task: task, Attempt: 1, Machine: "vm-1"})
@@ -137,7 +137,7 @@
 	f.registerAndSendHeartbeat()
 	cmd := f.startDirectly()
 	q, task := f.queue(), protocol.TaskID{Job: "job-1"}
-	f.dispatcher.HandleCommandDone(message.CommandDone{Machine: "vm-1", Term: 1, AgentEpoch: 1, Orders: cmd.Commands.Orders})
+	f.dispatcher.HandleCommandDone(cmd.Done())
 	q.requestDirect()
 	if c := f.sendDirectCommands(); countStarts(c.Commands.Orders) != 0 {
 		t.Error("start was sent again with the same token")
@@ -164,7 +164,7 @@
 	again := newFixture(t)
 	again.registerAndSendHeartbeat()
 	cmd = again.startDirectly()
-	again.dispatcher.HandleCommandDone(message.CommandDone{Machine: "vm-1", Term: 1, AgentEpoch: 1, Orders: cmd.Commands.Orders})
+	again.dispatcher.HandleCommandDone(cmd.Done())
 	again.dispatcher.View.Term = 2
 	again.queue().requestDirect()
 	if c := again.sendDirectCommands(); countStarts(c.Commands.Orders) != 1 || c.Commands.Term != 2 {
@@ -175,3 +175,33 @@
 		t.Errorf("counts as never started while its command is not answered: %+v", e)
 	}
 }
+
+// TestWithheldStartIsQueuedAgain checks that a start that was not sent is queued again and sent
+// with the next commands, without a later token: it can't be delivered. It guards against a start
+// that is settled only by a token raise, and against one that is lost.
+func TestWithheldStartIsQueuedAgain(t *testing.T) {
+	f := newFixture(t)
+	f.registerAndSendHeartbeat()
+	cmd := f.startDirectly()
+	result := cmd.Done()
+	result.Withheld = true
+	f.dispatcher.HandleCommandDone(result)
+	if next := f.sendDirectCommands(); countStarts(next.Commands.Orders) != 1 || next.Commands.Term != cmd.Commands.Term {
+		t.Errorf("the start was not sent again: %+v", next)
+	}
+}
+
+// TestResultOfEarlierQueueIsIgnored checks that the result of commands that an earlier queue of a
+// machine sent neither ends the flight of the present queue's commands nor is applied. It guards
+// against two commands in flight to a worker, of which one settles the starts of the other.
+func TestResultOfEarlierQueueIsIgnored(t *testing.T) {
+	f := newFixture(t)
+	f.registerAndSendHeartbeat()
+	cmd := f.startDirectly()
+	late := cmd.Done()
+	late.Number, late.Answered, late.Executed = cmd.Number+1, true, true
+	f.dispatcher.HandleCommandDone(late)
+	if q := f.queue(); q.commandInFlight != cmd.Number || q.entries[protocol.TaskID{Job: "job-1"}].directFencingToken == 0 {
+		t.Errorf("applied the result of other commands: %d in flight, want %d", q.commandInFlight, cmd.Number)
+	}
+}
--- a/internal/controller/dispatcher/fixture_test.go
+++ b/internal/controller/dispatcher/fixture_test.go
@@ -140,7 +140,7 @@
 func (f *fixture) answerCommand(c message.Command, executed bool, tasks ...protocol.TaskStatus) {
 	f.seq++
 	f.dispatcher.HandleCommandDone(message.CommandDone{
-		Machine: c.Machine, Term: c.Commands.Term, AgentEpoch: c.Commands.AgentEpoch, Orders: c.Commands.Orders, Answered: true, Executed: executed,
+		Number: c.Number, Machine: c.Machine, Term: c.Commands.Term, AgentEpoch: c.Commands.AgentEpoch, Orders: c.Commands.Orders, Answered: true, Executed: executed,
 		Heartbeat: protocol.Heartbeat{Machine: c.Machine, Type: "small", Zone: "a", AgentEpoch: 1, Seq: f.seq, Term: f.dispatcher.View.Term, Tasks: tasks},
 	})
 }
--- a/internal/controller/dispatcher/queue.go
+++ b/internal/controller/dispatcher/queue.go
@@ -48,7 +48,9 @@
 	// anything on it.
 	exclusive bool
 
-	directInFlight  bool // direct commands have been sent and not answered yet
+	// commandInFlight is the number of the direct commands that have been sent and not
+	// answered yet; 0 if there are none.
+	commandInFlight uint64
 	directRequested bool // there may be commands to send at the end of the step
 
 	noticeSeconds *float64 // time until the cloud terminates the machine; nil without a termination notice
--- a/internal/controller/endedsession_test.go
+++ b/internal/controller/endedsession_test.go
@@ -207,3 +207,60 @@
 		t.Error("the watch of the ended session has brought back a job")
 	}
 }
+
+// TestCommandsAreCheckedAfterWait checks that direct commands that had to wait for a command slot
+// are not sent after their session has ended. It guards against starts that are sent after the
+// lease, or after a cancellation that this controller has acknowledged.
+func TestCommandsAreCheckedAfterWait(t *testing.T) {
+	worker, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer worker.Close()
+	connected := make(chan struct{})
+	go func() {
+		if conn, err := worker.Accept(); err == nil {
+			_ = conn.Close()
+			close(connected)
+		}
+	}()
+	settings := fake.Settings()
+	settings.Name, settings.Members = "node-0", nil
+	node := NewNode(settings, config.DefaultOperator(), slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go node.runCore(ctx)
+	for range cap(node.commandSlots) {
+		node.commandSlots <- struct{}{}
+	}
+	results := make(chan message.CommandDone)
+	go func() {
+		var done message.CommandDone
+		node.executeCommandLater(ctx, 1, message.Command{Address: worker.Addr().String()}, &done)
+		results <- done
+	}()
+	<-node.commandSlots
+	if done := <-results; !done.Withheld {
+		t.Error("commands of an ended session were not withheld")
+	}
+	select {
+	case <-connected:
+		t.Error("commands of an ended session were sent")
+	case <-time.After(100 * time.Millisecond):
+	}
+}
+
+// TestMaySend checks which commands that have waited may still be sent.
+func TestMaySend(t *testing.T) {
+	h := newHarness(t)
+	h.acceptJob("job-1", "free", 1)
+	start := &protocol.Commands{Orders: []protocol.Order{{Op: protocol.OpStart, Task: protocol.TaskID{Job: "job-1"}}}}
+	kill := &protocol.Commands{Orders: []protocol.Order{{Op: protocol.OpStop, Task: protocol.TaskID{Job: "job-1"}}}}
+	if !h.core.MaySend(h.now, 100, start) || h.core.MaySend(h.now, 99, start) || h.core.MaySend(Time(2*time.Hour), 100, start) {
+		t.Error("a start may be sent in its session and while the lease lasts, and not otherwise")
+	}
+	h.step(message.JobCancelled{Job: "job-1"})
+	if h.core.MaySend(h.now, 100, start) || !h.core.MaySend(h.now, 100, kill) {
+		t.Error("of a cancelled job no start may be sent, and a kill may")
+	}
+}
--- a/internal/controller/message/action.go
+++ b/internal/controller/message/action.go
@@ -44,6 +44,7 @@
 	// Command sends commands directly to a worker, without waiting for its next heartbeat.
 	// CommandDone answers it.
 	Command struct {
+		Number   uint64 // identifies the message of commands in its session
 		Machine  protocol.MachineID
 		Address  string
 		Commands protocol.Commands
@@ -64,3 +65,8 @@
 	// ListMachines reads the cloud's list of machines. MachinesListed answers it.
 	ListMachines struct{}
 )
+
+// Done returns the result of a command without an answer: whether it was executed is unknown.
+func (c *Command) Done() CommandDone {
+	return CommandDone{Number: c.Number, Machine: c.Machine, Term: c.Commands.Term, AgentEpoch: c.Commands.AgentEpoch, Orders: c.Commands.Orders}
+}
--- a/internal/controller/message/step.go
+++ b/internal/controller/message/step.go
@@ -77,6 +77,7 @@
 	}
 	// CommandDone answers a Command.
 	CommandDone struct {
+		Number     uint64 // of the Command
 		Machine    protocol.MachineID
 		Term       protocol.Term
 		AgentEpoch protocol.AgentEpoch
@@ -84,6 +85,7 @@
 		Answered   bool               // the worker answered; otherwise the outcome is unknown
 		Executed   bool               // the worker accepted the orders; if false in an answer, it refused them
 		Heartbeat  protocol.Heartbeat // if answered
+		Withheld   bool               // the orders were not sent: see Core.MaySend
 	}
 	// ProvisionDone answers a Provision.
 	ProvisionDone struct {
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -95,6 +95,19 @@
 	return b.String()
 }
 
+// MaySend reports whether direct commands that were decided in a session some time ago may still
+// be sent: the session lasts, this controller holds its lease, and no job that they start has
+// been cancelled since. An acknowledged cancellation promises that no start is sent any more.
+func (c *Core) MaySend(now Time, session protocol.LeaseID, commands *protocol.Commands) bool {
+	c.Now = now
+	if session != c.Session || !c.HoldsLease() {
+		return false
+	}
+	return !slices.ContainsFunc(commands.Orders, func(o protocol.Order) bool {
+		return o.Op == protocol.OpStart && !c.MayStart(o.Task.Job)
+	})
+}
+
 // CompletedMoves returns the handovers of shards that ended at this controller since the last
 // call.
 func (c *Core) CompletedMoves() []dispatcher.CompletedMove { return c.dispatcher.TakeCompletedMoves() }
--- a/internal/simulator/actions.go
+++ b/internal/simulator/actions.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"damsonkeel/internal/controller/dispatcher"
 	"damsonkeel/internal/controller/message"
@@ -41,7 +42,6 @@
 			ok := n.stateReachable()
 			n.deliver(message.BitmapLoaded{Job: a.Job, Term: a.Term, Chunks: w.state.List(record.BitmapPrefix(a.Job)), OK: ok})
 		case message.Command:
-			w.onOrders(n, a.Commands.Orders)
 			n.sendCommands(a)
 		case message.Provision:
 			n.provision(a)
@@ -130,23 +130,50 @@
 }
 
 // sendCommands sends commands to a worker and passes the reply to the core; without a reply
-// within dispatcher.DirectCommandTimeout, it reports the commands as unanswered.
+// within dispatcher.DirectCommandTimeout, it reports the commands as unanswered. The fraction
+// commandWaitFraction waits for a command slot first.
 func (n *node) sendCommands(a message.Command) {
 	w := n.world
 	x := &commandExchange{
 		node: n, incarnation: n.incarnation, session: n.core.Session, worker: w.workers[a.Machine], commands: a.Commands,
-		done: message.CommandDone{Machine: a.Machine, Term: a.Commands.Term, AgentEpoch: a.Commands.AgentEpoch, Orders: a.Commands.Orders},
+		done: a.Done(),
 	}
 	if x.worker == nil {
 		x.worker = &worker{world: w, Worker: &fake.Worker{Dead: true}}
 	}
-	n.sendToZone(x.worker.Zone, x.execute)
+	if w.commandWaitFraction > 0 && w.rng.Float64() < w.commandWaitFraction {
+		n.afterIfAlive(time.Duration(w.rng.Int64N(int64(dispatcher.DirectCommandTimeout))), x.sendAfterWait)
+		return
+	}
+	x.send()
+}
+
+// send sends the commands to the worker.
+func (x *commandExchange) send() {
+	w := x.node.world
+	w.onOrders(x.node, x.commands.Orders)
+	x.node.sendToZone(x.worker.Zone, x.execute)
 	w.after(dispatcher.DirectCommandTimeout, func() {
 		x.done.Answered = false
 		x.finish()
 	})
 }
 
+// sendAfterWait sends the commands if the core would still send them, and otherwise reports them
+// as withheld. A paused process does so when it resumes.
+func (x *commandExchange) sendAfterWait() {
+	n := x.node
+	switch w := n.world; {
+	case w.now < n.pausedUntil:
+		n.afterIfAlive(n.pausedUntil-w.now, x.sendAfterWait)
+	case n.core.MaySend(n.clock(), x.session, &x.commands):
+		x.send()
+	default:
+		x.done.Withheld = true
+		x.finish()
+	}
+}
+
 // execute makes the worker execute the commands and reply. A terminated worker, or one that
 // commands do not reach, does nothing; a paused one executes them when it resumes. One reply
 // in thirty is lost.
--- a/internal/simulator/network.go
+++ b/internal/simulator/network.go
@@ -24,6 +24,9 @@
 	// slowMessageFraction is the fraction of commands, heartbeats and their replies that are
 	// delayed by 0.1 to 7.1 seconds.
 	slowMessageFraction float64
+	// commandWaitFraction is the fraction of the commands that wait for a command slot for up
+	// to dispatcher.DirectCommandTimeout before they are sent.
+	commandWaitFraction float64
 }
 
 // partition is a network partition between two endpoints.
--- a/internal/simulator/useroverlaps_test.go
+++ b/internal/simulator/useroverlaps_test.go
@@ -139,6 +139,19 @@
 				}
 			}
 		}),
+		"commands wait for a slot while jobs are cancelled": with(func(d *userScenario) {
+			d.machines, d.allowLongWaits = 5, true
+			d.prepare = func(u *users) {
+				requestOften(u)
+				u.commandWaitFraction = 0.5
+			}
+			d.fault = func(u *users) {
+				u.cancelRandomJobs(4, 2*second)
+				if u.rng.IntN(4) == 0 {
+					u.partition(string(u.nodes[u.rng.IntN(3)].name), "state", time.Duration(8+u.rng.IntN(5))*second, false)
+				}
+			}
+		}),
 		"only the replies of transactions are lost": with(func(d *userScenario) {
 			d.prepare = requestOften
 			d.fault = func(u *users) {
