Shutdown: end the session before its lease is revoked

Cause: found by looking for work under a lease that has ended. A controller that is told to end revoked its lease and went on acting until it exited: with the handover incomplete after 10 s it still had shards, answered workers and could send starts, while the others, who saw its record go, took over at once. A confirmed cancellation now rests on that record too. Change: the session ends first (its watch, its extensions, the state of the core); the lease is revoked only once the core has taken that in, and is left to expire otherwise. Result: TestShutdownEndsSessionBeforeLease fails without the change (the session lasts when the lease is revoked). Not seen on a machine.

--- a/internal/controller/endedsession_test.go
+++ b/internal/controller/endedsession_test.go
@@ -264,3 +264,65 @@
 		t.Error("of a cancelled job no start may be sent, and a kill may")
 	}
 }
+
+// revocationStore is a key-value store that grants one lease, and calls onRevoke when it is revoked.
+type revocationStore struct {
+	t        *testing.T
+	onRevoke func()
+}
+
+func (s *revocationStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var body any = protocol.TransactionReply{Revision: 11}
+	switch {
+	case r.URL.Path == "/keys":
+		body = protocol.Page{Revision: 10, Items: []protocol.Item{}}
+	case r.URL.Path == "/holds":
+		body = protocol.LeaseReply{Lease: 1}
+	case r.Method == http.MethodDelete:
+		s.onRevoke()
+	case r.URL.Path == "/follow":
+		<-r.Context().Done()
+		return
+	}
+	_, _ = w.Write(encoded(s.t, body))
+}
+
+// TestShutdownEndsSessionBeforeLease checks that a controller that is told to end has ended its
+// session when it revokes its lease. It guards against work under a lease that is over: the
+// other controllers take over, and confirm cancellations, as soon as the lease has ended.
+func TestShutdownEndsSessionBeforeLease(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings, operator := fake.Settings(), config.DefaultOperator()
+	settings.Name, settings.Members, settings.Services.State = "node-0", nil, listener.Addr().String()
+	operator.NodeLease = 8 * time.Second
+	node := NewNode(settings, operator, slog.New(slog.DiscardHandler))
+	sessionAtRevocation := make(chan protocol.LeaseID, 1)
+	session := func() protocol.LeaseID {
+		id, _ := queryCore(node, func(c *Core) protocol.LeaseID { return c.Session })
+		return id
+	}
+	server := &http.Server{Handler: &revocationStore{t: t, onRevoke: func() { sessionAtRevocation <- session() }}}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go node.runCore(ctx)
+	go node.runSessions(ctx)
+	for begun := time.Now(); session() == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Since(begun) > 10*time.Second {
+			t.Fatal("no session has begun")
+		}
+	}
+	node.Shutdown()
+	select {
+	case id := <-sessionAtRevocation:
+		if id != 0 {
+			t.Errorf("the lease of session %d was revoked while the session lasted", id)
+		}
+	default:
+		t.Error("the lease was not revoked")
+	}
+}
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -55,6 +55,8 @@
 	// shouldWaitForLease is set for a member that should keep its users until it holds its
 	// lease again: see Members.ShouldWaitForLease.
 	shouldWaitForLease atomic.Bool
+	stopSessions       chan struct{} // closed when no session may run any more
+	sessionsEnded      chan struct{} // closed when runSessions has returned
 	leaving            atomic.Bool   // set when the shutdown begins
 	leaveDone          chan struct{} // closed when Leave has completed
 	catalogueReceived  atomic.Bool   // set once the machine types were read from the cloud
@@ -75,6 +77,9 @@
 		outboxes:    map[protocol.NodeName]*Outbox{},
 		peers:       map[protocol.NodeName]*transport.Peer{},
 		leaveDone:   make(chan struct{}),
+
+		stopSessions:  make(chan struct{}),
+		sessionsEnded: make(chan struct{}),
 	}
 	n.core = NewCore(settings, operator, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), log)
 	for _, member := range settings.Members {
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -41,9 +41,19 @@
 var errLeaseLost = errors.New("lease lost")
 
 // runSessions makes this controller a candidate for membership: it runs one session after
-// another, each until its lease is lost or its watch fails, until the context ends or the
-// controller is shutting down.
+// another, each until its lease is lost or its watch fails, until the context ends or
+// stopSessions is closed. A controller that is shutting down begins no new one.
 func (n *Node) runSessions(ctx context.Context) {
+	defer close(n.sessionsEnded)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		select {
+		case <-n.stopSessions:
+		case <-ctx.Done():
+		}
+	}()
 	for ctx.Err() == nil && !n.leaving.Load() { // a controller that is shutting down begins no session
 		if err := n.runSession(ctx); err != nil && ctx.Err() == nil {
 			n.log.Info("session ended", "err", err)
--- a/internal/controller/shutdown.go
+++ b/internal/controller/shutdown.go
@@ -19,10 +19,10 @@
 	revokeTimeout = 2 * time.Second
 )
 
-// Shutdown hands over all shards that this controller holds, for at most handoverTimeout, revokes
-// its lease, makes Run return and then returns itself. A second call returns at once. Meanwhile
-// the health check reports that the controller is not ready, so that users open no new
-// connections to it.
+// Shutdown hands over all shards that this controller holds, for at most handoverTimeout, ends its
+// session, revokes its lease, makes Run return and then returns itself. A second call returns at
+// once. Meanwhile the health check reports that the controller is not ready, so that users open
+// no new connections to it.
 func (n *Node) Shutdown() {
 	if n.leaving.Swap(true) {
 		return
@@ -36,20 +36,33 @@
 		}
 		time.Sleep(handoverPollInterval)
 	}
-	n.revokeLease()
+	n.endSession()
 	n.log.Info("shutdown complete", "after", time.Since(startedAt).Round(time.Millisecond))
 	close(n.leaveDone)
 }
 
-// revokeLease revokes the lease of this controller's session, if it has one. A failure is only
-// logged: the lease then expires.
-func (n *Node) revokeLease() {
+// endSession ends this controller's session, if it has one, and then revokes its lease. The core
+// does nothing under the lease any more when it is revoked: without it, the other controllers
+// take the work over at once. If the core does not end the session in time, or the lease can't be
+// revoked, the lease expires.
+func (n *Node) endSession() {
 	session, ok := queryCore(n, func(c *Core) protocol.LeaseID { return c.Session })
 	if !ok || session == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
 	defer cancel()
+	close(n.stopSessions)
+	select {
+	case <-n.sessionsEnded:
+	case <-ctx.Done():
+		n.log.Info("the session has not ended in time: its lease is not revoked", "session", session)
+		return
+	}
+	if now, ok := queryCore(n, func(c *Core) protocol.LeaseID { return c.Session }); !ok || now == session {
+		n.log.Info("the core has not ended the session: its lease is not revoked", "session", session)
+		return
+	}
 	if err := n.store.RevokeLease(ctx, session); err != nil {
 		n.log.Info("failed to revoke the lease", "err", err)
 	}
