Dispatcher: send no unanswered start again into a window or a cordoned place

An unanswered direct start is sent again, in the reply to a heartbeat or with a later token. That looked at the job and the revision of its placement, not at what decideStart holds against a first start: a maintenance window that has begun, or begins before the task would end, and a cordoned zone or type. Change: mayResend holds both against it. The start is then settled by a later token, as any other that is not sent again, and the attempt goes back to its owner. windowForbids is taken out of checkReservations and serves both. Result: TestStartIsNotResentIntoWindow fails without the change for both. Not seen on a machine.

--- a/internal/controller/dispatcher/directcommands_test.go
+++ b/internal/controller/dispatcher/directcommands_test.go
@@ -5,8 +5,11 @@
 	"time"
 
 	"damsonkeel/internal/controller/clock"
+	"damsonkeel/internal/controller/clusterstate"
 	"damsonkeel/internal/controller/message"
+	"damsonkeel/internal/controller/reservation"
 	"damsonkeel/internal/protocol"
+	"damsonkeel/internal/record"
 )
 
 // TestDirectAnswerDoesNotSettleStartsInReply checks that the answer to direct commands,
@@ -205,3 +208,45 @@
 		t.Errorf("applied the result of other commands: %d in flight, want %d", q.commandInFlight, cmd.Number)
 	}
 }
+
+// TestStartIsNotResentIntoWindow checks that an unanswered direct start is not sent again, with a
+// heartbeat's reply or directly, once a maintenance window covers the machine or its zone is
+// cordoned, and that a later token then releases the attempt. It guards against a start that was
+// decided before the window and is executed in it.
+func TestStartIsNotResentIntoWindow(t *testing.T) {
+	for name, close := range map[string]func(*fixture){
+		"window": func(f *fixture) {
+			now := f.dispatcher.WallTime()
+			f.dispatcher.Reservations.Windows = []clusterstate.OpenWindow{{Spec: &record.WindowSpec{Zone: "a"}, Start: reservation.After(now, -time.Minute), End: reservation.After(now, time.Hour)}}
+		},
+		"cordoned zone": func(f *fixture) {
+			id := record.NewEntryID(record.EntryZone, "a")
+			f.dispatcher.Configuration.ApplyEntry(id, record.ConfigurationEntry{Revision: 1, Place: &record.PlaceEntry{Closed: true}})
+			f.dispatcher.Configuration.ApplyRevision(record.Configuration{Revision: 1, Entries: []record.EntryID{id}}, 5)
+			f.dispatcher.AdoptConfiguration()
+		},
+		"no closed place": func(*fixture) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.dispatcher.WallMS = 1_770_000_000_000
+			f.registerAndSendHeartbeat()
+			cmd := f.startDirectly()
+			f.dispatcher.HandleCommandDone(cmd.Done()) // not answered
+			close(f)
+			resent := countStarts(f.heartbeat(1, 1).Reply.Orders) > 0
+			f.dispatcher.View.Term = 2
+			f.queue().requestDirect()
+			resent = resent || countStarts(f.sendDirectCommands().Commands.Orders) > 0
+			if resent != (name == "no closed place") {
+				t.Fatalf("start sent again: %v", resent)
+			}
+			if resent {
+				return
+			}
+			if r := f.heartbeat(1, 2); countStarts(r.Reply.Orders) > 0 || !f.wasReleased(protocol.TaskID{Job: "job-1"}) {
+				t.Error("not released once the worker had seen a later token")
+			}
+		})
+	}
+}
--- a/internal/controller/dispatcher/orders.go
+++ b/internal/controller/dispatcher/orders.go
@@ -79,12 +79,16 @@
 // be sent directly again only with a later token. With the same token, the answer to the
 // second start would settle the entry while the first one may still be executed. If the
 // second start were recorded with the token of the first, it would be considered settled
-// once the worker has seen the second token by another path.
+// once the worker has seen the second token by another path. What must not start on the machine
+// any more is not sent again: a later token settles the first start.
 func (b *orderBuilder) mayResend(e *entry) bool {
 	if !e.sent || e.directFencingToken == 0 || e.kill {
 		return false
 	}
-	if !b.MayStart(e.task.Job) || b.isOutdated(e) {
+	if !b.MayStart(e.task.Job) || b.isOutdated(e) || b.inCordonedPlace() {
+		return false
+	}
+	if task := b.reservationTask(e, b.Live[e.task.Job]); b.windowForbids(&task) {
 		return false
 	}
 	return !b.direct || b.fencingToken() > e.directFencingToken
--- a/internal/controller/dispatcher/reservations.go
+++ b/internal/controller/dispatcher/reservations.go
@@ -33,11 +33,9 @@
 		return startNow, false
 	}
 	now := q.WallTime()
-	task := reservation.Task{IsOf: q.ReservationFilter(&job.Job), Need: e.need, Level: e.level, SavesCheckpoint: job.CheckpointS > 0}
-	runSeconds := q.ExpectedRunSeconds(&job.Job, e.estimate) + q.fetchSeconds(job)
-	task.Ends = reservation.After(now, config.Seconds(runSeconds))
+	task := q.reservationTask(e, job)
 	reserved := reservation.ReservedUntil(holds, task.IsOf) != 0
-	if m := q.Records[q.id]; m != nil && q.InWindow(q.id, m.Record.Type, m.Record.Zone, now, clusterstate.ReservedEnd(holds, &task)) {
+	if q.windowForbids(&task) {
 		return startElsewhere, reserved
 	}
 	switch {
@@ -51,6 +49,29 @@
 	return startElsewhere, reserved
 }
 
+// reservationTask returns an attempt that starts now as the calendar sees it.
+func (q *queue) reservationTask(e *entry, job *clusterstate.LiveJob) reservation.Task {
+	runSeconds := q.ExpectedRunSeconds(&job.Job, e.estimate) + q.fetchSeconds(job)
+	return reservation.Task{
+		IsOf:            q.ReservationFilter(&job.Job),
+		Need:            e.need,
+		Level:           e.level,
+		SavesCheckpoint: job.CheckpointS > 0,
+		Ends:            reservation.After(q.WallTime(), config.Seconds(runSeconds)),
+	}
+}
+
+// windowForbids reports whether a maintenance window that covers the machine is open, or opens
+// before the end of a task that would start now.
+func (q *queue) windowForbids(task *reservation.Task) bool {
+	m := q.Records[q.id]
+	if m == nil {
+		return false
+	}
+	end := clusterstate.ReservedEnd(q.Reservations.Holds[q.id], task)
+	return q.InWindow(q.id, m.Record.Type, m.Record.Zone, q.WallTime(), end)
+}
+
 // hasReservation reports whether the machine has free resources for an attempt and a
 // reservation for its job.
 func (q *queue) hasReservation(e *entry) bool {
