Direct commands: check again by the time since they were decided

Cause: the check covered what had waited for a command slot, not what a process that stood still, or whose goroutine came late, sends when it goes on. Change: whatever is sent more than 50 ms after the step that decided it is held against the core first; one path in place of two. Result: TestCommandsAreCheckedAfterWait fails without the check.

--- a/internal/controller/actions.go
+++ b/internal/controller/actions.go
@@ -17,15 +17,20 @@
 	"damsonkeel/internal/serviceclient"
 )
 
-// bitmapTimeout bounds the time for reading a job's bitmap.
-const bitmapTimeout = 10 * time.Second
+const (
+	// bitmapTimeout bounds the time for reading a job's bitmap.
+	bitmapTimeout = 10 * time.Second
+	// commandRecheckAfter is the time after which direct commands that have not been sent yet,
+	// for want of a command slot or since the process stood still, are checked again.
+	commandRecheckAfter = 50 * time.Millisecond
+)
 
 // executeActions executes the actions of a step, except the replies, which the envelope's reply
 // function sends. It never blocks: an action that takes time runs in a goroutine, which posts
 // its result to the core and ends with its call or with the context. The results belong to the
 // core's present session, in which the actions were decided.
 func (n *Node) executeActions(ctx context.Context, actions []message.Action) {
-	session := n.core.Session
+	session, decidedAt := n.core.Session, n.core.Now
 	for _, action := range actions {
 		switch a := action.(type) {
 		case message.Send:
@@ -35,7 +40,7 @@
 		case message.Commit:
 			go n.commit(ctx, session, a)
 		case message.Command:
-			go n.executeCommand(ctx, session, a)
+			go n.executeCommand(ctx, session, decidedAt, a)
 		case message.LoadBitmap:
 			go n.loadBitmap(ctx, session, a)
 		case message.Provision:
@@ -112,35 +117,32 @@
 
 // executeCommand sends direct commands to a worker as soon as one of the command slots, which
 // limit the direct commands in progress, is free. It posts the result: whether the worker has
-// answered, and whether it has executed them. Commands that had to wait for a slot are sent only
-// if the core would still send them. If the context ends first, nothing is sent.
-func (n *Node) executeCommand(ctx context.Context, session protocol.LeaseID, a message.Command) {
+// answered, and whether it has executed them. Commands that were decided longer than
+// commandRecheckAfter ago are withheld if the core would not send them any more. If the context
+// ends first, nothing is sent.
+func (n *Node) executeCommand(ctx context.Context, session protocol.LeaseID, decidedAt Time, a message.Command) {
 	done := a.Done()
 	select {
 	case n.commandSlots <- struct{}{}:
-		n.sendCommands(ctx, a, &done)
+		if n.isStillDue(session, decidedAt, &a.Commands) {
+			n.sendCommands(ctx, a, &done)
+		} else {
+			done.Withheld = true
+		}
 		<-n.commandSlots
-	default:
-		n.executeCommandLater(ctx, session, a, &done)
+	case <-ctx.Done():
 	}
 	n.postInSession(session, done)
 }
 
-// executeCommandLater waits for a command slot, and then sends direct commands or marks them as
-// withheld.
-func (n *Node) executeCommandLater(ctx context.Context, session protocol.LeaseID, a message.Command, done *message.CommandDone) {
-	select {
-	case n.commandSlots <- struct{}{}:
-	case <-ctx.Done():
-		return
-	}
-	defer func() { <-n.commandSlots }()
-	maySend, ok := queryCore(n, func(c *Core) bool { return c.MaySend(n.now(), session, &a.Commands) })
-	if !ok || !maySend {
-		done.Withheld = true
-		return
+// isStillDue reports whether direct commands that were decided at a time in a session are to be
+// sent now. It asks the core if that was some time ago, and reports false if the core is too busy.
+func (n *Node) isStillDue(session protocol.LeaseID, decidedAt Time, commands *protocol.Commands) bool {
+	if n.now().Since(decidedAt) <= commandRecheckAfter {
+		return true
 	}
-	n.sendCommands(ctx, a, done)
+	maySend, ok := queryCore(n, func(c *Core) bool { return c.MaySend(n.now(), session, commands) })
+	return ok && maySend
 }
 
 // sendCommands sends direct commands to a worker and stores its answer, a heartbeat, in done. An
--- a/internal/controller/endedsession_test.go
+++ b/internal/controller/endedsession_test.go
@@ -208,9 +208,10 @@
 	}
 }
 
-// TestCommandsAreCheckedAfterWait checks that direct commands that had to wait for a command slot
-// are not sent after their session has ended. It guards against starts that are sent after the
-// lease, or after a cancellation that this controller has acknowledged.
+// TestCommandsAreCheckedAfterWait checks that direct commands that are sent late, for want of a
+// command slot or since the process stood still, are not sent after their session has ended. It
+// guards against starts that are sent after the lease, or after a cancellation that this
+// controller has acknowledged.
 func TestCommandsAreCheckedAfterWait(t *testing.T) {
 	worker, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -230,19 +231,9 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go node.runCore(ctx)
-	for range cap(node.commandSlots) {
-		node.commandSlots <- struct{}{}
-	}
-	results := make(chan message.CommandDone)
-	go func() {
-		var done message.CommandDone
-		node.executeCommandLater(ctx, 1, message.Command{Address: worker.Addr().String()}, &done)
-		results <- done
-	}()
-	<-node.commandSlots
-	if done := <-results; !done.Withheld {
-		t.Error("commands of an ended session were not withheld")
-	}
+	decidedAt := node.now()
+	time.Sleep(2 * commandRecheckAfter)
+	node.executeCommand(ctx, 1, decidedAt, message.Command{Address: worker.Addr().String()})
 	select {
 	case <-connected:
 		t.Error("commands of an ended session were sent")
