--- a/internal/controller/admission/admission.go
+++ b/internal/controller/admission/admission.go
@@ -179,6 +179,8 @@
 	next := clock.Time(0)
 	for _, r := range ordered.ByKey(a.requests) {
 		switch {
+		case a.now >= r.deadline && r.awaitsConfirmation:
+			a.answerUnavailable(r, cancellationUnconfirmed)
 		case a.now >= r.deadline:
 			a.answerUnavailable(r, "not settled in time")
 		case r.recheckAt == 0:
--- a/internal/controller/admission/cancellation.go
+++ b/internal/controller/admission/cancellation.go
@@ -28,6 +28,10 @@
 	stepMargin        = 200 * time.Millisecond
 )
 
+// cancellationUnconfirmed is the reason of an answer with status 503 to a request for a cancelled
+// job while a controller may still start its tasks.
+const cancellationUnconfirmed = "cancellation not confirmed yet"
+
 // announcement is the notification of all controllers that a job is cancelled. It lasts until
 // no controller can start a task of the job any more, which confirms the cancellation.
 type announcement struct {
@@ -65,7 +69,7 @@
 		return
 	}
 	if a.awaitingConfirmation >= MaxRequests {
-		a.reply(r, Failure(statusUnavailable, "cancellation not confirmed yet"))
+		a.reply(r, Failure(statusUnavailable, cancellationUnconfirmed))
 		return
 	}
 	current := a.announcements[r.Job]
