--- a/internal/controller/dispatcher/directcommands_test.go
+++ b/internal/controller/dispatcher/directcommands_test.go
@@ -214,7 +214,7 @@
 // cordoned, and that a later token then releases the attempt. It guards against a start that was
 // decided before the window and is executed in it.
 func TestStartIsNotResentIntoWindow(t *testing.T) {
-	for name, close := range map[string]func(*fixture){
+	for name, closePlace := range map[string]func(*fixture){
 		"window": func(f *fixture) {
 			now := f.dispatcher.WallTime()
 			f.dispatcher.Reservations.Windows = []clusterstate.OpenWindow{{Spec: &record.WindowSpec{Zone: "a"}, Start: reservation.After(now, -time.Minute), End: reservation.After(now, time.Hour)}}
@@ -233,7 +233,7 @@
 			f.registerAndSendHeartbeat()
 			cmd := f.startDirectly()
 			f.dispatcher.HandleCommandDone(cmd.Done()) // not answered
-			close(f)
+			closePlace(f)
 			resent := countStarts(f.heartbeat(1, 1).Reply.Orders) > 0
 			f.dispatcher.View.Term = 2
 			f.queue().requestDirect()
