Emulator: a controller refused by the state service alone, late watches, cancelled jobs

Change: [troubles] refused, the store refuses one controller for 8 to 40 s and then answers its open watch 100 to 600 ms late; [[load]] cancelled, the fraction of jobs that are cancelled within 30 s. Both are 0 unless set, and draw nothing then.

--- a/internal/simulator/digests_test.go
+++ b/internal/simulator/digests_test.go
@@ -47,6 +47,8 @@
 	{name: "reservations-seed-2", site: "testdata/digests/reservations.toml", duration: 125 * time.Minute, seed: 2},
 	{name: "shares-seed-1", site: "testdata/digests/shares.toml", duration: 30 * time.Minute, seed: 1},
 	{name: "shares-seed-2", site: "testdata/digests/shares.toml", duration: 30 * time.Minute, seed: 2},
+	{name: "refusal-seed-2", site: refusalSite, duration: refusalDuration, seed: 2},
+	{name: "refusal-seed-4", site: refusalSite, duration: refusalDuration, seed: 4},
 	{name: "deployed-week-10m-seed-3", site: "../../deploy/emulate-week.toml", duration: 10 * time.Minute, seed: 3},
 }
 
--- a/internal/simulator/driver.go
+++ b/internal/simulator/driver.go
@@ -76,14 +76,15 @@
 
 // jobState holds the data of a job that the result is computed from.
 type jobState struct {
-	class         *Class
-	submitted     time.Duration
-	started       map[uint32]bool
-	tasks         int
-	occurrence    *Occurrence // of the reservation that the job is for; nil if there is none
-	reservedTasks int         // tasks
-	runTimeFactor float64     // actual run time divided by the estimate
-	estimateS     float64
+	class             *Class
+	submitted         time.Duration
+	started           map[uint32]bool
+	tasks             int
+	occurrence        *Occurrence // of the reservation that the job is for; nil if there is none
+	reservedTasks     int         // tasks
+	runTimeFactor     float64     // actual run time divided by the estimate
+	cancelledFraction float64     // probability with which the job is cancelled
+	estimateS         float64
 }
 
 // Run simulates a site for the warm-up time and o.Duration and returns the result, which
@@ -259,7 +260,9 @@
 			unfinished = append(unfinished, id)
 			continue
 		}
-		if j := d.jobState[id]; j != nil {
+		if _, cancelled := d.cancelled[id]; cancelled {
+			delete(d.jobState, id)
+		} else if j := d.jobState[id]; j != nil {
 			j.class.Done++
 			j.class.completionTimes = append(j.class.completionTimes, (d.now - j.submitted).Seconds())
 			delete(d.jobState, id)
--- a/internal/simulator/faults.go
+++ b/internal/simulator/faults.go
@@ -11,6 +11,10 @@
 	// maxFaultLeadSeconds bounds how long before the start of an occurrence of a reservation a
 	// fault is injected, for the half of the faults that are injected before one.
 	maxFaultLeadSeconds = 600
+	// minRefusal and maxRefusal bound how long the key-value store refuses one controller: its
+	// lease ends in all or most of that time.
+	minRefusal = nodeLeaseDuration
+	maxRefusal = 40 * time.Second
 )
 
 // faultType is a type of fault: its name in the result, how many of it are injected per day,
@@ -39,6 +43,7 @@
 		{"controller stands still for 40 s", rates.Pause, func() { d.randomNode().pausedUntil = d.now + 40*time.Second }},
 		{"controller cut off from the workers", rates.WorkerPartition, func() { d.partitionRandomNode(workersEndpoint, time.Minute) }},
 		{"shares moved", rates.MoveShards, func() { d.moveRandomShards(maxMovedShards) }},
+		{"controller refused by the state service alone", rates.StateRefusal, d.refuseRandomNode},
 		{"machine lost", rates.MachineLost, func() { d.killMachine(d.machineOrder[d.rng.IntN(len(d.machineOrder))]) }},
 	}
 }
@@ -78,6 +83,14 @@
 	d.partition(string(n.name), endpoint, duration, d.rng.IntN(2) == 0)
 }
 
+// refuseRandomNode makes the key-value store refuse a random node for minRefusal to maxRefusal, and
+// answer the watch that the node has open then late.
+func (d *driver) refuseRandomNode() {
+	n := d.randomNode()
+	d.partition(string(n.name), stateEndpoint, minRefusal+time.Duration(d.rng.Int64N(int64(maxRefusal-minRefusal))), false)
+	n.nextWatchSlow = true
+}
+
 // slowRandomNode makes a random node five times slower for two minutes: its core ticks only at
 // every fifth step.
 func (d *driver) slowRandomNode() {
--- a/internal/simulator/node.go
+++ b/internal/simulator/node.go
@@ -42,9 +42,10 @@
 	renewAt        time.Duration    // when the session's lease is next renewed
 	watchedChanges int              // number of changes that the session's watches have returned so far
 	// slowWatch is the session's watch whose answer is on its way; nil if there is none.
-	slowWatch   *slowWatch
-	layout      record.Layout
-	pausedUntil time.Duration // the process is paused until then, while its clocks run on
+	slowWatch     *slowWatch
+	nextWatchSlow bool // the next watch that returns changes is answered slowly
+	layout        record.Layout
+	pausedUntil   time.Duration // the process is paused until then, while its clocks run on
 	// slowdown is the factor by which the process ticks less often, until slowdownUntil.
 	slowdown      int
 	slowdownUntil time.Duration
--- a/internal/simulator/schedule.go
+++ b/internal/simulator/schedule.go
@@ -21,6 +21,8 @@
 	// reservedRunTimeFactor is the actual run time of reserved jobs, as a fraction of the
 	// reservation's length.
 	reservedRunTimeFactor = 0.8
+	// maxCancelDelay is the longest time from the acceptance of a job to its cancellation.
+	maxCancelDelay = 30 * time.Second
 	// maxTasksFactor bounds the number of tasks of a job, as a multiple of the load's setting
 	// Tasks.
 	maxTasksFactor = 20
@@ -87,7 +89,7 @@
 		d.submitUntilAccepted(protocol.Job{
 			Class: l.Class, Team: l.Team, Kind: protocol.KindJobArray, Priority: l.Priority, Tasks: uint32(min(tasks, maxTasksFactor*l.Tasks)),
 			CPUs: l.CPUs, EstimateS: l.EstimateS, CheckpointS: l.CheckpointS, CheckpointDurationS: l.CheckpointDurationS, Spot: l.Spot,
-		}, jobState{runTimeFactor: l.RunTimeFactor})
+		}, jobState{runTimeFactor: l.RunTimeFactor, cancelledFraction: l.CancelledFraction})
 		d.scheduleArrival(l)
 	})
 }
@@ -121,10 +123,28 @@
 		state.class = d.result.class(j.Class)
 		state.class.Jobs++
 		d.jobState[d.jobOrder[before]] = &state
+		d.scheduleCancellation(d.jobOrder[before], state.cancelledFraction)
 	}
 	try()
 }
 
+// scheduleCancellation schedules the cancellation of a job with the probability fraction.
+func (d *driver) scheduleCancellation(id protocol.JobID, fraction float64) {
+	if fraction == 0 || d.rng.Float64() >= fraction {
+		return
+	}
+	d.after(time.Duration(d.rng.Int64N(int64(maxCancelDelay))), func() { d.cancelUntilDone(id) })
+}
+
+// cancelUntilDone cancels a job, every submitRetryDelay until it is in a final state.
+func (d *driver) cancelUntilDone(id protocol.JobID) {
+	if d.finalState[id] != "" {
+		return
+	}
+	d.cancel(id)
+	d.after(submitRetryDelay, func() { d.cancelUntilDone(id) })
+}
+
 // requestWindowsAndReservations requests, as an operator, that all maintenance windows and,
 // unless the options omit them, all reservations of the site be added.
 func (d *driver) requestWindowsAndReservations() {
--- a/internal/simulator/site.go
+++ b/internal/simulator/site.go
@@ -65,6 +65,9 @@
 	CheckpointS         float64           `toml:"checkpoint_s"`
 	CheckpointDurationS float64           `toml:"save_s"`
 	Spot                bool              `toml:"spot"`
+	// CancelledFraction is the fraction of the jobs that are cancelled, within maxCancelDelay
+	// after they were accepted.
+	CancelledFraction float64 `toml:"cancelled"`
 }
 
 // Reservation is a reservation with the jobs that are submitted for it. HoldS is how long
@@ -119,4 +122,7 @@
 	Shutdown        float64 `toml:"leave"`        // a controller is shut down by a signal
 	RollingShutdown float64 `toml:"roll"`         // all controllers are shut down, one after the other
 	MoveShards      float64 `toml:"move"`         // up to 16 shards are moved to another controller
+	// StateRefusal: the key-value store refuses one controller for 8 to 40 s, and then answers
+	// its watch, which was opened before, late.
+	StateRefusal float64 `toml:"refused"`
 }
--- a/internal/simulator/watch.go
+++ b/internal/simulator/watch.go
@@ -30,7 +30,8 @@
 		return
 	}
 	w := n.world
-	if w.slowWatchFraction > 0 && n.hasChangesToDeliver() && w.rng.Float64() < w.slowWatchFraction {
+	if n.hasChangesToDeliver() && (n.nextWatchSlow || w.slowWatchFraction > 0 && w.rng.Float64() < w.slowWatchFraction) {
+		n.nextWatchSlow = false
 		n.answerSlowly()
 		return
 	}
