Dispatcher: release a start that was not executed if its job has ended meanwhile

Cause: a direct start was under way when its job ended, so the job's end left it to its result. The result was that it had not been sent, and it was queued again, as the head of a queue that waits for a job whose end has passed. The same held before for a start that its worker refuses with 409. Change: requeue releases what was to be killed, or whose job has ended, as a heartbeat's word on such a start already does.

--- a/internal/controller/dispatcher/directcommands_test.go
+++ b/internal/controller/dispatcher/directcommands_test.go
@@ -250,3 +250,37 @@
 		})
 	}
 }
+
+// TestUnexecutedStartOfEndedJobIsReleased checks that a direct start that was refused or withheld is
+// not queued again if its job has ended, or its attempt was to be killed, while it was under way.
+// It guards against a queue that waits forever: the head would wait for a job that never comes.
+func TestUnexecutedStartOfEndedJobIsReleased(t *testing.T) {
+	task := protocol.TaskID{Job: "job-1"}
+	for name, end := range map[string]func(*fixture){
+		"job has ended": func(f *fixture) {
+			delete(f.dispatcher.Live, "job-1")
+			f.dispatcher.MarkEnded("job-1")
+			f.dispatcher.JobEnded("job-1", false)
+		},
+		"to be killed": func(f *fixture) {
+			f.dispatcher.StopAttempt(message.Stop{TaskRef: message.TaskRef{Task: task, Attempt: 1, Machine: "vm-1"}, Kill: true})
+		},
+	} {
+		for _, withheld := range []bool{false, true} {
+			f := newFixture(t)
+			f.registerAndSendHeartbeat()
+			cmd := f.startDirectly()
+			end(f)
+			if withheld {
+				result := cmd.Done()
+				result.Withheld = true
+				f.dispatcher.HandleCommandDone(result)
+			} else {
+				f.answerCommand(cmd, false)
+			}
+			if q := f.queue(); len(q.waiting) > 0 || q.entries[task] != nil {
+				t.Errorf("%s, withheld %v: %d attempts wait", name, withheld, len(q.waiting))
+			}
+		}
+	}
+}
--- a/internal/controller/dispatcher/queue.go
+++ b/internal/controller/dispatcher/queue.go
@@ -118,14 +118,15 @@
 	q.markChanged()
 }
 
-// requeue queues an attempt again whose start was not executed. If the machine accepts no
-// further starts, or the configuration no longer allows this one, the attempt is released
-// instead: it would wait there forever and keep the machine from becoming empty and being
-// terminated.
+// requeue queues an attempt again whose start was not executed. If the attempt was to be killed,
+// its job has ended, the machine accepts no further starts, or the configuration no longer allows
+// this one, the attempt is released instead: it would wait there forever, keep those behind it
+// waiting, and keep the machine from becoming empty and being terminated.
 func (q *queue) requeue(e *entry) {
 	e.sent = false
 	q.enqueue(e)
-	if q.refusesStarts() || q.inCordonedPlace() || q.isOutdated(e) {
+	over := e.kill || q.HasEnded(e.task.Job)
+	if over || q.refusesStarts() || q.inCordonedPlace() || q.isOutdated(e) {
 		q.release(e)
 	}
 }
