--- a/internal/controller/endedsession_test.go
+++ b/internal/controller/endedsession_test.go
@@ -26,6 +26,28 @@
 	return raw
 }
 
+// serveStore serves a fake key-value store on loopback until the test ends, and returns its address.
+func serveStore(t *testing.T, store http.Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: store}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// nodeWithStore returns a controller without peers that uses the key-value store at an address.
+// None of its actors runs.
+func nodeWithStore(address string, nodeLease time.Duration) *Node {
+	settings, operator := fake.Settings(), config.DefaultOperator()
+	settings.Name, settings.Members, settings.Services.State = "node-0", nil, address
+	operator.NodeLease = nodeLease
+	return NewNode(settings, operator, slog.New(slog.DiscardHandler))
+}
+
 // liveJob returns a job of one task.
 func liveJob(id protocol.JobID) protocol.Job {
 	return protocol.Job{ID: id, Team: "free", Kind: protocol.KindJobArray, Priority: "standard", Tasks: 1, CPUs: 1, MemoryGB: 1, EstimateS: 10, Image: "i"}
@@ -177,18 +199,7 @@
 // ran_cancelled: the job of the late answer, cancelled in between, became live for good.
 func TestWatchEndsWithItsSession(t *testing.T) {
 	store := &lateWatchStore{t: t, secondList: make(chan struct{}), answered: make(chan struct{})}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &http.Server{Handler: store}
-	go func() { _ = server.Serve(listener) }()
-	defer server.Close()
-
-	settings, operator := fake.Settings(), config.DefaultOperator()
-	settings.Name, settings.Members, settings.Services.State = "node-0", nil, listener.Addr().String()
-	operator.NodeLease = time.Second
-	node := NewNode(settings, operator, slog.New(slog.DiscardHandler))
+	node := nodeWithStore(serveStore(t, store), time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go node.runCore(ctx)
@@ -225,9 +236,7 @@
 			close(connected)
 		}
 	}()
-	settings := fake.Settings()
-	settings.Name, settings.Members = "node-0", nil
-	node := NewNode(settings, config.DefaultOperator(), slog.New(slog.DiscardHandler))
+	node := nodeWithStore("", time.Second)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go node.runCore(ctx)
@@ -282,22 +291,14 @@
 // session when it revokes its lease. It guards against work under a lease that is over: the
 // other controllers take over, and confirm cancellations, as soon as the lease has ended.
 func TestShutdownEndsSessionBeforeLease(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	settings, operator := fake.Settings(), config.DefaultOperator()
-	settings.Name, settings.Members, settings.Services.State = "node-0", nil, listener.Addr().String()
-	operator.NodeLease = 8 * time.Second
-	node := NewNode(settings, operator, slog.New(slog.DiscardHandler))
 	sessionAtRevocation := make(chan protocol.LeaseID, 1)
+	store := &revocationStore{t: t}
+	node := nodeWithStore(serveStore(t, store), 8*time.Second)
 	session := func() protocol.LeaseID {
 		id, _ := queryCore(node, func(c *Core) protocol.LeaseID { return c.Session })
 		return id
 	}
-	server := &http.Server{Handler: &revocationStore{t: t, onRevoke: func() { sessionAtRevocation <- session() }}}
-	go func() { _ = server.Serve(listener) }()
-	defer server.Close()
+	store.onRevoke = func() { sessionAtRevocation <- session() }
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go node.runCore(ctx)
--- a/internal/controller/sessions_test.go
+++ b/internal/controller/sessions_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -24,23 +23,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var requests atomic.Int32
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	address := serveStore(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if requests.Add(1) > 1 {
 			<-r.Context().Done() // the second watch is never answered
 			return
 		}
 		time.Sleep(delay)
 		_, _ = w.Write(answer)
-	})}
-	go func() { _ = server.Serve(listener) }()
-	defer server.Close()
+	}))
 
-	node := &Node{log: slog.New(slog.DiscardHandler), start: time.Now(), store: kvstore.NewClient(listener.Addr().String(), 1000, 1000, 1)}
+	node := &Node{log: slog.New(slog.DiscardHandler), start: time.Now(), store: kvstore.NewClient(address, 1000, 1000, 1)}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*delay)
 	defer cancel()
 	leaseTimes := &leaseClock{ttl: 8 * time.Second}
