HTTP client: a request whose context has ended already is not sent

Cause: found by reading the change once more. A context that ends between taking an open connection and setting the request's deadline interrupted the connection first; the deadline then replaced the interruption, and the request, a watch of an ended session for one, went on to it. The core drops what it brings, but the next session waits for it. Change: the context is looked at once more after the deadline is set. Result: TestRequestOfEndedContextIsNotSent fails without it (3 s, the deadline).

--- a/internal/transport/cancel_test.go
+++ b/internal/transport/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -46,3 +47,33 @@
 		t.Error("the connection of an unanswered request may be used again")
 	}
 }
+
+// slowDeadlineConn is a connection that sets a deadline in the future only after a while.
+type slowDeadlineConn struct{ net.Conn }
+
+func (c slowDeadlineConn) SetDeadline(t time.Time) error {
+	if t.After(time.Now()) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return c.Conn.SetDeadline(t)
+}
+
+// TestRequestOfEndedContextIsNotSent checks that a request whose context has ended already fails at
+// once, also on a connection that is open. It guards against a deadline that replaces the
+// interruption of the request, which then waits for that deadline.
+func TestRequestOfEndedContextIsNotSent(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	go func() { _, _ = io.Copy(io.Discard, theirs) }() // reads the request and never answers
+	client := NewClient("server")
+	client.release(&clientConn{conn: slowDeadlineConn{ours}, parser: NewResponseParser()})
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	cancel()
+	startedAt := time.Now()
+	if _, err := client.Do(ctx, "GET", "/follow", nil); !errors.Is(err, context.Canceled) {
+		t.Errorf("the request ended with %v, want %v", err, context.Canceled)
+	}
+	if elapsed := time.Since(startedAt); elapsed > time.Second {
+		t.Errorf("the request of an ended context took %v", elapsed)
+	}
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -137,6 +137,9 @@
 			return nil, err
 		}
 	}
+	if err := ctx.Err(); err != nil {
+		return nil, err // interrupt may have come before the deadline was set
+	}
 	if _, err := cc.conn.Write(request); err != nil {
 		return nil, err
 	}
