Clock: one bound on the drift of clocks

Cause: the deadline of a lease and the time after which a cancellation is confirmed bound the drift by a constant each, with the same value and meaning. Change: clock.MaxDrift serves both; the same integer division, so the same times.

--- a/internal/controller/admission/cancellation.go
+++ b/internal/controller/admission/cancellation.go
@@ -21,11 +21,9 @@
 	// confirmationBudget is how long a cancellation, or a submission of a cancelled job, may
 	// take while the cancellation is being announced. Users time these requests out after 5 s.
 	confirmationBudget = 4500 * time.Millisecond
-	// clockDriftDivisor bounds the drift of another controller's clock within a time: it is
-	// at most that time divided by clockDriftDivisor. stepMargin is the time in which a step
-	// that the other controller has begun sends its commands.
-	clockDriftDivisor = 500
-	stepMargin        = 200 * time.Millisecond
+	// stepMargin is the time in which a step that another controller has begun sends its
+	// commands.
+	stepMargin = 200 * time.Millisecond
 )
 
 // cancellationUnconfirmed is the reason of an answer with status 503 to a request for a cancelled
@@ -171,5 +169,5 @@
 // change of the records, by the clock of any of them: see config.MaxWatchStaleness.
 func maxObservationDelay(nodeLease time.Duration) time.Duration {
 	staleness := config.MaxWatchStaleness(nodeLease)
-	return staleness + staleness/clockDriftDivisor + stepMargin
+	return staleness + clock.MaxDrift(staleness) + stepMargin
 }
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"damsonkeel/internal/config"
+	"damsonkeel/internal/controller/clock"
 	"damsonkeel/internal/controller/message"
 	"damsonkeel/internal/kvstore"
 	"damsonkeel/internal/protocol"
@@ -30,11 +31,8 @@
 	// watchTimeout is how long a watch stays open. Its answer proves that this controller
 	// has received all changes up to the opening of the watch: see LeaseDeadline.
 	watchTimeout = 3 * time.Second
-	// clockDriftDivisor bounds the clock drift within a lease: it is at most the duration
-	// of the lease divided by clockDriftDivisor. leaseMargin is the time that is reserved
-	// for calls in progress.
-	clockDriftDivisor = 500
-	leaseMargin       = 200 * time.Millisecond
+	// leaseMargin is the time that is reserved for calls in progress.
+	leaseMargin = 200 * time.Millisecond
 )
 
 // errLeaseLost reports that the key-value store no longer has the lease of this session.
@@ -170,7 +168,7 @@
 // changes. The bound on cancellations that is promised to users depends on the second time
 // (docs/design.md, "How long a cancelled task may stay").
 func LeaseDeadline(ttl time.Duration, extensionSentAt, watchOpenedAt Time) Time {
-	leaseEnd := extensionSentAt + Time(ttl) - Time(ttl/clockDriftDivisor) - Time(leaseMargin)
+	leaseEnd := extensionSentAt + Time(ttl) - Time(clock.MaxDrift(ttl)) - Time(leaseMargin)
 	return min(leaseEnd, watchOpenedAt+Time(config.MaxWatchStaleness(ttl)))
 }
 
