Tests: copies of answered direct commands, and the failures they bring about

Seen by callers: a task ran on two machines at once (ran_twice). A copy of a start that had been executed and answered reached its machine once more, 4.8 s later, after the attempt had failed, had been forgotten and had been placed elsewhere. Change: stand-ins deliver copies. The model of a worker can reboot at once, keeping its agent epoch and token or not. The order of events of the incident by itself fails in TestAnsweredStartIsFencedBeforeForgetInReply and its three neighbours.

--- /dev/null
+++ b/internal/controller/dispatcher/commandcopies_test.go
@@ -0,0 +1,201 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"damsonkeel/internal/controller/message"
+	"damsonkeel/internal/controller/sharding"
+	"damsonkeel/internal/fake"
+	"damsonkeel/internal/protocol"
+)
+
+// taskRunTime is how long a task runs on the machine under test.
+const taskRunTime = time.Second
+
+// workerFixture is a fixture whose machine under test has a model of its worker, to which
+// replies and direct commands are delivered. All shards are held here.
+type workerFixture struct {
+	*fixture
+	worker *fake.Worker
+	task   protocol.TaskID
+}
+
+func newWorkerFixture(t *testing.T) *workerFixture {
+	f := &workerFixture{fixture: newFixture(t), task: protocol.TaskID{Job: "job-1"}}
+	f.holdAllShards()
+	f.worker = &fake.Worker{
+		ID: testMachine, Info: f.dispatcher.Types["small"], Zone: "a", LeaseS: 1000, CachesImages: true,
+		JobByID: func(id protocol.JobID) (protocol.Job, bool) {
+			return protocol.Job{ID: id, Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i"}, true
+		},
+		RunTime:   func(protocol.TaskID) time.Duration { return taskRunTime },
+		OnStarted: func(*fake.Worker, protocol.TaskID, protocol.Attempt) {},
+		OnEnded:   func(*fake.Worker, protocol.TaskID, protocol.EndCause) {},
+		Results:   map[protocol.TaskID]bool{},
+	}
+	f.worker.Start(0)
+	f.registerMachine()
+	f.exchangeHeartbeat()
+	f.exchangeHeartbeat() // shows that the worker has seen a token of this shard epoch
+	return f
+}
+
+// startDirectly places the task on the machine under test and returns the direct commands that
+// start it.
+func (f *workerFixture) startDirectly() message.Command {
+	f.t.Helper()
+	f.addJob(f.task.Job)
+	placement := message.Placement{Task: f.task, Attempt: 1, Machine: testMachine, Epoch: 7, CPUs: 1, GB: 1}
+	placement.Tenure = f.dispatcher.ShardEpoch(testMachine, "a")
+	f.dispatcher.QueuePlacements("node-0", &message.Place{Term: 1, Tasks: []message.Placement{placement}})
+	start := f.sendDirectCommands()
+	if countStarts(start.Commands.Orders) != 1 {
+		f.t.Fatalf("the attempt was not started directly: %+v", start)
+	}
+	return start
+}
+
+// exchangeHeartbeat delivers the worker's next heartbeat to the dispatcher and the reply to the
+// worker.
+func (f *workerFixture) exchangeHeartbeat() {
+	f.worker.ProcessReply(f.worker.Epoch, f.worker.LastTick(), f.deliverHeartbeat())
+}
+
+// deliverHeartbeat delivers the worker's next heartbeat to the dispatcher and returns the reply,
+// which does not reach the worker.
+func (f *workerFixture) deliverHeartbeat() protocol.HeartbeatReply {
+	f.t.Helper()
+	heartbeat := f.worker.Heartbeat()
+	heartbeat.Address, heartbeat.Type = "x", "small"
+	f.dispatcher.Actions = nil
+	f.dispatcher.HandleHeartbeat(heartbeat)
+	for _, a := range f.dispatcher.Actions {
+		if r, ok := a.(message.ReplyHeartbeat); ok && r.Status == 200 {
+			return r.Reply
+		}
+	}
+	f.t.Fatal("the heartbeat was not answered")
+	return protocol.HeartbeatReply{}
+}
+
+// exchangeCommand delivers direct commands to the worker and the answer to the dispatcher.
+func (f *workerFixture) exchangeCommand(c message.Command) {
+	result := c.Done()
+	result.Executed, result.Answered = f.worker.Execute(c.Commands), true
+	result.Heartbeat = f.worker.Heartbeat()
+	result.Heartbeat.Type = "small"
+	f.dispatcher.HandleCommandDone(result)
+}
+
+// runTasks lets the tasks on the machine run until they end.
+func (f *workerFixture) runTasks() {
+	for range 2 { // the first tick starts fetched tasks
+		f.worker.Tick(f.worker.LastTick() + 2*taskRunTime)
+	}
+}
+
+// forgetAttempt handles the owner's word that it has processed the end of the attempt.
+func (f *workerFixture) forgetAttempt() {
+	f.dispatcher.ForgetAttempt(message.TaskRef{Task: f.task, Attempt: 1, Machine: testMachine})
+}
+
+// checkCopyStartsNothing delivers a copy of commands to the worker, which must have forgotten
+// the attempt that they start.
+func (f *workerFixture) checkCopyStartsNothing(c message.Command) {
+	f.t.Helper()
+	if f.worker.Knows(f.task, 1) {
+		f.t.Fatal("the worker has not forgotten the attempt, so the test proves nothing")
+	}
+	f.worker.Execute(c.Commands)
+	if f.worker.Knows(f.task, 1) {
+		f.t.Error("a copy of an answered start started the attempt again")
+	}
+}
+
+func TestAnsweredStartIsFencedBeforeForgetInReply(t *testing.T) {
+	f := newWorkerFixture(t)
+	start := f.startDirectly()
+	f.exchangeCommand(start)
+	f.runTasks()
+	f.exchangeHeartbeat()
+	f.forgetAttempt()
+	f.exchangeHeartbeat()
+	f.exchangeHeartbeat()
+	f.checkCopyStartsNothing(start)
+}
+
+func TestAnsweredStartIsFencedBeforeDirectForget(t *testing.T) {
+	f := newWorkerFixture(t)
+	start := f.startDirectly()
+	f.exchangeCommand(start)
+	f.runTasks()
+	f.exchangeHeartbeat()
+	f.forgetAttempt()
+	f.queue().requestDirect()
+	forget := f.sendDirectCommands()
+	if !hasOrder(forget.Commands.Orders, protocol.OpForget) {
+		t.Fatalf("no direct order to forget the attempt: %+v", forget)
+	}
+	f.exchangeCommand(forget)
+	f.checkCopyStartsNothing(start)
+}
+
+func TestLostAttemptIsFencedBeforeItsOwnerIsNotified(t *testing.T) {
+	f := newWorkerFixture(t)
+	start := f.startDirectly()
+	f.exchangeCommand(start)
+	f.exchangeHeartbeat()
+	f.worker.Reboot(f.worker.LastTick())
+	f.dispatcher.Local = nil
+	for exchanges := 0; !f.wasEnded(f.task); exchanges++ {
+		if exchanges > 3 {
+			t.Fatal("the owner was not notified")
+		}
+		f.exchangeHeartbeat()
+	}
+	f.checkCopyStartsNothing(start)
+}
+
+func TestFoundAttemptIsFencedBeforeForget(t *testing.T) {
+	f := newWorkerFixture(t)
+	start := f.startDirectly()
+	f.worker.Execute(start.Commands)
+	f.queue().removeEntry(f.task) // found by a queue that did not send its start
+	f.queue().commandInFlight = 0
+	f.runTasks()
+	f.exchangeHeartbeat()
+	f.forgetAttempt()
+	f.exchangeHeartbeat()
+	f.checkCopyStartsNothing(start)
+}
+
+func TestStartIsFencedAfterShardReturns(t *testing.T) {
+	f := newWorkerFixture(t)
+	start := f.startDirectly()
+	f.exchangeCommand(start)
+	f.runTasks()
+	f.exchangeHeartbeat()
+	f.forgetAttempt()
+	f.exchangeHeartbeat()
+	old := f.dispatcher.Shards
+	id := sharding.ShardOf(old, testMachine, "a")
+	for _, holder := range []protocol.LeaseID{101, f.dispatcher.Session} {
+		f.dispatcher.Shards = sharding.Copy(old)
+		sharding.Assign(f.dispatcher.Shards, id, holder)
+		f.dispatcher.AdoptShards(old)
+		old = f.dispatcher.Shards
+	}
+	f.exchangeHeartbeat()
+	f.checkCopyStartsNothing(start)
+}
+
+// wasEnded reports whether an owner was notified that the attempt of a task has ended.
+func (f *fixture) wasEnded(task protocol.TaskID) bool {
+	for _, m := range f.dispatcher.Local {
+		if m.Event != nil && m.Event.What == message.EventEnded && m.Event.Task == task {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -128,17 +128,30 @@
 
 // Restart ends all tasks, which are lost, and starts the next agent epoch with a new lease.
 func (w *Worker) Restart(now time.Duration) {
+	w.Reboot(now)
+	w.Epoch++
+	w.Seq = 0
+}
+
+// Reboot ends all tasks, which are lost, and starts a new lease. The agent epoch, the highest
+// fencing token and the sequence number stay as they are.
+func (w *Worker) Reboot(now time.Duration) {
 	for id, t := range w.tasks {
 		if t.state != protocol.TaskEnded {
 			w.end(id, t, protocol.EndStopped)
 		}
 	}
 	w.tasks, w.sortedTasks = map[protocol.TaskID]*workerTask{}, nil
-	w.Epoch++
-	w.Seq = 0
 	w.leaseRenewedAt = now
 }
 
+// RebootFromScratch is a Reboot after which the worker also begins its agent epochs, fencing
+// tokens and sequence numbers anew.
+func (w *Worker) RebootFromScratch(now time.Duration) {
+	w.Reboot(now)
+	w.Epoch, w.Term, w.Seq = 1, 0, 0
+}
+
 // NextChangeAt returns the time of the next change of the worker's state if no command and no
 // reply arrives before: a task's next change, or just after the lease expires.
 func (w *Worker) NextChangeAt() time.Duration {
--- a/internal/fake/workerorders.go
+++ b/internal/fake/workerorders.go
@@ -9,7 +9,7 @@
 // Execute executes direct commands and reports whether it did. It refuses commands with a lower
 // fencing token than the highest received, or for another agent epoch.
 func (w *Worker) Execute(c protocol.Commands) bool {
-	if c.Term < w.Term || c.AgentEpoch != w.Epoch {
+	if !w.Accepts(c) {
 		return false
 	}
 	w.Term = c.Term
@@ -17,6 +17,18 @@
 	return true
 }
 
+// Accepts reports whether the worker would execute direct commands: their fencing token is not
+// below the highest one received, and they are for the present agent epoch.
+func (w *Worker) Accepts(c protocol.Commands) bool {
+	return c.Term >= w.Term && c.AgentEpoch == w.Epoch
+}
+
+// Knows reports whether the worker lists an attempt of a task, ended or not.
+func (w *Worker) Knows(task protocol.TaskID, attempt protocol.Attempt) bool {
+	t := w.tasks[task]
+	return t != nil && t.attempt == attempt
+}
+
 // execute executes orders to start, stop and forget attempts. Stop and forget orders for
 // another attempt than the task's latest one on the machine have no effect, nor have forget
 // orders for an attempt that has not ended.
--- a/internal/simulator/actions.go
+++ b/internal/simulator/actions.go
@@ -190,6 +190,9 @@
 	x.done.Executed = m.Execute(x.commands)
 	m.nextEvent = w.now
 	x.done.Heartbeat = m.Heartbeat()
+	if w.commandCopyFraction > 0 && x.done.Executed && w.rng.Float64() < w.commandCopyFraction {
+		w.after(w.copyDelay(), x.executeCopy)
+	}
 	x.done.Answered = true
 	if w.rng.IntN(30) == 0 {
 		x.done.Answered = false // the reply is lost
@@ -198,6 +201,29 @@
 	w.after(w.workerDelay(), x.finish)
 }
 
+// executeCopy makes the worker execute the commands once more, as if the network had held back
+// a copy of them. Nobody waits for the reply. It counts the attempts that start again.
+func (x *commandExchange) executeCopy() {
+	m, w := x.worker, x.node.world
+	if m.Dead {
+		return
+	}
+	if w.now < m.pausedUntil {
+		w.after(m.pausedUntil-w.now+w.delay(), x.executeCopy)
+		return
+	}
+	m.advanceBeforeMessage()
+	w.commandCopies++
+	for _, o := range x.commands.Orders {
+		if o.Op == protocol.OpStart && !m.Knows(o.Task, o.Attempt) && m.Accepts(x.commands) {
+			w.repeatedStarts = append(w.repeatedStarts, repeatedStart{at: w.now, machine: m.ID, task: o.Task, attempt: o.Attempt})
+		}
+	}
+	m.Execute(x.commands)
+	m.Heartbeat() // the reply takes a sequence number
+	m.nextEvent = w.now
+}
+
 // finish passes the outcome of the commands to the core, at most once and only if the process
 // that sent them still runs.
 func (x *commandExchange) finish() {
--- a/internal/simulator/userscenario_test.go
+++ b/internal/simulator/userscenario_test.go
@@ -73,7 +73,7 @@
 		w.run(w.now + time.Duration(1000+w.rng.IntN(5000))*time.Millisecond)
 	}
 	w.run(w.now + d.settleTime)
-	w.outageUntil, w.stateLatency, w.lateWriteFraction, w.duplicateHeartbeatFraction, w.slowMessageFraction, w.lostAnswerFraction, w.watchLag, w.slowWatchFraction, w.commandWaitFraction, w.recordHeartbeats = 0, 0, 0, 0, 0, 0, 0, 0, 0, false
+	w.outageUntil, w.stateLatency, w.lateWriteFraction, w.duplicateHeartbeatFraction, w.slowMessageFraction, w.lostAnswerFraction, w.watchLag, w.slowWatchFraction, w.commandWaitFraction, w.commandCopyFraction, w.recordHeartbeats = 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, false
 	clear(w.partitions)
 	for _, id := range w.machineOrder {
 		m := w.workers[id]
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -82,6 +82,18 @@
 	reservationChanges int
 	movePauses         []time.Duration // for how long each shard move paused starts
 	abortedMoves       int
+	commandCopies      int // copies of commands that reached a worker
+	// repeatedStarts are the attempts that a copy of a command started although the worker had
+	// started and forgotten them before.
+	repeatedStarts []repeatedStart
+}
+
+// repeatedStart is the start of an attempt by a copy of a command that was executed before.
+type repeatedStart struct {
+	at      time.Duration
+	machine protocol.MachineID
+	task    protocol.TaskID
+	attempt protocol.Attempt
 }
 
 // hooks are functions that a world calls, so that a driver or a test can make decisions and
