--- a/cmd/damsonkeel-scale/main_test.go
+++ b/cmd/damsonkeel-scale/main_test.go
@@ -45,6 +45,9 @@
 	if len(r.Rules) > 0 {
 		t.Errorf("rules broken: %v", r.Rules)
 	}
+	if r.CommandCopies == 0 {
+		t.Error("no copy of a command reached a worker")
+	}
 	if r.Workers != 60 || r.Controllers != 3 || r.Starts < 100 || r.Urgent.Jobs < 10 {
 		t.Errorf("%d workers, %d controllers, %d starts, %d urgent jobs", r.Workers, r.Controllers, r.Starts, r.Urgent.Jobs)
 	}
--- a/internal/fake/server/host.go
+++ b/internal/fake/server/host.go
@@ -37,6 +37,7 @@
 	mu      sync.Mutex
 	workers map[protocol.MachineID]*worker
 	jobs    map[protocol.JobID]protocol.Job // descriptions of jobs that were read
+	copies  commandCopier
 }
 
 // worker is a machine that is in service, with its agent.
@@ -47,6 +48,7 @@
 	startedAt          time.Duration // when the machine was put into service
 	lastAnswered       time.Duration // send time of the last answered heartbeat
 	heartbeatRequested chan struct{} // signals that the next heartbeat should be sent early
+	reportedToken      time.Duration // when a later fencing token last caused an early heartbeat
 	restarting         bool          // while set, the worker sends no heartbeats and executes no commands
 }
 
--- a/internal/fake/server/hostcommands.go
+++ b/internal/fake/server/hostcommands.go
@@ -39,6 +39,7 @@
 	status = http.StatusConflict
 	if w.Execute(commands) {
 		status = http.StatusOK
+		h.scheduleCopy(w, commands)
 	}
 	return status, w.nextHeartbeat(), true
 }
--- a/internal/fake/server/hostheartbeat.go
+++ b/internal/fake/server/hostheartbeat.go
@@ -143,8 +143,12 @@
 	h.mu.Lock()
 	if !w.restarting {
 		h.advance(w)
+		seen := w.Term
 		w.ProcessReply(epoch, sent, reply)
 		w.lastAnswered = max(w.lastAnswered, sent)
+		if w.Term > seen {
+			h.reportToken(w)
+		}
 	}
 	h.mu.Unlock()
 	if len(reply.Orders) > 0 {
@@ -154,6 +158,15 @@
 	return time.Duration(jitter * float64(h.cfg.HeartbeatInterval))
 }
 
+// reportToken requests an early heartbeat because the worker has seen a later fencing token,
+// at most once per half of a lease. The lock is held.
+func (h *Host) reportToken(w *worker) {
+	if now := h.cfg.Clock(); now-w.reportedToken >= h.cfg.LeaseTime/2 {
+		w.reportedToken = now
+		w.requestHeartbeat()
+	}
+}
+
 // post sends a heartbeat to a controller and counts its traffic.
 func (h *Host) post(c *transport.Client, heartbeat protocol.Heartbeat) (*transport.Message, error) {
 	body, err := protocol.Encode(heartbeat)
--- a/internal/fake/server/platform.go
+++ b/internal/fake/server/platform.go
@@ -71,6 +71,12 @@
 	p.stateService.Close()
 }
 
+// CopyCommands makes copies of direct commands to the workers arrive from now on.
+func (p *Platform) CopyCommands(copies CommandCopies) { p.host.CopyCommands(copies) }
+
+// CopyCounts returns the counts of the copies of direct commands.
+func (p *Platform) CopyCounts() CopyCounts { return p.host.CopyCounts() }
+
 // RegisterJob registers the description of a submitted job, so that workers can read it.
 func (p *Platform) RegisterJob(j protocol.Job) {
 	p.mu.Lock()
--- a/internal/scale/process/config.go
+++ b/internal/scale/process/config.go
@@ -58,4 +58,5 @@
 	Lateness   metrics.Lateness
 	Users      *metrics.UserMetrics // only from the process of the users
 	Analysis   *analysis.Metrics    // only from the process of the monitor
+	Copies     server.CopyCounts    // only from processes of workers
 }
--- a/internal/scale/results/builder.go
+++ b/internal/scale/results/builder.go
@@ -83,6 +83,19 @@
 	if report.Analysis != nil {
 		b.addAnalysis(report.Analysis)
 	}
+	b.addCopies(child.Name, report.Copies)
+}
+
+// addCopies adds the copies of direct commands that reached the workers of a process, and a
+// violation if any of them started an attempt again.
+func (b *Builder) addCopies(process string, copies server.CopyCounts) {
+	b.result.CommandCopies += copies.Delivered
+	if copies.RepeatedStarts > 0 {
+		b.addViolations([]rules.Violation{{
+			Rule:   rules.RuleStartedAgain,
+			Detail: fmt.Sprintf("copies of commands started %d attempts again on the workers of %s", copies.RepeatedStarts, process),
+		}})
+	}
 }
 
 // addLateness updates the worst lateness of all processes and whether the run counts as saturated.
--- a/internal/scale/results/result.go
+++ b/internal/scale/results/result.go
@@ -19,7 +19,10 @@
 	Machine capacity.Machine `json:"machine"`
 	Need    capacity.Need    `json:"need"`
 
-	Rules     []string         `json:"rules"` // rule violations
+	Rules []string `json:"rules"` // rule violations
+	// CommandCopies is the number of copies of direct commands that reached a worker.
+	CommandCopies int `json:"command_copies,omitempty"`
+
 	Saturated bool             `json:"saturated"`
 	Lateness  metrics.Lateness `json:"lateness"`  // worst values of all processes that were not paused
 	Busy      float64          `json:"busy"`      // mean busy fraction of all processors
--- a/internal/scale/rules/violation.go
+++ b/internal/scale/rules/violation.go
@@ -16,6 +16,9 @@
 	RuleNotDone      Rule = "not_done"      // a job was reported as done before its tasks had completed
 	RuleWentBack     Rule = "went_back"     // a job left its final state, or was reported as cancelled without a request
 	RuleNothingRan   Rule = "nothing_ran"   // no task started in the whole run
+	// RuleStartedAgain is broken if a copy of a command starts an attempt that its worker has
+	// forgotten. It leads to the other rules' violations if the task runs elsewhere by then.
+	RuleStartedAgain Rule = "started_again"
 )
 
 // Violation is one breach of a rule, with the time at which it was observed.
--- a/internal/scale/siteconfig/site.go
+++ b/internal/scale/siteconfig/site.go
@@ -22,6 +22,9 @@
 	ToServicesMS     float64 `toml:"to_services_ms"`
 	// RestartS is the delay before a controller whose process ended is restarted.
 	RestartS float64 `toml:"restart_s"`
+	// CommandCopies is the fraction of the direct commands of which a copy reaches the worker
+	// once more after they were executed and answered.
+	CommandCopies float64 `toml:"command_copies"`
 	// IdleReturnS is how long the scheduler keeps an idle machine before it returns the machine
 	// to the cloud.
 	IdleReturnS float64 `toml:"idle_return_s"`
--- a/internal/scale/siteconfig/validate.go
+++ b/internal/scale/siteconfig/validate.go
@@ -78,6 +78,7 @@
 		{"between_regions_ms", s.BetweenRegionsMS, 0, 1000},
 		{"to_services_ms", s.ToServicesMS, 0, 1000},
 		{"restart_s", s.RestartS, 0, maxDurationS},
+		{"command_copies", s.CommandCopies, 0, 1},
 		{"idle_return_s", s.IdleReturnS, 0.1, maxDurationS},
 		{"timings.report_s", s.Timings.ReportS, 0.5, 60},
 		{"timings.lease_s", s.Timings.LeaseS, 1, 600},
--- a/internal/scale/workers/workers.go
+++ b/internal/scale/workers/workers.go
@@ -21,6 +21,8 @@
 	// exchanges add little to the resource usage that is measured for the worker.
 	exchangeInterval       = 100 * time.Millisecond
 	singleExchangeInterval = 500 * time.Millisecond
+	// maxCopyDelay is the longest time after which a copy of direct commands reaches a worker.
+	maxCopyDelay = 2 * time.Minute
 	// runTimeJitter is the largest relative deviation of a task's run time from the estimate.
 	runTimeJitter = 0.2
 	// runTimeSteps is the number of different deviations within runTimeJitter.
@@ -51,6 +53,7 @@
 		LeaseTime: clock.Seconds(cfg.Site.Timings.LeaseS), GangWait: clock.Seconds(cfg.Site.Timings.GangWaitS),
 		CachedImages: true, RunTime: runTime, Jobs: w.client, Observer: w, Clock: clock.Now, Results: map[protocol.TaskID]bool{},
 	})
+	w.host.CopyCommands(server.CommandCopies{Fraction: cfg.Site.CommandCopies, MaxDelay: maxCopyDelay, Seed: cfg.Seed})
 	interval := singleExchangeInterval
 	if process.IsShared(cfg.Name) {
 		interval = exchangeInterval
@@ -167,5 +170,5 @@
 	if err := w.exchange(); err != nil {
 		w.log.Error("last exchange with monitor failed", "err", err)
 	}
-	return process.Report{Traffic: w.host.Traffic.Flows()}
+	return process.Report{Traffic: w.host.Traffic.Flows(), Copies: w.host.CopyCounts()}
 }
