Log: what tells a repeated command from an attempt taken for lost

Cause: the records of the incident name the machines and attempts that were killed as not current, and nothing that says why they ran: no token of a start or of an order to forget, no word on what an owner gave up as lost, or on which shards a controller held by which record. Change: each start and each order to forget names its path and token (debug). A dispatcher warns of an attempt that it did not start on a machine whose contents it knows, and of one that a worker no longer lists. An owner says how many attempts it gives up, by which inventory or record, and what it holds for current when it kills another. Changes of shards and views name the revision and the epoch of the table.

--- a/internal/controller/dispatcher/directcommands.go
+++ b/internal/controller/dispatcher/directcommands.go
@@ -95,6 +95,9 @@
 	if q.agentEpoch == result.AgentEpoch && result.Withheld {
 		q.requeueWithheld(&result)
 	}
+	if !result.Answered && !result.Withheld {
+		q.statistics.unanswered++
+	}
 	if q.agentEpoch != result.AgentEpoch || !result.Answered {
 		return // the outcome of these starts is unknown: see applyMissingTask
 	}
@@ -103,6 +106,7 @@
 		q.applyHeartbeat(&result.Heartbeat, false)
 	}
 	if !result.Executed {
+		q.statistics.refused++
 		q.settleRefused(&result)
 		q.requeueSettled(result.Orders)
 	}
--- a/internal/controller/dispatcher/orders.go
+++ b/internal/controller/dispatcher/orders.go
@@ -38,7 +38,6 @@
 	for _, e := range q.takeStartable() {
 		e.sent = true
 		b.addStart(e)
-		q.Log.Debug("start", "machine", q.id, "task", e.task, "attempt", e.attempt)
 	}
 	return b.orders
 }
@@ -97,10 +96,13 @@
 	e.startResent = e.directFencingToken != 0
 	if b.direct {
 		e.directFencingToken = b.fencingToken()
+		b.statistics.directStarts++
 	} else {
 		e.startInLastReply = true
+		b.statistics.replyStarts++
 	}
 	b.orders = append(b.orders, protocol.Order{Op: protocol.OpStart, Task: e.task, Attempt: e.attempt})
+	b.Log.Debug("start", "machine", b.id, "task", e.task, "attempt", e.attempt, "direct", b.direct, "token", b.fencingToken(), "agent_epoch", b.agentEpoch)
 }
 
 // addForget adds an order to forget an ended attempt. Afterwards the worker has no record
@@ -112,7 +114,9 @@
 	case e.mayArrive(b.fencingToken()):
 		b.awaitTermForForget(e)
 	case !e.startInLastReply:
+		b.statistics.forgets++
 		b.orders = append(b.orders, protocol.Order{Op: protocol.OpForget, Task: e.task, Attempt: e.attempt})
+		b.Log.Debug("forget", "machine", b.id, "task", e.task, "attempt", e.attempt, "direct", b.direct, "token", b.fencingToken(), "start_token", e.directFencingToken)
 	}
 }
 
--- a/internal/controller/dispatcher/queueset.go
+++ b/internal/controller/dispatcher/queueset.go
@@ -69,6 +69,8 @@
 	changes replication.ChangeLog[protocol.MachineID]
 	direct  directSchedule
 	shards  shardSet
+	// statistics counts the commands to all workers.
+	statistics statisticsLog
 	// newTermNeeded is set while a direct start can only be fenced by a later term.
 	newTermNeeded bool
 }
--- a/internal/controller/dispatcher/reconcile.go
+++ b/internal/controller/dispatcher/reconcile.go
@@ -1,6 +1,9 @@
 package dispatcher
 
 import (
+	"context"
+	"log/slog"
+
 	"damsonkeel/internal/controller/message"
 	"damsonkeel/internal/controller/ordered"
 	"damsonkeel/internal/controller/resource"
@@ -46,12 +49,25 @@
 			q.replaceWithUnexpected(e, status, fencingTokenSeen)
 			return
 		}
+		q.logFound(status, fencingTokenSeen)
 		e = q.newFoundEntry(status, fencingTokenSeen)
 		q.addEntry(e)
 	}
 	q.applyTaskStatus(e, status)
 }
 
+// logFound logs an attempt that the worker lists and this dispatcher has not started: as a
+// warning if only this dispatcher can have started attempts since the inventory.
+func (q *queue) logFound(status *protocol.TaskStatus, fencingTokenSeen protocol.Term) {
+	q.statistics.foundAttempts++
+	level := slog.LevelDebug
+	if q.inventoryKnown && q.exclusive {
+		level = slog.LevelWarn
+	}
+	q.Log.Log(context.Background(), level, "worker lists an attempt that was not started from here", "machine", q.id, "task", status.Task, "attempt", status.Attempt,
+		"state", status.State, "token_seen", fencingTokenSeen, "token", q.fencingToken(), "agent_epoch", q.agentEpoch)
+}
+
 // newFoundEntry returns the entry of an attempt that was found on the machine, whose worker
 // has seen the given fencing token. Its start may have been sent directly with any token up to
 // that one. Its level is a guess, because only its owner has the actual level.
@@ -138,6 +154,8 @@
 		q.removeEntry(id)
 		q.markChanged()
 		if !e.ended() {
+			q.statistics.missingPresent++
+			q.Log.Warn("worker no longer lists an attempt that had not ended", "machine", q.id, "task", id, "attempt", e.attempt, "state", e.state, "token_seen", fencingTokenSeen)
 			e.state, e.cause = protocol.TaskEnded, protocol.EndError
 			q.notifyOwner(e, message.EventEnded)
 		}
--- a/internal/controller/dispatcher/shards.go
+++ b/internal/controller/dispatcher/shards.go
@@ -234,6 +234,9 @@
 			gained[id] = true
 		}
 	}
+	if len(lost)+len(gained) > 0 {
+		d.Log.Info("shards changed hands", "gained", len(gained), "lost", len(lost), "held", d.ShardsHeld(), "table_epoch", d.Shards.Epoch, "revision", d.ObservedRevision)
+	}
 	if len(lost) > 0 {
 		d.dropLostShards(lost)
 	}
--- a/internal/controller/dispatcher/tokens.go
+++ b/internal/controller/dispatcher/tokens.go
@@ -91,10 +91,11 @@
 	if last := q.LastFencingToken(q.id, q.zone); q.fencingToken() < last {
 		q.recordIssued(q.fencingToken() + 1)
 		q.tokens.needed = false
+		q.statistics.tokensIssued++
 		q.Log.Debug("issued a fencing token", "machine", q.id, "token", q.tokens.issued, "last", last)
 	}
 	if q.shard().tokensLeft(&q.Shards.List[q.shardID()]) < tokenReserve {
-		q.shards.requestTokens()
+		q.requestTokens()
 	}
 }
 
@@ -106,6 +107,9 @@
 
 // requestTokens requests more fencing tokens for the shards that have few left. One change of
 // the shard record provides them for all of these.
-func (s *shardSet) requestTokens() {
-	s.tokensRequested, s.changeDue = true, true
+func (env *environment) requestTokens() {
+	if !env.shards.tokensRequested {
+		env.statistics.tokenRequests++
+	}
+	env.shards.tokensRequested, env.shards.changeDue = true, true
 }
--- a/internal/controller/jobs/attempts.go
+++ b/internal/controller/jobs/attempts.go
@@ -93,6 +93,9 @@
 func (o *Owned) HandleMachineLost(m *waittable.Machine) {
 	delete(o.AwaitedInventories, m.ID)
 	o.dropEndedJobAttempts(m.ID, math.MaxUint64)
+	if n := len(o.AttemptsByMachine[m.ID]); n > 0 {
+		o.Log.Info("attempts are lost: the machine's record has changed or gone", "machine", m.ID, "attempts", n, "record", m.Epoch)
+	}
 	for _, attempt := range ordered.Tasks(o.AttemptsByMachine[m.ID]) {
 		if job := o.ByID[attempt.Task.Job]; job != nil && job.Placed[attempt.Task] == attempt {
 			o.handleLostAttempt(job, attempt)
--- a/internal/controller/jobs/events.go
+++ b/internal/controller/jobs/events.go
@@ -40,7 +40,7 @@
 		o.handleCurrentAttemptEvent(job, attempt, event)
 	case event.What == message.EventPresent || event.What == message.EventRunning:
 		if job.Loaded && !job.Unverified {
-			o.killUnknownAttempt(event)
+			o.killUnknownAttempt(job, event)
 		}
 	}
 }
@@ -96,8 +96,12 @@
 
 // killUnknownAttempt asks the dispatcher to kill an attempt that this owner never placed or
 // has already dropped as lost.
-func (o *Owned) killUnknownAttempt(event message.TaskEvent) {
-	o.Log.Error("killing an attempt that is not the current one of its task", "task", event.Task, "attempt", event.Attempt, "machine", event.Machine)
+func (o *Owned) killUnknownAttempt(job *Job, event message.TaskEvent) {
+	attrs := []any{"task", event.Task, "attempt", event.Attempt, "machine", event.Machine, "event", event.What, "done", job.Done.Test(uint(event.Task.Index))}
+	if current := job.Placed[event.Task]; current != nil {
+		attrs = append(attrs, "current_attempt", current.Number, "current_machine", current.Machine, "current_started", current.Started)
+	}
+	o.Log.Error("killing an attempt that is not the current one of its task", attrs...)
 	o.SendStop(&Attempt{Task: event.Task, Number: event.Attempt, Machine: event.Machine}, true, 0)
 }
 
--- a/internal/controller/jobs/inventory.go
+++ b/internal/controller/jobs/inventory.go
@@ -26,13 +26,18 @@
 		listed[held.Task] = true
 		o.adoptAttempt(job, m, held)
 	}
+	lost := 0
 	for _, attempt := range ordered.Tasks(o.AttemptsByMachine[m.ID]) {
 		job := o.ByID[attempt.Task.Job]
 		if job == nil || listed[attempt.Task] || (!attempt.Unverified && attempt.PlaceNumber > inventory.Upto) {
 			continue
 		}
+		lost++
 		o.handleLostAttempt(job, attempt)
 	}
+	if lost > 0 {
+		o.Log.Info("attempts are lost: the inventory does not list them", "machine", m.ID, "attempts", lost, "from", from, "upto", inventory.Upto, "shard_epoch", inventory.Tenure, "record", m.Epoch)
+	}
 	o.dropEndedJobAttempts(inventory.Machine, inventory.Upto)
 	o.recordEndedJobAttempts(inventory)
 	delete(o.AwaitedInventories, inventory.Machine)
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -45,6 +45,7 @@
 	c.dispatcher.ExpireSilentMachines(c.members.AllAdoptedTerm(), c.members.ObservedShardEpoch())
 	c.placer.Rebalance("")
 	c.dispatcher.MaintainQueues(c.announcedLevel, c.jobs.IsFailing)
+	c.dispatcher.LogStatistics()
 	c.jobs.WriteBitmaps()
 	c.sendStateUpdates(true)
 	c.members.Balance()
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -28,8 +28,9 @@
 		c.Log.Info("this controller is not a member of the new view", "term", view.Term)
 		return
 	}
-	c.Log.Info("adopted the view of a new term", "term", view.Term, "members", len(view.Members))
 	continuous := consecutive && wasMember
+	c.Log.Info("adopted the view of a new term", "term", view.Term, "members", len(view.Members), "continuous", continuous,
+		"shards", c.dispatcher.ShardsHeld(), "table_epoch", c.ShardTableEpoch(), "revision", c.ObservedRevision)
 	c.dispatcher.AdoptView(old, continuous)
 	c.jobs.AdoptView(old, continuous)
 	c.beginUpdateStreams()
