Emulator: copies of direct commands

Change: command_copies of a site is the share of the executed direct commands of which a copy reaches the worker once more, 0.2 s to 3 min later; a copy that starts an attempt again is listed among the violations as started_again.

--- a/internal/simulator/actions.go
+++ b/internal/simulator/actions.go
@@ -202,7 +202,7 @@
 }
 
 // executeCopy makes the worker execute the commands once more, as if the network had held back
-// a copy of them. Nobody waits for the reply. It counts the attempts that start again.
+// a copy of them. Nobody waits for the reply.
 func (x *commandExchange) executeCopy() {
 	m, w := x.worker, x.node.world
 	if m.Dead {
@@ -216,7 +216,7 @@
 	w.commandCopies++
 	for _, o := range x.commands.Orders {
 		if o.Op == protocol.OpStart && !m.Knows(o.Task, o.Attempt) && m.Accepts(x.commands) {
-			w.repeatedStarts = append(w.repeatedStarts, repeatedStart{at: w.now, machine: m.ID, task: o.Task, attempt: o.Attempt})
+			w.onRepeatedStart(repeatedStart{at: w.now, machine: m.ID, task: o.Task, attempt: o.Attempt})
 		}
 	}
 	m.Execute(x.commands)
--- a/internal/simulator/driver.go
+++ b/internal/simulator/driver.go
@@ -144,6 +144,10 @@
 	w.onProvisioned, w.onTerminated = d.machineProvisioned, d.machineTerminated
 	w.ageS = func(id protocol.MachineID) float64 { return (w.now - d.provisioned[id].since).Seconds() }
 	w.onTaskStarted, w.onTaskEnded = d.taskStarted, d.taskEnded
+	w.commandCopyFraction = d.site.CommandCopies
+	w.onRepeatedStart = func(r repeatedStart) {
+		w.fail("%v started_again: a copy of a command starts %v on %s", r.at, r.task, r.machine)
+	}
 	for _, n := range w.nodes { // restart with the site's settings
 		n.start()
 	}
--- a/internal/simulator/site.go
+++ b/internal/simulator/site.go
@@ -25,7 +25,10 @@
 	Reservations []Reservation `toml:"reservations"`
 	Windows      []Window      `toml:"windows"`
 	Faults       FaultRates    `toml:"troubles"`
-	StepMS       int           `toml:"step_ms"` // milliseconds between the ticks of controllers and watches
+	// CommandCopies is the fraction of the direct commands of which a copy reaches the worker
+	// once more, up to minutes after they were executed and answered.
+	CommandCopies float64 `toml:"command_copies"`
+	StepMS        int     `toml:"step_ms"` // milliseconds between the ticks of controllers and watches
 }
 
 // Type is a machine type: its size, the rate at which it fetches container images (FetchGBPS,
--- a/internal/simulator/validate.go
+++ b/internal/simulator/validate.go
@@ -62,6 +62,8 @@
 		return invalid("types, teams", "one of each is needed")
 	case !(s.ReportS > 0) || !(s.LeaseS > s.ReportS):
 		return invalid("report_s, lease_s", "not above 0, or a lease no longer than a report period")
+	case !(s.CommandCopies >= 0 && s.CommandCopies <= 1):
+		return invalid("command_copies", "%v is not from 0 to 1", s.CommandCopies)
 	case s.StepMS < minStepMS || s.StepMS > maxStepMS:
 		return invalid("step_ms", "%d is not from %d to %d", s.StepMS, minStepMS, maxStepMS)
 	}
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -107,6 +107,9 @@
 	onTerminated  func(protocol.MachineID)
 	onTaskStarted func(protocol.MachineID, protocol.TaskID)
 	onTaskEnded   func(protocol.MachineID, protocol.TaskID, protocol.EndCause)
+	// onRepeatedStart is called when a copy of a command starts an attempt that its worker has
+	// forgotten.
+	onRepeatedStart func(repeatedStart)
 	// onOrders is called when a controller sends orders to a worker, in a command or in the
 	// reply to a heartbeat.
 	onOrders func(*node, []protocol.Order)
@@ -165,6 +168,7 @@
 		onTerminated:    func(protocol.MachineID) {},
 		onTaskStarted:   func(protocol.MachineID, protocol.TaskID) {},
 		onTaskEnded:     func(protocol.MachineID, protocol.TaskID, protocol.EndCause) {},
+		onRepeatedStart: func(r repeatedStart) { w.repeatedStarts = append(w.repeatedStarts, r) },
 		onOrders:        func(*node, []protocol.Order) {},
 		onConfiguration: func(*node, *dynamicconfig.Effective) {},
 		teamLimit: func(name protocol.Team) float64 {
