--- a/internal/simulator/digests_test.go
+++ b/internal/simulator/digests_test.go
@@ -37,9 +37,7 @@
 // digestRuns lists the runs whose results are compared. The result of a run of a deployed
 // site has the same bytes as the output of
 // "damsonkeel emulate --site SITE --for DURATION --seed SEED --output json".
-// Longer runs take too long for every test run; at the time of writing their digests
-// began with 8216dde14c5af28b (emulate-week.toml, 6h, seed 3) and 7433982937dd30ca
-// (emulate-shares.toml, 2m, seed 7).
+// Longer runs take too long for every test run.
 var digestRuns = []digestRun{
 	{name: "spot-seed-1", site: "testdata/digests/spot.toml", duration: time.Hour, seed: 1},
 	{name: "spot-seed-2", site: "testdata/digests/spot.toml", duration: time.Hour, seed: 2},
