--- a/internal/controller/dispatcher/commandcopies_test.go
+++ b/internal/controller/dispatcher/commandcopies_test.go
@@ -66,17 +66,26 @@
 // which does not reach the worker.
 func (f *workerFixture) deliverHeartbeat() protocol.HeartbeatReply {
 	f.t.Helper()
+	reply, accepted := f.offerHeartbeat()
+	if !accepted {
+		f.t.Fatal("the heartbeat was not answered")
+	}
+	return reply
+}
+
+// offerHeartbeat delivers the worker's next heartbeat to the dispatcher, and returns the reply
+// and whether it renews the worker's lease.
+func (f *workerFixture) offerHeartbeat() (reply protocol.HeartbeatReply, accepted bool) {
 	heartbeat := f.worker.Heartbeat()
 	heartbeat.Address, heartbeat.Type = "x", "small"
 	f.dispatcher.Actions = nil
 	f.dispatcher.HandleHeartbeat(heartbeat)
 	for _, a := range f.dispatcher.Actions {
 		if r, ok := a.(message.ReplyHeartbeat); ok && r.Status == 200 {
-			return r.Reply
+			return r.Reply, true
 		}
 	}
-	f.t.Fatal("the heartbeat was not answered")
-	return protocol.HeartbeatReply{}
+	return protocol.HeartbeatReply{}, false
 }
 
 // exchangeCommand delivers direct commands to the worker and the answer to the dispatcher.
@@ -95,12 +104,20 @@
 	}
 }
 
+// startAndAnswer starts the attempt directly and delivers the answer to the dispatcher. It returns
+// the commands.
+func (f *workerFixture) startAndAnswer() message.Command {
+	f.t.Helper()
+	start := f.startDirectly()
+	f.exchangeCommand(start)
+	return start
+}
+
 // runToEnd starts the attempt directly, lets it end and delivers a heartbeat that lists the end.
 // It returns the commands that started it, which were answered.
 func (f *workerFixture) runToEnd() message.Command {
 	f.t.Helper()
-	start := f.startDirectly()
-	f.exchangeCommand(start)
+	start := f.startAndAnswer()
 	f.runTasks()
 	f.exchangeHeartbeat()
 	return start
@@ -158,8 +175,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newWorkerFixture(t)
-			start := f.startDirectly()
-			f.exchangeCommand(start)
+			start := f.startAndAnswer()
 			f.exchangeHeartbeat()
 			stop(f)
 			f.exchangeCommand(f.sendDirectCommands())
@@ -173,12 +189,11 @@
 
 func TestLostAttemptIsFencedBeforeItsOwnerIsNotified(t *testing.T) {
 	f := newWorkerFixture(t)
-	start := f.startDirectly()
-	f.exchangeCommand(start)
+	start := f.startAndAnswer()
 	f.exchangeHeartbeat()
 	f.worker.Reboot(f.worker.LastTick())
 	f.dispatcher.Local = nil
-	for exchanges := 0; !f.wasEnded(f.task); exchanges++ {
+	for exchanges := 0; !f.wasNotified(f.task, message.EventEnded); exchanges++ {
 		if exchanges > 3 {
 			t.Fatal("the owner was not notified")
 		}
@@ -217,16 +232,6 @@
 	f.checkCopyStartsNothing(start)
 }
 
-// wasEnded reports whether an owner was notified that the attempt of a task has ended.
-func (f *fixture) wasEnded(task protocol.TaskID) bool {
-	for _, m := range f.dispatcher.Local {
-		if m.Event != nil && m.Event.What == message.EventEnded && m.Event.Task == task {
-			return true
-		}
-	}
-	return false
-}
-
 func TestTokensRiseAcrossQueuesOfOneMachine(t *testing.T) {
 	f := newWorkerFixture(t)
 	f.runToEnd()
@@ -267,7 +272,7 @@
 
 func TestLaterTokenDoesNotRefuseCommandsInFlight(t *testing.T) {
 	f := newWorkerFixture(t)
-	f.exchangeCommand(f.startDirectly())
+	f.startAndAnswer()
 	f.runTasks()
 	f.task.Job = "job-2"
 	second := f.startDirectly()
@@ -298,14 +303,8 @@
 	f.exchangeHeartbeat()
 	f.worker.RebootFromScratch(f.worker.LastTick())
 	rebooted := f.worker.LastTick()
-	f.dispatcher.Actions = nil
-	heartbeat := f.worker.Heartbeat()
-	heartbeat.Address, heartbeat.Type = "x", "small"
-	f.dispatcher.HandleHeartbeat(heartbeat)
-	for _, a := range f.dispatcher.Actions {
-		if r, ok := a.(message.ReplyHeartbeat); ok && r.Status == 200 {
-			t.Error("a heartbeat that may have been delayed by the network renews the lease")
-		}
+	if _, accepted := f.offerHeartbeat(); accepted {
+		t.Error("a heartbeat that may have been delayed by the network renews the lease")
 	}
 	if !f.worker.Execute(start.Commands) {
 		t.Fatal("the worker refuses the copy, so the test proves nothing")
--- a/internal/controller/dispatcher/directcommands.go
+++ b/internal/controller/dispatcher/directcommands.go
@@ -76,9 +76,9 @@
 
 // HandleCommandDone ends the flight of a worker's direct commands. If the worker answered, the
 // status in the answer is applied like a heartbeat, and starts that the worker refused are
-// queued again. If it did not answer, the outcome of the starts is unknown. Commands requested in the meantime are scheduled. The result of commands
-// that an earlier queue of the machine has sent is ignored: the machine was held by another
-// dispatcher since.
+// queued again. If it did not answer, the outcome of the starts is unknown. Commands requested
+// in the meantime are scheduled. The result of commands that an earlier queue of the machine
+// has sent is ignored: the machine was held by another dispatcher since.
 func (d *Dispatcher) HandleCommandDone(result message.CommandDone) {
 	q := d.queues.get(result.Machine)
 	if q == nil || result.Number != q.commandInFlight {
@@ -93,7 +93,8 @@
 		q.requestDirect()
 	}
 	if q.agentEpoch == result.AgentEpoch && result.Withheld {
-		q.requeueWithheld(&result)
+		q.requeueUnexecuted(&result)
+		q.requestDirect() // sends the other orders anew
 	}
 	if !result.Answered && !result.Withheld {
 		q.statistics.unanswered++
@@ -107,8 +108,7 @@
 	}
 	if !result.Executed {
 		q.statistics.refused++
-		q.settleRefused(&result)
-		q.requeueSettled(result.Orders)
+		q.requeueUnexecuted(&result)
 	}
 }
 
@@ -128,36 +128,24 @@
 	return e
 }
 
-// settleRefused marks the starts in refused direct commands as settled: the worker has seen a
-// later fencing token, so neither they nor their copies can be executed any more.
-func (q *queue) settleRefused(result *message.CommandDone) {
+// requeueUnexecuted settles the starts in direct commands that were refused or withheld, and
+// queues them again, except those of attempts that are or may be on the machine: a heartbeat
+// reply that overtook the commands has started the attempt, or still will. A worker that
+// refuses commands has seen a later token, so neither they nor their copies can be executed. Of
+// withheld commands, a start that was also sent before with an earlier token stays unsettled:
+// that one may still be delivered.
+func (q *queue) requeueUnexecuted(result *message.CommandDone) {
 	for _, o := range result.Orders {
-		if e := q.entryToStart(o); e != nil && e.directFencingToken == result.Term {
+		e := q.entryToStart(o)
+		if e == nil {
+			continue
+		}
+		earlierStartUnsettled := result.Withheld && e.startResent
+		if e.directFencingToken == result.Term && !earlierStartUnsettled {
 			e.directFencingToken = 0
 		}
-	}
-}
-
-// requeueSettled queues starts again that were not executed and can't be, except those of
-// attempts that are or may be on the machine: a heartbeat reply that overtook these commands
-// has started the attempt, or still will.
-func (q *queue) requeueSettled(orders []protocol.Order) {
-	for _, o := range orders {
-		if e := q.entryToStart(o); e != nil && e.sent && !e.present && e.directFencingToken == 0 && !e.startInLastReply {
+		if e.sent && !e.present && e.directFencingToken == 0 && !e.startInLastReply {
 			q.requeue(e)
 		}
 	}
 }
-
-// requeueWithheld queues starts that were not sent again, and has the other orders sent anew.
-// A start that was sent before with an earlier token stays unsettled: that one may still be
-// delivered.
-func (q *queue) requeueWithheld(result *message.CommandDone) {
-	for _, o := range result.Orders {
-		if e := q.entryToStart(o); e != nil && e.directFencingToken == result.Term && !e.startResent {
-			e.directFencingToken = 0
-		}
-	}
-	q.requeueSettled(result.Orders)
-	q.requestDirect()
-}
--- a/internal/controller/dispatcher/fixture_test.go
+++ b/internal/controller/dispatcher/fixture_test.go
@@ -164,7 +164,13 @@
 // wasReleased reports whether an owner was notified that the attempt of a task was released
 // without having been started.
 func (f *fixture) wasReleased(task protocol.TaskID) bool {
+	return f.wasNotified(task, message.EventReleased)
+}
+
+// wasNotified reports whether an owner was notified of an event of a kind of the attempt of a
+// task.
+func (f *fixture) wasNotified(task protocol.TaskID, kind message.EventKind) bool {
 	return slices.ContainsFunc(f.dispatcher.Local, func(m message.PeerMessage) bool {
-		return m.Event != nil && m.Event.What == message.EventReleased && m.Event.Task == task
+		return m.Event != nil && m.Event.What == kind && m.Event.Task == task
 	})
 }
--- a/internal/controller/dispatcher/orders.go
+++ b/internal/controller/dispatcher/orders.go
@@ -20,6 +20,8 @@
 	*queue
 	// direct is set for direct commands and not set for a heartbeat reply.
 	direct bool
+	// token is the fencing token that the orders go out with.
+	token  protocol.Term
 	orders []protocol.Order
 }
 
@@ -28,7 +30,7 @@
 // attempts, then starts in order of service while they fit. Each start is marked with the
 // path by which it is sent, because each path is settled by different evidence.
 func (q *queue) buildOrders(direct bool) []protocol.Order {
-	b := orderBuilder{queue: q, direct: direct, orders: []protocol.Order{}}
+	b := orderBuilder{queue: q, direct: direct, token: q.fencingToken(), orders: []protocol.Order{}}
 	for _, e := range ordered.TasksWhere(q.entries, b.needsOrder) {
 		b.addOrder(e)
 	}
@@ -87,7 +89,7 @@
 	if task := b.reservationTask(e, b.Live[e.task.Job]); b.windowForbids(&task) {
 		return false
 	}
-	return !b.direct || b.fencingToken() > e.directFencingToken
+	return !b.direct || b.token > e.directFencingToken
 }
 
 // addStart adds an order to start an attempt, and records whether it goes out as a direct
@@ -95,14 +97,14 @@
 func (b *orderBuilder) addStart(e *entry) {
 	e.startResent = e.directFencingToken != 0
 	if b.direct {
-		e.directFencingToken = b.fencingToken()
+		e.directFencingToken = b.token
 		b.statistics.directStarts++
 	} else {
 		e.startInLastReply = true
 		b.statistics.replyStarts++
 	}
 	b.orders = append(b.orders, protocol.Order{Op: protocol.OpStart, Task: e.task, Attempt: e.attempt})
-	b.Log.Debug("start", "machine", b.id, "task", e.task, "attempt", e.attempt, "direct", b.direct, "token", b.fencingToken(), "agent_epoch", b.agentEpoch)
+	b.Log.Debug("start", "machine", b.id, "task", e.task, "attempt", e.attempt, "direct", b.direct, "token", b.token, "agent_epoch", b.agentEpoch)
 }
 
 // addForget adds an order to forget an ended attempt. Afterwards the worker has no record
@@ -111,12 +113,12 @@
 // goes out only with a later token than that of the direct start, which fences the start.
 func (b *orderBuilder) addForget(e *entry) {
 	switch {
-	case e.mayArrive(b.fencingToken()):
+	case e.mayArrive(b.token):
 		b.awaitTermForForget(e)
 	case !e.startInLastReply:
 		b.statistics.forgets++
 		b.orders = append(b.orders, protocol.Order{Op: protocol.OpForget, Task: e.task, Attempt: e.attempt})
-		b.Log.Debug("forget", "machine", b.id, "task", e.task, "attempt", e.attempt, "direct", b.direct, "token", b.fencingToken(), "start_token", e.directFencingToken)
+		b.Log.Debug("forget", "machine", b.id, "task", e.task, "attempt", e.attempt, "direct", b.direct, "token", b.token, "start_token", e.directFencingToken)
 	}
 }
 
--- a/internal/controller/dispatcher/shards.go
+++ b/internal/controller/dispatcher/shards.go
@@ -153,7 +153,7 @@
 			continue
 		}
 		handingOver := shard.handover != nil
-		scarce := s.tokensRequested && !handingOver && shard.tokensLeft(assignment) < tokenReserve
+		scarce := s.tokensRequested && !handingOver && shard.tokensLeft(assignment.Epoch) < tokenReserve
 		overdue := handingOver && s.Since(shard.handover.beganAt) > handoverTimeout
 		if scarce || overdue {
 			raise = append(raise, id)
--- a/internal/controller/dispatcher/tokens.go
+++ b/internal/controller/dispatcher/tokens.go
@@ -3,7 +3,6 @@
 import (
 	"damsonkeel/internal/controller/sharding"
 	"damsonkeel/internal/protocol"
-	"damsonkeel/internal/record"
 )
 
 // tokenReserve is the number of fencing tokens left in a shard below which more are requested.
@@ -24,10 +23,10 @@
 	deferred bool
 }
 
-// tokensLeft returns how many fencing tokens can still be issued to each machine of a shard
-// before its epoch number has to rise.
-func (shard *shardState) tokensLeft(assignment *record.ShardAssignment) protocol.Term {
-	return assignment.Epoch - min(assignment.Epoch, max(shard.epoch, shard.highestIssued))
+// tokensLeft returns how many fencing tokens, the last of which is given, can still be issued
+// to each machine of a shard before its epoch number has to rise.
+func (shard *shardState) tokensLeft(last protocol.Term) protocol.Term {
+	return last - min(last, max(shard.epoch, shard.highestIssued))
 }
 
 // fencingToken returns the token that commands to the machine carry: the latest one issued to
@@ -88,13 +87,14 @@
 // issueToken issues the next token to the machine. If the shard has none left, it requests more
 // and issues none.
 func (q *queue) issueToken() {
-	if last := q.LastFencingToken(q.id, q.zone); q.fencingToken() < last {
-		q.recordIssued(q.fencingToken() + 1)
+	last := q.LastFencingToken(q.id, q.zone)
+	if token := q.fencingToken(); token < last {
+		q.recordIssued(token + 1)
 		q.tokens.needed = false
 		q.statistics.tokensIssued++
 		q.Log.Debug("issued a fencing token", "machine", q.id, "token", q.tokens.issued, "last", last)
 	}
-	if q.shard().tokensLeft(&q.Shards.List[q.shardID()]) < tokenReserve {
+	if q.shard().tokensLeft(last) < tokenReserve {
 		q.requestTokens()
 	}
 }
--- a/internal/fake/commandcopies.go
+++ b/internal/fake/commandcopies.go
@@ -24,11 +24,14 @@
 func (w *Worker) ExecuteCopy(c protocol.Commands) []protocol.TaskID {
 	var repeated []protocol.TaskID
 	for _, o := range c.Orders {
-		if o.Op == protocol.OpStart && w.Accepts(c) && !w.Knows(o.Task, o.Attempt) {
+		if o.Op == protocol.OpStart && !w.Knows(o.Task, o.Attempt) {
 			repeated = append(repeated, o.Task)
 		}
 	}
-	w.Execute(c)
+	executed := w.Execute(c)
 	w.Heartbeat()
+	if !executed {
+		return nil
+	}
 	return repeated
 }
--- a/internal/simulator/actions.go
+++ b/internal/simulator/actions.go
@@ -182,8 +182,7 @@
 	if m.Dead || w.now < m.inboundLostUntil {
 		return
 	}
-	if w.now < m.pausedUntil { // executed on resume, in any order with the other messages received
-		w.after(m.pausedUntil-w.now+w.delay(), x.execute)
+	if m.deferWhilePaused(x.execute) {
 		return
 	}
 	m.advanceBeforeMessage()
@@ -205,11 +204,7 @@
 // a copy of them. Nobody waits for the reply.
 func (x *commandExchange) executeCopy() {
 	m, w := x.worker, x.node.world
-	if m.Dead {
-		return
-	}
-	if w.now < m.pausedUntil {
-		w.after(m.pausedUntil-w.now+w.delay(), x.executeCopy)
+	if m.Dead || m.deferWhilePaused(x.executeCopy) {
 		return
 	}
 	m.advanceBeforeMessage()
--- a/internal/simulator/heartbeat.go
+++ b/internal/simulator/heartbeat.go
@@ -112,8 +112,7 @@
 	if x.finished || w.now < m.inboundLostUntil || w.now < m.outboundLostUntil {
 		return
 	}
-	if w.now < m.pausedUntil {
-		w.after(m.pausedUntil-w.now+w.delay(), func() { x.deliverReply(reply) })
+	if m.deferWhilePaused(func() { x.deliverReply(reply) }) {
 		return
 	}
 	switch reply.Status {
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -102,6 +102,17 @@
 	}
 }
 
+// deferWhilePaused calls handle once the worker resumes, if it is paused, in any order with the
+// other messages that it has received meanwhile, and reports whether it is paused.
+func (m *worker) deferWhilePaused(handle func()) bool {
+	w := m.world
+	if w.now >= m.pausedUntil {
+		return false
+	}
+	w.after(m.pausedUntil-w.now+w.delay(), handle)
+	return true
+}
+
 // advanceBeforeMessage advances the worker before it handles a message, in an event-driven
 // world. In other worlds all workers are advanced at each step.
 func (m *worker) advanceBeforeMessage() {
