--- a/review/_standin-2/fuzz.go
+++ b/review/_standin-2/fuzz.go
@@ -36,7 +36,7 @@
 func init() { cases["fuzz"] = fuzz }
 
 func randomJob(s *site, r *rand.Rand, n int) jobSpec {
-	j := jobSpec{ID: fmt.Sprintf("job-%06d", r.IntN(900000)+100000), Class: "flashround", Team: s.Teams[r.IntN(len(s.Teams))].Name, Kind: "batch",
+	j := jobSpec{ID: fmt.Sprintf("job-%06d", (100000+n*7919)%1000000), Class: "flashround", Team: s.Teams[r.IntN(len(s.Teams))].Name, Kind: "batch",
 		Priority: []string{"production", "high", "standard", "best_effort"}[r.IntN(4)], Tasks: uint64(1 + r.IntN(30)), CPUs: 1, GB: 1.2,
 		Image: fmt.Sprintf("img-%d", r.IntN(4)), ImageGB: 0.6, Spot: r.IntN(2) == 0, RunS: 2 + 20*r.Float64()}
 	if r.IntN(4) == 0 {
--- a/review/_standin-2/world.go
+++ b/review/_standin-2/world.go
@@ -97,6 +97,7 @@
 	left     float64 // of the present state
 	ran      float64
 	onIt     bool
+	fails    bool // it was started on a machine that fails its tasks
 	peerLost float64
 }
 
@@ -119,7 +120,7 @@
 	lastTick     time.Time
 	changed      bool
 	reportNow    chan struct{}
-	notice       *float64
+	takenAt      time.Time // when the cloud takes it back, after a notice
 	ln           net.Listener
 	sick         bool
 	slow         float64
@@ -213,6 +214,18 @@
 	go x.ln.Close()
 }
 
+// giveNotice announces that the cloud takes the machine back after a time. The caller holds mu.
+func (x *machine) giveNotice(after time.Duration) {
+	x.w.logf("the cloud takes %s back in %v", x.id, after)
+	x.takenAt = time.Now().Add(after)
+	x.wake()
+	time.AfterFunc(after, func() {
+		x.w.mu.Lock()
+		defer x.w.mu.Unlock()
+		x.w.take(x, "gone")
+	})
+}
+
 func (x *machine) killAll(why string) {
 	for _, t := range x.tasks {
 		if t.onIt {
@@ -391,6 +404,7 @@
 			return
 		}
 		w.arrived(t)
+		t.fails = x.sick
 		x.wake()
 		switch {
 		case w.results[t.id]:
@@ -429,7 +443,7 @@
 		}
 		t.left -= dt / x.slow
 		t.ran += dt / x.slow
-		if t.ran > 1 && x.sick {
+		if t.ran > 1 && t.fails {
 			x.end(t, "error")
 			return
 		}
@@ -570,8 +584,8 @@
 	}
 	r := m{"vessel": x.id, "address": x.addr, "hull": x.typ, "quay": x.zone, "driftstock": x.spot,
 		"watch": x.session, "logline": x.seq, "helm": x.token, "recall_s": nil, "hauls": list}
-	if x.notice != nil {
-		r["recall_s"] = *x.notice
+	if !x.takenAt.IsZero() {
+		r["recall_s"] = max(0, time.Until(x.takenAt).Seconds())
 	}
 	return r
 }
