--- a/review/_standin-2/waiting.go
+++ b/review/_standin-2/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"os"
 	"time"
 )
 
@@ -155,7 +156,7 @@
 		fatal("controllers do not start")
 	}
 	time.Sleep(time.Second)
-	stop := w.begin.Add(114 * time.Second)
+	stop := w.begin.Add(time.Duration(envFloat("FOR", 114)) * time.Second)
 	zone := "raumost"
 	job := jobSpec{Class: "leerlauf", Team: "hochschule", Priority: "standard", Image: "img-1", ImageGB: 0.3, Spot: true}
 	inUse := job // one task on each of the two machines, which leaves room for one of the gang's on each
@@ -178,7 +179,11 @@
 	scattered.SaveEveryS, scattered.SaveS = 20, 3
 	j2 := c.newJob(scattered)
 	go c.follow(j2, 0, stop)
+	time.Sleep(10 * time.Second) // until the cloud has taken the machine
 	c.leftWaiting(j2, stop)
+	if os.Getenv("EXPLORE") != "" {
+		time.Sleep(time.Until(stop))
+	}
 	c.summary(time.Now())
 	return w
 }
