review: a case for a limit that is used up by what waits

Rule: once the troubles are over, no job waits for 90 s while a machine that fits has room and its team is under its limit.

--- a/review/_standin-2/fuzz.go
+++ b/review/_standin-2/fuzz.go
@@ -180,7 +180,7 @@
 func (c *cluster) randomTrouble(r *rand.Rand) {
 	w := c.w
 	i := r.IntN(len(c.nodes))
-	d := time.Duration(500+r.IntN(14000)) * time.Millisecond
+	d := time.Duration(500+r.IntN(int(envFloat("LONGEST", 14)*1000))) * time.Millisecond
 	later := func(f func()) { time.AfterFunc(d, f) }
 	machines := func(f func(x *machine)) {
 		w.mu.Lock()
--- a/review/_standin-2/waiting.go
+++ b/review/_standin-2/waiting.go
@@ -10,6 +10,7 @@
 	cases["after-failed-task"] = afterFailedTask
 	cases["scattered-gang"] = scatteredGang
 	cases["services-fill"] = servicesFill
+	cases["queue-fills-limit"] = queueFillsLimit
 }
 
 // fits reports whether a machine allows a job's tasks and has room for one now. The caller holds
@@ -223,3 +224,64 @@
 	c.summary(stop)
 	return w
 }
+
+// queueFillsLimit: the cheap machine of a zone is taken back, and the cloud has no more there. An
+// array that is bound to the zone is queued behind another team's job; then another job of its team
+// comes, which may run anywhere.
+func queueFillsLimit(record io.Writer) *world {
+	s, params := brandli()
+	s.BootMin, s.BootMax = 15, 37
+	for _, t := range s.Types {
+		s.Capacity[t.Name+" in dachraum"] = 0
+	}
+	s.Capacity["rackturm in dachraum"] = 2
+	w := newWorld(s, record)
+	c := newCluster(w, params, []string{"raumost", "raumwest", "keller"})
+	defer c.end()
+	w.mu.Lock()
+	w.rent("rackturm", "dachraum", false, 1, 0.2)
+	w.rent("rackturm", "dachraum", true, 1, 0.2)
+	w.rent("rackturm", "raumost", false, 2, 0.2)
+	w.mu.Unlock()
+	s.Capacity["rackturm in dachraum"] = 0
+	for i := range c.nodes {
+		c.start(i)
+	}
+	c.probe()
+	if !c.waitUp(20 * time.Second) {
+		c.end()
+		fatal("controllers do not start")
+	}
+	time.Sleep(time.Second)
+	stop := w.begin.Add(114 * time.Second)
+	zone := "dachraum"
+	job := jobSpec{Class: "flashround", Kind: "batch", Priority: "standard", CPUs: 1, GB: 1.2, Image: "img-1", ImageGB: 0.3}
+	filler := job // fills the ordinary machine of the zone
+	filler.ID, filler.Team, filler.Tasks, filler.Zone, filler.EstimateS, filler.RunS = "job-000001", "geraete", 16, &zone, 100, 200
+	j1 := c.newJob(filler)
+	go c.follow(j1, 0, stop)
+	c.untilStarted(j1, 16, 20*time.Second)
+	if trouble {
+		w.mu.Lock()
+		for _, x := range w.machines {
+			if x.spot {
+				x.giveNotice(12 * time.Second)
+			}
+		}
+		w.mu.Unlock()
+	}
+	time.Sleep(2 * time.Second)
+	bound := job
+	bound.ID, bound.Team, bound.Tasks, bound.Zone, bound.Spot, bound.EstimateS, bound.RunS = "job-000002", "labor", 80, &zone, true, 3, 3
+	j2 := c.newJob(bound)
+	go c.follow(j2, 0, stop)
+	time.Sleep(2 * time.Second)
+	anywhere := job
+	anywhere.ID, anywhere.Team, anywhere.Tasks, anywhere.Spot, anywhere.EstimateS, anywhere.RunS = "job-000003", "labor", 4, true, 10, 10
+	j3 := c.newJob(anywhere)
+	go c.follow(j3, 0, stop)
+	time.Sleep(10 * time.Second) // until the cloud has taken the machine
+	c.leftWaiting(j3, stop)
+	c.summary(time.Now())
+	return w
+}
--- a/review/_standin-2/world.go
+++ b/review/_standin-2/world.go
@@ -71,7 +71,7 @@
 	Teams                                          []team
 	ListLagS                                       float64
 	BootMin, BootMax                               float64
-	Capacity                                       map[string]int // by type
+	Capacity                                       map[string]int // by type, or by type and zone
 }
 
 type mtype struct {
@@ -177,13 +177,16 @@
 // rent adds machines. The caller holds mu.
 func (w *world) rent(typ, zone string, spot bool, n int, boot float64) (ids []string) {
 	for range n {
-		have := 0
+		have, inZone := 0, 0
 		for _, x := range w.machines {
 			if x.typ == typ && x.state != "gone" {
 				have++
+				if x.zone == zone {
+					inZone++
+				}
 			}
 		}
-		if have >= w.site.Capacity[typ] {
+		if most, ok := w.site.Capacity[typ+" in "+zone]; have >= w.site.Capacity[typ] || ok && inZone >= most {
 			break
 		}
 		w.lastVM++
@@ -329,6 +332,9 @@
 			go x.reportLoop()
 		case x.state == "running" && now.After(x.hungUntil):
 			x.tick(now)
+		case x.state == "running": // it hangs, and may go on within its lease only
+			x.expire(now)
+			x.lastTick = now
 		}
 	}
 	for _, j := range w.jobs {
@@ -348,6 +354,14 @@
 func (x *machine) tick(now time.Time) {
 	dt := now.Sub(x.lastTick).Seconds()
 	x.lastTick = now
+	x.expire(now)
+	for _, t := range append([]*task{}, x.tasks...) {
+		x.advance(t, min(dt, 1))
+	}
+}
+
+// expire ends the session if the lease has run out.
+func (x *machine) expire(now time.Time) {
 	if now.Sub(x.leaseFrom).Seconds() > x.w.site.LeaseS {
 		x.w.logf("lease of %s expired, session %d ends", x.id, x.session)
 		if x.w.onExpired != nil {
@@ -358,9 +372,6 @@
 		x.leaseFrom = now
 		x.wake()
 	}
-	for _, t := range append([]*task{}, x.tasks...) {
-		x.advance(t, min(dt, 1))
-	}
 }
 
 func (x *machine) wake() {
